Built the whole path, thin, from caller to target.

Cause: nothing served a request yet. Conclusion: the path stands; each app's core is the simplest that serves, and grows behind the interfaces in node/parts.py.

--- /dev/null
+++ b/features/thin_path.feature
@@ -0,0 +1,16 @@
+Feature: The whole path
+  A call travels from its caller through an entry instance to a target,
+  and its answer streams back, all by one document.
+
+  Scenario: A short prompt is streamed to its end
+    Given a deployment of the document "kandy" with 2 instances
+    When a caller sends a prompt of 1000 tokens to instance 0 as a stream
+    Then the answer ends with its finish marker
+    And the engines ran the request once
+
+  Scenario: A booking under one key happens once
+    Given a deployment of the document "kandy" with 2 instances
+    When a caller books twice with the key "table-7" at instance 0
+    Then the first booking succeeds
+    And the second is refused with the verdict "ran"
+    And the plain services ran one booking
--- /dev/null
+++ b/trefoilhinge/__main__.py
@@ -0,0 +1,6 @@
+"""Runs the command line as ``python -m trefoilhinge``."""
+
+from trefoilhinge.client.commands import main
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/trefoilhinge/calls/__init__.py
@@ -0,0 +1,1 @@
+"""Calls of callers: the API, deadlines and the relay of answers."""
--- /dev/null
+++ b/trefoilhinge/client/__init__.py
@@ -0,0 +1,1 @@
+"""Command line for operators."""
--- /dev/null
+++ b/trefoilhinge/conf/__init__.py
@@ -0,0 +1,1 @@
+"""Settings, the configuration document, their schemas and checks."""
--- /dev/null
+++ b/trefoilhinge/console/__init__.py
@@ -0,0 +1,1 @@
+"""Console: web forms whose only output is one validated document."""
--- /dev/null
+++ b/trefoilhinge/core/__init__.py
@@ -0,0 +1,1 @@
+"""Types that every app shares: time, identifiers, verdicts, events, effects."""
--- /dev/null
+++ b/trefoilhinge/core/verdicts.py
@@ -0,0 +1,115 @@
+"""Verdicts: whether a request may have run, and how a refusal is told."""
+
+import enum
+
+from attrs import frozen
+
+
+class Verdict(enum.StrEnum):
+    """What is known of a request that was not answered in full."""
+
+    NOT_RUN = 'not_run'
+    MAY_HAVE_RUN = 'may_have_run'
+    RAN = 'ran'
+
+
+class RefusalCode(enum.StrEnum):
+    """Stable codes of refusals, as callers see them."""
+
+    UNKNOWN_KEY = 'unknown_key'
+    NOT_FOUND = 'not_found'
+    BAD_REQUEST = 'bad_request'
+    TOO_LARGE = 'too_large'
+    SERVICE_FORBIDDEN = 'service_forbidden'
+    REQUEST_RATE = 'request_rate'
+    TOKEN_RATE = 'token_rate'
+    QUEUE_FULL = 'queue_full'
+    DEADLINE_TOO_SHORT = 'deadline_too_short'
+    DEADLINE_PASSED = 'deadline_passed'
+    NO_TARGET = 'no_target'
+    TARGET_FAILED = 'target_failed'
+    ANSWER_INCOMPLETE = 'answer_incomplete'
+    KEY_IN_USE = 'key_in_use'
+    KEY_EXPIRED = 'key_expired'
+    KEY_OWNER_GONE = 'key_owner_gone'
+    KEY_UNKNOWN = 'key_unknown'
+    ALREADY_RAN = 'already_ran'
+    STOPPING = 'stopping'
+    NOT_READY = 'not_ready'
+    OVERLOADED = 'overloaded'
+    SLOW_SENDER = 'slow_sender'
+
+
+HTTP_STATUS = {
+    RefusalCode.UNKNOWN_KEY: 401,
+    RefusalCode.NOT_FOUND: 404,
+    RefusalCode.BAD_REQUEST: 400,
+    RefusalCode.TOO_LARGE: 413,
+    RefusalCode.SERVICE_FORBIDDEN: 403,
+    RefusalCode.REQUEST_RATE: 429,
+    RefusalCode.TOKEN_RATE: 429,
+    RefusalCode.QUEUE_FULL: 503,
+    RefusalCode.DEADLINE_TOO_SHORT: 503,
+    RefusalCode.DEADLINE_PASSED: 504,
+    RefusalCode.NO_TARGET: 503,
+    RefusalCode.TARGET_FAILED: 502,
+    RefusalCode.ANSWER_INCOMPLETE: 502,
+    RefusalCode.KEY_IN_USE: 409,
+    RefusalCode.KEY_EXPIRED: 409,
+    RefusalCode.KEY_OWNER_GONE: 409,
+    RefusalCode.KEY_UNKNOWN: 409,
+    RefusalCode.ALREADY_RAN: 409,
+    RefusalCode.STOPPING: 503,
+    RefusalCode.NOT_READY: 503,
+    RefusalCode.OVERLOADED: 503,
+    RefusalCode.SLOW_SENDER: 408,
+}
+
+
+@frozen
+class Refusal:
+    """A final answer other than the whole answer of a target.
+
+    :ivar code: stable code.
+    :ivar verdict: whether the request may have run.
+    :ivar message: what happened and what to change, in one sentence or two.
+    :ivar limit: name of the limit that was met, empty if none was.
+    :ivar limit_value: value of that limit, in the unit its name carries.
+    :ivar retry_after_s: seconds after which to try again, none where waiting
+        does not help.
+    :ivar example: changed line of the example for the caller to copy.
+    """
+
+    code: RefusalCode
+    verdict: Verdict
+    message: str
+    limit: str = ''
+    limit_value: float | None = None
+    retry_after_s: float | None = None
+    example: str = ''
+
+    @property
+    def status(self) -> int:
+        """Return the HTTP status of this refusal."""
+        return HTTP_STATUS[self.code]
+
+
+def refuse_not_run(
+    code: RefusalCode,
+    message: str,
+    *,
+    limit: str = '',
+    limit_value: float | None = None,
+    retry_after_s: float | None = None,
+    example: str = '',
+) -> Refusal:
+    """Build a refusal of a request that certainly did not run."""
+    return Refusal(
+        code=code,
+        verdict=Verdict.NOT_RUN,
+        message=message,
+        limit=limit,
+        limit_value=limit_value,
+        retry_after_s=retry_after_s,
+        example=example,
+    )
--- /dev/null
+++ b/trefoilhinge/demo/__init__.py
@@ -0,0 +1,1 @@
+"""The demo: a whole small deployment in one process."""
--- /dev/null
+++ b/trefoilhinge/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry daemon: shells around a node's core."""
--- /dev/null
+++ b/trefoilhinge/faults/__init__.py
@@ -0,0 +1,1 @@
+"""Fault matrix: every fault at every step, checked against promises."""
--- /dev/null
+++ b/trefoilhinge/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Shares of organisations, admission and queues."""
--- /dev/null
+++ b/trefoilhinge/measure/__init__.py
@@ -0,0 +1,1 @@
+"""Measurement of the policy: workloads, baselines and reports."""
--- /dev/null
+++ b/trefoilhinge/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Instances, targets, and who is leaving."""
--- /dev/null
+++ b/trefoilhinge/node/__init__.py
@@ -0,0 +1,1 @@
+"""The core of one instance: every decision, composed from the apps' cores."""
--- /dev/null
+++ b/trefoilhinge/node/composition.py
@@ -0,0 +1,73 @@
+"""Composes a node from the cores of each app."""
+
+from trefoilhinge.conf.keeper import NewestDocumentKeeper
+from trefoilhinge.core.identifiers import InstanceIdentity
+from trefoilhinge.groups.runner import make_no_group_runner
+from trefoilhinge.limits.limiter import make_bucket_limiter
+from trefoilhinge.membership.fleet import make_exchange_fleet
+from trefoilhinge.node.core import NodeCore, NodeParts
+from trefoilhinge.node.desk import CallDesk
+from trefoilhinge.node.exchange import PeerExchanger
+from trefoilhinge.node.tables import CallTable
+from trefoilhinge.orders.steward import make_reading_steward
+from trefoilhinge.retries.ledger import make_local_ledger
+from trefoilhinge.retries.policy import make_careful_retry_policy
+from trefoilhinge.routing.router import make_least_tokens_router
+
+
+def make_parts(
+    identity: InstanceIdentity,
+    address: str,
+    failure_domain: str,
+    secret: str,
+    seeds: tuple[str, ...],
+    seed: int,
+) -> NodeParts:
+    """Return the cores that an instance runs by default.
+
+    :param identity: name and incarnation of the instance.
+    :param address: ``host:port`` that peers reach it at.
+    :param failure_domain: failure domain that it is in.
+    :param seeds: addresses of peers to ask at the start.
+    :param secret: secret shared by the deployment, which signs keys.
+    :param seed: seed of every random choice of its cores.
+    """
+    return NodeParts(
+        router=make_least_tokens_router(),
+        limiter=make_bucket_limiter(),
+        ledger=make_local_ledger(identity),
+        retries=make_careful_retry_policy(),
+        groups=make_no_group_runner(),
+        fleet=make_exchange_fleet(identity, address, seeds),
+        keeper=NewestDocumentKeeper(),
+        steward=make_reading_steward(),
+    )
+
+
+def make_node(
+    parts: NodeParts,
+    start_wait_s: float,
+    stop_wait_s: float,
+) -> NodeCore:
+    """Return a node of the given cores.
+
+    :param start_wait_s: seconds to ask peers for a newer document.
+    :param stop_wait_s: seconds that the balancer takes to notice a stop.
+    """
+    desk = CallDesk(
+        CallTable(),
+        parts.router,
+        parts.limiter,
+        parts.ledger,
+        parts.retries,
+        parts.groups,
+        parts.fleet,
+    )
+    exchanger = PeerExchanger(
+        parts.fleet,
+        parts.router,
+        parts.limiter,
+        parts.ledger,
+        parts.keeper,
+    )
+    return NodeCore(parts, desk, exchanger, start_wait_s, stop_wait_s)
--- /dev/null
+++ b/trefoilhinge/node/core.py
@@ -0,0 +1,357 @@
+"""The core of one instance: takes events and returns effects."""
+
+from collections.abc import Callable
+from typing import Any
+
+from attrs import define, field
+
+from trefoilhinge.core.clocks import Instant
+from trefoilhinge.core.effects import (
+    AnswerKey,
+    Effect,
+    LogEvent,
+    ReadDocument,
+    ReadInstances,
+    ReadLoad,
+    RefuseCall,
+    ReportReadiness,
+    StopProcess,
+)
+from trefoilhinge.core.events import (
+    AttemptAccepted,
+    AttemptEnded,
+    AttemptSilent,
+    CacheEventsRead,
+    CallerGone,
+    CallReceived,
+    DocumentRead,
+    EngineStateRead,
+    Event,
+    FirstTokenSeen,
+    ForwardEnded,
+    GroupStepEnded,
+    HoldingReleased,
+    InstancesListed,
+    KeyRequested,
+    LoadRead,
+    OrderAnswered,
+    PeerAnswered,
+    PeerMessageReceived,
+    StopRequested,
+    StreamAnswered,
+    TimerFired,
+)
+from trefoilhinge.core.identifiers import TargetName
+from trefoilhinge.core.verdicts import RefusalCode, refuse_not_run
+from trefoilhinge.node.desk import CallDesk, refuse_stopping
+from trefoilhinge.node.exchange import PeerExchanger
+from trefoilhinge.node.parts import (
+    DocumentKeeper,
+    Fleet,
+    GroupRunner,
+    Ledger,
+    Limiter,
+    RetryPolicy,
+    Router,
+    Steward,
+    TargetView,
+)
+from trefoilhinge.node.schedule import PauseDetector, Timer
+
+EXCHANGE_INTERVAL_S = 1.0
+LOAD_INTERVAL_S = 0.5
+INSTANCES_INTERVAL_S = 2.0
+DOCUMENT_WATCH_S = 2.0
+HOUSEKEEPING_INTERVAL_S = 5.0
+
+Effects = list[Effect]
+
+
+@define
+class NodeParts:
+    """The cores that a node is composed of."""
+
+    router: Router
+    limiter: Limiter
+    ledger: Ledger
+    retries: RetryPolicy
+    groups: GroupRunner
+    fleet: Fleet
+    keeper: DocumentKeeper
+    steward: Steward
+
+
+@define
+class NodeTimers:
+    """When each recurring task of a node is due."""
+
+    exchange: Timer = field(factory=lambda: Timer(EXCHANGE_INTERVAL_S))
+    load: Timer = field(factory=lambda: Timer(LOAD_INTERVAL_S))
+    instances: Timer = field(factory=lambda: Timer(INSTANCES_INTERVAL_S))
+    housekeeping: Timer = field(
+        factory=lambda: Timer(HOUSEKEEPING_INTERVAL_S),
+    )
+
+
+@define
+class NodeCore:
+    """Decides for one instance; holds no socket, thread or clock.
+
+    :ivar ready: whether callers are taken.
+    :ivar stopping_since_s: monotonic seconds of the stop request, if any.
+    """
+
+    parts: NodeParts
+    desk: CallDesk
+    exchanger: PeerExchanger
+    start_wait_s: float
+    stop_wait_s: float
+    timers: NodeTimers = field(factory=NodeTimers)
+    pauses: PauseDetector = field(factory=PauseDetector)
+    ready: bool = False
+    started_s: float | None = None
+    stopping_since_s: float | None = None
+    _stopped: bool = False
+    _document_asked: bool = False
+    _cache_sequences: dict[TargetName, int] = field(factory=dict)
+    _handlers: dict[type[Any], Callable[[Any, Instant], Effects]] = field(
+        factory=dict,
+    )
+
+    def __attrs_post_init__(self) -> None:
+        """Map each kind of event to the method that takes it."""
+        self._handlers = {
+            CallReceived: self._receive_call,
+            CallerGone: self.desk.note_caller_gone,
+            AttemptAccepted: self.desk.note_accepted,
+            FirstTokenSeen: self.desk.note_first_token,
+            AttemptSilent: self.desk.note_silent,
+            StreamAnswered: self.desk.note_stream,
+            AttemptEnded: self.desk.note_ended,
+            GroupStepEnded: self.desk.note_group_step,
+            ForwardEnded: self.desk.note_forward,
+            HoldingReleased: self._note_released,
+            LoadRead: self._note_load,
+            CacheEventsRead: self._note_cache,
+            InstancesListed: self._note_instances,
+            DocumentRead: self._note_document,
+            PeerMessageReceived: self._receive_peer,
+            PeerAnswered: self._take_peer_answer,
+            KeyRequested: self._mint_key,
+            EngineStateRead: self._note_state,
+            OrderAnswered: self._note_order,
+            StopRequested: self._begin_stop,
+            TimerFired: self._act,
+        }
+
+    def handle(self, event: Event, now: Instant) -> Effects:
+        """Take one event and return what is to be done.
+
+        :param event: what happened.
+        :param now: both clocks at that moment.
+        """
+        return self._handlers[type(event)](event, now)
+
+    def _receive_call(self, event: CallReceived, now: Instant) -> Effects:
+        request_id = event.profile.request_id
+        if self._stopped:
+            return [RefuseCall(request_id, refuse_stopping())]
+        if self.parts.keeper.document is None:
+            refusal = refuse_not_run(
+                RefusalCode.NOT_READY,
+                'This instance has no configuration yet; try again.',
+                retry_after_s=1,
+            )
+            return [RefuseCall(request_id, refusal)]
+        return self.desk.receive(event, now)
+
+    def _mint_key(self, event: KeyRequested, now: Instant) -> Effects:
+        key = self.parts.ledger.mint_key(event.organisation, now)
+        return [AnswerKey(event.token, key)]
+
+    def _note_released(self, event: HoldingReleased, now: Instant) -> Effects:
+        self.parts.groups.note_released(event, now)
+        return []
+
+    def _note_load(self, event: LoadRead, now: Instant) -> Effects:
+        report = event.report
+        if report is not None:
+            fleet = self.parts.fleet
+            fleet.note_incarnation(event.target, report.incarnation, now)
+            if report.leaving:
+                fleet.note_leaving(event.target, report.incarnation, now)
+        self.parts.router.note_load(event.target, report, now)
+        return self._refresh_targets(now)
+
+    def _note_cache(self, event: CacheEventsRead, now: Instant) -> Effects:
+        if event.cache_events:
+            last = event.cache_events[-1].sequence
+            self._cache_sequences[event.target] = last
+        self.parts.router.note_cache_events(
+            event.target,
+            event.cache_events,
+            now,
+        )
+        return []
+
+    def _note_instances(self, event: InstancesListed, now: Instant) -> Effects:
+        self.parts.fleet.note_listed(event, now)
+        return self._refresh_targets(now)
+
+    def _note_document(self, event: DocumentRead, now: Instant) -> Effects:
+        self._document_asked = False
+        if event.text is None:
+            return []
+        before = self.parts.keeper.digest
+        effects = list(self.parts.keeper.offer(event.text, 'service', now))
+        if before != self.parts.keeper.digest:
+            effects.extend(self._configure(now))
+        return effects
+
+    def _receive_peer(
+        self,
+        event: PeerMessageReceived,
+        now: Instant,
+    ) -> Effects:
+        effects, changed = self.exchanger.receive(event, now)
+        return effects + self._follow_exchange(changed, now)
+
+    def _take_peer_answer(self, event: PeerAnswered, now: Instant) -> Effects:
+        effects, changed = self.exchanger.take_answer(event, now)
+        return effects + self._follow_exchange(changed, now)
+
+    def _follow_exchange(self, changed: bool, now: Instant) -> Effects:
+        effects = self._configure(now) if changed else []
+        live = self.parts.fleet.list_live(now)
+        self.parts.limiter.note_peers(
+            frozenset(one.name for one in live),
+            self.parts.fleet.count_expected(),
+            now,
+        )
+        return effects + self._refresh_targets(now)
+
+    def _note_state(self, event: EngineStateRead, now: Instant) -> Effects:
+        live = self.parts.fleet.list_live(now)
+        effects = list(self.parts.steward.note_state(event, now))
+        effects.extend(self.parts.groups.note_state(event, live, now))
+        return effects
+
+    def _note_order(self, event: OrderAnswered, now: Instant) -> Effects:
+        return list(self.parts.steward.note_answer(event, now))
+
+    def _begin_stop(self, event: StopRequested, now: Instant) -> Effects:
+        if self.stopping_since_s is not None:
+            return []
+        self.stopping_since_s = now.monotonic_s
+        self.ready = False
+        self.parts.fleet.note_stopping()
+        return [ReportReadiness(ready=False), *self.exchanger.send(now)]
+
+    def _act(self, event: TimerFired, now: Instant) -> Effects:
+        if self._stopped:
+            return []
+        effects: Effects = []
+        if self.started_s is None:
+            self.started_s = now.monotonic_s
+        if self.pauses.note(now):
+            effects.extend(self._recover_from_pause(now))
+        effects.extend(self.desk.act(now))
+        effects.extend(self._read_platform(now))
+        if self.timers.exchange.take_due(now):
+            effects.extend(self.exchanger.send(now))
+            effects.extend(self._follow_exchange(False, now))
+        effects.extend(self.parts.groups.act(now))
+        effects.extend(self._steward(now))
+        if self.timers.housekeeping.take_due(now):
+            self.parts.ledger.expire(now)
+        effects.extend(self._report_ready(now))
+        effects.extend(self._finish_stop(now))
+        return effects
+
+    def _recover_from_pause(self, now: Instant) -> Effects:
+        self.parts.steward.note_pause(now)
+        self._document_asked = False
+        self.timers.instances.force()
+        self.timers.exchange.force()
+        return [LogEvent('pause_detected', ())]
+
+    def _read_platform(self, now: Instant) -> Effects:
+        effects: Effects = []
+        if not self._document_asked:
+            self._document_asked = True
+            wait_s = DOCUMENT_WATCH_S if self.parts.keeper.revision else 0
+            effects.append(ReadDocument(self.parts.keeper.revision, wait_s))
+        if self.timers.instances.take_due(now):
+            effects.append(ReadInstances())
+        if self.timers.load.take_due(now):
+            effects.extend(
+                ReadLoad(
+                    one.name,
+                    one.address,
+                    self._cache_sequences.get(one.name, 0),
+                )
+                for one in self._list_engines()
+            )
+        return effects
+
+    def _steward(self, now: Instant) -> Effects:
+        if self.stopping_since_s is not None:
+            return []
+        live = self.parts.fleet.list_live(now)
+        targets = self._list_engines()
+        return list(self.parts.steward.act(live, targets, now))
+
+    def _list_engines(self) -> tuple[TargetView, ...]:
+        document = self.parts.keeper.document
+        if document is None:
+            return ()
+        return tuple(
+            one
+            for service in document.services
+            if service.kind == 'model'
+            for one in self.parts.fleet.list_targets(service.name)
+        )
+
+    def _configure(self, now: Instant) -> Effects:
+        document = self.parts.keeper.document
+        if document is None:
+            return []
+        self.parts.router.configure(document)
+        self.parts.limiter.configure(document)
+        self.parts.ledger.configure(document)
+        self.parts.retries.configure(document)
+        self.parts.fleet.configure(document, now)
+        self.parts.steward.configure(document, now)
+        return self._refresh_targets(now)
+
+    def _refresh_targets(self, now: Instant) -> Effects:
+        changed = self.parts.fleet.take_changed_services()
+        for service in changed:
+            targets = self.parts.fleet.list_targets(service)
+            self.parts.router.update_targets(service, targets, now)
+        if not changed:
+            return []
+        return self.desk.place_queued(now)
+
+    def _report_ready(self, now: Instant) -> Effects:
+        if self.ready or self.stopping_since_s is not None:
+            return []
+        started_s = (
+            now.monotonic_s if self.started_s is None else self.started_s
+        )
+        waited = now.monotonic_s - started_s >= self.start_wait_s
+        if self.parts.keeper.document is None or not waited:
+            return []
+        self.ready = True
+        return [ReportReadiness(ready=True)]
+
+    def _finish_stop(self, now: Instant) -> Effects:
+        if self.stopping_since_s is None:
+            return []
+        waited_s = now.monotonic_s - self.stopping_since_s
+        if waited_s < self.stop_wait_s or len(self.desk.table):
+            return []
+        if self.parts.groups.list_held():
+            return []
+        self._stopped = True
+        return [*self.exchanger.send_handover(now), StopProcess()]
--- /dev/null
+++ b/trefoilhinge/node/desk.py
@@ -0,0 +1,463 @@
+"""Takes a call from its receipt to its final answer.
+
+Only the instance that received a call answers its caller, and only while the
+call stands in this table: whatever arrives later finds no record.
+"""
+
+from attrs import define
+
+from trefoilhinge.core.clocks import Instant
+from trefoilhinge.core.effects import (
+    CancelAttempt,
+    Dispatch,
+    Effect,
+    FinishCall,
+    ForwardCall,
+    QueryStream,
+    RefuseCall,
+    ResumeStream,
+)
+from trefoilhinge.core.events import (
+    AttemptAccepted,
+    AttemptEnded,
+    AttemptOutcome,
+    AttemptSilent,
+    CallerGone,
+    CallReceived,
+    FirstTokenSeen,
+    ForwardEnded,
+    GroupStepEnded,
+    StreamAnswered,
+)
+from trefoilhinge.core.identifiers import (
+    AttemptId,
+    HoldingTag,
+    StreamId,
+)
+from trefoilhinge.core.reports import StreamState
+from trefoilhinge.core.verdicts import (
+    Refusal,
+    RefusalCode,
+    Verdict,
+    refuse_not_run,
+)
+from trefoilhinge.node.parts import (
+    ClaimForwarded,
+    ClaimRefused,
+    Deferred,
+    Fleet,
+    GiveUp,
+    GroupFailed,
+    GroupMember,
+    GroupReady,
+    GroupRunner,
+    Impossible,
+    Ledger,
+    Limiter,
+    PlacedOn,
+    PlacedOnGroup,
+    RetryPolicy,
+    Router,
+    TargetView,
+)
+from trefoilhinge.node.tables import CallRecord, CallState, CallTable
+
+SEND_LEASE_S = 2.0
+QUESTION_INTERVAL_S = 1.0
+MAXIMUM_PLACEMENTS = 64
+
+Effects = list[Effect]
+
+
+@define
+class CallDesk:
+    """Moves calls through admission, placement, sending and answering."""
+
+    table: CallTable
+    _router: Router
+    _limiter: Limiter
+    _ledger: Ledger
+    _retries: RetryPolicy
+    _groups: GroupRunner
+    _fleet: Fleet
+
+    def receive(self, event: CallReceived, now: Instant) -> Effects:
+        """Claim, admit and queue a call, or refuse it."""
+        profile = event.profile
+        record = CallRecord(profile)
+        claim = self._ledger.claim(profile, now)
+        if isinstance(claim, ClaimRefused):
+            return [RefuseCall(profile.request_id, claim.refusal)]
+        if isinstance(claim, ClaimForwarded):
+            return self._forward(record, claim)
+        wait_s = self._router.estimate_wait_s(profile, now)
+        refusal = self._limiter.admit(profile, wait_s, now)
+        if refusal is not None:
+            self._ledger.settle(profile, Verdict.NOT_RUN, now)
+            return [RefuseCall(profile.request_id, refusal)]
+        self.table.add(record)
+        return self.place_queued(now)
+
+    def place_queued(self, now: Instant) -> Effects:
+        """Place the calls that wait, in the limiter's order."""
+        effects: Effects = []
+        placements = 0
+        for profile in self._limiter.list_ready(now):
+            if placements >= MAXIMUM_PLACEMENTS:
+                break
+            placements += 1
+            record = self.table.find(profile.request_id)
+            if record is None:
+                self._limiter.remove(profile.request_id)
+            else:
+                effects.extend(self._place(record, now))
+        return effects
+
+    def note_accepted(self, event: AttemptAccepted, now: Instant) -> Effects:
+        """Remember the stream that answers an attempt."""
+        record = self.table.find_attempt(event.attempt)
+        if record is not None:
+            record.stream_id = event.stream_id
+        return []
+
+    def note_first_token(self, event: FirstTokenSeen, now: Instant) -> Effects:
+        """Drop the prefill part of the charge."""
+        self._router.note_first_token(event.attempt, now)
+        return []
+
+    def note_silent(self, event: AttemptSilent, now: Instant) -> Effects:
+        """Ask on a new connection where a silent stream stands."""
+        record = self.table.find_attempt(event.attempt)
+        if record is None or record.target is None:
+            return []
+        if not record.profile.model:
+            return []
+        record.offset = event.offset
+        return self._ask(record)
+
+    def note_stream(self, event: StreamAnswered, now: Instant) -> Effects:
+        """Resume a stream that stands, or decide on one that does not."""
+        record = self.table.find_attempt(event.attempt)
+        if record is None or record.target is None:
+            return []
+        if event.state in {StreamState.RUNNING, StreamState.FINISHED}:
+            record.state = CallState.SENT
+            record.questions = 0
+            return [
+                ResumeStream(
+                    record.attempt,
+                    record.target.name,
+                    record.target.address,
+                    record.stream_id or _name_stream(record.attempt),
+                    record.offset,
+                ),
+            ]
+        if event.state is StreamState.UNREACHABLE:
+            record.due_s = now.monotonic_s + QUESTION_INTERVAL_S
+            record.questions += 1
+            if record.questions < 3 or not record.profile.idempotent:
+                return []
+        outcome = AttemptOutcome.ERRORED
+        if event.state is StreamState.NEVER_STARTED:
+            outcome = AttemptOutcome.REFUSED
+        return self._decide(
+            record,
+            AttemptEnded(event.attempt, outcome, relayed=record.offset),
+            now,
+        )
+
+    def note_ended(self, event: AttemptEnded, now: Instant) -> Effects:
+        """Finish a call, or decide on a failed attempt."""
+        record = self.table.find_attempt(event.attempt)
+        if record is None:
+            return []
+        if event.outcome is AttemptOutcome.FINISHED:
+            return self._finish(record, event, now)
+        broken = event.outcome is AttemptOutcome.BROKEN
+        if broken and record.profile.model and record.target is not None:
+            record.offset = event.relayed
+            return self._ask(record)
+        return self._decide(record, event, now)
+
+    def note_group_step(self, event: GroupStepEnded, now: Instant) -> Effects:
+        """Go on with a group, send to its leader or give it up."""
+        step_effects, progress = self._groups.note_step(event, now)
+        effects = list(step_effects)
+        record = self.table.find_attempt(event.attempt)
+        if record is None:
+            effects.extend(self._groups.release(event.attempt, now))
+            return effects
+        if isinstance(progress, GroupReady):
+            effects.append(
+                self._dispatch(record, progress.leader, now, progress.tag),
+            )
+        if isinstance(progress, GroupFailed):
+            ended = AttemptEnded(event.attempt, AttemptOutcome.NOT_SENT)
+            effects.extend(self._decide(record, ended, now))
+        return effects
+
+    def note_forward(self, event: ForwardEnded, now: Instant) -> Effects:
+        """End a call that was forwarded to the owner of its key."""
+        record = self.table.find(event.request_id)
+        if record is None:
+            return []
+        self.table.drop(event.request_id)
+        if event.finished:
+            return [FinishCall(event.request_id)]
+        # The key may have been used at its owner before, so that even a
+        # forward that never left proves nothing.
+        return [RefuseCall(event.request_id, refuse_lost_owner())]
+
+    def note_caller_gone(self, event: CallerGone, now: Instant) -> Effects:
+        """Release everything that a call holds."""
+        record = self.table.find(event.request_id)
+        if record is None:
+            return []
+        return self._close(record, record.verdict, 0, now)
+
+    def act(self, now: Instant) -> Effects:
+        """Refuse what is late, ask and retry what is due, place the rest."""
+        effects: Effects = []
+        for record in self.table.list_records():
+            if record.profile.deadline_s <= now.monotonic_s:
+                effects.extend(self._expire(record, now))
+            elif record.state is CallState.WAITING_RETRY:
+                if record.due_s <= now.monotonic_s:
+                    record.state = CallState.QUEUED
+                    self._limiter.requeue(record.profile, now)
+            elif record.state is CallState.ASKING:
+                if 0 < record.due_s <= now.monotonic_s:
+                    effects.extend(self._ask(record))
+        effects.extend(self.place_queued(now))
+        return effects
+
+    def _forward(self, record: CallRecord, claim: ClaimForwarded) -> Effects:
+        profile = record.profile
+        address = self._fleet.find_address(claim.owner, claim.incarnation)
+        if address is None:
+            return [RefuseCall(profile.request_id, refuse_lost_owner())]
+        record.state = CallState.FORWARDED
+        self.table.add(record)
+        return [
+            ForwardCall(
+                profile.request_id,
+                claim.owner,
+                address,
+                claim.incarnation,
+                profile.deadline_s,
+            ),
+        ]
+
+    def _place(self, record: CallRecord, now: Instant) -> Effects:
+        profile = record.profile
+        placement = self._router.place(profile, frozenset(record.avoided), now)
+        match placement:
+            case Deferred():
+                return []
+            case Impossible(refusal):
+                return self._refuse(record, refusal, now)
+            case PlacedOn(target):
+                self._begin_attempt(record, (target,), now)
+                return [self._dispatch(record, target, now, None)]
+            case PlacedOnGroup(members):
+                return self._start_group(record, members, now)
+
+    def _begin_attempt(
+        self,
+        record: CallRecord,
+        targets: tuple[TargetView, ...],
+        now: Instant,
+    ) -> None:
+        self._limiter.remove(record.profile.request_id)
+        record.number += 1
+        record.stream_id = None
+        record.offset = 0
+        record.questions = 0
+        record.target = targets[-1]
+        names = tuple(one.name for one in targets)
+        self._router.charge(record.attempt, record.profile, names, now)
+
+    def _start_group(
+        self,
+        record: CallRecord,
+        members: tuple[GroupMember, ...],
+        now: Instant,
+    ) -> Effects:
+        targets = tuple(member.target for member in members)
+        self._begin_attempt(record, targets, now)
+        record.state = CallState.RESERVING
+        return list(
+            self._groups.start(record.attempt, record.profile, members, now),
+        )
+
+    def _dispatch(
+        self,
+        record: CallRecord,
+        target: TargetView,
+        now: Instant,
+        tag: HoldingTag | None,
+    ) -> Dispatch:
+        profile = record.profile
+        record.state = CallState.SENT
+        record.target = target
+        if record.number == 1:
+            self._retries.note_first_attempt(profile, target.name, now)
+        self._ledger.record_intent(profile, record.attempt, now)
+        return Dispatch(
+            attempt=record.attempt,
+            target=target.name,
+            address=target.address,
+            priority=profile.priority,
+            deadline_s=profile.deadline_s,
+            lease=now.shift(SEND_LEASE_S),
+            fresh_connection=not profile.idempotent,
+            group_tag=tag,
+        )
+
+    def _ask(self, record: CallRecord) -> Effects:
+        if record.target is None:
+            return []
+        record.state = CallState.ASKING
+        record.due_s = 0
+        return [
+            QueryStream(
+                record.attempt,
+                record.target.name,
+                record.target.address,
+                record.stream_id or _name_stream(record.attempt),
+            ),
+        ]
+
+    def _decide(
+        self,
+        record: CallRecord,
+        ended: AttemptEnded,
+        now: Instant,
+    ) -> Effects:
+        profile = record.profile
+        target = record.target
+        effects = self._release(record, ended.outcome, now)
+        if target is None:
+            return effects
+        record.state = CallState.WAITING_RETRY
+        if not ended.outcome.proves_not_run:
+            record.exposed = True
+        decision = self._retries.decide(profile, ended, target.name, now)
+        if isinstance(decision, GiveUp):
+            # An earlier attempt may have run even where this one did not.
+            verdict = decision.verdict
+            if record.exposed:
+                verdict = Verdict.MAY_HAVE_RUN
+            refusal = Refusal(
+                decision.code,
+                verdict,
+                'The target did not give a whole answer; '
+                'a call that may be repeated can be sent again.',
+                retry_after_s=1,
+            )
+            return effects + self._refuse(record, refusal, now)
+        record.avoided.add(target.name)
+        record.due_s = now.monotonic_s + decision.delay_s
+        return effects
+
+    def _release(
+        self,
+        record: CallRecord,
+        outcome: AttemptOutcome,
+        now: Instant,
+    ) -> Effects:
+        self._router.release(record.attempt, outcome, now)
+        return list(self._groups.release(record.attempt, now))
+
+    def _finish(
+        self,
+        record: CallRecord,
+        event: AttemptEnded,
+        now: Instant,
+    ) -> Effects:
+        profile = record.profile
+        effects = self._release(record, event.outcome, now)
+        tokens = event.prompt_tokens or profile.prompt_tokens
+        tokens += event.output_tokens
+        self._ledger.settle(profile, Verdict.RAN, now)
+        self._limiter.settle(profile, Verdict.RAN, tokens, now)
+        self.table.drop(profile.request_id)
+        effects.append(FinishCall(profile.request_id))
+        return effects + self.place_queued(now)
+
+    def _expire(self, record: CallRecord, now: Instant) -> Effects:
+        refusal = Refusal(
+            RefusalCode.DEADLINE_PASSED,
+            record.verdict,
+            'The request did not end within its time; allow more time.',
+            limit='deadline_s',
+            limit_value=record.profile.deadline_s - record.profile.received_s,
+        )
+        return self._refuse(record, refusal, now)
+
+    def _refuse(
+        self,
+        record: CallRecord,
+        refusal: Refusal,
+        now: Instant,
+    ) -> Effects:
+        effects = self._close(record, refusal.verdict, record.offset, now)
+        effects.append(RefuseCall(record.profile.request_id, refusal))
+        return effects
+
+    def _close(
+        self,
+        record: CallRecord,
+        verdict: Verdict,
+        output_tokens: int,
+        now: Instant,
+    ) -> Effects:
+        profile = record.profile
+        effects = self._release(record, AttemptOutcome.NOT_SENT, now)
+        if record.state in {CallState.SENT, CallState.ASKING}:
+            effects.extend(_cancel(record))
+        tokens = 0
+        if verdict is not Verdict.NOT_RUN:
+            tokens = profile.prompt_tokens + output_tokens
+        if record.state is not CallState.FORWARDED:
+            self._ledger.settle(profile, verdict, now)
+            self._limiter.settle(profile, verdict, tokens, now)
+        self._limiter.remove(profile.request_id)
+        self.table.drop(profile.request_id)
+        return effects
+
+
+def refuse_lost_owner() -> Refusal:
+    """Return the refusal of a call whose key's owner cannot be reached."""
+    return Refusal(
+        RefusalCode.KEY_OWNER_GONE,
+        Verdict.MAY_HAVE_RUN,
+        'The instance that owns this Idempotency-Key cannot be reached, so '
+        'whether the request ran is not known; look before you send it '
+        'again under a new key.',
+    )
+
+
+def refuse_stopping() -> Refusal:
+    """Return the refusal of a call that reached a stopping instance."""
+    return refuse_not_run(
+        RefusalCode.STOPPING,
+        'This instance is stopping; send the request again.',
+        retry_after_s=1,
+    )
+
+
+def _name_stream(attempt: AttemptId) -> StreamId:
+    return StreamId(str(attempt))
+
+
+def _cancel(record: CallRecord) -> Effects:
+    if record.target is None:
+        return []
+    return [
+        CancelAttempt(
+            record.attempt,
+            record.target.name,
+            record.target.address,
+        ),
+    ]
--- /dev/null
+++ b/trefoilhinge/orders/__init__.py
@@ -0,0 +1,1 @@
+"""Orders to targets: models, adapters, versions and roles."""
--- /dev/null
+++ b/trefoilhinge/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters to engines, plain services and what the platform publishes."""
--- /dev/null
+++ b/trefoilhinge/platform/publications.py
@@ -0,0 +1,83 @@
+"""HTTP adapter to the configuration service and the list of instances."""
+
+import cattrs
+import urllib3
+from attrs import frozen
+
+from trefoilhinge.core.effects import ReadDocument
+from trefoilhinge.core.events import DocumentRead, InstancesListed
+from trefoilhinge.core.reports import ListedInstance, ListedTarget
+from trefoilhinge.platform.connections import (
+    CONNECT_TIMEOUT_S,
+    make_pool,
+    read_json,
+)
+
+READ_MARGIN_S = 2.0
+
+
+@frozen
+class HttpPlatformClient:
+    """Reads what the platform publishes; writes nothing.
+
+    :ivar configuration_url: URL of the document, empty if there is none.
+    :ivar instances_url: URL of the lists, empty if there are none.
+    """
+
+    configuration_url: str
+    instances_url: str
+    _pool: urllib3.PoolManager
+
+    def read_document(self, read: ReadDocument) -> DocumentRead:
+        """Read or watch the configuration service."""
+        url = (
+            f'{self.configuration_url}'
+            f'?after={read.after_revision}&wait={read.wait_s}'
+        )
+        timeout = urllib3.Timeout(
+            connect=CONNECT_TIMEOUT_S,
+            read=read.wait_s + READ_MARGIN_S,
+        )
+        try:
+            response = self._pool.request('GET', url, timeout=timeout)
+        except (urllib3.exceptions.HTTPError, OSError):
+            return DocumentRead(None)
+        if response.status != 200:
+            return DocumentRead(None)
+        return DocumentRead(response.data.decode('utf-8', 'replace'))
+
+    def read_instances(self) -> InstancesListed:
+        """Read the list of instances and targets."""
+        fields = read_json(
+            self._pool,
+            'GET',
+            self.instances_url,
+            None,
+            {},
+            READ_MARGIN_S,
+        )
+        if fields is None:
+            return InstancesListed(None)
+        return InstancesListed(
+            cattrs.structure(
+                fields.get('instances', []),
+                tuple[ListedInstance, ...],
+            ),
+            cattrs.structure(
+                fields.get('targets', []),
+                tuple[ListedTarget, ...],
+            ),
+        )
+
+
+def make_http_platform_client(
+    configuration_url: str,
+    instances_url: str,
+    pool: urllib3.PoolManager | None = None,
+) -> HttpPlatformClient:
+    """Return a client of the platform's publications."""
+    return HttpPlatformClient(
+        configuration_url,
+        instances_url,
+        pool or make_pool(),
+    )
--- /dev/null
+++ b/trefoilhinge/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Placement of calls on targets."""
