--- a/trefoilhinge/calls/authentication.py
+++ b/trefoilhinge/calls/authentication.py
@@ -17,14 +17,18 @@
     """API keys in force, by their public identifier."""
 
     _keys: dict[str, tuple[ApiKey, Organisation]] = field(factory=dict)
+    _document: Document | None = None
 
     def configure(self, document: Document) -> None:
-        """Take the keys of a document."""
+        """Take the keys of a document; free if it is the one in force."""
+        if document is self._document:
+            return
         self._keys = {
             key.identifier: (key, organisation)
             for organisation in document.organisations
             for key in organisation.keys
         }
+        self._document = document
 
     def find_organisation(self, authorization: str) -> Organisation | None:
         """Return the organisation of an ``Authorization`` header.
--- /dev/null
+++ b/trefoilhinge/calls/callers.py
@@ -0,0 +1,20 @@
+"""The caller's connection, as the thread that serves it sees it."""
+
+import select
+from typing import Protocol
+
+
+class CallerConnection(Protocol):
+    """Connection of one caller."""
+
+    def fileno(self) -> int:
+        """Return the descriptor, on which a departure shows."""
+        ...
+
+    def bound_until(self, limit_s: float) -> None:
+        """Bound reads and writes by an instant, in monotonic seconds."""
+        ...
+
+
+# The caller closed its side, or the connection broke.
+DEPARTED = select.POLLRDHUP | select.POLLHUP | select.POLLERR
--- /dev/null
+++ b/trefoilhinge/calls/forwards.py
@@ -0,0 +1,104 @@
+"""Calls that one instance passes to another, which owns their key."""
+
+from attrs import frozen
+
+from trefoilhinge.calls.mailboxes import ForwardOpened
+from trefoilhinge.core.effects import ForwardCall
+from trefoilhinge.core.identifiers import RequestId
+from trefoilhinge.platform.connections import open_request
+from trefoilhinge.platform.links import Link
+from trefoilhinge.platform.streams import ResponseBytes
+
+FORWARD_PATH = '/calls'
+PASSED_HEADERS = ('Content-Type', 'X-Verdict', 'Retry-After', 'X-Should-Retry')
+
+
+@frozen
+class ForwardedRequest:
+    """A caller's request as it is passed on.
+
+    :ivar key: ``Idempotency-Key`` header.
+    :ivar priority: priority that the caller asked for, none if not given.
+    :ivar repeatable: false if the caller forbids to repeat the call.
+    :ivar trace: W3C ``traceparent``, empty if none.
+    """
+
+    request_id: RequestId
+    organisation: str
+    method: str
+    path: str
+    body: bytes
+    content_type: str
+    key: str
+    priority: int | None
+    repeatable: bool
+    trace: str = ''
+
+
+@frozen
+class ForwardClient:
+    """Passes calls to the listeners for peers of other instances."""
+
+    _secret: str
+
+    def make_link(self) -> Link:
+        """Return a connection that is not open yet."""
+        return Link()
+
+    def send(
+        self,
+        forward: ForwardCall,
+        request: ForwardedRequest,
+        remaining_s: float,
+        link: Link,
+    ) -> ForwardOpened:
+        """Send a call and return the beginning of its answer.
+
+        :raises TargetNotReached: no byte left.
+        :raises TargetBroke: the connection broke.
+        """
+        response = open_request(
+            'POST',
+            forward.address,
+            FORWARD_PATH,
+            request.body,
+            self._list_headers(forward, request, remaining_s),
+            remaining_s,
+            link,
+        )
+        headers = tuple(
+            (name, response.headers[name])
+            for name in PASSED_HEADERS
+            if name in response.headers
+        )
+        return ForwardOpened(
+            link,
+            response.status,
+            headers,
+            ResponseBytes(response, link),
+        )
+
+    def _list_headers(
+        self,
+        forward: ForwardCall,
+        request: ForwardedRequest,
+        remaining_s: float,
+    ) -> dict[str, str]:
+        headers = {
+            'X-Peer-Secret': self._secret,
+            'X-Owner': forward.owner,
+            'X-Owner-Incarnation': str(forward.incarnation),
+            'X-Organisation': request.organisation,
+            'X-Original-Method': request.method,
+            'X-Original-Path': request.path,
+            'X-Time-Limit-S': f'{remaining_s:.3f}',
+            'X-Request-Id': request.request_id,
+            'Content-Type': request.content_type,
+            'Idempotency-Key': request.key,
+            'X-Repeatable': 'yes' if request.repeatable else 'no',
+        }
+        if request.priority is not None:
+            headers['X-Priority'] = str(request.priority)
+        if request.trace:
+            headers['traceparent'] = request.trace
+        return headers
--- /dev/null
+++ b/trefoilhinge/calls/openers.py
@@ -0,0 +1,244 @@
+"""Opens the answers of targets, each in a thread that may block.
+
+Only the opening is done here; the thread that serves the caller reads what
+was opened.
+"""
+
+from collections.abc import Callable
+
+from attrs import define
+
+from trefoilhinge.calls.forwards import ForwardClient, ForwardedRequest
+from trefoilhinge.calls.mailboxes import (
+    AnswerWhole,
+    ForwardFailed,
+    ForwardOpened,
+    Mailbox,
+    StreamBroken,
+    StreamOpened,
+)
+from trefoilhinge.core.clocks import Clock, Instant
+from trefoilhinge.core.effects import (
+    Dispatch,
+    ForwardCall,
+    ResumeStream,
+    RunGroupStep,
+)
+from trefoilhinge.core.events import (
+    AttemptEnded,
+    AttemptOutcome,
+    Event,
+    GroupStepEnded,
+)
+from trefoilhinge.core.identifiers import AttemptId
+from trefoilhinge.platform.failures import (
+    TargetBroke,
+    TargetErrored,
+    TargetNotReached,
+    TargetRefused,
+)
+from trefoilhinge.platform.interfaces import (
+    AnswerStream,
+    EngineClient,
+    OutgoingCall,
+    PlainClient,
+)
+from trefoilhinge.platform.links import Link
+
+Report = Callable[[Event], None]
+
+
+@define
+class AnswerOpener:
+    """Carries out sends and resumptions and reports how each failed.
+
+    :ivar report: takes events for the core.
+    """
+
+    _engines: EngineClient
+    _plain: PlainClient
+    _forwards: ForwardClient
+    _clock: Clock
+    report: Report
+
+    def make_forward_link(self) -> Link:
+        """Return a connection to a peer that is not open yet."""
+        return self._forwards.make_link()
+
+    def make_model_link(self) -> Link:
+        """Return a connection to an engine that is not open yet."""
+        return self._engines.make_link()
+
+    def make_plain_link(self) -> Link:
+        """Return a connection to a plain service that is not open yet."""
+        return self._plain.make_link()
+
+    def send_model(
+        self,
+        dispatch: Dispatch,
+        call: OutgoingCall,
+        link: Link,
+        box: Mailbox,
+    ) -> None:
+        """Send a call to an engine and hand its stream to the box."""
+        now = self._clock.read()
+        if is_lease_lost(dispatch, now):
+            self._end(dispatch.attempt, AttemptOutcome.LEASE_LOST)
+            return
+        remaining_s = dispatch.deadline_s - now.monotonic_s
+        self._open(
+            dispatch.attempt,
+            link,
+            box,
+            lambda: self._engines.open_stream(
+                dispatch,
+                call,
+                remaining_s,
+                link,
+            ),
+        )
+
+    def resume_model(
+        self,
+        resume: ResumeStream,
+        deadline_s: float,
+        link: Link,
+        box: Mailbox,
+    ) -> None:
+        """Take a stream up from an offset and hand it to the box."""
+        remaining_s = deadline_s - self._clock.read().monotonic_s
+        self._open(
+            resume.attempt,
+            link,
+            box,
+            lambda: self._engines.resume_stream(resume, remaining_s, link),
+            resumed=True,
+        )
+
+    def send_plain(
+        self,
+        dispatch: Dispatch,
+        call: OutgoingCall,
+        link: Link,
+        box: Mailbox,
+    ) -> None:
+        """Send a call to a plain service and hand its answer to the box."""
+        now = self._clock.read()
+        attempt = dispatch.attempt
+        if is_lease_lost(dispatch, now):
+            self._end(attempt, AttemptOutcome.LEASE_LOST)
+            return
+        remaining_s = dispatch.deadline_s - now.monotonic_s
+        try:
+            answer = self._plain.call(dispatch, call, remaining_s, link)
+        except TargetRefused as refused:
+            self._end(attempt, AttemptOutcome.REFUSED, refused.retry_after_s)
+        except TargetNotReached:
+            self._end(attempt, AttemptOutcome.NOT_SENT)
+        except TargetBroke:
+            self._end(attempt, AttemptOutcome.BROKEN)
+        else:
+            box.put(AnswerWhole(attempt, answer))
+
+    def forward(
+        self,
+        forward: ForwardCall,
+        request: ForwardedRequest,
+        link: Link,
+        box: Mailbox,
+    ) -> None:
+        """Pass a call to the owner of its key and hand its answer over."""
+        remaining_s = forward.deadline_s - self._clock.read().monotonic_s
+        try:
+            opened = self._forwards.send(forward, request, remaining_s, link)
+        except TargetNotReached:
+            box.put(ForwardFailed(link, delivered=False))
+        except TargetBroke:
+            box.put(ForwardFailed(link, delivered=True))
+        else:
+            _hand_over(opened, box)
+
+    def run_group_step(
+        self,
+        step: RunGroupStep,
+        segment: bytes,
+        deadline_s: float,
+    ) -> None:
+        """Carry out a step of a group and report how it ended."""
+        remaining_s = deadline_s - self._clock.read().monotonic_s
+        if remaining_s <= 0:
+            self.report(_fail_step(step))
+            return
+        self.report(self._engines.run_group_step(step, segment, remaining_s))
+
+    def _open(
+        self,
+        attempt: AttemptId,
+        link: Link,
+        box: Mailbox,
+        open_stream: Callable[[], AnswerStream],
+        resumed: bool = False,
+    ) -> None:
+        try:
+            stream = open_stream()
+        except TargetBroke:
+            box.put(StreamBroken(link))
+        except (TargetRefused, TargetNotReached, TargetErrored) as failure:
+            if resumed:
+                # The call itself was sent before: this proves nothing of it.
+                box.put(StreamBroken(link))
+            else:
+                self._end_unopened(attempt, failure)
+        else:
+            _hand_over(StreamOpened(link, stream), box)
+
+    def _end_unopened(
+        self,
+        attempt: AttemptId,
+        failure: TargetRefused | TargetNotReached | TargetErrored,
+    ) -> None:
+        match failure:
+            case TargetRefused():
+                self._end(
+                    attempt,
+                    AttemptOutcome.REFUSED,
+                    failure.retry_after_s,
+                )
+            case TargetNotReached():
+                self._end(attempt, AttemptOutcome.NOT_SENT)
+            case TargetErrored():
+                self._end(attempt, AttemptOutcome.ERRORED)
+
+    def _end(
+        self,
+        attempt: AttemptId,
+        outcome: AttemptOutcome,
+        retry_after_s: float | None = None,
+    ) -> None:
+        self.report(
+            AttemptEnded(attempt, outcome, retry_after_s=retry_after_s),
+        )
+
+
+def is_lease_lost(dispatch: Dispatch, now: Instant) -> bool:
+    """Return whether, by either clock, it is too late to send."""
+    return (
+        now.monotonic_s >= dispatch.lease.monotonic_s
+        or now.wall_s >= dispatch.lease.wall_s
+        or now.monotonic_s >= dispatch.deadline_s
+    )
+
+
+def _hand_over(opened: StreamOpened | ForwardOpened, box: Mailbox) -> None:
+    if not box.put(opened):
+        opened.link.close()
+
+
+def _fail_step(step: RunGroupStep) -> GroupStepEnded:
+    return GroupStepEnded(
+        step.attempt,
+        step.target,
+        step.tag,
+        step.step,
+        succeeded=False,
+    )
--- /dev/null
+++ b/trefoilhinge/calls/servers.py
@@ -0,0 +1,176 @@
+"""HTTP servers with a bounded number of threads, and refusals beyond it."""
+
+import contextlib
+import ssl
+import threading
+import time
+from collections.abc import Callable
+from typing import Any
+
+from attrs import frozen
+from cheroot import errors, wsgi
+from cheroot.ssl.builtin import BuiltinSSLAdapter
+
+from trefoilhinge.calls.connections import (
+    BoundedConnection,
+    ConnectionGateway,
+    format_refusal,
+)
+from trefoilhinge.core.verdicts import RefusalCode, refuse_not_run
+
+REFUSING_THREADS = 4
+MAXIMUM_REFUSING = 64
+REFUSAL_WRITE_S = 1.0
+EXPIRATION_INTERVAL_S = 0.2
+BACKLOG = 512
+
+
+@frozen
+class ServerLimits:
+    """Bounds of one listener.
+
+    :ivar threads: requests that are served at once, a thread for each.
+    :ivar slow_sender_s: seconds in which a whole request must arrive.
+    """
+
+    threads: int
+    slow_sender_s: float
+    maximum_header_bytes: int
+    maximum_body_bytes: int
+
+
+class LazyTlsAdapter(BuiltinSSLAdapter):
+    """Leaves the handshake to the thread that serves the connection.
+
+    Done on accepting, a caller that never answers it would hold up every
+    other one.
+    """
+
+    def wrap(self, sock: Any) -> tuple[ssl.SSLSocket, dict[str, Any]]:
+        """Wrap a socket whose first read makes the handshake."""
+        wrapped = self.context.wrap_socket(
+            sock,
+            do_handshake_on_connect=False,
+            server_side=True,
+        )
+        return wrapped, {}
+
+
+class BoundedServer(wsgi.Server):
+    """Serves as many requests at once as it has threads, refuses the rest."""
+
+    ConnectionClass = BoundedConnection
+    expiration_interval = EXPIRATION_INTERVAL_S
+
+    def __init__(
+        self,
+        address: str,
+        application: Callable[..., Any],
+        limits: ServerLimits,
+    ) -> None:
+        """Take the address as ``host:port``."""
+        host, _, port = address.rpartition(':')
+        super().__init__(
+            (host.strip('[]'), int(port)),
+            application,
+            numthreads=limits.threads,
+            max=limits.threads,
+            request_queue_size=BACKLOG,
+        )
+        self.gateway = ConnectionGateway
+        self.max_request_header_size = limits.maximum_header_bytes
+        self.max_request_body_size = limits.maximum_body_bytes
+        self.slow_sender_s = limits.slow_sender_s
+        self.refused = 0
+        self._threads = limits.threads
+        self._serving = 0
+        self._refusing = 0
+        self._counting = threading.Lock()
+        self._refusers = threading.Semaphore(REFUSING_THREADS)
+
+    def process_conn(self, conn: Any) -> None:
+        """Serve a connection with a request, or refuse it.
+
+        The library would leave it waiting, unseen, for a thread.
+        """
+        with self._counting:
+            free = self._serving < self._threads
+            self._serving += free
+        if free:
+            self.requests.put(conn)
+        else:
+            self._refuse(conn)
+
+    def note_served(self) -> None:
+        """Take that a thread is free again."""
+        with self._counting:
+            self._serving -= 1
+
+    def count_serving(self) -> int:
+        """Return how many requests are being served."""
+        return self._serving
+
+    def _refuse(self, conn: Any) -> None:
+        with self._counting:
+            self.refused += 1
+            busy = self._refusing >= MAXIMUM_REFUSING
+            self._refusing += not busy
+        if busy:
+            conn.close()
+            return
+        threading.Thread(
+            target=self._answer_refusal,
+            args=(conn,),
+            daemon=True,
+        ).start()
+
+    def _answer_refusal(self, conn: Any) -> None:
+        refusal = refuse_not_run(
+            RefusalCode.OVERLOADED,
+            'This instance serves as many calls as it can; try again.',
+            limit='maximum_connections',
+            limit_value=self._threads,
+            retry_after_s=1,
+        )
+        suppressed = (OSError, errors.FatalSSLAlert, errors.NoSSLError)
+        with self._refusers, contextlib.suppress(*suppressed):
+            conn.bound_until(time.monotonic() + REFUSAL_WRITE_S)
+            conn.wfile.write(format_refusal(refusal))
+            conn.finish_writing()
+        conn.close()
+        with self._counting:
+            self._refusing -= 1
+
+
+def start_serving(server: BoundedServer) -> None:
+    """Open the listener and serve, in threads that hold up no exit.
+
+    :raises OSError: the address cannot be listened at.
+    """
+    failures: list[OSError] = []
+    prepared = threading.Event()
+
+    def serve() -> None:
+        # Threads of the pool inherit that they are daemons from this one.
+        try:
+            server.prepare()
+        except OSError as error:
+            failures.append(error)
+        finally:
+            prepared.set()
+        if not failures:
+            server.serve()
+
+    threading.Thread(target=serve, daemon=True).start()
+    prepared.wait()
+    if failures:
+        raise failures[0]
+
+
+def enable_tls(server: BoundedServer, certificate: str, key: str) -> None:
+    """Serve with TLS.
+
+    :param certificate: file with the certificate chain, PEM.
+    :param key: file with the private key, PEM.
+    """
+    server.ssl_adapter = LazyTlsAdapter(certificate, key)
--- a/trefoilhinge/demo/deployment.py
+++ b/trefoilhinge/demo/deployment.py
@@ -5,6 +5,7 @@
 import secrets
 import socket
 from collections.abc import Mapping
+from concurrent.futures import ThreadPoolExecutor
 from typing import Any
 
 from attrs import define
@@ -17,6 +18,8 @@
 from trefoilhinge.standins.publications import PlatformStandIn
 from trefoilhinge.standins.servers import StandInServer, start_server
 
+STOPPING_THREADS = 32
+
 
 @define
 class DemoDeployment:
@@ -37,10 +40,12 @@
 
     def stop(self) -> None:
         """End every instance and stand-in."""
-        for entry in self.entries:
-            entry.close()
-        for server in self.servers:
-            server.stop()
+        ends = [one.close for one in self.entries]
+        ends.extend(one.stop for one in self.servers)
+        # Each waits for its own threads, so they are ended side by side.
+        with ThreadPoolExecutor(STOPPING_THREADS) as executor:
+            for end in ends:
+                executor.submit(end)
 
 
 def start_deployment(
--- a/trefoilhinge/entry/actor.py
+++ b/trefoilhinge/entry/actor.py
@@ -5,9 +5,16 @@
 
 import pykka
 
+from trefoilhinge.calls.service import refuse_broken_core
 from trefoilhinge.core.clocks import Clock
-from trefoilhinge.core.effects import Effect
-from trefoilhinge.core.events import Event
+from trefoilhinge.core.effects import AnswerKey, AnswerPeer, Effect, RefuseCall
+from trefoilhinge.core.events import (
+    CallReceived,
+    Event,
+    KeyRequested,
+    PeerMessageReceived,
+)
+from trefoilhinge.entry.logs import write_failure
 from trefoilhinge.node.core import NodeCore
 
 
@@ -35,5 +42,30 @@
         return self._handle(message)
 
     def _handle(self, event: Event) -> None:
-        for effect in self._core.handle(event, self._clock.read()):
+        try:
+            effects = self._core.handle(event, self._clock.read())
+        except Exception:
+            # One event must not end every other call of this instance.
+            write_failure('core_failed', event=type(event).__name__)
+            effects = refuse_after_failure(event)
+        for effect in effects:
+            self._try_perform(effect)
+
+    def _try_perform(self, effect: Effect) -> None:
+        try:
             self._perform(effect)
+        except Exception:
+            write_failure('effect_failed', effect=type(effect).__name__)
+
+
+def refuse_after_failure(event: Event) -> list[Effect]:
+    """Return what answers whoever waits on an event that failed."""
+    match event:
+        case CallReceived(profile):
+            return [RefuseCall(profile.request_id, refuse_broken_core())]
+        case KeyRequested(token):
+            return [AnswerKey(token, '')]
+        case PeerMessageReceived(token):
+            return [AnswerPeer(token, '')]
+        case _:
+            return []
--- a/trefoilhinge/entry/daemon.py
+++ b/trefoilhinge/entry/daemon.py
@@ -1,4 +1,4 @@
-"""One entry instance: listeners, actor, timer and graceful shutdown."""
+"""Assembles one entry instance: actor, performer and both listeners."""
 
 import json
 import threading
@@ -6,23 +6,42 @@
 from typing import Any
 
 import pykka
-from attrs import define, field
-from cheroot import wsgi
+from attrs import asdict, define, field
 
 from trefoilhinge.calls.application import CallerApplication
 from trefoilhinge.calls.authentication import KeyRing
+from trefoilhinge.calls.forwards import ForwardClient
 from trefoilhinge.calls.mailboxes import Mailboxes
-from trefoilhinge.calls.relay import AnswerReader
+from trefoilhinge.calls.openers import AnswerOpener
+from trefoilhinge.calls.ratios import TokenRatios
+from trefoilhinge.calls.servers import (
+    BoundedServer,
+    ServerLimits,
+    enable_tls,
+    start_serving,
+)
+from trefoilhinge.calls.service import CallService
 from trefoilhinge.conf.generated.document import Document
 from trefoilhinge.conf.generated.settings import Settings
 from trefoilhinge.core.clocks import Instant
-from trefoilhinge.core.events import Event, StopRequested, TimerFired
+from trefoilhinge.core.events import (
+    Event,
+    KeyRequested,
+    StopRequested,
+    TimerFired,
+)
 from trefoilhinge.core.identifiers import InstanceIdentity, InstanceName
 from trefoilhinge.entry.actor import NodeActor
 from trefoilhinge.entry.clocks import SystemClock
-from trefoilhinge.entry.peers import PeerApplication, PeerClient
+from trefoilhinge.entry.forwarding import FORWARD_THREADS, ForwardedCalls
+from trefoilhinge.entry.peers import (
+    MAXIMUM_MESSAGE_BYTES,
+    PeerApplication,
+    PeerClient,
+)
 from trefoilhinge.entry.performer import Performer
 from trefoilhinge.entry.replies import Replies
+from trefoilhinge.entry.telemetry import NodeState, Telemetry, make_telemetry
 from trefoilhinge.node.composition import make_node, make_parts
 from trefoilhinge.node.core import NodeCore
 from trefoilhinge.node.schedule import TICK_S
@@ -33,6 +52,7 @@
 
 CONTROL_THREADS = 24
 PEER_THREADS = 16
+OPENING_THREADS = 64
 ANSWER_TIMEOUT_S = 2.0
 
 
@@ -44,35 +64,35 @@
     """
 
     settings: Settings
-    _callers: wsgi.Server
-    _peers: wsgi.Server
+    callers: BoundedServer
+    peers: BoundedServer
     _actor: 'pykka.ActorRef[NodeActor]'
-    _keys: KeyRing
-    stopped: threading.Event
-    _threads: list[threading.Thread] = field(factory=list)
+    _executors: tuple[ThreadPoolExecutor, ...]
+    _telemetry: Telemetry
+    stopped: threading.Event = field(factory=threading.Event)
 
     def start(self) -> None:
-        """Open both listeners and start the timer."""
-        for server in (self._callers, self._peers):
-            server.prepare()
-            self._run(server.serve)
-        self._run(self._tick)
+        """Open both listeners and start the timer.
+
+        :raises OSError: an address cannot be listened at.
+        """
+        start_serving(self.peers)
+        start_serving(self.callers)
+        threading.Thread(target=self._tick, daemon=True).start()
 
     def request_stop(self) -> None:
         """Begin a graceful shutdown."""
         self._actor.tell(StopRequested())
 
     def close(self) -> None:
-        """Close the listeners and end the actor."""
+        """Close the listeners and end the actor, whatever is in progress."""
         self.stopped.set()
-        self._callers.stop()
-        self._peers.stop()
+        self.callers.stop()
+        self.peers.stop()
         self._actor.stop(block=False)
-
-    def _run(self, target: Any) -> None:
-        thread = threading.Thread(target=target, daemon=True)
-        thread.start()
-        self._threads.append(thread)
+        for executor in self._executors:
+            executor.shutdown(wait=False, cancel_futures=True)
+        self._telemetry.close()
 
     def _tick(self) -> None:
         while not self.stopped.wait(TICK_S):
@@ -80,8 +100,52 @@
 
 
 @define
-class _Ready:
-    value: bool = False
+class _Node:
+    """What the shells of one instance share."""
+
+    settings: Settings
+    core: NodeCore
+    clock: SystemClock
+    telemetry: Telemetry
+    mailboxes: Mailboxes = field(factory=Mailboxes)
+    replies: Replies = field(factory=Replies)
+    stopped: threading.Event = field(factory=threading.Event)
+    ready: bool = False
+    actor: 'pykka.ActorRef[NodeActor] | None' = None
+
+    def report(self, event: Event) -> None:
+        """Tell the core what happened."""
+        if self.actor is not None and self.actor.is_alive():
+            self.actor.tell(event)
+
+    def note_ready(self, ready: bool) -> None:
+        """Take whether the balancer may send callers."""
+        self.ready = ready
+
+    def find_document(self) -> Document | None:
+        """Return the document in force."""
+        return self.core.parts.keeper.document
+
+    def mint_key(self, organisation: str) -> str | None:
+        """Ask the core for an idempotency key."""
+        token = self.replies.expect()
+        self.report(KeyRequested(token, organisation))
+        return self.replies.take(token)
+
+    def read_state(self) -> NodeState:
+        """Ask the core how it stands."""
+        if self.actor is None:
+            return NodeState()
+        state = self.actor.ask(describe_node, timeout=ANSWER_TIMEOUT_S)
+        return state if isinstance(state, NodeState) else NodeState()
+
+    def read_status(self) -> bytes:
+        """Return how the core stands as JSON."""
+        return json.dumps(asdict(self.read_state())).encode()
+
+    def read_metrics(self) -> bytes:
+        """Return every measure."""
+        return self.telemetry.meters.expose(self.read_state())
 
 
 def make_entry(settings: Settings) -> EntryInstance:
@@ -105,25 +169,30 @@
         identity.incarnation,
     )
     core = make_node(parts, settings.start_wait_s, settings.stop_wait_s)
-    return _assemble(settings, core, clock)
+    node = _Node(settings, core, clock, make_telemetry(settings))
+    return _assemble(node, identity)
 
 
-def _assemble(
-    settings: Settings,
-    core: NodeCore,
-    clock: SystemClock,
-) -> EntryInstance:
-    mailboxes = Mailboxes()
-    replies = Replies()
-    keys = KeyRing()
-    ready = _Ready()
-    stopped = threading.Event()
-    refs: list[pykka.ActorRef[NodeActor]] = []
-
-    def report(event: Event) -> None:
-        if refs[0].is_alive():
-            refs[0].tell(event)
+def describe_node(core: NodeCore, now: Instant) -> NodeState:
+    """Return how a core stands."""
+    return NodeState(
+        revision=core.parts.keeper.revision,
+        ready=core.ready,
+        stopping=core.stopping_since_s is not None,
+        calls=len(core.desk.table),
+        queued=core.parts.limiter.count_queued(),
+    )
+
 
+def _assemble(node: _Node, identity: InstanceIdentity) -> EntryInstance:
+    settings = node.settings
+    control = ThreadPoolExecutor(CONTROL_THREADS, 'control')
+    # A thread for each call, as an answer may begin late; they start when
+    # they are needed.
+    opening = ThreadPoolExecutor(
+        settings.maximum_connections + OPENING_THREADS,
+        'opening',
+    )
     engines = make_http_engine_client(settings.order_token)
     performer = Performer(
         engines,
@@ -132,72 +201,97 @@
             settings.instances_url,
         ),
         PeerClient(make_pool(), settings.peer_secret),
-        mailboxes,
-        replies,
-        ThreadPoolExecutor(CONTROL_THREADS),
-        report,
-        lambda value: setattr(ready, 'value', value),
-        stopped.set,
+        node.mailboxes,
+        node.replies,
+        control,
+        node.report,
+        node.note_ready,
+        node.stopped.set,
     )
-    refs.append(NodeActor.start(core, clock, performer.perform))
-
-    def find_document() -> Document | None:
-        document = core.parts.keeper.document
-        if document is not None:
-            keys.configure(document)
-        return document
-
-    def read_status() -> bytes:
-        answer = refs[0].ask(_describe, timeout=ANSWER_TIMEOUT_S)
-        return json.dumps(answer).encode()
-
-    callers = CallerApplication(
-        keys,
-        find_document,
-        mailboxes,
-        AnswerReader(
+    node.actor = NodeActor.start(node.core, node.clock, performer.perform)
+    service = CallService(
+        node.mailboxes,
+        AnswerOpener(
             engines,
             make_http_plain_client(),
-            mailboxes,
-            clock,
-            report,
+            ForwardClient(settings.peer_secret),
+            node.clock,
+            node.report,
         ),
-        ThreadPoolExecutor(settings.maximum_connections * 2),
-        clock,
-        report,
-        settings.maximum_body_bytes,
-    )
-    peers = PeerApplication(
-        settings.peer_secret,
-        replies,
-        report,
-        lambda: ready.value,
-        read_status,
+        opening,
+        node.clock,
+        node.telemetry,
+        TokenRatios(),
     )
     return EntryInstance(
         settings,
-        _make_server(settings.listen, callers, settings.maximum_connections),
-        _make_server(settings.peer_listen, peers, PEER_THREADS),
-        refs[0],
-        keys,
-        stopped,
+        _make_callers(node, service),
+        _make_peers(node, service, identity),
+        node.actor,
+        (control, opening),
+        node.telemetry,
+        node.stopped,
     )
 
 
-def _describe(core: NodeCore, now: Instant) -> dict[str, Any]:
-    return {
-        'revision': core.parts.keeper.revision,
-        'ready': core.ready,
-        'calls': len(core.desk.table),
-        'queued': core.parts.limiter.count_queued(),
-    }
+def _make_callers(node: _Node, service: CallService) -> BoundedServer:
+    settings = node.settings
+    application = CallerApplication(
+        KeyRing(),
+        node.find_document,
+        node.mint_key,
+        service,
+        node.clock,
+        settings.maximum_body_bytes,
+    )
+    limits = ServerLimits(
+        settings.maximum_connections,
+        settings.slow_sender_s,
+        settings.maximum_header_bytes,
+        settings.maximum_body_bytes,
+    )
+    return _make_server(settings, settings.listen, application, limits)
 
 
-def _make_server(address: str, application: Any, threads: int) -> wsgi.Server:
-    host, _, port = address.rpartition(':')
-    return wsgi.Server(
-        (host.strip('[]'), int(port)),
-        application,
-        numthreads=threads,
-        max=threads,
+def _make_peers(
+    node: _Node,
+    service: CallService,
+    identity: InstanceIdentity,
+) -> BoundedServer:
+    settings = node.settings
+    forwarded = ForwardedCalls(
+        identity,
+        node.find_document,
+        service,
+        node.clock,
+        settings.maximum_body_bytes,
+    )
+    application = PeerApplication(
+        settings.peer_secret,
+        node.replies,
+        node.report,
+        lambda: node.ready,
+        node.read_status,
+        node.read_metrics,
+        forwarded.serve,
+        settings.slow_sender_s,
+    )
+    limits = ServerLimits(
+        PEER_THREADS + FORWARD_THREADS,
+        settings.slow_sender_s,
+        settings.maximum_header_bytes,
+        max(settings.maximum_body_bytes, MAXIMUM_MESSAGE_BYTES),
     )
+    return _make_server(settings, settings.peer_listen, application, limits)
+
+
+def _make_server(
+    settings: Settings,
+    address: str,
+    application: Any,
+    limits: ServerLimits,
+) -> BoundedServer:
+    server = BoundedServer(address, application, limits)
+    if settings.tls_certificate:
+        enable_tls(server, settings.tls_certificate, settings.tls_key)
+    return server
--- /dev/null
+++ b/trefoilhinge/entry/forwarding.py
@@ -0,0 +1,157 @@
+"""Serves calls that another instance passed on: their key is owned here."""
+
+import threading
+import urllib.parse
+import uuid
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from attrs import define, evolve, field
+
+from trefoilhinge.calls.connections import CONNECTION_KEY
+from trefoilhinge.calls.profiles import CallContext, ReceivedRequest
+from trefoilhinge.calls.refusals import RequestRefused
+from trefoilhinge.calls.requests import read_request
+from trefoilhinge.calls.service import CallService
+from trefoilhinge.conf.generated.document import Document, Organisation
+from trefoilhinge.core.clocks import Clock
+from trefoilhinge.core.identifiers import InstanceIdentity, RequestId
+from trefoilhinge.core.verdicts import Refusal, RefusalCode, Verdict
+
+# Threads of the listener for peers that forwarded calls may take, so that
+# exchanges and probes always find one.
+FORWARD_THREADS = 64
+_QUOTED_SLASH = '%2F'
+
+
+@define
+class ForwardedCalls:
+    """Runs the same conversation for a peer as for a caller."""
+
+    _identity: InstanceIdentity
+    _find_document: Callable[[], Document | None]
+    _service: CallService
+    _clock: Clock
+    _maximum_body_bytes: int
+    _places: threading.BoundedSemaphore = field(
+        factory=lambda: threading.BoundedSemaphore(FORWARD_THREADS),
+    )
+
+    def serve(
+        self,
+        environ: dict[str, Any],
+        start_response: Callable[..., Any],
+    ) -> Iterable[bytes]:
+        """Serve one forwarded call."""
+        name = environ.get('HTTP_X_REQUEST_ID', '')
+        request_id = RequestId(name if name.isalnum() else uuid.uuid4().hex)
+        connection = environ[CONNECTION_KEY]
+        if not self._places.acquire(blocking=False):
+            refusal = _refuse_here('The owner of the key is overloaded')
+            return self._service.refuse(
+                refusal,
+                request_id,
+                start_response,
+                connection,
+            )
+        try:
+            begun = self._service.begin(
+                *self._understand(environ, request_id),
+                connection,
+            )
+        except RequestRefused as refused:
+            self._places.release()
+            return self._service.refuse(
+                refused.refusal,
+                request_id,
+                start_response,
+                connection,
+            )
+        return self._answer(self._service.answer, begun, start_response)
+
+    def _answer(
+        self,
+        answer: Callable[..., Iterable[bytes]],
+        *arguments: Any,
+    ) -> Iterable[bytes]:
+        try:
+            pieces = answer(*arguments)
+        except BaseException:
+            self._places.release()
+            raise
+        if isinstance(pieces, list):
+            self._places.release()
+            return pieces
+        return self._hold_place(pieces)
+
+    def _hold_place(self, pieces: Iterable[bytes]) -> Iterable[bytes]:
+        try:
+            yield from pieces
+        finally:
+            self._places.release()
+
+    def _understand(
+        self,
+        environ: dict[str, Any],
+        request_id: RequestId,
+    ) -> tuple[ReceivedRequest, CallContext]:
+        owner = (
+            environ.get('HTTP_X_OWNER', ''),
+            environ.get('HTTP_X_OWNER_INCARNATION', ''),
+        )
+        if owner != (self._identity.name, str(self._identity.incarnation)):
+            # What another life of this instance did is not known here.
+            raise RequestRefused(_refuse_here('The owner of the key is gone'))
+        received_s = self._clock.read().monotonic_s
+        document = self._find_document()
+        organisation = _find_organisation(
+            document,
+            environ.get('HTTP_X_ORGANISATION', ''),
+        )
+        if document is None or organisation is None:
+            raise RequestRefused(
+                _refuse_here('The owner does not know the organisation'),
+            )
+        request = read_request(environ, self._maximum_body_bytes)
+        target_path = environ.get('HTTP_X_ORIGINAL_PATH', '/')
+        request = evolve(
+            request,
+            method=environ.get('HTTP_X_ORIGINAL_METHOD', 'POST'),
+            path=_unquote_path(target_path.partition('?')[0]),
+            target_path=target_path,
+        )
+        context = CallContext(
+            request_id,
+            organisation,
+            document,
+            self._service.ratios,
+            received_s,
+            forwarded=True,
+        )
+        return request, context
+
+
+def _find_organisation(
+    document: Document | None,
+    name: str,
+) -> Organisation | None:
+    organisations = document.organisations if document else ()
+    found = [one for one in organisations if one.name == name]
+    return found[0] if found else None
+
+
+def _unquote_path(path: str) -> str:
+    parts = path.replace('%2f', _QUOTED_SLASH).split(_QUOTED_SLASH)
+    return _QUOTED_SLASH.join(
+        urllib.parse.unquote(part, encoding='latin-1') for part in parts
+    )
+
+
+def _refuse_here(problem: str) -> Refusal:
+    return Refusal(
+        RefusalCode.KEY_OWNER_GONE,
+        Verdict.MAY_HAVE_RUN,
+        f'{problem}, so whether the request ran is not known; look before '
+        'you send it again under a new key.',
+        retry_after_s=1,
+    )
--- a/trefoilhinge/entry/logs.py
+++ b/trefoilhinge/entry/logs.py
@@ -1,9 +1,12 @@
 """Logs: one line of key=value pairs for each event."""
 
+import traceback
+
 import logbook
 
 from trefoilhinge.core.effects import LogEvent
 
+TRACEBACK_LIMIT = 6
 _logger = logbook.Logger('trefoilhinge')
 
 
@@ -13,6 +16,13 @@
     _logger.info('event={} {}', event.name, pairs)
 
 
+def write_failure(name: str, **fields: str) -> None:
+    """Write the exception that is being handled as one line."""
+    pairs = ' '.join(f'{key}={_quote(value)}' for key, value in fields.items())
+    problem = traceback.format_exc(limit=-TRACEBACK_LIMIT)
+    _logger.error('event={} {} problem={}', name, pairs, _quote(problem))
+
+
 def _quote(value: str) -> str:
     if value and not any(char in value for char in ' "=\n'):
         return value
--- a/trefoilhinge/entry/peers.py
+++ b/trefoilhinge/entry/peers.py
@@ -1,13 +1,18 @@
 """HTTP between instances: the client and the application for peers."""
 
 import hmac
+import time
 from collections.abc import Callable, Iterable
 from typing import Any
 
 import urllib3
-from attrs import define, frozen
+from attrs import define, field, frozen
 
 from trefoilhinge.calls.answers import format_status
+from trefoilhinge.calls.connections import CONNECTION_KEY
+from trefoilhinge.calls.forwards import FORWARD_PATH
+from trefoilhinge.calls.refusals import RequestRefused
+from trefoilhinge.calls.requests import read_body
 from trefoilhinge.core.effects import SendPeerMessage
 from trefoilhinge.core.events import Event, PeerAnswered, PeerMessageReceived
 from trefoilhinge.entry.replies import Replies
@@ -23,6 +28,7 @@
 
     _pool: urllib3.PoolManager
     _secret: str
+    _scheme: str = 'http'
 
     def send(self, message: SendPeerMessage) -> PeerAnswered:
         """Send a message and return the peer's answer."""
@@ -33,7 +39,7 @@
         try:
             response = self._pool.request(
                 'POST',
-                f'http://{message.address}/exchange',
+                f'{self._scheme}://{message.address}/exchange',
                 body=message.text.encode(),
                 headers={'X-Peer-Secret': self._secret},
                 timeout=timeout,
@@ -46,6 +52,9 @@
         return PeerAnswered(message.peer, response.data.decode())
 
 
+Route = Callable[[dict[str, Any], Callable[..., Any]], Iterable[bytes]]
+
+
 @define
 class PeerApplication:
     """Answers peers, the balancer's probes and operators."""
@@ -55,6 +64,21 @@
     _report: Callable[[Event], None]
     _is_ready: Callable[[], bool]
     _read_status: Callable[[], bytes]
+    _read_metrics: Callable[[], bytes]
+    _forwarded: Route
+    _slow_sender_s: float
+    _routes: dict[str, Route] = field(factory=dict)
+
+    def __attrs_post_init__(self) -> None:
+        """Map each path to what answers it."""
+        self._routes = {
+            '/healthz': self._answer_health,
+            '/readyz': self._answer_readiness,
+            '/status': self._answer_status,
+            '/metrics': self._answer_metrics,
+            '/exchange': self._exchange,
+            FORWARD_PATH: self._serve_forwarded,
+        }
 
     def __call__(
         self,
@@ -62,38 +86,78 @@
         start_response: Callable[..., Any],
     ) -> Iterable[bytes]:
         """Serve one request."""
-        path = environ['PATH_INFO']
-        if path == '/healthz':
-            return _answer(start_response, 200, b'alive\n')
-        if path == '/readyz':
-            ready = self._is_ready()
-            text = b'ready\n' if ready else b'not ready\n'
-            return _answer(start_response, 200 if ready else 503, text)
-        if path == '/status':
-            return _answer(start_response, 200, self._read_status())
-        if path == '/exchange':
-            return self._exchange(environ, start_response)
-        return _answer(start_response, 404, b'not found\n')
+        limit_s = time.monotonic() + self._slow_sender_s
+        environ[CONNECTION_KEY].bound_until(limit_s)
+        route = self._routes.get(environ['PATH_INFO'])
+        if route is None:
+            return _answer(start_response, 404, b'not found\n')
+        return route(environ, start_response)
+
+    def _answer_health(
+        self,
+        environ: dict[str, Any],
+        start_response: Callable[..., Any],
+    ) -> Iterable[bytes]:
+        return _answer(start_response, 200, b'alive\n')
+
+    def _answer_readiness(
+        self,
+        environ: dict[str, Any],
+        start_response: Callable[..., Any],
+    ) -> Iterable[bytes]:
+        if self._is_ready():
+            return _answer(start_response, 200, b'ready\n')
+        return _answer(start_response, 503, b'not ready\n')
+
+    def _answer_status(
+        self,
+        environ: dict[str, Any],
+        start_response: Callable[..., Any],
+    ) -> Iterable[bytes]:
+        return _answer(start_response, 200, self._read_status())
+
+    def _answer_metrics(
+        self,
+        environ: dict[str, Any],
+        start_response: Callable[..., Any],
+    ) -> Iterable[bytes]:
+        return _answer(start_response, 200, self._read_metrics())
+
+    def _serve_forwarded(
+        self,
+        environ: dict[str, Any],
+        start_response: Callable[..., Any],
+    ) -> Iterable[bytes]:
+        if not self._is_peer(environ):
+            return _answer(start_response, 401, b'unknown peer\n')
+        return self._forwarded(environ, start_response)
 
     def _exchange(
         self,
         environ: dict[str, Any],
         start_response: Callable[..., Any],
     ) -> Iterable[bytes]:
-        presented = environ.get('HTTP_X_PEER_SECRET', '')
-        if not hmac.compare_digest(presented.encode(), self._secret.encode()):
+        if not self._is_peer(environ):
             return _answer(start_response, 401, b'unknown peer\n')
-        length = int(environ.get('CONTENT_LENGTH') or 0)
-        if length > MAXIMUM_MESSAGE_BYTES:
-            return _answer(start_response, 413, b'message too large\n')
-        text = environ['wsgi.input'].read(length).decode('utf-8', 'replace')
+        try:
+            body = read_body(environ, MAXIMUM_MESSAGE_BYTES)
+        except RequestRefused as refused:
+            status = refused.refusal.status
+            return _answer(start_response, status, b'unreadable message\n')
         token = self._replies.expect()
+        text = body.decode('utf-8', 'replace')
         self._report(PeerMessageReceived(token, text))
         answer = self._replies.take(token)
         if answer is None:
             return _answer(start_response, 503, b'busy\n')
         return _answer(start_response, 200, answer.encode())
 
+    def _is_peer(self, environ: dict[str, Any]) -> bool:
+        # An instance without a secret has no peers.
+        presented = environ.get('HTTP_X_PEER_SECRET', '').encode()
+        fits = hmac.compare_digest(presented, self._secret.encode())
+        return fits and bool(self._secret)
+
 
 def _answer(
     start_response: Callable[..., Any],
--- a/trefoilhinge/entry/performer.py
+++ b/trefoilhinge/entry/performer.py
@@ -9,17 +9,11 @@
 from trefoilhinge.calls.mailboxes import Mailboxes
 from trefoilhinge.core import effects as fx
 from trefoilhinge.core.events import Event
-from trefoilhinge.entry.logs import write_log_event
+from trefoilhinge.entry.logs import write_failure, write_log_event
 from trefoilhinge.entry.peers import PeerClient
 from trefoilhinge.entry.replies import Replies
 from trefoilhinge.platform.interfaces import EngineClient, PlatformClient
 
-CALL_EFFECTS = (
-    fx.Dispatch,
-    fx.ResumeStream,
-    fx.CancelAttempt,
-)
-
 
 @define
 class Performer:
@@ -67,10 +61,24 @@
 
     def _ask(self, read: Callable[[Any], Event]) -> Callable[[Any], None]:
         def submit(effect: fx.Effect) -> None:
-            self._executor.submit(lambda: self._report(read(effect)))
+            self._submit(lambda: self._report(read(effect)))
 
         return submit
 
+    def _submit(self, work: Callable[[], None]) -> None:
+        def run() -> None:
+            try:
+                work()
+            except Exception:
+                # An executor would drop the failure without a trace.
+                write_failure('input_failed')
+
+        try:
+            self._executor.submit(run)
+        except RuntimeError:
+            # The process is ending and takes no more work.
+            write_log_event(fx.LogEvent('work_dropped', ()))
+
     def _mail_attempt(
         self,
         effect: fx.Dispatch | fx.ResumeStream | fx.RunGroupStep,
@@ -85,19 +93,21 @@
 
     def _cancel(self, effect: fx.CancelAttempt) -> None:
         self._mailboxes.put(effect.attempt.request_id, effect)
-        self._executor.submit(self._engines.cancel, effect)
+        self._submit(lambda: self._cancel_at_target(effect))
+
+    def _cancel_at_target(self, effect: fx.CancelAttempt) -> None:
+        # Nobody waits for the answer: the call is over here.
+        self._engines.cancel(effect)
 
     def _read_load(self, effect: fx.ReadLoad) -> None:
         def read() -> None:
             self._report(self._engines.read_load(effect))
             self._report(self._engines.read_cache_events(effect))
 
-        self._executor.submit(read)
+        self._submit(read)
 
     def _read_instances(self, effect: fx.ReadInstances) -> None:
-        self._executor.submit(
-            lambda: self._report(self._platform.read_instances()),
-        )
+        self._submit(lambda: self._report(self._platform.read_instances()))
 
     def _answer(self, effect: fx.AnswerPeer | fx.AnswerKey) -> None:
         text = effect.text if isinstance(effect, fx.AnswerPeer) else effect.key
--- a/trefoilhinge/platform/connections.py
+++ b/trefoilhinge/platform/connections.py
@@ -1,15 +1,33 @@
 """Connections by urllib3, with every retry of the library switched off."""
 
+import functools
 import json
 from collections.abc import Mapping
 from typing import Any
 
+import cattrs
 import urllib3
 
-from trefoilhinge.platform.interfaces import TargetBroke, TargetNotReached
+from trefoilhinge.platform.failures import TargetBroke, TargetNotReached
+from trefoilhinge.platform.links import Link, LinkedAnswer
 
 CONNECT_TIMEOUT_S = 1.0
 POOL_SIZE = 64
+# What reading an answer raises where its JSON is not of the expected form.
+MALFORMED = (
+    cattrs.BaseValidationError,
+    KeyError,
+    TypeError,
+    ValueError,
+    AttributeError,
+)
+# A connection that another thread closed shows as AttributeError.
+BROKEN = (
+    urllib3.exceptions.HTTPError,
+    OSError,
+    ValueError,
+    AttributeError,
+)
 
 
 def make_pool() -> urllib3.PoolManager:
@@ -21,25 +39,73 @@
     )
 
 
+class LinkedConnection(urllib3.connection.HTTPConnection):
+    """A connection that hands its socket to a link once connected."""
+
+    def __init__(
+        self,
+        *arguments: Any,
+        link: Link,
+        remaining_s: float,
+        **options: Any,
+    ) -> None:
+        """Take the link and the seconds until the deadline."""
+        super().__init__(*arguments, **options)
+        self._link = link
+        self._remaining_s = remaining_s
+
+    def connect(self) -> None:
+        """Connect; sending is then bounded by the deadline alone."""
+        super().connect()
+        # The library would send under the timeout for connecting.
+        self.sock.settimeout(self._remaining_s)
+        self.response_class = functools.partial(  # type: ignore[assignment]
+            LinkedAnswer,
+            self._link,
+        )
+        self._link.attach(self.sock)
+
+
+class LinkedPool(urllib3.HTTPConnectionPool):
+    """A pool of exactly one fresh connection."""
+
+    ConnectionCls = LinkedConnection
+
+
 def open_request(
-    pool: urllib3.PoolManager,
     method: str,
-    url: str,
+    address: str,
+    path: str,
     body: bytes,
     headers: Mapping[str, str],
     remaining_s: float,
+    link: Link,
 ) -> urllib3.BaseHTTPResponse:
     """Send a request on a connection of its own and return its answer.
 
+    :param address: ``host:port`` of the target.
     :param remaining_s: seconds until the deadline.
+    :param link: breaks the connection from another thread.
     :raises TargetNotReached: no connection was made, so nothing was sent.
     :raises TargetBroke: the connection broke after bytes may have left.
     """
-    timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=remaining_s)
+    if remaining_s <= 0 or link.closed:
+        raise TargetNotReached('the call ended before it was sent')
+    host, _, port = address.rpartition(':')
+    pool = LinkedPool(
+        host.strip('[]'),
+        int(port),
+        link=link,
+        remaining_s=remaining_s,
+    )
+    timeout = urllib3.Timeout(
+        connect=min(CONNECT_TIMEOUT_S, remaining_s),
+        read=remaining_s,
+    )
     try:
-        return pool.request(
+        return pool.urlopen(
             method,
-            url,
+            path,
             body=body or None,
             headers={**headers, 'Connection': 'close'},
             timeout=timeout,
@@ -52,7 +118,7 @@
         urllib3.exceptions.ConnectTimeoutError,
     ) as error:
         raise TargetNotReached(str(error)) from error
-    except (urllib3.exceptions.HTTPError, OSError) as error:
+    except BROKEN as error:
         raise TargetBroke(str(error)) from error
 
 
--- a/trefoilhinge/platform/engines.py
+++ b/trefoilhinge/platform/engines.py
@@ -1,12 +1,12 @@
 """HTTP adapter to model engines."""
 
-import threading
-from collections.abc import Iterator, Mapping
-from typing import Any
+import base64
+from collections.abc import Mapping
+from typing import Any, TypeVar
 
 import cattrs
 import urllib3
-from attrs import define, field
+from attrs import define, frozen
 
 from trefoilhinge.core.effects import (
     CancelAttempt,
@@ -29,7 +29,6 @@
     StreamAnswered,
 )
 from trefoilhinge.core.identifiers import AttemptId
-from trefoilhinge.core.lines import StreamEvent, parse_event
 from trefoilhinge.core.reports import (
     CacheEvent,
     EngineState,
@@ -37,27 +36,19 @@
     StreamState,
 )
 from trefoilhinge.platform.connections import (
+    MALFORMED,
     find_retry_after,
     make_pool,
     open_request,
     read_json,
 )
-from trefoilhinge.platform.interfaces import (
-    OutgoingCall,
-    TargetBroke,
-    TargetErrored,
-    TargetRefused,
-)
+from trefoilhinge.platform.failures import TargetErrored, TargetRefused
+from trefoilhinge.platform.interfaces import OutgoingCall
+from trefoilhinge.platform.links import Link
+from trefoilhinge.platform.streams import EngineStream, ResponseBytes
 
 CONTROL_TIMEOUT_S = 2.0
-_SEPARATOR = b'\n\n'
-# A connection that another thread closed shows as AttributeError.
-_BROKEN = (
-    urllib3.exceptions.HTTPError,
-    OSError,
-    ValueError,
-    AttributeError,
-)
+Read = TypeVar('Read')
 
 
 @define
@@ -66,16 +57,19 @@
 
     _pool: urllib3.PoolManager
     _order_token: str
-    _open: dict[AttemptId, urllib3.BaseHTTPResponse] = field(factory=dict)
-    _lock: threading.Lock = field(factory=threading.Lock)
+
+    def make_link(self) -> Link:
+        """Return a connection that is not open yet."""
+        return Link()
 
     def open_stream(
         self,
         dispatch: Dispatch,
         call: OutgoingCall,
         remaining_s: float,
-    ) -> Iterator[StreamEvent]:
-        """Send a call and yield the events of its stream."""
+        link: Link,
+    ) -> EngineStream:
+        """Send a call and return its stream."""
         headers = {
             'Content-Type': call.content_type,
             'X-Stream-Id': str(dispatch.attempt),
@@ -87,27 +81,34 @@
         if dispatch.group_tag is not None:
             headers['X-Kv-Tag'] = dispatch.group_tag
         response = open_request(
-            self._pool,
             'POST',
-            f'http://{dispatch.address}{call.path}',
+            dispatch.address,
+            call.path,
             call.body,
             headers,
             remaining_s,
+            link,
         )
-        return self._read_events(dispatch.attempt, response)
+        return _take_stream(response, link)
 
     def resume_stream(
         self,
         resume: ResumeStream,
         remaining_s: float,
-    ) -> Iterator[StreamEvent]:
+        link: Link,
+    ) -> EngineStream:
         """Take a stream up from an offset on a new connection."""
-        url = (
-            f'http://{resume.address}/streams/{resume.stream_id}'
-            f'/events?offset={resume.offset}'
+        path = f'/streams/{resume.stream_id}/events?offset={resume.offset}'
+        response = open_request(
+            'GET',
+            resume.address,
+            path,
+            b'',
+            {},
+            remaining_s,
+            link,
         )
-        response = open_request(self._pool, 'GET', url, b'', {}, remaining_s)
-        return self._read_events(resume.attempt, response)
+        return _take_stream(response, link)
 
     def query_stream(self, query: QueryStream) -> StreamAnswered:
         """Ask, on a new connection, where a stream stands."""
@@ -115,42 +116,27 @@
         return self._ask_stream('GET', url, query.attempt)
 
     def cancel(self, cancel: CancelAttempt) -> StreamAnswered:
-        """Drop a stream at its engine and the connection that reads it."""
-        self.abandon(cancel.attempt)
+        """Drop a stream at its engine."""
         url = f'http://{cancel.address}/streams/{cancel.attempt}'
         return self._ask_stream('DELETE', url, cancel.attempt)
 
-    def abandon(self, attempt: AttemptId) -> None:
-        """Close the connection that reads an attempt's stream."""
-        with self._lock:
-            response = self._open.pop(attempt, None)
-        if response is not None:
-            response.close()
-
     def read_load(self, read: ReadLoad) -> LoadRead:
         """Read the load report."""
         fields = self._read('GET', f'http://{read.address}/load')
-        if fields is None:
-            return LoadRead(read.target, None)
-        report = cattrs.structure({**fields, 'target': read.target}, LoadReport)
+        report = _structure(fields, LoadReport, target=read.target)
         return LoadRead(read.target, report)
 
     def read_cache_events(self, read: ReadLoad) -> CacheEventsRead:
         """Read cache events past a sequence number."""
         url = f'http://{read.address}/cache/events?after={read.after_sequence}'
         fields = self._read('GET', url)
-        events = fields['events'] if fields else []
-        return CacheEventsRead(
-            read.target,
-            tuple(cattrs.structure(one, CacheEvent) for one in events),
-        )
+        log = _structure(fields, _CacheLog)
+        return CacheEventsRead(read.target, log.events if log else ())
 
     def read_state(self, read: ReadEngineState) -> EngineStateRead:
         """Read what the engine runs and holds."""
         fields = self._read('GET', f'http://{read.address}/state')
-        if fields is None:
-            return EngineStateRead(read.target, None)
-        state = cattrs.structure({**fields, 'target': read.target}, EngineState)
+        state = _structure(fields, EngineState, target=read.target)
         return EngineStateRead(read.target, state)
 
     def send_order(self, order: SendOrder) -> OrderAnswered:
@@ -181,6 +167,7 @@
             'expires_wall_s': step.expires_wall_s,
             'handle': step.handle,
             'source': step.source,
+            'prompt': base64.b64encode(body).decode(),
         }
         fields = self._read(
             'POST',
@@ -211,14 +198,10 @@
         url: str,
         attempt: AttemptId,
     ) -> StreamAnswered:
-        fields = self._read(method, url)
-        if fields is None:
+        standing = _structure(self._read(method, url), _Standing)
+        if standing is None:
             return StreamAnswered(attempt, StreamState.UNREACHABLE, 0)
-        return StreamAnswered(
-            attempt,
-            StreamState(fields['state']),
-            int(fields['offset']),
-        )
+        return StreamAnswered(attempt, standing.state, standing.offset)
 
     def _read(
         self,
@@ -230,38 +213,46 @@
         headers = {'X-Order-Token': self._order_token}
         return read_json(self._pool, method, url, body, headers, timeout_s)
 
-    def _read_events(
-        self,
-        attempt: AttemptId,
-        response: urllib3.BaseHTTPResponse,
-    ) -> Iterator[StreamEvent]:
-        if response.status == 503 and response.headers.get('X-Not-Started'):
-            wait_s = find_retry_after(response)
-            response.close()
-            raise TargetRefused(wait_s)
-        if response.status != 200:
-            response.close()
-            raise TargetErrored(f'the target answered {response.status}')
-        with self._lock:
-            self._open[attempt] = response
-        try:
-            yield from _split_events(response)
-        finally:
-            self.abandon(attempt)
+
+@frozen
+class _Standing:
+    state: StreamState
+    offset: int
+
+
+@frozen
+class _CacheLog:
+    events: tuple[CacheEvent, ...]
+
+
+def _take_stream(
+    response: urllib3.BaseHTTPResponse,
+    link: Link,
+) -> EngineStream:
+    if response.status == 200:
+        return EngineStream(ResponseBytes(response, link))
+    not_started = response.headers.get('X-Not-Started')
+    wait_s = find_retry_after(response)
+    status = response.status
+    link.close()
+    response.close()
+    if status == 503 and not_started:
+        raise TargetRefused(wait_s)
+    raise TargetErrored(f'the target answered {status}')
 
 
-def _split_events(response: urllib3.BaseHTTPResponse) -> Iterator[StreamEvent]:
-    pending = b''
+def _structure(
+    fields: Mapping[str, Any] | None,
+    kind: type[Read],
+    **known: str,
+) -> Read | None:
+    if fields is None:
+        return None
     try:
-        for chunk in response.stream(65536):
-            pending += chunk
-            *blocks, pending = pending.split(_SEPARATOR)
-            for block in blocks:
-                event = parse_event(block)
-                if event is not None:
-                    yield event
-    except _BROKEN as error:
-        raise TargetBroke(str(error)) from error
+        return cattrs.structure({**fields, **known}, kind)
+    except MALFORMED:
+        # What a target says in another form is as good as no answer.
+        return None
 
 
 def make_http_engine_client(
--- a/trefoilhinge/platform/interfaces.py
+++ b/trefoilhinge/platform/interfaces.py
@@ -1,6 +1,5 @@
 """What the shells need of the platform; an adapter implements each."""
 
-from collections.abc import Iterator
 from typing import Protocol
 
 from attrs import frozen
@@ -29,6 +28,7 @@
     StreamAnswered,
 )
 from trefoilhinge.core.lines import StreamEvent
+from trefoilhinge.platform.links import Link
 
 
 @frozen
@@ -57,40 +57,41 @@
     body: bytes
 
 
-class TargetRefused(Exception):
-    """The target proved that it did not start the call.
-
-    :ivar retry_after_s: seconds that it asked to wait.
-    """
-
-    def __init__(self, retry_after_s: float | None = None) -> None:
-        """Take the wait that the target asked for."""
-        super().__init__('the target refused the call before it started')
-        self.retry_after_s = retry_after_s
-
-
-class TargetNotReached(Exception):
-    """No byte of the call left this instance."""
+class AnswerStream(Protocol):
+    """An open stream of a target, read when its descriptor is readable."""
 
+    def fileno(self) -> int:
+        """Return the descriptor to wait on."""
+        ...
 
-class TargetBroke(Exception):
-    """The connection broke after bytes had left, or the answer was cut."""
+    def read_ready(self, signalled: bool) -> tuple[StreamEvent, ...]:
+        """Return the events that have arrived.
 
+        :param signalled: whether the descriptor was seen to be readable.
+        :raises TargetBroke: the stream was cut or has ended.
+        """
+        ...
 
-class TargetErrored(Exception):
-    """The target answered with an error after it may have started."""
+    def close(self) -> None:
+        """Break the connection."""
+        ...
 
 
 class EngineClient(Protocol):
     """Calls a model engine."""
 
+    def make_link(self) -> Link:
+        """Return a connection that is not open yet, to open a stream on."""
+        ...
+
     def open_stream(
         self,
         dispatch: Dispatch,
         call: OutgoingCall,
         remaining_s: float,
-    ) -> Iterator[StreamEvent]:
-        """Send a call and yield the events of its stream.
+        link: Link,
+    ) -> AnswerStream:
+        """Send a call and return its stream.
 
         :raises TargetRefused: it did not start.
         :raises TargetNotReached: no byte left.
@@ -103,7 +104,8 @@
         self,
         resume: ResumeStream,
         remaining_s: float,
-    ) -> Iterator[StreamEvent]:
+        link: Link,
+    ) -> AnswerStream:
         """Take a stream up from an offset on a new connection."""
         ...
 
@@ -137,7 +139,11 @@
         body: bytes,
         remaining_s: float,
     ) -> GroupStepEnded:
-        """Carry out one step of a group."""
+        """Carry out one step of a group.
+
+        :param body: the prompt's bytes of the segment, empty for steps that
+            need none.
+        """
         ...
 
     def release(self, release: ReleaseHolding) -> HoldingReleased:
@@ -148,11 +154,16 @@
 class PlainClient(Protocol):
     """Calls a plain service."""
 
+    def make_link(self) -> Link:
+        """Return a connection that is not open yet, to call on."""
+        ...
+
     def call(
         self,
         dispatch: Dispatch,
         call: OutgoingCall,
         remaining_s: float,
+        link: Link,
     ) -> PlainAnswer:
         """Send a call and return its whole answer.
 
--- a/trefoilhinge/platform/plain.py
+++ b/trefoilhinge/platform/plain.py
@@ -1,33 +1,33 @@
 """HTTP adapter to plain services."""
 
-import urllib3
 from attrs import frozen
 
 from trefoilhinge.core.effects import Dispatch
 from trefoilhinge.platform.connections import (
+    BROKEN,
     find_retry_after,
-    make_pool,
     open_request,
 )
-from trefoilhinge.platform.interfaces import (
-    OutgoingCall,
-    PlainAnswer,
-    TargetBroke,
-    TargetRefused,
-)
+from trefoilhinge.platform.failures import TargetBroke, TargetRefused
+from trefoilhinge.platform.interfaces import OutgoingCall, PlainAnswer
+
+from trefoilhinge.platform.links import Link
 
 
 @frozen
 class HttpPlainClient:
     """Calls plain services, each call on a connection of its own."""
 
-    _pool: urllib3.PoolManager
+    def make_link(self) -> Link:
+        """Return a connection that is not open yet."""
+        return Link()
 
     def call(
         self,
         dispatch: Dispatch,
         call: OutgoingCall,
         remaining_s: float,
+        link: Link,
     ) -> PlainAnswer:
         """Send a call and return its whole answer."""
         headers = {
@@ -37,12 +37,13 @@
         if call.trace:
             headers['traceparent'] = call.trace
         response = open_request(
-            self._pool,
             call.method,
-            f'http://{dispatch.address}{call.path}',
+            dispatch.address,
+            call.path,
             call.body,
             headers,
             remaining_s,
+            link,
         )
         if response.status == 503 and response.headers.get('X-Not-Started'):
             wait_s = find_retry_after(response)
@@ -50,7 +51,7 @@
             raise TargetRefused(wait_s)
         try:
             body = response.read()
-        except (urllib3.exceptions.HTTPError, OSError) as error:
+        except BROKEN as error:
             raise TargetBroke(str(error)) from error
         return PlainAnswer(
             response.status,
@@ -59,8 +60,6 @@
         )
 
 
-def make_http_plain_client(
-    pool: urllib3.PoolManager | None = None,
-) -> HttpPlainClient:
+def make_http_plain_client() -> HttpPlainClient:
     """Return a client for every plain service."""
-    return HttpPlainClient(pool or make_pool())
+    return HttpPlainClient()
--- a/trefoilhinge/platform/publications.py
+++ b/trefoilhinge/platform/publications.py
@@ -1,5 +1,8 @@
 """HTTP adapter to the configuration service and the list of instances."""
 
+from collections.abc import Mapping
+from typing import Any
+
 import cattrs
 import urllib3
 from attrs import frozen
@@ -9,6 +12,7 @@
 from trefoilhinge.core.reports import ListedInstance, ListedTarget
 from trefoilhinge.platform.connections import (
     CONNECT_TIMEOUT_S,
+    MALFORMED,
     make_pool,
     read_json,
 )
@@ -39,7 +43,13 @@
             read=read.wait_s + READ_MARGIN_S,
         )
         try:
-            response = self._pool.request('GET', url, timeout=timeout)
+            response = self._pool.request(
+                'GET',
+                url,
+                timeout=timeout,
+                redirect=False,
+                retries=False,
+            )
         except (urllib3.exceptions.HTTPError, OSError):
             return DocumentRead(None)
         if response.status != 200:
@@ -58,16 +68,23 @@
         )
         if fields is None:
             return InstancesListed(None)
-        return InstancesListed(
-            cattrs.structure(
-                fields.get('instances', []),
-                tuple[ListedInstance, ...],
-            ),
-            cattrs.structure(
-                fields.get('targets', []),
-                tuple[ListedTarget, ...],
-            ),
-        )
+        try:
+            return _parse_lists(fields)
+        except MALFORMED:
+            return InstancesListed(None)
+
+
+def _parse_lists(fields: Mapping[str, Any]) -> InstancesListed:
+    return InstancesListed(
+        cattrs.structure(
+            fields.get('instances', []),
+            tuple[ListedInstance, ...],
+        ),
+        cattrs.structure(
+            fields.get('targets', []),
+            tuple[ListedTarget, ...],
+        ),
+    )
 
 
 def make_http_platform_client(
--- a/trefoilhinge/standins/servers.py
+++ b/trefoilhinge/standins/servers.py
@@ -7,7 +7,8 @@
 from attrs import define
 from cheroot import wsgi
 
-THREADS = 64
+THREADS = 16
+EXPIRATION_INTERVAL_S = 0.1
 
 
 @define
@@ -37,7 +38,16 @@
         numthreads=threads,
         max=threads,
     )
-    server.prepare()
-    threading.Thread(target=server.serve, daemon=True).start()
+    server.expiration_interval = EXPIRATION_INTERVAL_S
+    prepared = threading.Event()
+
+    def serve() -> None:
+        # Threads of the pool inherit that they are daemons from this one.
+        server.prepare()
+        prepared.set()
+        server.serve()
+
+    threading.Thread(target=serve, daemon=True).start()
+    prepared.wait()
     bound = server.bind_addr[1]
     return StandInServer(f'127.0.0.1:{bound}', server)
