Gave the stand-in engine batches, memory, orders and faults.

The stand-in streamed each call in a thread of its own, so long prompts never slowed short ones down, memory was without end, and no fault could be shown. It now runs one batch in steps, prefills in pieces by priority, keeps a bounded KV memory with holdings by tag and a prefix cache with events, takes orders with fences that are honoured or ignored, and shows silent, cut, truncated, crossed, refused, stalled and dead connections.

--- /dev/null
+++ b/trefoilhinge/standins/batches.py
@@ -0,0 +1,150 @@
+"""Continuous batching of a stand-in engine: one step after another."""
+
+import json
+import threading
+import time
+
+from attrs import define, field
+
+from trefoilhinge.core.lines import DONE_DATA
+from trefoilhinge.standins.answers import make_chunk
+from trefoilhinge.standins.memory import KvMemory
+
+IDLE_WAIT_S = 0.5
+
+
+@define(eq=False)
+class Generation:
+    """One stream of an engine.
+
+    :ivar missing_tokens: prompt tokens still to be prefilled.
+    :ivar kept_tokens: memory taken while it runs.
+    :ivar events: data of every event produced so far.
+    """
+
+    stream_id: str
+    prompt_tokens: int
+    output_tokens: int
+    chat: bool
+    priority: int
+    missing_tokens: int
+    kept_tokens: int
+    digests: tuple[int, ...] = ()
+    events: list[str] = field(factory=list)
+    cancelled: bool = False
+    changed: threading.Condition = field(factory=threading.Condition)
+
+    @property
+    def finished(self) -> bool:
+        """Return whether the finish marker was produced."""
+        return bool(self.events) and self.events[-1] == DONE_DATA
+
+    @property
+    def ended(self) -> bool:
+        """Return whether nothing more will come."""
+        return self.cancelled or self.finished
+
+    def cancel(self) -> None:
+        """Drop the stream unless it has finished."""
+        with self.changed:
+            self.cancelled = not self.finished
+            self.changed.notify_all()
+
+    def produce(self) -> None:
+        """Append the next token, and the finish marker after the last."""
+        number = len(self.events)
+        last = number + 1 >= self.output_tokens
+        chunk = make_chunk(self.stream_id, number, self.chat, last)
+        if last:
+            chunk['usage'] = {
+                'prompt_tokens': self.prompt_tokens,
+                'completion_tokens': self.output_tokens,
+                'total_tokens': self.prompt_tokens + self.output_tokens,
+            }
+        with self.changed:
+            self.events.append(json.dumps(chunk))
+            if last:
+                self.events.append(DONE_DATA)
+            self.changed.notify_all()
+
+
+@define
+class Batch:
+    """Runs the streams of one engine in steps.
+
+    A step prefills one piece of the prompt that has the highest priority and
+    gives every decoding stream a token, so a long prefill slows decoding
+    down as it does at a real engine.
+
+    :ivar prefill_tokens: prompt tokens of one step.
+    :ivar decode_interval_s: seconds of a step without prefill.
+    """
+
+    memory: KvMemory
+    prefill_tokens_per_s: float
+    decode_interval_s: float
+    prefill_tokens: int = 2048
+    maximum_running: int = 64
+    waiting: list[Generation] = field(factory=list)
+    running: list[Generation] = field(factory=list)
+    _changed: threading.Condition = field(factory=threading.Condition)
+    _started: bool = False
+
+    def add(self, generation: Generation) -> None:
+        """Queue a stream, ahead of those of a lower priority."""
+        with self._changed:
+            self.waiting.append(generation)
+            self.waiting.sort(key=lambda one: -one.priority)
+            self._changed.notify_all()
+            if not self._started:
+                self._started = True
+                threading.Thread(target=self._run, daemon=True).start()
+
+    def count_queued_tokens(self) -> int:
+        """Return prompt tokens that wait or are being prefilled."""
+        streams = [*self.waiting, *self.running]
+        return sum(one.missing_tokens for one in streams if not one.ended)
+
+    def _run(self) -> None:
+        while self._started:
+            with self._changed:
+                self._drop_ended()
+                self._admit()
+                if not self.running:
+                    self._changed.wait(IDLE_WAIT_S)
+            if self.running:
+                self._step()
+
+    def _drop_ended(self) -> None:
+        for one in self.running:
+            if one.ended:
+                self.memory.running_tokens -= one.kept_tokens
+        self.running = [one for one in self.running if not one.ended]
+        self.waiting = [one for one in self.waiting if not one.ended]
+
+    def _admit(self) -> None:
+        while self.waiting and len(self.running) < self.maximum_running:
+            first = self.waiting[0]
+            if first.kept_tokens > self.memory.free_tokens:
+                return
+            self.memory.running_tokens += first.kept_tokens
+            self.running.append(self.waiting.pop(0))
+
+    def _step(self) -> None:
+        prefilling = [one for one in self.running if one.missing_tokens > 0]
+        decoding = [one for one in self.running if one.missing_tokens <= 0]
+        duration_s = self.decode_interval_s
+        if prefilling:
+            first = max(prefilling, key=lambda one: one.priority)
+            tokens = min(first.missing_tokens, self.prefill_tokens)
+            duration_s = max(duration_s, tokens / self.prefill_tokens_per_s)
+            self._note_prefilled(first, tokens)
+        time.sleep(duration_s)
+        for one in decoding:
+            if not one.ended:
+                one.produce()
+
+    def _note_prefilled(self, generation: Generation, tokens: int) -> None:
+        generation.missing_tokens -= tokens
+        if generation.missing_tokens <= 0:
+            self.memory.cache.store(generation.digests)
--- a/trefoilhinge/standins/engines.py
+++ b/trefoilhinge/standins/engines.py
@@ -2,27 +2,30 @@
 
 import json
 import threading
-import time
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Iterable, Iterator
 from typing import Any
+from urllib.parse import parse_qs
 
 from attrs import define, field
 
+from trefoilhinge.calls.prompts import digest_prefix, find_prompt
 from trefoilhinge.core.lines import DONE_DATA, StreamEvent, write_event
+from trefoilhinge.standins.answers import (
+    Environ,
+    StartResponse,
+    answer_json,
+    read_body,
+    read_fields,
+)
+from trefoilhinge.standins.batches import Batch, Generation
+from trefoilhinge.standins.faults import EngineFaults
+from trefoilhinge.standins.groups import KvInterface
+from trefoilhinge.standins.memory import KvMemory
+from trefoilhinge.standins.orders import EngineSoftware
 
 BYTES_PER_TOKEN = 4
-
-
-@define
-class _Stream:
-    stream_id: str
-    events: list[str]
-    ready: threading.Condition = field(factory=threading.Condition)
-    cancelled: bool = False
-
-    @property
-    def finished(self) -> bool:
-        return bool(self.events) and self.events[-1] == DONE_DATA
+READ_WAIT_S = 1.0
+EVENT_STREAM = [('Content-Type', 'text/event-stream')]
 
 
 @define
@@ -30,216 +33,211 @@
     """One engine; counts every run, so that a second one shows.
 
     :ivar runs: how often each request was started, by request.
+    :ivar traces: ``traceparent`` headers that were received, by request.
     """
 
     name: str
     prefill_tokens_per_s: float = 200_000
     decode_interval_s: float = 0.01
+    memory_tokens: int = 450_000
     incarnation: int = 1
     leaving: bool = False
+    faults: EngineFaults = field(factory=EngineFaults)
+    software: EngineSoftware = field(factory=EngineSoftware)
     runs: dict[str, int] = field(factory=dict)
-    _streams: dict[str, _Stream] = field(factory=dict)
+    traces: dict[str, str] = field(factory=dict)
+    memory: KvMemory = field(init=False)
+    batch: Batch = field(init=False)
+    _streams: dict[str, Generation] = field(factory=dict)
     _voided: set[str] = field(factory=set)
-    _queued_tokens: int = 0
     _lock: threading.Lock = field(factory=threading.Lock)
-    _prefill: threading.Lock = field(factory=threading.Lock)
+
+    def __attrs_post_init__(self) -> None:
+        """Give the engine its memory and its batch."""
+        self.memory = KvMemory(self.memory_tokens)
+        self.batch = Batch(
+            self.memory,
+            self.prefill_tokens_per_s,
+            self.decode_interval_s,
+        )
 
     def __call__(
         self,
-        environ: dict[str, Any],
-        start_response: Callable[..., Any],
+        environ: Environ,
+        start_response: StartResponse,
     ) -> Iterable[bytes]:
         """Serve one request."""
-        method = environ['REQUEST_METHOD']
+        if self.faults.dead:
+            raise ConnectionResetError('this engine is dead')
         path = environ['PATH_INFO']
         if path.startswith('/v1/'):
             return self._complete(environ, start_response)
         if path.startswith('/streams/'):
-            return self._serve_stream(environ, start_response, path, method)
+            return self._serve_stream(environ, start_response)
+        if path.startswith('/kv/'):
+            return answer_json(start_response, self._serve_memory(environ))
+        if path == '/orders':
+            token = environ.get('HTTP_X_ORDER_TOKEN', '')
+            answer = self.software.take_order(read_fields(environ), token)
+            return answer_json(start_response, answer)
+        return self._describe(environ, start_response)
+
+    def _describe(
+        self,
+        environ: Environ,
+        start_response: StartResponse,
+    ) -> Iterable[bytes]:
+        path = environ['PATH_INFO']
         if path == '/load':
             return answer_json(start_response, self._describe_load())
         if path == '/cache/events':
-            return answer_json(start_response, {'events': []})
+            query = parse_qs(environ.get('QUERY_STRING', ''))
+            after = int(query.get('after', ['0'])[0])
+            events = self.memory.cache.list_events(after)
+            return answer_json(start_response, {'events': events})
         if path == '/state':
-            return answer_json(start_response, self._describe_state())
+            holdings = list(self.memory.holdings.values())
+            state = self.software.describe()
+            state['holdings'] = [one.describe() for one in holdings]
+            return answer_json(start_response, state)
         return answer_json(start_response, {'error': 'not found'}, 404)
 
     def _complete(
         self,
-        environ: dict[str, Any],
-        start_response: Callable[..., Any],
+        environ: Environ,
+        start_response: StartResponse,
     ) -> Iterable[bytes]:
-        body = read_body(environ)
+        fields = json.loads(read_body(environ))
         stream_id = environ.get('HTTP_X_STREAM_ID', '')
-        fields = json.loads(body)
+        request = stream_id.rpartition('.')[0]
+        generation = self._make_generation(environ, fields)
         with self._lock:
-            if stream_id in self._voided or self.leaving:
+            refused = stream_id in self._voided or self.leaving
+            if refused or self.faults.refuse or generation is None:
                 headers = [('X-Not-Started', 'true')]
                 return answer_json(start_response, {}, 503, headers)
-            stream = _Stream(stream_id, [])
-            self._streams[stream_id] = stream
-            request = stream_id.rpartition('.')[0]
+            self._streams[stream_id] = generation
             self.runs[request] = self.runs.get(request, 0) + 1
-        tokens = len(body) // BYTES_PER_TOKEN
-        chat = 'chat' in environ['PATH_INFO']
-        threading.Thread(
-            target=self._run,
-            args=(stream, tokens, fields, chat),
-            daemon=True,
-        ).start()
-        start_response('200 OK', [('Content-Type', 'text/event-stream')])
-        return self._read_events(stream, 0)
-
-    def _run(
+            self.traces[request] = environ.get('HTTP_TRACEPARENT', '')
+        self.batch.add(generation)
+        if self.faults.stall:
+            self.faults.hold()
+        start_response('200 OK', EVENT_STREAM)
+        return self._send_events(generation, 0)
+
+    def _make_generation(
         self,
-        stream: _Stream,
-        prompt_tokens: int,
+        environ: Environ,
         fields: dict[str, Any],
-        chat: bool,
-    ) -> None:
-        self._queued_tokens += prompt_tokens
-        with self._prefill:
-            time.sleep(prompt_tokens / self.prefill_tokens_per_s)
-        self._queued_tokens -= prompt_tokens
-        count = int(fields.get('max_tokens') or 16)
-        for number in range(count):
-            if stream.cancelled:
+    ) -> Generation | None:
+        prompt = find_prompt(fields)
+        tokens = max(1, len(prompt) // BYTES_PER_TOKEN)
+        digests = digest_prefix(prompt)
+        output = int(fields.get('max_tokens') or 16)
+        missing = max(1, tokens - self.memory.cache.count_hit(digests))
+        kept = tokens + output
+        tag = environ.get('HTTP_X_KV_TAG')
+        if tag is not None:
+            # The group holds the prompt: only the output needs memory here.
+            if tag not in self.memory.holdings:
+                return None
+            missing, kept = 1, output
+        if kept > self.memory.capacity_tokens:
+            return None
+        return Generation(
+            environ.get('HTTP_X_STREAM_ID', ''),
+            tokens,
+            output,
+            'chat' in environ['PATH_INFO'],
+            int(environ.get('HTTP_X_PRIORITY', '0')),
+            missing,
+            kept,
+            digests,
+        )
+
+    def _send_events(
+        self,
+        generation: Generation,
+        offset: int,
+        resumed: bool = False,
+    ) -> Iterator[bytes]:
+        faults = self.faults
+        name = 'another.1' if faults.crossed else generation.stream_id
+        for data in _follow(generation, offset):
+            if faults.truncate_after == offset:
                 return
-            last = number == count - 1
-            chunk = make_chunk(stream.stream_id, number, chat, last)
-            if last:
-                chunk['usage'] = {
-                    'prompt_tokens': prompt_tokens,
-                    'completion_tokens': count,
-                    'total_tokens': prompt_tokens + count,
-                }
-            self._append(stream, json.dumps(chunk))
-            time.sleep(self.decode_interval_s)
-        self._append(stream, DONE_DATA)
-
-    def _append(self, stream: _Stream, data: str) -> None:
-        with stream.ready:
-            stream.events.append(data)
-            stream.ready.notify_all()
-
-    def _read_events(self, stream: _Stream, offset: int) -> Iterator[bytes]:
-        while True:
-            with stream.ready:
-                while len(stream.events) <= offset and not stream.cancelled:
-                    stream.ready.wait(1)
-                if stream.cancelled:
-                    return
-                events = stream.events[offset:]
-            for data in events:
-                yield write_event(StreamEvent(stream.stream_id, offset, data))
-                offset += 1
-                if data == DONE_DATA:
-                    return
+            faults.show(offset, resumed)
+            yield write_event(StreamEvent(name, offset, data))
+            offset += 1
 
     def _serve_stream(
         self,
-        environ: dict[str, Any],
-        start_response: Callable[..., Any],
-        path: str,
-        method: str,
+        environ: Environ,
+        start_response: StartResponse,
     ) -> Iterable[bytes]:
+        path = environ['PATH_INFO']
         stream_id = path.split('/')[2]
-        stream = self._streams.get(stream_id)
-        if method == 'DELETE':
+        generation = self._streams.get(stream_id)
+        if environ['REQUEST_METHOD'] == 'DELETE':
             return answer_json(start_response, self._void(stream_id))
-        if stream is None:
+        known = generation is not None and not generation.cancelled
+        if generation is None or not known or self.faults.forgetful:
             answer = {'state': 'unknown', 'offset': 0}
-            return answer_json(start_response, answer)
+            status = 404 if path.endswith('/events') else 200
+            return answer_json(start_response, answer, status)
         if path.endswith('/events'):
             offset = int(environ['QUERY_STRING'].partition('offset=')[2] or 0)
-            start_response('200 OK', [('Content-Type', 'text/event-stream')])
-            return self._read_events(stream, offset)
-        state = 'finished' if stream.finished else 'running'
-        answer = {'state': state, 'offset': len(stream.events)}
+            start_response('200 OK', EVENT_STREAM)
+            return self._send_events(generation, offset, resumed=True)
+        state = 'finished' if generation.finished else 'running'
+        answer = {'state': state, 'offset': len(generation.events)}
         return answer_json(start_response, answer)
 
     def _void(self, stream_id: str) -> dict[str, Any]:
         with self._lock:
             self._voided.add(stream_id)
-            stream = self._streams.get(stream_id)
-        if stream is None:
+            generation = self._streams.get(stream_id)
+        if generation is None:
             return {'state': 'never_started', 'offset': 0}
-        with stream.ready:
-            stream.cancelled = not stream.finished
-            stream.ready.notify_all()
-        state = 'finished' if stream.finished else 'unknown'
-        return {'state': state, 'offset': len(stream.events)}
+        generation.cancel()
+        state = 'finished' if generation.finished else 'unknown'
+        return {'state': state, 'offset': len(generation.events)}
+
+    def _serve_memory(self, environ: Environ) -> dict[str, Any]:
+        step = environ['PATH_INFO'].split('/')[2]
+        if environ['REQUEST_METHOD'] == 'DELETE':
+            return {'released': self.memory.release(step)}
+        interface = KvInterface(
+            self.name,
+            self.memory,
+            self.prefill_tokens_per_s,
+        )
+        return interface.serve(step, read_fields(environ))
 
     def _describe_load(self) -> dict[str, Any]:
         return {
-            'queued_tokens': self._queued_tokens,
-            'running': sum(
-                not one.finished and not one.cancelled
-                for one in list(self._streams.values())
-            ),
-            'free_tokens': 450_000,
+            'queued_tokens': self.batch.count_queued_tokens(),
+            'running': len(self.batch.running),
+            'free_tokens': self.memory.free_tokens,
             'age_s': 0,
             'leaving': self.leaving,
             'incarnation': self.incarnation,
         }
 
-    def _describe_state(self) -> dict[str, Any]:
-        return {
-            'fence': 0,
-            'model': '',
-            'version': '',
-            'adapters': [],
-            'role': 'both',
-            'ready': True,
-            'holdings': [],
-        }
+
+def _follow(generation: Generation, offset: int) -> Iterator[str]:
+    events = _wait_events(generation, offset)
+    while events:
+        yield from events
+        offset += len(events)
+        done = events[-1] == DONE_DATA
+        events = [] if done else _wait_events(generation, offset)
 
 
-def make_chunk(
-    stream_id: str,
-    number: int,
-    chat: bool,
-    last: bool,
-) -> dict[str, Any]:
-    """Return one chunk of a completion."""
-    word = f'word{number} '
-    choice: dict[str, Any] = {'index': 0, 'finish_reason': None}
-    if last:
-        choice['finish_reason'] = 'stop'
-    if chat:
-        choice['delta'] = {'role': 'assistant', 'content': word}
-    else:
-        choice['text'] = word
-    return {
-        'id': f'cmpl-{stream_id}',
-        'object': 'chat.completion.chunk' if chat else 'text_completion',
-        'created': 0,
-        'model': 'stand-in',
-        'choices': [choice],
-    }
-
-
-def read_body(environ: dict[str, Any]) -> bytes:
-    """Read the body of a request."""
-    length = int(environ.get('CONTENT_LENGTH') or 0)
-    body: bytes = environ['wsgi.input'].read(length) if length else b''
-    return body
-
-
-def answer_json(
-    start_response: Callable[..., Any],
-    fields: dict[str, Any],
-    status: int = 200,
-    headers: Iterable[tuple[str, str]] = (),
-) -> Iterable[bytes]:
-    """Answer with a JSON object."""
-    body = json.dumps(fields).encode()
-    start_response(
-        f'{status} Answer',
-        [
-            ('Content-Type', 'application/json'),
-            ('Content-Length', str(len(body))),
-            *headers,
-        ],
-    )
-    return [body]
+def _wait_events(generation: Generation, offset: int) -> list[str]:
+    with generation.changed:
+        while len(generation.events) <= offset and not generation.ended:
+            generation.changed.wait(READ_WAIT_S)
+        if generation.cancelled:
+            return []
+        return generation.events[offset:]
--- /dev/null
+++ b/trefoilhinge/standins/memory.py
@@ -0,0 +1,116 @@
+"""KV memory of a stand-in engine: streams, holdings and a prefix cache."""
+
+import time
+from collections import OrderedDict, deque
+from typing import Any
+
+from attrs import define, field
+
+BLOCK_TOKENS = 512
+MAXIMUM_EVENTS = 4096
+CACHED_SHARE = 0.25
+
+
+@define
+class KvHolding:
+    """Memory held under a tag.
+
+    :ivar prefilled: prompt tokens that are in place.
+    """
+
+    tag: str
+    owner: str
+    tokens: int
+    expires_wall_s: float
+    prefilled: int = 0
+
+    def describe(self) -> dict[str, Any]:
+        """Return the holding as it is listed."""
+        return {
+            'tag': self.tag,
+            'owner': self.owner,
+            'tokens': self.tokens,
+            'expires_wall_s': self.expires_wall_s,
+        }
+
+
+@define
+class PrefixCache:
+    """Digests of cached blocks, least recently used first."""
+
+    capacity_tokens: int
+    _blocks: OrderedDict[int, None] = field(factory=OrderedDict)
+    _events: deque[dict[str, Any]] = field(
+        factory=lambda: deque(maxlen=MAXIMUM_EVENTS),
+    )
+    _sequence: int = 0
+
+    def count_hit(self, digests: tuple[int, ...]) -> int:
+        """Return the tokens of the longest cached prefix."""
+        hits = 0
+        for digest in digests:
+            if digest not in self._blocks:
+                break
+            self._blocks.move_to_end(digest)
+            hits += 1
+        return hits * BLOCK_TOKENS
+
+    def store(self, digests: tuple[int, ...]) -> None:
+        """Cache the blocks of a prompt and evict what does not fit."""
+        for digest in digests:
+            if digest not in self._blocks:
+                self._note(digest, stored=True)
+            self._blocks[digest] = None
+        while len(self._blocks) * BLOCK_TOKENS > self.capacity_tokens:
+            evicted, _ = self._blocks.popitem(last=False)
+            self._note(evicted, stored=False)
+
+    def list_events(self, after: int) -> list[dict[str, Any]]:
+        """Return the events past a sequence number."""
+        return [one for one in list(self._events) if one['sequence'] > after]
+
+    def _note(self, digest: int, stored: bool) -> None:
+        self._sequence += 1
+        self._events.append(
+            {'sequence': self._sequence, 'digest': digest, 'stored': stored},
+        )
+
+
+@define
+class KvMemory:
+    """Memory in tokens, shared by running streams and holdings."""
+
+    capacity_tokens: int
+    running_tokens: int = 0
+    holdings: dict[str, KvHolding] = field(factory=dict)
+    cache: PrefixCache = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Give the cache its part."""
+        self.cache = PrefixCache(int(self.capacity_tokens * CACHED_SHARE))
+
+    @property
+    def free_tokens(self) -> int:
+        """Return what neither a stream nor a holding has."""
+        held = sum(one.tokens for one in list(self.holdings.values()))
+        return self.capacity_tokens - self.running_tokens - held
+
+    def reserve(self, fields: dict[str, Any]) -> bool:
+        """Hold memory under a tag; true again if it is held already."""
+        tag = str(fields['tag'])
+        if tag in self.holdings:
+            return True
+        tokens = int(fields['tokens'])
+        if tokens > self.free_tokens:
+            return False
+        self.holdings[tag] = KvHolding(
+            tag,
+            str(fields.get('owner', '')),
+            tokens,
+            float(fields.get('expires_wall_s', time.time())),
+        )
+        return True
+
+    def release(self, tag: str) -> bool:
+        """Free what is held under a tag; harmless when repeated."""
+        return self.holdings.pop(tag, None) is not None
--- /dev/null
+++ b/trefoilhinge/standins/orders.py
@@ -0,0 +1,57 @@
+"""What a stand-in engine runs, and the orders that change it."""
+
+import threading
+from typing import Any
+
+from attrs import define, field
+
+
+@define
+class EngineSoftware:
+    """Model, version, adapters and role of one engine.
+
+    :ivar fences: whether an order with an old fencing number is refused.
+    :ivar order_token: credential that orders need, none if not checked.
+    :ivar accepted: every order that was accepted, in order.
+    """
+
+    fences: bool = True
+    order_token: str | None = None
+    fence: int = 0
+    model: str = ''
+    version: str = ''
+    adapters: tuple[str, ...] = ()
+    role: str = 'both'
+    accepted: list[dict[str, Any]] = field(factory=list)
+    _lock: threading.Lock = field(factory=threading.Lock)
+
+    def take_order(
+        self,
+        fields: dict[str, Any],
+        token: str,
+    ) -> dict[str, Any]:
+        """Apply an order and answer whether it was accepted."""
+        if self.order_token is not None and token != self.order_token:
+            return {'accepted': False, 'reason': 'unknown orderer'}
+        fence = int(fields['fence'])
+        with self._lock:
+            if self.fences and fence <= self.fence:
+                return {'accepted': False, 'fence': self.fence}
+            self.fence = max(self.fence, fence)
+            self.model = str(fields['model'])
+            self.version = str(fields['version'])
+            self.adapters = tuple(fields['adapters'])
+            self.role = str(fields['role'])
+            self.accepted.append(fields)
+        return {'accepted': True, 'fence': self.fence}
+
+    def describe(self) -> dict[str, Any]:
+        """Return what the engine runs."""
+        return {
+            'fence': self.fence,
+            'model': self.model,
+            'version': self.version,
+            'adapters': sorted(self.adapters),
+            'role': self.role,
+            'ready': True,
+        }
--- a/trefoilhinge/standins/plain.py
+++ b/trefoilhinge/standins/plain.py
@@ -1,12 +1,14 @@
 """A stand-in plain service that books, and counts its bookings."""
 
+import json
 import threading
+import time
 from collections.abc import Callable, Iterable
 from typing import Any
 
 from attrs import define, field
 
-from trefoilhinge.standins.engines import answer_json, read_body
+from trefoilhinge.standins.answers import answer_json, read_body
 
 
 @define
@@ -14,10 +16,19 @@
     """One plain service.
 
     :ivar runs: how often each request was run, by request.
+    :ivar references: how often each reference of a body was run.
+    :ivar delay_s: seconds that it works on a call.
+    :ivar silent: run each call and never answer.
+    :ivar refusing: refuse each call before it starts, and prove it.
     """
 
     name: str
+    delay_s: float = 0
+    silent: bool = False
+    refusing: bool = False
     runs: dict[str, int] = field(factory=dict)
+    references: dict[str, int] = field(factory=dict)
+    released: threading.Event = field(factory=threading.Event)
     _lock: threading.Lock = field(factory=threading.Lock)
 
     def __call__(
@@ -27,14 +38,29 @@
     ) -> Iterable[bytes]:
         """Serve one request."""
         body = read_body(environ)
+        if self.refusing:
+            headers = [('X-Not-Started', 'true')]
+            return answer_json(start_response, {}, 503, headers)
         request = environ.get('HTTP_X_REQUEST_ID', '').rpartition('.')[0]
         with self._lock:
             self.runs[request] = self.runs.get(request, 0) + 1
             number = len(self.runs)
+            self._note_reference(body)
+        time.sleep(self.delay_s)
+        if self.silent:
+            self.released.wait()
         answer = {
             'service': self.name,
             'path': environ['PATH_INFO'],
+            'query': environ.get('QUERY_STRING', ''),
             'booking': number,
             'bytes': len(body),
         }
         return answer_json(start_response, answer)
+
+    def _note_reference(self, body: bytes) -> None:
+        try:
+            reference = str(json.loads(body)['reference'])
+        except (ValueError, KeyError, TypeError):
+            return
+        self.references[reference] = self.references.get(reference, 0) + 1
--- a/trefoilhinge/standins/publications.py
+++ b/trefoilhinge/standins/publications.py
@@ -8,7 +8,7 @@
 
 from attrs import define, field
 
-from trefoilhinge.standins.engines import answer_json
+from trefoilhinge.standins.answers import answer_json
 
 
 @define
