Added fakes of the platform on simulated time.

Cause: the fault matrix and the measurement need the same cores as the daemon, on an injected clock.

--- /dev/null
+++ b/trefoilhinge/standins/simulation/__init__.py
@@ -0,0 +1,1 @@
+"""Fakes at the interfaces of a node's core, on an injected clock."""
--- /dev/null
+++ b/trefoilhinge/standins/simulation/engine.py
@@ -0,0 +1,347 @@
+"""A fake model engine: continuous batching in limited memory.
+
+It keeps its own record of runs and of held memory, so that a checker need not
+take a core's word.
+"""
+
+from collections import OrderedDict
+from collections.abc import Callable
+
+from attrs import define, field
+
+from trefoilhinge.core.identifiers import HoldingTag, StreamId, TargetName
+from trefoilhinge.core.lines import DONE_DATA, StreamEvent
+from trefoilhinge.core.profiles import CallProfile
+from trefoilhinge.core.reports import (
+    CacheEvent,
+    EngineState,
+    Holding,
+    LoadReport,
+    StreamState,
+)
+from trefoilhinge.standins.simulation.heap import Simulation
+
+Listener = Callable[[StreamEvent], None]
+BLOCK_TOKENS = 512
+
+
+@define
+class EngineSpeeds:
+    """Speeds and sizes of one engine.
+
+    :ivar step_s: seconds of one step that only decodes.
+    :ivar step_per_stream_s: seconds added by each decoding stream.
+    :ivar chunk_tokens: prompt tokens that one step prefills at most.
+    """
+
+    prefill_tokens_per_s: float = 20_000
+    step_s: float = 0.012
+    step_per_stream_s: float = 0.0002
+    chunk_tokens: int = 512
+    memory_tokens: int = 450_000
+    cache_tokens: int = 200_000
+    maximum_running: int = 64
+
+
+@define
+class FakeStream:
+    """One stream at an engine.
+
+    :ivar prefill_left: prompt tokens that are not yet prefilled.
+    :ivar produced: events produced, the finish marker included.
+    """
+
+    stream_id: StreamId
+    profile: CallProfile
+    priority: int
+    prefill_left: int
+    memory: int
+    arrived_s: float
+    listener: Listener | None
+    produced: int = 0
+    data: list[str] = field(factory=list)
+    finished: bool = False
+    cancelled: bool = False
+
+
+@define
+class FakeEngine:
+    """One engine on simulated time.
+
+    :ivar runs: how often each request was started, by request.
+    :ivar keeps_text: whether events are kept so that streams can be resumed.
+    """
+
+    name: TargetName
+    _simulation: Simulation
+    speeds: EngineSpeeds = field(factory=EngineSpeeds)
+    honours_fences: bool = True
+    keeps_text: bool = True
+    incarnation: int = 1
+    leaving: bool = False
+    dead: bool = False
+    fence: int = 0
+    model: str = ''
+    version: str = ''
+    adapters: tuple[str, ...] = ()
+    role: str = 'both'
+    runs: dict[str, int] = field(factory=dict)
+    streams: dict[StreamId, FakeStream] = field(factory=dict)
+    voided: set[StreamId] = field(factory=set)
+    waiting: list[FakeStream] = field(factory=list)
+    running: list[FakeStream] = field(factory=list)
+    holdings: dict[HoldingTag, Holding] = field(factory=dict)
+    cache: OrderedDict[int, None] = field(factory=OrderedDict)
+    cache_events: list[CacheEvent] = field(factory=list)
+    prefilled_tokens: int = 0
+    cached_tokens: int = 0
+    _stepping: bool = False
+
+    def start(
+        self,
+        stream_id: StreamId,
+        profile: CallProfile,
+        priority: int,
+        listener: Listener,
+        tag: HoldingTag | None = None,
+    ) -> bool:
+        """Start a stream; false proves that it was refused before start."""
+        if self.leaving or stream_id in self.voided:
+            return False
+        if stream_id in self.streams:
+            return False
+        request = str(profile.request_id)
+        self.runs[request] = self.runs.get(request, 0) + 1
+        cached = 0 if tag else self._use_cache(profile)
+        prompt = 1 if tag else max(1, profile.prompt_tokens - cached)
+        own = 0 if tag else profile.prompt_tokens
+        stream = FakeStream(
+            stream_id,
+            profile,
+            priority,
+            prompt,
+            own + profile.output_tokens,
+            self._simulation.now_s,
+            listener,
+        )
+        self.streams[stream_id] = stream
+        self.waiting.append(stream)
+        self._wake()
+        return True
+
+    def find_state(self, stream_id: StreamId) -> tuple[StreamState, int]:
+        """Return where a stream stands and how many events it produced."""
+        stream = self.streams.get(stream_id)
+        if stream is None:
+            if stream_id in self.voided:
+                return StreamState.NEVER_STARTED, 0
+            return StreamState.UNKNOWN, 0
+        if stream.cancelled:
+            return StreamState.UNKNOWN, stream.produced
+        if stream.finished:
+            return StreamState.FINISHED, stream.produced
+        return StreamState.RUNNING, stream.produced
+
+    def resume(
+        self,
+        stream_id: StreamId,
+        offset: int,
+        listener: Listener,
+    ) -> bool:
+        """Hand a stream's events from an offset to a new listener."""
+        stream = self.streams.get(stream_id)
+        if stream is None or stream.cancelled:
+            return False
+        stream.listener = listener
+        for number, data in enumerate(stream.data[offset:], offset):
+            listener(StreamEvent(stream_id, number, data))
+        return True
+
+    def void(self, stream_id: StreamId) -> tuple[StreamState, int]:
+        """Cancel a stream, or make sure that it never starts."""
+        stream = self.streams.get(stream_id)
+        self.voided.add(stream_id)
+        if stream is None:
+            return StreamState.NEVER_STARTED, 0
+        if not stream.finished:
+            stream.cancelled = True
+            self._drop(stream)
+        return self.find_state(stream_id)
+
+    def restart(self) -> None:
+        """Lose everything, as a crash does, and come back empty."""
+        self.incarnation += 1
+        for stream in (*self.waiting, *self.running):
+            stream.cancelled = True
+        self.streams.clear()
+        self.waiting.clear()
+        self.running.clear()
+        self.holdings.clear()
+        self.cache.clear()
+        self.leaving = False
+
+    def hold(self, holding: Holding) -> bool:
+        """Reserve memory under a tag; false if there is not enough."""
+        if holding.tag in self.holdings:
+            return True
+        if holding.tokens > self.count_free():
+            return False
+        self.holdings[holding.tag] = holding
+        return True
+
+    def release(self, tag: HoldingTag) -> None:
+        """Free what is held under a tag; harmless when repeated."""
+        self.holdings.pop(tag, None)
+        self._wake()
+
+    def order(
+        self,
+        fence: int,
+        model: str,
+        version: str,
+        adapters: tuple[str, ...],
+        role: str,
+    ) -> bool:
+        """Take an order, unless its fencing number is old."""
+        if self.honours_fences and fence <= self.fence:
+            return False
+        self.fence = max(fence, self.fence)
+        self.model = model
+        self.version = version
+        self.adapters = adapters
+        self.role = role
+        return True
+
+    def count_free(self) -> int:
+        """Return the free memory, in tokens."""
+        used = sum(one.memory for one in self.running)
+        held = sum(one.tokens for one in self.holdings.values())
+        return self.speeds.memory_tokens - used - held
+
+    def report_load(self) -> LoadReport:
+        """Return the load at this moment."""
+        queued = sum(one.prefill_left for one in self.waiting)
+        queued += sum(one.prefill_left for one in self.running)
+        return LoadReport(
+            self.name,
+            queued,
+            len(self.running) + len(self.waiting),
+            self.count_free(),
+            0,
+            self.leaving,
+            self.incarnation,
+        )
+
+    def report_state(self) -> EngineState:
+        """Return what the engine runs and holds."""
+        return EngineState(
+            self.name,
+            self.fence,
+            self.model,
+            self.version,
+            self.adapters,
+            self.role,
+            not self.leaving,
+            tuple(self.holdings.values()),
+        )
+
+    def _use_cache(self, profile: CallProfile) -> int:
+        blocks = 0
+        matching = True
+        for digest in profile.prefix_digests:
+            matching = matching and digest in self.cache
+            blocks += matching
+            self._store(digest)
+        cached = min(blocks * BLOCK_TOKENS, profile.prompt_tokens - 1)
+        self.cached_tokens += cached
+        return cached
+
+    def _store(self, digest: int) -> None:
+        known = digest in self.cache
+        self.cache[digest] = None
+        self.cache.move_to_end(digest)
+        if not known:
+            self._note_cache(digest, stored=True)
+        if len(self.cache) * BLOCK_TOKENS > self.speeds.cache_tokens:
+            old, _ = self.cache.popitem(last=False)
+            self._note_cache(old, stored=False)
+
+    def _note_cache(self, digest: int, *, stored: bool) -> None:
+        number = len(self.cache_events) + 1
+        self.cache_events.append(CacheEvent(number, digest, stored))
+
+    def _wake(self) -> None:
+        if not self._stepping and not self.dead:
+            self._stepping = True
+            self._simulation.schedule(0, self._step)
+
+    def _step(self) -> None:
+        if self.dead:
+            self._stepping = False
+            return
+        self._admit()
+        if not self.running:
+            self._stepping = False
+            return
+        prefilled = self._prefill()
+        decoding = [one for one in self.running if one.prefill_left == 0]
+        duration_s = self.speeds.step_s
+        duration_s += prefilled / self.speeds.prefill_tokens_per_s
+        duration_s += len(decoding) * self.speeds.step_per_stream_s
+        self._simulation.schedule(
+            duration_s,
+            lambda: self._end_step(decoding),
+        )
+
+    def _admit(self) -> None:
+        self.waiting.sort(key=lambda one: (-one.priority, one.arrived_s))
+        free = self.count_free()
+        for stream in tuple(self.waiting):
+            if len(self.running) >= self.speeds.maximum_running:
+                return
+            if stream.memory <= free:
+                free -= stream.memory
+                self.waiting.remove(stream)
+                self.running.append(stream)
+
+    def _prefill(self) -> int:
+        left = self.speeds.chunk_tokens
+        queue = [one for one in self.running if one.prefill_left]
+        queue.sort(key=lambda one: (-one.priority, one.arrived_s))
+        for stream in queue:
+            taken = min(left, stream.prefill_left)
+            stream.prefill_left -= taken
+            left -= taken
+            if not left:
+                break
+        prefilled = self.speeds.chunk_tokens - left
+        self.prefilled_tokens += prefilled
+        return prefilled
+
+    def _end_step(self, decoding: list[FakeStream]) -> None:
+        for stream in decoding:
+            if not stream.cancelled:
+                self._produce(stream)
+        self._step()
+
+    def _produce(self, stream: FakeStream) -> None:
+        last = stream.produced >= max(1, stream.profile.output_tokens)
+        data = DONE_DATA if last else f'{stream.stream_id}#{stream.produced}'
+        event = StreamEvent(stream.stream_id, stream.produced, data)
+        stream.produced += 1
+        if self.keeps_text:
+            stream.data.append(data)
+        if last:
+            stream.finished = True
+            self._drop(stream)
+        if stream.listener is not None:
+            stream.listener(event)
+
+    def _drop(self, stream: FakeStream) -> None:
+        if stream in self.running:
+            self.running.remove(stream)
+        if stream in self.waiting:
+            self.waiting.remove(stream)
+        if not self.keeps_text:
+            self.streams.pop(stream.stream_id, None)
+        self._wake()
--- /dev/null
+++ b/trefoilhinge/standins/simulation/heap.py
@@ -0,0 +1,48 @@
+"""Simulated time: a heap of actions."""
+
+import heapq
+import itertools
+from collections.abc import Callable, Iterator
+
+from attrs import define, field, frozen
+
+from trefoilhinge.core.clocks import Instant
+
+Action = Callable[[], object]
+START_WALL_S = 1_800_000_000.0
+
+
+@frozen(order=True)
+class _Entry:
+    at_s: float
+    number: int
+    action: Action = field(order=False)
+
+
+@define
+class Simulation:
+    """Runs actions in the order of their time.
+
+    :ivar now_s: seconds since the start of the simulation.
+    """
+
+    now_s: float = 0
+    _heap: list[_Entry] = field(factory=list)
+    _numbers: Iterator[int] = field(factory=itertools.count)
+
+    def schedule(self, delay_s: float, action: Action) -> None:
+        """Run an action after a delay."""
+        entry = _Entry(self.now_s + delay_s, next(self._numbers), action)
+        heapq.heappush(self._heap, entry)
+
+    def run_until(self, until_s: float) -> None:
+        """Run every action that is due by a time."""
+        while self._heap and self._heap[0].at_s <= until_s:
+            entry = heapq.heappop(self._heap)
+            self.now_s = entry.at_s
+            entry.action()
+        self.now_s = max(self.now_s, until_s)
+
+    def read(self) -> Instant:
+        """Return the present instant."""
+        return Instant(self.now_s, START_WALL_S + self.now_s)
