--- /dev/null
+++ b/tests/calls/test_relay.py
@@ -0,0 +1,173 @@
+import json
+
+import pytest
+
+from tests.calls import support
+
+
+@pytest.fixture(scope='module')
+def running():
+    deployment = support.start(silence_s=0.5)
+    yield deployment
+    support.reset_faults(deployment)
+    deployment.stop()
+
+
+@pytest.fixture
+def deployment(running):
+    support.reset_faults(running)
+    yield running
+    support.reset_faults(running)
+    support.wait_until(lambda: support.read_status(running)['calls'] == 0)
+
+
+WHOLE = [f'word{number} ' for number in range(8)]
+
+
+class TestStreamedAnswer:
+    def test_is_relayed_to_its_finish_marker(self, deployment):
+        answer = support.complete(deployment)
+        assert support.read_words(answer.data) == WHOLE
+        assert answer.data.endswith(b'data: [DONE]\n\n')
+        assert support.count_runs(deployment) == [1]
+
+    @pytest.mark.parametrize(
+        'fault', ['silent_after', 'truncate_after', 'cut_after']
+    )
+    @pytest.mark.parametrize('offset', [0, 3, 8])
+    def test_is_taken_up_again_on_a_new_connection(
+        self, deployment, fault, offset
+    ):
+        support.set_faults(deployment, **{fault: offset})
+        answer = support.complete(deployment)
+        assert support.read_words(answer.data) == WHOLE
+        assert answer.data.endswith(b'data: [DONE]\n\n')
+        assert support.count_runs(deployment) == [1]
+
+    @pytest.mark.parametrize('fault', ['truncate_after', 'cut_after'])
+    def test_that_cannot_be_taken_up_ends_with_an_error(
+        self, deployment, fault
+    ):
+        support.set_faults(deployment, forgetful=True, **{fault: 3})
+        answer = support.complete(deployment)
+        assert support.read_words(answer.data) == WHOLE[:3]
+        assert b'[DONE]' not in answer.data
+        error = json.loads(answer.data.split(b'data: ')[-1])['error']
+        assert error['verdict'] == 'may_have_run'
+        assert support.count_runs(deployment) == [1]
+
+    def test_of_another_stream_is_never_passed_on(self, deployment):
+        support.set_faults(deployment, crossed=True)
+        answer = support.complete(deployment, **{'X-Time-Limit-S': '5'})
+        assert answer.status >= 500
+        assert answer.json()['error']['verdict'] == 'may_have_run'
+
+    def test_ends_at_its_deadline_when_the_target_is_silent(self, deployment):
+        support.set_faults(deployment, silent_after=2, forgetful=False)
+        for engine in deployment.engines:
+            engine.batch.paused = True
+        answer = support.complete(deployment, **{'X-Time-Limit-S': '1'})
+        assert answer.status == 504
+        assert answer.json()['error']['code'] == 'deadline_passed'
+
+
+class TestWholeAnswer:
+    def test_is_joined_from_the_stream(self, deployment):
+        answer = support.complete(deployment, stream=False).json()
+        assert answer['choices'][0]['text'] == ''.join(WHOLE)
+        assert answer['usage']['completion_tokens'] == 8
+
+    def test_that_was_cut_and_lost_is_an_error(self, deployment):
+        support.set_faults(deployment, forgetful=True, cut_after=3)
+        answer = support.complete(deployment, stream=False)
+        assert answer.status == 502
+        assert answer.json()['error']['verdict'] == 'may_have_run'
+
+    def test_of_a_stalled_target_ends_at_its_deadline(self, deployment):
+        support.set_faults(deployment, stall=True, forgetful=True)
+        headers = {'X-Time-Limit-S': '1', 'X-Repeatable': 'no'}
+        answer = support.complete(deployment, stream=False, **headers)
+        assert answer.status in {502, 504}
+        assert answer.json()['error']['verdict'] == 'may_have_run'
+        assert support.count_runs(deployment) == [1]
+
+    def test_of_a_target_that_refused_is_truly_not_run(self, deployment):
+        support.set_faults(deployment, refuse=True)
+        answer = support.complete(deployment, **{'X-Time-Limit-S': '3'})
+        assert answer.json()['error']['verdict'] == 'not_run'
+        assert support.count_runs(deployment) == []
+
+
+class TestBooking:
+    def test_of_a_silent_service_may_have_run_once(self, deployment):
+        for plain in deployment.plains:
+            plain.silent = True
+        answer = support.post(
+            deployment,
+            '/services/desk/bookings',
+            {'seats': 2},
+            **{'X-Time-Limit-S': '1', 'Idempotency-Key': 'silent-1'},
+        )
+        assert answer.status == 504
+        assert answer.json()['error']['verdict'] == 'may_have_run'
+        runs = [n for one in deployment.plains for n in one.runs.values()]
+        assert runs == [1]
+
+    def test_passes_the_query_on(self, deployment):
+        answer = support.post(
+            deployment, '/services/desk/lookup/a%20b?day=7&hall=x', {}
+        )
+        assert answer.json()['path'] == '/lookup/a b'
+        assert answer.json()['query'] == 'day=7&hall=x'
+
+    def test_refuses_a_path_that_hides_another(self, deployment):
+        answer = support.POOL.urlopen(
+            'POST',
+            f'{deployment.urls[0]}/services/desk/lookup/%2e%2e/bookings',
+            headers={'Authorization': f'Bearer {deployment.key}'},
+        )
+        assert answer.status == 400
+        assert answer.json()['error']['verdict'] == 'not_run'
+
+
+class TestDepartedCaller:
+    def test_is_noticed_while_nothing_is_written(self, deployment):
+        support.set_faults(deployment, stall=True)
+        for engine in deployment.engines:
+            engine.batch.paused = True
+        body = b'{"model": "writer", "prompt": "tea", "stream": true}'
+        sock = support.connect(deployment)
+        head = support.write_head(
+            deployment, '/v1/completions', f'Content-Length: {len(body)}'
+        )
+        sock.sendall(head + body)
+        support.wait_until(lambda: support.count_runs(deployment) == [1])
+        sock.close()
+        support.wait_until(lambda: not support.read_status(deployment)['calls'])
+        for engine in deployment.engines:
+            engine.batch.paused = False
+        support.wait_until(
+            lambda: not any(one.batch.running for one in deployment.engines)
+        )
+
+    def test_that_does_not_read_is_let_go_at_the_deadline(self, deployment):
+        for engine in deployment.engines:
+            engine.batch.decode_interval_s = 0.0001
+        body = (
+            b'{"model": "writer", "prompt": "tea", "stream": true,'
+            b' "max_tokens": 100000}'
+        )
+        sock = support.connect(deployment)
+        head = support.write_head(
+            deployment,
+            '/v1/completions',
+            f'Content-Length: {len(body)}',
+            'X-Time-Limit-S: 2',
+        )
+        sock.sendall(head + body)
+        server = deployment.entries[0].callers
+        support.wait_until(lambda: support.count_runs(deployment) == [1])
+        support.wait_until(lambda: server.count_serving() == 0)
+        for engine in deployment.engines:
+            engine.batch.decode_interval_s = 0.01
+        sock.close()
--- a/trefoilhinge/calls/callers.py
+++ b/trefoilhinge/calls/callers.py
@@ -15,6 +15,10 @@
         """Bound reads and writes by an instant, in monotonic seconds."""
         ...
 
+    def leave_rest(self) -> None:
+        """Take no more of the request; the connection ends with the answer."""
+        ...
+
 
 # The caller closed its side, or the connection broke.
 DEPARTED = select.POLLRDHUP | select.POLLHUP | select.POLLERR
--- a/trefoilhinge/calls/connections.py
+++ b/trefoilhinge/calls/connections.py
@@ -131,7 +131,9 @@
     def __init__(self, server: Any, sock: Any, makefile: Any = MakeFile):
         """Bound both directions of the socket."""
         super().__init__(server, sock, makefile)
+        self.request: CallerRequest | None = None
         self._limit = TimeLimit()
+        self._lingers = False
         self.rfile = LimitedReader(sock, self._limit, self.rbufsize)
         self.wfile = LimitedWriter(sock, self._limit, self.wbufsize)
 
@@ -146,10 +148,40 @@
     def communicate(self) -> bool:
         """Serve one request; the whole of it must arrive in time."""
         self.bound_until(time.monotonic() + self.server.slow_sender_s)
+        self.request = None
+        self._lingers = False
         try:
-            return bool(super().communicate())
+            stays_open = bool(super().communicate())
         finally:
             self.server.note_served()
+        if self._lingers:
+            self.finish_writing()
+        return stays_open
+
+    def has_departed(self) -> bool:
+        """Return whether the caller closed the connection while it was idle."""
+        if self.last_used is None or self.rfile.has_data():
+            return False
+        flags = socket.MSG_PEEK | socket.MSG_DONTWAIT
+        try:
+            return not socket.socket.recv(self.socket, 1, flags)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+
+    def leave_rest(self) -> None:
+        """Take no more of the request; the connection ends with the answer.
+
+        The library would read the rest of a body before it answers.
+        """
+        request = self.request
+        if request is None:
+            return
+        unread = getattr(request.rfile, 'remaining', 0) > 0
+        if unread or request.chunked_read:
+            request.close_connection = True
+            self._lingers = True
 
     def finish_writing(self) -> None:
         """End the answer, and read on a little so that it is not lost.
@@ -174,6 +206,7 @@
     def respond(self) -> None:
         """Serve the request."""
         self.env[CONNECTION_KEY] = self.req.conn
+        self.req.conn.request = self.req
         super().respond()
 
 
--- a/trefoilhinge/calls/conversation.py
+++ b/trefoilhinge/calls/conversation.py
@@ -23,7 +23,7 @@
     ForwardOpened,
     Mail,
     Mailbox,
-    StreamBroken,
+    OpeningFailed,
     StreamOpened,
 )
 from trefoilhinge.calls.openers import AnswerOpener
@@ -190,9 +190,8 @@
         match mail:
             case StreamOpened():
                 return self._take_stream(mail)
-            case StreamBroken(link):
-                if self._leg is not None and self._leg.link is link:
-                    self._break_leg()
+            case OpeningFailed():
+                self._take_failure(mail)
             case ForwardOpened():
                 return self._take_forward(mail)
             case ForwardFailed(_, delivered):
@@ -310,6 +309,15 @@
             self._broken_due_s = None
             self._end(AttemptOutcome.BROKEN)
 
+    def _take_failure(self, failed: OpeningFailed) -> None:
+        if self._leg is None or self._leg.link is not failed.link:
+            return
+        if failed.outcome is AttemptOutcome.BROKEN:
+            self._break_leg()
+            return
+        self._drop_leg()
+        self._end(failed.outcome, failed.retry_after_s)
+
     def _take_stream(self, opened: StreamOpened) -> bytes:
         leg = self._leg
         if leg is None or leg.link is not opened.link:
@@ -409,20 +417,29 @@
         request_id = self.call.profile.request_id
         self._opener.report(ForwardEnded(request_id, delivered, finished))
 
-    def _end(self, outcome: AttemptOutcome) -> None:
-        if self.attempt is None:
+    def _end(
+        self,
+        outcome: AttemptOutcome,
+        retry_after_s: float | None = None,
+    ) -> None:
+        attempt = self.attempt
+        if attempt is None:
             return
+        if outcome is not AttemptOutcome.BROKEN:
+            # A broken stream may be taken up again; all else is final.
+            self.attempt = None
         usage = Usage()
         if outcome is AttemptOutcome.FINISHED and self._last is not None:
             usage = read_usage(self._last)
         self.times.usage_prompt_tokens = usage.prompt_tokens
         self._opener.report(
             AttemptEnded(
-                self.attempt,
+                attempt,
                 outcome,
                 relayed=self.taken if self.relayed else 0,
                 prompt_tokens=usage.prompt_tokens,
                 output_tokens=usage.output_tokens or self.taken,
+                retry_after_s=retry_after_s,
             ),
         )
 
--- a/trefoilhinge/calls/mailboxes.py
+++ b/trefoilhinge/calls/mailboxes.py
@@ -7,6 +7,7 @@
 from attrs import define, field, frozen
 
 from trefoilhinge.core.effects import Effect
+from trefoilhinge.core.events import AttemptOutcome
 from trefoilhinge.core.identifiers import AttemptId, RequestId
 from trefoilhinge.platform.interfaces import AnswerStream, PlainAnswer
 from trefoilhinge.platform.links import Link
@@ -22,10 +23,15 @@
 
 
 @frozen(eq=False)
-class StreamBroken:
-    """A link broke before its stream was open."""
+class OpeningFailed:
+    """An attempt ended before its answer was open.
+
+    :ivar retry_after_s: seconds that the target asked to wait.
+    """
 
     link: Link
+    outcome: AttemptOutcome
+    retry_after_s: float | None = None
 
 
 @frozen(eq=False)
@@ -63,7 +69,7 @@
 Mail = (
     Effect
     | StreamOpened
-    | StreamBroken
+    | OpeningFailed
     | AnswerWhole
     | ForwardOpened
     | ForwardFailed
--- a/trefoilhinge/calls/openers.py
+++ b/trefoilhinge/calls/openers.py
@@ -14,7 +14,7 @@
     ForwardFailed,
     ForwardOpened,
     Mailbox,
-    StreamBroken,
+    OpeningFailed,
     StreamOpened,
 )
 from trefoilhinge.core.clocks import Clock, Instant
@@ -25,12 +25,10 @@
     RunGroupStep,
 )
 from trefoilhinge.core.events import (
-    AttemptEnded,
     AttemptOutcome,
     Event,
     GroupStepEnded,
 )
-from trefoilhinge.core.identifiers import AttemptId
 from trefoilhinge.platform.failures import (
     TargetBroke,
     TargetErrored,
@@ -38,7 +36,6 @@
     TargetRefused,
 )
 from trefoilhinge.platform.interfaces import (
-    AnswerStream,
     EngineClient,
     OutgoingCall,
     PlainClient,
@@ -46,6 +43,7 @@
 from trefoilhinge.platform.links import Link
 
 Report = Callable[[Event], None]
+FAILURES = (TargetRefused, TargetNotReached, TargetErrored, TargetBroke)
 
 
 @define
@@ -82,21 +80,21 @@
     ) -> None:
         """Send a call to an engine and hand its stream to the box."""
         now = self._clock.read()
+        remaining_s = dispatch.deadline_s - now.monotonic_s
         if is_lease_lost(dispatch, now):
-            self._end(dispatch.attempt, AttemptOutcome.LEASE_LOST)
+            box.put(OpeningFailed(link, AttemptOutcome.LEASE_LOST))
             return
-        remaining_s = dispatch.deadline_s - now.monotonic_s
-        self._open(
-            dispatch.attempt,
-            link,
-            box,
-            lambda: self._engines.open_stream(
+        try:
+            stream = self._engines.open_stream(
                 dispatch,
                 call,
                 remaining_s,
                 link,
-            ),
-        )
+            )
+        except FAILURES as failure:
+            box.put(_describe_failure(link, failure))
+        else:
+            _hand_over(StreamOpened(link, stream), box)
 
     def resume_model(
         self,
@@ -107,13 +105,13 @@
     ) -> None:
         """Take a stream up from an offset and hand it to the box."""
         remaining_s = deadline_s - self._clock.read().monotonic_s
-        self._open(
-            resume.attempt,
-            link,
-            box,
-            lambda: self._engines.resume_stream(resume, remaining_s, link),
-            resumed=True,
-        )
+        try:
+            stream = self._engines.resume_stream(resume, remaining_s, link)
+        except FAILURES:
+            # The call itself was sent before: this proves nothing of it.
+            box.put(OpeningFailed(link, AttemptOutcome.BROKEN))
+        else:
+            _hand_over(StreamOpened(link, stream), box)
 
     def send_plain(
         self,
@@ -124,21 +122,16 @@
     ) -> None:
         """Send a call to a plain service and hand its answer to the box."""
         now = self._clock.read()
-        attempt = dispatch.attempt
+        remaining_s = dispatch.deadline_s - now.monotonic_s
         if is_lease_lost(dispatch, now):
-            self._end(attempt, AttemptOutcome.LEASE_LOST)
+            box.put(OpeningFailed(link, AttemptOutcome.LEASE_LOST))
             return
-        remaining_s = dispatch.deadline_s - now.monotonic_s
         try:
             answer = self._plain.call(dispatch, call, remaining_s, link)
-        except TargetRefused as refused:
-            self._end(attempt, AttemptOutcome.REFUSED, refused.retry_after_s)
-        except TargetNotReached:
-            self._end(attempt, AttemptOutcome.NOT_SENT)
-        except TargetBroke:
-            self._end(attempt, AttemptOutcome.BROKEN)
+        except FAILURES as failure:
+            box.put(_describe_failure(link, failure))
         else:
-            box.put(AnswerWhole(attempt, answer))
+            box.put(AnswerWhole(dispatch.attempt, answer))
 
     def forward(
         self,
@@ -171,54 +164,6 @@
             return
         self.report(self._engines.run_group_step(step, segment, remaining_s))
 
-    def _open(
-        self,
-        attempt: AttemptId,
-        link: Link,
-        box: Mailbox,
-        open_stream: Callable[[], AnswerStream],
-        resumed: bool = False,
-    ) -> None:
-        try:
-            stream = open_stream()
-        except TargetBroke:
-            box.put(StreamBroken(link))
-        except (TargetRefused, TargetNotReached, TargetErrored) as failure:
-            if resumed:
-                # The call itself was sent before: this proves nothing of it.
-                box.put(StreamBroken(link))
-            else:
-                self._end_unopened(attempt, failure)
-        else:
-            _hand_over(StreamOpened(link, stream), box)
-
-    def _end_unopened(
-        self,
-        attempt: AttemptId,
-        failure: TargetRefused | TargetNotReached | TargetErrored,
-    ) -> None:
-        match failure:
-            case TargetRefused():
-                self._end(
-                    attempt,
-                    AttemptOutcome.REFUSED,
-                    failure.retry_after_s,
-                )
-            case TargetNotReached():
-                self._end(attempt, AttemptOutcome.NOT_SENT)
-            case TargetErrored():
-                self._end(attempt, AttemptOutcome.ERRORED)
-
-    def _end(
-        self,
-        attempt: AttemptId,
-        outcome: AttemptOutcome,
-        retry_after_s: float | None = None,
-    ) -> None:
-        self.report(
-            AttemptEnded(attempt, outcome, retry_after_s=retry_after_s),
-        )
-
 
 def is_lease_lost(dispatch: Dispatch, now: Instant) -> bool:
     """Return whether, by either clock, it is too late to send."""
@@ -229,6 +174,19 @@
     )
 
 
+def _describe_failure(link: Link, failure: Exception) -> OpeningFailed:
+    match failure:
+        case TargetRefused():
+            wait_s = failure.retry_after_s
+            return OpeningFailed(link, AttemptOutcome.REFUSED, wait_s)
+        case TargetNotReached():
+            return OpeningFailed(link, AttemptOutcome.NOT_SENT)
+        case TargetErrored():
+            return OpeningFailed(link, AttemptOutcome.ERRORED)
+        case _:
+            return OpeningFailed(link, AttemptOutcome.BROKEN)
+
+
 def _hand_over(opened: StreamOpened | ForwardOpened, box: Mailbox) -> None:
     if not box.put(opened):
         opened.link.close()
--- a/trefoilhinge/calls/servers.py
+++ b/trefoilhinge/calls/servers.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from typing import Any
 
+import logbook
 from attrs import frozen
 from cheroot import errors, wsgi
 from cheroot.ssl.builtin import BuiltinSSLAdapter
@@ -23,6 +24,7 @@
 REFUSAL_WRITE_S = 1.0
 EXPIRATION_INTERVAL_S = 0.2
 BACKLOG = 512
+_logger = logbook.Logger('trefoilhinge')
 
 
 @frozen
@@ -88,11 +90,25 @@
         self._counting = threading.Lock()
         self._refusers = threading.Semaphore(REFUSING_THREADS)
 
+    def error_log(
+        self,
+        msg: str = '',
+        level: int = 20,
+        traceback: bool = False,
+    ) -> None:
+        """Write what went wrong with a connection as one line."""
+        problem = msg.replace('"', "'").replace('\n', ' ')
+        _logger.info('event=connection_failed problem="{}"', problem)
+
     def process_conn(self, conn: Any) -> None:
         """Serve a connection with a request, or refuse it.
 
         The library would leave it waiting, unseen, for a thread.
         """
+        if conn.has_departed():
+            # An idle connection that its caller closed needs no thread.
+            conn.close()
+            return
         with self._counting:
             free = self._serving < self._threads
             self._serving += free
--- a/trefoilhinge/calls/service.py
+++ b/trefoilhinge/calls/service.py
@@ -130,6 +130,7 @@
         """Answer with a refusal."""
         now_s = self._clock.read().monotonic_s
         connection.bound_until(now_s + REFUSAL_WRITE_S)
+        connection.leave_rest()
         return answer_refusal(refusal, request_id, start_response)
 
     def _answer_whole(
--- a/trefoilhinge/demo/commands.py
+++ b/trefoilhinge/demo/commands.py
@@ -6,7 +6,11 @@
 
 import urllib3
 
-from trefoilhinge.demo.deployment import DemoDeployment, start_deployment
+from trefoilhinge.demo.deployment import (
+    DeploymentShape,
+    DemoDeployment,
+    start_deployment,
+)
 
 EXAMPLES = pathlib.Path(__file__).parents[2] / 'examples'
 START_TIMEOUT_S = 20
@@ -14,7 +18,7 @@
 
 def run_demo(once: bool) -> int:
     """Start the demo; return an exit code after one workload if ``once``."""
-    deployment = start_deployment(EXAMPLES / 'kandy.json')
+    deployment = start_deployment(EXAMPLES / 'kandy.json', DeploymentShape())
     wait_ready(deployment)
     print(f'URL      {deployment.urls[0]}')
     print(f'API key  {deployment.key}')
--- a/trefoilhinge/demo/deployment.py
+++ b/trefoilhinge/demo/deployment.py
@@ -8,17 +8,19 @@
 from concurrent.futures import ThreadPoolExecutor
 from typing import Any
 
-from attrs import define
+from attrs import define, field, frozen
 
-from trefoilhinge.conf.settings import load_settings
+from trefoilhinge.conf.settings import Raw, load_settings
 from trefoilhinge.core.keys import digest_secret, format_key
 from trefoilhinge.entry.daemon import EntryInstance, make_entry
 from trefoilhinge.standins.engines import EngineStandIn
+from trefoilhinge.standins.orders import EngineSoftware
 from trefoilhinge.standins.plain import PlainStandIn
 from trefoilhinge.standins.publications import PlatformStandIn
 from trefoilhinge.standins.servers import StandInServer, start_server
 
 STOPPING_THREADS = 32
+MEMORY_TOKENS = 450_000
 
 
 @define
@@ -48,44 +50,83 @@
                 executor.submit(end)
 
 
+@frozen
+class DeploymentShape:
+    """How much of a document's deployment is started, and how it differs.
+
+    :ivar instances: entry instances.
+    :ivar targets: at most so many targets of each service, none for all.
+    :ivar silence_s: silence limit, none for the document's own.
+    :ivar settings: settings of the entry instances beside the usual ones.
+    """
+
+    instances: int = 2
+    targets: int | None = None
+    silence_s: float | None = None
+    settings: Mapping[str, Raw] = field(factory=dict)
+
+
+@define
+class _StandIns:
+    engines: list[EngineStandIn] = field(factory=list)
+    plains: list[PlainStandIn] = field(factory=list)
+    servers: list[StandInServer] = field(factory=list)
+
+    def start(self, service: Mapping[str, Any], name: str) -> str:
+        """Start one target of a service and return its address."""
+        if service['kind'] == 'model':
+            engine = make_engine(service, name)
+            self.engines.append(engine)
+            server = start_server(engine)
+        else:
+            self.plains.append(PlainStandIn(name))
+            server = start_server(self.plains[-1])
+        self.servers.append(server)
+        return server.address
+
+
+def make_engine(service: Mapping[str, Any], name: str) -> EngineStandIn:
+    """Return a stand-in engine with the memory that a service declares."""
+    return EngineStandIn(
+        name,
+        memory_tokens=int(service.get('memory_tokens', MEMORY_TOKENS)),
+        software=EngineSoftware(fences=service.get('fences') == 'honoured'),
+    )
+
+
 def start_deployment(
     document_file: pathlib.Path,
-    instances: int = 2,
+    shape: DeploymentShape,
 ) -> DemoDeployment:
     """Start the deployment that a document describes.
 
     :param document_file: the document; its targets' addresses are replaced
         by those of stand-ins.
-    :param instances: entry instances to start.
     """
     document = json.loads(document_file.read_text(encoding='utf-8'))
-    engines: list[EngineStandIn] = []
-    plains: list[PlainStandIn] = []
-    servers: list[StandInServer] = []
+    stand_ins = _StandIns()
     for service in document['services']:
+        service['targets'] = service['targets'][: shape.targets]
+        service['minimum_ready'] = 1
         for target in service['targets']:
-            if service['kind'] == 'model':
-                engines.append(EngineStandIn(target['name']))
-                server = start_server(engines[-1])
-            else:
-                plains.append(PlainStandIn(target['name']))
-                server = start_server(plains[-1])
-            target['address'] = server.address
-            servers.append(server)
+            target['address'] = stand_ins.start(service, target['name'])
+    if shape.silence_s is not None:
+        document['time_limits']['silence_s'] = shape.silence_s
     key = add_key(document['organisations'][0])
     platform = PlatformStandIn()
     platform.publish(json.dumps(document))
-    servers.append(start_server(platform))
-    entries = start_entries(document, servers[-1].address, instances)
+    stand_ins.servers.append(start_server(platform))
+    address = stand_ins.servers[-1].address
+    entries = start_entries(document, address, shape)
     return DemoDeployment(
         document,
         key,
         [f'http://{one.settings.listen}' for one in entries],
         entries,
-        engines,
-        plains,
+        stand_ins.engines,
+        stand_ins.plains,
         platform,
-        servers,
+        stand_ins.servers,
     )
 
 
@@ -107,36 +148,47 @@
 def start_entries(
     document: Mapping[str, Any],
     platform_address: str,
-    count: int,
+    shape: DeploymentShape,
 ) -> list[EntryInstance]:
     """Start entry instances that know each other as seeds."""
-    ports = [find_free_port() for _ in range(2 * count)]
-    peers = [f'127.0.0.1:{port}' for port in ports[count:]]
-    secret = secrets.token_hex(16)
+    all_flags = list_entry_flags(document, platform_address, shape)
     entries = []
-    for number in range(count):
-        domains = document['failure_domains']
-        settings = load_settings(
-            {
-                'instance': f'entry-{number}',
-                'failure_domain': domains[number % len(domains)]['name'],
-                'listen': f'127.0.0.1:{ports[number]}',
-                'peer_listen': peers[number],
-                'seeds': [peer for peer in peers if peer != peers[number]],
-                'configuration_url': f'http://{platform_address}/document',
-                'instances_url': f'http://{platform_address}/instances',
-                'peer_secret': secret,
-                'start_wait_s': 0.3,
-                'stop_wait_s': 0.2,
-            },
-            {},
-        )
-        entry = make_entry(settings)
+    for flags in all_flags:
+        entry = make_entry(load_settings(flags, {}))
         entry.start()
         entries.append(entry)
     return entries
 
 
+def list_entry_flags(
+    document: Mapping[str, Any],
+    platform_address: str,
+    shape: DeploymentShape,
+) -> list[dict[str, Raw]]:
+    """Return the settings of each entry instance, as flags."""
+    count = shape.instances
+    ports = [find_free_port() for _ in range(2 * count)]
+    peers = [f'127.0.0.1:{port}' for port in ports[count:]]
+    secret = secrets.token_hex(16)
+    domains = document['failure_domains']
+    return [
+        {
+            'instance': f'entry-{number}',
+            'failure_domain': domains[number % len(domains)]['name'],
+            'listen': f'127.0.0.1:{ports[number]}',
+            'peer_listen': peers[number],
+            'seeds': [peer for peer in peers if peer != peers[number]],
+            'configuration_url': f'http://{platform_address}/document',
+            'instances_url': f'http://{platform_address}/instances',
+            'peer_secret': secret,
+            'start_wait_s': 0.3,
+            'stop_wait_s': 0.2,
+            **shape.settings,
+        }
+        for number in range(count)
+    ]
+
+
 def find_free_port() -> int:
     """Return a loopback port that is free at this moment."""
     with socket.socket() as listener:
--- a/trefoilhinge/node/desk.py
+++ b/trefoilhinge/node/desk.py
@@ -60,7 +60,12 @@
     Router,
     TargetView,
 )
-from trefoilhinge.node.tables import CallRecord, CallState, CallTable
+from trefoilhinge.node.tables import (
+    AT_TARGET,
+    CallRecord,
+    CallState,
+    CallTable,
+)
 
 SEND_LEASE_S = 2.0
 QUESTION_INTERVAL_S = 1.0
@@ -130,7 +135,7 @@
         record = self.table.find_attempt(event.attempt)
         if record is None or record.target is None:
             return []
-        if not record.profile.model:
+        if not record.profile.model or record.state not in AT_TARGET:
             return []
         record.offset = event.offset
         return self._ask(record)
@@ -140,6 +145,9 @@
         record = self.table.find_attempt(event.attempt)
         if record is None or record.target is None:
             return []
+        if record.state is not CallState.ASKING:
+            # An earlier answer to the same question was acted on.
+            return []
         if event.state in {StreamState.RUNNING, StreamState.FINISHED}:
             record.state = CallState.SENT
             record.questions = 0
@@ -169,7 +177,7 @@
     def note_ended(self, event: AttemptEnded, now: Instant) -> Effects:
         """Finish a call, or decide on a failed attempt."""
         record = self.table.find_attempt(event.attempt)
-        if record is None:
+        if record is None or record.state not in AT_TARGET:
             return []
         if event.outcome is AttemptOutcome.FINISHED:
             return self._finish(record, event, now)
--- a/trefoilhinge/node/tables.py
+++ b/trefoilhinge/node/tables.py
@@ -34,6 +34,9 @@
     )
 )
 
+# The latest attempt was sent and its end was not decided on.
+AT_TARGET = frozenset((CallState.SENT, CallState.ASKING))
+
 
 @define
 class CallRecord:
--- a/trefoilhinge/platform/connections.py
+++ b/trefoilhinge/platform/connections.py
@@ -13,6 +13,7 @@
 
 CONNECT_TIMEOUT_S = 1.0
 POOL_SIZE = 64
+DEADLINE_MARGIN_S = 1.0
 # What reading an answer raises where its JSON is not of the expected form.
 MALFORMED = (
     cattrs.BaseValidationError,
@@ -96,11 +97,12 @@
         host.strip('[]'),
         int(port),
         link=link,
-        remaining_s=remaining_s,
+        remaining_s=remaining_s + DEADLINE_MARGIN_S,
     )
     timeout = urllib3.Timeout(
         connect=min(CONNECT_TIMEOUT_S, remaining_s),
-        read=remaining_s,
+        # The call's own thread ends it at its deadline, before this does.
+        read=remaining_s + DEADLINE_MARGIN_S,
     )
     try:
         return pool.urlopen(
--- a/trefoilhinge/platform/links.py
+++ b/trefoilhinge/platform/links.py
@@ -81,7 +81,9 @@
         """
         ahead = self.fp.peek()
         if self.chunked and not self.chunk_left:
-            return _LINE_END in ahead[len(_LINE_END) :]
+            # The end of the chunk before it comes first, if there was one.
+            start = 0 if self.chunk_left is None else len(_LINE_END)
+            return _LINE_END in ahead[start:]
         return bool(ahead)
 
 
--- a/trefoilhinge/standins/batches.py
+++ b/trefoilhinge/standins/batches.py
@@ -78,6 +78,7 @@
 
     :ivar prefill_tokens: prompt tokens of one step.
     :ivar decode_interval_s: seconds of a step without prefill.
+    :ivar paused: whether no step is run, while all else answers.
     """
 
     memory: KvMemory
@@ -85,6 +86,7 @@
     decode_interval_s: float
     prefill_tokens: int = 2048
     maximum_running: int = 64
+    paused: bool = False
     waiting: list[Generation] = field(factory=list)
     running: list[Generation] = field(factory=list)
     _changed: threading.Condition = field(factory=threading.Condition)
@@ -110,9 +112,10 @@
             with self._changed:
                 self._drop_ended()
                 self._admit()
-                if not self.running:
+                idle = self.paused or not self.running
+                if idle:
                     self._changed.wait(IDLE_WAIT_S)
-            if self.running:
+            if not idle:
                 self._step()
 
     def _drop_ended(self) -> None:
--- a/trefoilhinge/standins/engines.py
+++ b/trefoilhinge/standins/engines.py
@@ -164,7 +164,7 @@
         faults = self.faults
         name = 'another.1' if faults.crossed else generation.stream_id
         for data in _follow(generation, offset):
-            if faults.truncate_after == offset:
+            if faults.truncate_after == offset and not resumed:
                 return
             faults.show(offset, resumed)
             yield write_event(StreamEvent(name, offset, data))
--- a/trefoilhinge/standins/faults.py
+++ b/trefoilhinge/standins/faults.py
@@ -11,10 +11,12 @@
 
     :ivar refuse: refuse calls before they start, and prove it.
     :ivar stall: take a call, run it and never send the headers.
-    :ivar silent_after: stop sending after so many events of a connection,
-        which stays open; new connections work.
-    :ivar truncate_after: end the answer cleanly after so many events.
-    :ivar cut_after: break the connection after so many events.
+    :ivar silent_after: stop sending after so many events, with the
+        connection open; a connection that takes the stream up again works.
+    :ivar truncate_after: end the answer cleanly after so many events, unless
+        it was taken up again.
+    :ivar cut_after: break the connection after so many events, unless it
+        took the stream up again.
     :ivar crossed: send events under another stream's name.
     :ivar forgetful: know no stream when asked, after the connection broke.
     :ivar dead: break every connection without an answer.
@@ -39,7 +41,7 @@
         """
         if self.silent_after == offset and not resumed:
             self.hold()
-        if self.dead or self.cut_after == offset:
+        if self.dead or (self.cut_after == offset and not resumed):
             raise ConnectionResetError('cut')
 
     def hold(self) -> None:
