Told plain services nothing of a call that was given up.

Cause, found by counting runs: a call to a plain service that passed its deadline was cancelled as at an engine, by DELETE /streams/<attempt>. A plain service has no streams and may take that for a call of its own; the stand-in counted a second run.

CancelAttempt now says whether its target is an engine. Features start entry instances as processes and stop, kill and pause them, and silence open connections with a relay; each passed.

--- a/features/environment.py
+++ b/features/environment.py
@@ -1,4 +1,9 @@
 def after_scenario(context, scenario):
+    for process in getattr(context, 'processes', ()):
+        process.end()
+    relay = getattr(context, 'relay', None)
+    if relay is not None:
+        relay.close()
     deployment = getattr(context, 'deployment', None)
     if deployment is not None:
         deployment.stop()
--- /dev/null
+++ b/features/steps/processes.py
@@ -0,0 +1,253 @@
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+
+import urllib3
+from behave import given, then, when
+
+from trefoilhinge.demo.deployment import (
+    DeploymentShape,
+    list_entry_flags,
+    start_deployment,
+)
+
+EXAMPLES = pathlib.Path(__file__).parents[2] / 'examples'
+POOL = urllib3.PoolManager(retries=False, maxsize=32)
+PATIENCE_S = 40
+
+
+class EntryProcess:
+    """One entry instance as a process of its own."""
+
+    def __init__(self, flags):
+        self.flags = flags
+        self.url = f'http://{flags["listen"]}'
+        words = [
+            f'--{name}={",".join(value) if isinstance(value, list) else value}'
+            for name, value in flags.items()
+        ]
+        self.process = subprocess.Popen(
+            [sys.executable, '-m', 'trefoilhinge', 'entry', *words],
+            stderr=subprocess.DEVNULL,
+        )
+
+    def wait_ready(self):
+        url = f'http://{self.flags["peer_listen"]}/readyz'
+        wait_until(lambda: try_status(url) == 200)
+
+    def end(self):
+        if self.process.poll() is None:
+            self.process.send_signal(signal.SIGCONT)
+            self.process.kill()
+        self.process.wait(PATIENCE_S)
+
+
+class SilentRelay:
+    """A TCP relay that can stop forwarding without closing anything."""
+
+    def __init__(self, address):
+        self.host, _, port = address.rpartition(':')
+        self.port = int(port)
+        self.listener = socket.create_server(('127.0.0.1', 0))
+        self.address = f'127.0.0.1:{self.listener.getsockname()[1]}'
+        self.silenced = threading.Event()
+        self.socks = []
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def accept(self):
+        while True:
+            try:
+                near, _ = self.listener.accept()
+            except OSError:
+                return
+            far = socket.create_connection((self.host, self.port))
+            # Only connections from before the silence are lost track of.
+            lost = threading.Event()
+            self.socks.append((near, far, lost))
+            for source, sink in ((near, far), (far, near)):
+                threading.Thread(
+                    target=self.pump, args=(source, sink, lost), daemon=True
+                ).start()
+
+    def silence_open(self):
+        for _, _, lost in self.socks:
+            lost.set()
+
+    def pump(self, source, sink, lost):
+        try:
+            while piece := source.recv(65536):
+                if lost.is_set():
+                    continue
+                sink.sendall(piece)
+            if not lost.is_set():
+                sink.shutdown(socket.SHUT_WR)
+        except OSError:
+            return
+
+    def close(self):
+        self.listener.close()
+        for near, far, _ in self.socks:
+            near.close()
+            far.close()
+
+
+def wait_until(check):
+    until_s = time.monotonic() + PATIENCE_S
+    while not check():
+        assert time.monotonic() < until_s, 'it did not happen in time'
+        time.sleep(0.05)
+
+
+def try_status(url):
+    try:
+        return POOL.request('GET', url, timeout=2).status
+    except urllib3.exceptions.HTTPError:
+        return None
+
+
+class Stream(threading.Thread):
+    """One streamed call and everything that came of it."""
+
+    def __init__(self, url, key, tokens):
+        super().__init__(daemon=True)
+        self.url = url
+        self.key = key
+        self.tokens = tokens
+        self.data = b''
+        self.begun = threading.Event()
+        self.broken = False
+        self.start()
+
+    def run(self):
+        fields = {
+            'model': 'writer',
+            'prompt': 'tea ' * 50,
+            'stream': True,
+            'max_tokens': self.tokens,
+        }
+        try:
+            answer = POOL.request(
+                'POST',
+                f'{self.url}/v1/completions',
+                body=json.dumps(fields).encode(),
+                headers={'Authorization': f'Bearer {self.key}'},
+                preload_content=False,
+                timeout=PATIENCE_S,
+            )
+            for piece in answer.stream(65536):
+                self.data += piece
+                self.begun.set()
+        except urllib3.exceptions.HTTPError:
+            self.broken = True
+        self.begun.set()
+
+    @property
+    def whole(self):
+        return self.data.endswith(b'data: [DONE]\n\n')
+
+
+@given('{count:d} entry processes of the document "{name}"')
+def start_processes(context, count, name):
+    context.deployment = start_deployment(
+        EXAMPLES / f'{name}.json',
+        DeploymentShape(instances=0, targets=3, silence_s=1.0),
+    )
+    platform = context.deployment.servers[-1].address
+    flags = list_entry_flags(
+        context.deployment.document, platform, DeploymentShape(instances=count)
+    )
+    context.processes = [EntryProcess(one) for one in flags]
+    for process in context.processes:
+        process.wait_ready()
+
+
+@given('an engine behind a relay that loses track of open connections')
+def start_behind_relay(context):
+    context.deployment = start_deployment(
+        EXAMPLES / 'kandy.json',
+        DeploymentShape(instances=0, targets=1, silence_s=1.0),
+    )
+    document = context.deployment.document
+    target = document['services'][0]['targets'][0]
+    context.relay = SilentRelay(target['address'])
+    target['address'] = context.relay.address
+    context.deployment.platform.publish(json.dumps(document))
+    platform = context.deployment.servers[-1].address
+    flags = list_entry_flags(document, platform, DeploymentShape(instances=1))
+    context.processes = [EntryProcess(one) for one in flags]
+    context.processes[0].wait_ready()
+
+
+@when('{count:d} callers stream {tokens:d} tokens from process {number:d}')
+def open_streams(context, count, tokens, number):
+    for engine in context.deployment.engines:
+        engine.batch.decode_interval_s = 0.05
+    url = context.processes[number].url
+    context.streams = [
+        Stream(url, context.deployment.key, tokens) for _ in range(count)
+    ]
+    for stream in context.streams:
+        assert stream.begun.wait(PATIENCE_S)
+
+
+@when('process {number:d} is told to stop')
+def stop_process(context, number):
+    context.processes[number].process.terminate()
+
+
+@when('process {number:d} is killed')
+def kill_process(context, number):
+    context.processes[number].process.kill()
+
+
+@when('process {number:d} is paused for {seconds:g} seconds')
+def pause_process(context, number, seconds):
+    pid = context.processes[number].process.pid
+    os.kill(pid, signal.SIGSTOP)
+    time.sleep(seconds)
+    os.kill(pid, signal.SIGCONT)
+
+
+@when('the open connections go silent')
+def silence(context):
+    context.relay.silence_open()
+
+
+@then('every stream ends with its finish marker')
+def check_whole(context):
+    for stream in context.streams:
+        stream.join(PATIENCE_S)
+    assert all(one.whole for one in context.streams), [
+        one.data[-80:] for one in context.streams
+    ]
+
+
+@then('no stream is passed off as whole')
+def check_cut(context):
+    for stream in context.streams:
+        stream.join(PATIENCE_S)
+    assert all(one.broken and not one.whole for one in context.streams)
+
+
+@then('process {number:d} exits with code {code:d}')
+def check_exit(context, number, code):
+    assert context.processes[number].process.wait(PATIENCE_S) == code
+
+
+@then('each request ran once')
+def check_once(context):
+    runs = [n for one in context.deployment.engines for n in one.runs.values()]
+    assert runs == [1] * len(context.streams), runs
+
+
+@then('a new call to process {number:d} is answered whole')
+def check_new(context, number):
+    stream = Stream(context.processes[number].url, context.deployment.key, 3)
+    stream.join(PATIENCE_S)
+    assert stream.whole, stream.data
--- a/tests/calls/test_relay.py
+++ b/tests/calls/test_relay.py
@@ -110,6 +110,10 @@
         )
         assert answer.status == 504
         assert answer.json()['error']['verdict'] == 'may_have_run'
+        # The target is not told to drop the call: it would run that too.
+        support.wait_until(
+            lambda: support.read_status(deployment)['calls'] == 0
+        )
         runs = [n for one in deployment.plains for n in one.runs.values()]
         assert runs == [1]
 
--- a/trefoilhinge/core/effects.py
+++ b/trefoilhinge/core/effects.py
@@ -63,11 +63,16 @@
 
 @frozen
 class CancelAttempt:
-    """Stop reading an attempt and tell its target to drop it."""
+    """Stop reading an attempt and tell its target to drop it.
+
+    :ivar model: whether the target is an engine; a plain service has no
+        streams, and is told nothing.
+    """
 
     attempt: AttemptId
     target: TargetName
     address: str
+    model: bool = True
 
 
 @frozen
--- a/trefoilhinge/entry/performer.py
+++ b/trefoilhinge/entry/performer.py
@@ -93,7 +93,8 @@
 
     def _cancel(self, effect: fx.CancelAttempt) -> None:
         self._mailboxes.put(effect.attempt.request_id, effect)
-        self._submit(lambda: self._cancel_at_target(effect))
+        if effect.model:
+            self._submit(lambda: self._cancel_at_target(effect))
 
     def _cancel_at_target(self, effect: fx.CancelAttempt) -> None:
         # Nobody waits for the answer: the call is over here.
--- a/trefoilhinge/node/desk.py
+++ b/trefoilhinge/node/desk.py
@@ -467,5 +467,6 @@
             record.attempt,
             record.target.name,
             record.target.address,
+            record.profile.model,
         ),
     ]
