Kept keyed calls to one run by the owner named in the key.

Cause: the ledger knew only its own keys, so that a caller's retry at another instance, or at a restarted one, ran a booking again. Keys chosen by callers were ruled out: no instance can exclude an earlier request at another one without a shared store, and two views of the fleet give two owners.

Change: an instance mints keys that name it, sign its incarnation, a token of its start, an expiry and the organisation; only that start grants them, others forward or answer that the call may have run. A key that was chosen by the caller is refused as not run and answered with a minted one. A stopping instance seals its ledger and waits until a peer confirmed its parts; a successor answers from them and grants nothing. Keys expire by the owner's monotonic clock, so that a wall clock that is set revives none.

The feature of a booking sent a key of the caller's choice and expected it to run. It now checks that such a key is refused without a run, that a key is offered, and that two bookings under it run once.

Conclusion: 60 random histories of four ledgers with restarts, partitions, clock jumps and handovers ran no key twice; three ledgers broken on purpose were caught.

--- a/features/steps/deployments.py
+++ b/features/steps/deployments.py
@@ -43,12 +43,35 @@
     context.answer = post(context, instance, '/v1/completions', fields)
 
 
-@when('a caller books twice with the key "{key}" at instance {instance:d}')
 def book(context, key, instance):
     headers = {'Idempotency-Key': key}
-    path = '/services/desk/bookings'
+    return post(
+        context, instance, '/services/desk/bookings', {'seats': 2}, **headers
+    )
+
+
+@when('a caller books with the key "{key}" at instance {instance:d}')
+def book_once(context, key, instance):
+    context.answer = book(context, key, instance)
+
+
+@then('the booking is refused with the verdict "{verdict}"')
+def check_refused(context, verdict):
+    assert context.answer.status == 409, context.answer.data
+    assert context.answer.headers['X-Verdict'] == verdict
+
+
+@then('the refusal offers a key')
+def check_offer(context):
+    example = json.loads(context.answer.data)['error']['example']
+    name, _, context.offered = example.partition(': ')
+    assert name == 'Idempotency-Key', example
+
+
+@when('a caller books twice with the offered key at instance {instance:d}')
+def book_twice(context, instance):
     context.answers = [
-        post(context, instance, path, {'seats': 2}, **headers) for _ in range(2)
+        book(context, context.offered, instance) for _ in range(2)
     ]
 
 
--- a/features/thin_path.feature
+++ b/features/thin_path.feature
@@ -10,7 +10,10 @@
 
   Scenario: A booking under one key happens once
     Given a deployment of the document "kandy" with 2 instances
-    When a caller books twice with the key "table-7" at instance 0
+    When a caller books with the key "table-7" at instance 0
+    Then the booking is refused with the verdict "not_run"
+    And the refusal offers a key
+    When a caller books twice with the offered key at instance 0
     Then the first booking succeeds
     And the second is refused with the verdict "ran"
     And the plain services ran one booking
--- /dev/null
+++ b/tests/retries/test_at_most_once.py
@@ -0,0 +1,202 @@
+"""Random histories of a fleet, with an oracle that counts runs."""
+
+import random
+
+import pytest
+
+from tests.retries.calls import at, make_call
+from trefoilhinge.core.identifiers import (
+    AttemptId,
+    InstanceIdentity,
+    InstanceName,
+)
+from trefoilhinge.core.verdicts import Verdict
+from trefoilhinge.node.parts import ClaimForwarded, ClaimGranted, ClaimRefused
+from trefoilhinge.retries import ledger as ledgers
+from trefoilhinge.retries.ledger import make_owned_key_ledger
+
+NAMES = ('a', 'b', 'c', 'd')
+STEPS = 400
+STEP_S = 20
+
+
+class Fleet:
+    """Ledgers that restart, part, hand over and see their clocks jump."""
+
+    def __init__(self, seed, make_ledger):
+        self.choice = random.Random(seed)
+        self.make_ledger = make_ledger
+        self.elapsed_s = 0.0
+        self.shifts = dict.fromkeys(NAMES, 0.0)
+        self.starts = 0
+        self.ledgers = {}
+        self.incarnations = {}
+        self.former = []
+        self.running = []
+        self.keys = []
+        self.parts = []
+        self.ran = {}
+        self.possible = {}
+        self.claims = 0
+        for name in NAMES:
+            self.restart(name)
+
+    def restart(self, name):
+        self.running = [one for one in self.running if one[0] != name]
+        self.starts += 1
+        # A clock that was set back may repeat an incarnation.
+        incarnation = self.choice.choice([7, 8, 100 + self.starts])
+        identity = InstanceIdentity(InstanceName(name), incarnation)
+        life = f'{self.starts:08x}'
+        self.ledgers[name] = self.make_ledger(identity, 'secret', life)
+        self.incarnations[name] = incarnation
+
+    def now(self, name):
+        return at(self.elapsed_s, self.shifts[name])
+
+    def step(self):
+        self.elapsed_s += self.choice.random() * STEP_S
+        name = self.choice.choice(NAMES)
+        action = self.choice.choices(
+            (
+                self.mint,
+                self.call,
+                self.end,
+                self.jump,
+                self.expire,
+                self.hand_over,
+                self.adopt,
+                self.restart,
+            ),
+            (20, 60, 30, 4, 10, 2, 10, 1),
+        )[0]
+        action(name)
+
+    def mint(self, name):
+        key = self.ledgers[name].mint_key('hotel', self.now(name))
+        if key:
+            self.keys.append(key)
+
+    def call(self, name):
+        key = f'own-{self.choice.randrange(9)}'
+        if self.keys and self.choice.random() < 0.95:
+            recent = self.keys[-20:]
+            key = self.choice.choice(
+                recent if self.choice.random() < 0.8 else self.keys,
+            )
+        self.claims += 1
+        call = make_call(key, f'r{self.claims}')
+        claim = self.ledgers[name].claim(call, self.now(name))
+        if isinstance(claim, ClaimForwarded):
+            name = claim.owner
+            # A partition, or a view that is out of date, loses the call.
+            if self.choice.random() < 0.2:
+                return
+            call = make_call(key, call.request_id, forwarded=True)
+            claim = self.ledgers[name].claim(call, self.now(name))
+        if isinstance(claim, ClaimGranted):
+            self.send(name, call)
+        else:
+            self.check_refusal(key, claim)
+
+    def send(self, name, call):
+        attempt = AttemptId(call.request_id, 1)
+        if self.choice.random() < 0.1:
+            # Refused before it was sent, as the limits do.
+            verdict = Verdict.NOT_RUN
+            self.ledgers[name].settle(call, verdict, self.now(name))
+            return
+        self.ledgers[name].record_intent(call, attempt, self.now(name))
+        ran = self.choice.random() < 0.7
+        if ran:
+            self.ran[call.key] = self.ran.get(call.key, 0) + 1
+        self.running.append((name, call, ran))
+
+    def end(self, name):
+        if not self.running:
+            return
+        at_owner, call, ran = self.running.pop(
+            self.choice.randrange(len(self.running)),
+        )
+        seen = Verdict.RAN if ran else Verdict.NOT_RUN
+        verdict = self.choice.choice((seen, Verdict.MAY_HAVE_RUN))
+        now = self.now(at_owner)
+        self.ledgers[at_owner].settle(call, verdict, now)
+
+    def jump(self, name):
+        self.shifts[name] += self.choice.uniform(-5000, 5000)
+
+    def expire(self, name):
+        self.ledgers[name].expire(self.now(name))
+
+    def hand_over(self, name):
+        parts = self.ledgers[name].export_entries(self.now(name))
+        self.parts.extend(parts)
+        # A late owner goes on being asked after its handover, then stops.
+        if self.choice.random() < 0.5:
+            self.restart(name)
+
+    def adopt(self, name):
+        if self.parts:
+            part = self.choice.choice(self.parts)
+            self.ledgers[name].adopt_entries(part, self.now(name))
+
+    def check_refusal(self, key, claim):
+        assert isinstance(claim, ClaimRefused)
+        if claim.refusal.verdict is Verdict.NOT_RUN:
+            assert key not in self.ran, f'{key} ran but was told not_run'
+        if claim.refusal.verdict is Verdict.RAN:
+            assert key in self.ran
+
+
+def run_history(seed, make_ledger=make_owned_key_ledger):
+    fleet = Fleet(seed, make_ledger)
+    for _ in range(STEPS):
+        fleet.step()
+    return fleet
+
+
+class TestAtMostOnce:
+    @pytest.mark.parametrize('seed', range(60))
+    def test_no_key_runs_twice(self, seed):
+        fleet = run_history(seed)
+        assert fleet.ran
+        assert max(fleet.ran.values()) == 1
+
+    def test_oracle_sees_a_ledger_that_forgets(self):
+        class Forgetful(ledgers.OwnedKeyLedger):
+            def expire(self, now):
+                self._entries.clear()
+
+        self.check_caught(Forgetful)
+
+    def test_oracle_sees_a_ledger_that_takes_over_a_name(self):
+        class Heir(ledgers.OwnedKeyLedger):
+            def _owns(self, key):
+                return key.owner.name == self._identity.name
+
+        self.check_caught(Heir)
+
+    def test_oracle_sees_a_ledger_that_grants_after_its_handover(self):
+        class Unsealed(ledgers.OwnedKeyLedger):
+            def export_entries(self, now):
+                parts = super().export_entries(now)
+                self._sealed = False
+                return parts
+
+        self.check_caught(Unsealed)
+
+    def check_caught(self, broken):
+        def make_broken(identity, secret, life):
+            signer = ledgers.make_key_signer(secret)
+            return broken(identity, life, signer)
+
+        caught = 0
+        for seed in range(60):
+            try:
+                fleet = run_history(seed, make_broken)
+            except AssertionError:
+                caught += 1
+            else:
+                caught += max(fleet.ran.values()) > 1
+        assert caught
--- a/trefoilhinge/conf/document.py
+++ b/trefoilhinge/conf/document.py
@@ -71,7 +71,8 @@
 
 def digest_text(text: str) -> str:
     """Return the digest of a document's text, in hexadecimal."""
-    return hashlib.sha256(text.encode('utf-8')).hexdigest()
+    encoded = text.encode('utf-8', 'surrogatepass')
+    return hashlib.sha256(encoded).hexdigest()
 
 
 def find_reference_problems(document: Document) -> Iterator[DocumentProblem]:
--- a/trefoilhinge/entry/daemon.py
+++ b/trefoilhinge/entry/daemon.py
@@ -2,6 +2,7 @@
 
 import json
 import threading
+import uuid
 from concurrent.futures import ThreadPoolExecutor
 from typing import Any
 
@@ -34,6 +35,7 @@
 CONTROL_THREADS = 24
 PEER_THREADS = 16
 ANSWER_TIMEOUT_S = 2.0
+LIFE_DIGITS = 8
 
 
 @define
@@ -103,8 +105,14 @@
         settings.peer_secret,
         settings.seeds,
         identity.incarnation,
+        uuid.uuid4().hex[:LIFE_DIGITS],
+    )
+    core = make_node(
+        parts,
+        settings.start_wait_s,
+        settings.stop_wait_s,
+        identity.incarnation,
     )
-    core = make_node(parts, settings.start_wait_s, settings.stop_wait_s)
     return _assemble(settings, core, clock)
 
 
--- a/trefoilhinge/node/composition.py
+++ b/trefoilhinge/node/composition.py
@@ -5,15 +5,25 @@
 from trefoilhinge.groups.runner import make_no_group_runner
 from trefoilhinge.limits.limiter import make_bucket_limiter
 from trefoilhinge.membership.fleet import make_exchange_fleet
-from trefoilhinge.node.core import NodeCore, NodeParts
+from trefoilhinge.node.core import (
+    EXCHANGE_INTERVAL_S,
+    NodeCore,
+    NodeParts,
+    NodeTimers,
+)
 from trefoilhinge.node.desk import CallDesk
 from trefoilhinge.node.exchange import PeerExchanger
+from trefoilhinge.node.handover import HandoverSender
+from trefoilhinge.node.reads import make_document_reads
+from trefoilhinge.node.schedule import make_jittered_timer
 from trefoilhinge.node.tables import CallTable
 from trefoilhinge.orders.steward import make_reading_steward
-from trefoilhinge.retries.ledger import make_local_ledger
+from trefoilhinge.retries.ledger import make_owned_key_ledger
 from trefoilhinge.retries.policy import make_careful_retry_policy
 from trefoilhinge.routing.router import make_least_tokens_router
 
+EXCHANGE_SPREAD = 0.25
+
 
 def make_parts(
     identity: InstanceIdentity,
@@ -22,6 +32,7 @@
     secret: str,
     seeds: tuple[str, ...],
     seed: int,
+    life: str = 'l',
 ) -> NodeParts:
     """Return the cores that an instance runs by default.
 
@@ -31,14 +42,15 @@
     :param seeds: addresses of peers to ask at the start.
     :param secret: secret shared by the deployment, which signs keys.
     :param seed: seed of every random choice of its cores.
+    :param life: token that no other start of this instance has.
     """
     return NodeParts(
         router=make_least_tokens_router(),
         limiter=make_bucket_limiter(),
-        ledger=make_local_ledger(identity),
+        ledger=make_owned_key_ledger(identity, secret, life),
         retries=make_careful_retry_policy(),
         groups=make_no_group_runner(),
-        fleet=make_exchange_fleet(identity, address, seeds),
+        fleet=make_exchange_fleet(identity, address, seeds, seed),
         keeper=NewestDocumentKeeper(),
         steward=make_reading_steward(),
     )
@@ -48,11 +60,13 @@
     parts: NodeParts,
     start_wait_s: float,
     stop_wait_s: float,
+    seed: int = 0,
 ) -> NodeCore:
     """Return a node of the given cores.
 
     :param start_wait_s: seconds to ask peers for a newer document.
     :param stop_wait_s: seconds that the balancer takes to notice a stop.
+    :param seed: seed of the jitter of its reads.
     """
     desk = CallDesk(
         CallTable(),
@@ -69,5 +83,20 @@
         parts.limiter,
         parts.ledger,
         parts.keeper,
+        HandoverSender(parts.ledger, parts.fleet),
+    )
+    return NodeCore(
+        parts,
+        desk,
+        exchanger,
+        start_wait_s,
+        stop_wait_s,
+        make_document_reads(seed),
+        NodeTimers(
+            exchange=make_jittered_timer(
+                EXCHANGE_INTERVAL_S,
+                EXCHANGE_SPREAD,
+                seed,
+            ),
+        ),
     )
-    return NodeCore(parts, desk, exchanger, start_wait_s, stop_wait_s)
--- a/trefoilhinge/node/core.py
+++ b/trefoilhinge/node/core.py
@@ -56,6 +56,7 @@
     Steward,
     TargetView,
 )
+from trefoilhinge.node.reads import DocumentReads
 from trefoilhinge.node.schedule import PauseDetector, Timer
 
 EXCHANGE_INTERVAL_S = 1.0
@@ -63,6 +64,8 @@
 INSTANCES_INTERVAL_S = 2.0
 DOCUMENT_WATCH_S = 2.0
 HOUSEKEEPING_INTERVAL_S = 5.0
+# After a pause, peers and the platform are asked before anything is placed.
+PAUSE_HOLD_S = 0.5
 
 Effects = list[Effect]
 
@@ -106,13 +109,13 @@
     exchanger: PeerExchanger
     start_wait_s: float
     stop_wait_s: float
+    reads: DocumentReads
     timers: NodeTimers = field(factory=NodeTimers)
     pauses: PauseDetector = field(factory=PauseDetector)
     ready: bool = False
     started_s: float | None = None
     stopping_since_s: float | None = None
     _stopped: bool = False
-    _document_asked: bool = False
     _cache_sequences: dict[TargetName, int] = field(factory=dict)
     _handlers: dict[type[Any], Callable[[Any, Instant], Effects]] = field(
         factory=dict,
@@ -150,7 +153,13 @@
         :param event: what happened.
         :param now: both clocks at that moment.
         """
-        return self._handlers[type(event)](event, now)
+        effects: Effects = []
+        if self.pauses.note(now):
+            effects.extend(self._recover_from_pause(now))
+        effects.extend(self._handlers[type(event)](event, now))
+        if not self._stopped:
+            effects.extend(self.exchanger.send_news(now))
+        return effects
 
     def _receive_call(self, event: CallReceived, now: Instant) -> Effects:
         request_id = event.profile.request_id
@@ -199,12 +208,14 @@
         return self._refresh_targets(now)
 
     def _note_document(self, event: DocumentRead, now: Instant) -> Effects:
-        self._document_asked = False
-        if event.text is None:
-            return []
         before = self.parts.keeper.digest
-        effects = list(self.parts.keeper.offer(event.text, 'service', now))
-        if before != self.parts.keeper.digest:
+        effects: Effects = []
+        if event.text is not None:
+            offered = self.parts.keeper.offer(event.text, 'service', now)
+            effects.extend(offered)
+        newer = before != self.parts.keeper.digest
+        self.reads.note_answer(newer, now)
+        if newer:
             effects.extend(self._configure(now))
         return effects
 
@@ -253,8 +264,6 @@
         effects: Effects = []
         if self.started_s is None:
             self.started_s = now.monotonic_s
-        if self.pauses.note(now):
-            effects.extend(self._recover_from_pause(now))
         effects.extend(self.desk.act(now))
         effects.extend(self._read_platform(now))
         if self.timers.exchange.take_due(now):
@@ -270,16 +279,16 @@
 
     def _recover_from_pause(self, now: Instant) -> Effects:
         self.parts.steward.note_pause(now)
-        self._document_asked = False
+        self.desk.hold_until_s = now.monotonic_s + PAUSE_HOLD_S
+        self.reads.force()
         self.timers.instances.force()
         self.timers.exchange.force()
         return [LogEvent('pause_detected', ())]
 
     def _read_platform(self, now: Instant) -> Effects:
         effects: Effects = []
-        if not self._document_asked:
-            self._document_asked = True
-            wait_s = DOCUMENT_WATCH_S if self.parts.keeper.revision else 0
+        wait_s = DOCUMENT_WATCH_S if self.parts.keeper.revision else 0
+        if self.reads.take_due(wait_s, now):
             effects.append(ReadDocument(self.parts.keeper.revision, wait_s))
         if self.timers.instances.take_due(now):
             effects.append(ReadInstances())
@@ -349,9 +358,18 @@
         if self.stopping_since_s is None:
             return []
         waited_s = now.monotonic_s - self.stopping_since_s
-        if waited_s < self.stop_wait_s or len(self.desk.table):
+        if waited_s < self.stop_wait_s:
             return []
-        if self.parts.groups.list_held():
+        handover = self.exchanger.handover
+        busy = self._is_busy()
+        if busy and handover.begun_s is None:
             return []
+        effects = self.exchanger.send_handover(now)
+        if busy or not handover.is_done(now):
+            return effects
         self._stopped = True
-        return [*self.exchanger.send_handover(now), StopProcess()]
+        return [*effects, StopProcess()]
+
+    def _is_busy(self) -> bool:
+        calls = len(self.desk.table)
+        return bool(calls or self.parts.groups.list_held())
--- a/trefoilhinge/node/desk.py
+++ b/trefoilhinge/node/desk.py
@@ -71,7 +71,11 @@
 
 @define
 class CallDesk:
-    """Moves calls through admission, placement, sending and answering."""
+    """Moves calls through admission, placement, sending and answering.
+
+    :ivar hold_until_s: monotonic seconds before which nothing is placed,
+        because what is known of targets may be out of date.
+    """
 
     table: CallTable
     _router: Router
@@ -80,6 +84,7 @@
     _retries: RetryPolicy
     _groups: GroupRunner
     _fleet: Fleet
+    hold_until_s: float = 0
 
     def receive(self, event: CallReceived, now: Instant) -> Effects:
         """Claim, admit and queue a call, or refuse it."""
@@ -100,6 +105,8 @@
 
     def place_queued(self, now: Instant) -> Effects:
         """Place the calls that wait, in the limiter's order."""
+        if now.monotonic_s < self.hold_until_s:
+            return []
         effects: Effects = []
         placements = 0
         for profile in self._limiter.list_ready(now):
--- a/trefoilhinge/node/exchange.py
+++ b/trefoilhinge/node/exchange.py
@@ -1,7 +1,8 @@
 """Composes and takes the messages between instances."""
 
-from attrs import define, evolve
+from attrs import define, evolve, field
 
+from trefoilhinge.conf.document import digest_text
 from trefoilhinge.conf.generated.messages import PeerExchange
 from trefoilhinge.conf.messages import read_exchange, write_exchange
 from trefoilhinge.core.clocks import Instant
@@ -13,6 +14,7 @@
 )
 from trefoilhinge.core.events import PeerAnswered, PeerMessageReceived
 from trefoilhinge.core.identifiers import InstanceName
+from trefoilhinge.node.handover import HandoverSender
 from trefoilhinge.node.parts import (
     DocumentKeeper,
     Fleet,
@@ -20,9 +22,16 @@
     Limiter,
     Router,
 )
+from trefoilhinge.node.passing import DocumentPasses
 
+# A small fleet talks to every peer; a large one sends less to stay in bounds.
+SMALL_FLEET = 9
 MAXIMUM_CHARGES = 64
 MAXIMUM_DEMANDS = 32
+CHARGES_OF_LARGE_FLEET = 8
+DEMANDS_OF_LARGE_FLEET = 8
+# News that comes in a burst is told together.
+NEWS_INTERVAL_S = 0.2
 
 
 @define
@@ -34,6 +43,10 @@
     _limiter: Limiter
     _ledger: Ledger
     _keeper: DocumentKeeper
+    handover: HandoverSender
+    _passes: DocumentPasses = field(factory=DocumentPasses)
+    _told: tuple[int, str] = (0, '')
+    _news_due_s: float = 0
 
     def send(self, now: Instant) -> list[Effect]:
         """Return messages to the peers whose turn it is."""
@@ -43,16 +56,25 @@
         text = write_exchange(self.compose(now))
         return [SendPeerMessage(name, address, text) for name, address in peers]
 
-    def send_handover(self, now: Instant) -> list[Effect]:
-        """Return messages that hand the ledger to every live peer."""
-        exchange = evolve(
-            self.compose(now),
-            handover=self._ledger.export_entries(now),
-        )
-        text = write_exchange(exchange)
-        peers = self._fleet.choose_peers(now)
+    def send_news(self, now: Instant) -> list[Effect]:
+        """Return messages to peers if there is news that cannot wait."""
+        if now.monotonic_s < self._news_due_s:
+            return []
+        told = (self._keeper.revision, self._keeper.digest)
+        news = self._fleet.take_news() or told != self._told
+        if news:
+            self._news_due_s = now.monotonic_s + NEWS_INTERVAL_S
+        self._told = told
+        peers = self._fleet.choose_news_peers(now) if news else ()
+        if not peers:
+            return []
+        text = write_exchange(self._compose_news(now))
         return [SendPeerMessage(name, address, text) for name, address in peers]
 
+    def send_handover(self, now: Instant) -> list[Effect]:
+        """Return messages that hand the ledger to peers, while any is due."""
+        return self.handover.send(self._compose_news(now), now)
+
     def receive(
         self,
         event: PeerMessageReceived,
@@ -70,10 +92,7 @@
             ], False
         before = self._keeper.digest
         effects = self._take(read.ok, now)
-        answer = self.compose(now)
-        if self._is_behind(read.ok):
-            answer = evolve(answer, document=self._keeper.text)
-        effects.append(AnswerPeer(event.token, write_exchange(answer)))
+        effects.append(AnswerPeer(event.token, self._answer(read.ok, now)))
         return effects, before != self._keeper.digest
 
     def take_answer(
@@ -90,20 +109,41 @@
             return [_log_unreadable(read.error)], False
         before = self._keeper.digest
         effects = self._take(read.ok, now)
+        self.handover.note_answer(read.ok)
         if self._is_behind(read.ok):
-            effects.extend(self._pass_document(event.peer, read.ok, now))
+            effects.extend(self._pass_document(read.ok, now))
         return effects, before != self._keeper.digest
 
     def compose(self, now: Instant) -> PeerExchange:
-        """Return this instance's word for a peer, without a document."""
+        """Return this instance's message for peers, without a document."""
+        small = self._fleet.count_expected() <= SMALL_FLEET
+        demands = MAXIMUM_DEMANDS if small else DEMANDS_OF_LARGE_FLEET
+        charges = MAXIMUM_CHARGES if small else CHARGES_OF_LARGE_FLEET
+        return evolve(
+            self._compose_news(now),
+            whole=True,
+            demands=self._limiter.list_demands(demands, now),
+            charges=self._router.list_charges(charges),
+        )
+
+    def _compose_news(self, now: Instant) -> PeerExchange:
         return evolve(
             self._fleet.fill_exchange(now),
             revision=self._keeper.revision,
             digest=self._keeper.digest,
-            demands=self._limiter.list_demands(MAXIMUM_DEMANDS, now),
-            charges=self._router.list_charges(MAXIMUM_CHARGES),
         )
 
+    def _answer(self, exchange: PeerExchange, now: Instant) -> str:
+        answer = self.compose(now)
+        if exchange.handover:
+            # Adopted whatever the order in which parts arrive.
+            if self._ledger.adopt_entries(exchange.handover, now):
+                adopted = digest_text(exchange.handover)
+                answer = evolve(answer, adopted=adopted)
+        if self._is_behind(exchange) and self._may_pass(exchange, now):
+            answer = evolve(answer, document=self._keeper.text)
+        return write_exchange(answer)
+
     def _take(self, exchange: PeerExchange, now: Instant) -> list[Effect]:
         effects: list[Effect] = []
         if exchange.document:
@@ -112,26 +152,30 @@
         if not self._fleet.note_exchange(exchange, now):
             return effects
         peer = InstanceName(exchange.sender)
-        self._router.note_peer_charges(peer, exchange.charges, now)
-        self._limiter.note_peer_demands(peer, exchange.demands, now)
-        if exchange.handover:
-            self._ledger.adopt_entries(exchange.handover, now)
+        # A message of news alone says nothing of demands and charges.
+        if exchange.whole:
+            self._router.note_peer_charges(peer, exchange.charges, now)
+            self._limiter.note_peer_demands(peer, exchange.demands, now)
         return effects
 
+    def _may_pass(self, exchange: PeerExchange, now: Instant) -> bool:
+        peer = InstanceName(exchange.sender)
+        return self._passes.take_due(peer, self._keeper.digest, now)
+
     def _is_behind(self, exchange: PeerExchange) -> bool:
         theirs = (exchange.revision, exchange.digest)
         return theirs < (self._keeper.revision, self._keeper.digest)
 
     def _pass_document(
         self,
-        peer: InstanceName,
         exchange: PeerExchange,
         now: Instant,
     ) -> list[Effect]:
+        peer = InstanceName(exchange.sender)
         address = self._fleet.find_address(peer, exchange.incarnation)
-        if address is None:
+        if address is None or not self._may_pass(exchange, now):
             return []
-        message = evolve(self.compose(now), document=self._keeper.text)
+        message = evolve(self._compose_news(now), document=self._keeper.text)
         return [SendPeerMessage(peer, address, write_exchange(message))]
 
 
--- a/trefoilhinge/node/parts.py
+++ b/trefoilhinge/node/parts.py
@@ -305,15 +305,15 @@
         ...
 
     def mint_key(self, organisation: str, now: Instant) -> str:
-        """Return a new key that names this incarnation as its owner."""
+        """Return a new key of this incarnation, empty once it is sealed."""
         ...
 
-    def export_entries(self, now: Instant) -> str:
-        """Return the ledger as JSON for a successor."""
+    def export_entries(self, now: Instant) -> tuple[str, ...]:
+        """Seal the ledger and return it in parts, none if it is empty."""
         ...
 
-    def adopt_entries(self, text: str, now: Instant) -> None:
-        """Take over the ledger of a stopping peer."""
+    def adopt_entries(self, text: str, now: Instant) -> bool:
+        """Take over a part of a stopping peer's ledger; false if refused."""
         ...
 
     def expire(self, now: Instant) -> None:
@@ -410,6 +410,22 @@
         """Return the services whose targets changed since the last call."""
         ...
 
+    def take_news(self) -> bool:
+        """Return whether something is to be told to peers at once."""
+        ...
+
+    def choose_news_peers(
+        self, now: Instant
+    ) -> tuple[tuple[InstanceName, str], ...]:
+        """Return names and addresses of peers to tell news to."""
+        ...
+
+    def list_successors(
+        self, now: Instant
+    ) -> tuple[tuple[InstanceName, str], ...]:
+        """Return live peers that may answer for this instance."""
+        ...
+
     def note_exchange(self, exchange: PeerExchange, now: Instant) -> bool:
         """Take a peer's message; false if it is older than one taken."""
         ...
--- a/trefoilhinge/node/schedule.py
+++ b/trefoilhinge/node/schedule.py
@@ -1,5 +1,6 @@
 """Timers of a node: what is due, and whether the process was paused."""
 
+import numpy as np
 from attrs import define, field
 
 from trefoilhinge.core.clocks import Instant
@@ -13,16 +14,23 @@
     """One task that is due again and again.
 
     :ivar interval_s: seconds between two runs.
+    :ivar spread: share of the interval by which a run may come earlier, so
+        that instances that started together do not stay in step.
     """
 
     interval_s: float
+    spread: float = 0
+    _generator: np.random.Generator | None = field(default=None, repr=False)
     _due_s: float = 0
 
     def take_due(self, now: Instant) -> bool:
         """Return whether the task is due, and set its next time."""
         if now.monotonic_s < self._due_s:
             return False
-        self._due_s = now.monotonic_s + self.interval_s
+        early: float = 0
+        if self._generator is not None:
+            early = self.spread * float(self._generator.random())
+        self._due_s = now.monotonic_s + self.interval_s * (1 - early)
         return True
 
     def force(self) -> None:
@@ -50,3 +58,12 @@
             now.monotonic_s - last.monotonic_s > PAUSE_S
             or abs(now.wall_s - last.wall_s) > PAUSE_S
         )
+
+
+def make_jittered_timer(interval_s: float, spread: float, seed: int) -> Timer:
+    """Return a timer whose intervals vary.
+
+    :param spread: largest share of the interval that is left out.
+    :param seed: seed of the jitter.
+    """
+    return Timer(interval_s, spread, np.random.default_rng(seed))
--- a/trefoilhinge/retries/ledger.py
+++ b/trefoilhinge/retries/ledger.py
@@ -1,65 +1,97 @@
-"""Remembers keys of this incarnation and refuses a second run."""
+"""Keeps calls that may not be repeated to one run, without a shared store.
 
-from attrs import define
+Only the incarnation that minted a key ever grants it. Every other party
+forwards, or answers from what that incarnation handed over; when it is gone
+the answer is that the call may have run.
+"""
+
+from attrs import define, field
 
 from trefoilhinge.conf.generated.document import Document
 from trefoilhinge.core.clocks import Instant
-from trefoilhinge.core.identifiers import AttemptId, InstanceIdentity
+from trefoilhinge.core.identifiers import (
+    AttemptId,
+    InstanceIdentity,
+    RequestId,
+)
 from trefoilhinge.core.profiles import CallProfile
-from trefoilhinge.core.verdicts import (
-    Refusal,
-    RefusalCode,
-    Verdict,
-    refuse_not_run,
+from trefoilhinge.core.verdicts import Refusal, Verdict
+from trefoilhinge.node.parts import (
+    Claim,
+    ClaimForwarded,
+    ClaimGranted,
+    ClaimRefused,
 )
-from trefoilhinge.node.parts import Claim, ClaimGranted, ClaimRefused
+from trefoilhinge.retries import refusals
+from trefoilhinge.retries.adopted import AdoptedLedgers
+from trefoilhinge.retries.handover import HandedEntry, read_part, write_parts
+from trefoilhinge.retries.minted import (
+    KeySigner,
+    KeyStanding,
+    MintedKey,
+    make_key_signer,
+    parse_key,
+)
+
+MAXIMUM_ENTRIES = 65_536
+BODY_DIGITS = 16
+_MS_PER_S = 1000
 
 
 @define
 class _Entry:
-    verdict: Verdict
-    ended_s: float | None
+    """One key that was granted here.
+
+    :ivar request_id: request that holds the grant; only it may settle.
+    :ivar ended_s: monotonic seconds at which it ended, none while it runs.
+    """
+
+    request_id: RequestId
+    body: str
+    expires_ms: int
+    verdict: Verdict = Verdict.NOT_RUN
+    ended_s: float | None = None
 
 
 @define
-class LocalLedger:
-    """Keeps each key to one run within this incarnation."""
+class OwnedKeyLedger:
+    """Grants the keys of one incarnation, each to one run."""
 
     _identity: InstanceIdentity
-    _entries: dict[str, _Entry]
+    _life: str
+    _signer: KeySigner
+    _maximum_entries: int = MAXIMUM_ENTRIES
+    _entries: dict[str, _Entry] = field(factory=dict)
+    _adopted: AdoptedLedgers = field(factory=AdoptedLedgers)
     _window_s: float = 900
+    _minted: int = 0
+    # Wall clock at the first event; later the monotonic clock counts on, so
+    # that a wall clock that is set revives no key and expires none early.
+    _anchor: Instant | None = None
+    _now_ms: int = 0
+    _sealed: bool = False
 
     def configure(self, document: Document) -> None:
         """Take a document that is now in force."""
         self._window_s = document.time_limits.key_window_s
 
     def claim(self, profile: CallProfile, now: Instant) -> Claim:
-        """Grant a key once."""
+        """Decide whether a call may run, and where."""
         if profile.idempotent or not profile.key:
             return ClaimGranted()
-        name = f'{profile.organisation}/{profile.key}'
-        entry = self._entries.get(name)
-        if entry is None:
-            self._entries[name] = _Entry(Verdict.NOT_RUN, None)
-            return ClaimGranted()
-        if entry.ended_s is None:
-            return ClaimRefused(
-                Refusal(
-                    RefusalCode.KEY_IN_USE,
-                    entry.verdict,
-                    'A request with this Idempotency-Key is still running.',
-                ),
-            )
-        if entry.verdict is Verdict.NOT_RUN:
-            entry.ended_s = None
-            return ClaimGranted()
-        return ClaimRefused(
-            Refusal(
-                RefusalCode.ALREADY_RAN,
-                entry.verdict,
-                'A request with this Idempotency-Key was already sent.',
-            ),
-        )
+        self._note_time(now)
+        key = parse_key(profile.key)
+        if key is None:
+            fresh = self.mint_key(profile.organisation, now)
+            return ClaimRefused(refusals.refuse_chosen_key(fresh))
+        standing = self._signer.check_key(key, profile.organisation)
+        if standing is KeyStanding.FORGED:
+            return ClaimRefused(refusals.refuse_forged_key())
+        if standing is KeyStanding.UNVERIFIABLE:
+            return ClaimRefused(refusals.refuse_owner_gone())
+        if self._owns(key):
+            return self._claim_own(key, profile)
+        return self._claim_elsewhere(key, profile)
 
     def record_intent(
         self,
@@ -68,7 +100,7 @@
         now: Instant,
     ) -> None:
         """Record that the call may run from here on."""
-        entry = self._entries.get(f'{profile.organisation}/{profile.key}')
+        entry = self._find_held(profile)
         if entry is not None:
             entry.verdict = Verdict.MAY_HAVE_RUN
 
@@ -79,37 +111,164 @@
         now: Instant,
     ) -> None:
         """Record how a call ended."""
-        entry = self._entries.get(f'{profile.organisation}/{profile.key}')
+        entry = self._find_held(profile)
         if entry is not None:
             entry.verdict = verdict
             entry.ended_s = now.monotonic_s
 
     def mint_key(self, organisation: str, now: Instant) -> str:
-        """Refuse: keys are the caller's until owners are named in them."""
-        raise NotImplementedError(organisation)
+        """Return a new key of this incarnation, empty once it is sealed."""
+        if self._sealed:
+            return ''
+        self._note_time(now)
+        self._minted += 1
+        expires_ms = self._now_ms + int(self._window_s * _MS_PER_S)
+        return self._signer.write_key(
+            self._identity,
+            self._life,
+            organisation,
+            expires_ms,
+            f'{self._minted:x}',
+        )
+
+    def export_entries(self, now: Instant) -> tuple[str, ...]:
+        """Seal this ledger and return it in parts for peers.
+
+        From here on nothing is granted, so that what the parts say stays
+        true. A ledger that never minted a key has nothing to hand over.
+        """
+        self._sealed = True
+        self._note_time(now)
+        if not self._minted:
+            return ()
+        handed = tuple(
+            HandedEntry(nonce, _tell_final(entry), entry.body)
+            for nonce, entry in self._entries.items()
+        )
+        return write_parts(
+            self._identity,
+            self._life,
+            self._now_ms,
+            handed,
+            self._signer,
+        )
 
-    def export_entries(self, now: Instant) -> str:
-        """Return nothing yet."""
-        return ''
+    def adopt_entries(self, text: str, now: Instant) -> bool:
+        """Take over a part of a stopping peer's ledger.
 
-    def adopt_entries(self, text: str, now: Instant) -> None:
-        """Take over nothing yet."""
+        :return: whether this instance now answers for that part.
+        """
+        part = read_part(text, self._signer)
+        if part is None or part.identity == self._identity:
+            return False
+        return self._adopted.adopt(part, self._window_s, now)
 
     def expire(self, now: Instant) -> None:
-        """Forget what ended longer ago than the window."""
-        horizon = now.monotonic_s - self._window_s
-        self._entries = {
-            name: entry
-            for name, entry in self._entries.items()
-            if entry.ended_s is None or entry.ended_s > horizon
-        }
+        """Forget keys that expired and whose window after use has passed."""
+        self._note_time(now)
+        self._adopted.expire(now)
+        horizon_s = now.monotonic_s - self._window_s
+        stale = tuple(
+            nonce
+            for nonce, entry in self._entries.items()
+            if entry.ended_s is not None
+            and entry.ended_s <= horizon_s
+            and entry.expires_ms <= self._now_ms
+        )
+        for nonce in stale:
+            del self._entries[nonce]
+
+    def _claim_own(self, key: MintedKey, profile: CallProfile) -> Claim:
+        body = profile.body_digest[:BODY_DIGITS]
+        entry = self._entries.get(key.nonce)
+        if entry is None:
+            return self._claim_first(key, profile, body)
+        if entry.body != body:
+            return ClaimRefused(refusals.refuse_other_body())
+        if entry.ended_s is None:
+            return ClaimRefused(refusals.refuse_running(entry.verdict))
+        if entry.verdict is not Verdict.NOT_RUN:
+            return ClaimRefused(refusals.refuse_used(entry.verdict))
+        if self._sealed:
+            return ClaimRefused(refusals.refuse_retired_key())
+        entry.request_id = profile.request_id
+        entry.ended_s = None
+        return ClaimGranted()
+
+    def _claim_first(
+        self,
+        key: MintedKey,
+        profile: CallProfile,
+        body: str,
+    ) -> Claim:
+        # What expired may have been used and forgotten.
+        if key.expires_ms <= self._now_ms:
+            return ClaimRefused(refusals.refuse_expired_key())
+        if self._sealed:
+            return ClaimRefused(refusals.refuse_retired_key())
+        if len(self._entries) >= self._maximum_entries:
+            return ClaimRefused(refusals.refuse_full(self._maximum_entries))
+        entry = _Entry(profile.request_id, body, key.expires_ms)
+        self._entries[key.nonce] = entry
+        return ClaimGranted()
+
+    def _claim_elsewhere(self, key: MintedKey, profile: CallProfile) -> Claim:
+        adopted = self._adopted.find(key)
+        if adopted is not None:
+            verdict = adopted.find_verdict(key)
+            entry = adopted.entries.get(key.nonce)
+            body = profile.body_digest[:BODY_DIGITS]
+            if entry is not None and entry.body != body:
+                return ClaimRefused(refusals.refuse_other_body())
+            return ClaimRefused(_refuse_adopted(verdict, entry is not None))
+        # A key of an earlier life of this name has no owner any more.
+        if profile.forwarded or key.owner.name == self._identity.name:
+            return ClaimRefused(refusals.refuse_owner_gone())
+        return ClaimForwarded(key.owner.name, key.owner.incarnation)
+
+    def _owns(self, key: MintedKey) -> bool:
+        return key.owner == self._identity and key.life == self._life
+
+    def _find_held(self, profile: CallProfile) -> _Entry | None:
+        key = parse_key(profile.key)
+        if key is None or not self._owns(key):
+            return None
+        entry = self._entries.get(key.nonce)
+        if entry is None or entry.request_id != profile.request_id:
+            return None
+        return entry
+
+    def _note_time(self, now: Instant) -> None:
+        if self._anchor is None:
+            self._anchor = now
+        elapsed_s = now.monotonic_s - self._anchor.monotonic_s
+        self._now_ms = int((self._anchor.wall_s + elapsed_s) * _MS_PER_S)
+
+
+def _tell_final(entry: _Entry) -> Verdict:
+    if entry.ended_s is None:
+        return Verdict.MAY_HAVE_RUN
+    return entry.verdict
+
 
+def _refuse_adopted(verdict: Verdict, known: bool) -> Refusal:
+    if verdict is Verdict.NOT_RUN:
+        return refusals.refuse_retired_key()
+    if known:
+        return refusals.refuse_used(verdict)
+    return refusals.refuse_owner_gone()
 
-def make_local_ledger(identity: InstanceIdentity) -> LocalLedger:
-    """Return an empty ledger of one incarnation."""
-    return LocalLedger(identity, {})
 
+def make_owned_key_ledger(
+    identity: InstanceIdentity,
+    secret: str,
+    life: str,
+    maximum_entries: int = MAXIMUM_ENTRIES,
+) -> OwnedKeyLedger:
+    """Return an empty ledger of one incarnation.
 
-def refuse_key(message: str) -> ClaimRefused:
-    """Return a refusal of a key that was never granted."""
-    return ClaimRefused(refuse_not_run(RefusalCode.KEY_UNKNOWN, message))
+    :param secret: secret shared by the deployment, which signs keys.
+    :param life: token without ``~`` that no other start of this instance has.
+    """
+    signer = make_key_signer(secret)
+    return OwnedKeyLedger(identity, life, signer, maximum_entries)
