Described a node for its operators, with what is wrong first.

The status told four numbers and nothing of peers, targets or memory. Asking the apps' cores was weighed: their views differ and are being rewritten. The node now keeps its own bounded record of what it has seen, which no decision reads, and the description is a generated class from status.schema.json.

--- /dev/null
+++ b/trefoilhinge/client/arguments.py
@@ -0,0 +1,58 @@
+"""Prepares arguments so that the command line keeps them as they were typed.
+
+The library that reads them turns a text that looks like a Python literal
+into one: ``0123`` and ``1e5`` would lose digits. Each value is quoted as a
+literal first, so that it stays a text and is converted by its schema.
+"""
+
+from trefoilhinge.exceptions import ImproperlyConfigured
+
+_HELP = frozenset(('--help', '-h'))
+# Separators of the library, which are no values.
+_SEPARATORS = frozenset(('-', '--'))
+
+
+def quote_arguments(arguments: list[str]) -> list[str]:
+    """Return arguments with every value quoted.
+
+    :param arguments: the command and what follows it.
+    """
+    return [*arguments[:1], *(_quote(one) for one in arguments[1:])]
+
+
+def wants_help(arguments: list[str]) -> bool:
+    """Return whether help is asked for."""
+    return any(one in _HELP for one in arguments)
+
+
+def read_switch(value: str | bool, name: str) -> bool:
+    """Return a switch given as ``--name``, ``--name=true`` or ``=false``.
+
+    :raises ImproperlyConfigured: the value is neither.
+    """
+    words = {'true': True, 'false': False}
+    if isinstance(value, bool):
+        return value
+    if value.lower() not in words:
+        raise ImproperlyConfigured(f'--{name} is {value!r}; write true or false')
+    return words[value.lower()]
+
+
+def read_choice(value: str, name: str, choices: tuple[str, ...]) -> str:
+    """Return a value that must be one of some.
+
+    :raises ImproperlyConfigured: it is none of them.
+    """
+    if value not in choices:
+        known = ' or '.join(choices)
+        raise ImproperlyConfigured(f'--{name} is {value!r}; write {known}')
+    return value
+
+
+def _quote(argument: str) -> str:
+    if argument in _SEPARATORS or argument in _HELP:
+        return argument
+    if not argument.startswith('-'):
+        return repr(argument)
+    name, equals, value = argument.partition('=')
+    return f'{name}={value!r}' if equals else argument
--- /dev/null
+++ b/trefoilhinge/client/documents.py
@@ -0,0 +1,90 @@
+"""Commands on configuration documents."""
+
+import json
+import sys
+
+from attrs import asdict
+from expression import Result
+
+from trefoilhinge.client.arguments import read_choice
+from trefoilhinge.client.exits import EXIT_DONE, EXIT_INVALID
+from trefoilhinge.conf.deprecations import find_deprecations
+from trefoilhinge.conf.differences import describe_differences
+from trefoilhinge.conf.document import parse_document
+from trefoilhinge.conf.files import read_text_file
+from trefoilhinge.conf.generated.document import Document
+from trefoilhinge.conf.generator import load_schema
+from trefoilhinge.conf.keys import make_key
+from trefoilhinge.conf.problems import Problems
+
+FORMATS = ('text', 'json')
+
+
+def check_document(file: str, form: str) -> int:
+    """Check a document and print each problem; return an exit code.
+
+    :param form: ``text`` for a line each, ``json`` for one object.
+    """
+    read_choice(form, 'format', FORMATS)
+    text = read_text_file(file)
+    parsed = text.bind(parse_document)
+    if form == 'json':
+        print(json.dumps(_describe(file, parsed), indent=2))
+    elif parsed.is_ok():
+        print(f'{file}: revision {parsed.ok.revision} is valid')
+        _print_deprecations(file, text.ok)
+    else:
+        _print_problems(file, parsed.error)
+    return EXIT_DONE if parsed.is_ok() else EXIT_INVALID
+
+
+def compare_documents(old: str, new: str, form: str) -> int:
+    """Print in words what a new document changes; return an exit code."""
+    read_choice(form, 'format', FORMATS)
+    documents = []
+    for file in (old, new):
+        parsed = read_text_file(file).bind(parse_document)
+        if parsed.is_error():
+            _print_problems(file, parsed.error)
+            return EXIT_INVALID
+        documents.append(parsed.ok)
+    lines = describe_differences(*documents)
+    if form == 'json':
+        print(json.dumps({'differences': lines}, indent=2))
+    else:
+        print('\n'.join(lines) or 'The documents say the same.')
+    return EXIT_DONE
+
+
+def print_new_key() -> int:
+    """Print a fresh API key, and the entry for the document."""
+    made = make_key()
+    print(f'Give this key to the organisation; it is shown once:\n{made.key}\n')
+    print("Add this to the organisation's keys:")
+    print(json.dumps(asdict(made.entry), indent=2))
+    return EXIT_DONE
+
+
+def _describe(
+    file: str,
+    parsed: Result[Document, Problems],
+) -> dict[str, object]:
+    problems: Problems = parsed.error if parsed.is_error() else ()
+    return {
+        'file': file,
+        'valid': parsed.is_ok(),
+        'revision': parsed.ok.revision if parsed.is_ok() else None,
+        'problems': [asdict(one) for one in problems],
+    }
+
+
+def _print_problems(file: str, problems: Problems) -> None:
+    for problem in problems:
+        print(f'{file}: {problem}', file=sys.stderr)
+
+
+def _print_deprecations(file: str, text: str) -> None:
+    schema = load_schema('document')
+    definitions = schema['$defs']
+    for one in find_deprecations(json.loads(text), schema, definitions):
+        print(f'{file}: {one}', file=sys.stderr)
--- /dev/null
+++ b/trefoilhinge/conf/files.py
@@ -0,0 +1,38 @@
+"""Reads a document from a file."""
+
+import pathlib
+
+from expression import Error, Result
+
+from trefoilhinge.conf.document import parse_document
+from trefoilhinge.conf.problems import ROOT, DocumentProblem, Problems
+from trefoilhinge.conf.texts import decode_text
+
+
+def read_document_file(path: str) -> Result[str, Problems]:
+    """Return the text of a file that holds a valid document.
+
+    An instance offers this text to its keeper at the start, so that it can
+    serve before the configuration service answers.
+
+    :param path: path of the file.
+    :return: the document's text, or every problem found.
+    """
+    return read_text_file(path).bind(
+        lambda text: parse_document(text).map(lambda _: text),
+    )
+
+
+def read_text_file(path: str) -> Result[str, Problems]:
+    """Return the text of a UTF-8 file, or why it cannot be read."""
+    try:
+        raw = pathlib.Path(path).read_bytes()
+    except (OSError, ValueError) as error:
+        reason = getattr(error, 'strerror', None) or str(error)
+        problem = DocumentProblem(
+            ROOT,
+            f'the file cannot be read: {reason}',
+            'give the path of a readable file',
+        )
+        return Error((problem,))
+    return decode_text(raw)
--- a/trefoilhinge/conf/generator.py
+++ b/trefoilhinge/conf/generator.py
@@ -13,7 +13,7 @@
 import jinja2
 
 HERE = pathlib.Path(__file__).parent
-MODULES = ('document', 'settings', 'messages')
+MODULES = ('document', 'settings', 'messages', 'status')
 _SCALARS = {
     'integer': 'int',
     'number': 'float',
--- /dev/null
+++ b/trefoilhinge/conf/keys.py
@@ -0,0 +1,34 @@
+"""Makes API keys: the caller gets the key, the document its salted hash."""
+
+import secrets
+
+from attrs import frozen
+
+from trefoilhinge.conf.generated.document import ApiKey
+from trefoilhinge.core.keys import digest_secret, format_key
+
+IDENTIFIER_BYTES = 6
+SECRET_BYTES = 32
+SALT_BYTES = 16
+
+
+@frozen
+class MadeKey:
+    """A fresh API key.
+
+    :ivar key: what the caller sends; it is kept nowhere.
+    :ivar entry: what the document holds.
+    """
+
+    key: str
+    entry: ApiKey
+
+
+def make_key() -> MadeKey:
+    """Return a fresh API key from the system's source of randomness."""
+    identifier = secrets.token_hex(IDENTIFIER_BYTES)
+    secret = secrets.token_hex(SECRET_BYTES)
+    salt = secrets.token_hex(SALT_BYTES)
+    digest = digest_secret(secret, salt)
+    entry = ApiKey(identifier=identifier, salt=salt, digest=digest)
+    return MadeKey(format_key(identifier, secret), entry)
--- a/trefoilhinge/entry/daemon.py
+++ b/trefoilhinge/entry/daemon.py
@@ -5,6 +5,7 @@
 from concurrent.futures import ThreadPoolExecutor
 from typing import Any
 
+import cattrs
 import pykka
 from attrs import define, field
 from cheroot import wsgi
@@ -26,6 +27,7 @@
 from trefoilhinge.node.composition import make_node, make_parts
 from trefoilhinge.node.core import NodeCore
 from trefoilhinge.node.schedule import TICK_S
+from trefoilhinge.node.status import describe_node
 from trefoilhinge.platform.connections import make_pool
 from trefoilhinge.platform.engines import make_http_engine_client
 from trefoilhinge.platform.plain import make_http_plain_client
@@ -105,6 +107,7 @@
         identity.incarnation,
     )
     core = make_node(parts, settings.start_wait_s, settings.stop_wait_s)
+    core.identity = identity
     return _assemble(settings, core, clock)
 
 
@@ -185,12 +188,8 @@
 
 
 def _describe(core: NodeCore, now: Instant) -> dict[str, Any]:
-    return {
-        'revision': core.parts.keeper.revision,
-        'ready': core.ready,
-        'calls': len(core.desk.table),
-        'queued': core.parts.limiter.count_queued(),
-    }
+    described: dict[str, Any] = cattrs.unstructure(describe_node(core, now))
+    return described
 
 
 def _make_server(address: str, application: Any, threads: int) -> wsgi.Server:
--- a/trefoilhinge/node/composition.py
+++ b/trefoilhinge/node/composition.py
@@ -8,6 +8,7 @@
 from trefoilhinge.node.core import NodeCore, NodeParts
 from trefoilhinge.node.desk import CallDesk
 from trefoilhinge.node.exchange import PeerExchanger
+from trefoilhinge.node.observations import Observations
 from trefoilhinge.node.tables import CallTable
 from trefoilhinge.orders.steward import make_reading_steward
 from trefoilhinge.retries.ledger import make_local_ledger
@@ -63,11 +64,20 @@
         parts.groups,
         parts.fleet,
     )
+    observations = Observations()
     exchanger = PeerExchanger(
         parts.fleet,
         parts.router,
         parts.limiter,
         parts.ledger,
         parts.keeper,
+        observations,
+    )
+    return NodeCore(
+        parts,
+        desk,
+        exchanger,
+        start_wait_s,
+        stop_wait_s,
+        observations=observations,
     )
-    return NodeCore(parts, desk, exchanger, start_wait_s, stop_wait_s)
--- a/trefoilhinge/node/core.py
+++ b/trefoilhinge/node/core.py
@@ -41,10 +41,11 @@
     StreamAnswered,
     TimerFired,
 )
-from trefoilhinge.core.identifiers import TargetName
+from trefoilhinge.core.identifiers import InstanceIdentity, TargetName
 from trefoilhinge.core.verdicts import RefusalCode, refuse_not_run
 from trefoilhinge.node.desk import CallDesk, refuse_stopping
 from trefoilhinge.node.exchange import PeerExchanger
+from trefoilhinge.node.observations import Observations
 from trefoilhinge.node.parts import (
     DocumentKeeper,
     Fleet,
@@ -97,6 +98,8 @@
 class NodeCore:
     """Decides for one instance; holds no socket, thread or clock.
 
+    :ivar observations: what it has seen, for its status alone.
+    :ivar identity: name and incarnation, for its status alone.
     :ivar ready: whether callers are taken.
     :ivar stopping_since_s: monotonic seconds of the stop request, if any.
     """
@@ -109,6 +112,8 @@
     timers: NodeTimers = field(factory=NodeTimers)
     pauses: PauseDetector = field(factory=PauseDetector)
     poller: TargetPoller = field(factory=lambda: TargetPoller(LOAD_INTERVAL_S))
+    observations: Observations = field(factory=Observations)
+    identity: InstanceIdentity | None = None
     ready: bool = False
     started_s: float | None = None
     stopping_since_s: float | None = None
@@ -152,7 +157,9 @@
         :param event: what happened.
         :param now: both clocks at that moment.
         """
-        return self._handlers[type(event)](event, now)
+        effects = self._handlers[type(event)](event, now)
+        self.observations.note(event, effects, now)
+        return effects
 
     def _receive_call(self, event: CallReceived, now: Instant) -> Effects:
         request_id = event.profile.request_id
--- a/trefoilhinge/node/exchange.py
+++ b/trefoilhinge/node/exchange.py
@@ -1,6 +1,6 @@
 """Composes and takes the messages between instances."""
 
-from attrs import define, evolve
+from attrs import define, evolve, field
 
 from trefoilhinge.conf.generated.messages import PeerExchange
 from trefoilhinge.conf.messages import read_exchange, write_exchange
@@ -13,6 +13,7 @@
 )
 from trefoilhinge.core.events import PeerAnswered, PeerMessageReceived
 from trefoilhinge.core.identifiers import InstanceName
+from trefoilhinge.node.observations import Observations
 from trefoilhinge.node.parts import (
     DocumentKeeper,
     Fleet,
@@ -34,6 +35,7 @@
     _limiter: Limiter
     _ledger: Ledger
     _keeper: DocumentKeeper
+    _observations: Observations = field(factory=Observations)
 
     def send(self, now: Instant) -> list[Effect]:
         """Return messages to the peers whose turn it is."""
@@ -105,6 +107,7 @@
         )
 
     def _take(self, exchange: PeerExchange, now: Instant) -> list[Effect]:
+        self._observations.note_exchange(exchange, now)
         effects: list[Effect] = []
         if exchange.document:
             source = f'peer:{exchange.sender}'
--- /dev/null
+++ b/trefoilhinge/node/status.py
@@ -0,0 +1,157 @@
+"""Describes a node for its operators, from what its cores already know."""
+
+from collections import Counter
+from collections.abc import Iterable, Mapping
+from typing import Any, Protocol, runtime_checkable
+
+from trefoilhinge.conf.generated.status import (
+    Count,
+    NodeStatus,
+    PeerStatus,
+    TargetStatus,
+)
+from trefoilhinge.core.clocks import Instant
+from trefoilhinge.core.identifiers import TargetName
+from trefoilhinge.node.core import NodeCore
+from trefoilhinge.node.findings import FORGET_PEER_S, find_faults
+from trefoilhinge.node.observations import SeenTarget
+from trefoilhinge.node.parts import TargetView
+from trefoilhinge.node.tables import IN_FLIGHT, CallRecord, CallState
+
+
+@runtime_checkable
+class ListsEjected(Protocol):
+    """A router that keeps calls from targets which failed too often."""
+
+    def list_ejected(self, now: Instant) -> frozenset[TargetName]:
+        """Return the targets that take no new calls now."""
+        ...
+
+
+def describe_node(core: NodeCore, now: Instant) -> NodeStatus:
+    """Return what a node is doing, and what is wrong.
+
+    :param core: the node; it is only read.
+    :param now: both clocks at this moment.
+    """
+    parts = core.parts
+    records = core.desk.table.list_records()
+    waiting = [one for one in records if one.state is CallState.QUEUED]
+    identity = core.identity
+    return NodeStatus(
+        instance=identity.name if identity else '',
+        incarnation=identity.incarnation if identity else 0,
+        ready=core.ready,
+        stopping=core.stopping_since_s is not None,
+        revision=parts.keeper.revision,
+        digest=parts.keeper.digest,
+        calls=len(records),
+        queued=parts.limiter.count_queued(),
+        findings=find_faults(core, now),
+        peers=_describe_peers(core, now),
+        targets=_describe_targets(core, records, now),
+        calls_by_state=_count(one.state for one in records),
+        queue_by_organisation=_count(
+            one.profile.organisation for one in waiting
+        ),
+        queue_by_prompt_tokens=_count_lengths(waiting),
+        held_by_owner=_sum_held(core.observations.targets),
+        refusals=_order(core.observations.refusals),
+    )
+
+
+def _describe_peers(core: NodeCore, now: Instant) -> tuple[PeerStatus, ...]:
+    heard = core.observations.peers.values()
+    return tuple(
+        PeerStatus(
+            name=one.name,
+            incarnation=one.incarnation,
+            revision=one.revision,
+            heard_age_s=round(now.monotonic_s - one.heard_s, 3),
+            stopping=one.stopping,
+        )
+        for one in sorted(heard, key=lambda one: one.name)
+        if now.monotonic_s - one.heard_s < FORGET_PEER_S
+    )
+
+
+def _describe_targets(
+    core: NodeCore,
+    records: Iterable[CallRecord],
+    now: Instant,
+) -> tuple[TargetStatus, ...]:
+    document = core.parts.keeper.document
+    if document is None:
+        return ()
+    router = core.parts.router
+    ejected: frozenset[TargetName] = frozenset()
+    if isinstance(router, ListsEjected):
+        ejected = router.list_ejected(now)
+    calls = Counter(
+        one.target.name
+        for one in records
+        if one.target is not None and one.state in IN_FLIGHT
+    )
+    seen = core.observations.targets
+    return tuple(
+        _describe_target(
+            target,
+            seen.get(target.name, SeenTarget()),
+            target.name in ejected,
+            calls[target.name],
+            now,
+        )
+        for service in document.services
+        for target in core.parts.fleet.list_targets(service.name)
+    )
+
+
+def _describe_target(
+    target: TargetView,
+    seen: SeenTarget,
+    ejected: bool,
+    calls: int,
+    now: Instant,
+) -> TargetStatus:
+    load = seen.load
+    age_s = None if load is None else round(now.monotonic_s - seen.seen_s, 3)
+    return TargetStatus(
+        name=target.name,
+        service=target.service,
+        failure_domain=target.failure_domain,
+        leaving=target.leaving,
+        ejected=ejected,
+        calls=calls,
+        queued_tokens=None if load is None else load.queued_tokens,
+        running=None if load is None else load.running,
+        free_tokens=None if load is None else load.free_tokens,
+        report_age_s=age_s,
+    )
+
+
+def _count(names: Iterable[str]) -> tuple[Count, ...]:
+    return _order(Counter(str(name) for name in names))
+
+
+def _count_lengths(records: Iterable[CallRecord]) -> tuple[Count, ...]:
+    decades = Counter(
+        10 ** (len(str(max(1, one.profile.prompt_tokens))) - 1)
+        for one in records
+    )
+    return tuple(
+        Count(name=str(decade), value=decades[decade])
+        for decade in sorted(decades)
+    )
+
+
+def _sum_held(seen: Mapping[TargetName, SeenTarget]) -> tuple[Count, ...]:
+    held: Counter[str] = Counter()
+    for target in seen.values():
+        for holding in target.holdings:
+            held[holding.owner] += holding.tokens
+    return _order(held)
+
+
+def _order(counts: Mapping[Any, int]) -> tuple[Count, ...]:
+    ranked = sorted(counts.items(), key=lambda pair: (-pair[1], pair[0]))
+    return tuple(Count(name=str(name), value=value) for name, value in ranked)
