Checked settings together and gave each command group a module.

A flag that looks like a literal lost digits (0123, 1e5), a misspelt flag was refused only after the command had run, and settings that contradict each other were found at the first call.

--- /dev/null
+++ b/tests/conf/test_differences.py
@@ -0,0 +1,120 @@
+import pathlib
+
+from attrs import evolve
+
+from trefoilhinge.conf.deprecations import find_deprecations
+from trefoilhinge.conf.differences import describe_differences
+from trefoilhinge.conf.document import parse_document
+from trefoilhinge.conf.keys import make_key
+from trefoilhinge.core.keys import compare_secret, parse_key
+
+EXAMPLES = pathlib.Path(__file__).parents[2] / 'examples'
+KANDY = parse_document((EXAMPLES / 'kandy.json').read_text()).ok
+
+
+def change_first(items, **changes):
+    return (evolve(items[0], **changes), *items[1:])
+
+
+class TestDifferences:
+    def test_same_documents_differ_in_nothing(self):
+        assert describe_differences(KANDY, KANDY) == []
+
+    def test_limits_are_told_in_words(self):
+        new = evolve(
+            KANDY,
+            organisations=change_first(
+                KANDY.organisations, tokens_per_s=200000.0, services=('desk',)
+            ),
+        )
+        assert describe_differences(KANDY, new) == [
+            'hotel-desk may now use 200,000 tokens a second, was 400,000',
+            'hotel-desk: services without writer',
+        ]
+
+    def test_added_and_removed_are_told(self):
+        service = KANDY.services[0]
+        gone = service.targets[0].name
+        new = evolve(
+            KANDY,
+            organisations=KANDY.organisations[1:],
+            services=change_first(KANDY.services, targets=service.targets[1:]),
+        )
+        assert describe_differences(KANDY, new) == [
+            'organisation hotel-desk is removed',
+            f'writer: target {gone} is removed',
+        ]
+        assert 'organisation hotel-desk is added' in describe_differences(
+            new, KANDY
+        )
+
+    def test_paths_and_desired_state_are_told(self):
+        desk = KANDY.services[1]
+        new = evolve(
+            KANDY,
+            services=(
+                evolve(KANDY.services[0], desired=None),
+                evolve(
+                    desk,
+                    paths=(
+                        evolve(
+                            desk.paths[0],
+                            idempotent=not desk.paths[0].idempotent,
+                        ),
+                        *desk.paths[1:],
+                    ),
+                ),
+            ),
+        )
+        first, second = describe_differences(KANDY, new)
+        assert first.startswith('writer: desired is now none, was model')
+        assert 'may now be repeated' in second
+
+    def test_secrets_of_keys_are_never_told(self):
+        made = make_key()
+        new = evolve(
+            KANDY,
+            organisations=change_first(KANDY.organisations, keys=(made.entry,)),
+        )
+        other = evolve(
+            KANDY,
+            organisations=change_first(
+                KANDY.organisations, keys=(evolve(made.entry, salt='0' * 32),)
+            ),
+        )
+        for pair in ((KANDY, new), (new, KANDY), (new, other)):
+            told = '\n'.join(describe_differences(*pair))
+            assert made.entry.identifier in told
+            assert made.entry.digest not in told
+            assert made.entry.salt not in told
+
+
+class TestKeys:
+    def test_made_key_fits_its_entry(self):
+        made = make_key()
+        presented = parse_key(made.key)
+        assert presented.identifier == made.entry.identifier
+        assert compare_secret(
+            presented.secret, made.entry.salt, made.entry.digest
+        )
+
+
+class TestDeprecations:
+    def test_marked_field_in_use_is_found_at_its_path(self):
+        schema = {
+            'properties': {
+                'many': {'type': 'array', 'items': {'$ref': '#/$defs/One'}}
+            }
+        }
+        one = {
+            'properties': {
+                'old': {'deprecated': True, '$comment': 'write "new"'},
+                'new': {'type': 'string'},
+            }
+        }
+        found = find_deprecations(
+            {'many': [{'new': 'x'}, {'old': 'x'}]}, schema, {'One': one}
+        )
+        assert [str(each) for each in found] == [
+            '$.many[1].old: this field is deprecated; write "new"'
+        ]
--- a/trefoilhinge/client/arguments.py
+++ b/trefoilhinge/client/arguments.py
@@ -34,7 +34,9 @@
     if isinstance(value, bool):
         return value
     if value.lower() not in words:
-        raise ImproperlyConfigured(f'--{name} is {value!r}; write true or false')
+        raise ImproperlyConfigured(
+            f'--{name} is {value!r}; write true or false'
+        )
     return words[value.lower()]
 
 
--- a/trefoilhinge/client/commands.py
+++ b/trefoilhinge/client/commands.py
@@ -1,51 +1,156 @@
-"""The ``trefoilhinge`` command."""
+"""The ``trefoilhinge`` command.
+
+Each method only notes what to run: it runs after the whole line was read, so
+that a flag which is misspelt stops the command before it does anything.
+"""
 
-import pathlib
 import sys
+from collections.abc import Callable
 
 import fire
+from attrs import define
 
-from trefoilhinge.conf.document import parse_document
-from trefoilhinge.conf.settings import Raw, list_settings, load_settings
+from trefoilhinge.client import documents, settings
+from trefoilhinge.client.arguments import (
+    quote_arguments,
+    read_switch,
+    wants_help,
+)
+from trefoilhinge.client.exits import EXIT_DONE, EXIT_INVALID
+from trefoilhinge.client.status import print_status
+from trefoilhinge.console.commands import run_console
 from trefoilhinge.demo.commands import run_demo
 from trefoilhinge.entry.commands import run_entry
 from trefoilhinge.exceptions import TrefoilhingeError
 
-EXIT_INVALID = 2
+# Commands whose flags are the settings, which their help lists.
+_TAKE_SETTINGS = frozenset(('entry', 'check-settings', 'check_settings'))
+
+
+@define
+class _Chosen:
+    """What the line asked for; nothing before it was read."""
+
+    job: Callable[[], int | None] = lambda: EXIT_DONE
 
 
+@define
 class Commands:
-    """Serving layer between callers and shared model engines."""
+    """Serving layer between callers and shared model engines.
+
+    Exit codes: 0 all is well; 1 the command found something that needs an
+    operator; 2 a file, a flag or a setting is wrong, or nothing answered.
+    """
+
+    _chosen: _Chosen
+
+    def entry(self, **flags: str) -> None:
+        """Run an entry instance; its flags are the settings.
+
+        Every setting may also stand in the environment. ``trefoilhinge
+        check-settings --help`` lists them.
+        """
+        self._chosen.job = lambda: run_entry(
+            settings.load_checked_settings(flags)
+        )
+
+    def check_settings(self, **flags: str) -> None:
+        """List the settings in force, each with its source, and check them.
+
+        Secrets are masked. Exits with 2 if a check finds an error.
+        """
+        self._chosen.job = lambda: settings.check_settings(flags)
+
+    def check(
+        self,
+        file: str,
+        format: str = 'text',  # noqa: A002
+    ) -> None:
+        """Check a document; each problem is a line.
+
+        Exits with 2 if the document is invalid or cannot be read.
+
+        :param file: file with the document.
+        :param format: ``text`` or ``json``.
+        """
+        self._chosen.job = lambda: documents.check_document(file, format)
 
-    def entry(self, **settings: Raw) -> None:
-        """Run an entry instance; see check-settings for its flags."""
-        run_entry(load_settings(settings))
+    def diff(
+        self,
+        old: str,
+        new: str,
+        format: str = 'text',  # noqa: A002
+    ) -> None:
+        """Tell in words what a new document changes.
+
+        Exits with 2 if one of them is invalid or cannot be read.
+
+        :param old: file with the document before.
+        :param new: file with the document after.
+        :param format: ``text`` or ``json``.
+        """
+        self._chosen.job = lambda: documents.compare_documents(old, new, format)
+
+    def make_key(self) -> None:
+        """Make an API key, and the entry that the document holds for it."""
+        self._chosen.job = documents.print_new_key
+
+    def console(
+        self,
+        listen: str = '127.0.0.1:8480',
+        document: str = '',
+        status: str = '',
+    ) -> None:
+        """Serve the forms that edit a document.
+
+        :param listen: IP number and port to serve at.
+        :param document: file with a document to begin with.
+        :param status: URLs of instances to show, separated by commas.
+        """
+        self._chosen.job = lambda: run_console(listen, document, status)
+
+    def status(
+        self,
+        urls: str,
+        format: str = 'text',  # noqa: A002
+    ) -> None:
+        """Show what instances are doing, what is wrong first.
+
+        Exits with 1 if something is wrong and with 2 if an instance cannot
+        be reached.
+
+        :param urls: URLs of peer listeners, separated by commas.
+        :param format: ``text`` or ``json``.
+        """
+        self._chosen.job = lambda: print_status(urls, format)
 
     def demo(self, once: bool = False) -> None:
-        """Run a small deployment on loopback with stand-ins."""
-        sys.exit(run_demo(once))
-
-    def check(self, file: str) -> None:
-        """Check a document; exit 2 and name each problem if it is invalid."""
-        text = pathlib.Path(file).read_text(encoding='utf-8')
-        parsed = parse_document(text)
-        if parsed.is_ok():
-            print(f'{file}: revision {parsed.ok.revision} is valid')
-            return
-        for problem in parsed.error:
-            print(f'{file}: {problem}', file=sys.stderr)
-        sys.exit(EXIT_INVALID)
-
-    def check_settings(self, **settings: Raw) -> None:
-        """List the settings in force and where each comes from."""
-        for one in list_settings(settings):
-            print(f'{one.name}={one.value!r}  ({one.source})')
+        """Run a small deployment on loopback with stand-ins.
+
+        :param once: exit when it is ready in place of serving on.
+        """
+        self._chosen.job = lambda: run_demo(read_switch(once, 'once'))
+
+
+def run_line(arguments: list[str]) -> int:
+    """Run one command line and return its exit code.
+
+    :param arguments: the command and its flags.
+    """
+    if arguments[:1] and arguments[0] in _TAKE_SETTINGS:
+        if wants_help(arguments):
+            return settings.print_settings_help()
+    chosen = _Chosen()
+    line = quote_arguments(arguments)
+    fire.Fire(Commands(chosen), command=line, name='trefoilhinge')
+    return chosen.job() or EXIT_DONE
 
 
 def main() -> None:
-    """Run the command line."""
+    """Run the command line of this process."""
     try:
-        fire.Fire(Commands, name='trefoilhinge')
+        code = run_line(sys.argv[1:])
     except TrefoilhingeError as error:
         print(f'trefoilhinge: {error}', file=sys.stderr)
-        sys.exit(EXIT_INVALID)
+        code = EXIT_INVALID
+    sys.exit(code)
--- /dev/null
+++ b/trefoilhinge/client/fleets.py
@@ -0,0 +1,101 @@
+"""Reads the status of the instances of a fleet over HTTP."""
+
+import functools
+import json
+from collections.abc import Callable, Iterable
+from concurrent.futures import ThreadPoolExecutor
+from typing import Any
+
+import urllib3
+from attrs import frozen
+
+from trefoilhinge.conf.converters import REFUSALS, make_strict_reader
+from trefoilhinge.conf.generated import status as classes
+from trefoilhinge.conf.generated.status import Finding, NodeStatus
+from trefoilhinge.conf.generator import load_schema
+from trefoilhinge.exceptions import ImproperlyConfigured
+
+STATUS_TIMEOUT_S = 5.0
+READERS = 16
+_UNREADABLE = (*REFUSALS, RecursionError)
+_NEEDS_NOBODY = 'notice'
+_ORDER = ('error', 'warning', _NEEDS_NOBODY)
+
+
+@frozen
+class InstanceReport:
+    """What one URL answered.
+
+    :ivar status: none if it could not be read.
+    :ivar problem: why it could not, empty if it could.
+    """
+
+    url: str
+    status: NodeStatus | None
+    problem: str = ''
+
+    @property
+    def needs_operator(self) -> bool:
+        """Return whether the instance found something wrong."""
+        if self.status is None:
+            return True
+        severities = {one.severity for one in self.status.findings}
+        return bool(severities - {_NEEDS_NOBODY})
+
+
+@frozen
+class FleetFinding:
+    """A finding and the instance that made it."""
+
+    instance: str
+    finding: Finding
+
+
+def list_findings(statuses: Iterable[NodeStatus]) -> list[FleetFinding]:
+    """Return what any instance found wrong, the worst first."""
+    found = [
+        FleetFinding(status.instance, finding)
+        for status in statuses
+        for finding in status.findings
+    ]
+    return sorted(found, key=lambda one: _ORDER.index(one.finding.severity))
+
+
+def read_fleet(urls: str) -> tuple[InstanceReport, ...]:
+    """Read the status of every instance, several at a time.
+
+    :param urls: URLs of peer listeners, separated by commas.
+    :raises ImproperlyConfigured: there is no URL among them.
+    """
+    wanted = [one.strip() for one in urls.split(',') if one.strip()]
+    if not wanted:
+        raise ImproperlyConfigured('give the URL of at least one instance')
+    pool = urllib3.PoolManager(retries=False, timeout=STATUS_TIMEOUT_S)
+    with ThreadPoolExecutor(READERS) as executor:
+        reports = executor.map(lambda url: read_instance(pool, url), wanted)
+        return tuple(reports)
+
+
+def read_instance(pool: urllib3.PoolManager, url: str) -> InstanceReport:
+    """Read the status of one instance.
+
+    :param url: URL of its peer listener, with or without ``/status``.
+    """
+    base = url if '://' in url else f'http://{url}'
+    address = f'{base.rstrip("/").removesuffix("/status")}/status'
+    try:
+        response = pool.request('GET', address)
+    except (urllib3.exceptions.HTTPError, OSError, ValueError) as error:
+        return InstanceReport(url, None, f'no answer: {error}')
+    if response.status != 200:
+        return InstanceReport(url, None, f'HTTP status {response.status}')
+    try:
+        status: NodeStatus = _make_reader()(json.loads(response.data))
+    except _UNREADABLE as refusal:
+        return InstanceReport(url, None, f'no status of an instance: {refusal}')
+    return InstanceReport(url, status)
+
+
+@functools.cache
+def _make_reader() -> Callable[[Any], Any]:
+    return make_strict_reader(load_schema('status'), classes)
--- a/trefoilhinge/conf/differences.py
+++ b/trefoilhinge/conf/differences.py
@@ -43,6 +43,7 @@
     Service: _Noun('service'),
     Target: _Noun('target'),
 }
+_HIDDEN = frozenset(('salt', 'digest'))
 # Sentences for what operators change most; others are told by field.
 _SENTENCES: Mapping[str, str] = {
     'requests_per_s': 'may now send {new} requests a second, was {old}',
@@ -77,14 +78,16 @@
     new: Any,
     where: str,
 ) -> Iterator[str]:
-    if has(type(old)) and type(old) is type(new):
+    if has(type(old)) and isinstance(new, type(old)):
         yield from _compare(old, new, _join(where, name))
     elif isinstance(new, tuple):
         yield from _compare_lists(name, old, new, where)
+    elif name in _HIDDEN:
+        yield f'{where}: {name} has changed'
     else:
         sentence = _SENTENCES.get(name, f'{name} is now {{new}}, was {{old}}')
         told = sentence.format(old=_show(old), new=_show(new))
-        yield f'{where}: {told}' if where else told
+        yield _join(where, told, ' ' if name in _SENTENCES else ': ')
 
 
 def _compare_lists(
@@ -100,8 +103,9 @@
         return
     before = {getattr(one, noun.key): one for one in old}
     after = {getattr(one, noun.key): one for one in new}
-    for key in before.keys() - after.keys():
-        yield _join(where, f'{noun.word} {key} is removed', ': ')
+    for gone in before:
+        if gone not in after:
+            yield _join(where, f'{noun.word} {gone} is removed', ': ')
     for key, one in after.items():
         place = _join(where, _name_item(noun, key))
         if key not in before:
--- a/trefoilhinge/conf/references.py
+++ b/trefoilhinge/conf/references.py
@@ -1,15 +1,23 @@
 """Finds names that point at nothing and names that stand twice."""
 
 import difflib
-import ipaddress
 from collections.abc import Iterable, Iterator
+from typing import Protocol
 
+from trefoilhinge.conf.addresses import explain_address
 from trefoilhinge.conf.generated.document import Document, Model, Service
 from trefoilhinge.conf.problems import DocumentProblem
 
 NamedPath = tuple[str, str]
 
 
+class _Named(Protocol):
+    @property
+    def name(self) -> str:
+        """Return the name."""
+        ...
+
+
 def find_reference_problems(document: Document) -> Iterator[DocumentProblem]:
     """Yield dangling names, repeated names and unusable addresses."""
     yield from _find_dangling(document)
@@ -188,9 +196,9 @@
     )
 
 
-def _list_names(path: str, named: Iterable[object]) -> Iterator[NamedPath]:
+def _list_names(path: str, named: Iterable[_Named]) -> Iterator[NamedPath]:
     for number, one in enumerate(named):
-        yield f'{path}[{number}].name', str(getattr(one, 'name'))  # noqa: B009
+        yield f'{path}[{number}].name', one.name
 
 
 def _check_address(path: str, address: str) -> Iterator[DocumentProblem]:
@@ -202,23 +210,3 @@
             'write an IP number and a port from 1 to 65535, '
             'such as "10.0.1.7:8000" or "[fd00::7]:8000"',
         )
-
-
-def explain_address(address: str) -> str:
-    """Return what is wrong with an address, empty if nothing is.
-
-    :param address: IP number and port.
-    """
-    host, colon, port = address.rpartition(':')
-    if not colon or not port.isdecimal() or not port.isascii():
-        return f'"{address}" has no port'
-    if not 1 <= int(port[:6]) <= 65535:
-        return f'{port} is no port'
-    bare = host.removeprefix('[').removesuffix(']')
-    try:
-        number = ipaddress.ip_address(bare)
-    except ValueError:
-        return f'"{host}" is no IP number'
-    if (number.version == 6) != host.startswith('['):
-        return f'"{host}" is no IP number in the form of an address'
-    return ''
--- a/trefoilhinge/conf/settings.py
+++ b/trefoilhinge/conf/settings.py
@@ -1,31 +1,54 @@
-"""Reads settings from flags and the environment, loaded lazily."""
+"""Reads settings from flags and the environment.
 
+Flags go before variables, and variables before defaults. The defaults stand
+in one place, ``settings.schema.json``, from which the class ``Settings`` is
+generated. There is no global settings object: several instances may run in
+one process, each with settings of its own, so they are handed on.
+"""
+
+import difflib
 import functools
 import os
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
 from typing import Any
 
-import attrs
 import cattrs
-
+from attrs import frozen
+
+from trefoilhinge.conf.conversions import (
+    Raw,
+    Unconvertible,
+    convert_raw,
+    mask_value,
+)
 from trefoilhinge.conf.generated.settings import Settings
 from trefoilhinge.conf.generator import load_schema
 from trefoilhinge.exceptions import ImproperlyConfigured
 
 PREFIX = 'TREFOILHINGE_'
-Raw = str | int | float | bool | list[Any] | tuple[Any, ...]
 
 
-@attrs.frozen
+@frozen
 class SettingInForce:
     """One setting and where its value came from.
 
     :ivar source: ``flag``, ``environment`` or ``default``.
+    :ivar shown: the value as it may be printed; secrets are masked.
     """
 
     name: str
     value: object
     source: str
+    shown: object
+
+
+@frozen
+class _Given:
+    """A value given for a setting, before it is converted."""
+
+    raw: Raw
+    source: str
+    label: str
 
 
 def load_settings(
@@ -38,11 +61,12 @@
     :param environment: the environment; none takes the process's own.
     :raises ImproperlyConfigured: a setting is unknown, missing or ill-typed.
     """
-    found = list_settings(flags, environment)
-    return cattrs.structure(
-        {one.name: one.value for one in found},
-        Settings,
-    )
+    return structure_settings(list_settings(flags, environment))
+
+
+def structure_settings(found: tuple[SettingInForce, ...]) -> Settings:
+    """Return listed settings as one object."""
+    return cattrs.structure({one.name: one.value for one in found}, Settings)
 
 
 def list_settings(
@@ -51,106 +75,86 @@
 ) -> tuple[SettingInForce, ...]:
     """Return every setting with its source.
 
-    :raises ImproperlyConfigured: a setting is unknown, missing or ill-typed.
+    :raises ImproperlyConfigured: settings are unknown, missing or ill-typed;
+        the message names all of them.
     """
     present = os.environ if environment is None else environment
-    properties = _load_properties()
-    _refuse_unknown(flags, present, properties)
-    return tuple(_find_setting(name, flags, present) for name in properties)
+    wrong = list(_find_unknown(flags, present))
+    found = []
+    for name, schema in load_properties().items():
+        try:
+            found.append(_find_setting(name, schema, flags, present))
+        except Unconvertible as error:
+            wrong.append(str(error))
+    if wrong:
+        raise ImproperlyConfigured('\n'.join(wrong))
+    return tuple(found)
 
 
-def _refuse_unknown(
+@functools.cache
+def load_properties() -> Mapping[str, Any]:
+    """Return the schema of each setting, by its name."""
+    properties: Mapping[str, Any] = load_schema('settings')['properties']
+    return properties
+
+
+def _find_unknown(
     flags: Mapping[str, Raw],
     environment: Mapping[str, str],
-    properties: Mapping[str, Any],
-) -> None:
-    for name in flags:
-        if name not in properties:
-            raise ImproperlyConfigured(
-                f'--{name} is no setting; see trefoilhinge check-settings',
-            )
-    for variable in environment:
-        name = variable.removeprefix(PREFIX).lower()
-        if variable.startswith(PREFIX) and name not in properties:
-            raise ImproperlyConfigured(
-                f'{variable} is no setting; see trefoilhinge check-settings',
-            )
+) -> Iterator[str]:
+    known = load_properties()
+    given = [(f'--{name}', name) for name in flags]
+    given.extend(
+        (variable, variable.removeprefix(PREFIX).lower())
+        for variable in environment
+        if variable.startswith(PREFIX)
+    )
+    for label, name in given:
+        if name not in known:
+            nearest = difflib.get_close_matches(name, known, 1)
+            hint = 'see trefoilhinge check-settings --help'
+            if nearest:
+                hint = f'did you mean {nearest[0]}?'
+            yield f'{label} is no setting; {hint}'
 
 
 def _find_setting(
     name: str,
+    schema: Mapping[str, Any],
     flags: Mapping[str, Raw],
     environment: Mapping[str, str],
 ) -> SettingInForce:
+    given = _find_given(name, flags, environment)
+    if given is None:
+        value = _find_default(name, schema)
+        return SettingInForce(name, value, 'default', mask_value(value, schema))
+    try:
+        value = convert_raw(given.raw, schema)
+    except Unconvertible as error:
+        shown = mask_value(given.raw, schema)
+        message = f'{given.label} is {shown!r}; {error}'
+        raise Unconvertible(message) from None
+    return SettingInForce(name, value, given.source, mask_value(value, schema))
+
+
+def _find_given(
+    name: str,
+    flags: Mapping[str, Raw],
+    environment: Mapping[str, str],
+) -> _Given | None:
     variable = f'{PREFIX}{name.upper()}'
     if name in flags:
-        value = _convert(name, flags[name], f'--{name}')
-        return SettingInForce(name, value, 'flag')
+        return _Given(flags[name], 'flag', f'--{name}')
     if variable in environment:
-        value = _convert(name, environment[variable], variable)
-        return SettingInForce(name, value, 'environment')
-    schema = _load_properties()[name]
+        return _Given(environment[variable], 'environment', variable)
+    return None
+
+
+def _find_default(name: str, schema: Mapping[str, Any]) -> object:
     if 'default' not in schema:
-        raise ImproperlyConfigured(
+        variable = f'{PREFIX}{name.upper()}'
+        raise Unconvertible(
             f'{name} is missing; give --{name}=... or set {variable}',
         )
     default = schema['default']
-    if isinstance(default, list):
-        default = tuple(default)
-    return SettingInForce(name, default, 'default')
-
-
-def _convert(name: str, raw: Raw, source: str) -> object:
-    schema = _load_properties()[name]
-    try:
-        value = _CONVERTERS[schema['type']](raw)
-    except (ValueError, TypeError):
-        kind = schema['type']
-        raise ImproperlyConfigured(
-            f'{source} is {raw!r}; write a value of type {kind}',
-        ) from None
-    choices = schema.get('enum')
-    if choices and value not in choices:
-        raise ImproperlyConfigured(
-            f'{source} is {raw!r}; write one of {", ".join(choices)}',
-        )
-    minimum = schema.get('minimum')
-    if minimum is not None and value < minimum:
-        raise ImproperlyConfigured(
-            f'{source} is {raw!r}; write {minimum} or more',
-        )
-    return value
-
-
-def _split(raw: Raw) -> tuple[str, ...]:
-    if isinstance(raw, str):
-        return tuple(part.strip() for part in raw.split(',') if part.strip())
-    if isinstance(raw, list | tuple):
-        return tuple(str(part) for part in raw)
-    raise ValueError('not a list')
-
-
-def _read_integer(raw: Raw) -> int:
-    if isinstance(raw, bool) or not isinstance(raw, str | int):
-        raise ValueError('not an integer')
-    return int(raw)
-
-
-def _read_number(raw: Raw) -> float:
-    if isinstance(raw, bool) or not isinstance(raw, str | int | float):
-        raise ValueError('not a number')
-    return float(raw)
-
-
-_CONVERTERS: Mapping[str, Any] = {
-    'string': str,
-    'integer': _read_integer,
-    'number': _read_number,
-    'array': _split,
-}
-
-
-@functools.cache
-def _load_properties() -> Mapping[str, Any]:
-    properties: Mapping[str, Any] = load_schema('settings')['properties']
-    return properties
+    return tuple(default) if isinstance(default, list) else default
