--- a/trefoilhinge/node/core.py
+++ b/trefoilhinge/node/core.py
@@ -41,10 +41,11 @@
     StreamAnswered,
     TimerFired,
 )
-from trefoilhinge.core.identifiers import TargetName
+from trefoilhinge.core.identifiers import InstanceIdentity, TargetName
 from trefoilhinge.core.verdicts import RefusalCode, refuse_not_run
 from trefoilhinge.node.desk import CallDesk, refuse_stopping
 from trefoilhinge.node.exchange import PeerExchanger
+from trefoilhinge.node.observations import Observations
 from trefoilhinge.node.parts import (
     DocumentKeeper,
     Fleet,
@@ -100,6 +101,8 @@
 class NodeCore:
     """Decides for one instance; holds no socket, thread or clock.
 
+    :ivar observations: what it has seen, for its status alone.
+    :ivar identity: name and incarnation, for its status alone.
     :ivar ready: whether callers are taken.
     :ivar stopping_since_s: monotonic seconds of the stop request, if any.
     """
@@ -113,6 +116,8 @@
     timers: NodeTimers = field(factory=NodeTimers)
     pauses: PauseDetector = field(factory=PauseDetector)
     poller: TargetPoller = field(factory=lambda: TargetPoller(LOAD_INTERVAL_S))
+    observations: Observations = field(factory=Observations)
+    identity: InstanceIdentity | None = None
     ready: bool = False
     started_s: float | None = None
     stopping_since_s: float | None = None
@@ -161,6 +166,7 @@
         effects.extend(self._handlers[type(event)](event, now))
         if not self._stopped:
             effects.extend(self.exchanger.send_news(now))
+        self.observations.note(event, effects, now)
         return effects
 
     def _receive_call(self, event: CallReceived, now: Instant) -> Effects:
