Split the simulated instance and let faults reach each step.

Its actions are now two modules, each step of a request, an order and a document is told to a probe, the network holds what reaches a paused end, and a forward is served by the owner's own core.

--- /dev/null
+++ b/trefoilhinge/standins/simulation/answers.py
@@ -0,0 +1,351 @@
+"""Carries out what a node asks for on behalf of a caller."""
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Any
+
+from attrs import define, evolve
+
+from trefoilhinge.core import effects as fx
+from trefoilhinge.core import events as ev
+from trefoilhinge.core.identifiers import (
+    AttemptId,
+    InstanceName,
+    RequestId,
+    StreamId,
+    TargetName,
+)
+from trefoilhinge.core.lines import StreamEvent
+from trefoilhinge.core.progress import ProgressStep
+from trefoilhinge.core.reports import StreamState
+from trefoilhinge.standins.simulation.engine import FakeEngine
+from trefoilhinge.standins.simulation.network import Connection
+from trefoilhinge.standins.simulation.steps import Step
+from trefoilhinge.standins.simulation.world import CallRecord, World
+
+if TYPE_CHECKING:
+    from trefoilhinge.standins.simulation.driver import NodeDriver
+
+Listener = Callable[[StreamEvent], None]
+
+
+@define
+class AnswerActions:
+    """Sends attempts to targets and relays their answers to callers."""
+
+    _driver: 'NodeDriver'
+
+    @property
+    def _world(self) -> World:
+        return self._driver.world
+
+    def map_effects(self) -> dict[type[Any], Callable[[Any], None]]:
+        """Return the method that carries out each kind of effect."""
+        return {
+            fx.Dispatch: self._dispatch,
+            fx.QueryStream: self._query,
+            fx.ResumeStream: self._resume,
+            fx.CancelAttempt: self._cancel,
+            fx.FinishCall: self._finish,
+            fx.RefuseCall: self._refuse,
+            fx.ForwardCall: self._forward,
+        }
+
+    def take_event(self, attempt: AttemptId, event: StreamEvent) -> None:
+        """Take one event of a stream, as the caller's thread does."""
+        call = self._world.calls[attempt.request_id]
+        if not self._driver.alive or call.ended_s is not None:
+            return
+        first = call.progress.taken == 0
+        step = call.progress.take(attempt, event)
+        if step is ProgressStep.REPEATED:
+            return
+        call.last_event_s = self._world.simulation.now_s
+        if step is ProgressStep.FOREIGN:
+            self._end(attempt, ev.AttemptOutcome.MISMATCHED)
+        elif step is ProgressStep.GAP:
+            self._end(attempt, ev.AttemptOutcome.BROKEN)
+        elif step is ProgressStep.FINISHED:
+            self._end(attempt, ev.AttemptOutcome.FINISHED)
+        else:
+            self._relay(call, attempt, event, first)
+
+    def _dispatch(self, effect: fx.Dispatch) -> None:
+        attempt = effect.attempt
+        now = self._driver.read_clock()
+        late = now.monotonic_s >= min(
+            effect.lease.monotonic_s,
+            effect.deadline_s,
+        )
+        if late or now.wall_s >= effect.lease.wall_s:
+            self._end(attempt, ev.AttemptOutcome.LEASE_LOST)
+            return
+        call = self._world.calls[attempt.request_id]
+        call.progress.begin(attempt)
+        call.last_event_s = self._world.simulation.now_s
+        if effect.target in self._world.network.dead:
+            self._end(attempt, ev.AttemptOutcome.NOT_SENT)
+        elif call.profile.model:
+            self._dispatch_model(effect, call)
+        else:
+            self._dispatch_plain(effect, call)
+
+    def _dispatch_model(self, effect: fx.Dispatch, call: CallRecord) -> None:
+        engine = self._world.engines[effect.target]
+        attempt = effect.attempt
+
+        def start() -> None:
+            started = engine.start(
+                StreamId(str(attempt)),
+                call.profile,
+                effect.priority,
+                self._listen(attempt, effect.target),
+                effect.group_tag,
+            )
+            if started:
+                self._note_start(effect)
+                self._watch_prefill(engine, attempt)
+            else:
+                self._world.network.send(
+                    effect.target,
+                    self._driver.name,
+                    lambda: self._end(attempt, ev.AttemptOutcome.REFUSED),
+                )
+
+        self._world.network.send(self._driver.name, effect.target, start)
+
+    def _dispatch_plain(self, effect: fx.Dispatch, call: CallRecord) -> None:
+        plain = self._world.plains[effect.target]
+
+        def serve() -> ev.AttemptOutcome:
+            if plain.call(str(effect.attempt.request_id)):
+                self._note_start(effect)
+                return ev.AttemptOutcome.FINISHED
+            return ev.AttemptOutcome.REFUSED
+
+        def take(outcome: ev.AttemptOutcome | None) -> None:
+            self._end(effect.attempt, outcome or ev.AttemptOutcome.BROKEN)
+
+        remaining_s = effect.deadline_s - self._driver.read_clock().monotonic_s
+        self._world.network.request(
+            self._driver.name,
+            effect.target,
+            serve,
+            take,
+            remaining_s,
+            plain.serve_s,
+        )
+
+    def _note_start(self, effect: fx.Dispatch) -> None:
+        request = str(effect.attempt.request_id)
+        self._world.note_start(effect.target, request, self._driver.name)
+        self._world.reach(
+            Step.ACCEPTED,
+            effect.attempt,
+            self._driver.name,
+            effect.target,
+        )
+
+    def _watch_prefill(self, engine: FakeEngine, attempt: AttemptId) -> None:
+        stream = engine.streams.get(StreamId(str(attempt)))
+        if self._world.probe is None or stream is None:
+            return
+        half_s = stream.prefill_left / engine.speeds.prefill_tokens_per_s / 2
+
+        def reach() -> None:
+            if stream.prefill_left and not stream.cancelled:
+                self._world.reach(
+                    Step.PREFILLING,
+                    attempt,
+                    self._driver.name,
+                    engine.name,
+                )
+
+        self._world.simulation.schedule(half_s, reach)
+
+    def _listen(self, attempt: AttemptId, target: TargetName) -> Listener:
+        network = self._world.network
+        connection = network.open_connection(self._driver.name, target)
+        connection.deliver = lambda event: self._take(
+            attempt,
+            event,
+            connection,
+        )
+        connection.note_break = lambda: self._break(attempt)
+
+        def listen(event: StreamEvent) -> None:
+            arriving = connection.partner or connection
+            if not connection.silent and arriving.deliver is not None:
+                deliver = arriving.deliver
+                network.send(target, arriving.source, lambda: deliver(event))
+
+        return listen
+
+    def _break(self, attempt: AttemptId) -> None:
+        call = self._world.calls[attempt.request_id]
+        if call.ended_s is None and call.progress.attempt == attempt:
+            self._end(attempt, ev.AttemptOutcome.BROKEN)
+
+    def _take(
+        self,
+        attempt: AttemptId,
+        event: StreamEvent,
+        connection: Connection,
+    ) -> None:
+        if connection.silent or self._lose(attempt, event, connection):
+            return
+        if not connection.silent:
+            self.take_event(attempt, event)
+
+    def _lose(
+        self,
+        attempt: AttemptId,
+        event: StreamEvent,
+        connection: Connection,
+    ) -> bool:
+        if self._world.probe is None:
+            return False
+        call = self._world.calls[attempt.request_id]
+        if event.is_finish_marker:
+            step = Step.FINISH_LOST
+        elif event.offset == 0:
+            step = Step.FIRST_TOKEN
+        elif event.offset == call.profile.output_tokens // 2:
+            step = Step.MID_STREAM
+        else:
+            return False
+        return self._world.reach(
+            step,
+            attempt,
+            self._driver.name,
+            connection.target,
+        )
+
+    def _relay(
+        self,
+        call: CallRecord,
+        attempt: AttemptId,
+        event: StreamEvent,
+        first: bool,
+    ) -> None:
+        if first:
+            call.first_s = self._world.simulation.now_s
+            call.pieces.clear()
+            stream_id = StreamId(event.stream_id)
+            self._driver.report(ev.AttemptAccepted(attempt, stream_id))
+            self._driver.report(ev.FirstTokenSeen(attempt))
+        call.pieces.append(event.data)
+
+    def _end(self, attempt: AttemptId, outcome: ev.AttemptOutcome) -> None:
+        call = self._world.calls[attempt.request_id]
+        taken = call.progress.taken
+        self._driver.report(
+            ev.AttemptEnded(
+                attempt,
+                outcome,
+                relayed=taken,
+                prompt_tokens=call.profile.prompt_tokens,
+                output_tokens=taken,
+            ),
+        )
+
+    def _query(self, effect: fx.QueryStream) -> None:
+        engine = self._world.engines[effect.target]
+
+        def serve() -> ev.Event:
+            state, offset = engine.find_state(effect.stream_id)
+            return ev.StreamAnswered(effect.attempt, state, offset)
+
+        lost = ev.StreamAnswered(effect.attempt, StreamState.UNREACHABLE, 0)
+        self._world.network.request(
+            self._driver.name,
+            effect.target,
+            serve,
+            lambda answer: self._driver.report(answer or lost),
+        )
+
+    def _resume(self, effect: fx.ResumeStream) -> None:
+        engine = self._world.engines[effect.target]
+        call = self._world.calls[effect.attempt.request_id]
+        call.last_event_s = self._world.simulation.now_s
+        listener = self._listen(effect.attempt, effect.target)
+        self._world.network.send(
+            self._driver.name,
+            effect.target,
+            lambda: engine.resume(effect.stream_id, effect.offset, listener),
+        )
+
+    def _cancel(self, effect: fx.CancelAttempt) -> None:
+        engine = self._world.engines.get(effect.target)
+        if engine is None:
+            return
+        stream_id = StreamId(str(effect.attempt))
+        self._world.network.send(
+            self._driver.name,
+            effect.target,
+            lambda: engine.void(stream_id),
+        )
+
+    def _finish(self, effect: fx.FinishCall) -> None:
+        call = self._world.calls[effect.request_id]
+        if call.ended_s is None:
+            call.refusal = call.relayed_refusal
+            call.finished = call.refusal is None
+            call.end(self._world.simulation.now_s)
+
+    def _refuse(self, effect: fx.RefuseCall) -> None:
+        call = self._world.calls[effect.request_id]
+        if call.ended_s is None:
+            call.refusal = effect.refusal
+            call.end(self._world.simulation.now_s)
+
+    def _forward(self, effect: fx.ForwardCall) -> None:
+        """Pass a call to its owner and relay the answer from there."""
+        here = self._driver.name
+        call = self._world.calls[effect.request_id]
+        network = self._world.network
+        owner = InstanceName(effect.owner)
+        if owner in network.dead:
+            self._end_forward(effect.request_id, delivered=False)
+            return
+
+        def answer(there: CallRecord) -> None:
+            network.send(owner, here, lambda: self._take_forward(call, there))
+
+        def arrive() -> None:
+            driver = self._world.drivers[owner]
+            if driver.incarnation != effect.incarnation:
+                network.send(
+                    owner,
+                    here,
+                    lambda: self._end_forward(effect.request_id),
+                )
+                return
+            passed = driver.receive_call(
+                evolve(
+                    call.profile,
+                    request_id=RequestId(f'{effect.request_id}@{here}'),
+                    forwarded=True,
+                ),
+            )
+            if passed.ended_s is None:
+                passed.note_end = answer
+            else:
+                answer(passed)
+
+        network.send(here, owner, arrive)
+
+    def _take_forward(self, call: CallRecord, there: CallRecord) -> None:
+        if call.ended_s is not None:
+            return
+        call.pieces = list(there.pieces)
+        call.relayed_refusal = there.refusal
+        finished = there.finished or there.refusal is not None
+        self._end_forward(call.profile.request_id, finished=finished)
+
+    def _end_forward(
+        self,
+        request_id: RequestId,
+        delivered: bool = True,
+        finished: bool = False,
+    ) -> None:
+        self._driver.report(ev.ForwardEnded(request_id, delivered, finished))
--- a/trefoilhinge/standins/simulation/driver.py
+++ b/trefoilhinge/standins/simulation/driver.py
@@ -8,65 +8,22 @@
 from trefoilhinge.core import effects as fx
 from trefoilhinge.core import events as ev
 from trefoilhinge.core.clocks import Instant
-from trefoilhinge.core.identifiers import (
-    AttemptId,
-    InstanceName,
-    RequestId,
-    StreamId,
-    TargetName,
-)
-from trefoilhinge.core.lines import StreamEvent
+from trefoilhinge.core.identifiers import InstanceName
 from trefoilhinge.core.profiles import CallProfile
-from trefoilhinge.core.progress import AnswerProgress, ProgressStep
-from trefoilhinge.core.reports import Holding, StreamState
-from trefoilhinge.core.verdicts import Refusal
 from trefoilhinge.node.core import NodeCore
 from trefoilhinge.node.schedule import TICK_S
-from trefoilhinge.standins.simulation.engine import FakeEngine
-from trefoilhinge.standins.simulation.heap import Simulation
-from trefoilhinge.standins.simulation.network import Network
-from trefoilhinge.standins.simulation.services import FakePlain, FakePlatform
+from trefoilhinge.node.tables import CallState
+from trefoilhinge.standins.simulation.answers import AnswerActions
+from trefoilhinge.standins.simulation.platform import PlatformActions
+from trefoilhinge.standins.simulation.steps import Step
+from trefoilhinge.standins.simulation.world import CallRecord, World
 
-PLATFORM_END = 'platform'
-
-
-@define
-class CallRecord:
-    """One call as its caller sees it.
-
-    :ivar first_s: time of the first event, none before.
-    :ivar ended_s: time of the final answer, none before.
-    :ivar pieces: data that the caller got, in order.
-    """
-
-    profile: CallProfile
-    instance: InstanceName
-    progress: AnswerProgress = field(factory=AnswerProgress)
-    pieces: list[str] = field(factory=list)
-    first_s: float | None = None
-    ended_s: float | None = None
-    refusal: Refusal | None = None
-    finished: bool = False
-    last_event_s: float = 0
-    gone: bool = False
-
-
-@define
-class World:
-    """Everything that simulated instances share.
-
-    :ivar calls: every call, by request.
-    """
-
-    simulation: Simulation
-    network: Network
-    engines: dict[TargetName, FakeEngine] = field(factory=dict)
-    plains: dict[TargetName, FakePlain] = field(factory=dict)
-    platform: FakePlatform = field(factory=FakePlatform)
-    drivers: dict[InstanceName, 'NodeDriver'] = field(factory=dict)
-    calls: dict[RequestId, CallRecord] = field(factory=dict)
-    publication_lag_s: float = 1.0
-    load_lag_s: float = 0.2
+Actions = dict[type[Any], Callable[[Any], None]]
+_EVENT_STEPS = {
+    ev.DocumentRead: Step.DOCUMENT_READ,
+    ev.EngineStateRead: Step.STATE_READ,
+    ev.OrderAnswered: Step.ORDER_ANSWERED,
+}
 
 
 @define
@@ -75,6 +32,7 @@
 
     :ivar alive: false once it was killed.
     :ivar paused: whether events pile up instead of being handled.
+    :ivar incarnation: incarnation of its core.
     """
 
     name: InstanceName
@@ -88,30 +46,19 @@
     logs: list[fx.LogEvent] = field(factory=list)
     replies: dict[str, str] = field(factory=dict)
     clock_offset_s: float = 0
+    incarnation: int = 0
+    _tokens: int = 0
     _backlog: list[ev.Event] = field(factory=list)
     _pending: list[fx.Effect] = field(factory=list)
-    _actions: dict[type[Any], Callable[[Any], None]] = field(factory=dict)
+    _actions: Actions = field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
         """Map each kind of effect to the fake that carries it out."""
         self._actions = {
-            fx.Dispatch: self._dispatch,
-            fx.QueryStream: self._query,
-            fx.ResumeStream: self._resume,
-            fx.CancelAttempt: self._cancel,
-            fx.FinishCall: self._finish,
-            fx.RefuseCall: self._refuse,
-            fx.ForwardCall: self._forward,
-            fx.RunGroupStep: self._run_group_step,
-            fx.ReleaseHolding: self._release,
-            fx.ReadLoad: self._read_load,
-            fx.ReadInstances: self._read_instances,
-            fx.ReadDocument: self._read_document,
-            fx.SendPeerMessage: self._send_peer,
+            **AnswerActions(self).map_effects(),
+            **PlatformActions(self).map_effects(),
             fx.AnswerPeer: self._answer,
             fx.AnswerKey: self._answer,
-            fx.ReadEngineState: self._read_state,
-            fx.SendOrder: self._send_order,
             fx.LogEvent: self.logs.append,
             fx.ReportReadiness: self._set_ready,
             fx.StopProcess: self._stop,
@@ -128,30 +75,57 @@
 
     def report(self, event: ev.Event) -> None:
         """Hand an event to the core and carry out what it asks for."""
+        self._reach_event(event)
         if not self.alive or self.stopped:
             return
         if self.paused:
             self._backlog.append(event)
             return
-        for effect in self.core.handle(event, self.read_clock()):
+        effects = self.core.handle(event, self.read_clock())
+        self._reach_handled(event)
+        for effect in effects:
             self._perform(effect)
 
     def receive_call(self, profile: CallProfile) -> CallRecord:
         """Take a caller's request."""
         record = CallRecord(profile, self.name)
+        record.sent_s = self.world.simulation.now_s
         self.world.calls[profile.request_id] = record
         self.report(ev.CallReceived(profile))
         return record
 
+    def exchange(self, text: str) -> str | None:
+        """Answer a peer's message, none if this instance cannot."""
+        token = self.make_token()
+        self.report(ev.PeerMessageReceived(token, text))
+        return self.replies.pop(token, None)
+
+    def request_key(self, organisation: str) -> str | None:
+        """Return a new idempotency key, none if this instance cannot."""
+        token = self.make_token()
+        self.report(ev.KeyRequested(token, organisation))
+        return self.replies.pop(token, None)
+
+    def make_token(self) -> str:
+        """Return a name for a connection to answer on."""
+        self._tokens += 1
+        return f'{self.name}-{self._tokens}'
+
     def kill(self) -> None:
-        """Lose the process."""
+        """Lose the process; its callers see their connections break."""
         self.alive = False
         self.ready = False
         self.world.network.dead.add(self.name)
+        self.world.network.forget(self.name)
+        for call in tuple(self.world.calls.values()):
+            if call.instance == self.name and call.ended_s is None:
+                call.broken = True
+                call.end(self.world.simulation.now_s)
 
     def pause(self) -> None:
         """Stop running; what arrives waits."""
         self.paused = True
+        self.world.network.freeze(self.name)
 
     def wake(self) -> None:
         """Run on: first what the process was about to do, then its events."""
@@ -164,6 +138,7 @@
         self._backlog = []
         for event in backlog:
             self.report(event)
+        self.world.network.thaw(self.name)
 
     def _tick(self) -> None:
         if not self.alive or self.stopped:
@@ -174,11 +149,68 @@
         self.world.simulation.schedule(TICK_S, self._tick)
 
     def _perform(self, effect: fx.Effect) -> None:
+        if self.alive:
+            self._reach_effect(effect)
+        if not self.alive:
+            return
         if self.paused:
             self._pending.append(effect)
             return
         self._actions[type(effect)](effect)
 
+    def _reach_event(self, event: ev.Event) -> None:
+        if self.world.probe is None or not self.alive or self.paused:
+            return
+        if isinstance(event, ev.CallReceived):
+            subject = event.profile.request_id
+            self.world.reach(Step.RECEIVED, subject, self.name)
+        elif isinstance(event, ev.GroupStepEnded):
+            if event.step == 'reserve' and event.succeeded:
+                self.world.reach(
+                    Step.RESERVED,
+                    event.attempt,
+                    self.name,
+                    event.target,
+                )
+        else:
+            step = _EVENT_STEPS.get(type(event))
+            if step is not None:
+                target = getattr(event, 'target', '')
+                self.world.reach(step, '', self.name, target)
+
+    def _reach_handled(self, event: ev.Event) -> None:
+        if self.world.probe is None:
+            return
+        if isinstance(event, ev.CallReceived):
+            request_id = event.profile.request_id
+            record = self.core.desk.table.find(request_id)
+            if event.profile.key and record is not None:
+                self.world.reach(Step.CLAIMED, request_id, self.name)
+            if record is not None and record.state is CallState.QUEUED:
+                self.world.reach(Step.QUEUED, request_id, self.name)
+        elif isinstance(event, ev.AttemptEnded):
+            self.world.reach(Step.RELEASED, event.attempt, self.name)
+
+    def _reach_effect(self, effect: fx.Effect) -> None:
+        if self.world.probe is None:
+            return
+        target = getattr(effect, 'target', '')
+        match effect:
+            case fx.Dispatch(attempt=attempt):
+                self.world.reach(Step.SENT, attempt, self.name, target)
+            case fx.FinishCall(request_id):
+                self.world.reach(Step.RELAYED, request_id, self.name)
+            case fx.ForwardCall(request_id):
+                self.world.reach(Step.FORWARDED, request_id, self.name)
+            case fx.ReleaseHolding(tag=tag):
+                self.world.reach(Step.RELEASED, tag, self.name, target)
+            case fx.SendOrder():
+                self.world.reach(Step.ORDER_SENT, '', self.name, target)
+            case fx.LogEvent('document_accepted'):
+                self.world.reach(Step.DOCUMENT_ACCEPTED, '', self.name)
+            case fx.SendPeerMessage(text=text) if '"document": "{' in text:
+                self.world.reach(Step.DOCUMENT_PASSED, '', self.name)
+
     def _watch_silence(self) -> None:
         now_s = self.world.simulation.now_s
         for record in self.core.desk.table.list_records():
@@ -190,323 +222,10 @@
                 call.last_event_s = now_s
                 self.report(ev.AttemptSilent(attempt, call.progress.taken))
 
-    def _ask(
-        self,
-        target: str,
-        serve: Callable[[], ev.Event],
-        lost: ev.Event,
-    ) -> None:
-        self.world.network.request(
-            self.name,
-            target,
-            serve,
-            lambda answer: self.report(lost if answer is None else answer),
-        )
-
-    def _dispatch(self, effect: fx.Dispatch) -> None:
-        attempt = effect.attempt
-        now = self.read_clock()
-        late = now.monotonic_s >= min(
-            effect.lease.monotonic_s,
-            effect.deadline_s,
-        )
-        if late or now.wall_s >= effect.lease.wall_s:
-            self._end(attempt, ev.AttemptOutcome.LEASE_LOST)
-            return
-        call = self.world.calls[attempt.request_id]
-        call.progress.begin(attempt)
-        call.last_event_s = self.world.simulation.now_s
-        if effect.target in self.world.network.dead:
-            self._end(attempt, ev.AttemptOutcome.NOT_SENT)
-        elif call.profile.model:
-            self._dispatch_model(effect, call)
-        else:
-            self._dispatch_plain(effect, call)
-
-    def _dispatch_model(self, effect: fx.Dispatch, call: CallRecord) -> None:
-        engine = self.world.engines[effect.target]
-        stream_id = StreamId(str(effect.attempt))
-
-        def start() -> None:
-            accepted = engine.start(
-                stream_id,
-                call.profile,
-                effect.priority,
-                self._listen(effect.attempt, effect.target),
-                effect.group_tag,
-            )
-            if not accepted:
-                self.world.network.send(
-                    effect.target,
-                    self.name,
-                    lambda: self._end(
-                        effect.attempt,
-                        ev.AttemptOutcome.REFUSED,
-                    ),
-                )
-
-        self.world.network.send(self.name, effect.target, start)
-
-    def _dispatch_plain(self, effect: fx.Dispatch, call: CallRecord) -> None:
-        plain = self.world.plains[effect.target]
-
-        def serve() -> ev.AttemptOutcome:
-            if plain.call(str(effect.attempt.request_id)):
-                return ev.AttemptOutcome.FINISHED
-            return ev.AttemptOutcome.REFUSED
-
-        def take(outcome: ev.AttemptOutcome | None) -> None:
-            self._end(effect.attempt, outcome or ev.AttemptOutcome.BROKEN)
-
-        remaining_s = effect.deadline_s - self.read_clock().monotonic_s
-        self.world.network.request(
-            self.name,
-            effect.target,
-            serve,
-            take,
-            remaining_s,
-        )
-
-    def _listen(
-        self,
-        attempt: AttemptId,
-        target: TargetName,
-    ) -> Callable[[StreamEvent], None]:
-        def listen(event: StreamEvent) -> None:
-            self.world.network.send(
-                target,
-                self.name,
-                lambda: self.take_event(attempt, event),
-            )
-
-        return listen
-
-    def take_event(self, attempt: AttemptId, event: StreamEvent) -> None:
-        """Take one event of a stream, as the caller's thread does."""
-        call = self.world.calls[attempt.request_id]
-        if not self.alive or call.ended_s is not None:
-            return
-        first = call.progress.taken == 0
-        step = call.progress.take(attempt, event)
-        if step is ProgressStep.REPEATED:
-            return
-        call.last_event_s = self.world.simulation.now_s
-        if step is ProgressStep.FOREIGN:
-            self._end(attempt, ev.AttemptOutcome.MISMATCHED)
-        elif step is ProgressStep.GAP:
-            self._end(attempt, ev.AttemptOutcome.BROKEN)
-        elif step is ProgressStep.FINISHED:
-            self._end(attempt, ev.AttemptOutcome.FINISHED)
-        else:
-            self._relay(call, attempt, event, first)
-
-    def _relay(
-        self,
-        call: CallRecord,
-        attempt: AttemptId,
-        event: StreamEvent,
-        first: bool,
-    ) -> None:
-        if first:
-            call.first_s = self.world.simulation.now_s
-            call.pieces.clear()
-            stream_id = StreamId(event.stream_id)
-            self.report(ev.AttemptAccepted(attempt, stream_id))
-            self.report(ev.FirstTokenSeen(attempt))
-        call.pieces.append(event.data)
-
-    def _end(self, attempt: AttemptId, outcome: ev.AttemptOutcome) -> None:
-        call = self.world.calls[attempt.request_id]
-        taken = call.progress.taken
-        self.report(
-            ev.AttemptEnded(
-                attempt,
-                outcome,
-                relayed=taken,
-                prompt_tokens=call.profile.prompt_tokens,
-                output_tokens=taken,
-            ),
-        )
-
-    def _query(self, effect: fx.QueryStream) -> None:
-        engine = self.world.engines[effect.target]
-
-        def serve() -> ev.Event:
-            state, offset = engine.find_state(effect.stream_id)
-            return ev.StreamAnswered(effect.attempt, state, offset)
-
-        lost = ev.StreamAnswered(effect.attempt, StreamState.UNREACHABLE, 0)
-        self._ask(effect.target, serve, lost)
-
-    def _resume(self, effect: fx.ResumeStream) -> None:
-        engine = self.world.engines[effect.target]
-        call = self.world.calls[effect.attempt.request_id]
-        call.last_event_s = self.world.simulation.now_s
-        listener = self._listen(effect.attempt, effect.target)
-        self.world.network.send(
-            self.name,
-            effect.target,
-            lambda: engine.resume(effect.stream_id, effect.offset, listener),
-        )
-
-    def _cancel(self, effect: fx.CancelAttempt) -> None:
-        engine = self.world.engines.get(effect.target)
-        if engine is None:
-            return
-        stream_id = StreamId(str(effect.attempt))
-        self.world.network.send(
-            self.name,
-            effect.target,
-            lambda: engine.void(stream_id),
-        )
-
-    def _finish(self, effect: fx.FinishCall) -> None:
-        call = self.world.calls[effect.request_id]
-        if call.ended_s is None:
-            call.finished = True
-            call.ended_s = self.world.simulation.now_s
-
-    def _refuse(self, effect: fx.RefuseCall) -> None:
-        call = self.world.calls[effect.request_id]
-        if call.ended_s is None:
-            call.refusal = effect.refusal
-            call.ended_s = self.world.simulation.now_s
-
-    def _forward(self, effect: fx.ForwardCall) -> None:
-        """Lose the forward: owners are not simulated here yet."""
-        self.report(
-            ev.ForwardEnded(effect.request_id, delivered=False, finished=False),
-        )
-
-    def _run_group_step(self, effect: fx.RunGroupStep) -> None:
-        engine = self.world.engines[effect.target]
-
-        def serve() -> ev.Event:
-            done = True
-            if effect.step == 'reserve':
-                done = engine.hold(
-                    Holding(
-                        effect.tag,
-                        effect.owner,
-                        effect.tokens,
-                        effect.expires_wall_s,
-                    ),
-                )
-            return self._answer_step(effect, done)
-
-        self._ask(effect.target, serve, self._answer_step(effect, False))
-
-    def _answer_step(self, effect: fx.RunGroupStep, done: bool) -> ev.Event:
-        return ev.GroupStepEnded(
-            effect.attempt,
-            effect.target,
-            effect.tag,
-            effect.step,
-            done,
-            handle=f'{effect.target}:{effect.tag}',
-        )
-
-    def _release(self, effect: fx.ReleaseHolding) -> None:
-        engine = self.world.engines[effect.target]
-
-        def serve() -> ev.Event:
-            engine.release(effect.tag)
-            return ev.HoldingReleased(effect.target, effect.tag, True)
-
-        lost = ev.HoldingReleased(effect.target, effect.tag, False)
-        self._ask(effect.target, serve, lost)
-
-    def _read_load(self, effect: fx.ReadLoad) -> None:
-        engine = self.world.engines[effect.target]
-
-        def take(event: ev.Event | None) -> None:
-            found = event or ev.LoadRead(effect.target, None)
-            self.world.simulation.schedule(
-                self.world.load_lag_s,
-                lambda: self.report(found),
-            )
-
-        def serve() -> ev.Event:
-            return ev.LoadRead(effect.target, engine.report_load())
-
-        self.world.network.request(self.name, effect.target, serve, take)
-        self._read_cache(effect, engine)
-
-    def _read_cache(self, effect: fx.ReadLoad, engine: FakeEngine) -> None:
-        def serve() -> ev.Event:
-            newer = tuple(engine.cache_events[effect.after_sequence :])
-            return ev.CacheEventsRead(effect.target, newer)
-
-        lost = ev.CacheEventsRead(effect.target, ())
-        self._ask(effect.target, serve, lost)
-
-    def _read_instances(self, effect: fx.ReadInstances) -> None:
-        platform = self.world.platform
-
-        def serve() -> ev.Event:
-            if platform.list_down:
-                return ev.InstancesListed(None)
-            return ev.InstancesListed(platform.instances, platform.targets)
-
-        self._ask(PLATFORM_END, serve, ev.InstancesListed(None))
-
-    def _read_document(self, effect: fx.ReadDocument) -> None:
-        platform = self.world.platform
-
-        def serve() -> ev.Event:
-            return ev.DocumentRead(platform.read_document())
-
-        self.world.simulation.schedule(
-            effect.wait_s,
-            lambda: self._ask(PLATFORM_END, serve, ev.DocumentRead(None)),
-        )
-
-    def _send_peer(self, effect: fx.SendPeerMessage) -> None:
-        peer = self.world.drivers.get(InstanceName(effect.address))
-        if peer is None:
-            self.report(ev.PeerAnswered(effect.peer, None))
-            return
-
-        def serve() -> ev.PeerAnswered:
-            return ev.PeerAnswered(effect.peer, peer.exchange(effect.text))
-
-        lost = ev.PeerAnswered(effect.peer, None)
-        self._ask(peer.name, serve, lost)
-
-    def exchange(self, text: str) -> str | None:
-        """Answer a peer's message, none if this instance cannot."""
-        token = f'exchange-{len(self.replies)}'
-        self.report(ev.PeerMessageReceived(token, text))
-        return self.replies.pop(token, None)
-
     def _answer(self, effect: fx.AnswerPeer | fx.AnswerKey) -> None:
         text = effect.text if isinstance(effect, fx.AnswerPeer) else effect.key
         self.replies[effect.token] = text
 
-    def _read_state(self, effect: fx.ReadEngineState) -> None:
-        engine = self.world.engines[effect.target]
-        self._ask(
-            effect.target,
-            lambda: ev.EngineStateRead(effect.target, engine.report_state()),
-            ev.EngineStateRead(effect.target, None),
-        )
-
-    def _send_order(self, effect: fx.SendOrder) -> None:
-        engine = self.world.engines[effect.target]
-
-        def serve() -> ev.Event:
-            accepted = engine.order(
-                effect.fence,
-                effect.model,
-                effect.version,
-                effect.adapters,
-                effect.role,
-            )
-            return ev.OrderAnswered(effect.target, effect.fence, accepted)
-
-        lost = ev.OrderAnswered(effect.target, effect.fence, None)
-        self._ask(effect.target, serve, lost)
-
     def _set_ready(self, effect: fx.ReportReadiness) -> None:
         self.ready = effect.ready
 
--- /dev/null
+++ b/trefoilhinge/standins/simulation/platform.py
@@ -0,0 +1,210 @@
+"""Carries out what a node asks of targets, the platform and its peers."""
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Any
+
+from attrs import define
+
+from trefoilhinge.core import effects as fx
+from trefoilhinge.core import events as ev
+from trefoilhinge.core.identifiers import InstanceName
+from trefoilhinge.core.reports import Holding
+from trefoilhinge.standins.simulation.engine import FakeEngine
+from trefoilhinge.standins.simulation.steps import Step
+from trefoilhinge.standins.simulation.world import PLATFORM_END, World
+
+if TYPE_CHECKING:
+    from trefoilhinge.standins.simulation.driver import NodeDriver
+
+_KV_STEPS = {'export': Step.EXPORTED, 'import': Step.IMPORTED}
+GROUP_STEP_TIMEOUT_S = 60.0
+
+
+@define
+class PlatformActions:
+    """Reads, orders and messages that serve no single caller."""
+
+    _driver: 'NodeDriver'
+
+    @property
+    def _world(self) -> World:
+        return self._driver.world
+
+    def map_effects(self) -> dict[type[Any], Callable[[Any], None]]:
+        """Return the method that carries out each kind of effect."""
+        return {
+            fx.RunGroupStep: self._run_group_step,
+            fx.ReleaseHolding: self._release,
+            fx.ReadLoad: self._read_load,
+            fx.ReadInstances: self._read_instances,
+            fx.ReadDocument: self._read_document,
+            fx.SendPeerMessage: self._send_peer,
+            fx.ReadEngineState: self._read_state,
+            fx.SendOrder: self._send_order,
+        }
+
+    def _ask(
+        self,
+        target: str,
+        serve: Callable[[], ev.Event],
+        lost: ev.Event,
+    ) -> None:
+        self._world.network.request(
+            self._driver.name,
+            target,
+            serve,
+            lambda answer: self._driver.report(answer or lost),
+        )
+
+    def _run_group_step(self, effect: fx.RunGroupStep) -> None:
+        engine = self._world.engines[effect.target]
+        done = {'reserve': True}
+
+        def serve() -> ev.Event:
+            done[effect.step] = self._carry_out(engine, effect)
+            kv_step = _KV_STEPS.get(effect.step)
+            if kv_step is not None:
+                self._world.reach(
+                    kv_step,
+                    effect.attempt,
+                    self._driver.name,
+                    effect.target,
+                )
+            return self._answer_step(effect, done[effect.step])
+
+        tokens = effect.tokens if effect.step == 'prefill' else 0
+        serve_s = tokens / engine.speeds.prefill_tokens_per_s
+        lost = self._answer_step(effect, False)
+        self._world.network.request(
+            self._driver.name,
+            effect.target,
+            serve,
+            lambda answer: self._driver.report(answer or lost),
+            GROUP_STEP_TIMEOUT_S,
+            serve_s,
+        )
+
+    def _carry_out(self, engine: FakeEngine, effect: fx.RunGroupStep) -> bool:
+        if effect.step == 'reserve':
+            return engine.hold(
+                Holding(
+                    effect.tag,
+                    effect.owner,
+                    effect.tokens,
+                    effect.expires_wall_s,
+                ),
+            )
+        # Every later step works on what was reserved under the tag.
+        return effect.tag in engine.holdings
+
+    def _answer_step(self, effect: fx.RunGroupStep, done: bool) -> ev.Event:
+        return ev.GroupStepEnded(
+            effect.attempt,
+            effect.target,
+            effect.tag,
+            effect.step,
+            done,
+            handle=f'{effect.target}:{effect.tag}',
+        )
+
+    def _release(self, effect: fx.ReleaseHolding) -> None:
+        engine = self._world.engines[effect.target]
+
+        def serve() -> ev.Event:
+            engine.release(effect.tag)
+            return ev.HoldingReleased(effect.target, effect.tag, True)
+
+        lost = ev.HoldingReleased(effect.target, effect.tag, False)
+        self._ask(effect.target, serve, lost)
+
+    def _read_load(self, effect: fx.ReadLoad) -> None:
+        engine = self._world.engines[effect.target]
+
+        def take(event: ev.Event | None) -> None:
+            found = event or ev.LoadRead(effect.target, None)
+            self._world.simulation.schedule(
+                self._world.load_lag_s,
+                lambda: self._driver.report(found),
+            )
+
+        def serve() -> ev.Event:
+            return ev.LoadRead(effect.target, engine.report_load())
+
+        self._world.network.request(
+            self._driver.name,
+            effect.target,
+            serve,
+            take,
+        )
+        self._read_cache(effect, engine)
+
+    def _read_cache(self, effect: fx.ReadLoad, engine: FakeEngine) -> None:
+        def serve() -> ev.Event:
+            newer = tuple(engine.cache_events[effect.after_sequence :])
+            return ev.CacheEventsRead(effect.target, newer)
+
+        lost = ev.CacheEventsRead(effect.target, ())
+        self._ask(effect.target, serve, lost)
+
+    def _read_instances(self, effect: fx.ReadInstances) -> None:
+        platform = self._world.platform
+
+        def serve() -> ev.Event:
+            if platform.list_down:
+                return ev.InstancesListed(None)
+            return ev.InstancesListed(platform.instances, platform.targets)
+
+        self._ask(PLATFORM_END, serve, ev.InstancesListed(None))
+
+    def _read_document(self, effect: fx.ReadDocument) -> None:
+        platform = self._world.platform
+
+        def serve() -> ev.Event:
+            return ev.DocumentRead(platform.read_document())
+
+        self._world.simulation.schedule(
+            effect.wait_s,
+            lambda: self._ask(PLATFORM_END, serve, ev.DocumentRead(None)),
+        )
+
+    def _send_peer(self, effect: fx.SendPeerMessage) -> None:
+        name = InstanceName(effect.address)
+        if name not in self._world.drivers:
+            self._driver.report(ev.PeerAnswered(effect.peer, None))
+            return
+
+        def serve() -> ev.PeerAnswered:
+            peer = self._world.drivers[name]
+            return ev.PeerAnswered(effect.peer, peer.exchange(effect.text))
+
+        self._ask(name, serve, ev.PeerAnswered(effect.peer, None))
+
+    def _read_state(self, effect: fx.ReadEngineState) -> None:
+        engine = self._world.engines[effect.target]
+        self._ask(
+            effect.target,
+            lambda: ev.EngineStateRead(effect.target, engine.report_state()),
+            ev.EngineStateRead(effect.target, None),
+        )
+
+    def _send_order(self, effect: fx.SendOrder) -> None:
+        engine = self._world.engines[effect.target]
+
+        def serve() -> ev.Event:
+            accepted = engine.order(
+                effect.fence,
+                effect.model,
+                effect.version,
+                effect.adapters,
+                effect.role,
+            )
+            self._world.reach(
+                Step.ORDER_TAKEN,
+                '',
+                self._driver.name,
+                effect.target,
+            )
+            return ev.OrderAnswered(effect.target, effect.fence, accepted)
+
+        lost = ev.OrderAnswered(effect.target, effect.fence, None)
+        self._ask(effect.target, serve, lost)
--- a/trefoilhinge/standins/simulation/services.py
+++ b/trefoilhinge/standins/simulation/services.py
@@ -1,22 +1,38 @@
 """Fakes of plain services and of what the platform publishes."""
 
-from attrs import define, field
+from attrs import define, field, frozen
 
 from trefoilhinge.core.identifiers import TargetName
 from trefoilhinge.core.reports import ListedInstance, ListedTarget
 
 
+@frozen
+class Start:
+    """Work that a target began.
+
+    :ivar at_s: seconds since the start of the simulation.
+    :ivar request: request that was begun.
+    :ivar instance: instance that sent it.
+    """
+
+    at_s: float
+    request: str
+    instance: str
+
+
 @define
 class FakePlain:
     """One plain service.
 
     :ivar runs: how often each request was run, by request.
     :ivar refuses: whether it refuses calls before they start.
+    :ivar serve_s: seconds from the run of a call to its answer.
     """
 
     name: TargetName
     runs: dict[str, int] = field(factory=dict)
     refuses: bool = False
+    serve_s: float = 0
 
     def call(self, request: str) -> bool:
         """Run a call; false proves that it was refused before start."""
--- /dev/null
+++ b/trefoilhinge/standins/simulation/world.py
@@ -0,0 +1,116 @@
+"""Everything that simulated instances share."""
+
+from collections.abc import Callable
+from typing import Protocol
+
+from attrs import define, field
+
+from trefoilhinge.core.identifiers import InstanceName, RequestId, TargetName
+from trefoilhinge.core.profiles import CallProfile
+from trefoilhinge.core.progress import AnswerProgress
+from trefoilhinge.core.verdicts import Refusal
+from trefoilhinge.node.core import NodeCore
+from trefoilhinge.standins.simulation.engine import FakeEngine
+from trefoilhinge.standins.simulation.heap import Simulation
+from trefoilhinge.standins.simulation.network import Network
+from trefoilhinge.standins.simulation.services import (
+    FakePlain,
+    FakePlatform,
+    Start,
+)
+from trefoilhinge.standins.simulation.steps import Probe, Site, Step
+
+PLATFORM_END = 'platform'
+
+
+class Runner(Protocol):
+    """A simulated instance, as its peers meet it."""
+
+    name: InstanceName
+    incarnation: int
+    core: NodeCore
+    ready: bool
+
+    def exchange(self, text: str) -> str | None:
+        """Answer a peer's message."""
+        ...
+
+    def receive_call(self, profile: CallProfile) -> 'CallRecord':
+        """Take a request."""
+        ...
+
+
+@define
+class CallRecord:
+    """One call as its caller sees it.
+
+    :ivar sent_s: time at which the caller sent it.
+    :ivar first_s: time of the first event, none before.
+    :ivar ended_s: time of the final answer, none before.
+    :ivar pieces: data that the caller got, in order.
+    :ivar broken: whether its instance died before it had answered.
+    :ivar gone: whether the caller closed the connection.
+    :ivar relayed_refusal: refusal of the owner that the call was passed on to.
+    :ivar note_end: called once when the call has ended.
+    """
+
+    profile: CallProfile
+    instance: InstanceName
+    progress: AnswerProgress = field(factory=AnswerProgress)
+    pieces: list[str] = field(factory=list)
+    sent_s: float = 0
+    first_s: float | None = None
+    ended_s: float | None = None
+    refusal: Refusal | None = None
+    finished: bool = False
+    last_event_s: float = 0
+    gone: bool = False
+    broken: bool = False
+    relayed_refusal: Refusal | None = None
+    note_end: Callable[['CallRecord'], None] | None = None
+
+    def end(self, now_s: float) -> None:
+        """Record that the call ended now."""
+        self.ended_s = now_s
+        if self.note_end is not None:
+            self.note_end(self)
+
+
+@define
+class World:
+    """Everything that simulated instances share.
+
+    :ivar calls: every call, by request.
+    :ivar probe: learns of each step; none if nobody asks.
+    :ivar starts: work that each target began, kept while there is a probe.
+    """
+
+    simulation: Simulation
+    network: Network
+    engines: dict[TargetName, FakeEngine] = field(factory=dict)
+    plains: dict[TargetName, FakePlain] = field(factory=dict)
+    platform: FakePlatform = field(factory=FakePlatform)
+    drivers: dict[InstanceName, Runner] = field(factory=dict)
+    calls: dict[RequestId, CallRecord] = field(factory=dict)
+    publication_lag_s: float = 1.0
+    load_lag_s: float = 0.2
+    probe: Probe | None = None
+    starts: dict[TargetName, list[Start]] = field(factory=dict)
+
+    def reach(
+        self,
+        step: Step,
+        subject: object,
+        instance: str,
+        target: str = '',
+    ) -> bool:
+        """Tell the probe of a step; true loses the step's message."""
+        if self.probe is None:
+            return False
+        return self.probe.reach(Site(step, str(subject), instance, target))
+
+    def note_start(self, target: TargetName, request: str, sender: str) -> None:
+        """Record that a target began work."""
+        if self.probe is not None:
+            start = Start(self.simulation.now_s, request, sender)
+            self.starts.setdefault(target, []).append(start)
