Ran every fault at every step against the fakes' own records.

Three instances, four engines and two plain targets serve short, long and huge prompts, bookings and lookups on simulated time; a cell strikes a fault exactly when a step is reached, lets the world settle and checks the eight promises. Broken nodes prove that each check can fail.

--- /dev/null
+++ b/tests/faults/test_broken.py
@@ -0,0 +1,214 @@
+"""Every check of the matrix is proved able to fail by a broken node."""
+
+from attrs import define, evolve
+
+from trefoilhinge.conf.document import digest_text, parse_document
+from trefoilhinge.conf.keeper import NewestDocumentKeeper
+from trefoilhinge.core.effects import StopProcess
+from trefoilhinge.core.events import StopRequested
+from trefoilhinge.core.lines import StreamEvent
+from trefoilhinge.core.progress import AnswerProgress
+from trefoilhinge.core.verdicts import RefusalCode, Verdict
+from trefoilhinge.faults.callers import Kind
+from trefoilhinge.faults.matrix import Cell, run_cell
+from trefoilhinge.membership.fleet import ExchangeFleet
+from trefoilhinge.node.core import NodeCore
+from trefoilhinge.node.desk import CallDesk
+from trefoilhinge.node.parts import ClaimGranted, GiveUp, RetryAfter
+from trefoilhinge.standins.simulation.steps import Step
+
+SEED = 0
+
+
+def find_promises(cell, prepare=None):
+    """Return the numbers of the promises that a cell breaks."""
+    result = run_cell(cell, SEED, prepare)
+    assert not result.reason
+    return {one.promise for one in result.violations}
+
+
+def replace_part(**makers):
+    """Return what replaces parts of each node by broken ones."""
+
+    def prepare(world):
+        world.alter_parts = lambda parts: evolve(
+            parts,
+            **{name: make(parts) for name, make in makers.items()},
+        )
+
+    return prepare
+
+
+@define
+class Altered:
+    """A part of which some methods are replaced."""
+
+    _part: object
+    _methods: dict
+
+    def __getattr__(self, name):
+        """Return the replaced method, or else the part's own."""
+        if name in self._methods:
+            return self._methods[name]
+        return getattr(self._part, name)
+
+
+class RevertingKeeper(NewestDocumentKeeper):
+    """Takes whatever valid document it is offered last."""
+
+    def offer(self, text, source, now):
+        """Accept any document."""
+        self.document = parse_document(text).ok
+        self.text = text
+        self.revision = self.document.revision
+        self.digest = digest_text(text)
+        return ()
+
+
+class HastyCore(NodeCore):
+    """Stops at once when it is asked to stop."""
+
+    def handle(self, event, now):
+        """Stop without waiting for calls."""
+        if isinstance(event, StopRequested):
+            return [StopProcess()]
+        return super().handle(event, now)
+
+
+class TestBrokenNodes:
+    """Each broken node breaks the promise that it is meant to."""
+
+    cut_booking = Cell(('stream-truncated',), Step.ACCEPTED, Kind.BOOKING)
+
+    def test_sound_node_breaks_nothing(self):
+        """The cells below hold with the node as it is."""
+        cells = (
+            Cell(('configuration-reverting',), Step.DOCUMENT_READ),
+            Cell(('answers-crossed',), Step.MID_STREAM, Kind.LONG),
+            Cell(('planned-stop',), Step.MID_STREAM, Kind.LONG),
+            Cell(('target-leaving',), Step.ACCEPTED, Kind.BOOKING),
+            Cell(('engine-dies',), Step.MID_STREAM, Kind.LONG),
+        )
+        assert {str(one): find_promises(one) for one in cells} == {
+            str(one): set() for one in cells
+        }
+
+    def test_sound_node_books_once(self):
+        """A booking whose answer was lost is not run again elsewhere."""
+        assert not find_promises(self.cut_booking)
+
+    def test_double_send(self):
+        """A send repeated after an unclear failure runs twice."""
+        retry = {'decide': lambda *_: RetryAfter(0.1)}
+        prepare = replace_part(
+            retries=lambda parts: Altered(parts.retries, retry),
+        )
+        assert 5 in find_promises(self.cut_booking, prepare)
+
+    def test_key_granted_twice(self):
+        """A ledger that grants every claim runs a key twice."""
+        grant = {'claim': lambda *_: ClaimGranted()}
+        prepare = replace_part(
+            ledger=lambda parts: Altered(parts.ledger, grant),
+        )
+        assert 5 in find_promises(self.cut_booking, prepare)
+
+    def test_false_refusal(self):
+        """A refusal that says not run after a run is caught."""
+        lie = GiveUp(Verdict.NOT_RUN, RefusalCode.TARGET_FAILED)
+        prepare = replace_part(
+            retries=lambda parts: Altered(
+                parts.retries,
+                {'decide': lambda *_: lie},
+            ),
+        )
+
+        def prepare_core(world):
+            prepare(world)
+            world.alter_core = hide_exposure
+
+        assert 4 in find_promises(self.cut_booking, prepare_core)
+
+    def test_reverted_configuration(self):
+        """A keeper that takes an older document is caught."""
+        prepare = replace_part(keeper=lambda parts: RevertingKeeper())
+        cell = Cell(('configuration-reverting',), Step.DOCUMENT_READ)
+        assert 8 in find_promises(cell, prepare)
+
+    def test_wrong_stream_joined(self, monkeypatch):
+        """An answer joined from another stream is caught."""
+        take = AnswerProgress.take
+
+        def take_anything(self, attempt, event):
+            claimed = StreamEvent(str(attempt), event.offset, event.data)
+            return take(self, attempt, claimed)
+
+        monkeypatch.setattr(AnswerProgress, 'take', take_anything)
+        cell = Cell(('answers-crossed',), Step.MID_STREAM, Kind.LONG)
+        assert 3 in find_promises(cell)
+
+    def test_stop_that_cuts_off(self):
+        """A stop that does not wait for calls is caught."""
+
+        def prepare(world):
+            world.alter_core = lambda core: HastyCore(
+                core.parts,
+                core.desk,
+                core.exchanger,
+                core.start_wait_s,
+                core.stop_wait_s,
+            )
+
+        cell = Cell(('planned-stop',), Step.MID_STREAM, Kind.LONG)
+        assert 7 in find_promises(cell, prepare)
+
+    def test_leaving_target_used(self, monkeypatch):
+        """Work sent to a target that is known to leave is caught."""
+        note_leaving = {'note_leaving': lambda *_: None}
+        monkeypatch.setattr(
+            ExchangeFleet,
+            '_is_leaving',
+            lambda *_: False,
+            raising=False,
+        )
+        prepare = replace_part(
+            fleet=lambda parts: Altered(parts.fleet, note_leaving),
+        )
+        cell = Cell(('target-leaving',), Step.ACCEPTED, Kind.BOOKING)
+        assert 6 in find_promises(cell, prepare)
+
+    def test_call_without_end(self, monkeypatch):
+        """A call that outlives its time is caught."""
+        monkeypatch.setattr(CallDesk, '_expire', lambda *_: [])
+        prepare = replace_part(
+            fleet=lambda parts: Altered(
+                parts.fleet,
+                {'list_targets': lambda service: ()},
+            ),
+        )
+        cell = Cell(('configuration-down',), Step.RECEIVED, Kind.SHORT)
+        assert 1 in find_promises(cell, prepare)
+
+
+def hide_exposure(core):
+    """Return a node whose calls never count as exposed."""
+    handle = core.desk.note_ended
+
+    def note_ended(event, now):
+        record = core.desk.table.find_attempt(event.attempt)
+        effects = handle(event, now)
+        return [hide_run(one) for one in effects] if record else effects
+
+    core._handlers = {
+        kind: note_ended if method == core.desk.note_ended else method
+        for kind, method in core._handlers.items()
+    }
+    return core
+
+
+def hide_run(effect):
+    """Return a refusal that denies the run."""
+    refusal = getattr(effect, 'refusal', None)
+    if refusal is None:
+        return effect
+    return evolve(effect, refusal=evolve(refusal, verdict=Verdict.NOT_RUN))
--- a/trefoilhinge/client/commands.py
+++ b/trefoilhinge/client/commands.py
@@ -10,6 +10,7 @@
 from trefoilhinge.demo.commands import run_demo
 from trefoilhinge.entry.commands import run_entry
 from trefoilhinge.exceptions import TrefoilhingeError
+from trefoilhinge.faults.commands import DEFAULT_PAIRS, run_faults
 
 EXIT_INVALID = 2
 
@@ -41,6 +42,25 @@
         for one in list_settings(settings):
             print(f'{one.name}={one.value!r}  ({one.source})')
 
+    def faults(
+        self,
+        seed: int = 0,
+        cell: str = '',
+        part: str = '',
+        walk: int = 0,
+        pairs: int | bool = 0,
+        format: str = 'text',
+    ) -> None:
+        """Run every fault at every step; exit 1 if a promise is broken."""
+        run_faults(
+            seed=seed,
+            cell=cell,
+            part=part,
+            walk=walk,
+            pairs=DEFAULT_PAIRS if pairs is True else pairs,
+            as_json=format == 'json',
+        )
+
 
 def main() -> None:
     """Run the command line."""
--- /dev/null
+++ b/trefoilhinge/faults/commands.py
@@ -0,0 +1,127 @@
+"""The ``trefoilhinge faults`` command."""
+
+import json
+import sys
+import time
+from collections.abc import Iterable
+
+import numpy as np
+
+from trefoilhinge.exceptions import TrefoilhingeError
+from trefoilhinge.faults.matrix import (
+    Cell,
+    list_cells,
+    list_pairs,
+    list_reached,
+    list_unreached,
+    run_cell,
+)
+from trefoilhinge.faults.report import MatrixReport
+from trefoilhinge.faults.walk import run_walk
+
+DEFAULT_PAIRS = 60
+
+
+class UnknownCell(TrefoilhingeError):
+    """No cell of the matrix has this name."""
+
+
+def run_matrix(
+    seed: int,
+    cell: str,
+    part: str,
+    pairs: int,
+    as_json: bool,
+) -> int:
+    """Run the matrix and print it; return an exit code.
+
+    :param cell: name of the only cell to run, as ``FAULT/STEP`` with or
+        without ``/KIND``; empty for all.
+    :param part: ``K/N`` runs the K-th of N parts; empty for all.
+    :param pairs: pairs of faults to run instead, chosen by the seed.
+    """
+    started_s = time.monotonic()
+    reached = list_reached(seed)
+    report = MatrixReport()
+    if pairs:
+        cells = choose_cells(list_pairs(reached), pairs, seed)
+    else:
+        cells = list_cells(reached)
+        if not cell and (not part or part.startswith('1/')):
+            report.results.extend(list_unreached(reached))
+    for one in choose_part(choose_named(cells, cell), part):
+        report.add(run_cell(one, seed))
+    if as_json:
+        print(report.format_json())
+    else:
+        print(report.format_text())
+        print(f'{time.monotonic() - started_s:.1f} s, seed {seed}')
+    return int(bool(report.violated))
+
+
+def run_steps(seed: int, steps: int, as_json: bool) -> int:
+    """Run a random walk and print what did not hold."""
+    started_s = time.monotonic()
+    violations = run_walk(steps, seed)
+    wall_s = time.monotonic() - started_s
+    if as_json:
+        rows = [
+            {'promise': one.promise, 'detail': one.detail} for one in violations
+        ]
+        print(json.dumps({'steps': steps, 'seed': seed, 'violations': rows}))
+    else:
+        for one in violations:
+            print(f'violated  ({one.promise}) {one.detail}')
+        print(
+            f'{steps} steps, {len(violations)} violations, seed {seed}, '
+            f'{steps / wall_s:.0f} steps/s',
+        )
+    return int(bool(violations))
+
+
+def choose_cells(cells: list[Cell], count: int, seed: int) -> list[Cell]:
+    """Return some of the cells, chosen by a seed."""
+    generator = np.random.default_rng(seed)
+    size = min(count, len(cells))
+    chosen = generator.choice(len(cells), size=size, replace=False)
+    return [cells[number] for number in sorted(chosen.tolist())]
+
+
+def choose_named(cells: list[Cell], name: str) -> list[Cell]:
+    """Return the cells of a name, all if it is empty.
+
+    :raises UnknownCell: if none has this name.
+    """
+    if not name:
+        return cells
+    chosen = [
+        one
+        for one in cells
+        if name in {str(one), f'{"+".join(one.faults)}/{one.step}'}
+    ]
+    if not chosen:
+        raise UnknownCell(f'the matrix has no cell named {name!r}')
+    return chosen
+
+
+def choose_part(cells: list[Cell], part: str) -> Iterable[Cell]:
+    """Return every N-th cell, beginning with the K-th."""
+    if not part:
+        return cells
+    number, _, parts = part.partition('/')
+    return cells[int(number) - 1 :: int(parts)]
+
+
+def run_faults(
+    *,
+    seed: int,
+    cell: str,
+    part: str,
+    walk: int,
+    pairs: int,
+    as_json: bool,
+) -> None:
+    """Run what was asked for and exit 1 if a promise did not hold."""
+    if walk:
+        sys.exit(run_steps(seed, walk, as_json))
+    sys.exit(run_matrix(seed, cell, part, pairs, as_json))
--- /dev/null
+++ b/trefoilhinge/faults/world.py
@@ -0,0 +1,267 @@
+"""A small deployment on simulated time that faults are injected into."""
+
+import json
+from collections.abc import Callable
+from typing import Any
+
+from attrs import define, field
+
+from trefoilhinge.core.events import StopRequested
+from trefoilhinge.core.identifiers import (
+    InstanceIdentity,
+    InstanceName,
+    TargetName,
+)
+from trefoilhinge.core.reports import ListedInstance, ListedTarget
+from trefoilhinge.node.composition import make_node, make_parts
+from trefoilhinge.node.core import NodeCore, NodeParts
+from trefoilhinge.standins.simulation.driver import NodeDriver
+from trefoilhinge.standins.simulation.engine import EngineSpeeds, FakeEngine
+from trefoilhinge.standins.simulation.heap import START_WALL_S, Simulation
+from trefoilhinge.standins.simulation.network import Network
+from trefoilhinge.standins.simulation.services import FakePlain
+from trefoilhinge.standins.simulation.world import World
+
+INSTANCES = ('entry-0', 'entry-1', 'entry-2')
+ENGINES = ('writer-0', 'writer-1', 'writer-2', 'writer-3')
+PLAINS = ('desk-0', 'desk-1')
+DOMAINS = ('kandy', 'nuwara')
+ORGANISATIONS = ('hostesses', 'hotel-desk', 'halls')
+ENGINE_MEMORY_TOKENS = 100_000
+PREFILL_TOKENS_PER_S = 100_000.0
+LATENCY_S = 0.001
+LIST_LAG_S = 3.0
+START_WAIT_S = 1.0
+STOP_WAIT_S = 2.0
+PLAIN_SERVE_S = 0.3
+
+AlterParts = Callable[[NodeParts], NodeParts]
+AlterCore = Callable[[NodeCore], NodeCore]
+
+
+@define
+class FaultWorld:
+    """Three instances, four engines and two plain services.
+
+    :ivar world: what the instances share, with the fakes' own records.
+    :ivar drivers: the latest incarnation of each instance.
+    :ivar retired: earlier incarnations.
+    :ivar published_s: time of publication of each revision.
+    :ivar alter_parts: replaces cores, to prove that a check can fail.
+    :ivar alter_core: replaces the node, for the same reason.
+    """
+
+    world: World
+    seed: int
+    drivers: dict[InstanceName, NodeDriver] = field(factory=dict)
+    retired: list[NodeDriver] = field(factory=list)
+    published_s: dict[int, float] = field(factory=dict)
+    alter_parts: AlterParts = field(default=lambda parts: parts)
+    alter_core: AlterCore = field(default=lambda core: core)
+    silence_s: float = 2.0
+
+    @property
+    def now_s(self) -> float:
+        """Return the simulated time."""
+        return self.world.simulation.now_s
+
+    def start(self) -> None:
+        """Start every instance with the first revision published."""
+        self.publish()
+        for name in INSTANCES:
+            self.start_instance(InstanceName(name))
+
+    def publish(self) -> int:
+        """Publish a document of the next revision and return that."""
+        revision = len(self.world.platform.texts) + 1
+        text = json.dumps(describe_document(revision))
+        self.world.platform.texts.append(text)
+        self.published_s[revision] = self.now_s
+        return revision
+
+    def start_instance(self, name: InstanceName) -> NodeDriver:
+        """Start an instance, as a new incarnation if it ran before."""
+        wall_s = START_WALL_S + self.now_s
+        identity = InstanceIdentity(name, int(wall_s * 1000))
+        parts = make_parts(
+            identity,
+            name,
+            DOMAINS[INSTANCES.index(name) % len(DOMAINS)],
+            'a secret of the deployment, 32 bytes and more',
+            tuple(one for one in INSTANCES if one != name),
+            self.seed + INSTANCES.index(name),
+        )
+        core = make_node(self.alter_parts(parts), START_WAIT_S, STOP_WAIT_S)
+        driver = NodeDriver(
+            name,
+            self.world,
+            self.alter_core(core),
+            silence_s=self.silence_s,
+            incarnation=identity.incarnation,
+        )
+        if name in self.drivers:
+            self.retired.append(self.drivers[name])
+        self.drivers[name] = driver
+        self.world.drivers[name] = driver
+        self.world.network.dead.discard(name)
+        driver.start()
+        return driver
+
+    def kill_instance(self, name: InstanceName) -> None:
+        """Lose the process of an instance."""
+        self.drivers[name].kill()
+
+    def stop_instance(self, name: InstanceName) -> None:
+        """Ask an instance to stop."""
+        self.drivers[name].report(StopRequested())
+
+    def kill_engine(self, name: TargetName) -> None:
+        """Lose an engine and whatever it held."""
+        engine = self.world.engines[name]
+        engine.dead = True
+        engine.restart()
+        self.world.network.dead.add(name)
+
+    def restart_engine(self, name: TargetName) -> None:
+        """Bring an engine back, empty and as a new incarnation."""
+        self.world.engines[name].dead = False
+        self.world.network.dead.discard(name)
+
+    def list_leaving(self, name: TargetName) -> None:
+        """Have the platform list a target as leaving, which it does late."""
+
+        def change() -> None:
+            self.world.platform.targets = tuple(
+                ListedTarget(
+                    one.name,
+                    one.address,
+                    one.failure_domain,
+                    one.service,
+                    leaving=one.leaving or one.name == name,
+                )
+                for one in self.world.platform.targets
+            )
+
+        self.world.simulation.schedule(LIST_LAG_S, change)
+
+    def is_up(self, name: str) -> bool:
+        """Return whether an instance runs now."""
+        driver = self.drivers[InstanceName(name)]
+        return driver.alive and not driver.paused and not driver.stopped
+
+
+def describe_document(revision: int) -> dict[str, Any]:
+    """Return a document of the small deployment as JSON fields.
+
+    Even revisions ask the engines for another version of their model.
+    """
+    return {
+        'revision': revision,
+        'deployment': 'faults',
+        'failure_domains': [
+            {'name': name, 'region': 'hill'} for name in DOMAINS
+        ],
+        'organisations': [
+            {
+                'name': name,
+                'keys': [],
+                'requests_per_s': 1000.0,
+                'tokens_per_s': 100_000_000.0,
+                'services': ['writer', 'desk'],
+            }
+            for name in ORGANISATIONS
+        ],
+        'models': [{'name': 'open-large', 'versions': ['v1', 'v2']}],
+        'services': [
+            {
+                'name': 'writer',
+                'kind': 'model',
+                'targets': [_describe_target(name) for name in ENGINES],
+                'paths': [{'path': '/v1/', 'idempotent': True}],
+                'memory_tokens': ENGINE_MEMORY_TOKENS,
+                'prefill_tokens_per_s': PREFILL_TOKENS_PER_S,
+                'maximum_running': 4,
+                'loads_per_minute': 60.0,
+                'fences': 'honoured',
+                'desired': {
+                    'model': 'open-large',
+                    'version': 'v2' if revision % 2 == 0 else 'v1',
+                },
+            },
+            {
+                'name': 'desk',
+                'kind': 'plain',
+                'targets': [_describe_target(name) for name in PLAINS],
+                'paths': [
+                    {'path': '/lookup', 'idempotent': True},
+                    {'path': '/bookings', 'idempotent': False},
+                ],
+            },
+        ],
+        'time_limits': {
+            'default_s': 20.0,
+            'maximum_s': 60.0,
+            'silence_s': 2.0,
+        },
+        'balance': {'long_weight': 0.5},
+    }
+
+
+def find_domain(target: str) -> str:
+    """Return the failure domain of a target: the last engine is apart."""
+    return DOMAINS[target in {ENGINES[-1], PLAINS[-1]}]
+
+
+def _describe_target(name: str) -> dict[str, str]:
+    number = (*ENGINES, *PLAINS).index(name)
+    return {
+        'name': name,
+        'address': f'10.0.0.{number}:8000',
+        'failure_domain': find_domain(name),
+    }
+
+
+def make_fault_world(seed: int) -> FaultWorld:
+    """Return a world in which nothing runs yet."""
+    simulation = Simulation()
+    network = Network(
+        simulation,
+        lambda source, target: LATENCY_S,
+        keeps_connections=True,
+    )
+    world = World(simulation, network)
+    for name in ENGINES:
+        engine = FakeEngine(TargetName(name), simulation, make_speeds())
+        engine.model = 'open-large'
+        engine.version = 'v1'
+        world.engines[engine.name] = engine
+    for name in PLAINS:
+        plain = FakePlain(TargetName(name), serve_s=PLAIN_SERVE_S)
+        world.plains[plain.name] = plain
+    world.platform.instances = tuple(
+        ListedInstance(InstanceName(name), name, DOMAINS[0])
+        for name in INSTANCES
+    )
+    world.platform.targets = tuple(
+        ListedTarget(
+            TargetName(name),
+            _describe_target(name)['address'],
+            find_domain(name),
+            'writer' if name in ENGINES else 'desk',
+        )
+        for name in (*ENGINES, *PLAINS)
+    )
+    return FaultWorld(world, seed)
+
+
+def make_speeds() -> EngineSpeeds:
+    """Return the speeds of the world's engines."""
+    return EngineSpeeds(
+        prefill_tokens_per_s=PREFILL_TOKENS_PER_S,
+        step_s=0.04,
+        step_per_stream_s=0.001,
+        chunk_tokens=10_000,
+        memory_tokens=ENGINE_MEMORY_TOKENS,
+        cache_tokens=20_000,
+        maximum_running=8,
+    )
--- a/trefoilhinge/standins/simulation/answers.py
+++ b/trefoilhinge/standins/simulation/answers.py
@@ -170,7 +170,7 @@
             event,
             connection,
         )
-        connection.note_break = lambda: self._break(attempt)
+        connection.note_break = lambda: self._break(attempt, connection)
 
         def listen(event: StreamEvent) -> None:
             arriving = connection.partner or connection
@@ -180,7 +180,8 @@
 
         return listen
 
-    def _break(self, attempt: AttemptId) -> None:
+    def _break(self, attempt: AttemptId, connection: Connection) -> None:
+        self._world.network.close_connection(connection)
         call = self._world.calls[attempt.request_id]
         if call.ended_s is None and call.progress.attempt == attempt:
             self._end(attempt, ev.AttemptOutcome.BROKEN)
@@ -194,6 +195,8 @@
         if connection.silent or self._lose(attempt, event, connection):
             return
         if not connection.silent:
+            if event.is_finish_marker:
+                self._world.network.close_connection(connection)
             self.take_event(attempt, event)
 
     def _lose(
--- a/trefoilhinge/standins/simulation/driver.py
+++ b/trefoilhinge/standins/simulation/driver.py
@@ -172,6 +172,17 @@
                     self.name,
                     event.target,
                 )
+        else:
+            self._reach_news(event)
+
+    def _reach_news(self, event: ev.Event) -> None:
+        if isinstance(event, ev.LoadRead):
+            if event.report is not None and event.report.leaving:
+                self.world.note_leaving(event.target)
+        elif isinstance(event, ev.InstancesListed):
+            for one in event.targets:
+                if one.leaving:
+                    self.world.note_leaving(one.name)
         else:
             step = _EVENT_STEPS.get(type(event))
             if step is not None:
@@ -208,7 +219,7 @@
                 self.world.reach(Step.ORDER_SENT, '', self.name, target)
             case fx.LogEvent('document_accepted'):
                 self.world.reach(Step.DOCUMENT_ACCEPTED, '', self.name)
-            case fx.SendPeerMessage(text=text) if '"document": "{' in text:
+            case fx.SendPeerMessage(text=text) if '"document":"{' in text:
                 self.world.reach(Step.DOCUMENT_PASSED, '', self.name)
 
     def _watch_silence(self) -> None:
--- a/trefoilhinge/standins/simulation/network.py
+++ b/trefoilhinge/standins/simulation/network.py
@@ -46,7 +46,7 @@
     :ivar one_way_cuts: source and target of ways that are cut one way only.
     :ivar delays_s: seconds added to the way from a source to a target.
     :ivar dead: ends that refuse connections.
-    :ivar connections: connections that were opened, the latest last.
+    :ivar connections: open connections by number, the latest last.
     """
 
     _simulation: Simulation
@@ -55,7 +55,7 @@
     one_way_cuts: set[tuple[str, str]] = field(factory=set)
     delays_s: dict[tuple[str, str], float] = field(factory=dict)
     dead: set[str] = field(factory=set)
-    connections: list[Connection] = field(factory=list)
+    connections: dict[int, Connection] = field(factory=dict)
     keeps_connections: bool = False
     _held: dict[str, list[Action]] = field(factory=dict)
 
@@ -90,9 +90,13 @@
         """Return a new connection, which may go silent later."""
         connection = Connection(source, target)
         if self.keeps_connections:
-            self.connections.append(connection)
+            self.connections[id(connection)] = connection
         return connection
 
+    def close_connection(self, connection: Connection) -> None:
+        """Forget a connection whose answer was taken."""
+        self.connections.pop(id(connection), None)
+
     def send(self, source: str, target: str, action: Action) -> None:
         """Run an action at the target's end, if the way stands then."""
 
@@ -128,6 +132,7 @@
         def finish(answer: Answer | None) -> None:
             # The first of the answer and the time limit takes the entry.
             if pending:
+                self.close_connection(connection)
                 pending.pop()(answer)
 
         connection.note_break = lambda: finish(None)
--- a/trefoilhinge/standins/simulation/world.py
+++ b/trefoilhinge/standins/simulation/world.py
@@ -50,6 +50,7 @@
     :ivar pieces: data that the caller got, in order.
     :ivar broken: whether its instance died before it had answered.
     :ivar gone: whether the caller closed the connection.
+    :ivar gone_s: time at which it did.
     :ivar relayed_refusal: refusal of the owner that the call was passed on to.
     :ivar note_end: called once when the call has ended.
     """
@@ -65,6 +66,7 @@
     finished: bool = False
     last_event_s: float = 0
     gone: bool = False
+    gone_s: float = 0
     broken: bool = False
     relayed_refusal: Refusal | None = None
     note_end: Callable[['CallRecord'], None] | None = None
@@ -83,6 +85,7 @@
     :ivar calls: every call, by request.
     :ivar probe: learns of each step; none if nobody asks.
     :ivar starts: work that each target began, kept while there is a probe.
+    :ivar notices: when the first instance heard that a target is leaving.
     """
 
     simulation: Simulation
@@ -96,6 +99,7 @@
     load_lag_s: float = 0.2
     probe: Probe | None = None
     starts: dict[TargetName, list[Start]] = field(factory=dict)
+    notices: dict[TargetName, float] = field(factory=dict)
 
     def reach(
         self,
@@ -114,3 +118,7 @@
         if self.probe is not None:
             start = Start(self.simulation.now_s, request, sender)
             self.starts.setdefault(target, []).append(start)
+
+    def note_leaving(self, target: TargetName) -> None:
+        """Record that an instance heard that a target is leaving."""
+        self.notices.setdefault(target, self.simulation.now_s)
