--- a/trefoilhinge/client/commands.py
+++ b/trefoilhinge/client/commands.py
@@ -22,6 +22,7 @@
 from trefoilhinge.demo.commands import run_demo
 from trefoilhinge.entry.commands import run_entry
 from trefoilhinge.exceptions import TrefoilhingeError
+from trefoilhinge.faults.commands import DEFAULT_PAIRS, run_faults
 
 # Commands whose flags are the settings, which their help lists.
 _TAKE_SETTINGS = frozenset(('entry', 'check-settings', 'check_settings'))
@@ -145,6 +146,25 @@
     fire.Fire(Commands(chosen), command=line, name='trefoilhinge')
     return chosen.job() or EXIT_DONE
 
+    def faults(
+        self,
+        seed: int = 0,
+        cell: str = '',
+        part: str = '',
+        walk: int = 0,
+        pairs: int | bool = 0,
+        format: str = 'text',
+    ) -> None:
+        """Run every fault at every step; exit 1 if a promise is broken."""
+        run_faults(
+            seed=seed,
+            cell=cell,
+            part=part,
+            walk=walk,
+            pairs=DEFAULT_PAIRS if pairs is True else pairs,
+            as_json=format == 'json',
+        )
+
 
 def main() -> None:
     """Run the command line of this process."""
