--- a/trefoilhinge/routing/router.py
+++ b/trefoilhinge/routing/router.py
@@ -65,6 +65,16 @@
                     f'There is no service named {profile.service!r}.',
                 ),
             )
+        if profile.total_tokens > service.memory_tokens:
+            return Impossible(
+                refuse_not_run(
+                    RefusalCode.TOO_LARGE,
+                    'The prompt is beyond the memory of one engine; shorten '
+                    'it.',
+                    limit='memory_tokens',
+                    limit_value=service.memory_tokens,
+                ),
+            )
         usable = [
             one
             for one in self._targets.get(profile.service, ())
