--- a/tests/retries/calls.py
+++ b/tests/retries/calls.py
@@ -19,12 +19,13 @@
     idempotent=False,
     forwarded=False,
     model=False,
+    service='desk',
     deadline_s=START_S + 60,
 ):
     return CallProfile(
         request_id=request_id,
         organisation=organisation,
-        service='desk',
+        service=service,
         model=model,
         path='/bookings',
         idempotent=idempotent,
--- a/trefoilhinge/node/composition.py
+++ b/trefoilhinge/node/composition.py
@@ -48,7 +48,7 @@
         router=make_least_tokens_router(),
         limiter=make_bucket_limiter(),
         ledger=make_owned_key_ledger(identity, secret, life),
-        retries=make_careful_retry_policy(),
+        retries=make_careful_retry_policy(seed),
         groups=make_no_group_runner(),
         fleet=make_exchange_fleet(identity, address, seeds, seed),
         keeper=NewestDocumentKeeper(),
--- a/trefoilhinge/node/parts.py
+++ b/trefoilhinge/node/parts.py
@@ -337,10 +337,12 @@
 
     :ivar verdict: what is known of the call.
     :ivar code: code of the refusal.
+    :ivar retry_after_s: seconds that the target asked to wait, if it did.
     """
 
     verdict: Verdict
     code: RefusalCode
+    retry_after_s: float | None = None
 
 
 RetryDecision = RetryAfter | GiveUp
