Held on to what a broken stream had proved.

Cause: a resumption that was refused or not sent counted as proof that the call had not run, so that a call that may not be repeated was sent again; a resumption that met an error forgot the tokens that had been passed on and began anew; answers to questions that came late decided a call twice; a stream broken again and again was resumed in a loop; a quiet prefill was resumed at every silence.

Change: after a resumption no outcome proves that nothing ran, tokens passed on are kept with the call, answers count only while a question is open, a resumption without progress waits a second, and a stream that is quiet at its target keeps its connection. That a target knows nothing of a stream proves nothing, for it may have restarted. A stream that is given up is cancelled.

--- /dev/null
+++ b/tests/node/nodes.py
@@ -0,0 +1,102 @@
+"""A node made of its default cores, driven by events."""
+
+import json
+import pathlib
+
+from tests.retries.calls import at, make_call
+from trefoilhinge.core.effects import AnswerPeer, SendPeerMessage
+from trefoilhinge.core.events import (
+    CallReceived,
+    DocumentRead,
+    PeerAnswered,
+    PeerMessageReceived,
+    TimerFired,
+)
+from trefoilhinge.core.identifiers import InstanceIdentity, InstanceName
+from trefoilhinge.node.composition import make_node, make_parts
+
+ORGANISATION = 'hotel-desk'
+EXAMPLES = pathlib.Path(__file__).parents[2] / 'examples'
+
+
+def write_document(revision=1, name='kandy', **changes):
+    fields = json.loads((EXAMPLES / f'{name}.json').read_text())
+    return json.dumps({**fields, 'revision': revision, **changes})
+
+
+def find(effects, kind):
+    return [one for one in effects if isinstance(one, kind)]
+
+
+class Node:
+    """One node and the effects that it asked for."""
+
+    def __init__(self, name='a', document=None, seeds=(), seed=1, start_s=0):
+        identity = InstanceIdentity(InstanceName(name), 100 + seed)
+        self.address = f'10.0.0.1:{ord(name[0])}{name[1:]}'
+        parts = make_parts(
+            identity,
+            self.address,
+            'kandy',
+            'secret',
+            seeds,
+            seed,
+        )
+        self.name = name
+        self.core = make_node(parts, 2.0, 3.0, seed)
+        self.elapsed_s = start_s
+        self.effects = []
+        if document is not None:
+            self.tell(TimerFired())
+            self.tell(DocumentRead(document))
+
+    def tell(self, event, wall_shift_s=0.0):
+        now = at(self.elapsed_s, wall_shift_s)
+        effects = self.core.handle(event, now)
+        self.effects.extend(effects)
+        return effects
+
+    def wait(self, seconds, step_s=0.1):
+        effects = []
+        for _ in range(round(seconds / step_s)):
+            self.elapsed_s += step_s
+            effects.extend(self.tell(TimerFired()))
+        return effects
+
+    def call(self, **options):
+        profile = make_call(**{'organisation': ORGANISATION, **options})
+        return self.tell(CallReceived(profile))
+
+
+class Net:
+    """Carries messages between nodes at once, but for those that are cut."""
+
+    def __init__(self, *nodes):
+        self.nodes = {one.address: one for one in nodes}
+        self.cut = set()
+        self.sent = 0
+        self.bytes = 0
+
+    def carry(self, sender, effects, depth=0):
+        for message in find(effects, SendPeerMessage):
+            self.sent += 1
+            self.bytes += len(message.text)
+            answer = self.deliver(sender, message, depth)
+            after = sender.tell(PeerAnswered(message.peer, answer))
+            self.carry(sender, after, depth + 1)
+
+    def deliver(self, sender, message, depth):
+        receiver = self.nodes.get(message.address)
+        names = {sender.name, receiver.name} if receiver else set()
+        if receiver is None or names & self.cut:
+            return None
+        effects = receiver.tell(PeerMessageReceived('t', message.text))
+        self.carry(receiver, effects, depth + 1)
+        answer = find(effects, AnswerPeer)[0].text
+        self.bytes += len(answer)
+        return answer
+
+    def tick(self, seconds, step_s=0.1):
+        for _ in range(round(seconds / step_s)):
+            for node in self.nodes.values():
+                self.carry(node, node.wait(step_s, step_s))
--- a/trefoilhinge/node/desk.py
+++ b/trefoilhinge/node/desk.py
@@ -4,7 +4,7 @@
 call stands in this table: whatever arrives later finds no record.
 """
 
-from attrs import define
+from attrs import define, evolve
 
 from trefoilhinge.core.clocks import Instant
 from trefoilhinge.core.effects import (
@@ -64,6 +64,8 @@
 
 SEND_LEASE_S = 2.0
 QUESTION_INTERVAL_S = 1.0
+# A question that is not answered by then was lost with its thread.
+LOST_QUESTION_S = 5.0
 MAXIMUM_PLACEMENTS = 64
 
 Effects = list[Effect]
@@ -137,41 +139,33 @@
         record = self.table.find_attempt(event.attempt)
         if record is None or record.target is None:
             return []
-        if not record.profile.model:
+        if not record.profile.model or record.state is not CallState.SENT:
             return []
         record.offset = event.offset
-        return self._ask(record)
+        record.relayed = event.offset
+        return self._ask(record, now)
 
     def note_stream(self, event: StreamAnswered, now: Instant) -> Effects:
         """Resume a stream that stands, or decide on one that does not."""
         record = self.table.find_attempt(event.attempt)
         if record is None or record.target is None:
             return []
+        if record.state is not CallState.ASKING:
+            # The call has moved on since the question was asked.
+            return []
         if event.state in {StreamState.RUNNING, StreamState.FINISHED}:
-            record.state = CallState.SENT
-            record.questions = 0
-            return [
-                ResumeStream(
-                    record.attempt,
-                    record.target.name,
-                    record.target.address,
-                    record.stream_id or _name_stream(record.attempt),
-                    record.offset,
-                ),
-            ]
+            return self._resume(record, event)
         if event.state is StreamState.UNREACHABLE:
             record.due_s = now.monotonic_s + QUESTION_INTERVAL_S
             record.questions += 1
             if record.questions < 3 or not record.profile.idempotent:
                 return []
-        outcome = AttemptOutcome.ERRORED
-        if event.state is StreamState.NEVER_STARTED:
-            outcome = AttemptOutcome.REFUSED
-        return self._decide(
-            record,
-            AttemptEnded(event.attempt, outcome, relayed=record.offset),
-            now,
-        )
+        # That a target knows nothing of a stream proves nothing: it may have
+        # restarted since, or the request may still be on its way. The stream
+        # is voided, so that it holds nothing there.
+        effects = _cancel(record)
+        ended = AttemptEnded(event.attempt, AttemptOutcome.ERRORED)
+        return effects + self._decide(record, ended, now)
 
     def note_ended(self, event: AttemptEnded, now: Instant) -> Effects:
         """Finish a call, or decide on a failed attempt."""
@@ -180,10 +174,11 @@
             return []
         if event.outcome is AttemptOutcome.FINISHED:
             return self._finish(record, event, now)
-        broken = event.outcome is AttemptOutcome.BROKEN
-        if broken and record.profile.model and record.target is not None:
-            record.offset = event.relayed
-            return self._ask(record)
+        if record.state not in {CallState.SENT, CallState.ASKING}:
+            return []
+        record.relayed = max(record.relayed, event.relayed)
+        if record.profile.model and _lost_connection(record, event):
+            return self._note_broken(record, event, now)
         return self._decide(record, event, now)
 
     def note_group_step(self, event: GroupStepEnded, now: Instant) -> Effects:
@@ -233,8 +228,8 @@
                     record.state = CallState.QUEUED
                     self._limiter.requeue(record.profile, now)
             elif record.state is CallState.ASKING:
-                if 0 < record.due_s <= now.monotonic_s:
-                    effects.extend(self._ask(record))
+                if record.due_s <= now.monotonic_s:
+                    effects.extend(self._ask(record, now))
         effects.extend(self.place_queued(now))
         return effects
 
@@ -279,7 +274,10 @@
         record.number += 1
         record.stream_id = None
         record.offset = 0
+        record.relayed = 0
         record.questions = 0
+        record.broken = False
+        record.resumed_from = None
         record.target = targets[-1]
         names = tuple(one.name for one in targets)
         self._router.charge(record.attempt, record.profile, names, now)
@@ -321,11 +319,49 @@
             group_tag=tag,
         )
 
-    def _ask(self, record: CallRecord) -> Effects:
+    def _note_broken(
+        self,
+        record: CallRecord,
+        event: AttemptEnded,
+        now: Instant,
+    ) -> Effects:
+        taken = max(event.relayed, event.output_tokens)
+        record.offset = max(record.offset, taken)
+        record.broken = True
+        if record.resumed_from == record.offset:
+            # The resumption brought nothing: do not ask in a loop.
+            record.state = CallState.ASKING
+            record.due_s = now.monotonic_s + QUESTION_INTERVAL_S
+            return []
+        return self._ask(record, now)
+
+    def _resume(self, record: CallRecord, event: StreamAnswered) -> Effects:
+        target = record.target
+        if target is None:
+            return []
+        record.state = CallState.SENT
+        record.questions = 0
+        quiet = event.state is StreamState.RUNNING
+        if quiet and event.offset <= record.offset and not record.broken:
+            # The stream is quiet at its target too, as in a long prefill.
+            return []
+        record.broken = False
+        record.resumed_from = record.offset
+        return [
+            ResumeStream(
+                record.attempt,
+                target.name,
+                target.address,
+                record.stream_id or _name_stream(record.attempt),
+                record.offset,
+            ),
+        ]
+
+    def _ask(self, record: CallRecord, now: Instant) -> Effects:
         if record.target is None:
             return []
         record.state = CallState.ASKING
-        record.due_s = 0
+        record.due_s = now.monotonic_s + LOST_QUESTION_S
         return [
             QueryStream(
                 record.attempt,
@@ -343,6 +379,7 @@
     ) -> Effects:
         profile = record.profile
         target = record.target
+        ended = evolve(ended, relayed=max(ended.relayed, record.relayed))
         effects = self._release(record, ended.outcome, now)
         if target is None:
             return effects
@@ -360,10 +397,11 @@
                 verdict,
                 'The target did not give a whole answer; '
                 'a call that may be repeated can be sent again.',
-                retry_after_s=1,
+                retry_after_s=max(1, decision.retry_after_s or 0),
             )
             return effects + self._refuse(record, refusal, now)
-        record.avoided.add(target.name)
+        if ended.outcome is not AttemptOutcome.LEASE_LOST:
+            record.avoided.add(target.name)
         record.due_s = now.monotonic_s + decision.delay_s
         return effects
 
@@ -388,6 +426,7 @@
         tokens += event.output_tokens
         self._ledger.settle(profile, Verdict.RAN, now)
         self._limiter.settle(profile, Verdict.RAN, tokens, now)
+        self._limiter.remove(profile.request_id)
         self.table.drop(profile.request_id)
         effects.append(FinishCall(profile.request_id))
         return effects + self.place_queued(now)
@@ -454,6 +493,15 @@
     )
 
 
+def _lost_connection(record: CallRecord, event: AttemptEnded) -> bool:
+    if event.outcome is AttemptOutcome.BROKEN:
+        return True
+    # Where a resumption was not sent or was refused, the attempt itself had
+    # been sent all the same.
+    resumed = record.resumed_from is not None
+    return resumed and event.outcome.proves_not_run
+
+
 def _name_stream(attempt: AttemptId) -> StreamId:
     return StreamId(str(attempt))
 
--- a/trefoilhinge/node/tables.py
+++ b/trefoilhinge/node/tables.py
@@ -46,7 +46,10 @@
     :ivar exposed: whether an attempt that has ended may have run.
     :ivar due_s: monotonic seconds at which a retry or a question is due.
     :ivar offset: tokens taken from the present stream.
+    :ivar relayed: tokens of the present stream that the caller was given.
     :ivar questions: questions asked since the stream last moved.
+    :ivar broken: whether the connection that read the stream is lost.
+    :ivar resumed_from: offset of the latest resumption, none before one.
     """
 
     profile: CallProfile
@@ -58,7 +61,10 @@
     exposed: bool = False
     due_s: float = 0
     offset: int = 0
+    relayed: int = 0
     questions: int = 0
+    broken: bool = False
+    resumed_from: int | None = None
 
     @property
     def attempt(self) -> AttemptId:
