Ordered targets to the desired state, read back before each order.

Cause: the steward only read states.

Change: the steward of a target is chosen by rendezvous hashing over the live view. It orders what it has just read back, one order at a time for each service, with a fence above the last reported one that carries the revision, so that an instance cut off from newer documents does not undo them, whether fences are honoured or not. Loads are paced by the steward's part of the targets times the part of the fleet that it hears, which keeps the sum within the store's rate in a split fleet. An order to a ready target is sent only if enough others are known to be ready even if every earlier steward orders at the same moment; what is not known counts as not ready.

--- /dev/null
+++ b/tests/orders/test_steward.py
@@ -0,0 +1,255 @@
+"""Stewards of one fleet against engines that load slowly."""
+
+import json
+
+import pytest
+
+from tests.node.nodes import write_document
+from tests.retries.calls import at
+from trefoilhinge.conf.document import parse_document
+from trefoilhinge.core.effects import ReadEngineState, SendOrder
+from trefoilhinge.core.events import EngineStateRead, OrderAnswered
+from trefoilhinge.core.identifiers import InstanceIdentity, InstanceName
+from trefoilhinge.core.reports import EngineState
+from trefoilhinge.node.parts import TargetView
+from trefoilhinge.orders.steward import make_read_back_steward
+
+LOAD_S = 20.0
+STEP_S = 0.5
+
+
+def make_document(revision=2, version='v2', **changes):
+    fields = json.loads(write_document(revision))
+    service = next(s for s in fields['services'] if s['name'] == 'writer')
+    service['desired'] = {'model': 'open-large', 'version': version}
+    model = next(m for m in fields['models'] if m['name'] == 'open-large')
+    model['versions'] = ['v1', 'v2', 'v3']
+    service.update(
+        {'minimum_ready': 4, 'loads_per_minute': 30.0, **changes},
+    )
+    parsed = parse_document(json.dumps(fields))
+    assert parsed.is_ok(), parsed.error
+    return parsed.ok
+
+
+class Engine:
+    def __init__(self, name, honours):
+        self.view = TargetView(name, f'{name}:1', 'kandy', 'writer')
+        self.honours = honours
+        self.fence = 0
+        self.version = 'v1'
+        self.role = 'both'
+        self.loading = None
+        self.orders = 0
+
+    def read(self, now_s):
+        self.settle(now_s)
+        return EngineState(
+            self.view.name,
+            self.fence,
+            'open-large',
+            self.version,
+            (),
+            self.role,
+            self.loading is None,
+        )
+
+    def settle(self, now_s):
+        if self.loading is not None and now_s >= self.loading[0]:
+            self.version = self.loading[1]
+            self.loading = None
+
+    def take(self, order, now_s):
+        self.settle(now_s)
+        if self.honours and order.fence <= self.fence:
+            return False
+        self.fence = order.fence
+        self.orders += 1
+        self.role = order.role
+        if order.version != self.version:
+            self.loading = (now_s + LOAD_S, order.version)
+        return True
+
+
+class Deployment:
+    def __init__(self, stewards=3, engines=6, honours=True, document=None):
+        self.engines = {
+            f'w{n}': Engine(f'w{n}', honours) for n in range(engines)
+        }
+        self.targets = tuple(one.view for one in self.engines.values())
+        self.names = [InstanceName(f'i{n}') for n in range(stewards)]
+        self.stewards = {
+            name: make_read_back_steward(name) for name in self.names
+        }
+        self.views = dict.fromkeys(self.names, self.names)
+        self.now_s = 0.0
+        self.loads = []
+        self.least_ready = engines
+        self.held = []
+        for one in self.stewards.values():
+            one.configure(document or make_document(), at(0))
+
+    def run(self, seconds, names=None):
+        for _ in range(round(seconds / STEP_S)):
+            self.now_s += STEP_S
+            # Stewards decide at one moment; their orders arrive after it.
+            decided = [
+                (name, self.decide(name)) for name in names or self.names
+            ]
+            for name, effects in decided:
+                self.perform(name, effects)
+            ready = sum(
+                one.read(self.now_s).ready for one in self.engines.values()
+            )
+            self.least_ready = min(self.least_ready, ready)
+
+    def decide(self, name):
+        live = frozenset(InstanceIdentity(n, 1) for n in self.views[name])
+        steward = self.stewards[name]
+        now = at(self.now_s)
+        effects = steward.act(live, len(self.names), self.targets, now)
+        decided = []
+        for read in effects:
+            assert isinstance(read, ReadEngineState)
+            state = self.engines[read.target].read(self.now_s)
+            event = EngineStateRead(read.target, state)
+            decided.extend(steward.note_state(event, now))
+        return decided
+
+    def perform(self, name, effects):
+        for order in effects:
+            if isinstance(order, SendOrder):
+                engine = self.engines[order.target]
+                accepted = engine.take(order, self.now_s)
+                if engine.loading:
+                    self.loads.append(self.now_s)
+                answer = OrderAnswered(order.target, order.fence, accepted)
+                self.stewards[name].note_answer(answer, at(self.now_s))
+            else:
+                self.held.append(order.name)
+
+    def list_versions(self):
+        return {one.read(self.now_s).version for one in self.engines.values()}
+
+
+class TestRollout:
+    def test_every_target_reaches_the_desired_state_and_stays(self):
+        deployment = Deployment()
+        deployment.run(600)
+        assert deployment.list_versions() == {'v2'}
+        orders = [one.orders for one in deployment.engines.values()]
+        assert orders == [1] * 6
+
+    def test_ready_targets_do_not_fall_below_the_minimum(self):
+        deployment = Deployment()
+        deployment.run(600)
+        assert deployment.least_ready == 4
+
+    def test_stewards_that_decide_at_once_leave_the_minimum(self):
+        document = make_document(loads_per_minute=10000.0)
+        deployment = Deployment(6, 8, document=document)
+        deployment.run(600)
+        assert deployment.list_versions() == {'v2'}
+        assert deployment.least_ready == 4
+
+    def test_nothing_is_ordered_while_too_few_are_ready(self):
+        deployment = Deployment(engines=4)
+        deployment.run(300)
+        assert not deployment.loads
+
+    def test_loads_keep_to_the_rate_of_the_store(self):
+        document = make_document(loads_per_minute=2.0, minimum_ready=0)
+        deployment = Deployment(engines=12, document=document)
+        deployment.run(400)
+        assert deployment.list_versions() == {'v1', 'v2'}
+        assert 6 <= len(deployment.loads) <= 400 / 60 * 2
+
+    def test_split_fleet_keeps_to_the_rate_together(self):
+        document = make_document(loads_per_minute=2.0, minimum_ready=0)
+        deployment = Deployment(4, 12, document=document)
+        first, second = deployment.names[:2], deployment.names[2:]
+        deployment.views = {
+            name: first if name in first else second
+            for name in deployment.names
+        }
+        deployment.run(400)
+        assert 4 <= len(deployment.loads) <= 400 / 60 * 2
+
+    def test_split_fleet_falls_below_the_minimum_by_its_parts_at_most(self):
+        deployment = Deployment(4, 12)
+        first, second = deployment.names[:2], deployment.names[2:]
+        deployment.views = {
+            name: first if name in first else second
+            for name in deployment.names
+        }
+        deployment.run(600)
+        assert deployment.list_versions() == {'v2'}
+        assert deployment.least_ready >= 4 - 1
+
+    def test_roles_are_shared_out(self):
+        deployment = Deployment(
+            engines=6,
+            document=make_document(
+                desired={
+                    'model': 'open-large',
+                    'version': 'v2',
+                    'prefill_share': 0.5,
+                },
+            ),
+        )
+        deployment.run(600)
+        roles = sorted(one.role for one in deployment.engines.values())
+        assert roles == ['decode'] * 3 + ['prefill'] * 3
+
+
+class TestLateStewards:
+    @pytest.mark.parametrize('honours', [True, False])
+    def test_steward_of_an_old_revision_undoes_nothing(self, honours):
+        deployment = Deployment(honours=honours)
+        late = deployment.names[0]
+        deployment.run(600)
+        for name in deployment.names[1:]:
+            newer = make_document(3, 'v3')
+            deployment.stewards[name].configure(newer, at(deployment.now_s))
+            deployment.views[name] = deployment.names[1:]
+        deployment.run(600, deployment.names[1:])
+        assert deployment.list_versions() == {'v3'}
+        deployment.stewards[late].note_pause(at(deployment.now_s))
+        deployment.run(60, [late])
+        assert deployment.list_versions() == {'v3'}
+        assert 'order_held' in deployment.held
+
+    def test_order_that_was_under_way_is_refused_or_mended(self):
+        for honours in (True, False):
+            deployment = Deployment(honours=honours)
+            deployment.run(600)
+            engine = deployment.engines['w0']
+            late = SendOrder(
+                'w0', 'w0:1', 1, 1, 'open-large', 'v1', (), 'both', at(0)
+            )
+            assert engine.take(late, deployment.now_s) is not honours
+            deployment.run(600)
+            assert deployment.list_versions() == {'v2'}
+
+    def test_state_that_lay_unread_through_a_pause_orders_nothing(self):
+        deployment = Deployment(stewards=1)
+        name = deployment.names[0]
+        steward = deployment.stewards[name]
+        deployment.run(5)
+        state = deployment.engines['w0'].read(deployment.now_s)
+        deployment.now_s += 60
+        steward.note_pause(at(deployment.now_s))
+        event = EngineStateRead('w0', state)
+        assert steward.note_state(event, at(deployment.now_s)) == ()
+
+
+class TestReads:
+    def test_reads_of_many_targets_are_paced(self):
+        deployment = Deployment(stewards=1, engines=4000)
+        live = frozenset((InstanceIdentity(deployment.names[0], 1),))
+        steward = deployment.stewards[deployment.names[0]]
+        count = sum(
+            len(steward.act(live, 1, deployment.targets, at(1 + tick / 2)))
+            for tick in range(20)
+        )
+        assert 10 * 60 <= count <= 64 + 10 * 60
--- a/trefoilhinge/node/composition.py
+++ b/trefoilhinge/node/composition.py
@@ -17,7 +17,7 @@
 from trefoilhinge.node.reads import make_document_reads
 from trefoilhinge.node.schedule import make_jittered_timer
 from trefoilhinge.node.tables import CallTable
-from trefoilhinge.orders.steward import make_reading_steward
+from trefoilhinge.orders.steward import make_read_back_steward
 from trefoilhinge.retries.ledger import make_owned_key_ledger
 from trefoilhinge.retries.policy import make_careful_retry_policy
 from trefoilhinge.routing.router import make_least_tokens_router
@@ -52,7 +52,7 @@
         groups=make_no_group_runner(),
         fleet=make_exchange_fleet(identity, address, seeds, seed),
         keeper=NewestDocumentKeeper(),
-        steward=make_reading_steward(),
+        steward=make_read_back_steward(identity.name),
     )
 
 
--- a/trefoilhinge/node/core.py
+++ b/trefoilhinge/node/core.py
@@ -64,6 +64,7 @@
 LOAD_INTERVAL_S = 0.5
 INSTANCES_INTERVAL_S = 2.0
 DOCUMENT_WATCH_S = 2.0
+STEWARD_INTERVAL_S = 0.5
 HOUSEKEEPING_INTERVAL_S = 5.0
 # After a pause, peers and the platform are asked before anything is placed.
 PAUSE_HOLD_S = 0.5
@@ -91,6 +92,7 @@
 
     exchange: Timer = field(factory=lambda: Timer(EXCHANGE_INTERVAL_S))
     instances: Timer = field(factory=lambda: Timer(INSTANCES_INTERVAL_S))
+    steward: Timer = field(factory=lambda: Timer(STEWARD_INTERVAL_S))
     housekeeping: Timer = field(
         factory=lambda: Timer(HOUSEKEEPING_INTERVAL_S),
     )
@@ -272,7 +274,8 @@
             effects.extend(self.exchanger.send(now))
             effects.extend(self._follow_exchange(False, now))
         effects.extend(self.parts.groups.act(now))
-        effects.extend(self._steward(now))
+        if self.timers.steward.take_due(now):
+            effects.extend(self._steward(now))
         if self.timers.housekeeping.take_due(now):
             self.parts.ledger.expire(now)
         effects.extend(self._report_ready(now))
@@ -308,7 +311,14 @@
         if self.stopping_since_s is not None:
             return []
         live = self.parts.fleet.list_live(now)
-        return list(self.parts.steward.act(live, self._engines, now))
+        return list(
+            self.parts.steward.act(
+                live,
+                self.parts.fleet.count_expected(),
+                self._engines,
+                now,
+            ),
+        )
 
     def _list_engines(self) -> tuple[TargetView, ...]:
         document = self.parts.keeper.document
--- a/trefoilhinge/node/parts.py
+++ b/trefoilhinge/node/parts.py
@@ -521,10 +521,14 @@
     def act(
         self,
         live: frozenset[InstanceIdentity],
+        expected: int,
         targets: tuple[TargetView, ...],
         now: Instant,
     ) -> tuple[Effect, ...]:
-        """Read states that are due and send orders that are due."""
+        """Read states that are due and send orders that are due.
+
+        :param expected: how many instances there should be.
+        """
         ...
 
     def note_pause(self, now: Instant) -> None:
--- /dev/null
+++ b/trefoilhinge/orders/desired.py
@@ -0,0 +1,87 @@
+"""The state that the document asks of each target."""
+
+import xxhash
+from attrs import frozen
+
+from trefoilhinge.conf.generated.document import DesiredState, Service
+from trefoilhinge.core.reports import EngineState
+from trefoilhinge.node.parts import TargetView
+
+FENCES_A_REVISION = 65_536
+MAXIMUM_REVISION = 2**36
+# A fence that would be further ahead than this was not ours.
+MAXIMUM_LEAD = 100_000
+
+
+@frozen
+class TargetGoal:
+    """What one target is to run."""
+
+    model: str
+    version: str
+    adapters: tuple[str, ...]
+    role: str
+
+    def needs_load(self, state: EngineState) -> bool:
+        """Return whether weights have to be loaded to reach the goal."""
+        running = (state.model, state.version, tuple(sorted(state.adapters)))
+        return running != (self.model, self.version, self.adapters)
+
+    def is_met(self, state: EngineState) -> bool:
+        """Return whether a target runs what it is to run."""
+        return not self.needs_load(state) and state.role == self.role
+
+
+def list_goals(
+    service: Service,
+    targets: tuple[TargetView, ...],
+) -> dict[str, TargetGoal]:
+    """Return the goal of each target of a service, by name."""
+    desired = service.desired
+    if desired is None:
+        return {}
+    prefilling = _choose_prefilling(desired, targets)
+    return {
+        one.name: TargetGoal(
+            desired.model,
+            desired.version,
+            tuple(sorted(desired.adapters)),
+            _choose_role(desired, one.name in prefilling),
+        )
+        for one in targets
+    }
+
+
+def choose_fence(reported: int, revision: int) -> int | None:
+    """Return the fence of an order, none if a newer revision was ordered.
+
+    The revision is part of the fence, so that an instance that was cut off
+    from newer documents does not undo them.
+
+    :param reported: last fence that the target accepted.
+    """
+    if revision >= MAXIMUM_REVISION:
+        return reported + 1
+    lead = reported // FENCES_A_REVISION - revision
+    if 0 < lead <= MAXIMUM_LEAD:
+        return None
+    return max(reported + 1, revision * FENCES_A_REVISION)
+
+
+def _choose_role(desired: DesiredState, prefilling: bool) -> str:
+    if not desired.prefill_share:
+        return 'both'
+    return 'prefill' if prefilling else 'decode'
+
+
+def _choose_prefilling(
+    desired: DesiredState,
+    targets: tuple[TargetView, ...],
+) -> frozenset[str]:
+    count = int(desired.prefill_share * len(targets))
+    # By hash, so that a target that comes or goes moves few roles.
+    ranked = sorted(
+        (one.name for one in targets),
+        key=lambda name: xxhash.xxh64_intdigest(name.encode()),
+    )
+    return frozenset(ranked[:count])
--- /dev/null
+++ b/trefoilhinge/orders/stewardship.py
@@ -0,0 +1,68 @@
+"""Which targets an instance is the steward of, by rendezvous hashing."""
+
+from collections.abc import Iterable
+
+import numpy as np
+import xxhash
+from attrs import frozen
+
+from trefoilhinge.core.identifiers import InstanceName, TargetName
+
+_SHIFT = np.uint64(32)
+_FACTOR = np.uint64(0x9E3779B97F4A7C15)
+
+
+@frozen
+class Stewardship:
+    """The steward of each target in one view of the live instances."""
+
+    stewards: dict[TargetName, InstanceName]
+
+    def list_owned(self, name: InstanceName) -> frozenset[TargetName]:
+        """Return the targets of which an instance is the steward."""
+        return frozenset(
+            target
+            for target, steward in self.stewards.items()
+            if steward == name
+        )
+
+
+def make_stewardship(
+    targets: Iterable[TargetName],
+    instances: Iterable[InstanceName],
+) -> Stewardship:
+    """Return the stewards of targets.
+
+    An instance that comes or goes moves only its own share of the targets.
+
+    :param instances: names of the live instances, at least one.
+    """
+    names = sorted(instances)
+    wanted = tuple(targets)
+    hashed = _hash_all(wanted)
+    best = np.zeros(len(wanted), dtype=np.uint64)
+    chosen = np.zeros(len(wanted), dtype=np.int64)
+    for number, score in enumerate(_hash_all(names)):
+        scores = _mix(hashed ^ score)
+        better = scores > best
+        best[better] = scores[better]
+        chosen[better] = number
+    return Stewardship(
+        {
+            target: names[number]
+            for target, number in zip(wanted, chosen, strict=True)
+        },
+    )
+
+
+def _hash_all(names: Iterable[str]) -> np.ndarray:
+    return np.array(
+        [xxhash.xxh64_intdigest(one.encode()) for one in names],
+        dtype=np.uint64,
+    )
+
+
+def _mix(scores: np.ndarray) -> np.ndarray:
+    mixed = (scores ^ (scores >> _SHIFT)) * _FACTOR
+    mixed = (mixed ^ (mixed >> _SHIFT)) * _FACTOR
+    return mixed ^ (mixed >> _SHIFT)
