--- a/trefoilhinge/node/composition.py
+++ b/trefoilhinge/node/composition.py
@@ -16,6 +16,7 @@
 from trefoilhinge.node.handover import HandoverSender
 from trefoilhinge.node.reads import make_document_reads
 from trefoilhinge.node.schedule import make_jittered_timer
+from trefoilhinge.node.observations import Observations
 from trefoilhinge.node.tables import CallTable
 from trefoilhinge.orders.steward import make_read_back_steward
 from trefoilhinge.retries.ledger import make_owned_key_ledger
@@ -77,6 +78,7 @@
         parts.groups,
         parts.fleet,
     )
+    observations = Observations()
     exchanger = PeerExchanger(
         parts.fleet,
         parts.router,
@@ -84,6 +86,7 @@
         parts.ledger,
         parts.keeper,
         HandoverSender(parts.ledger, parts.fleet),
+        observations=observations,
     )
     return NodeCore(
         parts,
@@ -99,4 +102,5 @@
                 seed,
             ),
         ),
+        observations=observations,
     )
--- a/trefoilhinge/node/exchange.py
+++ b/trefoilhinge/node/exchange.py
@@ -15,6 +15,7 @@
 from trefoilhinge.core.events import PeerAnswered, PeerMessageReceived
 from trefoilhinge.core.identifiers import InstanceName
 from trefoilhinge.node.handover import HandoverSender
+from trefoilhinge.node.observations import Observations
 from trefoilhinge.node.parts import (
     DocumentKeeper,
     Fleet,
@@ -47,6 +48,7 @@
     _passes: DocumentPasses = field(factory=DocumentPasses)
     _told: tuple[int, str] = (0, '')
     _news_due_s: float = 0
+    _observations: Observations = field(factory=Observations)
 
     def send(self, now: Instant) -> list[Effect]:
         """Return messages to the peers whose turn it is."""
@@ -145,6 +147,7 @@
         return write_exchange(answer)
 
     def _take(self, exchange: PeerExchange, now: Instant) -> list[Effect]:
+        self._observations.note_exchange(exchange, now)
         effects: list[Effect] = []
         if exchange.document:
             source = f'peer:{exchange.sender}'
