--- a/trefoilhinge/entry/daemon.py
+++ b/trefoilhinge/entry/daemon.py
@@ -2,11 +2,13 @@
 
 import json
 import threading
+import uuid
 from concurrent.futures import ThreadPoolExecutor
 from typing import Any
 
+import cattrs
 import pykka
-from attrs import asdict, define, field
+from attrs import define, field
 
 from trefoilhinge.calls.application import CallerApplication
 from trefoilhinge.calls.authentication import KeyRing
@@ -45,6 +47,7 @@
 from trefoilhinge.node.composition import make_node, make_parts
 from trefoilhinge.node.core import NodeCore
 from trefoilhinge.node.schedule import TICK_S
+from trefoilhinge.node.status import describe_node
 from trefoilhinge.platform.connections import make_pool
 from trefoilhinge.platform.engines import make_http_engine_client
 from trefoilhinge.platform.plain import make_http_plain_client
@@ -54,6 +57,7 @@
 PEER_THREADS = 16
 OPENING_THREADS = 64
 ANSWER_TIMEOUT_S = 2.0
+LIFE_DIGITS = 8
 
 
 @define
@@ -136,12 +140,15 @@
         """Ask the core how it stands."""
         if self.actor is None:
             return NodeState()
-        state = self.actor.ask(describe_node, timeout=ANSWER_TIMEOUT_S)
+        state = self.actor.ask(read_state, timeout=ANSWER_TIMEOUT_S)
         return state if isinstance(state, NodeState) else NodeState()
 
     def read_status(self) -> bytes:
         """Return how the core stands as JSON."""
-        return json.dumps(asdict(self.read_state())).encode()
+        if self.actor is None:
+            return b'{}'
+        status = self.actor.ask(describe_node, timeout=ANSWER_TIMEOUT_S)
+        return json.dumps(cattrs.unstructure(status)).encode()
 
     def read_metrics(self) -> bytes:
         """Return every measure."""
@@ -167,13 +174,20 @@
         settings.peer_secret,
         settings.seeds,
         identity.incarnation,
+        uuid.uuid4().hex[:LIFE_DIGITS],
+    )
+    core = make_node(
+        parts,
+        settings.start_wait_s,
+        settings.stop_wait_s,
+        identity.incarnation,
     )
-    core = make_node(parts, settings.start_wait_s, settings.stop_wait_s)
+    core.identity = identity
     node = _Node(settings, core, clock, make_telemetry(settings))
     return _assemble(node, identity)
 
 
-def describe_node(core: NodeCore, now: Instant) -> NodeState:
+def read_state(core: NodeCore, now: Instant) -> NodeState:
     """Return how a core stands."""
     return NodeState(
         revision=core.parts.keeper.revision,
