--- /dev/null
+++ b/tests/calls/test_tls.py
@@ -0,0 +1,113 @@
+import shutil
+import socket
+import ssl
+import subprocess
+
+import pytest
+import urllib3
+
+from tests.calls import support
+from trefoilhinge.demo.deployment import DeploymentShape, start_deployment
+
+OPENSSL = shutil.which('openssl')
+BODY = b'{"model": "writer", "prompt": "tea", "max_tokens": 2}'
+
+
+@pytest.fixture(scope='module')
+def certificate(tmp_path_factory):
+    if OPENSSL is None:
+        pytest.fail('openssl is needed to make a certificate')
+    folder = tmp_path_factory.mktemp('tls')
+    subject = ['-subj', '/CN=entry', '-addext', 'subjectAltName=IP:127.0.0.1']
+    files = ['-keyout', folder / 'key.pem', '-out', folder / 'cert.pem']
+    command = [OPENSSL, 'req', '-x509', '-newkey', 'rsa:2048', '-nodes']
+    subprocess.run(
+        [*command, '-days', '1', *subject, *files],
+        check=True,
+        capture_output=True,
+    )
+    return folder
+
+
+@pytest.fixture(scope='module')
+def deployment(certificate):
+    one = start_deployment(
+        support.EXAMPLES / 'kandy.json',
+        DeploymentShape(
+            instances=2,
+            targets=1,
+            settings={
+                'tls_certificate': str(certificate / 'cert.pem'),
+                'tls_key': str(certificate / 'key.pem'),
+                'tls_authorities': str(certificate / 'cert.pem'),
+                'slow_sender_s': 2.0,
+            },
+        ),
+    )
+    yield one
+    one.stop()
+
+
+@pytest.fixture
+def pool(certificate):
+    return urllib3.PoolManager(
+        retries=False, ca_certs=str(certificate / 'cert.pem')
+    )
+
+
+def read_status(pool, entry):
+    address = entry.settings.peer_listen
+    return pool.request('GET', f'https://{address}/status').json()
+
+
+class TestTls:
+    def ask(self, deployment, pool, instance=0, **headers):
+        settings = deployment.entries[instance].settings
+        return pool.request(
+            'POST',
+            f'https://{settings.listen}/v1/completions',
+            body=BODY,
+            headers={'Authorization': f'Bearer {deployment.key}', **headers},
+        )
+
+    def wait(self, deployment, pool):
+        for entry in deployment.entries:
+            support.wait_until(lambda: read_status(pool, entry)['ready'])
+
+    def test_serves_callers(self, deployment, pool):
+        self.wait(deployment, pool)
+        answer = self.ask(deployment, pool)
+        assert answer.status == 200, answer.data
+
+    def test_is_not_held_up_by_a_caller_without_handshake(
+        self, deployment, pool
+    ):
+        self.wait(deployment, pool)
+        host, _, port = deployment.entries[0].settings.listen.partition(':')
+        with socket.create_connection((host, int(port))):
+            assert self.ask(deployment, pool).status == 200
+
+    def test_refuses_a_caller_that_does_not_know_the_authority(
+        self, deployment
+    ):
+        host, _, port = deployment.entries[0].settings.listen.partition(':')
+        context = ssl.create_default_context()
+        with socket.create_connection((host, int(port))) as sock:
+            with pytest.raises(ssl.SSLCertVerificationError):
+                context.wrap_socket(sock, server_hostname=host)
+
+    def test_is_used_between_instances(self, deployment, pool):
+        self.wait(deployment, pool)
+        keys = pool.request(
+            'POST',
+            f'https://{deployment.entries[0].settings.listen}/v1/idempotency-keys',
+            headers={'Authorization': f'Bearer {deployment.key}'},
+        ).json()
+        headers = {'Idempotency-Key': keys['key'], 'X-Repeatable': 'no'}
+        answers = []
+
+        def is_forwarded():
+            answers.append(self.ask(deployment, pool, 1, **headers))
+            return answers[-1].status == 200
+
+        support.wait_until(is_forwarded)
--- a/trefoilhinge/client/commands.py
+++ b/trefoilhinge/client/commands.py
@@ -134,7 +134,8 @@
     def demo(self, once: bool = False) -> None:
         """Run a small deployment on loopback with stand-ins.
 
-        :param once: exit when it is ready in place of serving on.
+        :param once: run one workload and exit; not zero if a call was cut
+            off or ran twice.
         """
         self._chosen.job = lambda: run_demo(read_switch(once, 'once'))
 
--- a/trefoilhinge/demo/commands.py
+++ b/trefoilhinge/demo/commands.py
@@ -1,34 +1,157 @@
 """Runs the demo from the command line."""
 
+import json
 import pathlib
+import signal
 import threading
 import time
 
+import logbook
 import urllib3
 
+from trefoilhinge.demo.callers import CallResult, DemoCallers
 from trefoilhinge.demo.deployment import (
-    DeploymentShape,
     DemoDeployment,
+    DeploymentShape,
     start_deployment,
 )
+from trefoilhinge.demo.results import DemoCount, DemoTable, count_results
+from trefoilhinge.demo.workload import find_service, plan_alone, plan_mixed
 
 EXAMPLES = pathlib.Path(__file__).parents[2] / 'examples'
+DOCUMENTS = ('caroni', 'kandy')
+SHAPE = DeploymentShape(instances=2, targets=4)
 START_TIMEOUT_S = 20
+STOP_TIMEOUT_S = 60
+PROGRESS_INTERVAL_S = 5
+EXIT_FAILED = 1
 
 
 def run_demo(once: bool) -> int:
-    """Start the demo; return an exit code after one workload if ``once``."""
-    deployment = start_deployment(EXAMPLES / 'kandy.json', DeploymentShape())
+    """Serve until stopped, or run one workload if ``once``.
+
+    :return: exit code; not zero if a call was cut off or ran twice.
+    """
+    # What the demo prints is for its reader; logs are not.
+    with logbook.NullHandler().applicationbound():
+        return run_workloads() if once else serve_demo()
+
+
+def run_workloads() -> int:
+    """Run the workload over both deployments and print what came of it."""
+    total = DemoCount(0, 0, 0)
+    for name in DOCUMENTS:
+        total = total.add(run_workload(name))
+    print(total.line)
+    return EXIT_FAILED if total.cut_off or total.ran_twice else 0
+
+
+def run_workload(name: str) -> DemoCount:
+    """Run the workload over one deployment and print its table."""
+    deployment = start_deployment(EXAMPLES / f'{name}.json', SHAPE)
+    try:
+        results = send_workload(deployment)
+    finally:
+        deployment.stop()
+    count = count_results(deployment, results)
+    table = DemoTable()
+    for result in results:
+        table.add(result)
+    print(f'{name}: time to the first byte of the answer')
+    for line in table.list_lines():
+        print(line)
+    print(flush=True)
+    return count
+
+
+def send_workload(deployment: DemoDeployment) -> list[CallResult]:
+    """Send short calls alone, then all the others side by side."""
     wait_ready(deployment)
-    print(f'URL      {deployment.urls[0]}')
-    print(f'API key  {deployment.key}')
-    if not once:
-        threading.Event().wait()
+    callers = DemoCallers(deployment)
+    results = callers.send_all(plan_alone(deployment.document))
+    return results + callers.send_all(plan_mixed(deployment.document))
+
+
+def serve_demo() -> int:
+    """Serve one deployment and print its progress until stopped."""
+    stopping = threading.Event()
+
+    def stop(number: int, frame: object) -> None:
+        stopping.set()
+
+    signal.signal(signal.SIGINT, stop)
+    signal.signal(signal.SIGTERM, stop)
+    deployment = start_deployment(EXAMPLES / 'kandy.json', SHAPE)
+    wait_ready(deployment)
+    print_commands(deployment)
+    while not stopping.wait(PROGRESS_INTERVAL_S):
+        print_progress(deployment)
+    print('stopping: every open answer is finished first', flush=True)
+    stop_gracefully(deployment)
     return 0
 
 
+def print_commands(deployment: DemoDeployment) -> None:
+    """Print the URL, an API key and three commands to copy."""
+    url = deployment.urls[0]
+    model = find_service(deployment.document, 'model')
+    plain = find_service(deployment.document, 'plain')
+    call = (
+        f"curl -sN {url}/v1/completions -H 'Authorization: Bearer "
+        f"{deployment.key}' -H 'Content-Type: application/json'"
+    )
+    short = json.dumps(
+        {'model': model, 'prompt': 'A blurb.', 'stream': True},
+    )
+    print(f'URL      {url}')
+    print(f'API key  {deployment.key}')
+    print('\n# a short prompt, streamed')
+    print(f"{call} -d '{short}'")
+    print('\n# a prompt of about 100,000 tokens')
+    print(
+        'python3 -c \'import json; print(json.dumps({"model": '
+        f'"{model}", "prompt": "leaf" * 100000, "stream": True}}))\' | '
+        f'{call} -d @-',
+    )
+    print('\n# a booking that may not be repeated; send it twice')
+    authorization = f"-H 'Authorization: Bearer {deployment.key}'"
+    print(
+        f'KEY=$(curl -s -X POST {url}/v1/idempotency-keys {authorization} '
+        '| sed \'s/.*: "//; s/".*//\')',
+    )
+    print(
+        f'curl -s {url}/services/{plain}/bookings {authorization} '
+        '-H "Idempotency-Key: $KEY" -d \'{"seats": 2}\'',
+    )
+    print('\nctrl-C stops it.\n', flush=True)
+
+
+def print_progress(deployment: DemoDeployment) -> None:
+    """Print one line of what runs."""
+    runs = sum(len(one.runs) for one in deployment.engines)
+    bookings = sum(len(one.runs) for one in deployment.plains)
+    serving = sum(one.callers.count_serving() for one in deployment.entries)
+    print(
+        f'{runs} prompts and {bookings} plain calls so far, '
+        f'{serving} being served',
+        flush=True,
+    )
+
+
+def stop_gracefully(deployment: DemoDeployment) -> None:
+    """Finish every answer that is open, then end all."""
+    for entry in deployment.entries:
+        entry.request_stop()
+    for entry in deployment.entries:
+        entry.stopped.wait(STOP_TIMEOUT_S)
+    deployment.stop()
+
+
 def wait_ready(deployment: DemoDeployment) -> None:
-    """Wait until every instance takes calls."""
+    """Wait until every instance takes calls.
+
+    :raises TimeoutError: one does not.
+    """
     pool = urllib3.PoolManager(retries=False)
     until_s = time.monotonic() + START_TIMEOUT_S
     for entry in deployment.entries:
--- /dev/null
+++ b/trefoilhinge/demo/results.py
@@ -0,0 +1,98 @@
+"""Counts and prints what came of the demo's workload."""
+
+import statistics
+from collections import Counter
+from collections.abc import Iterable
+
+from attrs import define, field, frozen
+
+from trefoilhinge.demo.callers import CallResult, Ending
+from trefoilhinge.demo.deployment import DemoDeployment
+from trefoilhinge.demo.workload import CallKind
+
+MILLISECONDS = 1000
+HEADER = f'{"":28}{"calls":>6}{"refused":>9}{"median ms":>11}{"worst ms":>10}'
+
+
+@frozen
+class DemoCount:
+    """The three numbers of the demo's last line."""
+
+    finished: int
+    cut_off: int
+    ran_twice: int
+
+    @property
+    def line(self) -> str:
+        """Return the demo's last line."""
+        return (
+            f'{self.finished} finished, {self.cut_off} cut off, '
+            f'{self.ran_twice} ran twice'
+        )
+
+    def add(self, other: 'DemoCount') -> 'DemoCount':
+        """Return the sums of two counts."""
+        return DemoCount(
+            self.finished + other.finished,
+            self.cut_off + other.cut_off,
+            self.ran_twice + other.ran_twice,
+        )
+
+
+@define
+class DemoTable:
+    """Times to the first token, by kind and by decade of the prompt."""
+
+    _rows: dict[str, list[CallResult]] = field(factory=dict)
+
+    def add(self, result: CallResult) -> None:
+        """Enter one result."""
+        name = str(result.call.kind)
+        if result.call.kind is CallKind.LONG:
+            decade = len(str(result.call.tokens)) - 1
+            name = f'prompts of 1e{decade} tokens'
+        self._rows.setdefault(name, []).append(result)
+
+    def list_lines(self) -> Iterable[str]:
+        """Yield the lines of the table."""
+        yield HEADER
+        for name, results in self._rows.items():
+            yield _format_row(name, results)
+
+
+def count_results(
+    deployment: DemoDeployment,
+    results: Iterable[CallResult],
+) -> DemoCount:
+    """Count endings, and runs as the stand-ins themselves counted them."""
+    endings = Counter(one.ending for one in results)
+    runs = [
+        *(count for one in deployment.engines for count in one.runs.values()),
+        *_count_references(deployment).values(),
+    ]
+    twice = sum(count > 1 for count in runs)
+    return DemoCount(endings[Ending.FINISHED], endings[Ending.CUT_OFF], twice)
+
+
+def _count_references(deployment: DemoDeployment) -> Counter[str]:
+    total: Counter[str] = Counter()
+    for plain in deployment.plains:
+        total.update(plain.references)
+    return total
+
+
+def _format_row(name: str, results: list[CallResult]) -> str:
+    times_ms = [
+        one.first_token_s * MILLISECONDS
+        for one in results
+        if one.ending == Ending.FINISHED
+    ]
+    refused = Counter(
+        one.code for one in results if one.ending == Ending.REFUSED
+    )
+    counts = f'{name:28}{len(results):6}{refused.total():9}'
+    times = ''
+    if times_ms:
+        times = f'{statistics.median(times_ms):11.0f}{max(times_ms):10.0f}'
+    codes = ', '.join(sorted(refused))
+    return f'{counts}{times:21}  {codes}'.rstrip()
--- /dev/null
+++ b/trefoilhinge/demo/workload.py
@@ -0,0 +1,101 @@
+"""The demo's mixed workload: prompts of every length, lookups, bookings."""
+
+import enum
+import itertools
+from collections.abc import Iterator, Mapping
+from typing import Any
+
+from attrs import frozen
+
+BYTES_PER_TOKEN = 4
+SHORT_TOKENS = 1_000
+SHORT_CALLS = 30
+OUTPUT_TOKENS = 24
+LOOKUPS = 6
+BOOKINGS = 8
+SENDINGS = 2
+LONG_PROMPTS = (
+    (10_000, 8),
+    (100_000, 4),
+    (300_000, 2),
+    (1_000_000, 1),
+)
+
+
+class CallKind(enum.StrEnum):
+    """What a call of the workload is."""
+
+    SHORT_ALONE = 'short alone'
+    SHORT_BESIDE = 'short beside long'
+    LONG = 'long'
+    LOOKUP = 'lookup, sent twice'
+    BOOKING = 'booking, sent twice'
+
+
+@frozen
+class PlannedCall:
+    """One call of the workload.
+
+    :ivar reference: name of the booking, the same for both sendings.
+    :ivar sending: zero for the first, one for the second.
+    """
+
+    kind: CallKind
+    service: str
+    tokens: int = 0
+    reference: str = ''
+    sending: int = 0
+
+    @property
+    def is_model(self) -> bool:
+        """Return whether a model engine answers."""
+        return self.kind not in {CallKind.LOOKUP, CallKind.BOOKING}
+
+    def make_prompt(self) -> str:
+        """Return a prompt of the planned length that shares no prefix."""
+        start = f'{self.kind} {self.reference} '
+        return start.ljust(self.tokens * BYTES_PER_TOKEN, 'x')
+
+
+def plan_alone(document: Mapping[str, Any]) -> tuple[PlannedCall, ...]:
+    """Return short calls that have the fleet to themselves."""
+    service = find_service(document, 'model')
+    return tuple(_plan_short(service, CallKind.SHORT_ALONE))
+
+
+def plan_mixed(document: Mapping[str, Any]) -> tuple[PlannedCall, ...]:
+    """Return long calls first, then short ones, lookups and bookings."""
+    model = find_service(document, 'model')
+    plain = find_service(document, 'plain')
+    long_calls = [
+        PlannedCall(CallKind.LONG, model, tokens, f'{tokens}-{number}')
+        for tokens, count in reversed(LONG_PROMPTS)
+        for number in range(count)
+    ]
+    short_calls = _plan_short(model, CallKind.SHORT_BESIDE)
+    lookups = _plan_doubled(plain, CallKind.LOOKUP, LOOKUPS)
+    bookings = _plan_doubled(plain, CallKind.BOOKING, BOOKINGS)
+    return tuple(itertools.chain(long_calls, short_calls, lookups, bookings))
+
+
+def find_service(document: Mapping[str, Any], kind: str) -> str:
+    """Return the name of the first service of a kind."""
+    names = [
+        str(one['name']) for one in document['services'] if one['kind'] == kind
+    ]
+    return names[0]
+
+
+def _plan_doubled(
+    service: str,
+    kind: CallKind,
+    count: int,
+) -> Iterator[PlannedCall]:
+    for number in range(count * SENDINGS):
+        reference = f'{kind}-{number // SENDINGS}'
+        yield PlannedCall(kind, service, 0, reference, number % SENDINGS)
+
+
+def _plan_short(service: str, kind: CallKind) -> Iterator[PlannedCall]:
+    for number in range(SHORT_CALLS):
+        yield PlannedCall(kind, service, SHORT_TOKENS, str(number))
