Built the console of forms whose only output is one valid document.

Forms written by hand for each field would drift from the schema, and a session would have to be kept by a process that keeps nothing. The forms are made from the JSON Schema, the whole document travels in them, and every page is a function of the form that came. Other sites are refused by a signed token, by Origin and Sec-Fetch-Site, and by a Host that must be an IP number or localhost. A text without the shape of a document is refused as a whole; in one that has it, each problem stands beside its field. Tests read and post the pages over HTTP without scripts; hypothesis posts broken forms.

--- /dev/null
+++ b/tests/console/browser.py
@@ -0,0 +1,114 @@
+"""A browser without scripts: reads one form and posts it back."""
+
+import html.parser
+import http.client
+import urllib.parse
+
+
+class FormParser(html.parser.HTMLParser):
+    """Collects the controls, labels, buttons and texts of a page."""
+
+    def __init__(self):
+        super().__init__()
+        self.values = {}
+        self.buttons = []
+        self.action = ''
+        self.text = []
+        self.labels = set()
+        self.identifiers = []
+        self.described = set()
+        self.invalid = set()
+        self._select = None
+        self._area = None
+        self._tags = []
+
+    def handle_starttag(self, tag, pairs):
+        attributes = dict(pairs)
+        self._tags.append(tag)
+        name = attributes.get('name')
+        if 'id' in attributes:
+            self.identifiers.append(attributes['id'])
+        self.described.update(attributes.get('aria-describedby', '').split())
+        if attributes.get('aria-invalid'):
+            self.invalid.add(name)
+        if tag == 'form':
+            self.action = attributes['action']
+        elif tag == 'label':
+            self.labels.add(attributes['for'])
+        elif tag == 'input':
+            self.values[name] = attributes.get('value', '')
+        elif tag == 'button':
+            self.buttons.append((name, attributes.get('value')))
+        elif tag == 'select':
+            self._select = name
+        elif tag == 'option':
+            chosen = 'selected' in attributes
+            if chosen or self._select not in self.values:
+                self.values[self._select] = attributes['value']
+        elif tag == 'textarea':
+            self._area = name
+            self.values[name] = ''
+
+    def handle_endtag(self, tag):
+        if tag == 'textarea':
+            # A browser drops the newline that opens a text area.
+            text = self.values[self._area]
+            self.values[self._area] = text.removeprefix('\n')
+            self._area = None
+
+    def handle_data(self, data):
+        if self._area is not None:
+            self.values[self._area] += data
+        self.text.append(data)
+
+
+class Browser:
+    """Opens pages of one console and presses its buttons."""
+
+    def __init__(self, address):
+        self.address = address
+        self.page = None
+        self.status = 0
+        self.headers = {}
+        self.body = b''
+
+    def open(self, path='/', **headers):
+        self._send('GET', path, None, headers)
+        return self
+
+    def post(self, path, values, **headers):
+        body = urllib.parse.urlencode(values).encode()
+        headers = {
+            'Content-Type': 'application/x-www-form-urlencoded',
+            'Origin': f'http://{self.address}',
+            'Sec-Fetch-Site': 'same-origin',
+            **headers,
+        }
+        self._send('POST', path, body, headers)
+        return self
+
+    def press(self, name, value, **changes):
+        """Change some fields and press a button that the page shows."""
+        assert (name, value) in self.page.buttons, self.page.buttons
+        unknown = set(changes) - set(self.page.values)
+        assert not unknown, unknown
+        values = {**self.page.values, **changes, name: value}
+        values.pop('file', None)
+        return self.post(self.page.action, values)
+
+    def _send(self, method, path, body, headers):
+        connection = http.client.HTTPConnection(self.address, timeout=10)
+        connection.request(method, path, body, headers)
+        answer = connection.getresponse()
+        self.status = answer.status
+        self.headers = dict(answer.getheaders())
+        self.body = answer.read()
+        connection.close()
+        if 'html' in self.headers.get('Content-Type', ''):
+            self.page = FormParser()
+            self.page.feed(self.body.decode())
+            self.page.close()
+
+    @property
+    def shown(self):
+        return ' '.join(' '.join(self.page.text).split())
--- /dev/null
+++ b/tests/console/test_console.py
@@ -0,0 +1,367 @@
+import json
+import pathlib
+import threading
+
+import pytest
+
+from tests.console.browser import Browser
+from trefoilhinge.conf.document import parse_document
+from trefoilhinge.console.commands import make_console, run_console
+from trefoilhinge.core.keys import compare_secret, parse_key
+from trefoilhinge.demo.deployment import find_free_port
+from trefoilhinge.exceptions import ImproperlyConfigured
+
+EXAMPLES = pathlib.Path(__file__).parents[2] / 'examples'
+TEXT = (EXAMPLES / 'kandy.json').read_text()
+
+
+@pytest.fixture(scope='module')
+def address():
+    listen = f'127.0.0.1:{find_free_port()}'
+    server = make_console(listen, TEXT, '127.0.0.1:1')
+    server.prepare()
+    thread = threading.Thread(target=server.serve, daemon=True)
+    thread.start()
+    yield listen
+    server.stop()
+    thread.join(10)
+
+
+@pytest.fixture
+def browser(address):
+    return Browser(address).open()
+
+
+@pytest.fixture
+def editor(browser):
+    return browser.press('begin', 'given')
+
+
+def go(editor, section, **changes):
+    return editor.press('action', f'show:{section}', **changes)
+
+
+class TestOpening:
+    def test_given_document_is_opened(self, editor):
+        assert editor.status == 200
+        assert editor.page.values['deployment'] == 'kandy'
+        assert editor.page.values['balance/long_weight'] == '0.2'
+
+    def test_pasted_document_is_opened(self, browser):
+        text = (EXAMPLES / 'caroni.json').read_text()
+        browser.press('begin', 'text', text=text)
+        assert browser.page.values['deployment'] == 'caroni'
+
+    def test_uploaded_file_is_opened(self, browser):
+        token = browser.page.values['token']
+        parts = {'token': token, 'begin': 'text', 'text': '', 'file': TEXT}
+        body = ''.join(
+            f'--b\r\nContent-Disposition: form-data; name="{name}"'
+            f'{"; filename=a.json" if name == "file" else ""}\r\n\r\n{value}\r\n'
+            for name, value in parts.items()
+        )
+        browser._send(
+            'POST',
+            '/load',
+            f'{body}--b--\r\n'.encode(),
+            {'Content-Type': 'multipart/form-data; boundary=b'},
+        )
+        assert browser.page.values['deployment'] == 'kandy'
+
+    @pytest.mark.parametrize(
+        'text', ['', '{', '[]', '{"services": 7}', '{"colour": 1}', '\ufeff{}']
+    )
+    def test_text_without_the_shape_is_refused_and_kept(self, browser, text):
+        browser.press('begin', 'text', text=text)
+        assert browser.status == 422
+        assert browser.page.values['text'] == text
+        assert 'could not be opened' in browser.shown
+
+    def test_invalid_document_of_the_right_shape_is_opened(self, browser):
+        fields = json.loads(TEXT)
+        del fields['balance'], fields['time_limits']
+        fields['services'][0]['kind'] = 'modle'
+        browser.press('begin', 'text', text=json.dumps(fields))
+        assert browser.status == 200
+        assert 'balance/long_weight' in browser.page.invalid
+
+    def test_new_document_can_be_written_from_nothing(self, browser):
+        browser.press('begin', 'new')
+        go(
+            browser,
+            'failure_domains',
+            **{
+                'deployment': 'first',
+                'time_limits/default_s': '30',
+                'time_limits/maximum_s': '60',
+            },
+        )
+        browser.press('action', 'add:failure_domains')
+        place = 'failure_domains/0'
+        go(
+            browser,
+            'services',
+            **{f'{place}/name': 'here', f'{place}/region': 'home'},
+        )
+        browser.press('action', 'add:services')
+        go(browser, 'organisations', **{'services/0/name': 'writer'})
+        browser.press('action', 'add:organisations')
+        browser.press(
+            'action',
+            'key:organisations/0',
+            **{
+                'organisations/0/name': 'hall',
+                'organisations/0/requests_per_s': '5',
+                'organisations/0/tokens_per_s': '5000',
+                'organisations/0/services': 'writer',
+            },
+        )
+        go(browser, 'review')
+        browser.press('action', 'download:')
+        document = parse_document(browser.body.decode()).ok
+        assert document.revision == 1
+        assert document.organisations[0].name == 'hall'
+        assert len(document.organisations[0].keys) == 1
+
+
+class TestEditing:
+    def test_unchanged_document_comes_back_with_the_next_revision(self, editor):
+        go(editor, 'review')
+        assert 'Nothing but the revision' in editor.shown
+        editor.press('action', 'download:')
+        assert editor.headers['Content-Disposition'] == (
+            'attachment; filename="kandy-2.json"'
+        )
+        assert json.loads(editor.body) == {**json.loads(TEXT), 'revision': 2}
+
+    @pytest.mark.parametrize('section', ['', 'failure_domains', 'models'])
+    def test_showing_a_section_changes_nothing(self, editor, section):
+        go(editor, section)
+        go(editor, section)
+        assert json.loads(editor.page.values['draft']) == json.loads(TEXT)
+
+    @pytest.mark.parametrize('kind', ['organisations', 'services'])
+    def test_showing_each_item_changes_nothing(self, editor, kind):
+        for number in range(len(json.loads(TEXT)[kind])):
+            go(editor, kind)
+            go(editor, f'{kind}/{number}')
+            go(editor, f'{kind}/{number}')
+        assert json.loads(editor.page.values['draft']) == json.loads(TEXT)
+
+    def test_change_is_told_in_words(self, editor):
+        go(editor, 'organisations')
+        go(editor, 'organisations/0')
+        go(editor, 'review', **{'organisations/0/tokens_per_s': '200000'})
+        assert (
+            'hotel-desk may now use 200,000 tokens a second, was 400,000'
+            in editor.shown
+        )
+
+    @pytest.mark.parametrize(
+        ('name', 'value', 'told'),
+        [
+            ('organisations/0/tokens_per_s', 'many', 'write a number'),
+            ('organisations/0/tokens_per_s', '1e99', 'at most 1000000000'),
+            ('organisations/0/tokens_per_s', 'NaN', 'write a number'),
+            ('organisations/0/priorities', '5\nx', 'whole number'),
+            ('organisations/0/services', 'writr', 'write "writer"'),
+            ('organisations/0/name', 'Hotel Desk', 'lower-case'),
+            ('organisations/0/name', 'hostesses', 'already'),
+            ('organisations/0/name', '<script>', 'lower-case'),
+        ],
+    )
+    def test_error_stands_beside_its_field(self, editor, name, value, told):
+        go(editor, 'organisations')
+        go(editor, 'organisations/0')
+        go(editor, 'organisations/0', **{name: value})
+        wrong = 'organisations/1/name' if value == 'hostesses' else name
+        if wrong != name:
+            go(editor, 'organisations')
+            go(editor, 'organisations/1')
+        assert wrong in editor.page.invalid
+        assert told in editor.shown
+        assert b'<script>' not in editor.body
+        go(editor, 'review')
+        assert 'to mend before' in editor.shown
+        assert ('action', 'download:') not in editor.page.buttons
+
+    def test_cleared_field_takes_its_default(self, editor):
+        go(editor, 'organisations')
+        go(editor, 'organisations/0')
+        go(editor, 'review', **{'organisations/0/weight': ''})
+        assert 'now has the weight 1, was 3' in editor.shown
+
+    def test_items_are_added_and_removed(self, editor):
+        go(editor, 'services')
+        go(editor, 'services/1')
+        editor.press('action', 'add:services/1/paths')
+        go(
+            editor,
+            'services/1',
+            **{
+                'services/1/paths/2/path': '/menu',
+                'services/1/paths/2/idempotent': 'true',
+            },
+        )
+        editor.press('action', 'remove:services/1/paths/0')
+        draft = json.loads(editor.page.values['draft'])
+        assert [one['path'] for one in draft['services'][1]['paths']] == [
+            '/bookings',
+            '/menu',
+        ]
+        assert draft['services'][1]['paths'][1]['idempotent'] is True
+
+    def test_optional_group_is_removed_and_added(self, editor):
+        go(editor, 'services')
+        go(editor, 'services/0')
+        editor.press('action', 'remove:services/0/desired')
+        assert 'services/0/desired/model' not in editor.page.values
+        editor.press('action', 'add:services/0/desired')
+        assert 'services/0/desired/model' in editor.page.values
+
+    def test_organisation_is_removed(self, editor):
+        go(editor, 'organisations')
+        editor.press('action', 'remove:organisations/0')
+        go(editor, 'review')
+        assert 'organisation hotel-desk is removed' in editor.shown
+
+    def test_new_key_is_shown_once_and_only_its_hash_kept(self, editor):
+        go(editor, 'organisations')
+        go(editor, 'organisations/0')
+        editor.press('action', 'key:organisations/0')
+        words = editor.shown.split()
+        key = next(parsed for one in words if (parsed := parse_key(one)))
+        assert editor.headers['Cache-Control'] == 'no-store'
+        go(editor, 'organisations/0')
+        assert key.secret not in editor.body.decode()
+        go(editor, 'review')
+        editor.press('action', 'download:')
+        entry = json.loads(editor.body)['organisations'][0]['keys'][0]
+        assert compare_secret(key.secret, entry['salt'], entry['digest'])
+        assert key.secret not in editor.body.decode()
+
+    def test_service_shows_what_its_callers_copy(self, editor):
+        go(editor, 'services')
+        go(editor, 'services/1')
+        shown = editor.shown
+        assert '/services/desk/lookup' in shown
+        booking = shown.partition('/bookings: must run at most once')[2]
+        assert 'Idempotency-Key: $KEY' in booking
+        assert 'X-Repeatable: no' in booking
+        assert 'X-Time-Limit-S: 120' in shown
+        go(editor, 'services')
+        go(editor, 'services/0')
+        assert '"model": "writer"' in editor.shown
+
+
+class TestPages:
+    @pytest.mark.parametrize(
+        'section',
+        ['', 'failure_domains', 'organisations/0', 'services/0', 'review'],
+    )
+    def test_controls_have_labels_and_unique_identifiers(self, editor, section):
+        if '/' in section:
+            go(editor, section.partition('/')[0])
+        go(editor, section)
+        page = editor.page
+        assert len(page.identifiers) == len(set(page.identifiers))
+        hidden = {'token', 'section', 'draft', 'loaded'}
+        controls = set(page.values) - hidden
+        assert len(page.labels) == len(controls)
+        assert page.labels <= set(page.identifiers)
+        assert page.described <= set(page.identifiers)
+
+    def test_no_script_and_a_strict_policy(self, editor):
+        assert b'<script' not in editor.body
+        assert b'style=' not in editor.body
+        policy = editor.headers['Content-Security-Policy']
+        assert "default-src 'none'" in policy
+
+    def test_enter_key_only_applies(self, editor):
+        go(editor, 'failure_domains')
+        assert editor.page.buttons[0] == ('action', 'show:failure_domains')
+
+    def test_style_and_status(self, browser):
+        assert browser.open('/style.css').status == 200
+        browser.open('/status')
+        assert 'unreachable' in browser.shown
+        assert browser.open('/nowhere').status == 404
+
+
+class TestGuards:
+    def test_post_without_a_token_is_refused(self, editor):
+        values = {**editor.page.values, 'action': 'show:', 'token': ''}
+        assert editor.post('/', values).status == 403
+
+    @pytest.mark.parametrize('token', ['1.x', 'x.y', '9' * 30, '.', 'é'])
+    def test_forged_token_is_refused(self, editor, token):
+        values = {**editor.page.values, 'action': 'show:', 'token': token}
+        assert editor.post('/', values).status == 403
+
+    @pytest.mark.parametrize(
+        'headers',
+        [
+            {'Origin': 'http://evil.example'},
+            {'Origin': 'null'},
+            {'Sec-Fetch-Site': 'cross-site'},
+            {'Sec-Fetch-Site': 'same-site'},
+        ],
+    )
+    def test_post_of_another_site_is_refused(self, editor, headers):
+        values = {**editor.page.values, 'action': 'show:'}
+        assert editor.post('/', values).status == 200
+        assert editor.post('/', values, **headers).status == 403
+
+    @pytest.mark.parametrize('host', ['evil.example', '', '[', 'a:b:c'])
+    def test_foreign_host_is_refused(self, browser, host):
+        assert browser.open('/', Host=host).status in {400, 421}
+
+    @pytest.mark.parametrize(
+        'changes',
+        [
+            {'action': ''},
+            {'action': 'burn:all'},
+            {'action': 'add:nothing/here'},
+            {'action': 'add:services/99/targets'},
+            {'action': 'remove:services/99'},
+            {'action': 'remove:'},
+            {'action': 'add:'},
+            {'action': 'remove:deployment'},
+            {'action': 'key:services'},
+            {'action': 'key:'},
+            {'action': 'show:organisations/x'},
+            {'action': 'show:deployment/0'},
+            {'action': 'show:services/0/targets/0/name/x'},
+            {'action': 'show:', 'section': 'services/99'},
+            {'action': 'show:', 'section': 'colour'},
+            {'action': 'show:', 'draft': '{'},
+            {'action': 'show:', 'draft': '[]'},
+            {'action': 'show:', 'draft': ''},
+        ],
+    )
+    def test_form_that_makes_no_sense_is_refused(self, editor, changes):
+        editor.post('/', {**editor.page.values, **changes})
+        assert editor.status == 400
+        assert 'not served' in editor.shown
+
+    def test_oversize_and_unreadable_forms_are_refused(self, editor):
+        token = editor.page.values['token']
+        oversize = {'token': token, 'x': 'a' * 7_990_000}
+        assert editor.post('/', oversize).status == 400
+        editor._send('POST', '/', b'', {'Content-Length': '8100000'})
+        assert editor.status == 413
+        editor._send('POST', '/', b'a=%ff', {})
+        assert editor.status == 400
+        assert editor.open('/', **{'X-A': '1'}).status == 200
+        editor._send('PUT', '/', b'', {})
+        assert editor.status == 405
+
+
+class TestCommand:
+    @pytest.mark.parametrize(
+        ('listen', 'document'),
+        [('here', ''), ('127.0.0.1:1', '/nowhere/at/all')],
+    )
+    def test_wrong_flags_are_told(self, listen, document):
+        with pytest.raises(ImproperlyConfigured):
+            run_console(listen, document, '')
--- /dev/null
+++ b/tests/console/test_fuzz.py
@@ -0,0 +1,68 @@
+import contextlib
+import io
+import json
+import pathlib
+import urllib.parse
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from tests.conf.test_document import VALUES, WAYS, put
+from trefoilhinge.console.application import ConsoleApplication
+from trefoilhinge.console.guards import FormGuard
+
+EXAMPLES = pathlib.Path(__file__).parents[2] / 'examples'
+TEXT = (EXAMPLES / 'kandy.json').read_text()
+PLACES = [
+    '/'.join(str(step) for step in way) for way in WAYS if len(way) < 5
+] + ['review', '', 'x']
+VERBS = ['show', 'add', 'remove', 'key', 'download']
+
+
+def post(values):
+    body = urllib.parse.urlencode(values, errors='surrogatepass').encode()
+    answers = []
+    environ = {
+        'REQUEST_METHOD': 'POST',
+        'PATH_INFO': '/',
+        'HTTP_HOST': '127.0.0.1:1',
+        'CONTENT_LENGTH': str(len(body)),
+        'wsgi.input': io.BytesIO(body),
+    }
+    application = ConsoleApplication(GUARD, '', '')
+    list(application(environ, lambda status, headers: answers.append(status)))
+    return answers[0]
+
+
+class EndlessGuard(FormGuard):
+    def check_token(self, token, now_s):
+        """Take any token: what is tried here lies behind it."""
+
+
+GUARD = EndlessGuard(b'secret')
+
+
+class TestConsoleUnderFuzz:
+    @settings(derandomize=True, deadline=None, max_examples=150)
+    @given(
+        st.lists(st.tuples(st.sampled_from(WAYS), VALUES), max_size=2),
+        st.sampled_from(VERBS),
+        st.sampled_from(PLACES),
+        st.sampled_from(PLACES),
+        st.dictionaries(
+            st.sampled_from(PLACES), st.text(max_size=9), max_size=3
+        ),
+    )
+    def test_any_form_is_answered(self, changes, verb, place, section, texts):
+        fields = json.loads(TEXT)
+        for way, value in changes:
+            with contextlib.suppress(LookupError, TypeError):
+                put(fields, way, value)
+        values = {
+            **texts,
+            'draft': json.dumps(fields),
+            'loaded': TEXT,
+            'section': section,
+            'action': f'{verb}:{place}',
+        }
+        assert post(values)[:3] in {'200', '400', '422'}
--- a/trefoilhinge/conf/deprecations.py
+++ b/trefoilhinge/conf/deprecations.py
@@ -11,6 +11,7 @@
 from attrs import frozen
 
 from trefoilhinge.conf.problems import ROOT, join_path
+from trefoilhinge.conf.schemas import resolve_schema
 
 Schema = Mapping[str, Any]
 
@@ -42,7 +43,7 @@
     :param value: JSON that its schema accepts.
     :param definitions: the ``$defs`` of the schema.
     """
-    schema = _resolve(schema, definitions)
+    schema = resolve_schema(schema, definitions)
     if isinstance(value, dict):
         for name, inner in value.items():
             one = schema['properties'][name]
@@ -55,12 +56,3 @@
             place = join_path(path, number)
             inner_schema = schema['items']
             yield from find_deprecations(item, inner_schema, definitions, place)
-
-
-def _resolve(schema: Schema, definitions: Schema) -> Schema:
-    if 'anyOf' in schema:
-        schema = schema['anyOf'][0]
-    if '$ref' in schema:
-        resolved: Schema = definitions[schema['$ref'].rpartition('/')[2]]
-        return resolved
-    return schema
--- a/trefoilhinge/console/commands.py
+++ b/trefoilhinge/console/commands.py
@@ -1,6 +1,66 @@
 """Runs the console from the command line."""
 
+import secrets
+
+from cheroot import wsgi
+
+from trefoilhinge.conf.addresses import explain_address, is_loopback
+from trefoilhinge.conf.files import read_text_file
+from trefoilhinge.console.application import ConsoleApplication
+from trefoilhinge.console.forms import MAXIMUM_FORM_BYTES
+from trefoilhinge.console.guards import FormGuard
+from trefoilhinge.exceptions import ImproperlyConfigured
+
+CONSOLE_THREADS = 8
+SECRET_BYTES = 32
+READ_TIMEOUT_S = 20
+MAXIMUM_HEADER_BYTES = 65536
+
 
 def run_console(listen: str, document: str, status: str) -> int:
-    """Serve the console until the process is told to stop."""
-    raise NotImplementedError(listen, document, status)
+    """Serve the console until it is interrupted; return an exit code.
+
+    :param listen: IP number and port.
+    :param document: file with a document to begin with, empty if none.
+    :param status: URLs of instances to show, separated by commas.
+    :raises ImproperlyConfigured: the address or the file is no good.
+    """
+    wrong = explain_address(listen)
+    if wrong:
+        raise ImproperlyConfigured(f'--listen: {wrong}')
+    text = ''
+    if document:
+        read = read_text_file(document)
+        if read.is_error():
+            raise ImproperlyConfigured(f'--document: {read.error[0]}')
+        text = read.ok
+    server = make_console(listen, text, status)
+    server.prepare()
+    print(f'The console is at http://{listen}/')
+    if not is_loopback(listen):
+        print('Anyone who reaches this address may use it.')
+    try:
+        server.serve()
+    except KeyboardInterrupt:
+        server.stop()
+    return 0
+
+
+def make_console(listen: str, document: str, status: str) -> wsgi.Server:
+    """Return a server of the console that is not started yet.
+
+    :param document: text of the document to offer, empty if none.
+    """
+    guard = FormGuard(secrets.token_bytes(SECRET_BYTES))
+    host, _, port = listen.rpartition(':')
+    server = wsgi.Server(
+        (host.strip('[]'), int(port)),
+        ConsoleApplication(guard, document, status),
+        numthreads=CONSOLE_THREADS,
+        max=CONSOLE_THREADS,
+        timeout=READ_TIMEOUT_S,
+        server_name='trefoilhinge-console',
+    )
+    server.max_request_body_size = MAXIMUM_FORM_BYTES
+    server.max_request_header_size = MAXIMUM_HEADER_BYTES
+    return server
--- /dev/null
+++ b/trefoilhinge/console/examples.py
@@ -0,0 +1,105 @@
+"""Writes the examples that the callers of a service will copy."""
+
+import json
+import shlex
+from collections.abc import Iterator
+
+from attrs import frozen
+
+from trefoilhinge.conf.generated.document import Document, PathRule, Service
+
+# A backslash at the end of a line, as a shell reads it.
+_NEXT_LINE = ' \x5c\n  '
+ENTRY = 'https://ENTRY-ADDRESS'
+
+
+@frozen
+class CallerExample:
+    """One example for callers.
+
+    :ivar title: what it shows.
+    :ivar text: lines for a shell.
+    """
+
+    title: str
+    text: str
+
+
+def list_examples(
+    service: Service,
+    document: Document,
+) -> tuple[CallerExample, ...]:
+    """Return an example for each kind of call that a service takes."""
+    time_limit = f'X-Time-Limit-S: {document.time_limits.default_s:g}'
+    if service.kind == 'model':
+        return tuple(_list_model_examples(service, time_limit))
+    rules = service.paths or (PathRule(path='/', idempotent=False),)
+    return tuple(_make_plain_example(service, one, time_limit) for one in rules)
+
+
+def _list_model_examples(
+    service: Service,
+    time_limit: str,
+) -> Iterator[CallerExample]:
+    body = {
+        'model': service.name,
+        'messages': [{'role': 'user', 'content': 'Describe the afternoon.'}],
+        'max_tokens': 256,
+        'stream': True,
+    }
+    yield CallerExample(
+        'A streamed answer, which may be repeated',
+        _write('/v1/chat/completions', time_limit, (), json.dumps(body), '-N'),
+    )
+    yield CallerExample(
+        'A call that must run at most once',
+        _write_once('/v1/chat/completions', time_limit, json.dumps(body), '-N'),
+    )
+
+
+def _make_plain_example(
+    service: Service,
+    rule: PathRule,
+    time_limit: str,
+) -> CallerExample:
+    path = f'/services/{service.name}{rule.path}'
+    if rule.idempotent:
+        return CallerExample(
+            f'{rule.path}: may be repeated',
+            _write(path, time_limit, (), '{"example": true}'),
+        )
+    return CallerExample(
+        f'{rule.path}: must run at most once',
+        _write_once(path, time_limit, '{"example": true}'),
+    )
+
+
+def _write_once(path: str, time_limit: str, body: str, *flags: str) -> str:
+    headers = ('Idempotency-Key: $KEY', 'X-Repeatable: no')
+    lines = (
+        '# One key for one intent: use it again only to ask about this call.',
+        'KEY=$(uuidgen)',
+        _write(path, time_limit, headers, body, *flags),
+    )
+    return '\n'.join(lines)
+
+
+def _write(
+    path: str,
+    time_limit: str,
+    headers: tuple[str, ...],
+    body: str,
+    *flags: str,
+) -> str:
+    sent = (
+        'Authorization: Bearer $API_KEY',
+        'Content-Type: application/json',
+        time_limit,
+        *headers,
+    )
+    parts = (
+        ' '.join(('curl', *flags, f'{ENTRY}{path}')),
+        *(f'-H "{one}"' for one in sent),
+        f'-d {shlex.quote(body)}',
+    )
+    return _NEXT_LINE.join(parts)
--- /dev/null
+++ b/trefoilhinge/console/fields.py
@@ -0,0 +1,243 @@
+"""Makes forms from the JSON Schema: no field is named here by hand."""
+
+import enum
+import re
+from collections.abc import Iterator, Mapping
+from typing import Any
+
+from attrs import define, frozen
+
+from trefoilhinge.conf.generator import load_schema
+from trefoilhinge.conf.problems import (
+    ROOT,
+    DocumentProblem,
+    Problems,
+    join_path,
+)
+from trefoilhinge.conf.schemas import find_schema
+from trefoilhinge.console.places import (
+    Steps,
+    is_lines,
+    is_removable,
+    join_steps,
+)
+
+
+class Control(enum.StrEnum):
+    """How a field is shown."""
+
+    TEXT = 'text'
+    NUMBER = 'number'
+    CHOICE = 'choice'
+    LINES = 'lines'
+    FIXED = 'fixed'
+    GROUP = 'group'
+    LIST = 'list'
+
+
+@frozen
+class FormField:
+    """One field, group or list of a form.
+
+    :ivar name: place in the document, and the name of the control.
+    :ivar text: value as it is shown.
+    :ivar choices: values of a choice.
+    :ivar problems: what is wrong with this field itself.
+    :ivar inner: fields of a group, or items of a list.
+    :ivar absent: whether a group is not in the document and may be added.
+    :ivar removable: whether it may be removed.
+    """
+
+    name: str
+    label: str
+    help: str
+    control: Control
+    text: str = ''
+    required: bool = False
+    choices: tuple[str, ...] = ()
+    problems: Problems = ()
+    inner: tuple['FormField', ...] = ()
+    absent: bool = False
+    removable: bool = False
+
+    @property
+    def anchor(self) -> str:
+        """Return an identifier for the page."""
+        return re.sub('[^a-z0-9]+', '-', f'f-{self.name}'.lower())
+
+
+def make_section(
+    steps: Steps,
+    value: Any,
+    problems: Problems,
+) -> FormField:
+    """Return the form of one section of a document.
+
+    :param steps: place of the section.
+    :param value: its value in the draft.
+    :param problems: problems of the whole draft.
+    """
+    schema = find_schema(load_schema('document'), steps)
+    maker = _FormMaker(problems)
+    return maker.make(steps, schema, value, required=True)
+
+
+def name_path(steps: Steps) -> str:
+    """Return the JSON path of a place, as problems name it."""
+    path = ROOT
+    for step in steps:
+        path = join_path(path, step)
+    return path
+
+
+def is_within(path: str, place: str) -> bool:
+    """Return whether a JSON path lies at or below another."""
+    rest = path.removeprefix(place)
+    return rest != path and (not rest or rest[0] in '.[')
+
+
+def label_name(name: str) -> str:
+    """Return the label of a field, its unit written out."""
+    words = name.replace('_per_s', ' a second').replace('_s', ' (seconds)')
+    words = words.replace('_per_minute', ' a minute').replace('_', ' ')
+    return words[:1].upper() + words[1:]
+
+
+@define
+class _FormMaker:
+    _problems: Problems
+
+    def make(
+        self,
+        steps: Steps,
+        schema: Mapping[str, Any],
+        value: Any,
+        required: bool,
+    ) -> FormField:
+        control = _choose_control(schema)
+        groups = control in {Control.GROUP, Control.LIST}
+        inner: tuple[FormField, ...] = ()
+        if control is Control.GROUP and value is not None:
+            inner = tuple(self._make_members(steps, schema, value))
+        elif control is Control.LIST:
+            inner = tuple(self._make_items(steps, value or ()))
+        return FormField(
+            name=join_steps(steps),
+            label=_label(steps, schema, value),
+            help=describe_schema(schema, required),
+            control=control,
+            text='' if groups else _show(value),
+            required=required,
+            choices=tuple(str(one) for one in _list_choices(schema)),
+            problems=tuple(self._find_problems(steps, control)),
+            inner=inner,
+            absent=control is Control.GROUP and value is None,
+            removable=is_removable(steps, schema),
+        )
+
+    def _make_members(
+        self,
+        steps: Steps,
+        schema: Mapping[str, Any],
+        value: Mapping[str, Any],
+    ) -> Iterator[FormField]:
+        for name in schema['properties']:
+            place = (*steps, name)
+            yield self.make(
+                place,
+                find_schema(load_schema('document'), place),
+                value.get(name),
+                name in schema['required'],
+            )
+
+    def _make_items(self, steps: Steps, items: Any) -> Iterator[FormField]:
+        for number, item in enumerate(items):
+            place = (*steps, number)
+            schema = find_schema(load_schema('document'), place)
+            yield self.make(place, schema, item, required=True)
+
+    def _find_problems(
+        self,
+        steps: Steps,
+        control: Control,
+    ) -> Iterator[DocumentProblem]:
+        path = name_path(steps)
+        for problem in self._problems:
+            same = problem.path == path
+            # Lines are one control, so that it shows the problems of each.
+            if same or (
+                control is Control.LINES and is_within(problem.path, path)
+            ):
+                yield problem
+
+
+def describe_schema(schema: Mapping[str, Any], required: bool) -> str:
+    """Return the help of a field: description, form, range and default."""
+    parts = [schema.get('description', '')]
+    if '$comment' in schema:
+        parts.append(f'Write {schema["$comment"]}.')
+    bounds = _describe_bounds(schema)
+    if bounds:
+        parts.append(f'{bounds}.')
+    if schema['type'] == 'array' and is_lines(schema):
+        parts.append('One a line.')
+    default = _show(schema.get('default'))
+    if default and not required:
+        parts.append(f'Empty takes {default}.')
+    return ' '.join(part for part in parts if part)
+
+
+def _describe_bounds(schema: Mapping[str, Any]) -> str:
+    bounds = [
+        f'{words} {schema[name]:,}'
+        for name, words in (
+            ('minimum', 'at least'),
+            ('exclusiveMinimum', 'above'),
+            ('maximum', 'at most'),
+        )
+        if name in schema
+    ]
+    text = ', '.join(bounds)
+    return text[:1].upper() + text[1:]
+
+
+def _choose_control(schema: Mapping[str, Any]) -> Control:
+    if schema.get('readOnly'):
+        return Control.FIXED
+    kind = schema['type']
+    if kind == 'array':
+        return Control.LINES if is_lines(schema) else Control.LIST
+    if kind == 'boolean' or 'enum' in schema:
+        return Control.CHOICE
+    return {
+        'object': Control.GROUP,
+        'integer': Control.NUMBER,
+        'number': Control.NUMBER,
+    }.get(kind, Control.TEXT)
+
+
+def _list_choices(schema: Mapping[str, Any]) -> tuple[str, ...]:
+    if schema['type'] == 'boolean':
+        return ('true', 'false')
+    return tuple(schema.get('enum', ()))
+
+
+def _label(steps: Steps, schema: Mapping[str, Any], value: Any) -> str:
+    last = steps[-1] if steps else schema['title']
+    if isinstance(last, str):
+        return label_name(last)
+    kind = label_name(str(steps[-2])).removesuffix('s')
+    name = ''
+    if isinstance(value, dict):
+        name = value.get('name') or value.get('identifier') or ''
+    return f'{kind} {name or last + 1}'
+
+
+def _show(value: Any) -> str:
+    if value is None:
+        return ''
+    if isinstance(value, bool):
+        return 'true' if value else 'false'
+    if isinstance(value, list):
+        return '\n'.join(_show(one) for one in value)
+    return str(value)
