--- a/tests/client/test_commands.py
+++ b/tests/client/test_commands.py
@@ -101,7 +101,16 @@
 
     @pytest.mark.parametrize(
         'command',
-        ['check', 'diff', 'status', 'console', 'demo', 'make-key', 'entry'],
+        [
+            'check',
+            'diff',
+            'status',
+            'console',
+            'demo',
+            'make-key',
+            'entry',
+            'faults',
+        ],
     )
     def test_help_of_each_command(self, command, capsys):
         assert run(command, '--help') == 0
@@ -131,6 +140,30 @@
             read_switch('maybe', 'once')
 
 
+class TestFaults:
+    @pytest.fixture
+    def ran(self, monkeypatch):
+        seen = []
+        monkeypatch.setattr(
+            commands, 'run_faults', lambda **given: seen.append(given)
+        )
+        return seen
+
+    def test_flags_reach_the_matrix(self, ran):
+        assert run('faults', '--seed=7', '--pairs', '--format=json') == 0
+        assert ran[0]['seed'] == 7
+        assert ran[0]['pairs'] == commands.DEFAULT_PAIRS
+        assert ran[0]['as_json']
+        run('faults', '--pairs=3', '--cell=a/b')
+        assert (ran[1]['pairs'], ran[1]['cell']) == (3, 'a/b')
+
+    @pytest.mark.parametrize('flag', ['--seed=x', '--walk=-1', '--pairs=1.5'])
+    def test_what_is_no_number_is_refused(self, ran, flag):
+        with pytest.raises(ImproperlyConfigured, match='write a number'):
+            run('faults', flag)
+        assert ran == []
+
+
 class TestOtherCommands:
     def test_diff(self, capsys, tmp_path):
         fields = json.loads(pathlib.Path(KANDY).read_text())
--- a/trefoilhinge/client/arguments.py
+++ b/trefoilhinge/client/arguments.py
@@ -7,6 +7,7 @@
 
 from trefoilhinge.exceptions import ImproperlyConfigured
 
+_MOST_DIGITS = 15
 _HELP = frozenset(('--help', '-h'))
 # Separators of the library, which are no values.
 _SEPARATORS = frozenset(('-', '--'))
@@ -40,6 +41,17 @@
     return words[value.lower()]
 
 
+def read_count(value: str | bool, name: str) -> int:
+    """Return a whole number of zero or more.
+
+    :raises ImproperlyConfigured: the value is none.
+    """
+    text = str(value)
+    if not text.isascii() or not text.isdecimal() or len(text) > _MOST_DIGITS:
+        raise ImproperlyConfigured(f'--{name} is {value!r}; write a number')
+    return int(text)
+
+
 def read_choice(value: str, name: str, choices: tuple[str, ...]) -> str:
     """Return a value that must be one of some.
 
--- a/trefoilhinge/client/commands.py
+++ b/trefoilhinge/client/commands.py
@@ -13,6 +13,8 @@
 from trefoilhinge.client import documents, settings
 from trefoilhinge.client.arguments import (
     quote_arguments,
+    read_choice,
+    read_count,
     read_switch,
     wants_help,
 )
@@ -132,6 +134,37 @@
         """
         self._chosen.job = lambda: run_demo(read_switch(once, 'once'))
 
+    def faults(
+        self,
+        seed: str = '0',
+        cell: str = '',
+        part: str = '',
+        walk: str = '0',
+        pairs: str | bool = '0',
+        format: str = 'text',  # noqa: A002
+    ) -> None:
+        """Run every fault at every step of a call.
+
+        Exits with 1 if a promise is broken.
+
+        :param seed: seed of every random choice.
+        :param cell: the only cell to run, as FAULT/STEP; empty runs all.
+        :param part: K/N runs the K-th of N parts; empty runs all.
+        :param walk: steps of a random walk to run in place of the matrix.
+        :param pairs: pairs of faults to run besides; as a switch, the usual.
+        :param format: ``text`` or ``json``.
+        """
+        self._chosen.job = lambda: run_faults(
+            seed=read_count(seed, 'seed'),
+            cell=cell,
+            part=part,
+            walk=read_count(walk, 'walk'),
+            pairs=DEFAULT_PAIRS
+            if pairs is True
+            else read_count(pairs, 'pairs'),
+            as_json=read_choice(format, 'format', documents.FORMATS) == 'json',
+        )
+
 
 def run_line(arguments: list[str]) -> int:
     """Run one command line and return its exit code.
@@ -146,25 +179,6 @@
     fire.Fire(Commands(chosen), command=line, name='trefoilhinge')
     return chosen.job() or EXIT_DONE
 
-    def faults(
-        self,
-        seed: int = 0,
-        cell: str = '',
-        part: str = '',
-        walk: int = 0,
-        pairs: int | bool = 0,
-        format: str = 'text',
-    ) -> None:
-        """Run every fault at every step; exit 1 if a promise is broken."""
-        run_faults(
-            seed=seed,
-            cell=cell,
-            part=part,
-            walk=walk,
-            pairs=DEFAULT_PAIRS if pairs is True else pairs,
-            as_json=format == 'json',
-        )
-
 
 def main() -> None:
     """Run the command line of this process."""
