--- /dev/null
+++ b/tests/entry/test_telemetry.py
@@ -0,0 +1,99 @@
+import pytest
+from opentelemetry.sdk.trace import TracerProvider
+from opentelemetry.sdk.trace.export import SimpleSpanProcessor
+from opentelemetry.sdk.trace.export.in_memory_span_exporter import (
+    InMemorySpanExporter,
+)
+
+from tests.calls import support
+from trefoilhinge.calls.records import CallRecord, CallTimes, Hop
+from trefoilhinge.conf.settings import load_settings
+from trefoilhinge.entry.telemetry import Telemetry, make_telemetry
+
+PARENT = '00-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-01'
+TRACE_ID = PARENT.split('-')[1]
+SETTINGS = {'instance': 'entry-0', 'failure_domain': 'kandy'}
+
+
+@pytest.fixture(scope='module')
+def deployment():
+    one = support.start(settings={'trace_exporter': 'console'})
+    yield one
+    one.stop()
+
+
+def read_metrics(deployment):
+    address = deployment.entries[0].settings.peer_listen
+    return support.POOL.request(
+        'GET', f'http://{address}/metrics'
+    ).data.decode()
+
+
+class TestMetrics:
+    def test_count_requests_by_organisation_and_verdict(self, deployment):
+        support.complete(deployment)
+        line = next(
+            one
+            for one in read_metrics(deployment).splitlines()
+            if one.startswith('trefoilhinge_requests_total{')
+        )
+        assert 'organisation="hotel-desk"' in line
+        assert 'service="writer"' in line
+        assert 'verdict="ran"' in line
+
+    def test_tell_the_first_token_and_the_revision(self, deployment):
+        support.complete(deployment)
+        text = read_metrics(deployment)
+        assert 'trefoilhinge_first_token_seconds_bucket{' in text
+        assert 'trefoilhinge_mean_token_gap_seconds_bucket{' in text
+        assert 'trefoilhinge_revision 1.0' in text
+        assert 'trefoilhinge_calls 0.0' in text
+        assert 'trefoilhinge_queued_calls 0.0' in text
+
+    def test_hold_no_key_and_no_prompt(self, deployment):
+        support.complete(deployment, prompt='a secret prompt')
+        text = read_metrics(deployment)
+        assert 'secret' not in text
+        assert deployment.key.split('-')[2] not in text
+
+
+class TestTraces:
+    def test_pass_the_callers_trace_on_to_the_target(self, deployment):
+        support.reset_faults(deployment)
+        support.complete(deployment, traceparent=PARENT)
+        traces = [one for e in deployment.engines for one in e.traces.values()]
+        found = [one for one in traces if one.split('-')[1] == TRACE_ID]
+        assert len(found) == 1
+        # The target's parent is this instance's span, not the caller's.
+        assert found[0].split('-')[2] != PARENT.split('-')[2]
+
+    def test_have_a_span_for_each_hop(self):
+        exporter = InMemorySpanExporter()
+        provider = TracerProvider()
+        provider.add_span_processor(SimpleSpanProcessor(exporter))
+        plain = make_telemetry(load_settings(SETTINGS, {}))
+        telemetry = Telemetry(
+            plain.meters, provider.get_tracer('entry'), provider
+        )
+        times = CallTimes(
+            received_s=10,
+            sent_s=11,
+            hops=[
+                Hop('writer-0', 11),
+                Hop('writer-1', 12),
+                Hop('entry-1', 13, forwarded=True),
+            ],
+        )
+        record = CallRecord(
+            'r1', 'hotel-desk', 'writer', 'ran', '', 200, 7, 15, times
+        )
+        trace = telemetry.begin(PARENT)
+        telemetry.note_finished(record, trace)
+        spans = exporter.get_finished_spans()
+        names = [one.name for one in spans]
+        assert names == ['queue', 'attempt', 'attempt', 'forward', 'receive']
+        lengths = [one.end_time - one.start_time for one in spans[:4]]
+        assert [round(one / 1e9) for one in lengths] == [1, 1, 1, 2]
+        assert {f'{one.context.trace_id:032x}' for one in spans} == {TRACE_ID}
+        receive = spans[-1].context.span_id
+        assert all(one.parent.span_id == receive for one in spans[:4])
--- a/trefoilhinge/calls/forwards.py
+++ b/trefoilhinge/calls/forwards.py
@@ -37,9 +37,13 @@
 
 @frozen
 class ForwardClient:
-    """Passes calls to the listeners for peers of other instances."""
+    """Passes calls to the listeners for peers of other instances.
+
+    Peers speak TLS if authorities to check them against are set.
+    """
 
     _secret: str
+    _authorities: str = ''
 
     def make_link(self) -> Link:
         """Return a connection that is not open yet."""
@@ -65,6 +69,7 @@
             self._list_headers(forward, request, remaining_s),
             remaining_s,
             link,
+            self._authorities,
         )
         headers = tuple(
             (name, response.headers[name])
--- a/trefoilhinge/entry/daemon.py
+++ b/trefoilhinge/entry/daemon.py
@@ -214,7 +214,11 @@
             settings.configuration_url,
             settings.instances_url,
         ),
-        PeerClient(make_pool(), settings.peer_secret),
+        PeerClient(
+            make_pool(settings.tls_authorities),
+            settings.peer_secret,
+            'https' if settings.tls_authorities else 'http',
+        ),
         node.mailboxes,
         node.replies,
         control,
@@ -228,7 +232,7 @@
         AnswerOpener(
             engines,
             make_http_plain_client(),
-            ForwardClient(settings.peer_secret),
+            ForwardClient(settings.peer_secret, settings.tls_authorities),
             node.clock,
             node.report,
         ),
--- a/trefoilhinge/platform/connections.py
+++ b/trefoilhinge/platform/connections.py
@@ -31,12 +31,17 @@
 )
 
 
-def make_pool() -> urllib3.PoolManager:
-    """Return a pool that never repeats a request by itself."""
+def make_pool(authorities: str = '') -> urllib3.PoolManager:
+    """Return a pool that never repeats a request by itself.
+
+    :param authorities: file with the authorities to check servers against,
+        PEM; empty takes the machine's own.
+    """
     return urllib3.PoolManager(
         num_pools=POOL_SIZE,
         maxsize=POOL_SIZE,
         retries=False,
+        ca_certs=authorities or None,
     )
 
 
@@ -67,12 +72,25 @@
         self._link.attach(self.sock)
 
 
+class LinkedTlsConnection(
+    LinkedConnection,
+    urllib3.connection.HTTPSConnection,
+):
+    """The same with TLS."""
+
+
 class LinkedPool(urllib3.HTTPConnectionPool):
     """A pool of exactly one fresh connection."""
 
     ConnectionCls = LinkedConnection
 
 
+class LinkedTlsPool(urllib3.HTTPSConnectionPool):
+    """A pool of exactly one fresh connection with TLS."""
+
+    ConnectionCls = LinkedTlsConnection
+
+
 def open_request(
     method: str,
     address: str,
@@ -81,21 +99,23 @@
     headers: Mapping[str, str],
     remaining_s: float,
     link: Link,
+    authorities: str = '',
 ) -> urllib3.BaseHTTPResponse:
     """Send a request on a connection of its own and return its answer.
 
     :param address: ``host:port`` of the target.
     :param remaining_s: seconds until the deadline.
     :param link: breaks the connection from another thread.
+    :param authorities: file with the authorities to check the server
+        against, PEM; empty speaks without TLS.
     :raises TargetNotReached: no connection was made, so nothing was sent.
     :raises TargetBroke: the connection broke after bytes may have left.
     """
     if remaining_s <= 0 or link.closed:
         raise TargetNotReached('the call ended before it was sent')
-    host, _, port = address.rpartition(':')
-    pool = LinkedPool(
-        host.strip('[]'),
-        int(port),
+    pool = _make_linked_pool(
+        address,
+        authorities,
         link=link,
         remaining_s=remaining_s + DEADLINE_MARGIN_S,
     )
@@ -124,6 +144,22 @@
         raise TargetBroke(str(error)) from error
 
 
+def _make_linked_pool(
+    address: str,
+    authorities: str,
+    **options: Any,
+) -> urllib3.HTTPConnectionPool:
+    host, _, port = address.rpartition(':')
+    if not authorities:
+        return LinkedPool(host.strip('[]'), int(port), **options)
+    return LinkedTlsPool(
+        host.strip('[]'),
+        int(port),
+        ca_certs=authorities,
+        **options,
+    )
+
+
 def read_json(
     pool: urllib3.PoolManager,
     method: str,
--- a/trefoilhinge/platform/links.py
+++ b/trefoilhinge/platform/links.py
@@ -3,6 +3,7 @@
 import contextlib
 import http.client
 import socket
+import ssl
 import threading
 from typing import Any
 
@@ -56,6 +57,14 @@
         if self._sock is not None:
             self._sock.settimeout(timeout_s)
 
+    def count_pending(self) -> int:
+        """Return bytes that TLS has decrypted and nobody has read.
+
+        They do not show on the descriptor.
+        """
+        sock = self._sock
+        return sock.pending() if isinstance(sock, ssl.SSLSocket) else 0
+
     def close(self) -> None:
         """Break the connection; harmless when repeated."""
         with self._lock:
@@ -71,6 +80,7 @@
     def __init__(self, link: Link, *arguments: Any, **options: Any) -> None:
         """Take the link."""
         super().__init__(*arguments, **options)
+        self._link = link
         link.answer = self
 
     def has_ready(self) -> bool:
@@ -79,7 +89,12 @@
         What is left of a chunk is ready with any byte; a new chunk only once
         the line with its size is whole.
         """
-        ahead = self.fp.peek()
+        try:
+            ahead = self.fp.peek()
+        except ssl.SSLWantReadError:
+            return False
+        if self._link.count_pending():
+            return True
         if self.chunked and not self.chunk_left:
             # The end of the chunk before it comes first, if there was one.
             start = 0 if self.chunk_left is None else len(_LINE_END)
@@ -89,4 +104,5 @@
 
 def _shut(sock: socket.socket) -> None:
     with contextlib.suppress(OSError):
-        sock.shutdown(socket.SHUT_RDWR)
+        # A TLS socket's own method would pull the state from under a reader.
+        socket.socket.shutdown(sock, socket.SHUT_RDWR)
