--- a/trefoilhinge/node/core.py
+++ b/trefoilhinge/node/core.py
@@ -347,7 +347,11 @@
         self.parts.retries.configure(document)
         self.parts.fleet.configure(document, now)
         self.parts.steward.configure(document, now)
-        return self._refresh_targets(now)
+        effects = self._refresh_targets(now)
+        # Targets that were listed before the document are no change to the
+        # fleet, but only the document says which of them are engines.
+        self._replace_engines()
+        return effects
 
     def _refresh_targets(self, now: Instant) -> Effects:
         changed = self.parts.fleet.take_changed_services()
@@ -356,9 +360,12 @@
             self.parts.router.update_targets(service, targets, now)
         if not changed:
             return []
+        self._replace_engines()
+        return self.desk.place_queued(now)
+
+    def _replace_engines(self) -> None:
         self._engines = self._list_engines()
         self.poller.replace_targets(self._engines)
-        return self.desk.place_queued(now)
 
     def _report_ready(self, now: Instant) -> Effects:
         if self.ready or self.stopping_since_s is not None:
