Asked one peer for a newer document, and only for what changed.

Cause: every peer that saw another behind sent it the whole document, so that a change brought each instance several copies, and an instance that found a document invalid was sent it again and again. An abandoned attempt that had met a foreign stream or an error was left to run at its engine.

Change: an instance that hears of a newer document asks one peer for the deltas since its own, or for the document where they do not fit. A peer that stays behind without asking is passed the document at intervals that double, unless it says that it refused it. Documents are kept in canonical form. An attempt at an engine that may still run is cancelled when it is given up.

--- a/tests/node/nodes.py
+++ b/tests/node/nodes.py
@@ -74,13 +74,11 @@
     def __init__(self, *nodes):
         self.nodes = {one.address: one for one in nodes}
         self.cut = set()
-        self.sent = 0
-        self.bytes = 0
+        self.texts = []
 
     def carry(self, sender, effects, depth=0):
         for message in find(effects, SendPeerMessage):
-            self.sent += 1
-            self.bytes += len(message.text)
+            self.texts.append(message.text)
             answer = self.deliver(sender, message, depth)
             after = sender.tell(PeerAnswered(message.peer, answer))
             self.carry(sender, after, depth + 1)
@@ -93,7 +91,7 @@
         effects = receiver.tell(PeerMessageReceived('t', message.text))
         self.carry(receiver, effects, depth + 1)
         answer = find(effects, AnswerPeer)[0].text
-        self.bytes += len(answer)
+        self.texts.append(answer)
         return answer
 
     def tick(self, seconds, step_s=0.1):
--- a/tests/node/test_exchange.py
+++ b/tests/node/test_exchange.py
@@ -1,9 +1,11 @@
 import json
 
 from tests.node.nodes import Net, Node, find, write_document
-from tests.retries.calls import make_call
+from tests.retries.calls import at, make_call
+from trefoilhinge.conf.messages import write_exchange
 from trefoilhinge.core.effects import (
     AnswerKey,
+    AnswerPeer,
     Dispatch,
     LogEvent,
     ReadDocument,
@@ -110,28 +112,89 @@
         net.tick(2)
         assert count_revisions(nodes) == [2, 2]
 
-    def test_document_that_a_peer_cannot_use_is_passed_ever_less(self):
-        nodes, net = make_fleet(2, write_document(5))
-        net.tick(2)
-        exchanger = nodes[0].core.exchanger
-        old = exchanger.compose(nodes[0].core.pauses._last)
-        sent = 0
-        for number in range(60):
-            # A peer that stays behind, as one of an older release would.
-            fields = {
+    def talk_as_old(self, node, seconds, **fields):
+        """Count the documents passed to a peer that stays behind."""
+        passed = 0
+        for number in range(seconds):
+            words = {
                 'sender': 'old',
                 'incarnation': 1,
                 'sequence': number,
                 'address': '10.9.9.9:1',
                 'revision': 1,
                 'digest': '',
+                **fields,
             }
-            nodes[0].elapsed_s += 1
-            message = PeerMessageReceived('t', json.dumps(fields))
-            answer = nodes[0].tell(message)[-1].text
-            sent += bool(json.loads(answer)['document'])
-        assert old.revision == 5
-        assert 2 <= sent <= 6
+            node.elapsed_s += 1
+            message = PeerMessageReceived('t', json.dumps(words))
+            answer = find(node.tell(message), AnswerPeer)[0]
+            passed += bool(json.loads(answer.text)['document'])
+        return passed
+
+    def test_peer_that_does_not_ask_is_passed_the_document_ever_less(self):
+        node = Node('a', write_document(5))
+        assert 2 <= self.talk_as_old(node, 60) <= 6
+
+    def test_peer_that_refused_the_document_is_left_alone(self):
+        node = Node('a', write_document(5))
+        digest = node.core.parts.keeper.digest
+        assert self.talk_as_old(node, 60, refused=digest) == 0
+
+    def test_change_travels_as_a_delta(self):
+        nodes, net = make_fleet(4, write_document(1))
+        net.tick(5)
+        net.texts.clear()
+        change = write_document(2, deployment='changed')
+        net.carry(nodes[2], nodes[2].tell(DocumentRead(change)))
+        assert count_revisions(nodes) == [2] * 4
+        messages = [json.loads(text) for text in net.texts]
+        assert not any(one['document'] for one in messages)
+        assert sum(bool(one['deltas']) for one in messages) == 3
+        net.tick(3)
+        digests = {one.core.parts.keeper.digest for one in nodes}
+        assert len(digests) == 1
+
+    def test_document_is_asked_for_where_deltas_do_not_fit(self):
+        node = Node('b', write_document(1))
+        fields = {
+            'sender': 'a',
+            'incarnation': 1,
+            'sequence': 1,
+            'address': 'a:1',
+            'revision': 5,
+            'digest': 'f' * 64,
+        }
+        asked = []
+        for sequence, deltas in ((1, ''), (2, '[]'), (3, 'damaged')):
+            node.elapsed_s += 2
+            words = {**fields, 'sequence': sequence, 'deltas': deltas}
+            effects = node.tell(PeerMessageReceived('t', json.dumps(words)))
+            asked.extend(
+                json.loads(one.text)['wanted']
+                for one in find(effects, SendPeerMessage)
+                if one.peer == 'a'
+            )
+        assert [one for one in asked if one] == [
+            'deltas',
+            'document',
+            'document',
+        ]
+        assert node.core.parts.keeper.revision == 1
+
+    def test_document_is_asked_of_one_peer_at_a_time(self):
+        nodes, net = make_fleet(6, write_document(1))
+        net.tick(5)
+        late = Node('z', None, (), seed=9, start_s=nodes[0].elapsed_s)
+        late.tell(TimerFired())
+        asked = 0
+        for node in nodes:
+            text = write_exchange(node.core.exchanger.compose(at(0)))
+            effects = late.tell(PeerMessageReceived('t', text))
+            asked += sum(
+                json.loads(one.text)['wanted'] == 'document'
+                for one in find(effects, SendPeerMessage)
+            )
+        assert asked == 1
 
     def test_unreadable_messages_are_answered_and_logged(self):
         node = Node('a', write_document())
--- a/trefoilhinge/conf/keeper.py
+++ b/trefoilhinge/conf/keeper.py
@@ -2,6 +2,13 @@
 
 from collections import OrderedDict
 
+from trefoilhinge.conf.deltas import (
+    DeltaHistory,
+    apply_delta,
+    read_deltas,
+    write_canonical,
+    write_deltas,
+)
 from trefoilhinge.conf.document import digest_text, parse_document
 from trefoilhinge.conf.generated.document import Document
 from trefoilhinge.core.clocks import Instant
@@ -14,7 +21,8 @@
     """Keeps the newest valid document that was ever offered.
 
     Two documents of one revision are ordered by digest, so that every
-    instance settles on the same one.
+    instance settles on the same one. The text is kept in its canonical form,
+    so that deltas between documents fit at every instance.
     """
 
     def __init__(self) -> None:
@@ -23,9 +31,11 @@
         self.text = ''
         self.revision = 0
         self.digest = ''
+        self.refused = ''
+        self._history = DeltaHistory()
         # A text that was judged once is never worth reading again: what was
         # invalid or older stays so.
-        self._judged: OrderedDict[str, None] = OrderedDict()
+        self._judged: OrderedDict[str, bool] = OrderedDict()
 
     def offer(self, text: str, source: str, now: Instant) -> tuple[Effect, ...]:
         """Accept a document if it is valid and newer.
@@ -35,39 +45,75 @@
         """
         if text == self.text:
             return ()
-        digest = digest_text(text)
-        if digest in self._judged:
+        offered = digest_text(text)
+        if offered in self._judged:
             return ()
-        self._note_judged(digest)
         parsed = parse_document(text)
+        self._note_judged(offered, parsed.is_ok())
         if parsed.is_error():
+            self.refused = offered
             fields = (('source', source), ('problem', str(parsed.error[0])))
             return (LogEvent('document_refused', fields),)
-        return self._compare(text, digest, parsed.ok, source)
+        return self._compare(write_canonical(text), parsed.ok, source)
+
+    def offer_deltas(
+        self,
+        text: str,
+        source: str,
+        now: Instant,
+    ) -> tuple[Effect, ...]:
+        """Accept the document that deltas from the one in force lead to.
+
+        :param text: JSON text of the deltas, in order.
+        """
+        read = read_deltas(text)
+        if read.is_error():
+            return (_log_unfit(source, read.error),)
+        newest = self.text
+        for delta in read.ok:
+            applied = apply_delta(newest, delta)
+            if applied.is_error():
+                return (_log_unfit(source, applied.error),)
+            newest = applied.ok
+        return self.offer(newest, source, now)
+
+    def find_deltas(self, base: str) -> str:
+        """Return what leads from a digest to the document in force.
+
+        :return: JSON text, empty if that document is not remembered.
+        """
+        chain = self._history.find_chain(base)
+        text = write_deltas(chain) if chain else ''
+        return text if len(text) < len(self.text) else ''
+
+    def is_refused(self, digest: str) -> bool:
+        """Return whether a document was found invalid here."""
+        return not self._judged.get(digest, True)
 
     def _compare(
         self,
         text: str,
-        digest: str,
         document: Document,
         source: str,
     ) -> tuple[Effect, ...]:
         revision = document.revision
+        digest = digest_text(text)
+        if (revision, digest) == (self.revision, self.digest):
+            return ()
         clash = revision == self.revision
         if (revision, digest) > (self.revision, self.digest):
+            self._history.note(self.text, text)
             self.document = document
             self.text = text
             self.revision = revision
             self.digest = digest
             name = 'document_accepted'
-        elif clash:
-            name = 'document_kept'
         else:
-            name = 'document_stale'
+            name = 'document_kept'
         fields = (
             ('source', source),
             ('revision', str(revision)),
-            ('digest', digest[:12]),
+            ('digest', digest),
             ('in_force', str(self.revision)),
         )
         effects = (LogEvent(name, fields),)
@@ -76,7 +122,12 @@
             return (LogEvent('document_clash', fields), *effects)
         return effects
 
-    def _note_judged(self, digest: str) -> None:
-        self._judged[digest] = None
+    def _note_judged(self, digest: str, valid: bool) -> None:
+        self._judged[digest] = valid
         while len(self._judged) > JUDGED_DIGESTS:
             self._judged.popitem(last=False)
+
+
+def _log_unfit(source: str, problem: str) -> LogEvent:
+    fields = (('source', source), ('problem', problem))
+    return LogEvent('deltas_refused', fields)
--- a/trefoilhinge/node/composition.py
+++ b/trefoilhinge/node/composition.py
@@ -14,6 +14,7 @@
 from trefoilhinge.node.desk import CallDesk
 from trefoilhinge.node.exchange import PeerExchanger
 from trefoilhinge.node.handover import HandoverSender
+from trefoilhinge.node.passing import DocumentPasses
 from trefoilhinge.node.reads import make_document_reads
 from trefoilhinge.node.schedule import make_jittered_timer
 from trefoilhinge.node.observations import Observations
@@ -86,6 +87,7 @@
         parts.ledger,
         parts.keeper,
         HandoverSender(parts.ledger, parts.fleet),
+        DocumentPasses(parts.keeper),
         observations=observations,
     )
     return NodeCore(
--- a/trefoilhinge/node/core.py
+++ b/trefoilhinge/node/core.py
@@ -58,7 +58,7 @@
     TargetView,
 )
 from trefoilhinge.node.polling import TargetPoller
-from trefoilhinge.node.reads import DocumentReads
+from trefoilhinge.node.reads import DocumentReads, make_document_reads
 from trefoilhinge.node.schedule import PauseDetector, Timer
 
 EXCHANGE_INTERVAL_S = 1.0
@@ -114,7 +114,7 @@
     exchanger: PeerExchanger
     start_wait_s: float
     stop_wait_s: float
-    reads: DocumentReads
+    reads: DocumentReads = field(factory=lambda: make_document_reads(0))
     timers: NodeTimers = field(factory=NodeTimers)
     pauses: PauseDetector = field(factory=PauseDetector)
     poller: TargetPoller = field(factory=lambda: TargetPoller(LOAD_INTERVAL_S))
--- a/trefoilhinge/node/desk.py
+++ b/trefoilhinge/node/desk.py
@@ -163,9 +163,8 @@
         # That a target knows nothing of a stream proves nothing: it may have
         # restarted since, or the request may still be on its way. The stream
         # is voided, so that it holds nothing there.
-        effects = _cancel(record)
         ended = AttemptEnded(event.attempt, AttemptOutcome.ERRORED)
-        return effects + self._decide(record, ended, now)
+        return self._decide(record, ended, now)
 
     def note_ended(self, event: AttemptEnded, now: Instant) -> Effects:
         """Finish a call, or decide on a failed attempt."""
@@ -383,6 +382,9 @@
         effects = self._release(record, ended.outcome, now)
         if target is None:
             return effects
+        if profile.model and not ended.outcome.proves_not_run:
+            # Whatever was lost, the target may run it still.
+            effects.extend(_cancel(record))
         record.state = CallState.WAITING_RETRY
         if not ended.outcome.proves_not_run:
             record.exposed = True
--- a/trefoilhinge/node/exchange.py
+++ b/trefoilhinge/node/exchange.py
@@ -23,7 +23,7 @@
     Limiter,
     Router,
 )
-from trefoilhinge.node.passing import DocumentPasses
+from trefoilhinge.node.passing import WANT_DELTAS, DocumentPasses
 
 # A small fleet talks to every peer; a large one sends less to stay in bounds.
 SMALL_FLEET = 9
@@ -45,7 +45,7 @@
     _ledger: Ledger
     _keeper: DocumentKeeper
     handover: HandoverSender
-    _passes: DocumentPasses = field(factory=DocumentPasses)
+    _passes: DocumentPasses
     _told: tuple[int, str] = (0, '')
     _news_due_s: float = 0
     _observations: Observations = field(factory=Observations)
@@ -95,6 +95,7 @@
         before = self._keeper.digest
         effects = self._take(read.ok, now)
         effects.append(AnswerPeer(event.token, self._answer(read.ok, now)))
+        effects.extend(self._ask_document(read.ok, now))
         return effects, before != self._keeper.digest
 
     def take_answer(
@@ -112,8 +113,9 @@
         before = self._keeper.digest
         effects = self._take(read.ok, now)
         self.handover.note_answer(read.ok)
-        if self._is_behind(read.ok):
+        if self._is_behind(read.ok) and self._passes.is_due(read.ok, now):
             effects.extend(self._pass_document(read.ok, now))
+        effects.extend(self._ask_document(read.ok, now))
         return effects, before != self._keeper.digest
 
     def compose(self, now: Instant) -> PeerExchange:
@@ -133,6 +135,7 @@
             self._fleet.fill_exchange(now),
             revision=self._keeper.revision,
             digest=self._keeper.digest,
+            refused=self._keeper.refused,
         )
 
     def _answer(self, exchange: PeerExchange, now: Instant) -> str:
@@ -142,15 +145,33 @@
             if self._ledger.adopt_entries(exchange.handover, now):
                 adopted = digest_text(exchange.handover)
                 answer = evolve(answer, adopted=adopted)
-        if self._is_behind(exchange) and self._may_pass(exchange, now):
-            answer = evolve(answer, document=self._keeper.text)
+        if self._is_behind(exchange):
+            answer = self._attach_document(answer, exchange, now)
         return write_exchange(answer)
 
+    def _attach_document(
+        self,
+        answer: PeerExchange,
+        exchange: PeerExchange,
+        now: Instant,
+    ) -> PeerExchange:
+        deltas = ''
+        if exchange.wanted == WANT_DELTAS:
+            deltas = self._keeper.find_deltas(exchange.digest)
+        if deltas:
+            return evolve(answer, deltas=deltas)
+        if exchange.wanted or self._passes.is_due(exchange, now):
+            return evolve(answer, document=self._keeper.text)
+        return answer
+
     def _take(self, exchange: PeerExchange, now: Instant) -> list[Effect]:
         self._observations.note_exchange(exchange, now)
         effects: list[Effect] = []
+        source = f'peer:{exchange.sender}'
+        if exchange.deltas:
+            offered = self._keeper.offer_deltas(exchange.deltas, source, now)
+            effects.extend(offered)
         if exchange.document:
-            source = f'peer:{exchange.sender}'
             effects.extend(self._keeper.offer(exchange.document, source, now))
         if not self._fleet.note_exchange(exchange, now):
             return effects
@@ -161,14 +182,25 @@
             self._limiter.note_peer_demands(peer, exchange.demands, now)
         return effects
 
-    def _may_pass(self, exchange: PeerExchange, now: Instant) -> bool:
-        peer = InstanceName(exchange.sender)
-        return self._passes.take_due(peer, self._keeper.digest, now)
-
     def _is_behind(self, exchange: PeerExchange) -> bool:
         theirs = (exchange.revision, exchange.digest)
         return theirs < (self._keeper.revision, self._keeper.digest)
 
+    def _ask_document(
+        self,
+        exchange: PeerExchange,
+        now: Instant,
+    ) -> list[Effect]:
+        peer = InstanceName(exchange.sender)
+        address = self._fleet.find_address(peer, exchange.incarnation)
+        if address is None:
+            return []
+        wanted = self._passes.choose_want(exchange, now)
+        if not wanted:
+            return []
+        message = evolve(self._compose_news(now), wanted=wanted)
+        return [SendPeerMessage(peer, address, write_exchange(message))]
+
     def _pass_document(
         self,
         exchange: PeerExchange,
@@ -176,7 +208,7 @@
     ) -> list[Effect]:
         peer = InstanceName(exchange.sender)
         address = self._fleet.find_address(peer, exchange.incarnation)
-        if address is None or not self._may_pass(exchange, now):
+        if address is None:
             return []
         message = evolve(self._compose_news(now), document=self._keeper.text)
         return [SendPeerMessage(peer, address, write_exchange(message))]
--- a/trefoilhinge/node/parts.py
+++ b/trefoilhinge/node/parts.py
@@ -494,6 +494,28 @@
         """Accept a document if it is valid and newer; log what was done."""
         ...
 
+    def offer_deltas(
+        self,
+        text: str,
+        source: str,
+        now: Instant,
+    ) -> tuple[Effect, ...]:
+        """Accept the document that deltas lead to; log what was done."""
+        ...
+
+    def find_deltas(self, base: str) -> str:
+        """Return deltas from a digest as JSON text, empty if unknown."""
+        ...
+
+    def is_refused(self, digest: str) -> bool:
+        """Return whether a document was found invalid here."""
+        ...
+
+    @property
+    def refused(self) -> str:
+        """Return the digest of the document last found invalid."""
+        ...
+
 
 class Steward(Protocol):
     """Brings targets to the state that the document asks for."""
