Generated the reference pages from the schemas and the code.

Pages written by hand differ from the code within a release. Examples of calls that may not be repeated mint their key first, as the ledger asks.

--- a/Makefile
+++ b/Makefile
@@ -17,12 +17,14 @@
 	$(BIN)/mypy
 	$(BIN)/lint-imports
 	$(BIN)/python -m trefoilhinge.conf.generator --check
+	$(BIN)/python -m trefoilhinge.conf.reference --check
 
 format: $(STAMP)
 	$(BIN)/ruff format .
 
 generate: $(STAMP)
 	$(BIN)/python -m trefoilhinge.conf.generator
+	$(BIN)/python -m trefoilhinge.conf.reference
 
 $(STAMP): pyproject.toml constraints.txt
 	$(PYTHON) -m venv $(VENV)
--- a/tests/console/test_console.py
+++ b/tests/console/test_console.py
@@ -246,6 +246,7 @@
         shown = editor.shown
         assert '/services/desk/lookup' in shown
         booking = shown.partition('/bookings: must run at most once')[2]
+        assert '/v1/idempotency-keys' in booking
         assert 'Idempotency-Key: $KEY' in booking
         assert 'X-Repeatable: no' in booking
         assert 'X-Time-Limit-S: 120' in shown
--- a/trefoilhinge/console/examples.py
+++ b/trefoilhinge/console/examples.py
@@ -11,6 +11,10 @@
 # A backslash at the end of a line, as a shell reads it.
 _NEXT_LINE = ' \x5c\n  '
 ENTRY = 'https://ENTRY-ADDRESS'
+_MINT_KEY = (
+    f'KEY=$(curl -s -X POST {ENTRY}/v1/idempotency-keys'
+    ' -H "Authorization: Bearer $API_KEY" | cut -d \'"\' -f 4)'
+)
 
 
 @frozen
@@ -78,7 +82,7 @@
     headers = ('Idempotency-Key: $KEY', 'X-Repeatable: no')
     lines = (
         '# One key for one intent: use it again only to ask about this call.',
-        'KEY=$(uuidgen)',
+        _MINT_KEY,
         _write(path, time_limit, headers, body, *flags),
     )
     return '\n'.join(lines)
