--- a/trefoilhinge/client/commands.py
+++ b/trefoilhinge/client/commands.py
@@ -24,7 +24,11 @@
 from trefoilhinge.demo.commands import run_demo
 from trefoilhinge.entry.commands import run_entry
 from trefoilhinge.exceptions import TrefoilhingeError
-from trefoilhinge.faults.commands import DEFAULT_PAIRS, run_faults
+from trefoilhinge.faults.commands import (
+    DEFAULT_PAIRS,
+    FaultRequest,
+    run_faults,
+)
 
 # Commands whose flags are the settings, which their help lists.
 _TAKE_SETTINGS = frozenset(('entry', 'check-settings', 'check_settings'))
@@ -154,7 +158,7 @@
         :param pairs: pairs of faults to run besides; as a switch, the usual.
         :param format: ``text`` or ``json``.
         """
-        self._chosen.job = lambda: run_faults(
+        request = FaultRequest(
             seed=read_count(seed, 'seed'),
             cell=cell,
             part=part,
@@ -164,6 +168,7 @@
             else read_count(pairs, 'pairs'),
             as_json=read_choice(format, 'format', documents.FORMATS) == 'json',
         )
+        self._chosen.job = lambda: run_faults(request)
 
 
 def run_line(arguments: list[str]) -> int:
--- a/trefoilhinge/faults/promises.py
+++ b/trefoilhinge/faults/promises.py
@@ -159,7 +159,9 @@
     lives = (*world.retired, *world.drivers.values())
     ended_lives = {one.name for one in lives if one.stopped}
     for call in world.world.calls.values():
-        if call.instance not in stopped or call.gone:
+        # A caller that leaves at its deadline, unanswered, was cut off.
+        left = call.gone and call.gone_s < call.profile.deadline_s
+        if call.instance not in stopped or left:
             continue
         name = call.profile.request_id
         if call.instance in ended_lives and call.ended_s is None:
--- a/trefoilhinge/node/parts.py
+++ b/trefoilhinge/node/parts.py
@@ -337,10 +337,12 @@
 
     :ivar verdict: what is known of the call.
     :ivar code: code of the refusal.
+    :ivar retry_after_s: seconds that the target asked to wait, if it did.
     """
 
     verdict: Verdict
     code: RefusalCode
+    retry_after_s: float | None = None
 
 
 RetryDecision = RetryAfter | GiveUp
@@ -519,10 +521,14 @@
     def act(
         self,
         live: frozenset[InstanceIdentity],
+        expected: int,
         targets: tuple[TargetView, ...],
         now: Instant,
     ) -> tuple[Effect, ...]:
-        """Read states that are due and send orders that are due."""
+        """Read states that are due and send orders that are due.
+
+        :param expected: how many instances there should be.
+        """
         ...
 
     def note_pause(self, now: Instant) -> None:
