Took the document of document_file at the start.

The setting was read by nobody. An instance now offers the file's document to its keeper before it listens, as one more source: the revision decides as for any other, and an invalid file stops the start with its first problem.

--- a/trefoilhinge/core/events.py
+++ b/trefoilhinge/core/events.py
@@ -185,9 +185,11 @@
     """The configuration service served a document, or did not answer.
 
     :ivar text: JSON text as served, none if there was no answer.
+    :ivar source: where it was read, for the log.
     """
 
     text: str | None
+    source: str = 'service'
 
 
 @frozen
--- a/trefoilhinge/entry/daemon.py
+++ b/trefoilhinge/entry/daemon.py
@@ -23,10 +23,12 @@
     start_serving,
 )
 from trefoilhinge.calls.service import CallService
+from trefoilhinge.conf.files import read_document_file
 from trefoilhinge.conf.generated.document import Document
 from trefoilhinge.conf.generated.settings import Settings
 from trefoilhinge.core.clocks import Instant
 from trefoilhinge.core.events import (
+    DocumentRead,
     Event,
     KeyRequested,
     StopRequested,
@@ -44,6 +46,7 @@
 from trefoilhinge.entry.performer import Performer
 from trefoilhinge.entry.replies import Replies
 from trefoilhinge.entry.telemetry import NodeState, Telemetry, make_telemetry
+from trefoilhinge.exceptions import DocumentInvalid
 from trefoilhinge.node.composition import make_node, make_parts
 from trefoilhinge.node.core import NodeCore
 from trefoilhinge.node.schedule import TICK_S
@@ -76,10 +79,12 @@
     stopped: threading.Event = field(factory=threading.Event)
 
     def start(self) -> None:
-        """Open both listeners and start the timer.
+        """Take the document of the settings, listen and start the timer.
 
         :raises OSError: an address cannot be listened at.
+        :raises DocumentInvalid: the file holds no valid document.
         """
+        self._offer_file()
         start_serving(self.peers)
         start_serving(self.callers)
         threading.Thread(target=self._tick, daemon=True).start()
@@ -98,6 +103,15 @@
             executor.shutdown(wait=False, cancel_futures=True)
         self._telemetry.close()
 
+    def _offer_file(self) -> None:
+        path = self.settings.document_file
+        if not path:
+            return
+        read = read_document_file(path)
+        if read.is_error():
+            raise DocumentInvalid(f'{path}: {read.error[0]}')
+        self._actor.tell(DocumentRead(read.ok, 'file'))
+
     def _tick(self) -> None:
         while not self.stopped.wait(TICK_S):
             self._actor.tell(TimerFired())
--- a/trefoilhinge/node/core.py
+++ b/trefoilhinge/node/core.py
@@ -221,7 +221,7 @@
         before = self.parts.keeper.digest
         effects: Effects = []
         if event.text is not None:
-            offered = self.parts.keeper.offer(event.text, 'service', now)
+            offered = self.parts.keeper.offer(event.text, event.source, now)
             effects.extend(offered)
         newer = before != self.parts.keeper.digest
         self.reads.note_answer(newer, now)
