Let the test of the faults command read its request.

The command now hands one request over in place of single values, so that the test, which replaced a function of the old form, failed. It checks the same values on the request.

--- a/tests/client/test_commands.py
+++ b/tests/client/test_commands.py
@@ -144,18 +144,16 @@
     @pytest.fixture
     def ran(self, monkeypatch):
         seen = []
-        monkeypatch.setattr(
-            commands, 'run_faults', lambda **given: seen.append(given)
-        )
+        monkeypatch.setattr(commands, 'run_faults', seen.append)
         return seen
 
     def test_flags_reach_the_matrix(self, ran):
         assert run('faults', '--seed=7', '--pairs', '--format=json') == 0
-        assert ran[0]['seed'] == 7
-        assert ran[0]['pairs'] == commands.DEFAULT_PAIRS
-        assert ran[0]['as_json']
+        assert ran[0].seed == 7
+        assert ran[0].pairs == commands.DEFAULT_PAIRS
+        assert ran[0].as_json
         run('faults', '--pairs=3', '--cell=a/b')
-        assert (ran[1]['pairs'], ran[1]['cell']) == (3, 'a/b')
+        assert (ran[1].pairs, ran[1].cell) == (3, 'a/b')
 
     @pytest.mark.parametrize('flag', ['--seed=x', '--walk=-1', '--pairs=1.5'])
     def test_what_is_no_number_is_refused(self, ran, flag):
