--- /dev/null
+++ b/tests/platform/test_unset_urls.py
@@ -0,0 +1,16 @@
+import pytest
+
+from trefoilhinge.core.effects import ReadDocument
+from trefoilhinge.platform.publications import HttpPlatformClient
+
+
+class NoPool:
+    def request(self, *positional, **named):
+        pytest.fail('a client without a URL sent a request')
+
+
+class TestUnsetUrls:
+    def test_nobody_is_asked(self):
+        client = HttpPlatformClient('', '', NoPool())
+        assert client.read_document(ReadDocument(0, 0)).text is None
+        assert client.read_instances().instances is None
--- a/trefoilhinge/console/commands.py
+++ b/trefoilhinge/console/commands.py
@@ -36,7 +36,7 @@
         text = read.ok
     server = make_console(listen, text, status)
     server.prepare()
-    print(f'The console is at http://{listen}/')
+    print(f'The console is at http://{listen}/', flush=True)
     if not is_loopback(listen):
         print('Anyone who reaches this address may use it.')
     try:
--- a/trefoilhinge/platform/publications.py
+++ b/trefoilhinge/platform/publications.py
@@ -33,7 +33,9 @@
     _pool: urllib3.PoolManager
 
     def read_document(self, read: ReadDocument) -> DocumentRead:
-        """Read or watch the configuration service."""
+        """Read or watch the configuration service, if there is one."""
+        if not self.configuration_url:
+            return DocumentRead(None)
         url = (
             f'{self.configuration_url}'
             f'?after={read.after_revision}&wait={read.wait_s}'
@@ -57,7 +59,9 @@
         return DocumentRead(response.data.decode('utf-8', 'replace'))
 
     def read_instances(self) -> InstancesListed:
-        """Read the list of instances and targets."""
+        """Read the list of instances and targets, if there is one."""
+        if not self.instances_url:
+            return InstancesListed(None)
         fields = read_json(
             self._pool,
             'GET',
