--- a/trefoilhinge/node/composition.py
+++ b/trefoilhinge/node/composition.py
@@ -2,7 +2,7 @@
 
 from trefoilhinge.conf.keeper import NewestDocumentKeeper
 from trefoilhinge.core.identifiers import InstanceIdentity
-from trefoilhinge.groups.runner import make_no_group_runner
+from trefoilhinge.groups.runner import make_chain_group_runner
 from trefoilhinge.limits.limiter import make_bucket_limiter
 from trefoilhinge.membership.fleet import make_exchange_fleet
 from trefoilhinge.node.core import (
@@ -14,6 +14,7 @@
 from trefoilhinge.node.desk import CallDesk
 from trefoilhinge.node.exchange import PeerExchanger
 from trefoilhinge.node.handover import HandoverSender
+from trefoilhinge.node.passing import DocumentPasses
 from trefoilhinge.node.reads import make_document_reads
 from trefoilhinge.node.schedule import make_jittered_timer
 from trefoilhinge.node.observations import Observations
@@ -50,7 +51,7 @@
         limiter=make_bucket_limiter(),
         ledger=make_owned_key_ledger(identity, secret, life),
         retries=make_careful_retry_policy(seed),
-        groups=make_no_group_runner(),
+        groups=make_chain_group_runner(identity),
         fleet=make_exchange_fleet(identity, address, seeds, seed),
         keeper=NewestDocumentKeeper(),
         steward=make_read_back_steward(identity.name),
@@ -86,6 +87,7 @@
         parts.ledger,
         parts.keeper,
         HandoverSender(parts.ledger, parts.fleet),
+        DocumentPasses(parts.keeper),
         observations=observations,
     )
     return NodeCore(
--- a/trefoilhinge/platform/engines.py
+++ b/trefoilhinge/platform/engines.py
@@ -137,7 +137,7 @@
         """Read what the engine runs and holds."""
         fields = self._read('GET', f'http://{read.address}/state')
         state = _structure(fields, EngineState, target=read.target)
-        return EngineStateRead(read.target, state)
+        return EngineStateRead(read.target, state, read.address)
 
     def send_order(self, order: SendOrder) -> OrderAnswered:
         """Send an order with its fencing number."""
