Bounded what exchanges and documents cost a large fleet.

Cause: an instance of a fleet of 64 sent and received 13 KB/s of exchanges, measured with messages as full as their bounds allow, where the target allows 9 KB/s for all control. Every instance watched the configuration service, and accepting a document from deltas made the deltas anew.

Change: a large fleet talks in every second round, answers of a small fleet carry news only, fields that have their default are left out, and of a fleet beyond 16 instances eight in turn watch the service while the others read it seldom. Deltas that led to a document are kept as they came.

The bound of 9 KB/s is not met by a fleet of 8, whose instances talk to each other every second with full messages.

--- a/trefoilhinge/conf/deltas.py
+++ b/trefoilhinge/conf/deltas.py
@@ -168,8 +168,12 @@
     def note(self, old: str, new: str) -> None:
         """Take that one canonical text followed another."""
         if old:
-            self._deltas.append(make_delta(old, new))
-            del self._deltas[:-MAXIMUM_DELTAS]
+            self.note_deltas((make_delta(old, new),))
+
+    def note_deltas(self, deltas: tuple[DocumentDelta, ...]) -> None:
+        """Take deltas that led to the document now in force."""
+        self._deltas.extend(deltas)
+        del self._deltas[:-MAXIMUM_DELTAS]
 
     def find_chain(self, base: str) -> tuple[DocumentDelta, ...]:
         """Return the deltas that lead from a digest to the document in force.
--- a/trefoilhinge/conf/keeper.py
+++ b/trefoilhinge/conf/keeper.py
@@ -48,13 +48,15 @@
         offered = digest_text(text)
         if offered in self._judged:
             return ()
-        parsed = parse_document(text)
-        self._note_judged(offered, parsed.is_ok())
-        if parsed.is_error():
-            self.refused = offered
-            fields = (('source', source), ('problem', str(parsed.error[0])))
-            return (LogEvent('document_refused', fields),)
-        return self._compare(write_canonical(text), parsed.ok, source)
+        document, effects = self._judge(text, offered, source)
+        if document is None:
+            return effects
+        canonical = write_canonical(text)
+        before = self.text
+        effects = self._compare(canonical, document, source)
+        if self.text != before:
+            self._history.note(before, self.text)
+        return effects
 
     def offer_deltas(
         self,
@@ -75,7 +77,17 @@
             if applied.is_error():
                 return (_log_unfit(source, applied.error),)
             newest = applied.ok
-        return self.offer(newest, source, now)
+        digest = digest_text(newest)
+        if digest in self._judged:
+            return ()
+        document, effects = self._judge(newest, digest, source)
+        if document is None:
+            return effects
+        # What deltas lead to is canonical already.
+        effects = self._compare(newest, document, source)
+        if self.text == newest:
+            self._history.note_deltas(read.ok)
+        return effects
 
     def find_deltas(self, base: str) -> str:
         """Return what leads from a digest to the document in force.
@@ -90,6 +102,20 @@
         """Return whether a document was found invalid here."""
         return not self._judged.get(digest, True)
 
+    def _judge(
+        self,
+        text: str,
+        digest: str,
+        source: str,
+    ) -> tuple[Document | None, tuple[Effect, ...]]:
+        parsed = parse_document(text)
+        self._note_judged(digest, parsed.is_ok())
+        if parsed.is_ok():
+            return parsed.ok, ()
+        self.refused = digest
+        fields = (('source', source), ('problem', str(parsed.error[0])))
+        return None, (LogEvent('document_refused', fields),)
+
     def _compare(
         self,
         text: str,
@@ -102,7 +128,6 @@
             return ()
         clash = revision == self.revision
         if (revision, digest) > (self.revision, self.digest):
-            self._history.note(self.text, text)
             self.document = document
             self.text = text
             self.revision = revision
--- a/trefoilhinge/conf/messages.py
+++ b/trefoilhinge/conf/messages.py
@@ -18,8 +18,9 @@
 
 
 def write_exchange(exchange: PeerExchange) -> str:
-    """Return a peer exchange as JSON text."""
-    return json.dumps(cattrs.unstructure(exchange), separators=(',', ':'))
+    """Return a peer exchange as JSON text, without what has its default."""
+    fields = _make_writer().unstructure(exchange)
+    return json.dumps(fields, separators=(',', ':'))
 
 
 def read_exchange(text: str) -> Result[PeerExchange, str]:
@@ -42,3 +43,8 @@
 @functools.cache
 def _make_reader() -> Callable[[Any], Any]:
     return make_strict_reader(load_schema('messages'), classes)
+
+
+@functools.cache
+def _make_writer() -> cattrs.Converter:
+    return cattrs.Converter(omit_if_default=True)
--- /dev/null
+++ b/trefoilhinge/measure/documents.py
@@ -0,0 +1,131 @@
+"""Measures what one changed document costs an instance."""
+
+import json
+import time
+
+from attrs import frozen
+
+from trefoilhinge.conf.keeper import NewestDocumentKeeper
+from trefoilhinge.core.clocks import Instant
+
+ORGANISATIONS = 1600
+SERVICES = 25
+TARGETS_OF_A_SERVICE = 160
+CHANGES_A_DAY = 4600
+DAY_S = 86_400
+_NOW = Instant(0, 0)
+
+
+@frozen
+class DocumentCost:
+    """What one changed document costs.
+
+    :ivar document_bytes: size of the document.
+    :ivar delta_bytes: size of the deltas for the change of one organisation.
+    :ivar whole_s: processor seconds to accept the document whole.
+    :ivar delta_s: processor seconds to accept it from deltas.
+    :ivar repeated_s: processor seconds when it is offered once more.
+    :ivar delta_bytes_per_s: deltas a second at the changes of the target.
+    :ivar core_share: processor seconds a second at the changes of the target.
+    """
+
+    document_bytes: int
+    delta_bytes: int
+    whole_s: float
+    delta_s: float
+    repeated_s: float
+    delta_bytes_per_s: float
+    core_share: float
+
+
+def write_large_document(revision: int) -> str:
+    """Return a document of the size of the target in two years.
+
+    The rates of one organisation follow the revision.
+    """
+    names = [f'service-{number}' for number in range(SERVICES)]
+    fields = {
+        'revision': revision,
+        'deployment': 'large',
+        'failure_domains': [
+            {'name': f'domain-{number}', 'region': f'region-{number % 4}'}
+            for number in range(12)
+        ],
+        'organisations': [
+            _describe_organisation(number, names, revision)
+            for number in range(ORGANISATIONS)
+        ],
+        'services': [
+            _describe_service(number, name) for number, name in enumerate(names)
+        ],
+        'time_limits': {'default_s': 120, 'maximum_s': 900},
+        'balance': {'long_weight': 0.5},
+    }
+    return json.dumps(fields)
+
+
+def _describe_organisation(
+    number: int,
+    services: list[str],
+    revision: int,
+) -> dict[str, object]:
+    return {
+        'name': f'organisation-{number}',
+        'keys': [
+            {
+                'identifier': f'k{number:07d}',
+                'salt': f'{number:032x}',
+                'digest': f'{number:064x}',
+            },
+        ],
+        'requests_per_s': 1000 + revision if number == 7 else 1000,
+        'tokens_per_s': 1_000_000,
+        'services': [services[number % SERVICES]],
+    }
+
+
+def _describe_service(number: int, name: str) -> dict[str, object]:
+    return {
+        'name': name,
+        'kind': 'model',
+        'minimum_ready': 100,
+        'targets': [
+            {
+                'name': f'{name}-{at}',
+                'address': f'10.{number}.{at}.1:8000',
+                'failure_domain': f'domain-{at % 12}',
+            }
+            for at in range(TARGETS_OF_A_SERVICE)
+        ],
+    }
+
+
+def measure_document() -> DocumentCost:
+    """Measure the change of one organisation's rate."""
+    first, second = write_large_document(1), write_large_document(2)
+    sender = NewestDocumentKeeper()
+    sender.offer(first, 'service', _NOW)
+    base = sender.digest
+    began_s = time.process_time()
+    sender.offer(second, 'service', _NOW)
+    whole_s = time.process_time() - began_s
+    deltas = sender.find_deltas(base)
+    receiver = NewestDocumentKeeper()
+    receiver.offer(first, 'service', _NOW)
+    began_s = time.process_time()
+    receiver.offer_deltas(deltas, 'peer', _NOW)
+    delta_s = time.process_time() - began_s
+    if receiver.digest != sender.digest:
+        raise RuntimeError('the deltas did not lead to the document')
+    began_s = time.process_time()
+    receiver.offer(second, 'service', _NOW)
+    repeated_s = time.process_time() - began_s
+    return DocumentCost(
+        document_bytes=len(second),
+        delta_bytes=len(deltas),
+        whole_s=round(whole_s, 4),
+        delta_s=round(delta_s, 4),
+        repeated_s=round(repeated_s, 4),
+        delta_bytes_per_s=round(len(deltas) * CHANGES_A_DAY / DAY_S, 1),
+        core_share=round(delta_s * CHANGES_A_DAY / DAY_S, 5),
+    )
--- a/trefoilhinge/membership/fleet.py
+++ b/trefoilhinge/membership/fleet.py
@@ -24,6 +24,8 @@
 from trefoilhinge.node.parts import TargetView
 
 FAN_OUT = 1
+# A large fleet tells news at once and talks in every second round only.
+ROUNDS_OF_LARGE_FLEET = 2
 NEWS_FAN_OUT = 8
 SEEDS_A_ROUND = 2
 MAXIMUM_BACK_OFF_ROUNDS = 32
@@ -122,9 +124,9 @@
         self._book.forget(now)
         if self._round % FORGET_ROUNDS == 0:
             self._targets.forget(now)
-        fan_out = FAN_OUT
-        if len(self._book.peers) <= DIRECT_PEERS:
-            fan_out = DIRECT_PEERS
+        fan_out = DIRECT_PEERS
+        if len(self._book.peers) > DIRECT_PEERS:
+            fan_out = FAN_OUT if self._round % ROUNDS_OF_LARGE_FLEET else 0
         chosen: list[InstanceName] = []
         tried = 0
         while len(chosen) < fan_out and tried < len(self._book.peers):
@@ -160,6 +162,16 @@
         live.sort(key=self._score)
         return self._find_addresses(live[:DIRECT_PEERS])
 
+    def is_chosen(self, count: int, salt: str, now: Instant) -> bool:
+        """Return whether this is one of ``count`` live instances by hash."""
+        own = _hash(f'{salt}/{self._identity.name}')
+        ahead = sum(
+            _hash(f'{salt}/{name}') > own
+            for name, peer in self._book.peers.items()
+            if self._book.is_live(peer, now)
+        )
+        return ahead < count
+
     def list_live(self, now: Instant) -> frozenset[InstanceIdentity]:
         """Return the instances heard from, this one included."""
         live = {
@@ -257,9 +269,11 @@
         return tuple((one, self._book.peers[one].address) for one in names)
 
     def _score(self, name: InstanceName) -> int:
-        return xxhash.xxh64_intdigest(
-            f'{self._identity.name}/{name}'.encode(),
-        )
+        return _hash(f'{self._identity.name}/{name}')
+
+
+def _hash(text: str) -> int:
+    return xxhash.xxh64_intdigest(text.encode())
 
 
 def make_exchange_fleet(
--- a/trefoilhinge/membership/peers.py
+++ b/trefoilhinge/membership/peers.py
@@ -178,7 +178,7 @@
         count = len(self.peers)
         if count <= DIRECT_PEERS:
             return LIVE_S
-        return LIVE_S + 3 * count / (2 * INSTANCE_WORDS)
+        return LIVE_S + 3 * count / INSTANCE_WORDS
 
     def _replace(
         self,
--- a/trefoilhinge/node/core.py
+++ b/trefoilhinge/node/core.py
@@ -225,6 +225,8 @@
             effects.extend(offered)
         newer = before != self.parts.keeper.digest
         self.reads.note_answer(newer, now)
+        if self.parts.keeper.revision:
+            self.reads.defer_unless_chosen(self.parts.fleet, now)
         if newer:
             effects.extend(self._configure(now))
         return effects
--- a/trefoilhinge/node/exchange.py
+++ b/trefoilhinge/node/exchange.py
@@ -139,7 +139,9 @@
         )
 
     def _answer(self, exchange: PeerExchange, now: Instant) -> str:
-        answer = self.compose(now)
+        # Every peer of a small fleet sends its own whole message each round.
+        small = self._fleet.count_expected() <= SMALL_FLEET
+        answer = self._compose_news(now) if small else self.compose(now)
         if exchange.handover:
             # Adopted whatever the order in which parts arrive.
             if self._ledger.adopt_entries(exchange.handover, now):
--- a/trefoilhinge/node/parts.py
+++ b/trefoilhinge/node/parts.py
@@ -442,6 +442,10 @@
         """Return names and addresses of peers to send to now."""
         ...
 
+    def is_chosen(self, count: int, salt: str, now: Instant) -> bool:
+        """Return whether this is one of ``count`` live instances by hash."""
+        ...
+
     def list_live(self, now: Instant) -> frozenset[InstanceIdentity]:
         """Return the instances heard from, this one included."""
         ...
--- a/trefoilhinge/node/reads.py
+++ b/trefoilhinge/node/reads.py
@@ -4,11 +4,17 @@
 from attrs import define, field
 
 from trefoilhinge.core.clocks import Instant
+from trefoilhinge.node.parts import Fleet
 
 FIRST_BACK_OFF_S = 0.25
 MAXIMUM_BACK_OFF_S = 3.0
 # A read that is not answered by then was lost with its thread.
 LOST_READ_S = 15.0
+SELDOM_S = 30.0
+# Of a larger fleet, so many instances watch the service, others each hour.
+WATCHERS = 8
+MAXIMUM_WATCHING_FLEET = 16
+WATCH_TURN_S = 3600
 
 
 @define
@@ -57,6 +63,17 @@
         jitter = float(self._generator.uniform(0.5, 1))
         self._due_s = now.monotonic_s + span_s * jitter
 
+    def defer_unless_chosen(self, fleet: Fleet, now: Instant) -> None:
+        """Read seldom where others watch: peers tell what they read."""
+        if fleet.count_expected() <= MAXIMUM_WATCHING_FLEET:
+            return
+        turn = int(now.wall_s // WATCH_TURN_S)
+        if fleet.is_chosen(WATCHERS, f'watch-{turn}', now):
+            return
+        jitter = float(self._generator.uniform(0.5, 1))
+        seldom_s = now.monotonic_s + SELDOM_S * jitter
+        self._due_s = max(self._due_s, seldom_s)
+
     def force(self) -> None:
         """Read at the next occasion, whatever was asked before."""
         self._asked_s = None
