--- a/trefoilhinge/node/desk.py
+++ b/trefoilhinge/node/desk.py
@@ -67,6 +67,7 @@
 # A question that is not answered by then was lost with its thread.
 LOST_QUESTION_S = 5.0
 MAXIMUM_PLACEMENTS = 64
+GROUP_DELAY_S = 0.25
 
 Effects = list[Effect]
 
@@ -193,8 +194,7 @@
                 self._dispatch(record, progress.leader, now, progress.tag),
             )
         if isinstance(progress, GroupFailed):
-            ended = AttemptEnded(event.attempt, AttemptOutcome.NOT_SENT)
-            effects.extend(self._decide(record, ended, now))
+            effects.extend(self._postpone(record, now))
         return effects
 
     def note_forward(self, event: ForwardEnded, now: Instant) -> Effects:
@@ -370,6 +370,17 @@
             ),
         ]
 
+    def _postpone(self, record: CallRecord, now: Instant) -> Effects:
+        """Place a call again later whose group could not be prepared.
+
+        Nothing was sent, so that this spends no retry; the deadline ends it.
+        """
+        effects = self._release(record, AttemptOutcome.NOT_SENT, now)
+        record.state = CallState.WAITING_RETRY
+        delay_s = GROUP_DELAY_S * 2 ** min(record.number, 4)
+        record.due_s = now.monotonic_s + delay_s
+        return effects
+
     def _decide(
         self,
         record: CallRecord,
@@ -516,5 +527,6 @@
             record.attempt,
             record.target.name,
             record.target.address,
+            record.profile.model,
         ),
     ]
--- a/trefoilhinge/routing/router.py
+++ b/trefoilhinge/routing/router.py
@@ -10,6 +10,7 @@
 from trefoilhinge.core.profiles import CallProfile
 from trefoilhinge.core.reports import CacheEvent, LoadReport
 from trefoilhinge.core.verdicts import RefusalCode, refuse_not_run
+from trefoilhinge.groups.planner import Candidate, needs_group, plan
 from trefoilhinge.node.parts import (
     Deferred,
     Impossible,
@@ -65,22 +66,19 @@
                     f'There is no service named {profile.service!r}.',
                 ),
             )
-        if profile.total_tokens > service.memory_tokens:
-            return Impossible(
-                refuse_not_run(
-                    RefusalCode.TOO_LARGE,
-                    'The prompt is beyond the memory of one engine; shorten '
-                    'it.',
-                    limit='memory_tokens',
-                    limit_value=service.memory_tokens,
-                ),
-            )
         usable = [
             one
             for one in self._targets.get(profile.service, ())
             if not one.leaving
             and self._running.get(one.name, 0) < service.maximum_running
         ]
+        if needs_group(profile, service):
+            return plan(
+                profile,
+                service,
+                self._list_candidates(usable, service),
+                now,
+            )
         preferred = [one for one in usable if one.name not in avoid] or usable
         if not preferred:
             return Deferred(now.monotonic_s + DEFERRAL_S)
@@ -167,6 +165,19 @@
         service = self._services[profile.service]
         return profile.prompt_tokens / service.prefill_tokens_per_s
 
+    def _list_candidates(
+        self,
+        usable: list[TargetView],
+        service: Service,
+    ) -> list[Candidate]:
+        return [
+            Candidate(
+                one,
+                service.memory_tokens - self._outstanding.get(one.name, 0),
+            )
+            for one in usable
+        ]
+
 
 def make_least_tokens_router() -> LeastTokensRouter:
     """Return a router that knows no target yet."""
