--- a/trefoilhinge/faults/callers.py
+++ b/trefoilhinge/faults/callers.py
@@ -129,11 +129,7 @@
 
         def serve() -> str | None:
             driver = self.world.drivers[at]
-            try:
-                return driver.request_key(find_organisation(caller))
-            except NotImplementedError:
-                # This ledger mints no keys: the caller chooses one.
-                return f'chosen-{caller.name}'
+            return driver.request_key(find_organisation(caller))
 
         def take(key: str | None) -> None:
             if key:
--- a/trefoilhinge/faults/world.py
+++ b/trefoilhinge/faults/world.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from attrs import define, field
+from attrs import define, evolve, field
 
 from trefoilhinge.core.events import StopRequested
 from trefoilhinge.core.identifiers import (
@@ -90,8 +90,14 @@
             'a secret of the deployment, 32 bytes and more',
             tuple(one for one in INSTANCES if one != name),
             self.seed + INSTANCES.index(name),
+            f'life{len(self.retired)}',
+        )
+        core = make_node(
+            self.alter_parts(parts),
+            START_WAIT_S,
+            STOP_WAIT_S,
+            self.seed + INSTANCES.index(name),
         )
-        core = make_node(self.alter_parts(parts), START_WAIT_S, STOP_WAIT_S)
         driver = NodeDriver(
             name,
             self.world,
@@ -122,6 +128,7 @@
         engine.restart()
         self.world.network.dead.add(name)
         self.world.chains.fail_streams(self.world.engines)
+        self.forget_leaving(name)
 
     def restart_engine(self, name: TargetName) -> None:
         """Bring an engine back, empty and as a new incarnation."""
@@ -131,20 +138,27 @@
     def list_leaving(self, name: TargetName) -> None:
         """Have the platform list a target as leaving, which it does late."""
 
+        engine = self.world.engines.get(name)
+        incarnation = engine.incarnation if engine else 0
+
         def change() -> None:
-            self.world.platform.targets = tuple(
-                ListedTarget(
-                    one.name,
-                    one.address,
-                    one.failure_domain,
-                    one.service,
-                    leaving=one.leaving or one.name == name,
-                )
-                for one in self.world.platform.targets
-            )
+            if engine is None or engine.incarnation == incarnation:
+                self._list_target(name, leaving=True)
 
         self.world.simulation.schedule(LIST_LAG_S, change)
 
+    def forget_leaving(self, name: TargetName) -> None:
+        """Begin a new incarnation of a target, which does not leave."""
+        self._list_target(name, leaving=False)
+        self.world.notices.pop(name, None)
+        self.world.starts.pop(name, None)
+
+    def _list_target(self, name: TargetName, *, leaving: bool) -> None:
+        self.world.platform.targets = tuple(
+            evolve(one, leaving=leaving) if one.name == name else one
+            for one in self.world.platform.targets
+        )
+
     def is_up(self, name: str) -> bool:
         """Return whether an instance runs now."""
         driver = self.drivers[InstanceName(name)]
