--- a/tests/node/test_engines.py
+++ b/tests/node/test_engines.py
@@ -1,36 +1,42 @@
-"""Tests of which targets a node reads."""
-
 import json
+import pathlib
 
 from trefoilhinge.core.clocks import Instant
 from trefoilhinge.core.effects import ReadEngineState, ReadLoad
-from trefoilhinge.core.events import DocumentRead, InstancesListed, TimerFired
-from trefoilhinge.core.identifiers import (
-    InstanceIdentity,
-    InstanceName,
-)
-from trefoilhinge.faults.world import (
-    ENGINES,
-    describe_document,
-    make_fault_world,
+from trefoilhinge.core.events import (
+    DocumentRead,
+    InstancesListed,
+    TimerFired,
 )
+from trefoilhinge.core.identifiers import InstanceIdentity
+from trefoilhinge.core.reports import ListedTarget
 from trefoilhinge.node.composition import make_node, make_parts
 
-NOW = Instant(10, 1_000)
+KANDY = pathlib.Path(__file__).parents[2] / 'examples' / 'kandy.json'
 
 
 class TestEngines:
-    """Engines are read however their names came."""
-
-    def test_listed_before_the_document(self):
-        """Targets that the list named first are read once it is known."""
-        identity = InstanceIdentity(InstanceName('entry-0'), 1)
-        parts = make_parts(identity, 'a:1', 'kandy', 'secret' * 6, (), 1)
-        node = make_node(parts, 0, 0)
-        listed = make_fault_world(0).world.platform.targets
-        node.handle(InstancesListed((), listed), NOW)
-        node.handle(DocumentRead(json.dumps(describe_document(1))), NOW)
-        effects = node.handle(TimerFired(), NOW)
+    def test_those_listed_before_the_document_are_read(self):
+        document = json.loads(KANDY.read_text())
+        listed = tuple(
+            ListedTarget(
+                one['name'],
+                one['address'],
+                one['failure_domain'],
+                service['name'],
+            )
+            for service in document['services']
+            for one in service['targets']
+        )
+        identity = InstanceIdentity('entry-0', 1)
+        parts = make_parts(identity, 'a:1', 'kandy', 's' * 32, (), 1, 'life')
+        core = make_node(parts, 0, 0)
+        core.handle(InstancesListed((), listed), Instant(1, 1))
+        core.handle(DocumentRead(json.dumps(document)), Instant(1, 1))
+        effects = []
+        for tenth in range(100):
+            now = Instant(1 + tenth / 10, 1 + tenth / 10)
+            effects += core.handle(TimerFired(), now)
         for kind in (ReadLoad, ReadEngineState):
             read = {one.target for one in effects if isinstance(one, kind)}
-            assert read == set(ENGINES)
+            assert read == {f'writer-{number}' for number in range(25)}
--- a/trefoilhinge/client/commands.py
+++ b/trefoilhinge/client/commands.py
@@ -14,7 +14,7 @@
 from trefoilhinge.client.arguments import (
     quote_arguments,
     read_choice,
-    read_integer,
+    read_count,
     read_switch,
     wants_help,
 )
@@ -134,7 +134,8 @@
     def demo(self, once: bool = False) -> None:
         """Run a small deployment on loopback with stand-ins.
 
-        :param once: exit when it is ready in place of serving on.
+        :param once: run one workload and exit; not zero if a call was cut
+            off or ran twice.
         """
         self._chosen.job = lambda: run_demo(read_switch(once, 'once'))
 
@@ -145,27 +146,28 @@
         part: str = '',
         walk: str = '0',
         pairs: str | bool = '0',
-        format: str = 'text',
+        format: str = 'text',  # noqa: A002
     ) -> None:
-        """Run every fault at every step; exit 1 if a promise is broken.
+        """Run every fault at every step of a call.
+
+        Exits with 1 if a promise is broken.
 
         :param seed: seed of every random choice.
-        :param cell: run one cell only, as FAULT/STEP.
-        :param part: run the K-th of N parts only, as K/N.
-        :param walk: steps of a random walk to take instead.
-        :param pairs: pairs of faults to run instead; a number, or all the
-            default ones without a value.
-        :param format: text or json.
+        :param cell: the only cell to run, as FAULT/STEP; empty runs all.
+        :param part: K/N runs the K-th of N parts; empty runs all.
+        :param walk: steps of a random walk to run in place of the matrix.
+        :param pairs: pairs of faults to run besides; as a switch, the usual.
+        :param format: ``text`` or ``json``.
         """
         request = FaultRequest(
-            seed=read_integer(seed, 'seed'),
+            seed=read_count(seed, 'seed'),
             cell=cell,
             part=part,
-            walk=read_integer(walk, 'walk'),
+            walk=read_count(walk, 'walk'),
             pairs=DEFAULT_PAIRS
             if pairs is True
-            else read_integer(pairs, 'pairs'),
-            as_json=read_choice(format, 'format', ('text', 'json')) == 'json',
+            else read_count(pairs, 'pairs'),
+            as_json=read_choice(format, 'format', documents.FORMATS) == 'json',
         )
         self._chosen.job = lambda: run_faults(request)
 
