Refused a key in use as one that may have run.

A retry that met its own first call still waiting at the owner was told not_run, and the call ran a second later: a caller who trusted that and sent a new key would book twice.

--- a/tests/retries/test_ledger.py
+++ b/tests/retries/test_ledger.py
@@ -57,6 +57,15 @@
             Verdict.MAY_HAVE_RUN,
         )
 
+    def test_key_of_a_waiting_call_is_not_refused_as_not_run(self):
+        ledger = make_ledger()
+        call = make_call(ledger.mint_key('hotel', at(0)))
+        ledger.claim(call, at(0))
+        assert read(ledger.claim(make_call(call.key, 'r2'), at(1))) == (
+            RefusalCode.KEY_IN_USE,
+            Verdict.MAY_HAVE_RUN,
+        )
+
     def test_key_that_proved_not_run_may_be_used_again(self):
         ledger = make_ledger()
         call = make_call(ledger.mint_key('hotel', at(0)))
--- a/trefoilhinge/retries/ledger.py
+++ b/trefoilhinge/retries/ledger.py
@@ -186,7 +186,7 @@
         if entry.body != body:
             return ClaimRefused(refusals.refuse_other_body())
         if entry.ended_s is None:
-            return ClaimRefused(refusals.refuse_running(entry.verdict))
+            return ClaimRefused(refusals.refuse_running())
         if entry.verdict is not Verdict.NOT_RUN:
             return ClaimRefused(refusals.refuse_used(entry.verdict))
         if self._sealed:
--- a/trefoilhinge/retries/refusals.py
+++ b/trefoilhinge/retries/refusals.py
@@ -52,11 +52,15 @@
     )
 
 
-def refuse_running(verdict: Verdict) -> Refusal:
-    """Refuse a key whose call is still in progress."""
+def refuse_running() -> Refusal:
+    """Refuse a key whose call is still in progress.
+
+    A call that still waits may run at any moment, so that its key is never
+    refused as not run.
+    """
     return Refusal(
         RefusalCode.KEY_IN_USE,
-        verdict,
+        Verdict.MAY_HAVE_RUN,
         'A request with this Idempotency-Key is still in progress; ask again '
         'later with the same key.',
         retry_after_s=1,
