--- a/trefoilhinge/faults/catalogue.py
+++ b/trefoilhinge/faults/catalogue.py
@@ -289,7 +289,7 @@
 FAULTS = {
     fault.name: fault
     for fault in (
-        Fault('engine-dies', _lose_engine, 60),
+        Fault('engine-dies', _lose_engine, 30),
         Fault('engine-restarts', _crash_engine, 1.5),
         Fault('engine-answers-late', _delay_answers),
         Fault('answers-crossed', _cross_answers, 2),
--- /dev/null
+++ b/trefoilhinge/faults/preparation.py
@@ -0,0 +1,113 @@
+"""Measures how long a group of engines takes to prepare a huge prompt.
+
+Run as ``python -m trefoilhinge.faults.preparation --tokens=1000000``. Times
+are simulated; the speeds are those of the fake engine.
+"""
+
+from typing import Any
+
+import fire
+from attrs import evolve, frozen
+
+from trefoilhinge.core.identifiers import (
+    InstanceName,
+    RequestId,
+    StreamId,
+    TargetName,
+)
+from trefoilhinge.core.profiles import CallProfile
+from trefoilhinge.faults.world import (
+    INSTANCES,
+    describe_document,
+    make_fault_world,
+)
+from trefoilhinge.standins.simulation.engine import EngineSpeeds, FakeEngine
+from trefoilhinge.standins.simulation.heap import Simulation
+
+SENT_S = 3.0
+TIME_LIMIT_S = 900.0
+OUTPUT_TOKENS = 16
+
+
+@frozen
+class Preparation:
+    """Times to the first token of one prompt, in simulated seconds.
+
+    :ivar group_s: at a group of engines, none if it got no token.
+    :ivar alone_s: at one engine with memory for the whole prompt.
+    """
+
+    tokens: int
+    group_s: float | None
+    alone_s: float | None
+
+
+def measure_preparation(tokens: int) -> Preparation:
+    """Send one prompt to idle engines, as a group and to a huge one."""
+    profile = CallProfile(
+        request_id=RequestId('huge-1'),
+        organisation='halls',
+        service='writer',
+        model=True,
+        path='/v1/completions',
+        idempotent=True,
+        key='',
+        body_digest='',
+        prompt_tokens=tokens,
+        output_tokens=OUTPUT_TOKENS,
+        prefix_digests=(),
+        priority=5,
+        deadline_s=SENT_S + TIME_LIMIT_S,
+        received_s=SENT_S,
+    )
+    return Preparation(tokens, _time_group(profile), _time_alone(profile))
+
+
+def _time_group(profile: CallProfile) -> float | None:
+    world = make_fault_world(0)
+    speeds = EngineSpeeds()
+    for engine in world.world.engines.values():
+        engine.speeds = speeds
+    world.describe = lambda revision: _describe(revision, speeds)
+    world.start()
+    world.world.simulation.run_until(SENT_S)
+    driver = world.drivers[InstanceName(INSTANCES[0])]
+    call = driver.receive_call(profile)
+    world.world.simulation.run_until(SENT_S + TIME_LIMIT_S)
+    return None if call.first_s is None else call.first_s - SENT_S
+
+
+def _describe(revision: int, speeds: EngineSpeeds) -> dict[str, Any]:
+    fields = describe_document(revision)
+    fields['services'][0]['memory_tokens'] = speeds.memory_tokens
+    fields['services'][0]['prefill_tokens_per_s'] = speeds.prefill_tokens_per_s
+    fields['time_limits']['maximum_s'] = TIME_LIMIT_S
+    return fields
+
+
+def _time_alone(profile: CallProfile) -> float | None:
+    simulation = Simulation()
+    memory = profile.total_tokens * 2
+    speeds = evolve(EngineSpeeds(), memory_tokens=memory)
+    engine = FakeEngine(TargetName('huge'), simulation, speeds)
+    seen: list[float] = []
+    engine.start(
+        StreamId('huge-1.1'),
+        profile,
+        profile.priority,
+        lambda event: seen.append(simulation.now_s),
+    )
+    simulation.run_until(TIME_LIMIT_S)
+    return seen[0] if seen else None
+
+
+def main(tokens: int = 1_000_000) -> None:
+    """Print the times of one prompt."""
+    measured = measure_preparation(tokens)
+    print(f'{measured.tokens} tokens')
+    print(f'group of engines  {measured.group_s} s')
+    print(f'one engine alone  {measured.alone_s} s')
+
+
+if __name__ == '__main__':
+    fire.Fire(main)
--- a/trefoilhinge/faults/promises.py
+++ b/trefoilhinge/faults/promises.py
@@ -115,6 +115,9 @@
         refusal = call.refusal
         if refusal is None or refusal.verdict is not Verdict.NOT_RUN:
             continue
+        if call.gone:
+            # Nobody was there to be told.
+            continue
         name = call.profile.request_id
         for other in _list_same(world, call):
             if runs[other.profile.request_id] and _is_before(other, call):
--- a/trefoilhinge/faults/world.py
+++ b/trefoilhinge/faults/world.py
@@ -49,6 +49,7 @@
     :ivar published_s: time of publication of each revision.
     :ivar alter_parts: replaces cores, to prove that a check can fail.
     :ivar alter_core: replaces the node, for the same reason.
+    :ivar describe: returns the document of a revision.
     """
 
     world: World
@@ -59,6 +60,9 @@
     alter_parts: AlterParts = field(default=lambda parts: parts)
     alter_core: AlterCore = field(default=lambda core: core)
     silence_s: float = 2.0
+    describe: Callable[[int], dict[str, Any]] = field(
+        factory=lambda: describe_document,
+    )
 
     @property
     def now_s(self) -> float:
@@ -74,7 +78,7 @@
     def publish(self) -> int:
         """Publish a document of the next revision and return that."""
         revision = len(self.world.platform.texts) + 1
-        text = json.dumps(describe_document(revision))
+        text = json.dumps(self.describe(revision))
         self.world.platform.texts.append(text)
         self.published_s[revision] = self.now_s
         return revision
