--- a/trefoilhinge/groups/planner.py
+++ b/trefoilhinge/groups/planner.py
@@ -51,7 +51,8 @@
 ) -> GroupPlan:
     """Choose members in the failure domain that needs the fewest.
 
-    :param candidates: engines of the service that are not leaving.
+    :param candidates: engines of the service; one that takes no new work has
+        nothing free.
     :return: the group, a wait while no domain has the memory free, or a
         refusal if none will ever have it.
     """
--- a/trefoilhinge/routing/router.py
+++ b/trefoilhinge/routing/router.py
@@ -66,19 +66,14 @@
                     f'There is no service named {profile.service!r}.',
                 ),
             )
+        if needs_group(profile, service):
+            return plan(profile, service, self._list_candidates(service), now)
         usable = [
             one
             for one in self._targets.get(profile.service, ())
             if not one.leaving
             and self._running.get(one.name, 0) < service.maximum_running
         ]
-        if needs_group(profile, service):
-            return plan(
-                profile,
-                service,
-                self._list_candidates(usable, service),
-                now,
-            )
         preferred = [one for one in usable if one.name not in avoid] or usable
         if not preferred:
             return Deferred(now.monotonic_s + DEFERRAL_S)
@@ -165,19 +160,19 @@
         service = self._services[profile.service]
         return profile.prompt_tokens / service.prefill_tokens_per_s
 
-    def _list_candidates(
-        self,
-        usable: list[TargetView],
-        service: Service,
-    ) -> list[Candidate]:
+    def _list_candidates(self, service: Service) -> list[Candidate]:
+        """Return every engine; a leaving or a full one has nothing free."""
         return [
-            Candidate(
-                one,
-                service.memory_tokens - self._outstanding.get(one.name, 0),
-            )
-            for one in usable
+            Candidate(one, self._count_free(one, service))
+            for one in self._targets.get(service.name, ())
         ]
 
+    def _count_free(self, target: TargetView, service: Service) -> int:
+        running = self._running.get(target.name, 0)
+        if target.leaving or running >= service.maximum_running:
+            return 0
+        return service.memory_tokens - self._outstanding.get(target.name, 0)
+
 
 def make_least_tokens_router() -> LeastTokensRouter:
     """Return a router that knows no target yet."""
