Let placements set the engine's priority and messages their codec.

Change: PlacedOn carries an optional priority; PeerExchanger takes a codec. Conclusion: the defaults are unchanged.

--- a/trefoilhinge/node/desk.py
+++ b/trefoilhinge/node/desk.py
@@ -256,9 +256,9 @@
                 return []
             case Impossible(refusal):
                 return self._refuse(record, refusal, now)
-            case PlacedOn(target):
+            case PlacedOn(target, priority):
                 self._begin_attempt(record, (target,), now)
-                return [self._dispatch(record, target, now, None)]
+                return [self._dispatch(record, target, now, None, priority)]
             case PlacedOnGroup(members):
                 return self._start_group(record, members, now)
 
@@ -296,6 +296,7 @@
         target: TargetView,
         now: Instant,
         tag: HoldingTag | None,
+        priority: int | None = None,
     ) -> Dispatch:
         profile = record.profile
         record.state = CallState.SENT
@@ -307,7 +308,7 @@
             attempt=record.attempt,
             target=target.name,
             address=target.address,
-            priority=profile.priority,
+            priority=profile.priority if priority is None else priority,
             deadline_s=profile.deadline_s,
             lease=now.shift(SEND_LEASE_S),
             fresh_connection=not profile.idempotent,
--- a/trefoilhinge/node/exchange.py
+++ b/trefoilhinge/node/exchange.py
@@ -1,6 +1,9 @@
 """Composes and takes the messages between instances."""
 
-from attrs import define, evolve
+from typing import Protocol
+
+from attrs import define, evolve, field
+from expression import Result
 
 from trefoilhinge.conf.generated.messages import PeerExchange
 from trefoilhinge.conf.messages import read_exchange, write_exchange
@@ -25,6 +28,31 @@
 MAXIMUM_DEMANDS = 32
 
 
+class ExchangeCodec(Protocol):
+    """Turns messages between instances into text and back."""
+
+    def write(self, exchange: PeerExchange) -> str:
+        """Return a message as text."""
+        ...
+
+    def read(self, text: str) -> Result[PeerExchange, str]:
+        """Return the message, or what is wrong with its text."""
+        ...
+
+
+@define
+class JsonCodec:
+    """Writes messages as JSON and checks them against their schema."""
+
+    def write(self, exchange: PeerExchange) -> str:
+        """Return a message as JSON."""
+        return write_exchange(exchange)
+
+    def read(self, text: str) -> Result[PeerExchange, str]:
+        """Return the message, or what is wrong with its text."""
+        return read_exchange(text)
+
+
 @define
 class PeerExchanger:
     """Gathers each app's words for peers and hands theirs to each app."""
@@ -34,13 +62,14 @@
     _limiter: Limiter
     _ledger: Ledger
     _keeper: DocumentKeeper
+    codec: ExchangeCodec = field(factory=JsonCodec)
 
     def send(self, now: Instant) -> list[Effect]:
         """Return messages to the peers whose turn it is."""
         peers = self._fleet.choose_peers(now)
         if not peers:
             return []
-        text = write_exchange(self.compose(now))
+        text = self.codec.write(self.compose(now))
         return [SendPeerMessage(name, address, text) for name, address in peers]
 
     def send_handover(self, now: Instant) -> list[Effect]:
@@ -49,7 +78,7 @@
             self.compose(now),
             handover=self._ledger.export_entries(now),
         )
-        text = write_exchange(exchange)
+        text = self.codec.write(exchange)
         peers = self._fleet.choose_peers(now)
         return [SendPeerMessage(name, address, text) for name, address in peers]
 
@@ -62,7 +91,7 @@
 
         :return: effects, and whether the document in force changed.
         """
-        read = read_exchange(event.text)
+        read = self.codec.read(event.text)
         if read.is_error():
             return [
                 _log_unreadable(read.error),
@@ -73,7 +102,7 @@
         answer = self.compose(now)
         if self._is_behind(read.ok):
             answer = evolve(answer, document=self._keeper.text)
-        effects.append(AnswerPeer(event.token, write_exchange(answer)))
+        effects.append(AnswerPeer(event.token, self.codec.write(answer)))
         return effects, before != self._keeper.digest
 
     def take_answer(
@@ -85,7 +114,7 @@
         if event.text is None:
             self._fleet.note_peer_silent(event.peer, now)
             return [], False
-        read = read_exchange(event.text)
+        read = self.codec.read(event.text)
         if read.is_error():
             return [_log_unreadable(read.error)], False
         before = self._keeper.digest
@@ -132,7 +161,7 @@
         if address is None:
             return []
         message = evolve(self.compose(now), document=self._keeper.text)
-        return [SendPeerMessage(peer, address, write_exchange(message))]
+        return [SendPeerMessage(peer, address, self.codec.write(message))]
 
 
 def _log_unreadable(problem: str) -> LogEvent:
--- a/trefoilhinge/node/parts.py
+++ b/trefoilhinge/node/parts.py
@@ -56,9 +56,13 @@
 
 @frozen
 class PlacedOn:
-    """A call goes to one target now."""
+    """A call goes to one target now.
+
+    :ivar priority: priority to give to the engine, none for the call's own.
+    """
 
     target: TargetView
+    priority: int | None = None
 
 
 @frozen
