Measured routing policies on whole nodes over simulated engines.

Cause: no command compared policies on the same arrivals. Change: the measure command with five baselines, a workload drawn from a seed, the capacity that loads are shares of, faults during the run, JSON, table and HTML. The fake engine takes equal steps in one go, the network enters a time limit only for lost messages, and the heap holds tuples.

--- a/trefoilhinge/client/commands.py
+++ b/trefoilhinge/client/commands.py
@@ -10,6 +10,7 @@
 from trefoilhinge.demo.commands import run_demo
 from trefoilhinge.entry.commands import run_entry
 from trefoilhinge.exceptions import TrefoilhingeError
+from trefoilhinge.measure.commands import read_options, run_measure
 
 EXIT_INVALID = 2
 
@@ -25,6 +26,15 @@
         """Run a small deployment on loopback with stand-ins."""
         sys.exit(run_demo(once))
 
+    def measure(self, **options: Raw) -> None:
+        """Measure routing policies on simulated time; see docs/measurements.
+
+        Options: --deployment, --policy, --seed, --minutes, --faults, --load,
+        --long-weight, --format and --report.
+        """
+        asked = read_options(options)
+        print(run_measure(asked))
+
     def check(self, file: str) -> None:
         """Check a document; exit 2 and name each problem if it is invalid."""
         text = pathlib.Path(file).read_text(encoding='utf-8')
--- /dev/null
+++ b/trefoilhinge/measure/capacity.py
@@ -0,0 +1,31 @@
+"""Works out what a fleet can bear of a workload."""
+
+from trefoilhinge.conf.generated.document import Service
+from trefoilhinge.measure.workload import (
+    MEAN_OUTPUT_TOKENS,
+    compute_mean_prompt,
+)
+from trefoilhinge.standins.simulation.engine import EngineSpeeds
+
+ITERATIONS = 20
+
+
+def compute_capacity(service: Service, speeds: EngineSpeeds) -> float:
+    """Return the requests a second at which every engine prefills always.
+
+    A step prefills one chunk and decodes one token of each stream. With ``r``
+    requests a second an engine runs ``r * output * step`` streams, each of
+    which makes the step longer; the rate at which chunks of the mean prompt
+    fill every step is found by iteration. Prefix hits are left out, so that
+    a policy with hits has room at a load of one. Prompts beyond the memory of
+    one engine cost nothing here.
+    """
+    mean_prompt = compute_mean_prompt(service.memory_tokens)
+    step_s = speeds.step_s + speeds.chunk_tokens / speeds.prefill_tokens_per_s
+    rate: float = 0
+    for _ in range(ITERATIONS):
+        streams = rate * MEAN_OUTPUT_TOKENS * step_s
+        step_s = speeds.step_s + streams * speeds.step_per_stream_s
+        step_s += speeds.chunk_tokens / speeds.prefill_tokens_per_s
+        rate = speeds.chunk_tokens / step_s / mean_prompt
+    return rate * len(service.targets)
--- /dev/null
+++ b/trefoilhinge/measure/cells.py
@@ -0,0 +1,294 @@
+"""Runs one policy under one load and works out its figures."""
+
+import functools
+
+from attrs import define, evolve, field, frozen
+
+from trefoilhinge.conf.generated.document import Document
+from trefoilhinge.core.identifiers import RequestId
+from trefoilhinge.core.verdicts import RefusalCode
+from trefoilhinge.measure.capacity import compute_capacity
+from trefoilhinge.measure.disturbances import Disturbance, schedule_disturbance
+from trefoilhinge.measure.fleet import MeasuredFleet, make_fleet
+from trefoilhinge.measure.results import CellResult, Distribution, summarise
+from trefoilhinge.measure.workload import (
+    Arrival,
+    find_service,
+    make_workload,
+)
+from trefoilhinge.standins.simulation.driver import CallRecord
+from trefoilhinge.standins.simulation.engine import EngineSpeeds
+
+SETTLE_S = 5.0
+DRAIN_STEP_S = 5.0
+LONGEST_DRAIN_S = 900.0
+DECADE_NAMES = ('1k-10k', '10k-100k', '100k-1M')
+
+
+@frozen
+class CellPlan:
+    """What one cell measures.
+
+    :ivar text: the document as the configuration service serves it.
+    :ivar client_s: seconds one way between callers and instances.
+    """
+
+    document: Document
+    text: str
+    policy: str
+    load: float
+    seed: int
+    seconds: float
+    client_s: float
+    faults: Disturbance = Disturbance.NONE
+
+
+@define
+class _Run:
+    """A fleet that has carried a load.
+
+    :ivar end_s: simulated seconds at which the load ended.
+    """
+
+    plan: CellPlan
+    fleet: MeasuredFleet
+    arrivals: tuple[Arrival, ...]
+    lost: int = 0
+    end_s: float = 0
+    _short_first_s: dict[RequestId, float] = field(factory=dict)
+
+    def carry(self) -> None:
+        """Offer every request and wait for the last answer."""
+        simulation = self.fleet.world.simulation
+        for arrival in self.arrivals:
+            simulation.schedule(
+                SETTLE_S + arrival.at_s,
+                functools.partial(self._offer, arrival),
+            )
+        self.end_s = SETTLE_S + self.plan.seconds
+        simulation.run_until(self.end_s)
+        while self._is_open() and simulation.now_s < self._last_s():
+            simulation.run_until(simulation.now_s + DRAIN_STEP_S)
+
+    def list_calls(self) -> list[CallRecord]:
+        """Return every call that reached an instance."""
+        return list(self.fleet.world.calls.values())
+
+    def find_ttft_s(self, call: CallRecord) -> float | None:
+        """Return a call's seconds to its first token, as its caller sees."""
+        if call.first_s is None or not call.finished:
+            return None
+        waited_s = call.first_s - call.profile.received_s
+        return waited_s + 2 * self.plan.client_s
+
+    def _offer(self, arrival: Arrival) -> None:
+        driver = self.fleet.choose_instance(arrival.entry)
+        if driver is None:
+            self.lost += 1
+            return
+        now_s = self.fleet.world.simulation.now_s
+        driver.receive_call(
+            evolve(
+                arrival.profile,
+                received_s=now_s,
+                deadline_s=arrival.profile.deadline_s + SETTLE_S,
+            ),
+        )
+
+    def _is_open(self) -> bool:
+        return any(
+            one.ended_s is None and not self.is_orphan(one)
+            for one in self.list_calls()
+        )
+
+    def is_orphan(self, call: CallRecord) -> bool:
+        """Return whether a call's instance died before it ended."""
+        if call.ended_s is not None:
+            return False
+        driver = self.fleet.world.drivers[call.instance]
+        table = driver.core.desk.table
+        known = table.find(call.profile.request_id) is not None
+        return not driver.alive or not known
+
+    def _last_s(self) -> float:
+        return self.end_s + LONGEST_DRAIN_S + DRAIN_STEP_S
+
+
+def run_cell(plan: CellPlan) -> CellResult:
+    """Measure one policy under one load.
+
+    The same requests are offered twice: once all of them, and once the short
+    ones without the others, which gives the slowdown of each short request.
+    """
+    arrivals = _make_arrivals(plan)
+    mixed = _carry(plan, arrivals)
+    short_tokens = plan.document.balance.short_tokens
+    shorts = tuple(
+        one
+        for one in arrivals
+        if one.profile.model and one.profile.prompt_tokens <= short_tokens
+    )
+    alone = _carry(evolve(plan, faults=Disturbance.NONE), shorts)
+    return _summarise_run(mixed, alone)
+
+
+def _make_arrivals(plan: CellPlan) -> tuple[Arrival, ...]:
+    service = find_service(plan.document, 'model')
+    speeds = EngineSpeeds(memory_tokens=service.memory_tokens)
+    capacity = compute_capacity(service, speeds)
+    maker = make_workload(plan.document, plan.seed)
+    return maker.make_arrivals(plan.load * capacity, plan.seconds)
+
+
+def _carry(plan: CellPlan, arrivals: tuple[Arrival, ...]) -> _Run:
+    fleet = make_fleet(
+        plan.document,
+        plan.text,
+        plan.policy,
+        plan.seed,
+        EngineSpeeds(),
+    )
+    run = _Run(plan, fleet, arrivals)
+    schedule_disturbance(fleet, plan.faults, SETTLE_S, plan.seconds)
+    run.carry()
+    return run
+
+
+def _summarise_run(mixed: _Run, alone: _Run) -> CellResult:
+    plan = mixed.plan
+    slowdown = _compare_shorts(mixed, alone)
+    decades = {name: Distribution() for name in DECADE_NAMES}
+    longs = Distribution()
+    for call in mixed.list_calls():
+        ttft_s = mixed.find_ttft_s(call)
+        if ttft_s is None or not call.profile.model:
+            continue
+        decades[_name_decade(call.profile.prompt_tokens)].add(ttft_s)
+        if call.profile.prompt_tokens > plan.document.balance.long_tokens:
+            longs.add(ttft_s)
+    misses = _count_misses(mixed)
+    return CellResult(
+        policy=plan.policy,
+        load=plan.load,
+        short_slowdown_p50=slowdown.find_percentile(50),
+        short_slowdown_p95=slowdown.find_percentile(95),
+        long_ttft_p95_s=longs.find_percentile(95),
+        ttft_s={name: summarise(one) for name, one in decades.items()},
+        goodput_tokens_per_s=_measure_goodput(mixed),
+        cache_hit_share_of_ideal=_share_hits(mixed),
+        refused=_count_refusals(mixed),
+        admitted_late=misses + _count_late(mixed),
+        ran_twice=_count_repeated(mixed),
+        limit_overshoot=_measure_overshoot(mixed),
+        inter_token_p95_s=_measure_gaps(mixed),
+        wasted_tokens=_count_wasted(mixed),
+        deadline_misses=misses,
+        unanswered=mixed.lost
+        + sum(mixed.is_orphan(one) for one in mixed.list_calls()),
+        requests=len(mixed.arrivals),
+    )
+
+
+def _compare_shorts(mixed: _Run, alone: _Run) -> Distribution:
+    ratios = Distribution()
+    for request_id, call in alone.fleet.world.calls.items():
+        other = mixed.fleet.world.calls.get(request_id)
+        alone_s = alone.find_ttft_s(call)
+        mixed_s = None if other is None else mixed.find_ttft_s(other)
+        if alone_s and mixed_s:
+            ratios.add(mixed_s / alone_s)
+    return ratios
+
+
+def _name_decade(prompt_tokens: int) -> str:
+    place = len(str(prompt_tokens)) - len('1000')
+    return DECADE_NAMES[max(0, min(place, len(DECADE_NAMES) - 1))]
+
+
+def _measure_goodput(run: _Run) -> float:
+    tokens = sum(
+        one.profile.total_tokens
+        for one in run.list_calls()
+        if one.finished and one.ended_s is not None and one.ended_s <= run.end_s
+    )
+    return tokens / run.plan.seconds
+
+
+def _share_hits(run: _Run) -> float | None:
+    best = run.fleet.knowledge.best_tokens
+    if not best:
+        return None
+    found = sum(one.cached_tokens for one in run.fleet.world.engines.values())
+    return found / best
+
+
+def _count_refusals(run: _Run) -> dict[str, int]:
+    counts = {'not_run': 0, 'may_have_run': 0, 'ran': 0}
+    for call in run.list_calls():
+        if call.refusal is not None:
+            counts[call.refusal.verdict.value] += 1
+    return counts
+
+
+def _count_misses(run: _Run) -> int:
+    return sum(
+        one.refusal is not None
+        and one.refusal.code is RefusalCode.DEADLINE_PASSED
+        for one in run.list_calls()
+    )
+
+
+def _count_late(run: _Run) -> int:
+    late = 0
+    for call in run.list_calls():
+        if call.ended_s is None:
+            late += not run.is_orphan(call)
+        elif call.finished:
+            late += call.ended_s > call.profile.deadline_s
+    return late
+
+
+def _count_repeated(run: _Run) -> int:
+    world = run.fleet.world
+    counts: dict[str, int] = {}
+    runs = [one.runs for one in world.engines.values()]
+    runs.extend(one.runs for one in world.plains.values())
+    for found in runs:
+        for request, count in found.items():
+            counts[request] = counts.get(request, 0) + count
+    return sum(
+        count > 1 and not world.calls[RequestId(request)].profile.idempotent
+        for request, count in counts.items()
+    )
+
+
+def _measure_overshoot(run: _Run) -> float:
+    admitted: dict[str, int] = {}
+    for call in run.list_calls():
+        if call.refusal is None:
+            name = call.profile.organisation
+            admitted[name] = admitted.get(name, 0) + call.profile.total_tokens
+    worst: float = 0
+    for one in run.plan.document.organisations:
+        allowed = one.tokens_per_s * (run.plan.seconds + one.burst_s)
+        worst = max(worst, admitted.get(one.name, 0) / allowed - 1)
+    return worst
+
+
+def _measure_gaps(run: _Run) -> float | None:
+    gaps = Distribution()
+    for engine in run.fleet.world.engines.values():
+        for gap_s, count in engine.gaps.items():
+            gaps.add(gap_s, count)
+    return gaps.find_percentile(95)
+
+
+def _count_wasted(run: _Run) -> int:
+    engines = run.fleet.world.engines.values()
+    worked = sum(one.prefilled_tokens + one.cached_tokens for one in engines)
+    useful = sum(
+        one.profile.prompt_tokens
+        for one in run.list_calls()
+        if one.finished and one.profile.model
+    )
+    return max(0, worked - useful)
--- /dev/null
+++ b/trefoilhinge/measure/fleet.py
@@ -0,0 +1,254 @@
+"""Builds the fleet that a policy is measured on: whole nodes over fakes."""
+
+from collections.abc import Callable, Iterable
+
+from attrs import define, evolve, field
+from expression import Error, Ok, Result
+
+from trefoilhinge.conf.generated.document import Document, Service
+from trefoilhinge.conf.generated.messages import PeerExchange
+from trefoilhinge.core.identifiers import (
+    HoldingTag,
+    InstanceIdentity,
+    InstanceName,
+    StreamId,
+    TargetName,
+)
+from trefoilhinge.core.profiles import CallProfile
+from trefoilhinge.core.reports import ListedInstance
+from trefoilhinge.measure.baselines import BASELINES, make_baseline_router
+from trefoilhinge.node.composition import make_node, make_parts
+from trefoilhinge.standins.simulation.driver import NodeDriver, World
+from trefoilhinge.standins.simulation.engine import (
+    BLOCK_TOKENS,
+    EngineSpeeds,
+    FakeEngine,
+    Listener,
+)
+from trefoilhinge.standins.simulation.heap import Simulation
+from trefoilhinge.standins.simulation.network import Network
+from trefoilhinge.standins.simulation.services import FakePlain
+
+DEFAULT_POLICY = 'default'
+INSTANCES = 8
+LOAD_LAG_S = 0.3
+CACHE_LAG_S = 1.0
+CACHE_GAP = 50
+ONE_WAY_S = 0.001
+LOCAL_ONE_WAY_S = 0.0002
+INCARNATION_MS = 1_800_000_000_000
+
+
+@define
+class CacheKnowledge:
+    """What a policy that knew every cache would have hit.
+
+    :ivar best_tokens: tokens of the longest match in any engine, summed over
+        the streams started.
+    """
+
+    engines: list['MeasuredEngine'] = field(factory=list)
+    best_tokens: int = 0
+
+    def note_start(self, profile: CallProfile) -> None:
+        """Take a stream that is about to start somewhere."""
+        longest = max(
+            _count_matching(profile, one.cache)
+            for one in self.engines
+            if not one.dead and not one.leaving
+        )
+        limit = profile.prompt_tokens - 1
+        self.best_tokens += min(longest * BLOCK_TOKENS, limit)
+
+
+def _count_matching(profile: CallProfile, cached: Iterable[int]) -> int:
+    for place, digest in enumerate(profile.prefix_digests):
+        if digest not in cached:
+            return place
+    return len(profile.prefix_digests)
+
+
+@define
+class MeasuredEngine(FakeEngine):
+    """An engine that tells the fleet's knowledge of caches what starts."""
+
+    knowledge: CacheKnowledge = field(factory=CacheKnowledge)
+
+    def start(
+        self,
+        stream_id: StreamId,
+        profile: CallProfile,
+        priority: int,
+        listener: Listener,
+        tag: HoldingTag | None = None,
+    ) -> bool:
+        """Start a stream; false proves that it was refused before start."""
+        if not tag:
+            self.knowledge.note_start(profile)
+        # A class of attrs has slots, so that the zero-argument super fails.
+        return FakeEngine.start(
+            self,
+            stream_id,
+            profile,
+            priority,
+            listener,
+            tag,
+        )
+
+
+@define
+class ObjectCodec:
+    """Hands messages on without text: the cost of JSON is measured apart."""
+
+    _messages: dict[str, PeerExchange] = field(factory=dict)
+    _count: int = 0
+
+    def write(self, exchange: PeerExchange) -> str:
+        """Return a name for a message."""
+        self._count += 1
+        name = str(self._count)
+        self._messages[name] = exchange
+        # A message that is never read must not stay for ever.
+        self._messages.pop(str(self._count - 4096), None)
+        return name
+
+    def read(self, text: str) -> Result[PeerExchange, str]:
+        """Return the message of a name."""
+        exchange = self._messages.get(text)
+        if exchange is None:
+            return Error('the message is no longer kept')
+        return Ok(exchange)
+
+
+@define
+class MeasuredFleet:
+    """A fleet on simulated time.
+
+    :ivar names: the instances, in the balancer's order.
+    """
+
+    world: World
+    document: Document
+    policy: str
+    seed: int
+    knowledge: CacheKnowledge
+    names: tuple[InstanceName, ...]
+    codec: ObjectCodec = field(factory=ObjectCodec)
+    _restarts: int = 0
+
+    def start_instance(self, name: InstanceName) -> None:
+        """Start an instance, or start it again as a new incarnation."""
+        place = self.names.index(name)
+        domains = self.document.failure_domains
+        self._restarts += 1
+        parts = make_parts(
+            InstanceIdentity(name, INCARNATION_MS + self._restarts),
+            name,
+            domains[place % len(domains)].name,
+            'measured-secret',
+            tuple(one for one in self.names if one != name),
+            self.seed * INSTANCES + place,
+        )
+        if self.policy != DEFAULT_POLICY:
+            parts.router = make_baseline_router(
+                self.policy,
+                self.seed * INSTANCES + place,
+            )
+        node = make_node(parts, start_wait_s=0, stop_wait_s=0)
+        node.exchanger.codec = self.codec
+        driver = NodeDriver(name, self.world, node)
+        self.world.network.dead.discard(name)
+        self.world.drivers[name] = driver
+        driver.start()
+
+    def choose_instance(self, entry: int) -> NodeDriver | None:
+        """Return the instance that the balancer picks for a request."""
+        ready = [one for one in self.world.drivers.values() if one.ready]
+        if not ready:
+            return None
+        return ready[entry % len(ready)]
+
+
+def make_fleet(
+    document: Document,
+    text: str,
+    policy: str,
+    seed: int,
+    speeds: EngineSpeeds,
+) -> MeasuredFleet:
+    """Return a fleet of the brief's size with all its instances started.
+
+    :param text: the document as the configuration service serves it.
+    :param policy: the default or one of the baselines.
+    """
+    simulation = Simulation()
+    domains = _find_domains(document)
+    world = World(
+        simulation,
+        Network(simulation, _make_latency(domains)),
+        load_lag_s=LOAD_LAG_S,
+        cache_lag_s=CACHE_LAG_S,
+        cache_gap=CACHE_GAP,
+    )
+    knowledge = CacheKnowledge()
+    for service in document.services:
+        _add_targets(world, service, knowledge, speeds)
+    names = tuple(InstanceName(f'entry-{one}') for one in range(INSTANCES))
+    world.platform.texts.append(text)
+    world.platform.instances = tuple(
+        ListedInstance(name, name, domains[name]) for name in names
+    )
+    fleet = MeasuredFleet(world, document, policy, seed, knowledge, names)
+    for name in names:
+        fleet.start_instance(name)
+    return fleet
+
+
+def list_policies() -> tuple[str, ...]:
+    """Return the default and every baseline."""
+    return (DEFAULT_POLICY, *BASELINES)
+
+
+def _add_targets(
+    world: World,
+    service: Service,
+    knowledge: CacheKnowledge,
+    speeds: EngineSpeeds,
+) -> None:
+    for target in service.targets:
+        name = TargetName(target.name)
+        if service.kind == 'plain':
+            world.plains[name] = FakePlain(name)
+            continue
+        engine = MeasuredEngine(
+            name,
+            world.simulation,
+            evolve(speeds, memory_tokens=service.memory_tokens),
+            keeps_text=False,
+            quiet=True,
+            knowledge=knowledge,
+        )
+        knowledge.engines.append(engine)
+        world.engines[name] = engine
+
+
+def _find_domains(document: Document) -> dict[str, str]:
+    domains = {
+        target.name: target.failure_domain
+        for service in document.services
+        for target in service.targets
+    }
+    for place in range(INSTANCES):
+        domain = document.failure_domains[place % len(document.failure_domains)]
+        domains[f'entry-{place}'] = domain.name
+    return domains
+
+
+def _make_latency(domains: dict[str, str]) -> Callable[[str, str], float]:
+    def find_latency(source: str, target: str) -> float:
+        here = domains.get(source)
+        if here is not None and here == domains.get(target):
+            return LOCAL_ONE_WAY_S
+        return ONE_WAY_S
+
+    return find_latency
--- /dev/null
+++ b/trefoilhinge/measure/reports.py
@@ -0,0 +1,78 @@
+"""Writes a measurement as one HTML page with its curves embedded."""
+
+import base64
+import html
+import io
+from collections.abc import Callable
+
+from matplotlib.figure import Figure
+
+from trefoilhinge.measure.results import CellResult, Measurement
+from trefoilhinge.measure.tables import write_json, write_table
+
+Reading = Callable[[CellResult], float | None]
+
+CURVES: tuple[tuple[str, Reading, bool], ...] = (
+    (
+        'Slowdown of short prompts, p95',
+        lambda one: one.short_slowdown_p95,
+        True,
+    ),
+    (
+        'Time to first token of long prompts, p95 (s)',
+        lambda one: one.long_ttft_p95_s,
+        True,
+    ),
+    ('Goodput (tokens/s)', lambda one: one.goodput_tokens_per_s, False),
+    (
+        'Prefix hits, share of ideal',
+        lambda one: one.cache_hit_share_of_ideal,
+        False,
+    ),
+)
+
+
+def write_report(measurement: Measurement, heading: str) -> str:
+    """Return the page.
+
+    :param heading: what was measured, with its command.
+    """
+    images = '\n'.join(
+        _draw(measurement, title, read, logarithmic)
+        for title, read, logarithmic in CURVES
+    )
+    return (
+        '<!doctype html><html lang="en"><head><meta charset="utf-8">'
+        f'<title>{html.escape(heading)}</title></head><body>'
+        f'<h1>{html.escape(heading)}</h1>\n{images}\n'
+        f'<pre>{html.escape(write_table(measurement))}</pre>\n'
+        '<details><summary>JSON</summary><pre>'
+        f'{html.escape(write_json(measurement))}</pre></details>'
+        '</body></html>\n'
+    )
+
+
+def _draw(
+    measurement: Measurement,
+    title: str,
+    read: Reading,
+    logarithmic: bool,
+) -> str:
+    figure = Figure(figsize=(7, 4))
+    axes = figure.add_subplot()
+    policies = dict.fromkeys(one.policy for one in measurement.results)
+    for policy in policies:
+        cells = [one for one in measurement.results if one.policy == policy]
+        values = [read(one) for one in cells]
+        heights = [float('nan') if one is None else one for one in values]
+        axes.plot([one.load for one in cells], heights, 'o-', label=policy)
+    if logarithmic:
+        axes.set_yscale('log')
+    axes.set_xlabel('load, share of capacity')
+    axes.set_title(title)
+    axes.legend()
+    stream = io.BytesIO()
+    figure.savefig(stream, format='png')
+    encoded = base64.b64encode(stream.getvalue()).decode()
+    source = f'data:image/png;base64,{encoded}'
+    return f'<img alt="{html.escape(title)}" src="{source}">'
--- a/trefoilhinge/standins/simulation/driver.py
+++ b/trefoilhinge/standins/simulation/driver.py
@@ -1,9 +1,9 @@
 """Carries out a node's effects against fakes, on simulated time."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any
 
-from attrs import define, field
+from attrs import define, evolve, field
 
 from trefoilhinge.core import effects as fx
 from trefoilhinge.core import events as ev
@@ -18,9 +18,15 @@
 from trefoilhinge.core.lines import StreamEvent
 from trefoilhinge.core.profiles import CallProfile
 from trefoilhinge.core.progress import AnswerProgress, ProgressStep
-from trefoilhinge.core.reports import Holding, StreamState
+from trefoilhinge.core.reports import (
+    CacheEvent,
+    Holding,
+    LoadReport,
+    StreamState,
+)
 from trefoilhinge.core.verdicts import Refusal
 from trefoilhinge.node.core import NodeCore
+from trefoilhinge.node.parts import TargetView
 from trefoilhinge.node.schedule import TICK_S
 from trefoilhinge.standins.simulation.engine import FakeEngine
 from trefoilhinge.standins.simulation.heap import Simulation
@@ -56,6 +62,9 @@
     """Everything that simulated instances share.
 
     :ivar calls: every call, by request.
+    :ivar cache_lag_s: seconds by which cache events are late.
+    :ivar cache_gap: every event of a number divisible by this is lost; zero
+        loses none.
     """
 
     simulation: Simulation
@@ -67,6 +76,8 @@
     calls: dict[RequestId, CallRecord] = field(factory=dict)
     publication_lag_s: float = 1.0
     load_lag_s: float = 0.2
+    cache_lag_s: float = 0
+    cache_gap: int = 0
 
 
 @define
@@ -186,10 +197,28 @@
             attempt = call.progress.attempt
             if attempt is None or call.ended_s is not None:
                 continue
+            if self._is_flowing(attempt, record.target):
+                call.last_event_s = now_s
             if now_s - call.last_event_s >= self.silence_s:
                 call.last_event_s = now_s
                 self.report(ev.AttemptSilent(attempt, call.progress.taken))
 
+    def _is_flowing(
+        self,
+        attempt: AttemptId,
+        target: TargetView | None,
+    ) -> bool:
+        """Return whether a quiet engine is generating what it would tell."""
+        engine = None
+        if target is not None:
+            engine = self.world.engines.get(target.name)
+        if engine is None or not engine.quiet or engine.dead:
+            return False
+        if self.world.network.is_cut(self.name, engine.name):
+            return False
+        stream = engine.streams.get(StreamId(str(attempt)))
+        return stream is not None and stream.produced > 0
+
     def _ask(
         self,
         target: str,
@@ -287,6 +316,8 @@
         if not self.alive or call.ended_s is not None:
             return
         first = call.progress.taken == 0
+        if self._is_from_quiet(attempt, event):
+            call.progress.taken = event.offset
         step = call.progress.take(attempt, event)
         if step is ProgressStep.REPEATED:
             return
@@ -300,6 +331,13 @@
         else:
             self._relay(call, attempt, event, first)
 
+    def _is_from_quiet(self, attempt: AttemptId, event: StreamEvent) -> bool:
+        record = self.core.desk.table.find_attempt(attempt)
+        if record is None or record.target is None or not record.profile.model:
+            return False
+        engine = self.world.engines[record.target.name]
+        return engine.quiet and event.is_finish_marker
+
     def _relay(
         self,
         call: CallRecord,
@@ -417,28 +455,37 @@
         self._ask(effect.target, serve, lost)
 
     def _read_load(self, effect: fx.ReadLoad) -> None:
+        """Read a target's load and cache events; each comes with its lag."""
         engine = self.world.engines[effect.target]
-
-        def take(event: ev.Event | None) -> None:
-            found = event or ev.LoadRead(effect.target, None)
-            self.world.simulation.schedule(
-                self.world.load_lag_s,
-                lambda: self.report(found),
-            )
-
-        def serve() -> ev.Event:
-            return ev.LoadRead(effect.target, engine.report_load())
+        found: list[CacheEvent] = []
+
+        def serve() -> LoadReport:
+            found.extend(self._list_cache_events(effect, engine))
+            return engine.report_load()
+
+        def take(report: LoadReport | None) -> None:
+            lag_s = self.world.load_lag_s
+            if report is not None:
+                report = evolve(report, age_s=lag_s)
+            load = ev.LoadRead(effect.target, report)
+            self.world.simulation.schedule(lag_s, lambda: self.report(load))
+            if found:
+                cached = ev.CacheEventsRead(effect.target, tuple(found))
+                self.world.simulation.schedule(
+                    self.world.cache_lag_s,
+                    lambda: self.report(cached),
+                )
 
         self.world.network.request(self.name, effect.target, serve, take)
-        self._read_cache(effect, engine)
 
-    def _read_cache(self, effect: fx.ReadLoad, engine: FakeEngine) -> None:
-        def serve() -> ev.Event:
-            newer = tuple(engine.cache_events[effect.after_sequence :])
-            return ev.CacheEventsRead(effect.target, newer)
-
-        lost = ev.CacheEventsRead(effect.target, ())
-        self._ask(effect.target, serve, lost)
+    def _list_cache_events(
+        self,
+        effect: fx.ReadLoad,
+        engine: FakeEngine,
+    ) -> Iterable[CacheEvent]:
+        newer = engine.cache_events[effect.after_sequence :]
+        gap = self.world.cache_gap
+        return (one for one in newer if not gap or one.sequence % gap)
 
     def _read_instances(self, effect: fx.ReadInstances) -> None:
         platform = self.world.platform
--- a/trefoilhinge/standins/simulation/engine.py
+++ b/trefoilhinge/standins/simulation/engine.py
@@ -7,7 +7,7 @@
 from collections import OrderedDict
 from collections.abc import Callable
 
-from attrs import define, field
+from attrs import define, evolve, field
 
 from trefoilhinge.core.identifiers import HoldingTag, StreamId, TargetName
 from trefoilhinge.core.lines import DONE_DATA, StreamEvent
@@ -64,12 +64,30 @@
     cancelled: bool = False
 
 
+@define
+class _Jump:
+    """Equal steps that an engine takes in one go.
+
+    :ivar started_s: time at which the first of them began.
+    :ivar prefilling: streams with the prompt tokens each takes a step.
+    """
+
+    started_s: float
+    step_s: float
+    steps: int
+    decoding: list[FakeStream]
+    prefilling: list[tuple[FakeStream, int]]
+
+
 @define
 class FakeEngine:
     """One engine on simulated time.
 
     :ivar runs: how often each request was started, by request.
     :ivar keeps_text: whether events are kept so that streams can be resumed.
+    :ivar quiet: whether only the first and the last event of a stream reach
+        its listener; many steps are then taken in one go.
+    :ivar gaps: count of gaps between tokens, by their seconds.
     """
 
     name: TargetName
@@ -77,6 +95,8 @@
     speeds: EngineSpeeds = field(factory=EngineSpeeds)
     honours_fences: bool = True
     keeps_text: bool = True
+    quiet: bool = False
+    gaps: dict[float, int] = field(factory=dict)
     incarnation: int = 1
     leaving: bool = False
     dead: bool = False
@@ -96,6 +116,7 @@
     prefilled_tokens: int = 0
     cached_tokens: int = 0
     _stepping: bool = False
+    _jump: _Jump | None = None
 
     def start(
         self,
@@ -131,6 +152,7 @@
 
     def find_state(self, stream_id: StreamId) -> tuple[StreamState, int]:
         """Return where a stream stands and how many events it produced."""
+        self._catch_up()
         stream = self.streams.get(stream_id)
         if stream is None:
             if stream_id in self.voided:
@@ -164,6 +186,7 @@
         if stream is None:
             return StreamState.NEVER_STARTED, 0
         if not stream.finished:
+            self._interrupt()
             stream.cancelled = True
             self._drop(stream)
         return self.find_state(stream_id)
@@ -171,6 +194,8 @@
     def restart(self) -> None:
         """Lose everything, as a crash does, and come back empty."""
         self.incarnation += 1
+        self._jump = None
+        self._stepping = False
         for stream in (*self.waiting, *self.running):
             stream.cancelled = True
         self.streams.clear()
@@ -220,6 +245,7 @@
 
     def report_load(self) -> LoadReport:
         """Return the load at this moment."""
+        self._catch_up()
         queued = sum(one.prefill_left for one in self.waiting)
         queued += sum(one.prefill_left for one in self.running)
         return LoadReport(
@@ -271,6 +297,7 @@
         self.cache_events.append(CacheEvent(number, digest, stored))
 
     def _wake(self) -> None:
+        self._interrupt()
         if not self._stepping and not self.dead:
             self._stepping = True
             self._simulation.schedule(0, self._step)
@@ -283,15 +310,104 @@
         if not self.running:
             self._stepping = False
             return
-        prefilled = self._prefill()
-        decoding = [one for one in self.running if one.prefill_left == 0]
+        self._begin(self._plan())
+
+    def _plan(self) -> _Jump:
+        prefilling = self._share_chunk()
+        finishing = {
+            one.stream_id
+            for one, taken in prefilling
+            if taken == one.prefill_left
+        }
+        decoding = [
+            one
+            for one in self.running
+            if one.prefill_left == 0 or one.stream_id in finishing
+        ]
         duration_s = self.speeds.step_s
+        prefilled = sum(taken for _, taken in prefilling)
         duration_s += prefilled / self.speeds.prefill_tokens_per_s
         duration_s += len(decoding) * self.speeds.step_per_stream_s
-        self._simulation.schedule(
+        steps = self._count_equal_steps(prefilling, decoding)
+        return _Jump(
+            self._simulation.now_s,
             duration_s,
-            lambda: self._end_step(decoding),
+            steps,
+            decoding,
+            prefilling,
+        )
+
+    def _count_equal_steps(
+        self,
+        prefilling: list[tuple[FakeStream, int]],
+        decoding: list[FakeStream],
+    ) -> int:
+        if len(prefilling) > 1 or (decoding and not self.quiet):
+            return 1
+        counts = [
+            one.profile.output_tokens - one.produced if one.produced else 1
+            for one in decoding
+        ]
+        counts.extend(
+            (one.prefill_left - 1) // taken for one, taken in prefilling
         )
+        return max(1, min(counts, default=1))
+
+    def _begin(self, jump: _Jump) -> None:
+        self._jump = jump
+        end_s = jump.started_s + jump.steps * jump.step_s
+        self._simulation.schedule(
+            max(0, end_s - self._simulation.now_s),
+            lambda: self._end_jump(jump),
+        )
+
+    def _catch_up(self) -> None:
+        """Take the steps of the present jump that lie in the past."""
+        jump = self._jump
+        if jump is None or jump.steps == 1:
+            return
+        passed = (self._simulation.now_s - jump.started_s) / jump.step_s
+        done = min(int(passed), jump.steps - 1)
+        if done:
+            self._advance(jump, done)
+            jump.started_s += done * jump.step_s
+            jump.steps -= done
+
+    def _interrupt(self) -> None:
+        """End the present jump with the step that is running."""
+        self._catch_up()
+        jump = self._jump
+        if jump is not None and jump.steps > 1:
+            self._begin(evolve(jump, steps=1))
+
+    def _advance(self, jump: _Jump, steps: int) -> None:
+        for stream, taken in jump.prefilling:
+            stream.prefill_left -= taken * steps
+            self.prefilled_tokens += taken * steps
+        flowing = 0
+        for one in jump.decoding:
+            if one.cancelled:
+                continue
+            flowing += one.produced > 0
+            if self.quiet and steps > 1:
+                one.produced += steps
+            else:
+                self._produce_several(one, steps)
+        if flowing:
+            gap_s = round(jump.step_s, 4)
+            self.gaps[gap_s] = self.gaps.get(gap_s, 0) + flowing * steps
+
+    def _end_jump(self, jump: _Jump) -> None:
+        if jump is not self._jump:
+            return
+        self._jump = None
+        if not self.dead:
+            self._advance(jump, jump.steps)
+        self._step()
+
+    def _produce_several(self, stream: FakeStream, steps: int) -> None:
+        for _ in range(steps):
+            self._produce(stream)
 
     def _admit(self) -> None:
         self.waiting.sort(key=lambda one: (-one.priority, one.arrived_s))
@@ -304,25 +420,18 @@
                 self.waiting.remove(stream)
                 self.running.append(stream)
 
-    def _prefill(self) -> int:
+    def _share_chunk(self) -> list[tuple[FakeStream, int]]:
         left = self.speeds.chunk_tokens
         queue = [one for one in self.running if one.prefill_left]
         queue.sort(key=lambda one: (-one.priority, one.arrived_s))
+        shares = []
         for stream in queue:
             taken = min(left, stream.prefill_left)
-            stream.prefill_left -= taken
+            shares.append((stream, taken))
             left -= taken
             if not left:
                 break
-        prefilled = self.speeds.chunk_tokens - left
-        self.prefilled_tokens += prefilled
-        return prefilled
-
-    def _end_step(self, decoding: list[FakeStream]) -> None:
-        for stream in decoding:
-            if not stream.cancelled:
-                self._produce(stream)
-        self._step()
+        return shares
 
     def _produce(self, stream: FakeStream) -> None:
         last = stream.produced >= max(1, stream.profile.output_tokens)
@@ -334,7 +443,8 @@
         if last:
             stream.finished = True
             self._drop(stream)
-        if stream.listener is not None:
+        told = not self.quiet or last or event.offset == 0
+        if told and stream.listener is not None:
             stream.listener(event)
 
     def _drop(self, stream: FakeStream) -> None:
--- a/trefoilhinge/standins/simulation/heap.py
+++ b/trefoilhinge/standins/simulation/heap.py
@@ -4,7 +4,7 @@
 import itertools
 from collections.abc import Callable, Iterator
 
-from attrs import define, field, frozen
+from attrs import define, field
 
 from trefoilhinge.core.clocks import Instant
 
@@ -12,11 +12,9 @@
 START_WALL_S = 1_800_000_000.0
 
 
-@frozen(order=True)
-class _Entry:
-    at_s: float
-    number: int
-    action: Action = field(order=False)
+# Plain tuples: the heap compares entries often, and the number, which is
+# never equal, keeps it from comparing actions.
+_Entry = tuple[float, int, Action]
 
 
 @define
@@ -32,15 +30,15 @@
 
     def schedule(self, delay_s: float, action: Action) -> None:
         """Run an action after a delay."""
-        entry = _Entry(self.now_s + delay_s, next(self._numbers), action)
+        entry = (self.now_s + delay_s, next(self._numbers), action)
         heapq.heappush(self._heap, entry)
 
     def run_until(self, until_s: float) -> None:
         """Run every action that is due by a time."""
-        while self._heap and self._heap[0].at_s <= until_s:
-            entry = heapq.heappop(self._heap)
-            self.now_s = entry.at_s
-            entry.action()
+        while self._heap and self._heap[0][0] <= until_s:
+            at_s, _, action = heapq.heappop(self._heap)
+            self.now_s = at_s
+            action()
         self.now_s = max(self.now_s, until_s)
 
     def read(self) -> Instant:
--- a/trefoilhinge/standins/simulation/network.py
+++ b/trefoilhinge/standins/simulation/network.py
@@ -38,12 +38,23 @@
         """Carry messages between two ends again."""
         self.cuts.discard(frozenset((one, other)))
 
-    def send(self, source: str, target: str, action: Action) -> None:
-        """Run an action at the target's end, if the way stands then."""
+    def send(
+        self,
+        source: str,
+        target: str,
+        action: Action,
+        lose: Action | None = None,
+    ) -> None:
+        """Run an action at the target's end, if the way stands then.
+
+        :param lose: what to do instead where the message is lost.
+        """
 
         def arrive() -> None:
             if target not in self.dead and not self.is_cut(source, target):
                 action()
+            elif lose is not None:
+                lose()
 
         self._simulation.schedule(self._latency(source, target), arrive)
 
@@ -55,20 +66,26 @@
         take: Callable[[Answer | None], None],
         timeout_s: float = LOST_TIMEOUT_S,
     ) -> None:
-        """Ask a question; ``take`` gets none if no answer came in time."""
-        pending = [take]
+        """Ask a question; ``take`` gets none if no answer came in time.
+
+        The time limit enters the heap only once a message is lost: a message
+        that is not lost arrives within the latency.
+        """
+        end_s = self._simulation.now_s + timeout_s
+
+        def finish(answer: Answer) -> None:
+            in_time = self._simulation.now_s <= end_s
+            take(answer if in_time else None)
 
-        def finish(answer: Answer | None) -> None:
-            # The first of the answer and the time limit takes the entry.
-            if pending:
-                pending.pop()(answer)
+        def lose() -> None:
+            left_s = max(0, end_s - self._simulation.now_s)
+            self._simulation.schedule(left_s, lambda: take(None))
 
         def answer_back() -> None:
             answer = serve()
-            self.send(target, source, lambda: finish(answer))
+            self.send(target, source, lambda: finish(answer), lose)
 
         if target in self.dead:
-            self._simulation.schedule(REFUSED_DELAY_S, lambda: finish(None))
+            self._simulation.schedule(REFUSED_DELAY_S, lambda: take(None))
             return
-        self.send(source, target, answer_back)
-        self._simulation.schedule(timeout_s, lambda: finish(None))
+        self.send(source, target, answer_back, lose)
