--- a/trefoilhinge/measure/cells.py
+++ b/trefoilhinge/measure/cells.py
@@ -16,7 +16,7 @@
     find_service,
     make_workload,
 )
-from trefoilhinge.standins.simulation.driver import CallRecord
+from trefoilhinge.standins.simulation.world import CallRecord
 from trefoilhinge.standins.simulation.engine import EngineSpeeds
 
 SETTLE_S = 5.0
@@ -96,19 +96,7 @@
         )
 
     def _is_open(self) -> bool:
-        return any(
-            one.ended_s is None and not self.is_orphan(one)
-            for one in self.list_calls()
-        )
-
-    def is_orphan(self, call: CallRecord) -> bool:
-        """Return whether a call's instance died before it ended."""
-        if call.ended_s is not None:
-            return False
-        driver = self.fleet.world.drivers[call.instance]
-        table = driver.core.desk.table
-        known = table.find(call.profile.request_id) is not None
-        return not driver.alive or not known
+        return any(one.ended_s is None for one in self.list_calls())
 
     def _last_s(self) -> float:
         return self.end_s + LONGEST_DRAIN_S + DRAIN_STEP_S
@@ -183,8 +171,7 @@
         inter_token_p95_s=_measure_gaps(mixed),
         wasted_tokens=_count_wasted(mixed),
         deadline_misses=misses,
-        unanswered=mixed.lost
-        + sum(mixed.is_orphan(one) for one in mixed.list_calls()),
+        unanswered=mixed.lost + sum(one.broken for one in mixed.list_calls()),
         requests=len(mixed.arrivals),
     )
 
@@ -242,7 +229,7 @@
     late = 0
     for call in run.list_calls():
         if call.ended_s is None:
-            late += not run.is_orphan(call)
+            late += 1
         elif call.finished:
             late += call.ended_s > call.profile.deadline_s
     return late
--- a/trefoilhinge/measure/commands.py
+++ b/trefoilhinge/measure/commands.py
@@ -113,6 +113,11 @@
     return write(measurement)
 
 
+def print_measure(options: MeasureOptions) -> None:
+    """Measure and print the figures."""
+    print(run_measure(options))
+
+
 def check_options(options: MeasureOptions) -> Result[MeasureOptions, str]:
     """Return the options, or what is wrong with them."""
     if options.style not in {'table', 'json'}:
--- a/trefoilhinge/measure/disturbances.py
+++ b/trefoilhinge/measure/disturbances.py
@@ -8,7 +8,7 @@
 
 from trefoilhinge.core.identifiers import InstanceName, TargetName
 from trefoilhinge.measure.fleet import MeasuredFleet
-from trefoilhinge.standins.simulation.driver import PLATFORM_END
+from trefoilhinge.standins.simulation.world import PLATFORM_END
 
 DOWN_S = 20.0
 
@@ -74,7 +74,7 @@
     name = fleet.names[0]
     world.simulation.schedule(
         strike.begins_s,
-        lambda: world.drivers[name].kill(),
+        lambda: fleet.drivers[name].kill(),
     )
     world.simulation.schedule(
         strike.ends_s,
--- a/trefoilhinge/measure/fleet.py
+++ b/trefoilhinge/measure/fleet.py
@@ -3,10 +3,11 @@
 from collections.abc import Callable, Iterable
 
 from attrs import define, evolve, field
-from expression import Error, Ok, Result
+from expression import Ok, Result
 
 from trefoilhinge.conf.generated.document import Document, Service
 from trefoilhinge.conf.generated.messages import PeerExchange
+from trefoilhinge.conf.messages import read_exchange
 from trefoilhinge.core.identifiers import (
     HoldingTag,
     InstanceIdentity,
@@ -18,7 +19,7 @@
 from trefoilhinge.core.reports import ListedInstance
 from trefoilhinge.measure.baselines import BASELINES, make_baseline_router
 from trefoilhinge.node.composition import make_node, make_parts
-from trefoilhinge.standins.simulation.driver import NodeDriver, World
+from trefoilhinge.standins.simulation.driver import NodeDriver
 from trefoilhinge.standins.simulation.engine import (
     BLOCK_TOKENS,
     EngineSpeeds,
@@ -28,6 +29,7 @@
 from trefoilhinge.standins.simulation.heap import Simulation
 from trefoilhinge.standins.simulation.network import Network
 from trefoilhinge.standins.simulation.services import FakePlain
+from trefoilhinge.standins.simulation.world import Runner, World
 
 DEFAULT_POLICY = 'default'
 INSTANCES = 8
@@ -115,9 +117,8 @@
     def read(self, text: str) -> Result[PeerExchange, str]:
         """Return the message of a name."""
         exchange = self._messages.get(text)
-        if exchange is None:
-            return Error('the message is no longer kept')
-        return Ok(exchange)
+        # What a part writes past this codec is plain JSON.
+        return read_exchange(text) if exchange is None else Ok(exchange)
 
 
 @define
@@ -134,6 +135,7 @@
     knowledge: CacheKnowledge
     names: tuple[InstanceName, ...]
     codec: ObjectCodec = field(factory=ObjectCodec)
+    drivers: dict[InstanceName, NodeDriver] = field(factory=dict)
     _restarts: int = 0
 
     def start_instance(self, name: InstanceName) -> None:
@@ -148,20 +150,27 @@
             'measured-secret',
             tuple(one for one in self.names if one != name),
             self.seed * INSTANCES + place,
+            life=f'l{self._restarts}',
         )
         if self.policy != DEFAULT_POLICY:
             parts.router = make_baseline_router(
                 self.policy,
                 self.seed * INSTANCES + place,
             )
-        node = make_node(parts, start_wait_s=0, stop_wait_s=0)
+        node = make_node(parts, start_wait_s=0, stop_wait_s=0, seed=place)
         node.exchanger.codec = self.codec
-        driver = NodeDriver(name, self.world, node)
+        driver = NodeDriver(
+            name,
+            self.world,
+            node,
+            incarnation=INCARNATION_MS + self._restarts,
+        )
         self.world.network.dead.discard(name)
+        self.drivers[name] = driver
         self.world.drivers[name] = driver
         driver.start()
 
-    def choose_instance(self, entry: int) -> NodeDriver | None:
+    def choose_instance(self, entry: int) -> Runner | None:
         """Return the instance that the balancer picks for a request."""
         ready = [one for one in self.world.drivers.values() if one.ready]
         if not ready:
--- a/trefoilhinge/standins/simulation/heap.py
+++ b/trefoilhinge/standins/simulation/heap.py
@@ -9,12 +9,10 @@
 from trefoilhinge.core.clocks import Instant
 
 Action = Callable[[], object]
-START_WALL_S = 1_800_000_000.0
-
-
-# Plain tuples: the heap compares entries often, and the number, which is
-# never equal, keeps it from comparing actions.
+# Time, number and action: a plain tuple compares fastest, and the number
+# decides before an action would be compared.
 _Entry = tuple[float, int, Action]
+START_WALL_S = 1_800_000_000.0
 
 
 @define
--- /dev/null
+++ b/trefoilhinge/standins/simulation/platform.py
@@ -0,0 +1,230 @@
+"""Carries out what a node asks of targets, the platform and its peers."""
+
+from collections.abc import Callable, Iterable
+from typing import TYPE_CHECKING, Any
+
+from attrs import define, evolve
+
+from trefoilhinge.core import effects as fx
+from trefoilhinge.core import events as ev
+from trefoilhinge.core.identifiers import InstanceName
+from trefoilhinge.core.reports import CacheEvent, Holding, LoadReport
+from trefoilhinge.standins.simulation.engine import FakeEngine
+from trefoilhinge.standins.simulation.steps import Step
+from trefoilhinge.standins.simulation.world import PLATFORM_END, World
+
+if TYPE_CHECKING:
+    from trefoilhinge.standins.simulation.driver import NodeDriver
+
+_KV_STEPS = {'export': Step.EXPORTED, 'import': Step.IMPORTED}
+GROUP_STEP_TIMEOUT_S = 60.0
+
+
+@define
+class PlatformActions:
+    """Reads, orders and messages that serve no single caller."""
+
+    _driver: 'NodeDriver'
+
+    @property
+    def _world(self) -> World:
+        return self._driver.world
+
+    def map_effects(self) -> dict[type[Any], Callable[[Any], None]]:
+        """Return the method that carries out each kind of effect."""
+        return {
+            fx.RunGroupStep: self._run_group_step,
+            fx.ReleaseHolding: self._release,
+            fx.ReadLoad: self._read_load,
+            fx.ReadInstances: self._read_instances,
+            fx.ReadDocument: self._read_document,
+            fx.SendPeerMessage: self._send_peer,
+            fx.ReadEngineState: self._read_state,
+            fx.SendOrder: self._send_order,
+        }
+
+    def _ask(
+        self,
+        target: str,
+        serve: Callable[[], ev.Event],
+        lost: ev.Event,
+    ) -> None:
+        self._world.network.request(
+            self._driver.name,
+            target,
+            serve,
+            lambda answer: self._driver.report(answer or lost),
+        )
+
+    def _run_group_step(self, effect: fx.RunGroupStep) -> None:
+        engine = self._world.engines[effect.target]
+        done = {'reserve': True}
+
+        def serve() -> ev.Event:
+            done[effect.step] = self._carry_out(engine, effect)
+            kv_step = _KV_STEPS.get(effect.step)
+            if kv_step is not None:
+                self._world.reach(
+                    kv_step,
+                    effect.attempt,
+                    self._driver.name,
+                    effect.target,
+                )
+            return self._answer_step(effect, done[effect.step])
+
+        tokens = effect.tokens if effect.step == 'prefill' else 0
+        serve_s = tokens / engine.speeds.prefill_tokens_per_s
+        lost = self._answer_step(effect, False)
+        self._world.network.request(
+            self._driver.name,
+            effect.target,
+            serve,
+            lambda answer: self._driver.report(answer or lost),
+            GROUP_STEP_TIMEOUT_S,
+            serve_s,
+        )
+
+    def _carry_out(self, engine: FakeEngine, effect: fx.RunGroupStep) -> bool:
+        if effect.step == 'reserve':
+            return engine.hold(
+                Holding(
+                    effect.tag,
+                    effect.owner,
+                    effect.tokens,
+                    effect.expires_wall_s,
+                ),
+            )
+        # Every later step works on what was reserved under the tag.
+        return effect.tag in engine.holdings
+
+    def _answer_step(self, effect: fx.RunGroupStep, done: bool) -> ev.Event:
+        return ev.GroupStepEnded(
+            effect.attempt,
+            effect.target,
+            effect.tag,
+            effect.step,
+            done,
+            handle=f'{effect.target}:{effect.tag}',
+        )
+
+    def _release(self, effect: fx.ReleaseHolding) -> None:
+        engine = self._world.engines[effect.target]
+
+        def serve() -> ev.Event:
+            engine.release(effect.tag)
+            return ev.HoldingReleased(effect.target, effect.tag, True)
+
+        lost = ev.HoldingReleased(effect.target, effect.tag, False)
+        self._ask(effect.target, serve, lost)
+
+    def _read_load(self, effect: fx.ReadLoad) -> None:
+        """Read a target's load and cache events; each comes with its lag."""
+        engine = self._world.engines[effect.target]
+        found: list[CacheEvent] = []
+
+        def serve() -> LoadReport:
+            found.extend(self._list_cache_events(effect, engine))
+            return engine.report_load()
+
+        def take(report: LoadReport | None) -> None:
+            self._deliver_load(effect, report)
+            if found:
+                self._world.simulation.schedule(
+                    self._world.cache_lag_s,
+                    lambda: self._driver.report(
+                        ev.CacheEventsRead(effect.target, tuple(found)),
+                    ),
+                )
+
+        self._world.network.request(
+            self._driver.name,
+            effect.target,
+            serve,
+            take,
+        )
+
+    def _deliver_load(
+        self,
+        effect: fx.ReadLoad,
+        report: LoadReport | None,
+    ) -> None:
+        lag_s = self._world.load_lag_s
+        if report is not None:
+            report = evolve(report, age_s=lag_s)
+        event = ev.LoadRead(effect.target, report)
+        self._world.simulation.schedule(
+            lag_s,
+            lambda: self._driver.report(event),
+        )
+
+    def _list_cache_events(
+        self,
+        effect: fx.ReadLoad,
+        engine: FakeEngine,
+    ) -> Iterable[CacheEvent]:
+        newer = engine.cache_events[effect.after_sequence :]
+        gap = self._world.cache_gap
+        return (one for one in newer if not gap or one.sequence % gap)
+
+    def _read_instances(self, effect: fx.ReadInstances) -> None:
+        platform = self._world.platform
+
+        def serve() -> ev.Event:
+            if platform.list_down:
+                return ev.InstancesListed(None)
+            return ev.InstancesListed(platform.instances, platform.targets)
+
+        self._ask(PLATFORM_END, serve, ev.InstancesListed(None))
+
+    def _read_document(self, effect: fx.ReadDocument) -> None:
+        platform = self._world.platform
+
+        def serve() -> ev.Event:
+            return ev.DocumentRead(platform.read_document())
+
+        self._world.simulation.schedule(
+            effect.wait_s,
+            lambda: self._ask(PLATFORM_END, serve, ev.DocumentRead(None)),
+        )
+
+    def _send_peer(self, effect: fx.SendPeerMessage) -> None:
+        name = InstanceName(effect.address)
+        if name not in self._world.drivers:
+            self._driver.report(ev.PeerAnswered(effect.peer, None))
+            return
+
+        def serve() -> ev.PeerAnswered:
+            peer = self._world.drivers[name]
+            return ev.PeerAnswered(effect.peer, peer.exchange(effect.text))
+
+        self._ask(name, serve, ev.PeerAnswered(effect.peer, None))
+
+    def _read_state(self, effect: fx.ReadEngineState) -> None:
+        engine = self._world.engines[effect.target]
+        self._ask(
+            effect.target,
+            lambda: ev.EngineStateRead(effect.target, engine.report_state()),
+            ev.EngineStateRead(effect.target, None),
+        )
+
+    def _send_order(self, effect: fx.SendOrder) -> None:
+        engine = self._world.engines[effect.target]
+
+        def serve() -> ev.Event:
+            accepted = engine.order(
+                effect.fence,
+                effect.model,
+                effect.version,
+                effect.adapters,
+                effect.role,
+            )
+            self._world.reach(
+                Step.ORDER_TAKEN,
+                '',
+                self._driver.name,
+                effect.target,
+            )
+            return ev.OrderAnswered(effect.target, effect.fence, accepted)
+
+        lost = ev.OrderAnswered(effect.target, effect.fence, None)
+        self._ask(effect.target, serve, lost)
