--- a/tests/faults/test_broken.py
+++ b/tests/faults/test_broken.py
@@ -11,7 +11,6 @@
 from trefoilhinge.core.verdicts import RefusalCode, Verdict
 from trefoilhinge.faults.callers import Kind
 from trefoilhinge.faults.matrix import Cell, run_cell
-from trefoilhinge.membership.fleet import ExchangeFleet
 from trefoilhinge.node.core import NodeCore
 from trefoilhinge.node.desk import CallDesk
 from trefoilhinge.node.parts import ClaimGranted, GiveUp, RetryAfter
@@ -157,23 +156,25 @@
                 core.exchanger,
                 core.start_wait_s,
                 core.stop_wait_s,
+                core.reads,
             )
 
         cell = Cell(('planned-stop',), Step.MID_STREAM, Kind.LONG)
         assert 7 in find_promises(cell, prepare)
 
-    def test_leaving_target_used(self, monkeypatch):
+    def test_leaving_target_used(self):
         """Work sent to a target that is known to leave is caught."""
-        note_leaving = {'note_leaving': lambda *_: None}
-        monkeypatch.setattr(
-            ExchangeFleet,
-            '_is_leaving',
-            lambda *_: False,
-            raising=False,
-        )
-        prepare = replace_part(
-            fleet=lambda parts: Altered(parts.fleet, note_leaving),
-        )
+
+        def forget_leaving(parts):
+            def list_targets(service):
+                return tuple(
+                    evolve(one, leaving=False)
+                    for one in parts.fleet.list_targets(service)
+                )
+
+            return Altered(parts.fleet, {'list_targets': list_targets})
+
+        prepare = replace_part(fleet=forget_leaving)
         cell = Cell(('target-leaving',), Step.ACCEPTED, Kind.BOOKING)
         assert 6 in find_promises(cell, prepare)
 
--- a/trefoilhinge/client/arguments.py
+++ b/trefoilhinge/client/arguments.py
@@ -40,6 +40,18 @@
     return words[value.lower()]
 
 
+def read_integer(value: str | bool, name: str) -> int:
+    """Return a whole number that is not negative.
+
+    :raises ImproperlyConfigured: the value is none.
+    """
+    if isinstance(value, str) and value.isdecimal():
+        return int(value)
+    raise ImproperlyConfigured(
+        f'--{name} is {value!r}; write a whole number, 0 or more',
+    )
+
+
 def read_choice(value: str, name: str, choices: tuple[str, ...]) -> str:
     """Return a value that must be one of some.
 
--- a/trefoilhinge/client/commands.py
+++ b/trefoilhinge/client/commands.py
@@ -13,6 +13,8 @@
 from trefoilhinge.client import documents, settings
 from trefoilhinge.client.arguments import (
     quote_arguments,
+    read_choice,
+    read_integer,
     read_switch,
     wants_help,
 )
@@ -22,7 +24,11 @@
 from trefoilhinge.demo.commands import run_demo
 from trefoilhinge.entry.commands import run_entry
 from trefoilhinge.exceptions import TrefoilhingeError
-from trefoilhinge.faults.commands import DEFAULT_PAIRS, run_faults
+from trefoilhinge.faults.commands import (
+    DEFAULT_PAIRS,
+    FaultRequest,
+    run_faults,
+)
 from trefoilhinge.measure.commands import print_measure, read_options
 
 # Commands whose flags are the settings, which their help lists.
@@ -143,6 +149,37 @@
         """
         self._chosen.job = lambda: run_demo(read_switch(once, 'once'))
 
+    def faults(
+        self,
+        seed: str = '0',
+        cell: str = '',
+        part: str = '',
+        walk: str = '0',
+        pairs: str | bool = '0',
+        format: str = 'text',
+    ) -> None:
+        """Run every fault at every step; exit 1 if a promise is broken.
+
+        :param seed: seed of every random choice.
+        :param cell: run one cell only, as FAULT/STEP.
+        :param part: run the K-th of N parts only, as K/N.
+        :param walk: steps of a random walk to take instead.
+        :param pairs: pairs of faults to run instead; a number, or all the
+            default ones without a value.
+        :param format: text or json.
+        """
+        request = FaultRequest(
+            seed=read_integer(seed, 'seed'),
+            cell=cell,
+            part=part,
+            walk=read_integer(walk, 'walk'),
+            pairs=DEFAULT_PAIRS
+            if pairs is True
+            else read_integer(pairs, 'pairs'),
+            as_json=read_choice(format, 'format', ('text', 'json')) == 'json',
+        )
+        self._chosen.job = lambda: run_faults(request)
+
 
 def run_line(arguments: list[str]) -> int:
     """Run one command line and return its exit code.
@@ -157,25 +194,6 @@
     fire.Fire(Commands(chosen), command=line, name='trefoilhinge')
     return chosen.job() or EXIT_DONE
 
-    def faults(
-        self,
-        seed: int = 0,
-        cell: str = '',
-        part: str = '',
-        walk: int = 0,
-        pairs: int | bool = 0,
-        format: str = 'text',
-    ) -> None:
-        """Run every fault at every step; exit 1 if a promise is broken."""
-        run_faults(
-            seed=seed,
-            cell=cell,
-            part=part,
-            walk=walk,
-            pairs=DEFAULT_PAIRS if pairs is True else pairs,
-            as_json=format == 'json',
-        )
-
 
 def main() -> None:
     """Run the command line of this process."""
--- a/trefoilhinge/faults/commands.py
+++ b/trefoilhinge/faults/commands.py
@@ -1,11 +1,11 @@
 """The ``trefoilhinge faults`` command."""
 
 import json
-import sys
 import time
 from collections.abc import Iterable
 
 import numpy as np
+from attrs import frozen
 
 from trefoilhinge.exceptions import TrefoilhingeError
 from trefoilhinge.faults.matrix import (
@@ -22,6 +22,24 @@
 DEFAULT_PAIRS = 60
 
 
+@frozen
+class FaultRequest:
+    """What a command line asks of the matrix.
+
+    :ivar cell: name of the only cell to run, empty for all.
+    :ivar part: ``K/N`` runs the K-th of N parts, empty for all.
+    :ivar walk: steps of a random walk, zero for the matrix.
+    :ivar pairs: pairs of faults to run instead, zero for single faults.
+    """
+
+    seed: int
+    cell: str
+    part: str
+    walk: int
+    pairs: int
+    as_json: bool
+
+
 class UnknownCell(TrefoilhingeError):
     """No cell of the matrix has this name."""
 
@@ -112,16 +130,14 @@
     return cells[int(number) - 1 :: int(parts)]
 
 
-def run_faults(
-    *,
-    seed: int,
-    cell: str,
-    part: str,
-    walk: int,
-    pairs: int,
-    as_json: bool,
-) -> None:
-    """Run what was asked for and exit 1 if a promise did not hold."""
-    if walk:
-        sys.exit(run_steps(seed, walk, as_json))
-    sys.exit(run_matrix(seed, cell, part, pairs, as_json))
+def run_faults(request: FaultRequest) -> int:
+    """Run what was asked for; return 1 if a promise did not hold."""
+    if request.walk:
+        return run_steps(request.seed, request.walk, request.as_json)
+    return run_matrix(
+        request.seed,
+        request.cell,
+        request.part,
+        request.pairs,
+        request.as_json,
+    )
