--- a/tests/measure/test_commands.py
+++ b/tests/measure/test_commands.py
@@ -45,6 +45,13 @@
         run(policy='random', minutes=0.02, load=0.3, report=str(page))
         assert page.read_text().count('data:image/png;base64,') == 4
 
+    @pytest.mark.parametrize('fault', ['engine_death', 'partition'])
+    def test_faults_lose_no_admitted_request(self, fault):
+        found = run(policy='default', minutes=0.3, load=0.3, faults=fault)
+        assert found['results'][0]['admitted_late'] == 0
+        assert found['results'][0]['ran_twice'] == 0
+        assert found['results'][0]['unanswered'] == 0
+
     @pytest.mark.parametrize(
         'options',
         [
--- /dev/null
+++ b/tests/measure/test_slopes.py
@@ -0,0 +1,28 @@
+"""The growth of a decision's cost."""
+
+import pathlib
+
+from trefoilhinge.measure import slopes
+
+
+class TestSlopes:
+    def test_every_size_is_measured(self, monkeypatch):
+        monkeypatch.setattr(slopes, 'DECISIONS', 20)
+        found = slopes.measure_slopes(pathlib.Path('examples/kandy.json'))
+        assert [one.targets for one in found] == [25, 250, 1000, 4000]
+        assert all(one.decisions == 20 for one in found)
+
+    def test_looks_are_bounded_at_any_size(self, monkeypatch):
+        looks = []
+        from trefoilhinge.routing.estimates import Estimator
+
+        original = Estimator.estimate
+        monkeypatch.setattr(
+            Estimator,
+            'estimate',
+            lambda self, state: looks.append(state) or original(self, state),
+        )
+        monkeypatch.setattr(slopes, 'DECISIONS', 50)
+        monkeypatch.setattr(slopes, 'TARGET_COUNTS', (4000,))
+        slopes.measure_slopes(pathlib.Path('examples/kandy.json'))
+        assert len(looks) / 50 < 70
--- a/trefoilhinge/core/events.py
+++ b/trefoilhinge/core/events.py
@@ -41,6 +41,8 @@
     BROKEN = 'broken'
     # The stream that answered was not the one that was asked for.
     MISMATCHED = 'mismatched'
+    # This instance gave the attempt up: its caller left or its time passed.
+    ABANDONED = 'abandoned'
     # The lease on the send had passed when the shell was about to send.
     LEASE_LOST = 'lease_lost'
 
--- a/trefoilhinge/measure/baselines.py
+++ b/trefoilhinge/measure/baselines.py
@@ -13,10 +13,9 @@
 from trefoilhinge.core.identifiers import AttemptId, InstanceName, TargetName
 from trefoilhinge.core.profiles import CallProfile
 from trefoilhinge.core.reports import CacheEvent, LoadReport
-from trefoilhinge.core.verdicts import RefusalCode, refuse_not_run
+from trefoilhinge.groups.planner import Candidate, needs_group, plan
 from trefoilhinge.node.parts import (
     Deferred,
-    Impossible,
     PlacedOn,
     Placement,
     Router,
@@ -77,18 +76,16 @@
     ) -> Placement:
         """Choose among targets that do not leave and can hold the call."""
         service = self._services[profile.service]
-        if profile.total_tokens > service.memory_tokens:
-            return Impossible(
-                refuse_not_run(
-                    RefusalCode.TOO_LARGE,
-                    'The prompt exceeds the memory of one engine.',
-                ),
-            )
         usable = [
             one
             for one in self._targets.get(profile.service, ())
             if not one.leaving
         ]
+        if needs_group(profile, service):
+            candidates = [
+                Candidate(one, self._find_free(one, service)) for one in usable
+            ]
+            return plan(profile, service, candidates, now)
         preferred = [one for one in usable if one.name not in avoid] or usable
         if not preferred:
             return Deferred(now.monotonic_s + DEFERRAL_S)
@@ -160,6 +157,10 @@
         service = self._services[profile.service]
         return profile.prompt_tokens / service.prefill_tokens_per_s
 
+    def _find_free(self, target: TargetView, service: Service) -> int:
+        report = self._reports.get(target.name)
+        return service.memory_tokens if report is None else report.free_tokens
+
     def count_requests(self, target: TargetView) -> int:
         """Return the requests at a target, by its report and by charges."""
         report = self._reports.get(target.name)
--- a/trefoilhinge/node/composition.py
+++ b/trefoilhinge/node/composition.py
@@ -22,7 +22,7 @@
 from trefoilhinge.orders.steward import make_read_back_steward
 from trefoilhinge.retries.ledger import make_owned_key_ledger
 from trefoilhinge.retries.policy import make_careful_retry_policy
-from trefoilhinge.routing.router import make_least_tokens_router
+from trefoilhinge.routing.router import make_balanced_router
 
 EXCHANGE_SPREAD = 0.25
 
@@ -47,7 +47,7 @@
     :param life: token that no other start of this instance has.
     """
     return NodeParts(
-        router=make_least_tokens_router(),
+        router=make_balanced_router(identity.name, failure_domain, seed),
         limiter=make_bucket_limiter(),
         ledger=make_owned_key_ledger(identity, secret, life),
         retries=make_careful_retry_policy(seed),
--- a/trefoilhinge/node/desk.py
+++ b/trefoilhinge/node/desk.py
@@ -473,7 +473,7 @@
         now: Instant,
     ) -> Effects:
         profile = record.profile
-        effects = self._release(record, AttemptOutcome.NOT_SENT, now)
+        effects = self._release(record, AttemptOutcome.ABANDONED, now)
         if record.state in {CallState.SENT, CallState.ASKING}:
             effects.extend(_cancel(record))
         tokens = 0
--- /dev/null
+++ b/trefoilhinge/routing/estimates.py
@@ -0,0 +1,68 @@
+"""Estimates of the time to a call's first token at a target."""
+
+from attrs import frozen
+
+from trefoilhinge.core.profiles import CallProfile
+from trefoilhinge.routing.prefixes import PrefixGuesses
+from trefoilhinge.routing.states import TargetState
+
+BLOCK_TOKENS = 512
+# Half of a step in which an engine prefills other prompts, and half of one
+# in which it only generates.
+BUSY_STEP_WAIT_S = 0.02
+DECODING_STEP_WAIT_S = 0.006
+REMOTE_WAIT_S = 0.002
+PLAIN_CALL_S = 0.01
+GUESS_CONFIDENCE = 0.95
+
+
+@frozen
+class Estimator:
+    """Estimates for one call at one moment.
+
+    :ivar urgent: whether the call goes ahead of others at the engine.
+    :ivar deepest: most leading blocks of its prompt that any target holds.
+    """
+
+    prefixes: PrefixGuesses
+    profile: CallProfile
+    urgent: bool
+    deepest: int
+    now_s: float
+
+    def estimate(self, state: TargetState) -> float:
+        """Return the seconds to the call's first token at a target."""
+        seconds: float = 0
+        if not state.local:
+            seconds = REMOTE_WAIT_S
+        if state.ejections:
+            seconds += state.find_slow_start_s(self.now_s)
+        if not self.profile.model:
+            return seconds + state.count_calls() * PLAIN_CALL_S
+        tokens: float = self.profile.prompt_tokens
+        if self.deepest:
+            tokens -= self._count_cached(state)
+        rate = state.speed.rate
+        missing = self.profile.total_tokens - state.free_tokens
+        if missing > 0:
+            # Memory for the call has yet to be freed by others.
+            tokens += missing
+        return seconds + tokens / rate + self._find_queue_s(state)
+
+    def _count_cached(self, state: TargetState) -> int:
+        blocks = self.prefixes.count_blocks(
+            state.view.name,
+            self.profile.prefix_digests,
+            self.deepest,
+            self.now_s,
+        )
+        return int(blocks * BLOCK_TOKENS * GUESS_CONFIDENCE)
+
+    def _find_queue_s(self, state: TargetState) -> float:
+        queue_s = state.free_at_s - self.now_s
+        if queue_s <= 0:
+            return DECODING_STEP_WAIT_S if self.urgent and state.busy else 0
+        if not self.urgent:
+            return queue_s
+        ahead_s = max(0, state.urgent_at_s - self.now_s)
+        return min(queue_s, ahead_s) + min(queue_s, BUSY_STEP_WAIT_S)
--- /dev/null
+++ b/trefoilhinge/routing/prefixes.py
@@ -0,0 +1,127 @@
+"""Guesses of which targets hold which prompt prefixes.
+
+Cache events are late and some are lost, so that what is kept here is a guess:
+it is dropped when an eviction is told, when it is old, and when it is among
+the least recently used.
+"""
+
+from collections import OrderedDict
+from collections.abc import Iterable
+
+from attrs import define, field
+
+from trefoilhinge.core.identifiers import TargetName
+from trefoilhinge.core.reports import CacheEvent
+
+MAXIMUM_DIGESTS = 65_536
+MAXIMUM_BLOCKS_OF_CALL = 512
+GUESS_AGE_S = 300.0
+# Lost events up to this many leave most guesses true; after more of them
+# nothing learned before is believed.
+LARGEST_GAP = 64
+
+Holders = dict[TargetName, float]
+
+
+@define
+class PrefixGuesses:
+    """Remembers which target was last known to hold which block."""
+
+    _holders: OrderedDict[int, Holders] = field(factory=OrderedDict)
+    _sequences: dict[TargetName, int] = field(factory=dict)
+    _forgotten_s: dict[TargetName, float] = field(factory=dict)
+
+    def note_events(
+        self,
+        target: TargetName,
+        cache_events: Iterable[CacheEvent],
+        now_s: float,
+    ) -> None:
+        """Take a target's cache events, in order."""
+        for event in cache_events:
+            last = self._sequences.get(target)
+            if last is not None and event.sequence <= last:
+                continue
+            if last is not None and event.sequence > last + LARGEST_GAP:
+                self.forget_target(target, now_s)
+            self._sequences[target] = event.sequence
+            if event.stored:
+                self._store(target, event.digest, now_s)
+            else:
+                self._holders.get(event.digest, {}).pop(target, None)
+
+    def note_sent(
+        self,
+        target: TargetName,
+        digests: tuple[int, ...],
+        now_s: float,
+    ) -> None:
+        """Take that a target is about to store a call's blocks."""
+        for digest in digests[:MAXIMUM_BLOCKS_OF_CALL]:
+            self._store(target, digest, now_s)
+
+    def forget_target(self, target: TargetName, now_s: float) -> None:
+        """Believe nothing that was learned of a target before now."""
+        self._sequences.pop(target, None)
+        self._forgotten_s[target] = now_s
+
+    def find_deepest(
+        self,
+        digests: tuple[int, ...],
+    ) -> tuple[int, Iterable[TargetName]]:
+        """Return the most leading blocks that any target holds, and who.
+
+        A holder of a block is taken to hold all before it, which lets the
+        search halve the prompt at each step.
+        """
+        low = 0
+        high = min(len(digests), MAXIMUM_BLOCKS_OF_CALL)
+        while low < high:
+            middle = (low + high + 1) // 2
+            if self._holders.get(digests[middle - 1]):
+                low = middle
+            else:
+                high = middle - 1
+        if not low:
+            return 0, ()
+        digest = digests[low - 1]
+        self._holders.move_to_end(digest)
+        return low, self._holders[digest]
+
+    def count_blocks(
+        self,
+        target: TargetName,
+        digests: tuple[int, ...],
+        deepest: int,
+        now_s: float,
+    ) -> int:
+        """Return the leading blocks that one target probably holds.
+
+        :param deepest: most blocks that any target holds.
+        """
+        if deepest and self._is_held(target, digests[deepest - 1], now_s):
+            return deepest
+        low = 0
+        high = max(0, deepest - 1)
+        while low < high:
+            middle = (low + high + 1) // 2
+            if self._is_held(target, digests[middle - 1], now_s):
+                low = middle
+            else:
+                high = middle - 1
+        return low
+
+    def _is_held(self, target: TargetName, digest: int, now_s: float) -> bool:
+        seen_s = self._holders.get(digest, {}).get(target)
+        if seen_s is None or now_s - seen_s >= GUESS_AGE_S:
+            return False
+        return seen_s >= self._forgotten_s.get(target, 0)
+
+    def _store(self, target: TargetName, digest: int, now_s: float) -> None:
+        holders = self._holders.get(digest)
+        if holders is None:
+            holders = {}
+            self._holders[digest] = holders
+            if len(self._holders) > MAXIMUM_DIGESTS:
+                self._holders.popitem(last=False)
+        holders[target] = now_s
