--- a/trefoilhinge/client/commands.py
+++ b/trefoilhinge/client/commands.py
@@ -29,6 +29,7 @@
     FaultRequest,
     run_faults,
 )
+from trefoilhinge.measure.growth import print_growth
 from trefoilhinge.measure.commands import print_measure, read_options
 
 # Commands whose flags are the settings, which their help lists.
@@ -137,8 +138,13 @@
 
         Flags: --deployment, --policy, --seed, --minutes, --faults, --load,
         --long-weight, --format and --report. Without --policy the default
-        and every baseline are measured on the same arrivals.
+        and every baseline are measured on the same arrivals. With --slopes
+        the costs that grow with size are measured instead, as JSON.
         """
+        if 'slopes' in options:
+            deployment = options.get('deployment', 'kandy')
+            self._chosen.job = lambda: print_growth(deployment)
+            return
         asked = read_options(options)
         self._chosen.job = lambda: print_measure(asked)
 
--- /dev/null
+++ b/trefoilhinge/measure/scale.py
@@ -0,0 +1,324 @@
+"""How the cost of control grows: documents, keys, timers and calls.
+
+Each figure is processor time or memory at three sizes or more, so that the
+cost at another size can be worked out from the slope.
+"""
+
+import json
+import pathlib
+import time
+import tracemalloc
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from attrs import evolve, frozen
+
+from trefoilhinge.conf.deltas import make_delta, write_canonical, write_deltas
+from trefoilhinge.conf.keeper import NewestDocumentKeeper
+from trefoilhinge.core.clocks import Instant
+from trefoilhinge.core.effects import Dispatch, Effect
+from trefoilhinge.core.events import (
+    AttemptAccepted,
+    AttemptEnded,
+    AttemptOutcome,
+    CallReceived,
+    DocumentRead,
+    FirstTokenSeen,
+    TimerFired,
+)
+from trefoilhinge.core.identifiers import (
+    AttemptId,
+    InstanceIdentity,
+    InstanceName,
+    RequestId,
+    StreamId,
+)
+from trefoilhinge.core.profiles import CallProfile
+from trefoilhinge.core.verdicts import Verdict
+from trefoilhinge.exceptions import DocumentInvalid
+from trefoilhinge.node.composition import make_node, make_parts
+from trefoilhinge.node.core import NodeCore
+from trefoilhinge.node.schedule import TICK_S
+from trefoilhinge.retries.ledger import make_owned_key_ledger
+
+# Organisations and targets of each size.
+DOCUMENT_SIZES = ((10, 28), (200, 500), (800, 2000), (1600, 4000))
+KEY_COUNTS = (1000, 5000, 20000)
+TIMER_SECONDS = 20
+CALLS = 400
+PROMPT_TOKENS = 4000
+OUTPUT_TOKENS = 200
+SECRET = 'a secret of the measured deployment'
+START = Instant(1, 1_800_000_000)
+_IDENTITY = InstanceIdentity(InstanceName('entry-0'), 1)
+
+Fields = dict[str, Any]
+
+
+@frozen
+class DocumentCost:
+    """What a document of a size costs an instance.
+
+    :ivar document_bytes: canonical text of the document.
+    :ivar delta_bytes: text of one changed limit.
+    :ivar accept_ms: milliseconds to accept it whole.
+    :ivar delta_ms: milliseconds to accept a delta to it.
+    :ivar memory_kb: kilobytes held once it is accepted.
+    """
+
+    organisations: int
+    targets: int
+    document_bytes: int
+    delta_bytes: int
+    accept_ms: float
+    delta_ms: float
+    memory_kb: float
+
+
+@frozen
+class KeyCost:
+    """What remembered keys cost.
+
+    :ivar claim_us: microseconds to mint, claim, send and settle one.
+    :ivar bytes_a_key: memory of one remembered key.
+    """
+
+    keys: int
+    claim_us: float
+    bytes_a_key: float
+
+
+@frozen
+class NodeCost:
+    """What a node's core costs beside the relay of tokens.
+
+    :ivar idle_core_share: processor seconds a second of its timer alone.
+    :ivar call_us: microseconds of all decisions on one call.
+    """
+
+    organisations: int
+    targets: int
+    idle_core_share: float
+    call_us: float
+
+
+@frozen
+class ScaleCosts:
+    """All figures of one run."""
+
+    documents: tuple[DocumentCost, ...]
+    keys: tuple[KeyCost, ...]
+    nodes: tuple[NodeCost, ...]
+
+
+def measure_scale(document_file: pathlib.Path) -> ScaleCosts:
+    """Measure every size.
+
+    :param document_file: document that is grown to each size.
+    """
+    fields = json.loads(document_file.read_text(encoding='utf-8'))
+    return ScaleCosts(
+        tuple(_measure_document(fields, *size) for size in DOCUMENT_SIZES),
+        tuple(_measure_keys(count) for count in KEY_COUNTS),
+        tuple(_measure_node(fields, *size) for size in DOCUMENT_SIZES),
+    )
+
+
+def grow_document(fields: Fields, organisations: int, targets: int) -> str:
+    """Return a document of many organisations and targets.
+
+    :param fields: document whose first organisation and target are repeated.
+    """
+    pattern = fields['organisations'][0]
+    service = fields['services'][0]
+    target = service['targets'][0]
+    grown = {
+        **service,
+        'minimum_ready': 1,
+        'targets': [
+            {**target, 'name': f'engine-{one}', 'address': _address(one)}
+            for one in range(targets)
+        ],
+    }
+    return json.dumps(
+        {
+            **fields,
+            'organisations': [
+                {**pattern, 'name': f'org-{one}', 'keys': [_key(one)]}
+                for one in range(organisations)
+            ],
+            'services': [grown, *fields['services'][1:]],
+        }
+    )
+
+
+def _measure_document(
+    fields: Fields,
+    organisations: int,
+    targets: int,
+) -> DocumentCost:
+    text = write_canonical(grow_document(fields, organisations, targets))
+    changed = json.loads(text)
+    changed['revision'] += 1
+    changed['organisations'][0]['tokens_per_s'] += 1
+    delta = write_deltas(
+        (make_delta(text, write_canonical(json.dumps(changed))),),
+    )
+    keeper = NewestDocumentKeeper()
+    tracemalloc.start()
+    keeper.offer(text, 'measure', START)
+    memory_bytes, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    fresh = NewestDocumentKeeper()
+    accept_s = _time(lambda: fresh.offer(text, 'measure', START))
+    delta_s = _time(lambda: fresh.offer_deltas(delta, 'measure', START))
+    if fresh.revision != changed['revision']:
+        raise DocumentInvalid('a grown document was not accepted')
+    return DocumentCost(
+        organisations,
+        targets,
+        len(text),
+        len(delta),
+        round(accept_s * 1000, 2),
+        round(delta_s * 1000, 2),
+        round(memory_bytes / 1000, 1),
+    )
+
+
+def _measure_keys(count: int) -> KeyCost:
+    ledger = make_owned_key_ledger(_IDENTITY, SECRET, 'life')
+
+    def run() -> None:
+        for number in range(count):
+            key = ledger.mint_key('org-0', START)
+            profile = _make_call(number, 'org-0', 'desk', key)
+            ledger.claim(profile, START)
+            ledger.record_intent(
+                profile,
+                AttemptId(profile.request_id, 1),
+                START,
+            )
+            ledger.settle(profile, Verdict.RAN, START)
+
+    took_s = _time(run)
+    ledger = make_owned_key_ledger(_IDENTITY, SECRET, 'life')
+    tracemalloc.start()
+    run()
+    memory_bytes, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return KeyCost(
+        count,
+        round(took_s / count * 1_000_000, 1),
+        round(memory_bytes / count, 1),
+    )
+
+
+def _measure_node(
+    fields: Fields,
+    organisations: int,
+    targets: int,
+) -> NodeCost:
+    core = _make_node(grow_document(fields, organisations, targets))
+    service = fields['services'][0]['name']
+    ticks = int(TIMER_SECONDS / TICK_S)
+    idle_s = _time(lambda: _run_timer(core, range(1, ticks)))
+    now = START.shift(TIMER_SECONDS)
+    calls = [
+        evolve(
+            _make_call(number, f'org-{number % organisations}', service, ''),
+            received_s=now.monotonic_s,
+            deadline_s=now.monotonic_s + 100,
+        )
+        for number in range(CALLS)
+    ]
+    calls_s = _time(lambda: _run_calls(core, calls, now))
+    return NodeCost(
+        organisations,
+        targets,
+        round(idle_s / TIMER_SECONDS, 5),
+        round(calls_s / CALLS * 1_000_000, 1),
+    )
+
+
+def _make_node(text: str) -> NodeCore:
+    parts = make_parts(_IDENTITY, '127.0.0.1:1', 'kandy', SECRET, (), 1)
+    core = make_node(parts, 0, 0)
+    core.handle(DocumentRead(text), START)
+    core.handle(TimerFired(), START)
+    return core
+
+
+def _run_timer(core: NodeCore, ticks: Iterable[int]) -> None:
+    for number in ticks:
+        core.handle(TimerFired(), START.shift(number * TICK_S))
+
+
+def _run_calls(
+    core: NodeCore,
+    calls: Iterable[CallProfile],
+    now: Instant,
+) -> None:
+    for profile in calls:
+        _run_call(core, profile, now)
+
+
+def _run_call(core: NodeCore, profile: CallProfile, now: Instant) -> None:
+    effects: list[Effect] = core.handle(CallReceived(profile), now)
+    for effect in effects:
+        if isinstance(effect, Dispatch):
+            attempt = effect.attempt
+            stream_id = StreamId(str(attempt))
+            core.handle(AttemptAccepted(attempt, stream_id), now)
+            core.handle(FirstTokenSeen(attempt), now)
+            core.handle(
+                AttemptEnded(
+                    attempt,
+                    AttemptOutcome.FINISHED,
+                    prompt_tokens=PROMPT_TOKENS,
+                    output_tokens=OUTPUT_TOKENS,
+                ),
+                now,
+            )
+
+
+def _make_call(
+    number: int,
+    organisation: str,
+    service: str,
+    key: str,
+) -> CallProfile:
+    return CallProfile(
+        request_id=RequestId(f'r{number}'),
+        organisation=organisation,
+        service=service,
+        model=not key,
+        path='/v1/completions',
+        idempotent=not key,
+        key=key,
+        body_digest='',
+        prompt_tokens=PROMPT_TOKENS,
+        output_tokens=OUTPUT_TOKENS,
+        prefix_digests=(),
+        priority=5,
+        deadline_s=START.monotonic_s + 100,
+        received_s=START.monotonic_s,
+    )
+
+
+def _time(run: Callable[[], object]) -> float:
+    began_s = time.process_time()
+    run()
+    return time.process_time() - began_s
+
+
+def _address(number: int) -> str:
+    rest, host = divmod(number, 250)
+    return f'10.{100 + rest // 250}.{rest % 250}.{host + 1}:8000'
+
+
+def _key(number: int) -> Fields:
+    return {
+        'identifier': f'{number:012x}',
+        'salt': '0' * 32,
+        'digest': f'{number:064x}',
+    }
