Led from each problem to its field, and offered the names that it may take.

The summary of a page named paths that had to be looked for. It now links to the innermost field of each, and fields that refer to other parts of the document offer the names that stand there, by an annotation of the schema. Files are read up to the limit of a document, so that one without end is refused; the status is read over TLS with authorities of its own.

--- a/tests/client/test_commands.py
+++ b/tests/client/test_commands.py
@@ -54,6 +54,10 @@
         assert run('check', '/nowhere/at/all') == 2
         assert 'No such file' in capsys.readouterr().err
 
+    def test_file_without_end_is_refused(self, capsys):
+        assert run('check', '/dev/zero') == 2
+        assert 'more than 1000000 bytes' in capsys.readouterr().err
+
     def test_file_whose_name_is_a_number(self, capsys, tmp_path, monkeypatch):
         monkeypatch.chdir(tmp_path)
         pathlib.Path('0123').write_text(pathlib.Path(KANDY).read_text())
--- a/tests/console/browser.py
+++ b/tests/console/browser.py
@@ -18,6 +18,7 @@
         self.identifiers = []
         self.described = set()
         self.invalid = set()
+        self.links = set()
         self._select = None
         self._area = None
         self._tags = []
@@ -31,6 +32,8 @@
         self.described.update(attributes.get('aria-describedby', '').split())
         if attributes.get('aria-invalid'):
             self.invalid.add(name)
+        if tag == 'a' and attributes['href'].startswith('#f-'):
+            self.links.add(attributes['href'][1:])
         if tag == 'form':
             self.action = attributes['action']
         elif tag == 'label':
@@ -41,7 +44,9 @@
             self.buttons.append((name, attributes.get('value')))
         elif tag == 'select':
             self._select = name
-        elif tag == 'option':
+        elif tag == 'datalist':
+            self._select = None
+        elif tag == 'option' and self._select is not None:
             chosen = 'selected' in attributes
             if chosen or self._select not in self.values:
                 self.values[self._select] = attributes['value']
--- a/tests/console/test_console.py
+++ b/tests/console/test_console.py
@@ -5,12 +5,22 @@
 import pytest
 
 from tests.console.browser import Browser
+from trefoilhinge.client.fleets import InstanceReport, StatusSource
 from trefoilhinge.conf.document import parse_document
 from trefoilhinge.console.commands import make_console, run_console
+from trefoilhinge.console.pages import Frame, render_status
+from trefoilhinge.core.clocks import Instant
+from trefoilhinge.core.events import DocumentRead, LoadRead
+from trefoilhinge.core.identifiers import InstanceIdentity
 from trefoilhinge.core.keys import compare_secret, parse_key
+from trefoilhinge.core.reports import LoadReport
 from trefoilhinge.demo.deployment import find_free_port
 from trefoilhinge.exceptions import ImproperlyConfigured
+from trefoilhinge.node.composition import make_node, make_parts
+from trefoilhinge.node.status import describe_node
 
+IDENTITY = InstanceIdentity('entry-1', 1)
+START = Instant(100.0, 1000.0)
 EXAMPLES = pathlib.Path(__file__).parents[2] / 'examples'
 TEXT = (EXAMPLES / 'kandy.json').read_text()
 
@@ -18,7 +28,7 @@
 @pytest.fixture(scope='module')
 def address():
     listen = f'127.0.0.1:{find_free_port()}'
-    server = make_console(listen, TEXT, '127.0.0.1:1')
+    server = make_console(listen, TEXT, StatusSource('127.0.0.1:1'))
     server.prepare()
     thread = threading.Thread(target=server.serve, daemon=True)
     thread.start()
@@ -211,6 +221,26 @@
         ]
         assert draft['services'][1]['paths'][1]['idempotent'] is True
 
+    def test_known_names_are_offered(self, editor):
+        go(editor, 'services')
+        go(editor, 'services/1')
+        assert b'<option value="nuwara">' in editor.body
+        go(editor, 'organisations')
+        go(editor, 'organisations/0')
+        assert 'Known: writer, desk.' in editor.shown
+
+    def test_summary_leads_to_each_field(self, editor):
+        go(editor, 'organisations')
+        go(editor, 'organisations/0')
+        changes = {
+            'organisations/0/services': 'writer\nnone',
+            'organisations/0/name': 'hostesses',
+        }
+        go(editor, 'organisations/0', **changes)
+        links = editor.page.links
+        assert 'f-organisations-0-services' in links
+        assert links <= set(editor.page.identifiers)
+
     def test_optional_group_is_removed_and_added(self, editor):
         go(editor, 'services')
         go(editor, 'services/0')
@@ -288,6 +318,26 @@
         assert 'unreachable' in browser.shown
         assert browser.open('/nowhere').status == 404
 
+    def test_fleet_is_shown_with_what_is_wrong_first(self):
+        node = make_node(
+            make_parts(IDENTITY, '127.0.0.1:1', 'kandy', 'secret', (), 1), 0, 0
+        )
+        node.identity = IDENTITY
+        bare = describe_node(node, START)
+        node.handle(DocumentRead(TEXT), START)
+        node.handle(
+            LoadRead('writer-0', LoadReport('writer-0', 7, 2, 9)), START
+        )
+        reports = (
+            InstanceReport('b', None, 'no answer'),
+            InstanceReport('a', describe_node(node, START)),
+            InstanceReport('c', bare),
+        )
+        shown = render_status(Frame('', True), reports)
+        assert shown.index('no_document') < shown.index('<h2>entry-1</h2>')
+        assert 'no answer' in shown
+        assert '<th scope="row">writer-0</th>' in shown
+
 
 class TestGuards:
     def test_post_without_a_token_is_refused(self, editor):
@@ -365,4 +415,4 @@
     )
     def test_wrong_flags_are_told(self, listen, document):
         with pytest.raises(ImproperlyConfigured):
-            run_console(listen, document, '')
+            run_console(listen, document, StatusSource())
--- a/tests/console/test_fuzz.py
+++ b/tests/console/test_fuzz.py
@@ -8,6 +8,7 @@
 from hypothesis import strategies as st
 
 from tests.conf.test_document import VALUES, WAYS, put
+from trefoilhinge.client.fleets import StatusSource
 from trefoilhinge.console.application import ConsoleApplication
 from trefoilhinge.console.guards import FormGuard
 
@@ -29,7 +30,7 @@
         'CONTENT_LENGTH': str(len(body)),
         'wsgi.input': io.BytesIO(body),
     }
-    application = ConsoleApplication(GUARD, '', '')
+    application = ConsoleApplication(GUARD, '', StatusSource())
     list(application(environ, lambda status, headers: answers.append(status)))
     return answers[0]
 
--- a/trefoilhinge/client/commands.py
+++ b/trefoilhinge/client/commands.py
@@ -20,6 +20,7 @@
 )
 from trefoilhinge.client.exits import EXIT_DONE, EXIT_INVALID
 from trefoilhinge.client.status import print_status
+from trefoilhinge.client.fleets import StatusSource
 from trefoilhinge.console.commands import run_console
 from trefoilhinge.demo.commands import run_demo
 from trefoilhinge.entry.commands import run_entry
@@ -107,19 +108,23 @@
         listen: str = '127.0.0.1:8480',
         document: str = '',
         status: str = '',
+        authorities: str = '',
     ) -> None:
         """Serve the forms that edit a document.
 
         :param listen: IP number and port to serve at.
         :param document: file with a document to begin with.
         :param status: URLs of instances to show, separated by commas.
+        :param authorities: file with the authorities of their TLS, PEM.
         """
-        self._chosen.job = lambda: run_console(listen, document, status)
+        source = StatusSource(status, authorities)
+        self._chosen.job = lambda: run_console(listen, document, source)
 
     def status(
         self,
         urls: str,
         format: str = 'text',  # noqa: A002
+        authorities: str = '',
     ) -> None:
         """Show what instances are doing, what is wrong first.
 
@@ -128,8 +133,9 @@
 
         :param urls: URLs of peer listeners, separated by commas.
         :param format: ``text`` or ``json``.
+        :param authorities: file with the authorities of TLS, PEM.
         """
-        self._chosen.job = lambda: print_status(urls, format)
+        self._chosen.job = lambda: print_status(urls, format, authorities)
 
     def demo(self, once: bool = False) -> None:
         """Run a small deployment on loopback with stand-ins.
--- a/trefoilhinge/client/fleets.py
+++ b/trefoilhinge/client/fleets.py
@@ -51,6 +51,22 @@
     finding: Finding
 
 
+@frozen
+class StatusSource:
+    """Where the status of a fleet is read.
+
+    :ivar urls: URLs of peer listeners, separated by commas; empty if none.
+    :ivar authorities: file with the authorities of TLS, PEM; may be empty.
+    """
+
+    urls: str = ''
+    authorities: str = ''
+
+    def read(self) -> tuple[InstanceReport, ...]:
+        """Read the status of every instance."""
+        return read_fleet(self.urls, self.authorities)
+
+
 def list_findings(statuses: Iterable[NodeStatus]) -> list[FleetFinding]:
     """Return what any instance found wrong, the worst first."""
     found = [
@@ -61,16 +77,22 @@
     return sorted(found, key=lambda one: _ORDER.index(one.finding.severity))
 
 
-def read_fleet(urls: str) -> tuple[InstanceReport, ...]:
+def read_fleet(urls: str, authorities: str = '') -> tuple[InstanceReport, ...]:
     """Read the status of every instance, several at a time.
 
     :param urls: URLs of peer listeners, separated by commas.
+    :param authorities: file with the authorities that TLS is checked
+        against, PEM; empty takes those of the machine.
     :raises ImproperlyConfigured: there is no URL among them.
     """
     wanted = [one.strip() for one in urls.split(',') if one.strip()]
     if not wanted:
         raise ImproperlyConfigured('give the URL of at least one instance')
-    pool = urllib3.PoolManager(retries=False, timeout=STATUS_TIMEOUT_S)
+    pool = urllib3.PoolManager(
+        retries=False,
+        timeout=STATUS_TIMEOUT_S,
+        ca_certs=authorities or None,
+    )
     with ThreadPoolExecutor(READERS) as executor:
         reports = executor.map(lambda url: read_instance(pool, url), wanted)
         return tuple(reports)
--- a/trefoilhinge/client/status.py
+++ b/trefoilhinge/client/status.py
@@ -19,14 +19,15 @@
 _DIGEST_SHOWN = 8
 
 
-def print_status(urls: str, form: str) -> int:
+def print_status(urls: str, form: str, authorities: str = '') -> int:
     """Print the status of instances; return an exit code.
 
     :param urls: URLs of peer listeners, separated by commas.
     :param form: ``text`` or ``json``.
+    :param authorities: file with the authorities of TLS, PEM.
     """
     read_choice(form, 'format', FORMATS)
-    reports = read_fleet(urls)
+    reports = read_fleet(urls, authorities)
     if form == 'json':
         print(json.dumps(cattrs.unstructure(reports), indent=2))
     else:
--- a/trefoilhinge/conf/files.py
+++ b/trefoilhinge/conf/files.py
@@ -4,7 +4,10 @@
 
 from expression import Error, Result
 
-from trefoilhinge.conf.document import parse_document
+from trefoilhinge.conf.document import (
+    MAXIMUM_DOCUMENT_BYTES,
+    parse_document,
+)
 from trefoilhinge.conf.problems import ROOT, DocumentProblem, Problems
 from trefoilhinge.conf.texts import decode_text
 
@@ -26,7 +29,7 @@
 def read_text_file(path: str) -> Result[str, Problems]:
     """Return the text of a UTF-8 file, or why it cannot be read."""
     try:
-        raw = pathlib.Path(path).read_bytes()
+        raw = _read_bounded(path)
     except (OSError, ValueError) as error:
         reason = getattr(error, 'strerror', None) or str(error)
         problem = DocumentProblem(
@@ -35,4 +38,16 @@
             'give the path of a readable file',
         )
         return Error((problem,))
+    if len(raw) > MAXIMUM_DOCUMENT_BYTES:
+        problem = DocumentProblem(
+            ROOT,
+            f'the file has more than {MAXIMUM_DOCUMENT_BYTES} bytes',
+            f'write at most {MAXIMUM_DOCUMENT_BYTES} bytes',
+        )
+        return Error((problem,))
     return decode_text(raw)
+
+
+def _read_bounded(path: str) -> bytes:
+    with pathlib.Path(path).open('rb') as opened:
+        return opened.read(MAXIMUM_DOCUMENT_BYTES + 1)
--- a/trefoilhinge/console/application.py
+++ b/trefoilhinge/console/application.py
@@ -7,7 +7,7 @@
 
 from attrs import asdict, define, frozen
 
-from trefoilhinge.client.fleets import read_fleet
+from trefoilhinge.client.fleets import StatusSource
 from trefoilhinge.conf.keys import make_key
 from trefoilhinge.console import pages
 from trefoilhinge.console.downloads import write_document
@@ -53,12 +53,12 @@
     """Serves the forms; keeps nothing between two requests.
 
     :ivar document: text of the document to offer at the start, empty if none.
-    :ivar status_urls: URLs of instances to show, separated by commas.
+    :ivar status: instances to show.
     """
 
     _guard: FormGuard
     document: str
-    status_urls: str
+    status: StatusSource
 
     def __call__(
         self,
@@ -103,8 +103,8 @@
             )
         if path == '/style.css':
             return Page(_read_style(), 'text/css; charset=utf-8')
-        if path == '/status' and self.status_urls:
-            reports = read_fleet(self.status_urls)
+        if path == '/status' and self.status.urls:
+            reports = self.status.read()
             return _make_page(pages.render_status(self._frame(), reports))
         raise _refuse_path()
 
@@ -182,7 +182,7 @@
 
     def _frame(self) -> pages.Frame:
         token = self._guard.sign(time.time())
-        return pages.Frame(token, bool(self.status_urls))
+        return pages.Frame(token, bool(self.status.urls))
 
 
 def parse_section(text: str) -> Steps:
--- a/trefoilhinge/console/commands.py
+++ b/trefoilhinge/console/commands.py
@@ -4,6 +4,7 @@
 
 from cheroot import wsgi
 
+from trefoilhinge.client.fleets import StatusSource
 from trefoilhinge.conf.addresses import explain_address, is_loopback
 from trefoilhinge.conf.files import read_text_file
 from trefoilhinge.console.application import ConsoleApplication
@@ -17,12 +18,12 @@
 MAXIMUM_HEADER_BYTES = 65536
 
 
-def run_console(listen: str, document: str, status: str) -> int:
+def run_console(listen: str, document: str, status: StatusSource) -> int:
     """Serve the console until it is interrupted; return an exit code.
 
     :param listen: IP number and port.
     :param document: file with a document to begin with, empty if none.
-    :param status: URLs of instances to show, separated by commas.
+    :param status: instances to show.
     :raises ImproperlyConfigured: the address or the file is no good.
     """
     wrong = explain_address(listen)
@@ -46,7 +47,11 @@
     return 0
 
 
-def make_console(listen: str, document: str, status: str) -> wsgi.Server:
+def make_console(
+    listen: str,
+    document: str,
+    status: StatusSource,
+) -> wsgi.Server:
     """Return a server of the console that is not started yet.
 
     :param document: text of the document to offer, empty if none.
--- a/trefoilhinge/console/fields.py
+++ b/trefoilhinge/console/fields.py
@@ -15,11 +15,13 @@
     join_path,
 )
 from trefoilhinge.conf.schemas import find_schema
+from trefoilhinge.console.drafts import Draft
 from trefoilhinge.console.places import (
     Steps,
     is_lines,
     is_removable,
     join_steps,
+    parse_steps,
 )
 
 
@@ -42,6 +44,7 @@
     :ivar name: place in the document, and the name of the control.
     :ivar text: value as it is shown.
     :ivar choices: values of a choice.
+    :ivar known: names of the document that the field may refer to.
     :ivar problems: what is wrong with this field itself.
     :ivar inner: fields of a group, or items of a list.
     :ivar absent: whether a group is not in the document and may be added.
@@ -55,6 +58,7 @@
     text: str = ''
     required: bool = False
     choices: tuple[str, ...] = ()
+    known: tuple[str, ...] = ()
     problems: Problems = ()
     inner: tuple['FormField', ...] = ()
     absent: bool = False
@@ -68,18 +72,30 @@
 
 def make_section(
     steps: Steps,
-    value: Any,
+    draft: Draft,
     problems: Problems,
 ) -> FormField:
     """Return the form of one section of a document.
 
     :param steps: place of the section.
-    :param value: its value in the draft.
-    :param problems: problems of the whole draft.
+    :param draft: the whole draft.
+    :param problems: its problems.
     """
     schema = find_schema(load_schema('document'), steps)
-    maker = _FormMaker(problems)
-    return maker.make(steps, schema, value, required=True)
+    maker = _FormMaker(problems, draft.fields)
+    return maker.make(steps, schema, draft.find(steps), required=True)
+
+
+def find_anchor(form: FormField, path: str) -> str:
+    """Return the anchor of the innermost field that holds a JSON path.
+
+    :param form: the form to look in; its own anchor if no inner field fits.
+    """
+    for one in form.inner:
+        place = name_path(parse_steps(one.name))
+        if is_within(path, place):
+            return find_anchor(one, path)
+    return form.anchor
 
 
 def name_path(steps: Steps) -> str:
@@ -106,6 +122,7 @@
 @define
 class _FormMaker:
     _problems: Problems
+    _document: Mapping[str, Any]
 
     def make(
         self,
@@ -129,6 +146,7 @@
             text='' if groups else _show(value),
             required=required,
             choices=tuple(str(one) for one in _list_choices(schema)),
+            known=tuple(self._list_known(schema)),
             problems=tuple(self._find_problems(steps, control)),
             inner=inner,
             absent=control is Control.GROUP and value is None,
@@ -156,6 +174,12 @@
             schema = find_schema(load_schema('document'), place)
             yield self.make(place, schema, item, required=True)
 
+    def _list_known(self, schema: Mapping[str, Any]) -> Iterator[str]:
+        for one in self._document.get(schema.get('references', ''), ()):
+            name = one.get('name')
+            if name:
+                yield str(name)
+
     def _find_problems(
         self,
         steps: Steps,
--- a/trefoilhinge/console/pages.py
+++ b/trefoilhinge/console/pages.py
@@ -16,6 +16,7 @@
 from trefoilhinge.console.examples import CallerExample, list_examples
 from trefoilhinge.console.fields import (
     Control,
+    find_anchor,
     is_within,
     make_section,
     name_path,
@@ -43,6 +44,14 @@
     current: bool
 
 
+@frozen
+class AnchoredProblem:
+    """A problem and the field of the page that it belongs to."""
+
+    problem: DocumentProblem
+    anchor: str
+
+
 @frozen
 class Frame:
     """What every page shows beside its own matter.
@@ -84,7 +93,7 @@
     """
     checked = draft.check()
     problems = checked.error if checked.is_error() else ()
-    form = make_section(steps, draft.find(steps), problems)
+    form = make_section(steps, draft, problems)
     if not steps:
         inner = tuple(
             one
@@ -101,7 +110,11 @@
         section=join_steps(steps),
         navigation=_make_navigation(steps, problems),
         indexed=len(steps) == 1 and steps[0] in ITEMISED,
-        problems=[one for one in problems if _concerns(one, path, steps)],
+        problems=[
+            AnchoredProblem(one, find_anchor(form, one.path))
+            for one in problems
+            if _concerns(one, path, steps)
+        ],
         key=key,
         examples=_find_examples(checked, steps),
     )
