--- a/trefoilhinge/console/fields.py
+++ b/trefoilhinge/console/fields.py
@@ -16,6 +16,11 @@
 )
 from trefoilhinge.conf.schemas import find_schema
 from trefoilhinge.console.drafts import Draft
+from trefoilhinge.console.labels import (
+    describe_schema,
+    label_name,
+    show_value,
+)
 from trefoilhinge.console.places import (
     Steps,
     is_lines,
@@ -112,13 +117,6 @@
     return rest != path and (not rest or rest[0] in '.[')
 
 
-def label_name(name: str) -> str:
-    """Return the label of a field, its unit written out."""
-    words = name.replace('_per_s', ' a second').replace('_s', ' (seconds)')
-    words = words.replace('_per_minute', ' a minute').replace('_', ' ')
-    return words[:1].upper() + words[1:]
-
-
 @define
 class _FormMaker:
     _problems: Problems
@@ -143,7 +141,7 @@
             label=_label(steps, schema, value),
             help=describe_schema(schema, required),
             control=control,
-            text='' if groups else _show(value),
+            text='' if groups else show_value(value),
             required=required,
             choices=tuple(str(one) for one in _list_choices(schema)),
             known=tuple(self._list_known(schema)),
@@ -195,36 +193,6 @@
                 yield problem
 
 
-def describe_schema(schema: Mapping[str, Any], required: bool) -> str:
-    """Return the help of a field: description, form, range and default."""
-    parts = [schema.get('description', '')]
-    if '$comment' in schema:
-        parts.append(f'Write {schema["$comment"]}.')
-    bounds = _describe_bounds(schema)
-    if bounds:
-        parts.append(f'{bounds}.')
-    if schema['type'] == 'array' and is_lines(schema):
-        parts.append('One a line.')
-    default = _show(schema.get('default'))
-    if default and not required:
-        parts.append(f'Empty takes {default}.')
-    return ' '.join(part for part in parts if part)
-
-
-def _describe_bounds(schema: Mapping[str, Any]) -> str:
-    bounds = [
-        f'{words} {schema[name]:,}'
-        for name, words in (
-            ('minimum', 'at least'),
-            ('exclusiveMinimum', 'above'),
-            ('maximum', 'at most'),
-        )
-        if name in schema
-    ]
-    text = ', '.join(bounds)
-    return text[:1].upper() + text[1:]
-
-
 def _choose_control(schema: Mapping[str, Any]) -> Control:
     if schema.get('readOnly'):
         return Control.FIXED
@@ -255,13 +223,3 @@
     if isinstance(value, dict):
         name = value.get('name') or value.get('identifier') or ''
     return f'{kind} {name or last + 1}'
-
-
-def _show(value: Any) -> str:
-    if value is None:
-        return ''
-    if isinstance(value, bool):
-        return 'true' if value else 'false'
-    if isinstance(value, list):
-        return '\n'.join(_show(one) for one in value)
-    return str(value)
