Checked the lease of an order on both clocks before it is sent.

Cause: the lease of an order was never looked at, so that an order that lay in a queue through a pause was sent late. A call that may have run and found no budget was refused as overloaded.

Change: a late order is not sent and counts as refused. A lack of budget shows only in the refusal of a call that did not run.

--- a/tests/retries/test_policy.py
+++ b/tests/retries/test_policy.py
@@ -91,6 +91,15 @@
         self.spend_all(policy, at(0))
         assert self.spend_all(policy, at(11)) == 2
 
+    def test_call_that_may_have_run_is_not_told_to_be_overloaded(self):
+        policy = make_careful_retry_policy(1)
+        self.spend_all(policy, at(0))
+        decision = decide(policy, end(AttemptOutcome.ERRORED))
+        assert decision == GiveUp(
+            Verdict.MAY_HAVE_RUN,
+            RefusalCode.TARGET_FAILED,
+        )
+
     def test_target_that_fails_everybody_is_spared(self):
         policy = make_careful_retry_policy(1)
         decisions = [
--- a/trefoilhinge/entry/daemon.py
+++ b/trefoilhinge/entry/daemon.py
@@ -221,6 +221,7 @@
         node.report,
         node.note_ready,
         node.stopped.set,
+        node.clock,
     )
     node.actor = NodeActor.start(node.core, node.clock, performer.perform)
     service = CallService(
--- a/trefoilhinge/entry/performer.py
+++ b/trefoilhinge/entry/performer.py
@@ -8,7 +8,8 @@
 
 from trefoilhinge.calls.mailboxes import Mailboxes
 from trefoilhinge.core import effects as fx
-from trefoilhinge.core.events import Event
+from trefoilhinge.core.clocks import Clock
+from trefoilhinge.core.events import Event, OrderAnswered
 from trefoilhinge.entry.logs import write_failure, write_log_event
 from trefoilhinge.entry.peers import PeerClient
 from trefoilhinge.entry.replies import Replies
@@ -28,6 +29,7 @@
     _report: Callable[[Event], None]
     _set_ready: Callable[[bool], None]
     _stop: Callable[[], None]
+    _clock: Clock
     _actions: dict[type[Any], Callable[[Any], None]] = field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
@@ -48,7 +50,7 @@
             fx.AnswerPeer: self._answer,
             fx.AnswerKey: self._answer,
             fx.ReadEngineState: self._ask(self._engines.read_state),
-            fx.SendOrder: self._ask(self._engines.send_order),
+            fx.SendOrder: self._ask(self._send_order),
             fx.LogEvent: write_log_event,
             fx.ReportReadiness: self._report_ready,
             fx.StopProcess: self._stop_process,
@@ -65,6 +67,14 @@
 
         return submit
 
+    def _send_order(self, order: fx.SendOrder) -> OrderAnswered:
+        now = self._clock.read()
+        late = now.monotonic_s >= order.lease.monotonic_s
+        if late or now.wall_s >= order.lease.wall_s:
+            # It was not sent, so it is free to be ordered anew.
+            return OrderAnswered(order.target, order.fence, accepted=False)
+        return self._engines.send_order(order)
+
     def _submit(self, work: Callable[[], None]) -> None:
         def run() -> None:
             try:
--- a/trefoilhinge/retries/policy.py
+++ b/trefoilhinge/retries/policy.py
@@ -62,7 +62,10 @@
         if late or ended.attempt.number >= MAXIMUM_ATTEMPTS:
             return GiveUp(verdict, RefusalCode.TARGET_FAILED, asked_s)
         if not self._spend(profile, ended, target, now):
-            return GiveUp(verdict, RefusalCode.OVERLOADED, asked_s)
+            code = RefusalCode.TARGET_FAILED
+            if harmless:
+                code = RefusalCode.OVERLOADED
+            return GiveUp(verdict, code, asked_s)
         return RetryAfter(delay_s)
 
     def _spend(
