--- a/trefoilhinge/faults/promises.py
+++ b/trefoilhinge/faults/promises.py
@@ -30,6 +30,7 @@
     yield from _check_refusals(world)
     yield from _check_single_runs(world)
     yield from _check_stops(world, stopped)
+    yield from _check_orders(world)
 
 
 def count_runs(world: FaultWorld) -> Counter[RequestId]:
@@ -114,6 +115,9 @@
         refusal = call.refusal
         if refusal is None or refusal.verdict is not Verdict.NOT_RUN:
             continue
+        if call.gone:
+            # Nobody was there to be told.
+            continue
         name = call.profile.request_id
         for other in _list_same(world, call):
             if runs[other.profile.request_id] and _is_before(other, call):
@@ -155,6 +159,30 @@
             yield Violation(5, f'{key} ran {count} times')
 
 
+def _check_orders(world: FaultWorld) -> Iterator[Violation]:
+    """Compare each engine with the newest document that is in force."""
+    documents = [
+        driver.core.parts.keeper.document
+        for driver in world.drivers.values()
+        if world.is_up(driver.name)
+    ]
+    newest = max(
+        (one for one in documents if one is not None),
+        key=lambda one: one.revision,
+        default=None,
+    )
+    if newest is None or newest.services[0].desired is None:
+        return
+    wanted = newest.services[0].desired.version
+    for engine in world.world.engines.values():
+        if engine.version != wanted and not (engine.dead or engine.leaving):
+            yield Violation(
+                8,
+                f'{engine.name} runs {engine.version} where revision '
+                f'{newest.revision} asks for {wanted}',
+            )
+
+
 def _check_stops(world: FaultWorld, stopped: set[str]) -> Iterator[Violation]:
     for life in (*world.retired, *world.drivers.values()):
         if life.stopped:
--- a/trefoilhinge/faults/walk.py
+++ b/trefoilhinge/faults/walk.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 
 import numpy as np
-from attrs import define, field
+from attrs import define, evolve, field
 
 from trefoilhinge.faults.callers import Callers, Kind
 from trefoilhinge.faults.catalogue import FAULTS, Scene, Undo
@@ -18,7 +18,7 @@
 from trefoilhinge.standins.simulation.steps import Site, Step
 
 WARM_UP_S = 4.0
-SETTLE_S = 62.0
+SETTLE_S = 75.0
 LONGEST_STEP_S = 0.8
 MAXIMUM_ACTIVE = 3
 _CALL_WEIGHTS = (0.4, 0.15, 0.05, 0.25, 0.15)
@@ -91,6 +91,9 @@
 
         def strike(site: Site) -> None:
             site = site if site.target else self._choose_site(site)
+            if name == 'target-leaving' and site.target in PLAINS:
+                # Plain targets have no incarnations: only one may leave.
+                site = evolve(site, target=PLAINS[0])
             self.active.append((name, FAULTS[name].strike(self.scene, site)))
 
         self.probe.load = strike
@@ -112,8 +115,7 @@
         for engine in world.world.engines.values():
             if engine.leaving and not engine.running and not engine.waiting:
                 engine.restart()
-                world.world.notices.pop(engine.name, None)
-                world.world.starts.pop(engine.name, None)
+                world.forget_leaving(engine.name)
 
 
 def run_walk(
