Worked out the live instances a few times a second only.

Change: the set is kept until a peer comes, goes or is heard again, for at most a quarter of a second.

--- a/tests/membership/test_fleet.py
+++ b/tests/membership/test_fleet.py
@@ -111,6 +111,18 @@
         assert fleet.find_standing('c', at(5)) is PeerStanding.UNREACHABLE
         assert InstanceIdentity('c', 1) in fleet.list_live(at(5))
 
+    def test_live_instances_change_with_each_message(self):
+        fleet = make_fleet()
+        for number, name in enumerate('bcd', 1):
+            assert len(fleet.list_live(at(0))) == number
+            fleet.note_exchange(say(name), at(0))
+        fleet.note_exchange(say('b', incarnation=2), at(0))
+        assert InstanceIdentity('b', 2) in fleet.list_live(at(0))
+        assert InstanceIdentity('b', 1) not in fleet.list_live(at(0))
+        assert len(fleet.list_live(at(9))) == 1
+        fleet.note_exchange(say('c', sequence=2), at(9))
+        assert len(fleet.list_live(at(9))) == 2
+
     def test_peer_that_nobody_hears_is_suspect_and_still_expected(self):
         fleet = make_fleet()
         fleet.note_exchange(say('c'), at(0))
--- a/trefoilhinge/membership/fleet.py
+++ b/trefoilhinge/membership/fleet.py
@@ -30,6 +30,7 @@
 SEEDS_A_ROUND = 2
 MAXIMUM_BACK_OFF_ROUNDS = 32
 FORGET_ROUNDS = 16
+LIVE_INTERVAL_S = 0.25
 SEED_PREFIX = 'seed:'
 
 Addresses = tuple[tuple[InstanceName, str], ...]
@@ -50,6 +51,8 @@
     _round: int = 0
     _turn: list[InstanceName] = field(factory=list)
     _spoken: list[InstanceName] = field(factory=list)
+    _live: frozenset[InstanceIdentity] = frozenset()
+    _live_turn: tuple[int, float] | None = None
 
     def configure(self, document: Document, now: Instant) -> None:
         """Take the document's targets."""
@@ -173,13 +176,21 @@
         return ahead < count
 
     def list_live(self, now: Instant) -> frozenset[InstanceIdentity]:
-        """Return the instances heard from, this one included."""
-        live = {
-            InstanceIdentity(name, peer.incarnation)
-            for name, peer in self._book.peers.items()
-            if self._book.is_live(peer, now)
-        }
-        return frozenset((self._identity, *live))
+        """Return the instances heard from, this one included.
+
+        Asked many times a second, it is worked out anew when a peer comes,
+        goes or is heard again, and otherwise a few times a second.
+        """
+        turn = (self._book.version, now.monotonic_s // LIVE_INTERVAL_S)
+        if turn != self._live_turn:
+            self._live_turn = turn
+            live = {
+                InstanceIdentity(name, peer.incarnation)
+                for name, peer in self._book.peers.items()
+                if self._book.is_live(peer, now)
+            }
+            self._live = frozenset((self._identity, *live))
+        return self._live
 
     def count_expected(self) -> int:
         """Return how many instances there should be.
--- a/trefoilhinge/membership/peers.py
+++ b/trefoilhinge/membership/peers.py
@@ -60,10 +60,14 @@
 
 @define
 class PeerBook:
-    """Every peer by name; forgets those that are gone."""
+    """Every peer by name; forgets those that are gone.
+
+    :ivar version: number that grows when a peer comes, goes or is heard again.
+    """
 
     _own: InstanceIdentity
     peers: dict[InstanceName, Peer] = field(factory=dict)
+    version: int = 0
 
     def note_listed(
         self,
@@ -99,7 +103,7 @@
         peer.address = exchange.address or peer.address
         peer.taken = exchange.sequence
         peer.heartbeat = max(peer.heartbeat, exchange.sequence)
-        peer.heard_s = now.monotonic_s
+        self._note_heard(peer, now)
         peer.stopping = peer.stopping or exchange.stopping
         peer.silences = 0
         return True
@@ -125,7 +129,7 @@
         peer.stopping = peer.stopping or word.stopping
         if word.heartbeat > peer.heartbeat:
             peer.heartbeat = word.heartbeat
-            peer.heard_s = now.monotonic_s
+            self._note_heard(peer, now)
 
     def note_silent(self, name: InstanceName) -> None:
         """Take that a peer did not answer here."""
@@ -171,6 +175,12 @@
         )
         for name in gone:
             del self.peers[name]
+            self.version += 1
+
+    def _note_heard(self, peer: Peer, now: Instant) -> None:
+        if not self.is_live(peer, now):
+            self.version += 1
+        peer.heard_s = now.monotonic_s
 
     def _find_window_s(self) -> float:
         # With more peers than are asked directly, heartbeats travel in
@@ -194,6 +204,7 @@
         elif len(self.peers) >= MAXIMUM_PEERS:
             del self.peers[min(self.peers, key=self._find_last)]
         self.peers[name] = peer
+        self.version += 1
         return peer
 
     def _find_last(self, name: InstanceName) -> float:
