Ended keys of requests that were lost without an end.

Cause: a key whose request was dropped, as by an error in its node, stayed in use until the instance ended.

Change: a minute after its deadline such a request counts as one that may have run; its key is never granted again.

--- a/tests/retries/test_ledger.py
+++ b/tests/retries/test_ledger.py
@@ -195,6 +195,19 @@
         ledger.expire(at(1701))
         assert ledger.claim(fresh, at(1701)) == ClaimGranted()
 
+    def test_key_of_a_request_that_was_lost_is_not_in_use_for_ever(self):
+        ledger = make_ledger()
+        call = make_call(ledger.mint_key('hotel', at(0)))
+        assert ledger.claim(call, at(0)) == ClaimGranted()
+        again = make_call(call.key, 'r2')
+        ledger.expire(at(119))
+        assert read(ledger.claim(again, at(119)))[0] is RefusalCode.KEY_IN_USE
+        ledger.expire(at(121))
+        assert read(ledger.claim(again, at(121))) == (
+            RefusalCode.ALREADY_RAN,
+            Verdict.MAY_HAVE_RUN,
+        )
+
 
 class TestHandover:
     def hand_over(self, owner, successor, now):
--- a/trefoilhinge/retries/ledger.py
+++ b/trefoilhinge/retries/ledger.py
@@ -35,6 +35,7 @@
 
 MAXIMUM_ENTRIES = 65_536
 BODY_DIGITS = 16
+LOST_REQUEST_S = 60.0
 _MS_PER_S = 1000
 
 
@@ -43,12 +44,14 @@
     """One key that was granted here.
 
     :ivar request_id: request that holds the grant; only it may settle.
+    :ivar deadline_s: monotonic seconds by which that request has ended.
     :ivar ended_s: monotonic seconds at which it ended, none while it runs.
     """
 
     request_id: RequestId
     body: str
     expires_ms: int
+    deadline_s: float
     verdict: Verdict = Verdict.NOT_RUN
     ended_s: float | None = None
 
@@ -167,6 +170,7 @@
         """Forget keys that expired and whose window after use has passed."""
         self._note_time(now)
         self._adopted.expire(now)
+        self._end_lost(now)
         horizon_s = now.monotonic_s - self._window_s
         stale = tuple(
             nonce
@@ -178,6 +182,15 @@
         for nonce in stale:
             del self._entries[nonce]
 
+    def _end_lost(self, now: Instant) -> None:
+        # A request that was dropped without its end, as by an error, must
+        # not keep its key in use for ever.
+        for entry in self._entries.values():
+            late_s = now.monotonic_s - entry.deadline_s
+            if entry.ended_s is None and late_s > LOST_REQUEST_S:
+                entry.verdict = Verdict.MAY_HAVE_RUN
+                entry.ended_s = now.monotonic_s
+
     def _claim_own(self, key: MintedKey, profile: CallProfile) -> Claim:
         body = profile.body_digest[:BODY_DIGITS]
         entry = self._entries.get(key.nonce)
@@ -192,6 +205,7 @@
         if self._sealed:
             return ClaimRefused(refusals.refuse_retired_key())
         entry.request_id = profile.request_id
+        entry.deadline_s = profile.deadline_s
         entry.ended_s = None
         return ClaimGranted()
 
@@ -208,7 +222,12 @@
             return ClaimRefused(refusals.refuse_retired_key())
         if len(self._entries) >= self._maximum_entries:
             return ClaimRefused(refusals.refuse_full(self._maximum_entries))
-        entry = _Entry(profile.request_id, body, key.expires_ms)
+        entry = _Entry(
+            profile.request_id,
+            body,
+            key.expires_ms,
+            profile.deadline_s,
+        )
         self._entries[key.nonce] = entry
         return ClaimGranted()
 
