--- a/trefoilhinge/platform/engines.py
+++ b/trefoilhinge/platform/engines.py
@@ -173,7 +173,7 @@
             'POST',
             f'http://{step.address}/kv/{step.step}',
             request,
-            remaining_s,
+            _limit_step_s(step, remaining_s),
         )
         done = fields is not None and bool(fields.get('done'))
         handle = str(fields.get('handle', '')) if fields else ''
@@ -255,6 +255,16 @@
         return None
 
 
+def _limit_step_s(step: RunGroupStep, remaining_s: float) -> float:
+    """Return the seconds that a step of a group may take.
+
+    A reservation is answered at once; the other steps move or compute KV.
+    """
+    if step.step == 'reserve':
+        return min(remaining_s, CONTROL_TIMEOUT_S)
+    return remaining_s
+
+
 def make_http_engine_client(
     order_token: str,
     pool: urllib3.PoolManager | None = None,
