--- a/tests/faults/test_broken.py
+++ b/tests/faults/test_broken.py
@@ -4,7 +4,7 @@
 
 from trefoilhinge.conf.document import digest_text, parse_document
 from trefoilhinge.conf.keeper import NewestDocumentKeeper
-from trefoilhinge.core.effects import StopProcess
+from trefoilhinge.core.effects import SendOrder, StopProcess
 from trefoilhinge.core.events import StopRequested
 from trefoilhinge.core.lines import StreamEvent
 from trefoilhinge.core.progress import AnswerProgress
@@ -178,6 +178,50 @@
         cell = Cell(('target-leaving',), Step.ACCEPTED, Kind.BOOKING)
         assert 6 in find_promises(cell, prepare)
 
+    def test_order_not_sent(self):
+        """Engines left on an old version are caught."""
+        prepare = replace_part(
+            steward=lambda parts: Altered(
+                parts.steward,
+                {'note_state': lambda *_: ()},
+            ),
+        )
+        cell = Cell(('configuration-down',), Step.DOCUMENT_READ)
+        assert 8 in find_promises(cell, prepare)
+
+    def test_release_forgotten(self):
+        """A runner that forgets to release is caught."""
+        prepare = replace_part(
+            groups=lambda parts: Altered(
+                parts.groups,
+                {
+                    'release': lambda *_: (),
+                    'note_state': lambda *_: (),
+                },
+            ),
+        )
+        cell = Cell(('caller-gone',), Step.RESERVED, Kind.GROUP)
+        assert not find_promises(cell)
+        assert 2 in find_promises(cell, prepare)
+
+    def test_fence_skipped(self):
+        """A steward that takes no account of fences is caught."""
+
+        def skip_fences(parts):
+            note_state = parts.steward.note_state
+
+            def send_old_fence(event, now):
+                effects = note_state(event, now)
+                return tuple(
+                    evolve(one, fence=0) if isinstance(one, SendOrder) else one
+                    for one in effects
+                )
+
+            return Altered(parts.steward, {'note_state': send_old_fence})
+
+        cell = Cell(('configuration-down',), Step.DOCUMENT_READ)
+        assert 8 in find_promises(cell, replace_part(steward=skip_fences))
+
     def test_call_without_end(self, monkeypatch):
         """A call that outlives its time is caught."""
         monkeypatch.setattr(CallDesk, '_expire', lambda *_: [])
--- a/trefoilhinge/faults/matrix.py
+++ b/trefoilhinge/faults/matrix.py
@@ -7,7 +7,7 @@
 
 from trefoilhinge.faults.callers import Callers, Kind
 from trefoilhinge.faults.catalogue import FAULTS, Scene
-from trefoilhinge.faults.promises import check_promises
+from trefoilhinge.faults.promises import check_promises, settle_orders
 from trefoilhinge.faults.scenarios import END_S, schedule_traffic
 from trefoilhinge.faults.watcher import Violation, Watcher
 from trefoilhinge.faults.world import FaultWorld, make_fault_world
@@ -120,8 +120,11 @@
     if cell.faults and not probe.struck:
         return CellResult(cell, reason='the step was not reached')
     scene = probe.scene
-    found = check_promises(scene.world, scene.paused_until_s, scene.stopped)
-    return CellResult(cell, (*watcher.violations, *found))
+    found = tuple(
+        check_promises(scene.world, scene.paused_until_s, scene.stopped),
+    )
+    late = settle_orders(scene.world)
+    return CellResult(cell, (*watcher.violations, *found, *late))
 
 
 def play_cell(
--- a/trefoilhinge/faults/promises.py
+++ b/trefoilhinge/faults/promises.py
@@ -3,6 +3,7 @@
 from collections import Counter
 from collections.abc import Iterator
 
+from trefoilhinge.conf.generated.document import Document
 from trefoilhinge.core.identifiers import RequestId
 from trefoilhinge.core.lines import DONE_DATA
 from trefoilhinge.core.verdicts import RefusalCode, Verdict
@@ -12,6 +13,8 @@
 from trefoilhinge.standins.simulation.world import CallRecord
 
 LATE_S = 0.5
+ORDERS_S = 120.0
+ORDERS_STEP_S = 5.0
 
 
 def check_promises(
@@ -30,7 +33,6 @@
     yield from _check_refusals(world)
     yield from _check_single_runs(world)
     yield from _check_stops(world, stopped)
-    yield from _check_orders(world)
 
 
 def count_runs(world: FaultWorld) -> Counter[RequestId]:
@@ -159,7 +161,21 @@
             yield Violation(5, f'{key} ran {count} times')
 
 
-def _check_orders(world: FaultWorld) -> Iterator[Violation]:
+def settle_orders(world: FaultWorld) -> tuple[Violation, ...]:
+    """Let orders go on, at most for their time, and return what is wrong.
+
+    Loads are paced for the weight store's sake, and after a fault each
+    steward waits for a settled view: engines have their own time limit.
+    """
+    until_s = world.now_s + ORDERS_S
+    found = tuple(check_orders(world))
+    while found and world.now_s < until_s:
+        world.world.simulation.run_until(world.now_s + ORDERS_STEP_S)
+        found = tuple(check_orders(world))
+    return found
+
+
+def check_orders(world: FaultWorld) -> Iterator[Violation]:
     """Compare each engine with the newest document that is in force."""
     documents = [
         driver.core.parts.keeper.document
@@ -171,9 +187,9 @@
         key=lambda one: one.revision,
         default=None,
     )
-    if newest is None or newest.services[0].desired is None:
+    if newest is None:
         return
-    wanted = newest.services[0].desired.version
+    wanted = find_version(newest)
     for engine in world.world.engines.values():
         if engine.version != wanted and not (engine.dead or engine.leaving):
             yield Violation(
@@ -183,6 +199,15 @@
             )
 
 
+def find_version(document: Document) -> str:
+    """Return the version that a document asks the engines to run."""
+    return next(
+        one.desired.version
+        for one in document.services
+        if one.desired is not None
+    )
+
+
 def _check_stops(world: FaultWorld, stopped: set[str]) -> Iterator[Violation]:
     for life in (*world.retired, *world.drivers.values()):
         if life.stopped:
--- a/trefoilhinge/faults/walk.py
+++ b/trefoilhinge/faults/walk.py
@@ -8,7 +8,7 @@
 from trefoilhinge.faults.callers import Callers, Kind
 from trefoilhinge.faults.catalogue import FAULTS, Scene, Undo
 from trefoilhinge.faults.matrix import Prepare
-from trefoilhinge.faults.promises import check_promises
+from trefoilhinge.faults.promises import check_promises, settle_orders
 from trefoilhinge.faults.watcher import Violation, Watcher
 from trefoilhinge.faults.world import (
     ENGINES,
@@ -142,5 +142,5 @@
         walk.take_step()
     callers.last_retry_s = world.now_s
     walk.settle()
-    found = check_promises(world, scene.paused_until_s, scene.stopped)
-    return (*watcher.violations, *found)
+    found = tuple(check_promises(world, scene.paused_until_s, scene.stopped))
+    return (*watcher.violations, *found, *settle_orders(world))
