--- a/tests/docs/test_pages.py
+++ b/tests/docs/test_pages.py
@@ -10,7 +10,7 @@
 ROOT = pathlib.Path(__file__).parents[2]
 DOCS = ROOT / 'docs'
 CODE = ROOT / 'trefoilhinge'
-# Written when the sitting's measurements and capacity are known.
+# Pages whose figures come from runs; links to them may come first.
 PLANNED = {'CAPACITY.md', 'measurements.md'}
 
 
--- a/trefoilhinge/node/desk.py
+++ b/trefoilhinge/node/desk.py
@@ -257,9 +257,9 @@
                 return []
             case Impossible(refusal):
                 return self._refuse(record, refusal, now)
-            case PlacedOn(target):
+            case PlacedOn(target, priority):
                 self._begin_attempt(record, (target,), now)
-                return [self._dispatch(record, target, now, None)]
+                return [self._dispatch(record, target, now, None, priority)]
             case PlacedOnGroup(members):
                 return self._start_group(record, members, now)
 
@@ -300,6 +300,7 @@
         target: TargetView,
         now: Instant,
         tag: HoldingTag | None,
+        priority: int | None = None,
     ) -> Dispatch:
         profile = record.profile
         record.state = CallState.SENT
@@ -311,7 +312,7 @@
             attempt=record.attempt,
             target=target.name,
             address=target.address,
-            priority=profile.priority,
+            priority=profile.priority if priority is None else priority,
             deadline_s=profile.deadline_s,
             lease=now.shift(SEND_LEASE_S),
             fresh_connection=not profile.idempotent,
@@ -472,7 +473,7 @@
         now: Instant,
     ) -> Effects:
         profile = record.profile
-        effects = self._release(record, AttemptOutcome.NOT_SENT, now)
+        effects = self._release(record, AttemptOutcome.ABANDONED, now)
         if record.state in {CallState.SENT, CallState.ASKING}:
             effects.extend(_cancel(record))
         tokens = 0
--- a/trefoilhinge/standins/simulation/platform.py
+++ b/trefoilhinge/standins/simulation/platform.py
@@ -1,14 +1,14 @@
 """Carries out what a node asks of targets, the platform and its peers."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import TYPE_CHECKING, Any
 
-from attrs import define
+from attrs import define, evolve
 
 from trefoilhinge.core import effects as fx
 from trefoilhinge.core import events as ev
 from trefoilhinge.core.identifiers import InstanceName
-from trefoilhinge.core.reports import Holding
+from trefoilhinge.core.reports import CacheEvent, Holding, LoadReport
 from trefoilhinge.standins.simulation.chains import Link
 from trefoilhinge.standins.simulation.engine import FakeEngine
 from trefoilhinge.standins.simulation.network import LOST_TIMEOUT_S
@@ -153,17 +153,23 @@
         self._ask(effect.target, serve, lost)
 
     def _read_load(self, effect: fx.ReadLoad) -> None:
+        """Read a target's load and cache events; each comes with its lag."""
         engine = self._world.engines[effect.target]
-
-        def take(event: ev.Event | None) -> None:
-            found = event or ev.LoadRead(effect.target, None)
-            self._world.simulation.schedule(
-                self._world.load_lag_s,
-                lambda: self._driver.report(found),
-            )
-
-        def serve() -> ev.Event:
-            return ev.LoadRead(effect.target, engine.report_load())
+        found: list[CacheEvent] = []
+
+        def serve() -> LoadReport:
+            found.extend(self._list_cache_events(effect, engine))
+            return engine.report_load()
+
+        def take(report: LoadReport | None) -> None:
+            self._deliver_load(effect, report)
+            if found:
+                self._world.simulation.schedule(
+                    self._world.cache_lag_s,
+                    lambda: self._driver.report(
+                        ev.CacheEventsRead(effect.target, tuple(found)),
+                    ),
+                )
 
         self._world.network.request(
             self._driver.name,
@@ -171,15 +177,29 @@
             serve,
             take,
         )
-        self._read_cache(effect, engine)
 
-    def _read_cache(self, effect: fx.ReadLoad, engine: FakeEngine) -> None:
-        def serve() -> ev.Event:
-            newer = tuple(engine.cache_events[effect.after_sequence :])
-            return ev.CacheEventsRead(effect.target, newer)
+    def _deliver_load(
+        self,
+        effect: fx.ReadLoad,
+        report: LoadReport | None,
+    ) -> None:
+        lag_s = self._world.load_lag_s
+        if report is not None:
+            report = evolve(report, age_s=lag_s)
+        event = ev.LoadRead(effect.target, report)
+        self._world.simulation.schedule(
+            lag_s,
+            lambda: self._driver.report(event),
+        )
 
-        lost = ev.CacheEventsRead(effect.target, ())
-        self._ask(effect.target, serve, lost)
+    def _list_cache_events(
+        self,
+        effect: fx.ReadLoad,
+        engine: FakeEngine,
+    ) -> Iterable[CacheEvent]:
+        newer = engine.cache_events[effect.after_sequence :]
+        gap = self._world.cache_gap
+        return (one for one in newer if not gap or one.sequence % gap)
 
     def _read_instances(self, effect: fx.ReadInstances) -> None:
         platform = self._world.platform
