--- /dev/null
+++ b/trefoilhinge/demo/relay_cost.py
@@ -0,0 +1,212 @@
+"""Measures what one relayed token and one open stream cost an entry instance.
+
+Run as ``python -m trefoilhinge.demo.relay_cost``; it prints one JSON object
+for each number of streams. The engine, the callers and the entry instance
+are three processes, so that only the relay is counted. Linux only: processor
+time and memory are read from ``/proc``.
+"""
+
+import json
+import multiprocessing
+import subprocess
+import sys
+import threading
+import time
+from collections.abc import Mapping
+from multiprocessing.connection import Connection
+
+import fire
+import numpy as np
+import urllib3
+from attrs import asdict, frozen
+
+from trefoilhinge.demo.deployment import (
+    DeploymentShape,
+    add_key,
+    list_entry_flags,
+)
+from trefoilhinge.demo.relay_parties import (
+    KIBIBYTE,
+    OUTPUT_TOKENS,
+    Caller,
+    EntryUsage,
+)
+from trefoilhinge.standins.engines import EngineStandIn
+from trefoilhinge.standins.publications import PlatformStandIn
+from trefoilhinge.standins.servers import start_server
+
+STREAMS = (50, 150, 300)
+EVENT_INTERVAL_S = 0.04
+WINDOW_S = 8.0
+SETTLE_S = 1.0
+START_TIMEOUT_S = 30
+ENGINE_THREADS = 340
+MILLISECONDS = 1000
+
+
+@frozen
+class RelayCost:
+    """Cost of the relay at one number of streams.
+
+    :ivar cpu_us_per_token: processor time of the entry, in microseconds.
+    :ivar kib_per_stream: resident memory beyond that of the idle process.
+    :ivar gap_p95_ms: 95th percentile of the callers' time between reads.
+    """
+
+    streams: int
+    tokens_per_s: float
+    cores: float
+    cpu_us_per_token: float
+    rss_mib: float
+    kib_per_stream: float
+    gap_p95_ms: float
+
+
+def serve_engine(pipe: Connection) -> None:
+    """Run the engine until the parent closes its end of the pipe."""
+    engine = EngineStandIn('engine', decode_interval_s=EVENT_INTERVAL_S)
+    engine.batch.maximum_running = ENGINE_THREADS
+    engine.memory.capacity_tokens = ENGINE_THREADS * OUTPUT_TOKENS * 2
+    pipe.send(start_server(engine, threads=ENGINE_THREADS).address)
+    pipe.recv()
+
+
+def make_document(engine_address: str) -> dict[str, object]:
+    """Return a document of one service with one engine."""
+    target = {
+        'name': 'engine',
+        'address': engine_address,
+        'failure_domain': 'one',
+    }
+    return {
+        'revision': 1,
+        'deployment': 'relay',
+        'failure_domains': [{'name': 'one', 'region': 'one'}],
+        'organisations': [
+            {
+                'name': 'callers',
+                'keys': [],
+                'requests_per_s': 10_000,
+                'tokens_per_s': 1e9,
+                'services': ['relay'],
+            },
+        ],
+        'services': [
+            {
+                'name': 'relay',
+                'kind': 'model',
+                'targets': [target],
+                'memory_tokens': ENGINE_THREADS * OUTPUT_TOKENS * 2,
+                'maximum_running': ENGINE_THREADS,
+            },
+        ],
+        'time_limits': {'default_s': 600, 'maximum_s': 900},
+        'balance': {'long_weight': 0.5},
+    }
+
+
+def measure_streams(
+    count: int,
+    url: str,
+    key: str,
+    usage: EntryUsage,
+    idle_kib: int,
+) -> RelayCost:
+    """Open streams, let them run for a while and return their cost."""
+    callers = [Caller(url, key) for _ in range(count)]
+    for caller in callers:
+        threading.Thread(target=caller.run, daemon=True).start()
+    for caller in callers:
+        caller.begun.wait(START_TIMEOUT_S)
+    time.sleep(SETTLE_S)
+    for caller in callers:
+        caller.gaps_s.clear()
+    tokens = sum(caller.tokens for caller in callers)
+    cpu_s = usage.read_cpu_s()
+    begun_s = time.monotonic()
+    time.sleep(WINDOW_S)
+    elapsed_s = time.monotonic() - begun_s
+    cpu_s = usage.read_cpu_s() - cpu_s
+    tokens = sum(caller.tokens for caller in callers) - tokens
+    rss_kib = usage.read_rss_kib()
+    gaps_s = [gap for caller in callers for gap in list(caller.gaps_s)]
+    for caller in callers:
+        caller.stopping.set()
+    return RelayCost(
+        count,
+        round(tokens / elapsed_s),
+        round(cpu_s / elapsed_s, 3),
+        round(cpu_s / max(tokens, 1) * MILLISECONDS**2, 1),
+        round(rss_kib / KIBIBYTE, 1),
+        round((rss_kib - idle_kib) / count, 1),
+        round(float(np.percentile(gaps_s, 95)) * MILLISECONDS, 1),
+    )
+
+
+def measure(streams: tuple[int, ...] = STREAMS) -> None:
+    """Measure each number of streams and print one JSON object a line."""
+    near, far = multiprocessing.Pipe()
+    engine = multiprocessing.get_context('spawn').Process(
+        target=serve_engine,
+        args=(far,),
+        daemon=True,
+    )
+    engine.start()
+    document = make_document(near.recv())
+    organisations = document['organisations']
+    key = add_key(organisations[0])  # type: ignore[index]
+    platform = PlatformStandIn()
+    platform.publish(json.dumps(document))
+    address = start_server(platform).address
+    shape = DeploymentShape(instances=1)
+    flags = list_entry_flags(document, address, shape)[0]
+    words = [f'--{name}={_join(value)}' for name, value in flags.items()]
+    command = [sys.executable, '-m', 'trefoilhinge', 'entry', *words]
+    with subprocess.Popen(command, stderr=subprocess.DEVNULL) as entry:
+        try:
+            _measure_all(streams, flags, key, EntryUsage(entry.pid))
+        finally:
+            entry.kill()
+            near.send('stop')
+
+
+def _measure_all(
+    streams: tuple[int, ...],
+    flags: Mapping[str, object],
+    key: str,
+    usage: EntryUsage,
+) -> None:
+    _wait_ready(f'http://{flags["peer_listen"]}/readyz')
+    idle_kib = usage.read_rss_kib()
+    for count in streams:
+        cost = measure_streams(
+            count,
+            f'http://{flags["listen"]}',
+            key,
+            usage,
+            idle_kib,
+        )
+        print(json.dumps(asdict(cost)), flush=True)
+        time.sleep(SETTLE_S)
+
+
+def _join(value: object) -> str:
+    if isinstance(value, list):
+        return ','.join(value)
+    return str(value)
+
+
+def _wait_ready(url: str) -> None:
+    pool = urllib3.PoolManager(retries=False)
+    until_s = time.monotonic() + START_TIMEOUT_S
+    while time.monotonic() < until_s:
+        try:
+            if pool.request('GET', url).status == 200:
+                return
+        except urllib3.exceptions.HTTPError:
+            time.sleep(0.1)
+    raise TimeoutError(f'{url} is not ready')
+
+
+if __name__ == '__main__':
+    fire.Fire(measure)
--- /dev/null
+++ b/trefoilhinge/demo/relay_parties.py
@@ -0,0 +1,72 @@
+"""Callers of the relay's measurement, and the process that it measures."""
+
+import json
+import os
+import pathlib
+import threading
+import time
+
+import urllib3
+from attrs import define, field
+
+OUTPUT_TOKENS = 100_000
+READ_BYTES = 65536
+TICKS_PER_S = os.sysconf('SC_CLK_TCK')
+KIBIBYTE = 1024
+EVENT_MARK = b'data: '
+
+
+@define
+class EntryUsage:
+    """Processor time and memory of a process."""
+
+    _pid: int
+
+    def read_cpu_s(self) -> float:
+        """Return the processor time used so far, user and system."""
+        text = pathlib.Path(f'/proc/{self._pid}/stat').read_text()
+        words = text.rpartition(')')[2].split()
+        return (int(words[11]) + int(words[12])) / TICKS_PER_S
+
+    def read_rss_kib(self) -> int:
+        """Return the resident memory."""
+        text = pathlib.Path(f'/proc/{self._pid}/statm').read_text()
+        pages = int(text.split()[1])
+        return pages * os.sysconf('SC_PAGE_SIZE') // KIBIBYTE
+
+
+@define
+class Caller:
+    """One caller that reads a stream to its end or until told to stop."""
+
+    _url: str
+    _key: str
+    tokens: int = 0
+    gaps_s: list[float] = field(factory=list)
+    begun: threading.Event = field(factory=threading.Event)
+    stopping: threading.Event = field(factory=threading.Event)
+
+    def run(self) -> None:
+        """Open a stream and count its events."""
+        body = {
+            'model': 'relay',
+            'prompt': 'x',
+            'stream': True,
+            'max_tokens': OUTPUT_TOKENS,
+        }
+        response = urllib3.PoolManager(retries=False).request(
+            'POST',
+            f'{self._url}/v1/completions',
+            body=json.dumps(body).encode(),
+            headers={'Authorization': f'Bearer {self._key}'},
+            preload_content=False,
+        )
+        last_s = time.monotonic()
+        while not self.stopping.is_set():
+            piece = response.read1(READ_BYTES)
+            now_s = time.monotonic()
+            self.gaps_s.append(now_s - last_s)
+            last_s = now_s
+            self.tokens += piece.count(EVENT_MARK)
+            self.begun.set()
+        response.close()
