Read a target's answer with one system call.

A read set a timeout, polled and received, then set another timeout and received nothing, only to learn that no more was buffered. The socket no longer blocks; the buffer is asked without the socket, and a wait happens only inside a piece.

--- a/trefoilhinge/platform/links.py
+++ b/trefoilhinge/platform/links.py
@@ -2,6 +2,8 @@
 
 import contextlib
 import http.client
+import io
+import select
 import socket
 import ssl
 import threading
@@ -11,6 +13,10 @@
 
 from trefoilhinge.platform.failures import TargetBroke
 
+# A target that stops inside a piece of its answer counts as broken after
+# this; what stands is then asked for on a new connection.
+PIECE_TIMEOUT_S = 1.0
+MILLISECONDS = 1000
 _LINE_END = b'\r\n'
 
 
@@ -52,10 +58,10 @@
             raise TargetBroke('the connection is closed')
         return number
 
-    def set_timeout(self, timeout_s: float) -> None:
-        """Bound each wait on the socket from now on."""
+    def stop_blocking(self) -> None:
+        """Let reads return at once; the reader itself waits where it must."""
         if self._sock is not None:
-            self._sock.settimeout(timeout_s)
+            self._sock.settimeout(0)
 
     def count_pending(self) -> int:
         """Return bytes that TLS has decrypted and nobody has read.
@@ -74,6 +80,54 @@
             _shut(sock)
 
 
+class PatientReader(io.RawIOBase):
+    """Reads a socket that does not block, waiting only inside a piece.
+
+    The socket was seen to be readable before, so that one system call does;
+    the library would make three with a timeout.
+
+    :ivar dry: whether a read returns nothing in place of asking the socket.
+    """
+
+    def __init__(self, raw: Any) -> None:
+        """Take the raw reader of the socket."""
+        super().__init__()
+        self.dry = False
+        self._raw = raw
+
+    def readable(self) -> bool:
+        """Return that it can be read."""
+        return True
+
+    def readinto(self, buffer: Any) -> int | None:
+        """Read what is there.
+
+        :raises TimeoutError: the target stopped inside a piece.
+        """
+        if self.dry:
+            return None
+        count = self._try_read(buffer)
+        if count is None:
+            ready = select.poll()
+            ready.register(self._raw.fileno(), select.POLLIN)
+            if not ready.poll(PIECE_TIMEOUT_S * MILLISECONDS):
+                raise TimeoutError('the target stopped inside a piece')
+            count = self._try_read(buffer)
+        return count
+
+    def close(self) -> None:
+        """Close the socket."""
+        self._raw.close()
+        super().close()
+
+    def _try_read(self, buffer: Any) -> int | None:
+        try:
+            count: int | None = self._raw.readinto(buffer)
+        except ssl.SSLWantReadError:
+            return None
+        return count
+
+
 class LinkedAnswer(http.client.HTTPResponse):
     """An answer that its link knows, so that reads need not block."""
 
@@ -81,18 +135,19 @@
         """Take the link."""
         super().__init__(*arguments, **options)
         self._link = link
+        self._reader = PatientReader(self.fp.detach())
+        self.fp = io.BufferedReader(self._reader)
         link.answer = self
 
     def has_ready(self) -> bool:
-        """Return whether a read would return at once; the socket must not wait.
+        """Return whether a read would return at once, without a system call.
 
         What is left of a chunk is ready with any byte; a new chunk only once
         the line with its size is whole.
         """
-        try:
-            ahead = self.fp.peek()
-        except ssl.SSLWantReadError:
-            return False
+        self._reader.dry = True
+        ahead = self.fp.peek()
+        self._reader.dry = False
         if self._link.count_pending():
             return True
         if self.chunked and not self.chunk_left:
--- a/trefoilhinge/platform/streams.py
+++ b/trefoilhinge/platform/streams.py
@@ -9,9 +9,6 @@
 from trefoilhinge.platform.failures import TargetBroke
 from trefoilhinge.platform.links import Link
 
-# A target that stops inside a piece of its answer counts as broken after
-# this; what stands is then asked for on a new connection.
-PIECE_TIMEOUT_S = 1.0
 READ_BYTES = 65536
 MAXIMUM_EVENT_BYTES = 4_194_304
 CUT = (*BROKEN, http.client.HTTPException)
@@ -29,6 +26,10 @@
     _link: Link
     ended: bool = False
 
+    def __attrs_post_init__(self) -> None:
+        """Wait for this answer together with all else from now on."""
+        self._link.stop_blocking()
+
     def fileno(self) -> int:
         """Return the descriptor to wait on."""
         return self._link.fileno()
@@ -54,7 +55,6 @@
         return b''.join(pieces)
 
     def _read_piece(self) -> bytes:
-        self._link.set_timeout(PIECE_TIMEOUT_S)
         piece = self._response.read1(READ_BYTES)
         answer = self._link.answer
         self.ended = not piece or answer is None or answer.isclosed()
@@ -64,7 +64,6 @@
         answer = self._link.answer
         if self.ended or answer is None:
             return False
-        self._link.set_timeout(0)
         return answer.has_ready()
 
 
