Wrote to a caller with one system call.

Each write set a timeout, polled and sent. The socket no longer blocks; a transfer is tried first and waited for, up to the connection's limit, only where it cannot be made.

--- a/trefoilhinge/calls/connections.py
+++ b/trefoilhinge/calls/connections.py
@@ -3,7 +3,9 @@
 import _pyio
 import contextlib
 import json
+import select
 import socket
+import ssl
 import time
 from typing import Any
 
@@ -29,6 +31,7 @@
 REFUSAL_WRITE_S = 2.0
 LINGER_S = 1.0
 LINGER_BYTES = 1_048_576
+MILLISECONDS = 1000
 _READ_BYTES = 65536
 
 
@@ -59,18 +62,51 @@
     def __init__(self, sock: Any, mode: Any, limit: TimeLimit) -> None:
         """Take the socket and its limit."""
         super().__init__(sock, mode)
-        self._limited = sock
         self._limit = limit
+        # With a timeout the library would poll before each transfer.
+        sock.settimeout(0)
 
     def readinto(self, buffer: Any) -> int | None:
         """Read what comes before the limit."""
-        self._limited.settimeout(self._limit.count_left())
-        return super().readinto(buffer)
+        count = None
+        while count is None:
+            left_s = self._limit.count_left()
+            try:
+                count = super().readinto(buffer)
+            except (ssl.SSLWantReadError, ssl.SSLWantWriteError) as wanted:
+                self._wait(left_s, wanted)
+            else:
+                self._wait_unless(count, left_s, select.POLLIN)
+        return count
 
     def write(self, piece: Any) -> int | None:
         """Write what is taken before the limit."""
-        self._limited.settimeout(self._limit.count_left())
-        return super().write(piece)
+        count = None
+        while count is None:
+            left_s = self._limit.count_left()
+            try:
+                count = super().write(piece)
+            except (ssl.SSLWantReadError, ssl.SSLWantWriteError) as wanted:
+                self._wait(left_s, wanted)
+            else:
+                self._wait_unless(count, left_s, select.POLLOUT)
+        return count
+
+    def _wait(self, left_s: float, wanted: ssl.SSLError) -> None:
+        reading = isinstance(wanted, ssl.SSLWantReadError)
+        mask = select.POLLIN if reading else select.POLLOUT
+        self._wait_unless(None, left_s, mask)
+
+    def _wait_unless(
+        self,
+        count: int | None,
+        left_s: float,
+        mask: int,
+    ) -> None:
+        if count is None:
+            poll = select.poll()
+            poll.register(self.fileno(), mask)
+            poll.poll(left_s * MILLISECONDS)
 
 
 class LimitedReader(StreamReader):
