--- a/trefoilhinge/calls/conversation.py
+++ b/trefoilhinge/calls/conversation.py
@@ -112,12 +112,15 @@
     _leg: Leg | None = None
     _last: StreamEvent | None = None
     _ending: bool = False
+    # The clock is read once for each wait, not for each event.
+    _now_s: float = field(init=False)
     _heard_s: float = 0
     _broken_due_s: float | None = None
     _fruitless: int = 0
 
     def __attrs_post_init__(self) -> None:
         """Prepare to wait."""
+        self._now_s = self._clock.read().monotonic_s
         self._waiter = Waiter(self._caller, self._box)
 
     def read_pieces(self) -> Iterator[bytes]:
@@ -130,6 +133,7 @@
         """
         while not self.finished and self.refusal is None:
             signals = self._waiter.wait(self._count_wait_s())
+            self._now_s = self._clock.read().monotonic_s
             if signals.departed:
                 raise CallerDeparted
             piece = b''
@@ -153,10 +157,6 @@
             if isinstance(mail, StreamOpened | ForwardOpened):
                 mail.link.close()
 
-    @property
-    def _now_s(self) -> float:
-        return self._clock.read().monotonic_s
-
     def _count_wait_s(self) -> float:
         until_s = self.call.profile.deadline_s + ANSWER_MARGIN_S
         if self.attempt is not None and not self._ending:
