--- a/trefoilhinge/measure/growth.py
+++ b/trefoilhinge/measure/growth.py
@@ -12,6 +12,7 @@
     ExchangeFigures,
     measure_exchanges,
 )
+from trefoilhinge.measure.reads import ReadCost, measure_reads
 from trefoilhinge.measure.scale import ScaleCosts, measure_scale
 from trefoilhinge.measure.slopes import DecisionCost, measure_slopes
 
@@ -23,11 +24,13 @@
     """Every cost that is measured at several sizes.
 
     :ivar decisions: routing decisions, by targets.
+    :ivar reads: reads of a target's load.
     :ivar exchanges: messages between instances, by instances.
     :ivar scale: documents, keys, timers and calls.
     """
 
     decisions: tuple[DecisionCost, ...]
+    reads: tuple[ReadCost, ...]
     exchanges: tuple[ExchangeFigures, ...]
     scale: ScaleCosts
 
@@ -40,6 +43,7 @@
     document_file = EXAMPLES / f'{deployment}.json'
     return GrowthFigures(
         measure_slopes(document_file),
+        measure_reads(),
         tuple(measure_exchanges(*size) for size in SIZES),
         measure_scale(document_file),
     )
