--- a/tests/routing/test_router.py
+++ b/tests/routing/test_router.py
@@ -295,11 +295,18 @@
 
 class TestOversized:
     def test_is_refused_as_not_run_without_a_group(self):
-        placed = make_router().place(make_call(1, 600_000), NO_TARGETS, at(1))
+        placed = make_router(3).place(make_call(1, 600_000), NO_TARGETS, at(1))
         assert isinstance(placed, Impossible)
         assert placed.refusal.code is RefusalCode.TOO_LARGE
         assert placed.refusal.verdict is Verdict.NOT_RUN
 
+    def test_waits_while_engines_of_the_domain_are_full(self):
+        router = make_router(6)
+        for place in range(6):
+            report(router, f'writer-{place}', 0, 1, free=1000)
+        placed = router.place(make_call(1, 600_000), NO_TARGETS, at(1))
+        assert isinstance(placed, Deferred)
+
     def test_is_handed_to_the_planner(self):
         class Planner:
             def plan(self, profile, service, candidates, now):
--- a/trefoilhinge/routing/router.py
+++ b/trefoilhinge/routing/router.py
@@ -325,8 +325,8 @@
         now: Instant,
     ) -> Placement:
         candidates = [
-            Candidate(one.view, one.find_free(pool.service.memory_tokens))
-            for one in (*pool.regular, *pool.reserved)
+            Candidate(one.view, pool.find_free(one))
+            for one in pool.states.values()
         ]
         return self._planner.plan(profile, pool.service, candidates, now)
 
