Shared organisations' rates by demand and queued calls fairly.

Cause: an even part for each instance gave a caller that reaches one instance an eighth of its rate, a restart granted a burst again, and the queue was in order of arrival. Change: parts by demand told to peers, with an even part set aside for each silent one and a stated bound on overshoot; start-time fair queueing by tokens and weight; bounded lines; refusals with their limit, value, wait and a line to copy. Conclusion: generation time is not estimated on admission, because max_tokens is a bound and not a forecast.

--- a/trefoilhinge/limits/limiter.py
+++ b/trefoilhinge/limits/limiter.py
@@ -1,10 +1,14 @@
-"""Admits calls by token buckets and queues them in order of arrival."""
+"""Admits calls by organisation and orders those that wait."""
 
 from collections.abc import Iterable
 
-from attrs import define
+from attrs import define, field
 
-from trefoilhinge.conf.generated.document import Document, Organisation
+from trefoilhinge.conf.generated.document import (
+    Document,
+    Organisation,
+    Service,
+)
 from trefoilhinge.conf.generated.messages import DemandWord
 from trefoilhinge.core.clocks import Instant
 from trefoilhinge.core.identifiers import InstanceName, RequestId
@@ -15,32 +19,41 @@
     Verdict,
     refuse_not_run,
 )
+from trefoilhinge.limits.buckets import Bucket, make_starting_bucket
+from trefoilhinge.limits.queues import FairQueue
+from trefoilhinge.limits.shares import ShareKeeper
+
+MAXIMUM_QUEUED = 4096
+MAXIMUM_QUEUED_OF_ORGANISATION = 1024
+START_BURST_S = 1.0
+SHORTEST_RETRY_S = 1.0
 
 
 @define
-class _Bucket:
-    level: float
-    filled_s: float
+class _Account:
+    """Buckets of one organisation at this instance."""
 
-    def fill(self, rate: float, burst: float, now_s: float) -> None:
-        earned = (now_s - self.filled_s) * rate
-        self.level = min(burst, self.level + max(0, earned))
-        self.filled_s = now_s
+    requests: Bucket
+    tokens: Bucket
 
 
 @define
-class BucketLimiter:
-    """Holds one bucket of requests and one of tokens an organisation."""
+class SharingLimiter:
+    """Keeps fleet-wide rates by shares and queues calls fairly."""
 
-    _organisations: dict[str, Organisation]
-    _requests: dict[str, _Bucket]
-    _tokens: dict[str, _Bucket]
-    _queue: dict[RequestId, CallProfile]
-    _share: float = 1
+    _organisations: dict[str, Organisation] = field(factory=dict)
+    _services: dict[str, Service] = field(factory=dict)
+    _accounts: dict[str, _Account] = field(factory=dict)
+    _shares: ShareKeeper = field(factory=ShareKeeper)
+    _queue: FairQueue = field(factory=FairQueue)
 
     def configure(self, document: Document) -> None:
         """Take a document that is now in force."""
         self._organisations = {one.name: one for one in document.organisations}
+        self._services = {one.name: one for one in document.services}
+        self._queue.configure(
+            {one.name: one.weight for one in document.organisations},
+        )
 
     def admit(
         self,
@@ -48,45 +61,40 @@
         wait_s: float,
         now: Instant,
     ) -> Refusal | None:
-        """Charge both buckets and queue the call, or refuse it."""
+        """Charge the organisation and queue the call, or refuse it."""
         organisation = self._organisations[profile.organisation]
-        if now.monotonic_s + wait_s > profile.deadline_s:
-            return refuse_not_run(
-                RefusalCode.DEADLINE_TOO_SHORT,
-                'The request cannot end within its time; allow more time.',
-                limit='estimated_wait_s',
-                limit_value=wait_s,
-            )
-        checks = (
-            (self._requests, organisation.requests_per_s, 1),
-            (self._tokens, organisation.tokens_per_s, profile.total_tokens),
+        refusal = self._check_queue(profile) or self._check_time(
+            profile,
+            wait_s,
+            now,
         )
-        for buckets, whole, cost in checks:
-            rate = whole * self._share
-            bucket = buckets.setdefault(
-                profile.organisation,
-                _Bucket(rate * organisation.burst_s, now.monotonic_s),
-            )
-            bucket.fill(rate, rate * organisation.burst_s, now.monotonic_s)
-            # A level above zero admits: one call may exceed the burst.
-            if bucket.level <= 0:
-                return _refuse_rate(buckets is self._requests, whole, bucket)
-        for buckets, _, cost in checks:
-            buckets[profile.organisation].level -= cost
-        self._queue[profile.request_id] = profile
+        if refusal is not None:
+            return refusal
+        self._shares.note_demand(
+            organisation.name,
+            profile.total_tokens,
+            now.monotonic_s,
+        )
+        account = self._fill_account(organisation, now.monotonic_s)
+        refusal = self._check_rates(organisation, account, now.monotonic_s)
+        if refusal is not None:
+            return refusal
+        account.requests.level -= 1
+        account.tokens.level -= profile.total_tokens
+        self._queue.add(profile)
         return None
 
     def requeue(self, profile: CallProfile, now: Instant) -> None:
         """Queue an admitted call again, ahead of new ones."""
-        self._queue = {profile.request_id: profile, **self._queue}
+        self._queue.add_again(profile)
 
     def list_ready(self, now: Instant) -> Iterable[CallProfile]:
-        """Yield queued calls in order of arrival."""
-        return tuple(self._queue.values())
+        """Yield queued calls, the one to place first in front."""
+        return self._queue.iterate()
 
     def remove(self, request_id: RequestId) -> None:
-        """Take a call out of the queue."""
-        self._queue.pop(request_id, None)
+        """Take a call out of the queue; no error if it is not there."""
+        self._queue.remove(request_id)
 
     def settle(
         self,
@@ -95,10 +103,10 @@
         tokens: int,
         now: Instant,
     ) -> None:
-        """Give back what a call did not take."""
-        bucket = self._tokens.get(profile.organisation)
-        if bucket is not None:
-            bucket.level += profile.total_tokens - tokens
+        """Correct a call's charge by the tokens it really took."""
+        account = self._accounts.get(profile.organisation)
+        if account is not None:
+            account.tokens.level += profile.total_tokens - tokens
 
     def note_peer_demands(
         self,
@@ -106,7 +114,8 @@
         demands: tuple[DemandWord, ...],
         now: Instant,
     ) -> None:
-        """Take no notice: every instance has an even share."""
+        """Take a peer's word of what organisations ask for there."""
+        self._shares.note_peer(peer, demands, now.monotonic_s)
 
     def note_peers(
         self,
@@ -114,30 +123,118 @@
         expected: int,
         now: Instant,
     ) -> None:
-        """Take an even share of each rate."""
-        self._share = 1 / max(1, expected)
+        """Take which peers are heard from, and how many there should be."""
+        self._shares.note_peers(live, expected)
 
     def list_demands(self, limit: int, now: Instant) -> tuple[DemandWord, ...]:
-        """Return no demands."""
-        return ()
+        """Return at most ``limit`` demands of this instance for a peer."""
+        return self._shares.list_demands(limit, now.monotonic_s)
 
     def count_queued(self) -> int:
         """Return how many calls wait."""
-        return len(self._queue)
+        return self._queue.count()
+
+    def _check_queue(self, profile: CallProfile) -> Refusal | None:
+        own = self._queue.count_of(profile.organisation)
+        if own >= MAXIMUM_QUEUED_OF_ORGANISATION:
+            return _refuse_full(
+                'queued_of_organisation',
+                MAXIMUM_QUEUED_OF_ORGANISATION,
+            )
+        if self._queue.count() >= MAXIMUM_QUEUED:
+            return _refuse_full('queued', MAXIMUM_QUEUED)
+        return None
+
+    def _check_time(
+        self,
+        profile: CallProfile,
+        wait_s: float,
+        now: Instant,
+    ) -> Refusal | None:
+        """Refuse at once what would be admitted only to miss its deadline."""
+        service = self._services.get(profile.service)
+        needed_s = wait_s
+        if profile.model and service is not None and service.targets:
+            rate = service.prefill_tokens_per_s * len(service.targets)
+            needed_s += self._queue.count_tokens() / rate
+        left_s = profile.deadline_s - now.monotonic_s
+        if needed_s <= left_s:
+            return None
+        return refuse_not_run(
+            RefusalCode.DEADLINE_TOO_SHORT,
+            f'The request needs about {needed_s:.0f} s and has {left_s:.0f} s; '
+            'allow more time or ask for fewer tokens.',
+            limit='estimated_s',
+            limit_value=round(needed_s, 1),
+            retry_after_s=max(SHORTEST_RETRY_S, wait_s),
+            example=f'X-Time-Limit-S: {needed_s * 1.5 + 1:.0f}',
+        )
 
+    def _fill_account(
+        self,
+        organisation: Organisation,
+        now_s: float,
+    ) -> _Account:
+        share = self._shares.find_share(organisation.name, now_s)
+        account = self._accounts.get(organisation.name)
+        if account is None:
+            account = _Account(
+                make_starting_bucket(now_s - START_BURST_S),
+                make_starting_bucket(now_s - START_BURST_S),
+            )
+            self._accounts[organisation.name] = account
+        for bucket, whole in (
+            (account.requests, organisation.requests_per_s),
+            (account.tokens, organisation.tokens_per_s),
+        ):
+            rate = whole * share
+            bucket.fill(rate, rate * organisation.burst_s, now_s)
+        return account
+
+    def _check_rates(
+        self,
+        organisation: Organisation,
+        account: _Account,
+        now_s: float,
+    ) -> Refusal | None:
+        share = self._shares.find_share(organisation.name, now_s)
+        # A level above zero admits: one call may exceed the burst.
+        if account.requests.level <= 0:
+            rate = organisation.requests_per_s
+            wait_s = account.requests.find_wait_s(rate * share)
+            return _refuse_rate(RefusalCode.REQUEST_RATE, rate, wait_s)
+        if account.tokens.level <= 0:
+            rate = organisation.tokens_per_s
+            wait_s = account.tokens.find_wait_s(rate * share)
+            return _refuse_rate(RefusalCode.TOKEN_RATE, rate, wait_s)
+        return None
 
-def _refuse_rate(requests: bool, rate: float, bucket: _Bucket) -> Refusal:
-    code = RefusalCode.REQUEST_RATE if requests else RefusalCode.TOKEN_RATE
-    name = 'requests_per_s' if requests else 'tokens_per_s'
+
+def _refuse_rate(code: RefusalCode, rate: float, wait_s: float) -> Refusal:
+    by_requests = code is RefusalCode.REQUEST_RATE
+    name = 'requests_per_s' if by_requests else 'tokens_per_s'
+    retry_s = max(SHORTEST_RETRY_S, wait_s)
     return refuse_not_run(
         code,
         f'The organisation has used up its {name}; send less or later.',
         limit=name,
         limit_value=rate,
-        retry_after_s=max(1, -bucket.level / rate),
+        retry_after_s=retry_s,
+        example=f'time.sleep({retry_s:.0f})',
+    )
+
+
+def _refuse_full(name: str, most: int) -> Refusal:
+    return refuse_not_run(
+        RefusalCode.QUEUE_FULL,
+        'Too many requests wait here; send fewer at a time.',
+        limit=name,
+        limit_value=most,
+        retry_after_s=SHORTEST_RETRY_S,
+        example='max_workers = 8',
     )
 
 
-def make_bucket_limiter() -> BucketLimiter:
+def make_sharing_limiter() -> SharingLimiter:
     """Return a limiter that knows no organisation yet."""
-    return BucketLimiter({}, {}, {}, {})
+    return SharingLimiter()
--- a/trefoilhinge/node/composition.py
+++ b/trefoilhinge/node/composition.py
@@ -3,7 +3,7 @@
 from trefoilhinge.conf.keeper import NewestDocumentKeeper
 from trefoilhinge.core.identifiers import InstanceIdentity
 from trefoilhinge.groups.runner import make_chain_group_runner
-from trefoilhinge.limits.limiter import make_bucket_limiter
+from trefoilhinge.limits.limiter import make_sharing_limiter
 from trefoilhinge.membership.fleet import make_exchange_fleet
 from trefoilhinge.node.core import (
     EXCHANGE_INTERVAL_S,
@@ -48,7 +48,7 @@
     """
     return NodeParts(
         router=make_balanced_router(identity.name, failure_domain, seed),
-        limiter=make_bucket_limiter(),
+        limiter=make_sharing_limiter(),
         ledger=make_owned_key_ledger(identity, secret, life),
         retries=make_careful_retry_policy(seed),
         groups=make_chain_group_runner(identity),
