--- a/trefoilhinge/routing/pools.py
+++ b/trefoilhinge/routing/pools.py
@@ -140,6 +140,13 @@
             self._ejected.difference_update(back)
             self.sort_targets()
 
+    def find_free(self, state: TargetState) -> int:
+        """Return the free tokens of an engine, none where it takes no call."""
+        out = state.view.leaving or state.view.name in self._ejected
+        if out or state.running >= self.service.maximum_running:
+            return 0
+        return state.find_free(self.service.memory_tokens)
+
     def _reserve(self, count: int) -> None:
         """Keep the first targets by rank for short calls."""
         usable = [*self.reserved, *self.regular]
--- a/trefoilhinge/routing/router.py
+++ b/trefoilhinge/routing/router.py
@@ -326,14 +326,8 @@
     ) -> Placement:
         # One that is leaving or full has nothing free, but it counts: the
         # call is held back rather than refused while its memory is there.
-        usable = {id(one) for one in (*pool.regular, *pool.reserved)}
         candidates = [
-            Candidate(
-                one.view,
-                one.find_free(pool.service.memory_tokens)
-                if id(one) in usable
-                else 0,
-            )
+            Candidate(one.view, pool.find_free(one))
             for one in pool.states.values()
         ]
         return self._planner.plan(profile, pool.service, candidates, now)
