--- a/trefoilhinge/faults/callers.py
+++ b/trefoilhinge/faults/callers.py
@@ -123,7 +123,7 @@
         return pool[self._turn % len(pool)]
 
     def _fetch_key(self, caller: Caller, at: InstanceName | None) -> None:
-        """Ask an instance for a key, then send at that one."""
+        """Ask an instance for a key; two in three send at that one."""
         if at is None:
             return
 
@@ -134,7 +134,9 @@
         def take(key: str | None) -> None:
             if key:
                 caller.key = key
-                self._try_at(caller, at)
+                number = int(caller.name.rpartition('-')[2])
+                other = self._choose(caller) if number % 3 == 0 else at
+                self._try_at(caller, other or at)
 
         self.world.world.network.request('callers', at, serve, take)
 
--- a/trefoilhinge/standins/simulation/driver.py
+++ b/trefoilhinge/standins/simulation/driver.py
@@ -225,7 +225,9 @@
                 self.world.reach(Step.ORDER_SENT, '', self.name, target)
             case fx.LogEvent('document_accepted'):
                 self.world.reach(Step.DOCUMENT_ACCEPTED, '', self.name)
-            case fx.SendPeerMessage(text=text) if '"document":"{' in text:
+            case fx.SendPeerMessage(text=text) | fx.AnswerPeer(text=text) if (
+                passes_document(text)
+            ):
                 self.world.reach(Step.DOCUMENT_PASSED, '', self.name)
 
     def _watch_silence(self) -> None:
@@ -269,3 +271,10 @@
         self.stopped_s = self.world.simulation.now_s
         self.ready = False
         self.world.network.dead.add(self.name)
+
+
+def passes_document(text: str) -> bool:
+    """Return whether a peer message carries a document or changes of one."""
+    return '"document":"{' in text or (
+        '"deltas":"' in text and '"deltas":""' not in text
+    )
