--- a/trefoilhinge/faults/callers.py
+++ b/trefoilhinge/faults/callers.py
@@ -8,7 +8,13 @@
 from trefoilhinge.core.identifiers import InstanceName, RequestId
 from trefoilhinge.core.profiles import CallProfile
 from trefoilhinge.core.verdicts import Verdict
-from trefoilhinge.faults.world import INSTANCES, ORGANISATIONS, FaultWorld
+from trefoilhinge.faults.documents import (
+    ORGANISATIONS,
+)
+from trefoilhinge.faults.world import (
+    INSTANCES,
+    FaultWorld,
+)
 from trefoilhinge.standins.simulation.world import CallRecord
 
 MAXIMUM_TRIES = 4
--- a/trefoilhinge/faults/catalogue.py
+++ b/trefoilhinge/faults/catalogue.py
@@ -7,7 +7,14 @@
 from trefoilhinge.core.identifiers import InstanceName, TargetName
 from trefoilhinge.core.lines import StreamEvent
 from trefoilhinge.faults.callers import Callers
-from trefoilhinge.faults.world import ENGINES, INSTANCES, PLAINS, FaultWorld
+from trefoilhinge.faults.documents import (
+    ENGINES,
+    PLAINS,
+)
+from trefoilhinge.faults.world import (
+    INSTANCES,
+    FaultWorld,
+)
 from trefoilhinge.standins.simulation.network import Connection
 from trefoilhinge.standins.simulation.steps import Site
 from trefoilhinge.standins.simulation.world import PLATFORM_END
--- a/trefoilhinge/faults/preparation.py
+++ b/trefoilhinge/faults/preparation.py
@@ -16,9 +16,11 @@
     TargetName,
 )
 from trefoilhinge.core.profiles import CallProfile
+from trefoilhinge.faults.documents import (
+    describe_document,
+)
 from trefoilhinge.faults.world import (
     INSTANCES,
-    describe_document,
     make_fault_world,
 )
 from trefoilhinge.standins.simulation.engine import EngineSpeeds, FakeEngine
--- a/trefoilhinge/faults/walk.py
+++ b/trefoilhinge/faults/walk.py
@@ -10,9 +10,11 @@
 from trefoilhinge.faults.matrix import Prepare
 from trefoilhinge.faults.promises import check_promises, settle_orders
 from trefoilhinge.faults.watcher import Violation, Watcher
-from trefoilhinge.faults.world import (
+from trefoilhinge.faults.documents import (
     ENGINES,
     PLAINS,
+)
+from trefoilhinge.faults.world import (
     make_fault_world,
 )
 from trefoilhinge.standins.simulation.steps import Site, Step
--- a/trefoilhinge/faults/world.py
+++ b/trefoilhinge/faults/world.py
@@ -13,6 +13,16 @@
     TargetName,
 )
 from trefoilhinge.core.reports import ListedInstance, ListedTarget
+from trefoilhinge.faults.documents import (
+    DOMAINS,
+    ENGINE_MEMORY_TOKENS,
+    ENGINES,
+    PLAINS,
+    PREFILL_TOKENS_PER_S,
+    describe_document,
+    describe_target,
+    find_domain,
+)
 from trefoilhinge.node.composition import make_node, make_parts
 from trefoilhinge.node.core import NodeCore, NodeParts
 from trefoilhinge.standins.simulation.driver import NodeDriver
@@ -23,12 +33,6 @@
 from trefoilhinge.standins.simulation.world import World
 
 INSTANCES = ('entry-0', 'entry-1', 'entry-2')
-ENGINES = ('writer-0', 'writer-1', 'writer-2', 'writer-3')
-PLAINS = ('desk-0', 'desk-1')
-DOMAINS = ('kandy', 'nuwara')
-ORGANISATIONS = ('hostesses', 'hotel-desk', 'halls')
-ENGINE_MEMORY_TOKENS = 100_000
-PREFILL_TOKENS_PER_S = 100_000.0
 LATENCY_S = 0.001
 LIST_LAG_S = 3.0
 START_WAIT_S = 1.0
@@ -169,77 +173,6 @@
         return driver.alive and not driver.paused and not driver.stopped
 
 
-def describe_document(revision: int) -> dict[str, Any]:
-    """Return a document of the small deployment as JSON fields.
-
-    Even revisions ask the engines for another version of their model.
-    """
-    return {
-        'revision': revision,
-        'deployment': 'faults',
-        'failure_domains': [
-            {'name': name, 'region': 'hill'} for name in DOMAINS
-        ],
-        'organisations': [
-            {
-                'name': name,
-                'keys': [],
-                'requests_per_s': 1000.0,
-                'tokens_per_s': 100_000_000.0,
-                'services': ['writer', 'desk'],
-            }
-            for name in ORGANISATIONS
-        ],
-        'models': [{'name': 'open-large', 'versions': ['v1', 'v2']}],
-        'services': [
-            {
-                'name': 'writer',
-                'kind': 'model',
-                'targets': [_describe_target(name) for name in ENGINES],
-                'paths': [{'path': '/v1/', 'idempotent': True}],
-                'memory_tokens': ENGINE_MEMORY_TOKENS,
-                'prefill_tokens_per_s': PREFILL_TOKENS_PER_S,
-                'maximum_running': 4,
-                'loads_per_minute': 60.0,
-                'fences': 'honoured',
-                'desired': {
-                    'model': 'open-large',
-                    'version': 'v2' if revision % 2 == 0 else 'v1',
-                },
-            },
-            {
-                'name': 'desk',
-                'kind': 'plain',
-                'targets': [_describe_target(name) for name in PLAINS],
-                'paths': [
-                    {'path': '/lookup', 'idempotent': True},
-                    {'path': '/bookings', 'idempotent': False},
-                ],
-            },
-        ],
-        'time_limits': {
-            'default_s': 20.0,
-            'maximum_s': 60.0,
-            'silence_s': 2.0,
-        },
-        'balance': {'long_weight': 0.5},
-    }
-
-
-def find_domain(target: str) -> str:
-    """Return the failure domain of a target: the last engine is apart."""
-    return DOMAINS[target in {ENGINES[-1], PLAINS[-1]}]
-
-
-def _describe_target(name: str) -> dict[str, str]:
-    number = (*ENGINES, *PLAINS).index(name)
-    return {
-        'name': name,
-        'address': f'10.0.0.{number}:8000',
-        'failure_domain': find_domain(name),
-    }
-
-
 def make_fault_world(seed: int) -> FaultWorld:
     """Return a world in which nothing runs yet."""
     simulation = Simulation()
@@ -264,7 +197,7 @@
     world.platform.targets = tuple(
         ListedTarget(
             TargetName(name),
-            _describe_target(name)['address'],
+            describe_target(name)['address'],
             find_domain(name),
             'writer' if name in ENGINES else 'desk',
         )
--- a/trefoilhinge/standins/simulation/driver.py
+++ b/trefoilhinge/standins/simulation/driver.py
@@ -16,6 +16,7 @@
 from trefoilhinge.node.schedule import TICK_S
 from trefoilhinge.node.tables import CallState
 from trefoilhinge.standins.simulation.answers import AnswerActions
+from trefoilhinge.standins.simulation.forwards import ForwardActions
 from trefoilhinge.standins.simulation.platform import PlatformActions
 from trefoilhinge.standins.simulation.steps import Step
 from trefoilhinge.standins.simulation.world import CallRecord, World
@@ -60,6 +61,7 @@
         """Map each kind of effect to the fake that carries it out."""
         self._actions = {
             **AnswerActions(self).map_effects(),
+            **ForwardActions(self).map_effects(),
             **PlatformActions(self).map_effects(),
             fx.AnswerPeer: self._answer,
             fx.AnswerKey: self._answer,
