Recorded requests that were refused before they became calls.

Only calls that the core had seen had a line in the log and a count, so that unknown keys and malformed requests showed nowhere.

--- a/tests/entry/test_telemetry.py
+++ b/tests/entry/test_telemetry.py
@@ -50,6 +50,10 @@
         assert 'trefoilhinge_calls 0.0' in text
         assert 'trefoilhinge_queued_calls 0.0' in text
 
+    def test_count_refusals_before_a_call(self, deployment):
+        support.POOL.request('POST', f'{deployment.urls[0]}/v1/completions')
+        assert 'code="unknown_key"' in read_metrics(deployment)
+
     def test_hold_no_key_and_no_prompt(self, deployment):
         support.complete(deployment, prompt='a secret prompt')
         text = read_metrics(deployment)
--- a/trefoilhinge/calls/service.py
+++ b/trefoilhinge/calls/service.py
@@ -127,8 +127,12 @@
         start_response: StartResponse,
         connection: CallerConnection,
     ) -> Iterable[bytes]:
-        """Answer with a refusal."""
+        """Answer with a refusal of a request that never became a call."""
         now_s = self._clock.read().monotonic_s
+        self._observer.note_finished(
+            _record_refused(refusal, request_id, now_s),
+            self._observer.begin(''),
+        )
         connection.bound_until(now_s + REFUSAL_WRITE_S)
         connection.leave_rest()
         return answer_refusal(refusal, request_id, start_response)
@@ -265,6 +269,24 @@
     )
 
 
+def _record_refused(
+    refusal: Refusal,
+    request_id: str,
+    now_s: float,
+) -> CallRecord:
+    return CallRecord(
+        request_id=request_id,
+        organisation='',
+        service='',
+        verdict=refusal.verdict.value,
+        code=refusal.code.value,
+        status=refusal.status,
+        prompt_tokens=0,
+        ended_s=now_s,
+        times=CallTimes(now_s),
+    )
+
+
 def _make_record(
     conversation: Conversation,
     status: int,
