--- a/trefoilhinge/console/fields.py
+++ b/trefoilhinge/console/fields.py
@@ -15,11 +15,18 @@
     join_path,
 )
 from trefoilhinge.conf.schemas import find_schema
+from trefoilhinge.console.drafts import Draft
+from trefoilhinge.console.labels import (
+    describe_schema,
+    label_name,
+    show_value,
+)
 from trefoilhinge.console.places import (
     Steps,
     is_lines,
     is_removable,
     join_steps,
+    parse_steps,
 )
 
 
@@ -42,6 +49,7 @@
     :ivar name: place in the document, and the name of the control.
     :ivar text: value as it is shown.
     :ivar choices: values of a choice.
+    :ivar known: names of the document that the field may refer to.
     :ivar problems: what is wrong with this field itself.
     :ivar inner: fields of a group, or items of a list.
     :ivar absent: whether a group is not in the document and may be added.
@@ -55,6 +63,7 @@
     text: str = ''
     required: bool = False
     choices: tuple[str, ...] = ()
+    known: tuple[str, ...] = ()
     problems: Problems = ()
     inner: tuple['FormField', ...] = ()
     absent: bool = False
@@ -68,18 +77,30 @@
 
 def make_section(
     steps: Steps,
-    value: Any,
+    draft: Draft,
     problems: Problems,
 ) -> FormField:
     """Return the form of one section of a document.
 
     :param steps: place of the section.
-    :param value: its value in the draft.
-    :param problems: problems of the whole draft.
+    :param draft: the whole draft.
+    :param problems: its problems.
     """
     schema = find_schema(load_schema('document'), steps)
-    maker = _FormMaker(problems)
-    return maker.make(steps, schema, value, required=True)
+    maker = _FormMaker(problems, draft.fields)
+    return maker.make(steps, schema, draft.find(steps), required=True)
+
+
+def find_anchor(form: FormField, path: str) -> str:
+    """Return the anchor of the innermost field that holds a JSON path.
+
+    :param form: the form to look in; its own anchor if no inner field fits.
+    """
+    for one in form.inner:
+        place = name_path(parse_steps(one.name))
+        if is_within(path, place):
+            return find_anchor(one, path)
+    return form.anchor
 
 
 def name_path(steps: Steps) -> str:
@@ -96,16 +117,10 @@
     return rest != path and (not rest or rest[0] in '.[')
 
 
-def label_name(name: str) -> str:
-    """Return the label of a field, its unit written out."""
-    words = name.replace('_per_s', ' a second').replace('_s', ' (seconds)')
-    words = words.replace('_per_minute', ' a minute').replace('_', ' ')
-    return words[:1].upper() + words[1:]
-
-
 @define
 class _FormMaker:
     _problems: Problems
+    _document: Mapping[str, Any]
 
     def make(
         self,
@@ -126,9 +141,10 @@
             label=_label(steps, schema, value),
             help=describe_schema(schema, required),
             control=control,
-            text='' if groups else _show(value),
+            text='' if groups else show_value(value),
             required=required,
             choices=tuple(str(one) for one in _list_choices(schema)),
+            known=tuple(self._list_known(schema)),
             problems=tuple(self._find_problems(steps, control)),
             inner=inner,
             absent=control is Control.GROUP and value is None,
@@ -156,6 +172,12 @@
             schema = find_schema(load_schema('document'), place)
             yield self.make(place, schema, item, required=True)
 
+    def _list_known(self, schema: Mapping[str, Any]) -> Iterator[str]:
+        for one in self._document.get(schema.get('references', ''), ()):
+            name = one.get('name')
+            if name:
+                yield str(name)
+
     def _find_problems(
         self,
         steps: Steps,
@@ -171,36 +193,6 @@
                 yield problem
 
 
-def describe_schema(schema: Mapping[str, Any], required: bool) -> str:
-    """Return the help of a field: description, form, range and default."""
-    parts = [schema.get('description', '')]
-    if '$comment' in schema:
-        parts.append(f'Write {schema["$comment"]}.')
-    bounds = _describe_bounds(schema)
-    if bounds:
-        parts.append(f'{bounds}.')
-    if schema['type'] == 'array' and is_lines(schema):
-        parts.append('One a line.')
-    default = _show(schema.get('default'))
-    if default and not required:
-        parts.append(f'Empty takes {default}.')
-    return ' '.join(part for part in parts if part)
-
-
-def _describe_bounds(schema: Mapping[str, Any]) -> str:
-    bounds = [
-        f'{words} {schema[name]:,}'
-        for name, words in (
-            ('minimum', 'at least'),
-            ('exclusiveMinimum', 'above'),
-            ('maximum', 'at most'),
-        )
-        if name in schema
-    ]
-    text = ', '.join(bounds)
-    return text[:1].upper() + text[1:]
-
-
 def _choose_control(schema: Mapping[str, Any]) -> Control:
     if schema.get('readOnly'):
         return Control.FIXED
@@ -231,13 +223,3 @@
     if isinstance(value, dict):
         name = value.get('name') or value.get('identifier') or ''
     return f'{kind} {name or last + 1}'
-
-
-def _show(value: Any) -> str:
-    if value is None:
-        return ''
-    if isinstance(value, bool):
-        return 'true' if value else 'false'
-    if isinstance(value, list):
-        return '\n'.join(_show(one) for one in value)
-    return str(value)
--- a/trefoilhinge/node/exchange.py
+++ b/trefoilhinge/node/exchange.py
@@ -1,6 +1,9 @@
 """Composes and takes the messages between instances."""
 
+from typing import Protocol
+
 from attrs import define, evolve, field
+from expression import Result
 
 from trefoilhinge.conf.document import digest_text
 from trefoilhinge.conf.generated.messages import PeerExchange
@@ -35,6 +38,31 @@
 NEWS_INTERVAL_S = 0.2
 
 
+class ExchangeCodec(Protocol):
+    """Turns messages between instances into text and back."""
+
+    def write(self, exchange: PeerExchange) -> str:
+        """Return a message as text."""
+        ...
+
+    def read(self, text: str) -> Result[PeerExchange, str]:
+        """Return the message, or what is wrong with its text."""
+        ...
+
+
+@define
+class JsonCodec:
+    """Writes messages as JSON and checks them against their schema."""
+
+    def write(self, exchange: PeerExchange) -> str:
+        """Return a message as JSON."""
+        return write_exchange(exchange)
+
+    def read(self, text: str) -> Result[PeerExchange, str]:
+        """Return the message, or what is wrong with its text."""
+        return read_exchange(text)
+
+
 @define
 class PeerExchanger:
     """Gathers each app's words for peers and hands theirs to each app."""
@@ -49,13 +77,14 @@
     _told: tuple[int, str] = (0, '')
     _news_due_s: float = 0
     _observations: Observations = field(factory=Observations)
+    codec: ExchangeCodec = field(factory=JsonCodec)
 
     def send(self, now: Instant) -> list[Effect]:
         """Return messages to the peers whose turn it is."""
         peers = self._fleet.choose_peers(now)
         if not peers:
             return []
-        text = write_exchange(self.compose(now))
+        text = self.codec.write(self.compose(now))
         return [SendPeerMessage(name, address, text) for name, address in peers]
 
     def send_news(self, now: Instant) -> list[Effect]:
@@ -70,7 +99,7 @@
         peers = self._fleet.choose_news_peers(now) if news else ()
         if not peers:
             return []
-        text = write_exchange(self._compose_news(now))
+        text = self.codec.write(self._compose_news(now))
         return [SendPeerMessage(name, address, text) for name, address in peers]
 
     def send_handover(self, now: Instant) -> list[Effect]:
@@ -86,7 +115,7 @@
 
         :return: effects, and whether the document in force changed.
         """
-        read = read_exchange(event.text)
+        read = self.codec.read(event.text)
         if read.is_error():
             return [
                 _log_unreadable(read.error),
@@ -107,7 +136,7 @@
         if event.text is None:
             self._fleet.note_peer_silent(event.peer, now)
             return [], False
-        read = read_exchange(event.text)
+        read = self.codec.read(event.text)
         if read.is_error():
             return [_log_unreadable(read.error)], False
         before = self._keeper.digest
@@ -149,7 +178,7 @@
                 answer = evolve(answer, adopted=adopted)
         if self._is_behind(exchange):
             answer = self._attach_document(answer, exchange, now)
-        return write_exchange(answer)
+        return self.codec.write(answer)
 
     def _attach_document(
         self,
@@ -201,7 +230,7 @@
         if not wanted:
             return []
         message = evolve(self._compose_news(now), wanted=wanted)
-        return [SendPeerMessage(peer, address, write_exchange(message))]
+        return [SendPeerMessage(peer, address, self.codec.write(message))]
 
     def _pass_document(
         self,
@@ -213,7 +242,7 @@
         if address is None:
             return []
         message = evolve(self._compose_news(now), document=self._keeper.text)
-        return [SendPeerMessage(peer, address, write_exchange(message))]
+        return [SendPeerMessage(peer, address, self.codec.write(message))]
 
 
 def _log_unreadable(problem: str) -> LogEvent:
--- a/trefoilhinge/standins/simulation/driver.py
+++ b/trefoilhinge/standins/simulation/driver.py
@@ -8,10 +8,11 @@
 from trefoilhinge.core import effects as fx
 from trefoilhinge.core import events as ev
 from trefoilhinge.core.clocks import Instant
-from trefoilhinge.core.identifiers import InstanceName
+from trefoilhinge.core.identifiers import AttemptId, InstanceName, StreamId
 from trefoilhinge.core.profiles import CallProfile
 from trefoilhinge.groups.tags import read_tag
 from trefoilhinge.node.core import NodeCore
+from trefoilhinge.node.parts import TargetView
 from trefoilhinge.node.schedule import TICK_S
 from trefoilhinge.node.tables import CallState
 from trefoilhinge.standins.simulation.answers import AnswerActions
@@ -234,10 +235,28 @@
             attempt = call.progress.attempt
             if attempt is None or call.ended_s is not None:
                 continue
+            if self._is_flowing(attempt, record.target):
+                call.last_event_s = now_s
             if now_s - call.last_event_s >= self.silence_s:
                 call.last_event_s = now_s
                 self.report(ev.AttemptSilent(attempt, call.progress.taken))
 
+    def _is_flowing(
+        self,
+        attempt: AttemptId,
+        target: TargetView | None,
+    ) -> bool:
+        """Return whether a quiet engine is generating what it would tell."""
+        engine = None
+        if target is not None:
+            engine = self.world.engines.get(target.name)
+        if engine is None or not engine.quiet or engine.dead:
+            return False
+        if self.world.network.is_cut(self.name, engine.name):
+            return False
+        stream = engine.streams.get(StreamId(str(attempt)))
+        return stream is not None and stream.produced > 0
+
     def _answer(self, effect: fx.AnswerPeer | fx.AnswerKey) -> None:
         text = effect.text if isinstance(effect, fx.AnswerPeer) else effect.key
         self.replies[effect.token] = text
--- a/trefoilhinge/standins/simulation/world.py
+++ b/trefoilhinge/standins/simulation/world.py
@@ -84,6 +84,9 @@
     """Everything that simulated instances share.
 
     :ivar calls: every call, by request.
+    :ivar cache_lag_s: seconds by which cache events are late.
+    :ivar cache_gap: every event of a number divisible by this is lost; zero
+        loses none.
     :ivar probe: learns of each step; none if nobody asks.
     :ivar starts: work that each target began, kept while there is a probe.
     :ivar notices: when the first instance heard that a target is leaving.
@@ -98,6 +101,8 @@
     calls: dict[RequestId, CallRecord] = field(factory=dict)
     publication_lag_s: float = 1.0
     load_lag_s: float = 0.2
+    cache_lag_s: float = 0
+    cache_gap: int = 0
     probe: Probe | None = None
     starts: dict[TargetName, list[Start]] = field(factory=dict)
     chains: KvChains = field(factory=KvChains)
