Let the demo's callers come back when told to.

Cause: the demo's prompts of a million tokens were refused: four engines over three failure domains cannot hold one, and an instance that has just started has no burst to give, which the callers never waited for. Change: nine engines, three in each failure domain; a refusal that was not run and says when to come back is followed, and the table counts the callers that waited.

--- a/trefoilhinge/demo/callers.py
+++ b/trefoilhinge/demo/callers.py
@@ -17,6 +17,8 @@
 STATUS_OK = 200
 STATUS_CONFLICT = 409
 READ_BYTES = 65536
+MAXIMUM_WAITS = 8
+NOT_RUN = 'not_run'
 
 
 class Ending:
@@ -33,12 +35,14 @@
 
     :ivar first_token_s: seconds to the first byte of the answer.
     :ivar code: code of the refusal, empty if it was answered.
+    :ivar waits: how often the caller was told to come back, and did.
     """
 
     call: PlannedCall
     ending: str
     first_token_s: float
     code: str = ''
+    waits: int = 0
 
 
 @define
@@ -69,13 +73,33 @@
             return CallResult(call, Ending.CUT_OFF, elapsed_s)
 
     def _receive(self, call: PlannedCall, number: int) -> CallResult:
+        for waits in range(MAXIMUM_WAITS):
+            result, wait_s = self._receive_once(call, number, waits)
+            if wait_s is None:
+                return result
+            time.sleep(wait_s)
+        return result
+
+    def _receive_once(
+        self,
+        call: PlannedCall,
+        number: int,
+        waits: int,
+    ) -> tuple[CallResult, float | None]:
+        """Return what came of one sending, and when to come back."""
         begun_s = time.monotonic()
         response = self._open(call, number)
         piece = response.read1(READ_BYTES)
         first_s = time.monotonic() - begun_s
         body = piece + response.read()
         ending, code = _judge(call, response.status, body)
-        return CallResult(call, ending, first_s, code)
+        wait_s = None
+        if (
+            ending == Ending.REFUSED
+            and response.headers['X-Verdict'] == NOT_RUN
+        ):
+            wait_s = _read_wait(response)
+        return CallResult(call, ending, first_s, code, waits), wait_s
 
     def _open(
         self,
@@ -128,6 +152,11 @@
             return self._keys[call.reference]
 
 
+def _read_wait(response: urllib3.BaseHTTPResponse) -> float | None:
+    text = response.headers.get('Retry-After', '')
+    return float(text) if text.isdecimal() else None
+
+
 def _judge(call: PlannedCall, status: int, body: bytes) -> tuple[str, str]:
     """Return how an answer ended and its refusal's code.
 
@@ -142,6 +171,6 @@
     except (ValueError, KeyError, TypeError):
         return Ending.CUT_OFF, ''
     doubled = call.kind is CallKind.BOOKING and status == STATUS_CONFLICT
-    if error['verdict'] == 'not_run' or doubled:
+    if error['verdict'] == NOT_RUN or doubled:
         return Ending.REFUSED, str(error['code'])
     return Ending.CUT_OFF, str(error['code'])
--- a/trefoilhinge/demo/commands.py
+++ b/trefoilhinge/demo/commands.py
@@ -20,7 +20,8 @@
 
 EXAMPLES = pathlib.Path(__file__).parents[2] / 'examples'
 DOCUMENTS = ('caroni', 'kandy')
-SHAPE = DeploymentShape(instances=2, targets=4)
+# Three engines in each failure domain hold a prompt of a million tokens.
+SHAPE = DeploymentShape(instances=2, targets=9)
 START_TIMEOUT_S = 20
 STOP_TIMEOUT_S = 60
 PROGRESS_INTERVAL_S = 5
--- a/trefoilhinge/demo/results.py
+++ b/trefoilhinge/demo/results.py
@@ -11,7 +11,10 @@
 from trefoilhinge.demo.workload import CallKind
 
 MILLISECONDS = 1000
-HEADER = f'{"":28}{"calls":>6}{"refused":>9}{"median ms":>11}{"worst ms":>10}'
+HEADER = (
+    f'{"":28}{"calls":>6}{"waited":>8}{"refused":>9}'
+    f'{"median ms":>11}{"worst ms":>10}'
+)
 
 
 @frozen
@@ -90,7 +93,8 @@
     refused = Counter(
         one.code for one in results if one.ending == Ending.REFUSED
     )
-    counts = f'{name:28}{len(results):6}{refused.total():9}'
+    waited = sum(one.waits > 0 for one in results)
+    counts = f'{name:28}{len(results):6}{waited:8}{refused.total():9}'
     times = ''
     if times_ms:
         times = f'{statistics.median(times_ms):11.0f}{max(times_ms):10.0f}'
