Moved the relay's measurement out of the package.

Cause: it starts processes, which nothing that ships may do. Change: benchmarks/ holds it, checked by the same linters; the command is python -m benchmarks.relay_cost.

--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 
 lint: $(STAMP)
 	$(BIN)/ruff format --check .
-	$(BIN)/flake8 trefoilhinge tests features
+	$(BIN)/flake8 trefoilhinge tests features benchmarks
 	$(BIN)/mypy
 	$(BIN)/lint-imports
 	$(BIN)/python -m trefoilhinge.conf.generator --check
--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements that need processes of their own, run by hand."""
--- a/trefoilhinge/demo/relay_cost.py
+++ b/benchmarks/relay_cost.py
@@ -1,6 +1,6 @@
 """Measures what one relayed token and one open stream cost an entry instance.
 
-Run as ``python -m trefoilhinge.demo.relay_cost``; it prints one JSON object
+Run as ``python -m benchmarks.relay_cost``; it prints one JSON object
 for each number of streams. The engine, the callers and the entry instance
 are three processes, so that only the relay is counted. Linux only: processor
 time and memory are read from ``/proc``.
@@ -25,7 +25,7 @@
     add_key,
     list_entry_flags,
 )
-from trefoilhinge.demo.relay_parties import (
+from benchmarks.relay_parties import (
     KIBIBYTE,
     OUTPUT_TOKENS,
     Caller,
