--- a/trefoilhinge/faults/walk.py
+++ b/trefoilhinge/faults/walk.py
@@ -8,11 +8,13 @@
 from trefoilhinge.faults.callers import Callers, Kind
 from trefoilhinge.faults.catalogue import FAULTS, Scene, Undo
 from trefoilhinge.faults.matrix import Prepare
-from trefoilhinge.faults.promises import check_promises
+from trefoilhinge.faults.promises import check_promises, settle_orders
 from trefoilhinge.faults.watcher import Violation, Watcher
-from trefoilhinge.faults.world import (
+from trefoilhinge.faults.documents import (
     ENGINES,
     PLAINS,
+)
+from trefoilhinge.faults.world import (
     make_fault_world,
 )
 from trefoilhinge.standins.simulation.steps import Site, Step
@@ -142,5 +144,5 @@
         walk.take_step()
     callers.last_retry_s = world.now_s
     walk.settle()
-    found = check_promises(world, scene.paused_until_s, scene.stopped)
-    return (*watcher.violations, *found)
+    found = tuple(check_promises(world, scene.paused_until_s, scene.stopped))
+    return (*watcher.violations, *found, *settle_orders(world))
--- a/trefoilhinge/routing/router.py
+++ b/trefoilhinge/routing/router.py
@@ -324,6 +324,8 @@
         pool: ServicePool,
         now: Instant,
     ) -> Placement:
+        # One that is leaving or full has nothing free, but it counts: the
+        # call is held back rather than refused while its memory is there.
         candidates = [
             Candidate(one.view, pool.find_free(one))
             for one in pool.states.values()
--- a/trefoilhinge/standins/simulation/driver.py
+++ b/trefoilhinge/standins/simulation/driver.py
@@ -16,6 +16,7 @@
 from trefoilhinge.node.schedule import TICK_S
 from trefoilhinge.node.tables import CallState
 from trefoilhinge.standins.simulation.answers import AnswerActions
+from trefoilhinge.standins.simulation.forwards import ForwardActions
 from trefoilhinge.standins.simulation.platform import PlatformActions
 from trefoilhinge.standins.simulation.steps import Step
 from trefoilhinge.standins.simulation.world import CallRecord, World
@@ -60,6 +61,7 @@
         """Map each kind of effect to the fake that carries it out."""
         self._actions = {
             **AnswerActions(self).map_effects(),
+            **ForwardActions(self).map_effects(),
             **PlatformActions(self).map_effects(),
             fx.AnswerPeer: self._answer,
             fx.AnswerKey: self._answer,
@@ -225,7 +227,9 @@
                 self.world.reach(Step.ORDER_SENT, '', self.name, target)
             case fx.LogEvent('document_accepted'):
                 self.world.reach(Step.DOCUMENT_ACCEPTED, '', self.name)
-            case fx.SendPeerMessage(text=text) if '"document":"{' in text:
+            case fx.SendPeerMessage(text=text) | fx.AnswerPeer(text=text) if (
+                passes_document(text)
+            ):
                 self.world.reach(Step.DOCUMENT_PASSED, '', self.name)
 
     def _watch_silence(self) -> None:
@@ -269,3 +273,10 @@
         self.stopped_s = self.world.simulation.now_s
         self.ready = False
         self.world.network.dead.add(self.name)
+
+
+def passes_document(text: str) -> bool:
+    """Return whether a peer message carries a document or changes of one."""
+    return '"document":"{' in text or (
+        '"deltas":"' in text and '"deltas":""' not in text
+    )
