Gave each app the interfaces that a node needs of it.

Change: each app has interfaces.py with its Protocol and the types that it speaks of; imports follow. No behaviour changed. Conclusion: an app can be read without the others.

--- a/benchmarks/relay_cost.py
+++ b/benchmarks/relay_cost.py
@@ -20,17 +20,17 @@
 import urllib3
 from attrs import asdict, frozen
 
-from trefoilhinge.demo.deployment import (
-    DeploymentShape,
-    add_key,
-    list_entry_flags,
-)
 from benchmarks.relay_parties import (
     KIBIBYTE,
     OUTPUT_TOKENS,
     Caller,
     EntryUsage,
 )
+from trefoilhinge.demo.deployment import (
+    DeploymentShape,
+    add_key,
+    list_entry_flags,
+)
 from trefoilhinge.standins.engines import EngineStandIn
 from trefoilhinge.standins.publications import PlatformStandIn
 from trefoilhinge.standins.servers import start_server
--- a/tests/faults/test_broken.py
+++ b/tests/faults/test_broken.py
@@ -13,7 +13,7 @@
 from trefoilhinge.faults.matrix import Cell, run_cell
 from trefoilhinge.node.core import NodeCore
 from trefoilhinge.node.desk import CallDesk
-from trefoilhinge.node.parts import ClaimGranted, GiveUp, RetryAfter
+from trefoilhinge.retries.interfaces import ClaimGranted, GiveUp, RetryAfter
 from trefoilhinge.standins.simulation.steps import Step
 
 SEED = 0
--- a/tests/groups/test_planner.py
+++ b/tests/groups/test_planner.py
@@ -9,12 +9,8 @@
 from trefoilhinge.core.profiles import CallProfile
 from trefoilhinge.core.verdicts import RefusalCode, Verdict
 from trefoilhinge.groups.planner import Candidate, needs_group, plan
-from trefoilhinge.node.parts import (
-    Deferred,
-    Impossible,
-    PlacedOnGroup,
-    TargetView,
-)
+from trefoilhinge.membership.interfaces import TargetView
+from trefoilhinge.routing.interfaces import Deferred, Impossible, PlacedOnGroup
 
 NOW = Instant(10, 1_000)
 SERVICE = Service(name='writer', kind='model', memory_tokens=100_000)
--- a/tests/groups/test_runner.py
+++ b/tests/groups/test_runner.py
@@ -19,10 +19,10 @@
     TargetName,
 )
 from trefoilhinge.core.reports import EngineState, Holding
+from trefoilhinge.groups.interfaces import GroupFailed, GroupReady
 from trefoilhinge.groups.planner import plan
 from trefoilhinge.groups.runner import make_chain_group_runner
 from trefoilhinge.groups.tags import format_owner, make_tag, read_tag
-from trefoilhinge.node.parts import GroupFailed, GroupReady
 
 NOW = Instant(10, 1_000)
 OWNER = InstanceIdentity(InstanceName('entry-0'), 7)
--- a/tests/node/test_polling.py
+++ b/tests/node/test_polling.py
@@ -1,5 +1,5 @@
 from trefoilhinge.core.clocks import Instant
-from trefoilhinge.node.parts import TargetView
+from trefoilhinge.membership.interfaces import TargetView
 from trefoilhinge.node.polling import MAXIMUM_READS_PER_S, TargetPoller
 
 
--- a/tests/orders/test_steward.py
+++ b/tests/orders/test_steward.py
@@ -11,7 +11,7 @@
 from trefoilhinge.core.events import EngineStateRead, OrderAnswered
 from trefoilhinge.core.identifiers import InstanceIdentity, InstanceName
 from trefoilhinge.core.reports import EngineState
-from trefoilhinge.node.parts import TargetView
+from trefoilhinge.membership.interfaces import TargetView
 from trefoilhinge.orders.steward import make_read_back_steward
 
 LOAD_S = 20.0
--- a/tests/retries/test_at_most_once.py
+++ b/tests/retries/test_at_most_once.py
@@ -11,8 +11,12 @@
     InstanceName,
 )
 from trefoilhinge.core.verdicts import Verdict
-from trefoilhinge.node.parts import ClaimForwarded, ClaimGranted, ClaimRefused
 from trefoilhinge.retries import ledger as ledgers
+from trefoilhinge.retries.interfaces import (
+    ClaimForwarded,
+    ClaimGranted,
+    ClaimRefused,
+)
 from trefoilhinge.retries.ledger import make_owned_key_ledger
 
 NAMES = ('a', 'b', 'c', 'd')
--- a/tests/retries/test_ledger.py
+++ b/tests/retries/test_ledger.py
@@ -9,12 +9,12 @@
     InstanceName,
 )
 from trefoilhinge.core.verdicts import RefusalCode, Verdict
-from trefoilhinge.node.parts import (
+from trefoilhinge.retries.handover import ENTRIES_A_PART
+from trefoilhinge.retries.interfaces import (
     ClaimForwarded,
     ClaimGranted,
     ClaimRefused,
 )
-from trefoilhinge.retries.handover import ENTRIES_A_PART
 from trefoilhinge.retries.ledger import make_owned_key_ledger
 
 A = InstanceIdentity(InstanceName('a'), 100)
--- a/tests/retries/test_policy.py
+++ b/tests/retries/test_policy.py
@@ -6,7 +6,7 @@
 from trefoilhinge.core.events import AttemptEnded, AttemptOutcome
 from trefoilhinge.core.identifiers import AttemptId
 from trefoilhinge.core.verdicts import RefusalCode, Verdict
-from trefoilhinge.node.parts import GiveUp, RetryAfter
+from trefoilhinge.retries.interfaces import GiveUp, RetryAfter
 from trefoilhinge.retries.policy import make_careful_retry_policy
 
 
--- a/tests/routing/test_router.py
+++ b/tests/routing/test_router.py
@@ -20,13 +20,13 @@
 from trefoilhinge.core.profiles import CallProfile
 from trefoilhinge.core.reports import CacheEvent, LoadReport
 from trefoilhinge.core.verdicts import RefusalCode, Verdict
-from trefoilhinge.node.parts import (
+from trefoilhinge.membership.interfaces import TargetView
+from trefoilhinge.routing.interfaces import (
     Deferred,
     GroupMember,
     Impossible,
     PlacedOn,
     PlacedOnGroup,
-    TargetView,
 )
 from trefoilhinge.routing.router import BalancedRouter, make_balanced_router
 
--- a/trefoilhinge/client/commands.py
+++ b/trefoilhinge/client/commands.py
@@ -19,8 +19,8 @@
     wants_help,
 )
 from trefoilhinge.client.exits import EXIT_DONE, EXIT_INVALID
-from trefoilhinge.client.status import print_status
 from trefoilhinge.client.fleets import StatusSource
+from trefoilhinge.client.status import print_status
 from trefoilhinge.console.commands import run_console
 from trefoilhinge.demo.commands import run_demo
 from trefoilhinge.entry.commands import run_entry
@@ -30,8 +30,8 @@
     FaultRequest,
     run_faults,
 )
-from trefoilhinge.measure.growth import print_growth
 from trefoilhinge.measure.commands import print_measure, read_options
+from trefoilhinge.measure.growth import print_growth
 
 # Commands whose flags are the settings, which their help lists.
 _TAKE_SETTINGS = frozenset(('entry', 'check-settings', 'check_settings'))
--- a/trefoilhinge/faults/walk.py
+++ b/trefoilhinge/faults/walk.py
@@ -7,13 +7,13 @@
 
 from trefoilhinge.faults.callers import Callers, Kind
 from trefoilhinge.faults.catalogue import FAULTS, Scene, Undo
-from trefoilhinge.faults.matrix import Prepare
-from trefoilhinge.faults.promises import check_promises, settle_orders
-from trefoilhinge.faults.watcher import Violation, Watcher
 from trefoilhinge.faults.documents import (
     ENGINES,
     PLAINS,
 )
+from trefoilhinge.faults.matrix import Prepare
+from trefoilhinge.faults.promises import check_promises, settle_orders
+from trefoilhinge.faults.watcher import Violation, Watcher
 from trefoilhinge.faults.world import (
     make_fault_world,
 )
--- a/trefoilhinge/groups/planner.py
+++ b/trefoilhinge/groups/planner.py
@@ -12,12 +12,12 @@
 from trefoilhinge.core.clocks import Instant
 from trefoilhinge.core.profiles import CallProfile
 from trefoilhinge.core.verdicts import Refusal, RefusalCode, refuse_not_run
-from trefoilhinge.node.parts import (
+from trefoilhinge.membership.interfaces import TargetView
+from trefoilhinge.routing.interfaces import (
     Deferred,
     GroupMember,
     Impossible,
     PlacedOnGroup,
-    TargetView,
 )
 
 # Share of an engine's memory that stays free for short requests.
--- a/trefoilhinge/groups/runner.py
+++ b/trefoilhinge/groups/runner.py
@@ -22,15 +22,15 @@
 )
 from trefoilhinge.core.profiles import CallProfile
 from trefoilhinge.core.reports import Holding
-from trefoilhinge.groups.releases import PendingReleases
-from trefoilhinge.groups.tags import format_owner, make_tag, read_tag
-from trefoilhinge.node.parts import (
+from trefoilhinge.groups.interfaces import (
     GroupFailed,
-    GroupMember,
     GroupProgress,
     GroupReady,
-    TargetView,
 )
+from trefoilhinge.groups.releases import PendingReleases
+from trefoilhinge.groups.tags import format_owner, make_tag, read_tag
+from trefoilhinge.membership.interfaces import TargetView
+from trefoilhinge.routing.interfaces import GroupMember
 
 # Wall clocks of instances may differ by this much.
 CLOCK_MARGIN_S = 5.0
--- a/trefoilhinge/measure/baselines.py
+++ b/trefoilhinge/measure/baselines.py
@@ -14,12 +14,12 @@
 from trefoilhinge.core.profiles import CallProfile
 from trefoilhinge.core.reports import CacheEvent, LoadReport
 from trefoilhinge.groups.planner import Candidate, needs_group, plan
-from trefoilhinge.node.parts import (
+from trefoilhinge.membership.interfaces import TargetView
+from trefoilhinge.routing.interfaces import (
     Deferred,
     PlacedOn,
     Placement,
     Router,
-    TargetView,
 )
 
 DEFERRAL_S = 0.5
--- a/trefoilhinge/measure/cells.py
+++ b/trefoilhinge/measure/cells.py
@@ -16,8 +16,8 @@
     find_service,
     make_workload,
 )
-from trefoilhinge.standins.simulation.world import CallRecord
 from trefoilhinge.standins.simulation.engine import EngineSpeeds
+from trefoilhinge.standins.simulation.world import CallRecord
 
 SETTLE_S = 5.0
 DRAIN_STEP_S = 5.0
--- a/trefoilhinge/measure/slopes.py
+++ b/trefoilhinge/measure/slopes.py
@@ -12,7 +12,8 @@
 from trefoilhinge.core.reports import LoadReport
 from trefoilhinge.exceptions import DocumentInvalid
 from trefoilhinge.measure.workload import Arrival, find_service, make_workload
-from trefoilhinge.node.parts import PlacedOn, TargetView
+from trefoilhinge.membership.interfaces import TargetView
+from trefoilhinge.routing.interfaces import PlacedOn
 from trefoilhinge.routing.router import BalancedRouter, make_balanced_router
 
 TARGET_COUNTS = (25, 250, 1000, 4000)
--- a/trefoilhinge/membership/fleet.py
+++ b/trefoilhinge/membership/fleet.py
@@ -13,6 +13,7 @@
     InstanceName,
     TargetName,
 )
+from trefoilhinge.membership.interfaces import TargetView
 from trefoilhinge.membership.peers import (
     DIRECT_PEERS,
     INSTANCE_WORDS,
@@ -21,7 +22,6 @@
     PeerStanding,
 )
 from trefoilhinge.membership.targets import TargetBook
-from trefoilhinge.node.parts import TargetView
 
 FAN_OUT = 1
 # A large fleet tells news at once and talks in every second round only.
--- a/trefoilhinge/membership/targets.py
+++ b/trefoilhinge/membership/targets.py
@@ -9,7 +9,7 @@
 from trefoilhinge.core.clocks import Instant
 from trefoilhinge.core.identifiers import TargetName
 from trefoilhinge.core.reports import ListedTarget
-from trefoilhinge.node.parts import TargetView
+from trefoilhinge.membership.interfaces import TargetView
 
 LEAVING_WORDS = 32
 MAXIMUM_LEFT = 8192
--- a/trefoilhinge/node/composition.py
+++ b/trefoilhinge/node/composition.py
@@ -14,10 +14,10 @@
 from trefoilhinge.node.desk import CallDesk
 from trefoilhinge.node.exchange import PeerExchanger
 from trefoilhinge.node.handover import HandoverSender
+from trefoilhinge.node.observations import Observations
 from trefoilhinge.node.passing import DocumentPasses
 from trefoilhinge.node.reads import make_document_reads
 from trefoilhinge.node.schedule import make_jittered_timer
-from trefoilhinge.node.observations import Observations
 from trefoilhinge.node.tables import CallTable
 from trefoilhinge.orders.steward import make_read_back_steward
 from trefoilhinge.retries.ledger import make_owned_key_ledger
--- a/trefoilhinge/node/core.py
+++ b/trefoilhinge/node/core.py
@@ -5,6 +5,7 @@
 
 from attrs import define, field
 
+from trefoilhinge.conf.interfaces import DocumentKeeper
 from trefoilhinge.core.clocks import Instant
 from trefoilhinge.core.effects import (
     AnswerKey,
@@ -43,23 +44,18 @@
 )
 from trefoilhinge.core.identifiers import InstanceIdentity, TargetName
 from trefoilhinge.core.verdicts import RefusalCode, refuse_not_run
+from trefoilhinge.groups.interfaces import GroupRunner
+from trefoilhinge.limits.interfaces import Limiter
+from trefoilhinge.membership.interfaces import Fleet, TargetView
 from trefoilhinge.node.desk import CallDesk, refuse_stopping
 from trefoilhinge.node.exchange import PeerExchanger
 from trefoilhinge.node.observations import Observations
-from trefoilhinge.node.parts import (
-    DocumentKeeper,
-    Fleet,
-    GroupRunner,
-    Ledger,
-    Limiter,
-    RetryPolicy,
-    Router,
-    Steward,
-    TargetView,
-)
 from trefoilhinge.node.polling import TargetPoller
 from trefoilhinge.node.reads import DocumentReads, make_document_reads
 from trefoilhinge.node.schedule import PauseDetector, Timer
+from trefoilhinge.orders.interfaces import Steward
+from trefoilhinge.retries.interfaces import Ledger, RetryPolicy
+from trefoilhinge.routing.interfaces import Router
 
 EXCHANGE_INTERVAL_S = 1.0
 LOAD_INTERVAL_S = 0.5
--- a/trefoilhinge/node/desk.py
+++ b/trefoilhinge/node/desk.py
@@ -41,26 +41,25 @@
     Verdict,
     refuse_not_run,
 )
-from trefoilhinge.node.parts import (
+from trefoilhinge.groups.interfaces import GroupFailed, GroupReady, GroupRunner
+from trefoilhinge.limits.interfaces import Limiter
+from trefoilhinge.membership.interfaces import Fleet, TargetView
+from trefoilhinge.node.tables import CallRecord, CallState, CallTable
+from trefoilhinge.retries.interfaces import (
     ClaimForwarded,
     ClaimRefused,
-    Deferred,
-    Fleet,
     GiveUp,
-    GroupFailed,
+    Ledger,
+    RetryPolicy,
+)
+from trefoilhinge.routing.interfaces import (
+    Deferred,
     GroupMember,
-    GroupReady,
-    GroupRunner,
     Impossible,
-    Ledger,
-    Limiter,
     PlacedOn,
     PlacedOnGroup,
-    RetryPolicy,
     Router,
-    TargetView,
 )
-from trefoilhinge.node.tables import CallRecord, CallState, CallTable
 
 SEND_LEASE_S = 2.0
 QUESTION_INTERVAL_S = 1.0
--- a/trefoilhinge/node/exchange.py
+++ b/trefoilhinge/node/exchange.py
@@ -7,6 +7,7 @@
 
 from trefoilhinge.conf.document import digest_text
 from trefoilhinge.conf.generated.messages import PeerExchange
+from trefoilhinge.conf.interfaces import DocumentKeeper
 from trefoilhinge.conf.messages import read_exchange, write_exchange
 from trefoilhinge.core.clocks import Instant
 from trefoilhinge.core.effects import (
@@ -17,16 +18,13 @@
 )
 from trefoilhinge.core.events import PeerAnswered, PeerMessageReceived
 from trefoilhinge.core.identifiers import InstanceName
+from trefoilhinge.limits.interfaces import Limiter
+from trefoilhinge.membership.interfaces import Fleet
 from trefoilhinge.node.handover import HandoverSender
 from trefoilhinge.node.observations import Observations
-from trefoilhinge.node.parts import (
-    DocumentKeeper,
-    Fleet,
-    Ledger,
-    Limiter,
-    Router,
-)
 from trefoilhinge.node.passing import WANT_DELTAS, DocumentPasses
+from trefoilhinge.retries.interfaces import Ledger
+from trefoilhinge.routing.interfaces import Router
 
 # A small fleet talks to every peer; a large one sends less to stay in bounds.
 SMALL_FLEET = 9
--- a/trefoilhinge/node/handover.py
+++ b/trefoilhinge/node/handover.py
@@ -8,7 +8,8 @@
 from trefoilhinge.core.clocks import Instant
 from trefoilhinge.core.effects import Effect, SendPeerMessage
 from trefoilhinge.core.identifiers import InstanceName
-from trefoilhinge.node.parts import Fleet, Ledger
+from trefoilhinge.membership.interfaces import Fleet
+from trefoilhinge.retries.interfaces import Ledger
 
 HANDOVER_WAIT_S = 10.0
 SEND_INTERVAL_S = 0.5
--- a/trefoilhinge/node/passing.py
+++ b/trefoilhinge/node/passing.py
@@ -8,9 +8,9 @@
 from attrs import define, field
 
 from trefoilhinge.conf.generated.messages import PeerExchange
+from trefoilhinge.conf.interfaces import DocumentKeeper
 from trefoilhinge.core.clocks import Instant
 from trefoilhinge.core.identifiers import InstanceName
-from trefoilhinge.node.parts import DocumentKeeper
 
 WANT_INTERVAL_S = 1.0
 FIRST_INTERVAL_S = 2.0
--- a/trefoilhinge/node/polling.py
+++ b/trefoilhinge/node/polling.py
@@ -6,7 +6,7 @@
 
 from trefoilhinge.core.clocks import Instant
 from trefoilhinge.core.identifiers import TargetName
-from trefoilhinge.node.parts import TargetView
+from trefoilhinge.membership.interfaces import TargetView
 
 MAXIMUM_READS_PER_S = 60.0
 MAXIMUM_READS_AT_ONCE = 64
--- a/trefoilhinge/node/reads.py
+++ b/trefoilhinge/node/reads.py
@@ -4,7 +4,7 @@
 from attrs import define, field
 
 from trefoilhinge.core.clocks import Instant
-from trefoilhinge.node.parts import Fleet
+from trefoilhinge.membership.interfaces import Fleet
 
 FIRST_BACK_OFF_S = 0.25
 MAXIMUM_BACK_OFF_S = 3.0
--- a/trefoilhinge/node/status.py
+++ b/trefoilhinge/node/status.py
@@ -12,10 +12,10 @@
 )
 from trefoilhinge.core.clocks import Instant
 from trefoilhinge.core.identifiers import TargetName
+from trefoilhinge.membership.interfaces import TargetView
 from trefoilhinge.node.core import NodeCore
 from trefoilhinge.node.findings import FORGET_PEER_S, find_faults
 from trefoilhinge.node.observations import SeenTarget
-from trefoilhinge.node.parts import TargetView
 from trefoilhinge.node.tables import IN_FLIGHT, CallRecord, CallState
 
 
--- a/trefoilhinge/node/tables.py
+++ b/trefoilhinge/node/tables.py
@@ -12,7 +12,7 @@
 )
 from trefoilhinge.core.profiles import CallProfile
 from trefoilhinge.core.verdicts import Verdict
-from trefoilhinge.node.parts import TargetView
+from trefoilhinge.membership.interfaces import TargetView
 
 
 class CallState(enum.StrEnum):
--- a/trefoilhinge/orders/desired.py
+++ b/trefoilhinge/orders/desired.py
@@ -5,7 +5,7 @@
 
 from trefoilhinge.conf.generated.document import DesiredState, Service
 from trefoilhinge.core.reports import EngineState
-from trefoilhinge.node.parts import TargetView
+from trefoilhinge.membership.interfaces import TargetView
 
 FENCES_A_REVISION = 65_536
 MAXIMUM_REVISION = 2**36
--- a/trefoilhinge/orders/rollout.py
+++ b/trefoilhinge/orders/rollout.py
@@ -6,7 +6,7 @@
 from trefoilhinge.core.clocks import Instant
 from trefoilhinge.core.identifiers import InstanceName, TargetName
 from trefoilhinge.core.reports import EngineState
-from trefoilhinge.node.parts import TargetView
+from trefoilhinge.membership.interfaces import TargetView
 from trefoilhinge.orders.desired import TargetGoal, list_goals
 from trefoilhinge.orders.loads import LoadShare
 from trefoilhinge.orders.stewardship import Stewardship
--- a/trefoilhinge/orders/steward.py
+++ b/trefoilhinge/orders/steward.py
@@ -21,7 +21,7 @@
     TargetName,
 )
 from trefoilhinge.core.reports import EngineState
-from trefoilhinge.node.parts import TargetView
+from trefoilhinge.membership.interfaces import TargetView
 from trefoilhinge.node.polling import TargetPoller
 from trefoilhinge.orders.desired import choose_fence
 from trefoilhinge.orders.rollout import Rollout
--- a/trefoilhinge/platform/plain.py
+++ b/trefoilhinge/platform/plain.py
@@ -10,7 +10,6 @@
 )
 from trefoilhinge.platform.failures import TargetBroke, TargetRefused
 from trefoilhinge.platform.interfaces import OutgoingCall, PlainAnswer
-
 from trefoilhinge.platform.links import Link
 
 
--- a/trefoilhinge/platform/streams.py
+++ b/trefoilhinge/platform/streams.py
@@ -1,6 +1,7 @@
 """Streams of engines, read without a thread of their own."""
 
 import http.client
+
 import urllib3
 from attrs import define
 
--- a/trefoilhinge/retries/ledger.py
+++ b/trefoilhinge/retries/ledger.py
@@ -16,15 +16,15 @@
 )
 from trefoilhinge.core.profiles import CallProfile
 from trefoilhinge.core.verdicts import Refusal, Verdict
-from trefoilhinge.node.parts import (
+from trefoilhinge.retries import refusals
+from trefoilhinge.retries.adopted import AdoptedLedgers
+from trefoilhinge.retries.handover import HandedEntry, read_part, write_parts
+from trefoilhinge.retries.interfaces import (
     Claim,
     ClaimForwarded,
     ClaimGranted,
     ClaimRefused,
 )
-from trefoilhinge.retries import refusals
-from trefoilhinge.retries.adopted import AdoptedLedgers
-from trefoilhinge.retries.handover import HandedEntry, read_part, write_parts
 from trefoilhinge.retries.minted import (
     KeySigner,
     KeyStanding,
--- a/trefoilhinge/retries/policy.py
+++ b/trefoilhinge/retries/policy.py
@@ -11,8 +11,8 @@
 from trefoilhinge.core.identifiers import TargetName
 from trefoilhinge.core.profiles import CallProfile
 from trefoilhinge.core.verdicts import RefusalCode, Verdict
-from trefoilhinge.node.parts import GiveUp, RetryAfter, RetryDecision
 from trefoilhinge.retries.budgets import RetryBudgets
+from trefoilhinge.retries.interfaces import GiveUp, RetryAfter, RetryDecision
 
 MAXIMUM_ATTEMPTS = 4
 FIRST_DELAY_S = 0.05
--- a/trefoilhinge/routing/pools.py
+++ b/trefoilhinge/routing/pools.py
@@ -5,7 +5,7 @@
 
 from trefoilhinge.conf.generated.document import Service
 from trefoilhinge.core.identifiers import TargetName
-from trefoilhinge.node.parts import TargetView
+from trefoilhinge.membership.interfaces import TargetView
 from trefoilhinge.routing.states import Speed, TargetState
 
 LARGEST_EJECTED_SHARE = 0.34
--- a/trefoilhinge/routing/router.py
+++ b/trefoilhinge/routing/router.py
@@ -19,15 +19,15 @@
 from trefoilhinge.core.reports import CacheEvent, LoadReport
 from trefoilhinge.core.verdicts import RefusalCode, refuse_not_run
 from trefoilhinge.groups.planner import Candidate, needs_group
-from trefoilhinge.node.parts import (
+from trefoilhinge.membership.interfaces import TargetView
+from trefoilhinge.routing.choices import Chooser
+from trefoilhinge.routing.estimates import BLOCK_TOKENS
+from trefoilhinge.routing.interfaces import (
     Deferred,
     Impossible,
     PlacedOn,
     Placement,
-    TargetView,
 )
-from trefoilhinge.routing.choices import Chooser
-from trefoilhinge.routing.estimates import BLOCK_TOKENS
 from trefoilhinge.routing.planning import DomainPlanner, GroupPlanner
 from trefoilhinge.routing.pools import ServicePool, adopt_service
 from trefoilhinge.routing.prefixes import PrefixGuesses
--- a/trefoilhinge/routing/states.py
+++ b/trefoilhinge/routing/states.py
@@ -6,7 +6,7 @@
 
 from trefoilhinge.core.identifiers import AttemptId, InstanceName
 from trefoilhinge.core.reports import LoadReport
-from trefoilhinge.node.parts import TargetView
+from trefoilhinge.membership.interfaces import TargetView
 
 FAILURES_TO_EJECT = 3
 EJECTION_S = 5.0
--- a/trefoilhinge/standins/simulation/driver.py
+++ b/trefoilhinge/standins/simulation/driver.py
@@ -11,8 +11,8 @@
 from trefoilhinge.core.identifiers import AttemptId, InstanceName, StreamId
 from trefoilhinge.core.profiles import CallProfile
 from trefoilhinge.groups.tags import read_tag
+from trefoilhinge.membership.interfaces import TargetView
 from trefoilhinge.node.core import NodeCore
-from trefoilhinge.node.parts import TargetView
 from trefoilhinge.node.schedule import TICK_S
 from trefoilhinge.node.tables import CallState
 from trefoilhinge.standins.simulation.answers import AnswerActions
