Split the desk's endings, refusals and effects into modules.

Change: node/closing.py ends calls, node/refusals.py words what is told, node/attempts.py builds the effects of an attempt. No behaviour changed; the broken node that never ends late calls patches the new place. Conclusion: the desk reads as the steps of a call.

--- a/tests/faults/test_broken.py
+++ b/tests/faults/test_broken.py
@@ -11,8 +11,8 @@
 from trefoilhinge.core.verdicts import RefusalCode, Verdict
 from trefoilhinge.faults.callers import Kind
 from trefoilhinge.faults.matrix import Cell, run_cell
+from trefoilhinge.node.closing import CallCloser
 from trefoilhinge.node.core import NodeCore
-from trefoilhinge.node.desk import CallDesk
 from trefoilhinge.retries.interfaces import ClaimGranted, GiveUp, RetryAfter
 from trefoilhinge.standins.simulation.steps import Step
 
@@ -224,7 +224,7 @@
 
     def test_call_without_end(self, monkeypatch):
         """A call that outlives its time is caught."""
-        monkeypatch.setattr(CallDesk, '_expire', lambda *_: [])
+        monkeypatch.setattr(CallCloser, 'expire', lambda *_: [])
         prepare = replace_part(
             fleet=lambda parts: Altered(
                 parts.fleet,
--- /dev/null
+++ b/trefoilhinge/node/closing.py
@@ -0,0 +1,97 @@
+"""Ends calls: releases what they hold and settles what they took."""
+
+from attrs import define
+
+from trefoilhinge.core.clocks import Instant
+from trefoilhinge.core.effects import Effect, FinishCall, RefuseCall
+from trefoilhinge.core.events import AttemptEnded, AttemptOutcome
+from trefoilhinge.core.verdicts import Refusal, Verdict
+from trefoilhinge.groups.interfaces import GroupRunner
+from trefoilhinge.limits.interfaces import Limiter
+from trefoilhinge.node.attempts import make_cancellation
+from trefoilhinge.node.refusals import refuse_expired
+from trefoilhinge.node.tables import CallRecord, CallState, CallTable
+from trefoilhinge.retries.interfaces import Ledger
+from trefoilhinge.routing.interfaces import Router
+
+Effects = list[Effect]
+
+
+@define
+class CallCloser:
+    """Takes calls out of the table, each with its final answer."""
+
+    _table: CallTable
+    _router: Router
+    _limiter: Limiter
+    _ledger: Ledger
+    _groups: GroupRunner
+
+    def release(
+        self,
+        record: CallRecord,
+        outcome: AttemptOutcome,
+        now: Instant,
+    ) -> Effects:
+        """Drop the charge and the holdings of the latest attempt."""
+        self._router.release(record.attempt, outcome, now)
+        return list(self._groups.release(record.attempt, now))
+
+    def finish(
+        self,
+        record: CallRecord,
+        event: AttemptEnded,
+        now: Instant,
+    ) -> Effects:
+        """End a call whose whole answer was relayed."""
+        profile = record.profile
+        effects = self.release(record, event.outcome, now)
+        tokens = event.prompt_tokens or profile.prompt_tokens
+        tokens += event.output_tokens
+        self._ledger.settle(profile, Verdict.RAN, now)
+        self._limiter.settle(profile, Verdict.RAN, tokens, now)
+        self._limiter.remove(profile.request_id)
+        self._table.drop(profile.request_id)
+        effects.append(FinishCall(profile.request_id))
+        return effects
+
+    def expire(self, record: CallRecord, now: Instant) -> Effects:
+        """Refuse a call whose deadline has passed."""
+        return self.refuse(record, refuse_expired(record), now)
+
+    def refuse(
+        self,
+        record: CallRecord,
+        refusal: Refusal,
+        now: Instant,
+    ) -> Effects:
+        """End a call with a refusal."""
+        effects = self.close(record, refusal.verdict, record.offset, now)
+        effects.append(RefuseCall(record.profile.request_id, refusal))
+        return effects
+
+    def close(
+        self,
+        record: CallRecord,
+        verdict: Verdict,
+        output_tokens: int,
+        now: Instant,
+    ) -> Effects:
+        """End a call without an answer.
+
+        :param output_tokens: tokens that were taken of its answer.
+        """
+        profile = record.profile
+        effects = self.release(record, AttemptOutcome.ABANDONED, now)
+        asked = record.state in {CallState.SENT, CallState.ASKING}
+        if asked and record.target is not None:
+            effects.append(make_cancellation(record, record.target))
+        tokens = 0
+        if verdict is not Verdict.NOT_RUN:
+            tokens = profile.prompt_tokens + output_tokens
+        if record.state is not CallState.FORWARDED:
+            self._ledger.settle(profile, verdict, now)
+            self._limiter.settle(profile, verdict, tokens, now)
+        self._limiter.remove(profile.request_id)
+        self._table.drop(profile.request_id)
+        return effects
--- a/trefoilhinge/node/composition.py
+++ b/trefoilhinge/node/composition.py
@@ -5,6 +5,7 @@
 from trefoilhinge.groups.runner import make_chain_group_runner
 from trefoilhinge.limits.limiter import make_sharing_limiter
 from trefoilhinge.membership.fleet import make_exchange_fleet
+from trefoilhinge.node.closing import CallCloser
 from trefoilhinge.node.core import (
     EXCHANGE_INTERVAL_S,
     NodeCore,
@@ -70,14 +71,22 @@
     :param stop_wait_s: seconds that the balancer takes to notice a stop.
     :param seed: seed of the jitter of its reads.
     """
+    table = CallTable()
     desk = CallDesk(
-        CallTable(),
+        table,
         parts.router,
         parts.limiter,
         parts.ledger,
         parts.retries,
         parts.groups,
         parts.fleet,
+        CallCloser(
+            table,
+            parts.router,
+            parts.limiter,
+            parts.ledger,
+            parts.groups,
+        ),
     )
     observations = Observations()
     exchanger = PeerExchanger(
--- a/trefoilhinge/node/core.py
+++ b/trefoilhinge/node/core.py
@@ -47,11 +47,12 @@
 from trefoilhinge.groups.interfaces import GroupRunner
 from trefoilhinge.limits.interfaces import Limiter
 from trefoilhinge.membership.interfaces import Fleet, TargetView
-from trefoilhinge.node.desk import CallDesk, refuse_stopping
+from trefoilhinge.node.desk import CallDesk
 from trefoilhinge.node.exchange import PeerExchanger
 from trefoilhinge.node.observations import Observations
 from trefoilhinge.node.polling import TargetPoller
 from trefoilhinge.node.reads import DocumentReads, make_document_reads
+from trefoilhinge.node.refusals import refuse_stopping
 from trefoilhinge.node.schedule import PauseDetector, Timer
 from trefoilhinge.orders.interfaces import Steward
 from trefoilhinge.retries.interfaces import Ledger, RetryPolicy
--- a/trefoilhinge/node/desk.py
+++ b/trefoilhinge/node/desk.py
@@ -8,14 +8,11 @@
 
 from trefoilhinge.core.clocks import Instant
 from trefoilhinge.core.effects import (
-    CancelAttempt,
     Dispatch,
     Effect,
     FinishCall,
     ForwardCall,
-    QueryStream,
     RefuseCall,
-    ResumeStream,
 )
 from trefoilhinge.core.events import (
     AttemptAccepted,
@@ -29,21 +26,20 @@
     GroupStepEnded,
     StreamAnswered,
 )
-from trefoilhinge.core.identifiers import (
-    AttemptId,
-    HoldingTag,
-    StreamId,
-)
+from trefoilhinge.core.identifiers import HoldingTag
 from trefoilhinge.core.reports import StreamState
-from trefoilhinge.core.verdicts import (
-    Refusal,
-    RefusalCode,
-    Verdict,
-    refuse_not_run,
-)
+from trefoilhinge.core.verdicts import Verdict
 from trefoilhinge.groups.interfaces import GroupFailed, GroupReady, GroupRunner
 from trefoilhinge.limits.interfaces import Limiter
 from trefoilhinge.membership.interfaces import Fleet, TargetView
+from trefoilhinge.node.attempts import (
+    make_cancellation,
+    make_dispatch,
+    make_query,
+    make_resumption,
+)
+from trefoilhinge.node.closing import CallCloser
+from trefoilhinge.node.refusals import refuse_failed, refuse_lost_owner
 from trefoilhinge.node.tables import CallRecord, CallState, CallTable
 from trefoilhinge.retries.interfaces import (
     ClaimForwarded,
@@ -61,7 +57,6 @@
     Router,
 )
 
-SEND_LEASE_S = 2.0
 QUESTION_INTERVAL_S = 1.0
 # A question that is not answered by then was lost with its thread.
 LOST_QUESTION_S = 5.0
@@ -86,6 +81,7 @@
     _retries: RetryPolicy
     _groups: GroupRunner
     _fleet: Fleet
+    _closer: CallCloser
     hold_until_s: float = 0
 
     def receive(self, event: CallReceived, now: Instant) -> Effects:
@@ -172,7 +168,8 @@
         if record is None:
             return []
         if event.outcome is AttemptOutcome.FINISHED:
-            return self._finish(record, event, now)
+            effects = self._closer.finish(record, event, now)
+            return effects + self.place_queued(now)
         if record.state not in {CallState.SENT, CallState.ASKING}:
             return []
         record.relayed = max(record.relayed, event.relayed)
@@ -213,14 +210,14 @@
         record = self.table.find(event.request_id)
         if record is None:
             return []
-        return self._close(record, record.verdict, 0, now)
+        return self._closer.close(record, record.verdict, 0, now)
 
     def act(self, now: Instant) -> Effects:
         """Refuse what is late, ask and retry what is due, place the rest."""
         effects: Effects = []
         for record in self.table.list_records():
             if record.profile.deadline_s <= now.monotonic_s:
-                effects.extend(self._expire(record, now))
+                effects.extend(self._closer.expire(record, now))
             elif record.state is CallState.WAITING_RETRY:
                 if record.due_s <= now.monotonic_s:
                     record.state = CallState.QUEUED
@@ -255,7 +252,7 @@
             case Deferred():
                 return []
             case Impossible(refusal):
-                return self._refuse(record, refusal, now)
+                return self._closer.refuse(record, refusal, now)
             case PlacedOn(target, priority):
                 self._begin_attempt(record, (target,), now)
                 return [self._dispatch(record, target, now, None, priority)]
@@ -307,16 +304,7 @@
         if record.number == 1:
             self._retries.note_first_attempt(profile, target.name, now)
         self._ledger.record_intent(profile, record.attempt, now)
-        return Dispatch(
-            attempt=record.attempt,
-            target=target.name,
-            address=target.address,
-            priority=profile.priority if priority is None else priority,
-            deadline_s=profile.deadline_s,
-            lease=now.shift(SEND_LEASE_S),
-            fresh_connection=not profile.idempotent,
-            group_tag=tag,
-        )
+        return make_dispatch(record, target, now, tag, priority)
 
     def _note_broken(
         self,
@@ -346,36 +334,21 @@
             return []
         record.broken = False
         record.resumed_from = record.offset
-        return [
-            ResumeStream(
-                record.attempt,
-                target.name,
-                target.address,
-                record.stream_id or _name_stream(record.attempt),
-                record.offset,
-            ),
-        ]
+        return [make_resumption(record, target)]
 
     def _ask(self, record: CallRecord, now: Instant) -> Effects:
         if record.target is None:
             return []
         record.state = CallState.ASKING
         record.due_s = now.monotonic_s + LOST_QUESTION_S
-        return [
-            QueryStream(
-                record.attempt,
-                record.target.name,
-                record.target.address,
-                record.stream_id or _name_stream(record.attempt),
-            ),
-        ]
+        return [make_query(record, record.target)]
 
     def _postpone(self, record: CallRecord, now: Instant) -> Effects:
         """Place a call again later whose group could not be prepared.
 
         Nothing was sent, so that this spends no retry; the deadline ends it.
         """
-        effects = self._release(record, AttemptOutcome.NOT_SENT, now)
+        effects = self._closer.release(record, AttemptOutcome.NOT_SENT, now)
         record.state = CallState.WAITING_RETRY
         delay_s = GROUP_DELAY_S * 2 ** min(record.number, 4)
         record.due_s = now.monotonic_s + delay_s
@@ -390,121 +363,24 @@
         profile = record.profile
         target = record.target
         ended = evolve(ended, relayed=max(ended.relayed, record.relayed))
-        effects = self._release(record, ended.outcome, now)
+        effects = self._closer.release(record, ended.outcome, now)
         if target is None:
             return effects
         if profile.model and not ended.outcome.proves_not_run:
             # Whatever was lost, the target may run it still.
-            effects.extend(_cancel(record))
+            effects.append(make_cancellation(record, target))
         record.state = CallState.WAITING_RETRY
         if not ended.outcome.proves_not_run:
             record.exposed = True
         decision = self._retries.decide(profile, ended, target.name, now)
         if isinstance(decision, GiveUp):
-            # An earlier attempt may have run even where this one did not.
-            verdict = decision.verdict
-            if record.exposed:
-                verdict = Verdict.MAY_HAVE_RUN
-            refusal = Refusal(
-                decision.code,
-                verdict,
-                'The target did not give a whole answer; '
-                'a call that may be repeated can be sent again.',
-                retry_after_s=max(1, decision.retry_after_s or 0),
-            )
-            return effects + self._refuse(record, refusal, now)
+            refusal = refuse_failed(record, decision)
+            return effects + self._closer.refuse(record, refusal, now)
         if ended.outcome is not AttemptOutcome.LEASE_LOST:
             record.avoided.add(target.name)
         record.due_s = now.monotonic_s + decision.delay_s
         return effects
 
-    def _release(
-        self,
-        record: CallRecord,
-        outcome: AttemptOutcome,
-        now: Instant,
-    ) -> Effects:
-        self._router.release(record.attempt, outcome, now)
-        return list(self._groups.release(record.attempt, now))
-
-    def _finish(
-        self,
-        record: CallRecord,
-        event: AttemptEnded,
-        now: Instant,
-    ) -> Effects:
-        profile = record.profile
-        effects = self._release(record, event.outcome, now)
-        tokens = event.prompt_tokens or profile.prompt_tokens
-        tokens += event.output_tokens
-        self._ledger.settle(profile, Verdict.RAN, now)
-        self._limiter.settle(profile, Verdict.RAN, tokens, now)
-        self._limiter.remove(profile.request_id)
-        self.table.drop(profile.request_id)
-        effects.append(FinishCall(profile.request_id))
-        return effects + self.place_queued(now)
-
-    def _expire(self, record: CallRecord, now: Instant) -> Effects:
-        refusal = Refusal(
-            RefusalCode.DEADLINE_PASSED,
-            record.verdict,
-            'The request did not end within its time; allow more time.',
-            limit='deadline_s',
-            limit_value=record.profile.deadline_s - record.profile.received_s,
-        )
-        return self._refuse(record, refusal, now)
-
-    def _refuse(
-        self,
-        record: CallRecord,
-        refusal: Refusal,
-        now: Instant,
-    ) -> Effects:
-        effects = self._close(record, refusal.verdict, record.offset, now)
-        effects.append(RefuseCall(record.profile.request_id, refusal))
-        return effects
-
-    def _close(
-        self,
-        record: CallRecord,
-        verdict: Verdict,
-        output_tokens: int,
-        now: Instant,
-    ) -> Effects:
-        profile = record.profile
-        effects = self._release(record, AttemptOutcome.ABANDONED, now)
-        if record.state in {CallState.SENT, CallState.ASKING}:
-            effects.extend(_cancel(record))
-        tokens = 0
-        if verdict is not Verdict.NOT_RUN:
-            tokens = profile.prompt_tokens + output_tokens
-        if record.state is not CallState.FORWARDED:
-            self._ledger.settle(profile, verdict, now)
-            self._limiter.settle(profile, verdict, tokens, now)
-        self._limiter.remove(profile.request_id)
-        self.table.drop(profile.request_id)
-        return effects
-
-
-def refuse_lost_owner() -> Refusal:
-    """Return the refusal of a call whose key's owner cannot be reached."""
-    return Refusal(
-        RefusalCode.KEY_OWNER_GONE,
-        Verdict.MAY_HAVE_RUN,
-        'The instance that owns this Idempotency-Key cannot be reached, so '
-        'whether the request ran is not known; look before you send it '
-        'again under a new key.',
-    )
-
-
-def refuse_stopping() -> Refusal:
-    """Return the refusal of a call that reached a stopping instance."""
-    return refuse_not_run(
-        RefusalCode.STOPPING,
-        'This instance is stopping; send the request again.',
-        retry_after_s=1,
-    )
-
 
 def _lost_connection(record: CallRecord, event: AttemptEnded) -> bool:
     if event.outcome is AttemptOutcome.BROKEN:
@@ -513,20 +389,3 @@
     # been sent all the same.
     resumed = record.resumed_from is not None
     return resumed and event.outcome.proves_not_run
-
-
-def _name_stream(attempt: AttemptId) -> StreamId:
-    return StreamId(str(attempt))
-
-
-def _cancel(record: CallRecord) -> Effects:
-    if record.target is None:
-        return []
-    return [
-        CancelAttempt(
-            record.attempt,
-            record.target.name,
-            record.target.address,
-            record.profile.model,
-        ),
-    ]
