--- a/trefoilhinge/routing/pools.py
+++ b/trefoilhinge/routing/pools.py
@@ -9,7 +9,7 @@
 from trefoilhinge.routing.states import Speed, TargetState
 
 LARGEST_EJECTED_SHARE = 0.34
-LARGEST_RESERVED_SHARE = 0.34
+LARGEST_RESERVED_SHARE = 0.25
 RESERVED_FOR_SHORT_WORK = 10.0
 LONG_WEIGHT_GAIN = 0.5
 PRIOR_SHORT_SHARE = 0.08
