--- a/trefoilhinge/routing/choices.py
+++ b/trefoilhinge/routing/choices.py
@@ -14,7 +14,7 @@
 
 # A pool this small is looked at whole, and a larger one by sampling.
 SMALL_POOL = 26
-MAXIMUM_LOOKS = 16
+MAXIMUM_LOOKS = 12
 MAXIMUM_HOLDERS = 4
 # Estimates this close are equal: the reports behind them lag by more.
 NEAR_S = 0.004
--- a/trefoilhinge/routing/estimates.py
+++ b/trefoilhinge/routing/estimates.py
@@ -39,22 +39,7 @@
 
     def estimate(self, state: TargetState) -> float:
         """Return the seconds to the call's first token at a target."""
-        seconds: float = 0
-        if not state.local:
-            seconds = REMOTE_WAIT_S
-        if state.ejections:
-            seconds += state.find_slow_start_s(self.now_s)
-        if not self.profile.model:
-            return seconds + state.count_calls() * PLAIN_CALL_S
-        tokens: float = self.profile.prompt_tokens
-        if self.deepest:
-            tokens -= self._count_cached(state)
-        rate = state.speed.rate
-        missing = self.profile.total_tokens - state.free_tokens
-        if missing > 0:
-            # Memory for the call has yet to be freed by others.
-            tokens += missing
-        return seconds + tokens / rate + self._find_queue_s(state)
+        return self._add_up(state, self._count_cached(state))
 
     def weigh(self, state: TargetState) -> float:
         """Return the seconds to compare targets by.
@@ -62,20 +47,34 @@
         Prompt tokens that are prefilled again cost the calls behind too, so
         that a patient call counts them more than its own wait for them.
         """
-        seconds = self.estimate(state)
+        cached = self._count_cached(state)
+        seconds = self._add_up(state, cached)
         if self.urgent:
             return seconds + self._find_unseen_s(state)
-        if not self.deepest:
-            return seconds
-        again = self.deepest * BLOCK_TOKENS - self._count_cached(state)
+        again = self.deepest * BLOCK_TOKENS - cached
         return seconds + REPEATED_WORK_WEIGHT * again / state.speed.rate
 
+    def _add_up(self, state: TargetState, cached: int) -> float:
+        seconds = 0 if state.local else REMOTE_WAIT_S
+        if state.ejections:
+            seconds += state.find_slow_start_s(self.now_s)
+        if not self.profile.model:
+            return seconds + state.count_calls() * PLAIN_CALL_S
+        tokens: float = self.profile.prompt_tokens - cached
+        missing = self.profile.total_tokens - state.free_tokens
+        if missing > 0:
+            # Memory for the call has yet to be freed by others.
+            tokens += missing
+        return seconds + tokens / state.speed.rate + self._find_queue_s(state)
+
     def _find_unseen_s(self, state: TargetState) -> float:
         if state is self.home:
             return 0
         return UNSEEN_SHORT_WAIT_S if state.reserved else UNSEEN_LONG_WAIT_S
 
     def _count_cached(self, state: TargetState) -> int:
+        if not self.deepest:
+            return 0
         blocks = self.prefixes.count_blocks(
             state.view.name,
             self.profile.prefix_digests,
