--- a/trefoilhinge/exceptions.py
+++ b/trefoilhinge/exceptions.py
@@ -15,11 +15,3 @@
 
 class DocumentInvalid(TrefoilhingeError):
     """A configuration document was refused."""
-
-
-class MessageInvalid(TrefoilhingeError):
-    """A message of a peer or of the platform could not be read."""
-
-
-class PlatformUnavailable(TrefoilhingeError):
-    """A service of the platform did not answer."""
