Showed the credential for orders only to targets that check it.

Cause: every read and order carried the credential to every engine, also to those that do not check who orders them, and checks_orderer of the document was read by nobody. Before: one header for every read and order, as the code had it (not run). After: two new tests pass, and those of orders and entry. Conclusion: a target that ignores the credential no longer learns it.

--- /dev/null
+++ b/tests/platform/test_order_credential.py
@@ -0,0 +1,54 @@
+import pytest
+
+from trefoilhinge.core.clocks import Instant
+from trefoilhinge.core.effects import ReadEngineState, SendOrder
+from trefoilhinge.core.identifiers import TargetName
+from trefoilhinge.platform.engines import make_http_engine_client
+from trefoilhinge.standins.engines import answer_json
+from trefoilhinge.standins.servers import start_server
+
+TARGET = TargetName('writer-0')
+TOKEN = 'a credential for orders'
+
+
+@pytest.fixture
+def engine():
+    seen = []
+
+    def application(environ, start_response):
+        seen.append(environ.get('HTTP_X_ORDER_TOKEN'))
+        return answer_json(start_response, {'accepted': True})
+
+    server = start_server(application, threads=2)
+    yield server.address, seen
+    server.stop()
+
+
+def make_order(address, credentialed):
+    return SendOrder(
+        target=TARGET,
+        address=address,
+        fence=1,
+        revision=1,
+        model='open-large',
+        version='v1',
+        adapters=(),
+        role='both',
+        lease=Instant(1, 1),
+        credentialed=credentialed,
+    )
+
+
+class TestOrderCredential:
+    def test_is_shown_to_a_target_that_checks(self, engine):
+        address, seen = engine
+        client = make_http_engine_client(TOKEN)
+        assert client.send_order(make_order(address, True)).accepted
+        assert seen == [TOKEN]
+
+    def test_is_shown_to_no_other_and_with_no_read(self, engine):
+        address, seen = engine
+        client = make_http_engine_client(TOKEN)
+        client.send_order(make_order(address, False))
+        client.read_state(ReadEngineState(TARGET, address))
+        assert seen == [None, None]
--- a/trefoilhinge/core/effects.py
+++ b/trefoilhinge/core/effects.py
@@ -204,6 +204,8 @@
     :ivar fence: fencing number of the order.
     :ivar revision: revision of the document that the order converges to.
     :ivar lease: instant past which, by either clock, it must not be sent.
+    :ivar credentialed: whether the target checks who orders it, and so is
+        shown the credential.
     """
 
     target: TargetName
@@ -215,6 +217,7 @@
     adapters: tuple[str, ...]
     role: str
     lease: Instant
+    credentialed: bool = False
 
 
 @frozen
--- a/trefoilhinge/platform/engines.py
+++ b/trefoilhinge/platform/engines.py
@@ -47,6 +47,7 @@
 from trefoilhinge.platform.links import Link
 from trefoilhinge.platform.streams import EngineStream, ResponseBytes
 
+ORDER_TOKEN_HEADER = 'X-Order-Token'
 CONTROL_TIMEOUT_S = 2.0
 Read = TypeVar('Read')
 
@@ -148,7 +149,18 @@
             'adapters': list(order.adapters),
             'role': order.role,
         }
-        fields = self._read('POST', f'http://{order.address}/orders', body)
+        # The credential is shown to no target that does not ask for it.
+        headers = {}
+        if order.credentialed:
+            headers[ORDER_TOKEN_HEADER] = self._order_token
+        fields = read_json(
+            self._pool,
+            'POST',
+            f'http://{order.address}/orders',
+            body,
+            headers,
+            CONTROL_TIMEOUT_S,
+        )
         accepted = None if fields is None else bool(fields.get('accepted'))
         return OrderAnswered(order.target, order.fence, accepted)
 
@@ -210,8 +222,7 @@
         body: Mapping[str, Any] | None = None,
         timeout_s: float = CONTROL_TIMEOUT_S,
     ) -> Mapping[str, Any] | None:
-        headers = {'X-Order-Token': self._order_token}
-        return read_json(self._pool, method, url, body, headers, timeout_s)
+        return read_json(self._pool, method, url, body, {}, timeout_s)
 
 
 @frozen
