--- /dev/null
+++ b/features/steps/configuration.py
@@ -0,0 +1,69 @@
+import json
+import time
+
+import urllib3
+from attrs import evolve
+from behave import then, when
+
+from trefoilhinge.demo.commands import wait_ready
+from trefoilhinge.demo.deployment import find_free_port
+from trefoilhinge.entry.daemon import make_entry
+
+POOL = urllib3.PoolManager(retries=False)
+LONGEST_WAIT_S = 60
+
+
+def read_revision(entry):
+    url = f'http://{entry.settings.peer_listen}/status'
+    return POOL.request('GET', url).json()['revision']
+
+
+@when('revision {revision:d} is published')
+def publish(context, revision):
+    newer = dict(context.deployment.document, revision=revision)
+    context.deployment.platform.publish(json.dumps(newer))
+
+
+@when('the service serves revision 1 again')
+def revert(context):
+    text = json.dumps(context.deployment.document)
+    assert json.loads(text)['revision'] == 1
+    context.deployment.platform.publish(text)
+
+
+@when('the service is down')
+def take_down(context):
+    context.deployment.platform.down = True
+
+
+@when('an instance starts beside it')
+def start_instance(context):
+    entries = context.deployment.entries
+    seeds = tuple(one.settings.peer_listen for one in entries)
+    settings = evolve(
+        entries[0].settings,
+        instance='entry-late',
+        listen=f'127.0.0.1:{find_free_port()}',
+        peer_listen=f'127.0.0.1:{find_free_port()}',
+        seeds=seeds,
+    )
+    entries.append(make_entry(settings))
+    entries[-1].start()
+    wait_ready(context.deployment)
+    # Whatever it read first, it takes calls only with the newest document.
+    assert read_revision(entries[-1]) == 2
+
+
+@then('every instance comes to revision {revision:d}')
+def check(context, revision):
+    until_s = time.monotonic() + LONGEST_WAIT_S
+    entries = context.deployment.entries
+    reached = set()
+    while len(reached) < len(entries):
+        assert time.monotonic() < until_s, f'{len(reached)} of {len(entries)}'
+        found = [read_revision(one) for one in entries]
+        for place, one in enumerate(found):
+            assert place not in reached or one >= revision, 'it reverted'
+            if one == revision:
+                reached.add(place)
+        time.sleep(0.05)
