Counted a forwarded copy's refusal only while its caller waits.

The trace: an owner was paused while two sendings of one booking were forwarded to it; the first receiver told its caller may_have_run at 563.056 s; the owner woke at 566.780 s, refused the first copy as not run, past its deadline, and ran the second once at 567.376 s. Nobody was told not_run: a double run, a lost claim and a false verdict to the caller were ruled out by the trace. Change: a copy that its owner ends after the receiver has answered the caller is not counted as told; the receiver's own answer is checked as before. Conclusion: the check was too wide in this case alone.

--- a/trefoilhinge/faults/promises.py
+++ b/trefoilhinge/faults/promises.py
@@ -110,16 +110,36 @@
     return ''
 
 
+def is_told(world: FaultWorld, call: CallRecord) -> bool:
+    """Return whether a caller still waited when a call ended.
+
+    The owner of a key may end the copy that was forwarded to it after the
+    instance that received the call has answered the caller; that instance's
+    answer is what the caller was told, and it is checked itself.
+    """
+    received, _, forwarded_by = call.profile.request_id.partition('@')
+    if not forwarded_by or call.ended_s is None:
+        return True
+    origin = world.world.calls.get(RequestId(received))
+    if origin is None or origin.ended_s is None:
+        return True
+    return origin.ended_s >= call.ended_s
+
+
+def _list_told_not_run(world: FaultWorld) -> Iterator[CallRecord]:
+    """Yield the calls whose callers were told that they did not run."""
+    for call in world.world.calls.values():
+        refusal = call.refusal
+        not_run = refusal is not None and refusal.verdict is Verdict.NOT_RUN
+        # Otherwise nobody was there to be told.
+        if not_run and not call.gone and is_told(world, call):
+            yield call
+
+
 def _check_refusals(world: FaultWorld) -> Iterator[Violation]:
     """Compare each ``not_run`` with the runs under the request's key."""
     runs = count_runs(world)
-    for call in world.world.calls.values():
-        refusal = call.refusal
-        if refusal is None or refusal.verdict is not Verdict.NOT_RUN:
-            continue
-        if call.gone:
-            # Nobody was there to be told.
-            continue
+    for call in _list_told_not_run(world):
         name = call.profile.request_id
         for other in _list_same(world, call):
             if runs[other.profile.request_id] and _is_before(other, call):
