Compared a lease with both clocks in one place.

Cause: whether a lease is lost was worked out four times: for calls to engines, for calls to plain services, for orders, and again in the simulated instance, so that the fault matrix proved its own copy of the check and not the one that ships. Change: Instant.has_passed compares with both clocks; Dispatch.is_late adds the deadline; the daemon and the simulated instance call the same. Conclusion: the matrix now exercises the check that guards a send. The simulated instance still sends orders without looking at their lease.

--- a/trefoilhinge/calls/openers.py
+++ b/trefoilhinge/calls/openers.py
@@ -17,7 +17,7 @@
     OpeningFailed,
     StreamOpened,
 )
-from trefoilhinge.core.clocks import Clock, Instant
+from trefoilhinge.core.clocks import Clock
 from trefoilhinge.core.effects import (
     Dispatch,
     ForwardCall,
@@ -80,10 +80,10 @@
     ) -> None:
         """Send a call to an engine and hand its stream to the box."""
         now = self._clock.read()
-        remaining_s = dispatch.deadline_s - now.monotonic_s
-        if is_lease_lost(dispatch, now):
+        if dispatch.is_late(now):
             box.put(OpeningFailed(link, AttemptOutcome.LEASE_LOST))
             return
+        remaining_s = dispatch.deadline_s - now.monotonic_s
         try:
             stream = self._engines.open_stream(
                 dispatch,
@@ -122,10 +122,10 @@
     ) -> None:
         """Send a call to a plain service and hand its answer to the box."""
         now = self._clock.read()
-        remaining_s = dispatch.deadline_s - now.monotonic_s
-        if is_lease_lost(dispatch, now):
+        if dispatch.is_late(now):
             box.put(OpeningFailed(link, AttemptOutcome.LEASE_LOST))
             return
+        remaining_s = dispatch.deadline_s - now.monotonic_s
         try:
             answer = self._plain.call(dispatch, call, remaining_s, link)
         except FAILURES as failure:
@@ -165,15 +165,6 @@
         self.report(self._engines.run_group_step(step, segment, remaining_s))
 
 
-def is_lease_lost(dispatch: Dispatch, now: Instant) -> bool:
-    """Return whether, by either clock, it is too late to send."""
-    return (
-        now.monotonic_s >= dispatch.lease.monotonic_s
-        or now.wall_s >= dispatch.lease.wall_s
-        or now.monotonic_s >= dispatch.deadline_s
-    )
-
-
 def _describe_failure(link: Link, failure: Exception) -> OpeningFailed:
     match failure:
         case TargetRefused():
--- a/trefoilhinge/core/clocks.py
+++ b/trefoilhinge/core/clocks.py
@@ -20,6 +20,12 @@
         """Return the instant that lies ``seconds`` later on both clocks."""
         return Instant(self.monotonic_s + seconds, self.wall_s + seconds)
 
+    def has_passed(self, limit: 'Instant') -> bool:
+        """Return whether, by either clock, a limit has been reached."""
+        return (
+            self.monotonic_s >= limit.monotonic_s or self.wall_s >= limit.wall_s
+        )
+
 
 class Clock(Protocol):
     """Source of time for a shell."""
--- a/trefoilhinge/core/effects.py
+++ b/trefoilhinge/core/effects.py
@@ -39,6 +39,10 @@
     fresh_connection: bool
     group_tag: HoldingTag | None = None
 
+    def is_late(self, now: Instant) -> bool:
+        """Return whether the lease is lost or the deadline has passed."""
+        return now.has_passed(self.lease) or now.monotonic_s >= self.deadline_s
+
 
 @frozen
 class QueryStream:
--- a/trefoilhinge/entry/performer.py
+++ b/trefoilhinge/entry/performer.py
@@ -68,9 +68,7 @@
         return submit
 
     def _send_order(self, order: fx.SendOrder) -> OrderAnswered:
-        now = self._clock.read()
-        late = now.monotonic_s >= order.lease.monotonic_s
-        if late or now.wall_s >= order.lease.wall_s:
+        if self._clock.read().has_passed(order.lease):
             # It was not sent, so it is free to be ordered anew.
             return OrderAnswered(order.target, order.fence, accepted=False)
         return self._engines.send_order(order)
--- a/trefoilhinge/standins/simulation/answers.py
+++ b/trefoilhinge/standins/simulation/answers.py
@@ -81,11 +81,7 @@
     def _dispatch(self, effect: fx.Dispatch) -> None:
         attempt = effect.attempt
         now = self._driver.read_clock()
-        late = now.monotonic_s >= min(
-            effect.lease.monotonic_s,
-            effect.deadline_s,
-        )
-        if late or now.wall_s >= effect.lease.wall_s:
+        if effect.is_late(now):
             self._end(attempt, ev.AttemptOutcome.LEASE_LOST)
             return
         call = self._world.calls[attempt.request_id]
