Moved the adapters to engines and plain services into targets.

Cause: the adapter to the users' platform takes the name platform. Change: the app and its tests moved; no line of them changed otherwise.

--- a/tests/platform/test_links.py
+++ b/tests/targets/test_links.py
@@ -3,10 +3,10 @@
 
 import pytest
 
-from trefoilhinge.platform.connections import open_request
-from trefoilhinge.platform.failures import TargetBroke, TargetNotReached
-from trefoilhinge.platform.links import Link
-from trefoilhinge.platform.streams import ResponseBytes
+from trefoilhinge.targets.connections import open_request
+from trefoilhinge.targets.failures import TargetBroke, TargetNotReached
+from trefoilhinge.targets.links import Link
+from trefoilhinge.targets.streams import ResponseBytes
 
 PATIENCE_S = 20
 HEAD = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
--- a/tests/platform/test_order_credential.py
+++ b/tests/targets/test_order_credential.py
@@ -3,7 +3,7 @@
 from trefoilhinge.core.clocks import Instant
 from trefoilhinge.core.effects import ReadEngineState, SendOrder
 from trefoilhinge.core.identifiers import TargetName
-from trefoilhinge.platform.engines import make_http_engine_client
+from trefoilhinge.targets.engines import make_http_engine_client
 from trefoilhinge.standins.engines import answer_json
 from trefoilhinge.standins.servers import start_server
 
--- a/tests/platform/test_unset_urls.py
+++ b/tests/targets/test_unset_urls.py
@@ -1,7 +1,7 @@
 import pytest
 
 from trefoilhinge.core.effects import ReadDocument
-from trefoilhinge.platform.publications import HttpPlatformClient
+from trefoilhinge.targets.publications import HttpPlatformClient
 
 
 class NoPool:
--- a/trefoilhinge/calls/conversation.py
+++ b/trefoilhinge/calls/conversation.py
@@ -51,9 +51,9 @@
 from trefoilhinge.core.identifiers import AttemptId, StreamId
 from trefoilhinge.core.lines import StreamEvent, write_data
 from trefoilhinge.core.verdicts import Refusal, RefusalCode, Verdict
-from trefoilhinge.platform.failures import TargetBroke
-from trefoilhinge.platform.interfaces import OutgoingCall, PlainAnswer
-from trefoilhinge.platform.streams import ResponseBytes
+from trefoilhinge.targets.failures import TargetBroke
+from trefoilhinge.targets.interfaces import OutgoingCall, PlainAnswer
+from trefoilhinge.targets.streams import ResponseBytes
 
 # The core answers at the deadline; this margin covers a core that does not.
 ANSWER_MARGIN_S = 0.5
--- a/trefoilhinge/calls/forwards.py
+++ b/trefoilhinge/calls/forwards.py
@@ -5,9 +5,9 @@
 from trefoilhinge.calls.mailboxes import ForwardOpened
 from trefoilhinge.core.effects import ForwardCall
 from trefoilhinge.core.identifiers import RequestId
-from trefoilhinge.platform.connections import open_request
-from trefoilhinge.platform.links import Link
-from trefoilhinge.platform.streams import ResponseBytes
+from trefoilhinge.targets.connections import open_request
+from trefoilhinge.targets.links import Link
+from trefoilhinge.targets.streams import ResponseBytes
 
 FORWARD_PATH = '/calls'
 PASSED_HEADERS = ('Content-Type', 'X-Verdict', 'Retry-After', 'X-Should-Retry')
--- a/trefoilhinge/calls/legs.py
+++ b/trefoilhinge/calls/legs.py
@@ -2,9 +2,9 @@
 
 from attrs import define
 
-from trefoilhinge.platform.interfaces import AnswerStream
-from trefoilhinge.platform.links import Link
-from trefoilhinge.platform.streams import ResponseBytes
+from trefoilhinge.targets.interfaces import AnswerStream
+from trefoilhinge.targets.links import Link
+from trefoilhinge.targets.streams import ResponseBytes
 
 
 @define(eq=False)
--- a/trefoilhinge/calls/mailboxes.py
+++ b/trefoilhinge/calls/mailboxes.py
@@ -9,9 +9,9 @@
 from trefoilhinge.core.effects import Effect
 from trefoilhinge.core.events import AttemptOutcome
 from trefoilhinge.core.identifiers import AttemptId, RequestId
-from trefoilhinge.platform.interfaces import AnswerStream, PlainAnswer
-from trefoilhinge.platform.links import Link
-from trefoilhinge.platform.streams import ResponseBytes
+from trefoilhinge.targets.interfaces import AnswerStream, PlainAnswer
+from trefoilhinge.targets.links import Link
+from trefoilhinge.targets.streams import ResponseBytes
 
 
 @frozen(eq=False)
--- a/trefoilhinge/calls/openers.py
+++ b/trefoilhinge/calls/openers.py
@@ -29,18 +29,18 @@
     Event,
     GroupStepEnded,
 )
-from trefoilhinge.platform.failures import (
+from trefoilhinge.targets.failures import (
     TargetBroke,
     TargetErrored,
     TargetNotReached,
     TargetRefused,
 )
-from trefoilhinge.platform.interfaces import (
+from trefoilhinge.targets.interfaces import (
     EngineClient,
     OutgoingCall,
     PlainClient,
 )
-from trefoilhinge.platform.links import Link
+from trefoilhinge.targets.links import Link
 
 Report = Callable[[Event], None]
 FAILURES = (TargetRefused, TargetNotReached, TargetErrored, TargetBroke)
--- a/trefoilhinge/calls/service.py
+++ b/trefoilhinge/calls/service.py
@@ -33,7 +33,7 @@
 from trefoilhinge.core.events import CallerGone, CallReceived
 from trefoilhinge.core.lines import DONE_DATA, write_data
 from trefoilhinge.core.verdicts import Refusal, RefusalCode, Verdict
-from trefoilhinge.platform.interfaces import OutgoingCall
+from trefoilhinge.targets.interfaces import OutgoingCall
 
 StartResponse = Callable[..., Any]
 WRITE_MARGIN_S = 1.0
--- a/trefoilhinge/entry/daemon.py
+++ b/trefoilhinge/entry/daemon.py
@@ -51,10 +51,10 @@
 from trefoilhinge.node.core import NodeCore
 from trefoilhinge.node.schedule import TICK_S
 from trefoilhinge.node.status import describe_node
-from trefoilhinge.platform.connections import make_pool
-from trefoilhinge.platform.engines import make_http_engine_client
-from trefoilhinge.platform.plain import make_http_plain_client
-from trefoilhinge.platform.publications import make_http_platform_client
+from trefoilhinge.targets.connections import make_pool
+from trefoilhinge.targets.engines import make_http_engine_client
+from trefoilhinge.targets.plain import make_http_plain_client
+from trefoilhinge.targets.publications import make_http_platform_client
 
 CONTROL_THREADS = 24
 PEER_THREADS = 16
--- a/trefoilhinge/entry/performer.py
+++ b/trefoilhinge/entry/performer.py
@@ -13,7 +13,7 @@
 from trefoilhinge.entry.logs import write_failure, write_log_event
 from trefoilhinge.entry.peers import PeerClient
 from trefoilhinge.entry.replies import Replies
-from trefoilhinge.platform.interfaces import EngineClient, PlatformClient
+from trefoilhinge.targets.interfaces import EngineClient, PlatformClient
 
 
 @define
--- a/trefoilhinge/platform/engines.py
+++ b/trefoilhinge/targets/engines.py
@@ -35,17 +35,17 @@
     LoadReport,
     StreamState,
 )
-from trefoilhinge.platform.connections import (
+from trefoilhinge.targets.connections import (
     MALFORMED,
     find_retry_after,
     make_pool,
     open_request,
     read_json,
 )
-from trefoilhinge.platform.failures import TargetErrored, TargetRefused
-from trefoilhinge.platform.interfaces import OutgoingCall
-from trefoilhinge.platform.links import Link
-from trefoilhinge.platform.streams import EngineStream, ResponseBytes
+from trefoilhinge.targets.failures import TargetErrored, TargetRefused
+from trefoilhinge.targets.interfaces import OutgoingCall
+from trefoilhinge.targets.links import Link
+from trefoilhinge.targets.streams import EngineStream, ResponseBytes
 
 ORDER_TOKEN_HEADER = 'X-Order-Token'
 CONTROL_TIMEOUT_S = 2.0
--- a/trefoilhinge/platform/interfaces.py
+++ b/trefoilhinge/targets/interfaces.py
@@ -28,7 +28,7 @@
     StreamAnswered,
 )
 from trefoilhinge.core.lines import StreamEvent
-from trefoilhinge.platform.links import Link
+from trefoilhinge.targets.links import Link
 
 
 @frozen
--- a/trefoilhinge/platform/plain.py
+++ b/trefoilhinge/targets/plain.py
@@ -3,14 +3,14 @@
 from attrs import frozen
 
 from trefoilhinge.core.effects import Dispatch
-from trefoilhinge.platform.connections import (
+from trefoilhinge.targets.connections import (
     BROKEN,
     find_retry_after,
     open_request,
 )
-from trefoilhinge.platform.failures import TargetBroke, TargetRefused
-from trefoilhinge.platform.interfaces import OutgoingCall, PlainAnswer
-from trefoilhinge.platform.links import Link
+from trefoilhinge.targets.failures import TargetBroke, TargetRefused
+from trefoilhinge.targets.interfaces import OutgoingCall, PlainAnswer
+from trefoilhinge.targets.links import Link
 
 
 @frozen
--- a/trefoilhinge/platform/streams.py
+++ b/trefoilhinge/targets/streams.py
@@ -6,9 +6,9 @@
 from attrs import define
 
 from trefoilhinge.core.lines import StreamEvent, parse_event
-from trefoilhinge.platform.connections import BROKEN
-from trefoilhinge.platform.failures import TargetBroke
-from trefoilhinge.platform.links import Link
+from trefoilhinge.targets.connections import BROKEN
+from trefoilhinge.targets.failures import TargetBroke
+from trefoilhinge.targets.links import Link
 
 READ_BYTES = 65536
 MAXIMUM_EVENT_BYTES = 4_194_304
