--- /dev/null
+++ b/trefoilhinge/dispatch/loads.py
@@ -0,0 +1,186 @@
+"""Work at each target, as all instances told it."""
+
+from collections.abc import Iterable
+
+from attrs import define, field, frozen
+
+from trefoilhinge.dispatch.documents import EngineFigures
+from trefoilhinge.dispatch.engines import find_pass_s, find_step_s
+
+OVERDUE_S = 3.0  # a run is forgotten this long after its latest possible end
+PLAIN_RUN_S = 5.0  # longest time that a plain call is counted without its end
+
+
+@frozen
+class RunPart:
+    """What a run takes of one target.
+
+    :ivar reading_s: seconds in which the target reads its part.
+    :ivar memory_tokens: tokens that it stores.
+    :ivar has_place: whether the call runs here, and not only a part is read.
+    """
+
+    target: str
+    reading_s: float
+    memory_tokens: int
+    has_place: bool
+
+
+@frozen
+class Run:
+    """One call that was sent to targets, by this instance or another.
+
+    :ivar origin: instance that sent it.
+    :ivar answer_tokens: tokens that it is expected to write.
+    :ivar pause_aim_s: longest pause on time; zero for a plain call.
+    """
+
+    origin: str
+    number: int
+    parts: tuple[RunPart, ...]
+    context_tokens: int
+    answer_tokens: int
+    pause_aim_s: float
+    started_s: float
+
+    @property
+    def key(self) -> tuple[str, int]:
+        """Return what the run is known by."""
+        return self.origin, self.number
+
+
+@define
+class TargetLoad:
+    """Work at one target.
+
+    :ivar reading_until_s: monotonic seconds until which it reads prompts.
+    :ivar pace: how many times slower than published the target was seen.
+    """
+
+    reading_until_s: float = 0.0
+    pace: float = 1.0
+    runs: dict[tuple[str, int], Run] = field(factory=dict)
+    helps: dict[tuple[str, int], Run] = field(factory=dict)
+    memory_tokens: int = 0
+
+    @property
+    def running(self) -> int:
+        """Return the calls that have a place."""
+        return len(self.runs)
+
+    def find_context(self) -> int:
+        """Return the tokens of context of all calls that run here."""
+        return sum(run.context_tokens for run in self.runs.values())
+
+    def find_backlog_s(self, now_s: float) -> float:
+        """Return seconds of reading that is left."""
+        return max(0.0, self.reading_until_s - now_s)
+
+    def find_pass_s(self, figures: EngineFigures) -> float:
+        """Return seconds between two events while nothing is read."""
+        base_s = find_pass_s(figures, self.running, self.find_context())
+        return base_s * self.pace
+
+    def find_place_wait_s(self, figures: EngineFigures, now_s: float) -> float:
+        """Return seconds until a place is expected to be free."""
+        over = self.running + 1 - figures.places
+        if over <= 0:
+            return 0.0
+        step_s = find_step_s(figures, self.running, self.find_context())
+        ends = sorted(
+            run.started_s
+            + sum(part.reading_s for part in run.parts if part.has_place)
+            + run.answer_tokens * step_s * self.pace
+            for run in self.runs.values()
+        )
+        position = min(over, len(ends)) - 1
+        return max(step_s * figures.stride, ends[position] - now_s) * over
+
+
+@define
+class LoadView:
+    """Loads of all targets, by name."""
+
+    targets: dict[str, TargetLoad] = field(factory=dict)
+    _runs: dict[tuple[str, int], tuple[Run, float]] = field(factory=dict)
+
+    def find(self, target: str) -> TargetLoad:
+        """Return the load of a target."""
+        load = self.targets.get(target)
+        if load is None:
+            load = TargetLoad()
+            self.targets[target] = load
+        return load
+
+    def start(self, run: Run, latest_end_s: float, now_s: float) -> None:
+        """Take that a run was sent.
+
+        :param latest_end_s: monotonic seconds at which it has ended whether
+            or not that is told.
+        """
+        if run.key in self._runs:
+            return
+        self._runs[run.key] = (run, latest_end_s)
+        for part in run.parts:
+            load = self.find(part.target)
+            begin_s = max(now_s, load.reading_until_s)
+            load.reading_until_s = begin_s + part.reading_s * load.pace
+            load.memory_tokens += part.memory_tokens
+            places = load.runs if part.has_place else load.helps
+            places[run.key] = run
+
+    def end(self, key: tuple[str, int], now_s: float) -> None:
+        """Take that a run ended; a run that is unknown changes nothing."""
+        found = self._runs.pop(key, None)
+        if found is None:
+            return
+        run = found[0]
+        for part in run.parts:
+            load = self.find(part.target)
+            load.memory_tokens -= part.memory_tokens
+            load.runs.pop(key, None)
+            load.helps.pop(key, None)
+            unread_s = run.started_s + part.reading_s - now_s
+            if unread_s > 0:
+                load.reading_until_s -= min(unread_s, part.reading_s)
+
+    def note_first_event(self, key: tuple[str, int], now_s: float) -> None:
+        """Take that a run began to write: its target read all it had."""
+        found = self._runs.get(key)
+        if found is None:
+            return
+        for part in found[0].parts:
+            load = self.find(part.target)
+            later = [
+                run
+                for run in (*load.runs.values(), *load.helps.values())
+                if run.started_s > found[0].started_s
+            ]
+            if not later:
+                load.reading_until_s = min(load.reading_until_s, now_s)
+
+    def forget_origin(self, origin: str, now_s: float) -> int:
+        """Drop the runs of an instance that is gone; return how many."""
+        return self._drop(
+            [key for key in self._runs if key[0] == origin],
+            now_s,
+        )
+
+    def forget_overdue(self, now_s: float) -> int:
+        """Drop runs whose end was never told; return how many."""
+        overdue = [
+            key
+            for key, (_, latest_s) in self._runs.items()
+            if now_s > latest_s + OVERDUE_S
+        ]
+        return self._drop(overdue, now_s)
+
+    def list_own(self, origin: str) -> list[Run]:
+        """Return the runs of one instance."""
+        return [run for key, (run, _) in self._runs.items() if key[0] == origin]
+
+    def _drop(self, keys: Iterable[tuple[str, int]], now_s: float) -> int:
+        dropped = list(keys)
+        for key in dropped:
+            self.end(key, now_s)
+        return len(dropped)
--- /dev/null
+++ b/trefoilhinge/dispatch/messages.py
@@ -0,0 +1,149 @@
+"""Datagrams between instances, as MessagePack arrays.
+
+Small binary messages because bytes between failure domains are dear; the
+first entry tells the kind.
+"""
+
+import msgpack
+from attrs import frozen
+from expression import Error, Ok, Result
+
+from trefoilhinge.dispatch.loads import Run, RunPart
+from trefoilhinge.dispatch.peers import Word
+
+MAXIMUM_BYTES = 1_400  # one packet
+MAXIMUM_NAMED = 60  # instances named in one word, to stay within a packet
+
+
+@frozen
+class RunStarted:
+    """A run was sent.
+
+    :ivar lasts_s: seconds after which it has ended at the latest.
+    """
+
+    run: Run
+    lasts_s: float
+
+
+@frozen
+class RunWrites:
+    """A run's first event came."""
+
+    origin: str
+    number: int
+
+
+@frozen
+class RunEnded:
+    """A run ended, whatever became of it."""
+
+    origin: str
+    number: int
+
+
+@frozen
+class TargetLeaves:
+    """A target leaves or is gone."""
+
+    name: str
+    born_ms: int
+    revision: int
+
+
+Message = Word | RunStarted | RunWrites | RunEnded | TargetLeaves
+
+
+def encode_message(message: Message) -> bytes:
+    """Return the datagram of a message."""
+    return bytes(msgpack.packb(_list_fields(message), use_single_float=True))
+
+
+def decode_message(data: bytes, now_s: float) -> Result[Message, str]:
+    """Decode a datagram; the error says what is wrong with it.
+
+    :param now_s: time of arrival, from which durations count.
+    """
+    try:
+        return Ok(_decode(msgpack.unpackb(data), now_s))
+    except (IndexError, KeyError, TypeError, ValueError) as problem:
+        return Error(f'{type(problem).__name__}: {problem}')
+    except msgpack.exceptions.UnpackException as problem:
+        return Error(f'{type(problem).__name__}: {problem}')
+
+
+def _list_fields(message: Message) -> list[object]:
+    match message:
+        case Word():
+            return [
+                'w',
+                message.ip,
+                message.origin,
+                message.version,
+                message.revision,
+                message.is_away,
+                list(message.known[:MAXIMUM_NAMED]),
+            ]
+        case RunStarted(run, lasts_s):
+            return ['r', *_list_run(run), lasts_s]
+        case RunWrites(origin, number):
+            return ['f', origin, number]
+        case RunEnded(origin, number):
+            return ['e', origin, number]
+        case TargetLeaves(name, born_ms, revision):
+            return ['l', name, born_ms, revision]
+
+
+def _list_run(run: Run) -> list[object]:
+    parts = [
+        [part.target, part.reading_s, part.memory_tokens, part.has_place]
+        for part in run.parts
+    ]
+    return [
+        run.origin,
+        run.number,
+        parts,
+        run.context_tokens,
+        run.answer_tokens,
+        run.pause_aim_s,
+    ]
+
+
+def _decode(fields: list[object], now_s: float) -> Message:
+    match fields:
+        case ['w', str(ip), str(origin), int(version), int(revision), away, known]:
+            names = tuple(str(name) for name in known)  # type: ignore[attr-defined]
+            return Word(ip, origin, version, revision, bool(away), names)
+        case ['r', *run, float(lasts_s)]:
+            return RunStarted(_decode_run(run, now_s), lasts_s)
+        case ['f', str(origin), int(number)]:
+            return RunWrites(origin, number)
+        case ['e', str(origin), int(number)]:
+            return RunEnded(origin, number)
+        case ['l', str(name), int(born_ms), int(revision)]:
+            return TargetLeaves(name, born_ms, revision)
+    raise ValueError('the message is of no known kind')
+
+
+def _decode_run(fields: list[object], now_s: float) -> Run:
+    match fields:
+        case [
+            str(origin),
+            int(number),
+            list(parts),
+            int(context),
+            int(answer),
+            float(pause),
+        ]:
+            decoded = tuple(_decode_part(part) for part in parts)
+            return Run(
+                origin, number, decoded, context, answer, pause, now_s
+            )
+    raise ValueError('a run has other fields')
+
+
+def _decode_part(fields: object) -> RunPart:
+    match fields:
+        case [str(target), float(reading_s), int(memory), bool(has_place)]:
+            return RunPart(target, max(0.0, reading_s), memory, has_place)
+    raise ValueError('a part of a run has other fields')
--- /dev/null
+++ b/trefoilhinge/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Event loop around the cores of :mod:`trefoilhinge.dispatch`."""
--- /dev/null
+++ b/trefoilhinge/gateway/__main__.py
@@ -0,0 +1,5 @@
+"""Runs an instance: ``python -m trefoilhinge.gateway``."""
+
+from trefoilhinge.gateway.daemon import run_gateway
+
+run_gateway()
--- /dev/null
+++ b/trefoilhinge/gateway/beliefs.py
@@ -0,0 +1,103 @@
+"""What an instance believes now: document, targets, loads and peers."""
+
+import asyncio
+import secrets
+
+from attrs import define, field
+
+from trefoilhinge.dispatch.budgets import RepeatBudget
+from trefoilhinge.dispatch.documents import FleetDocument
+from trefoilhinge.dispatch.health import TargetHealth
+from trefoilhinge.dispatch.loads import LoadView
+from trefoilhinge.dispatch.peers import PeerTable
+from trefoilhinge.dispatch.settings import GatewaySettings
+from trefoilhinge.dispatch.targets import TargetDirectory
+from trefoilhinge.gateway.counters import Counters
+from trefoilhinge.gateway.logs import DecisionLog
+from trefoilhinge.platform.documents import decode_document
+
+ORIGIN_BYTES = 3  # of the random part of a life's name
+
+
+@define
+class Beliefs:
+    """Everything that decisions read, in one place.
+
+    :ivar origin: name of this life of the instance.
+    :ivar document_bytes: the document as it was read, to pass on.
+    """
+
+    settings: GatewaySettings
+    log: DecisionLog
+    counters: Counters
+    origin: str
+    peers: PeerTable
+    document: FleetDocument | None = None
+    document_bytes: bytes = b''
+    directory: TargetDirectory = field(factory=TargetDirectory)
+    loads: LoadView = field(factory=LoadView)
+    health: TargetHealth = field(factory=TargetHealth)
+    is_stopping: bool = False
+    _budgets: dict[str, RepeatBudget] = field(factory=dict)
+    _runs: int = 0
+
+    @property
+    def is_ready(self) -> bool:
+        """Return whether calls can be served."""
+        return self.document is not None and not self.is_stopping
+
+    def get_now_s(self) -> float:
+        """Return monotonic seconds."""
+        return asyncio.get_running_loop().time()
+
+    def find_budget(self, service: str) -> RepeatBudget:
+        """Return the budget of repeats to a service."""
+        budget = self._budgets.get(service)
+        if budget is None:
+            bounds = self.settings.bounds
+            budget = RepeatBudget(
+                bounds.repeat_ratio,
+                bounds.repeat_slack,
+                bounds.repeat_window_s,
+            )
+            self._budgets[service] = budget
+        return budget
+
+    def make_run_number(self) -> int:
+        """Return a number that no run of this life has."""
+        self._runs += 1
+        return self._runs
+
+    def accept_document(self, content: bytes, source: str) -> bool:
+        """Take a document if it is valid and newer; return whether it was."""
+        decoded = decode_document(content)
+        if decoded.is_error():
+            self.log.write(
+                'document_refused', source=source, problem=decoded.error
+            )
+            return False
+        document = decoded.ok
+        known = self.document.version if self.document else 0
+        if document.version <= known:
+            return False
+        self.document = document
+        self.document_bytes = content
+        self.log.write(
+            'document_accepted',
+            version=document.version,
+            before=known,
+            source=source,
+        )
+        return True
+
+
+def make_beliefs(settings: GatewaySettings) -> Beliefs:
+    """Return what an instance believes at its start: nothing."""
+    life = secrets.token_hex(ORIGIN_BYTES)
+    return Beliefs(
+        settings=settings,
+        log=DecisionLog(settings.instance),
+        counters=Counters(),
+        origin=f'{settings.ip}/{life}',
+        peers=PeerTable(settings.ip),
+    )
--- /dev/null
+++ b/trefoilhinge/gateway/callers.py
@@ -0,0 +1,263 @@
+"""Connections of callers: requests read strictly, answers written whole."""
+
+import asyncio
+import json
+from collections.abc import Awaitable, Callable
+
+import h11
+from attrs import define, field, frozen
+
+from trefoilhinge.dispatch.calls import CallHead
+from trefoilhinge.dispatch.documents import CallerLimits
+from trefoilhinge.gateway.links import READ_BYTES, set_silence_limits
+from trefoilhinge.platform.calls import decode_call, encode_refusal
+
+# Until a document is known; the platform's usual figures.
+DEFAULT_LIMITS = CallerLimits(16_384, 4_194_304, 3.0, 15.0)
+IDLE_FACTOR = 1.2  # callers reuse connections within four fifths of the limit
+READ_AHEAD_BYTES = 65_536  # of the next request, while one is served
+
+RawList = list[tuple[bytes, bytes]]
+
+
+@frozen
+class Refusal:
+    """An answer that an instance gives itself.
+
+    :ivar verdict: whether the call may have run.
+    """
+
+    status: int
+    code: str
+    verdict: str
+    detail: str
+    retry_after_s: float | None = None
+
+
+class CallerGone(Exception):
+    """The caller closed its connection."""
+
+
+@define(eq=False)
+class CallerConnection:
+    """One connection of a caller, on which calls come one after another."""
+
+    _reader: asyncio.StreamReader
+    _writer: asyncio.StreamWriter
+    _limits: Callable[[], CallerLimits]
+    _is_stopping: Callable[[], bool]
+    _parser: h11.Connection = field(init=False)
+    _received: int = 0
+    is_serving: bool = False
+    arrived_s: float = 0.0
+
+    def __attrs_post_init__(self) -> None:
+        """Make the parser with the limits in force."""
+        self._parser = h11.Connection(
+            h11.SERVER,
+            max_incomplete_event_size=self._limits().header_bytes,
+        )
+        set_silence_limits(self._writer.transport)
+
+    async def run(
+        self,
+        serve: Callable[['CallerConnection', CallHead, bytes], Awaitable[None]],
+    ) -> None:
+        """Serve the connection's calls until it ends."""
+        try:
+            await self._run(serve)
+        except (CallerGone, OSError, h11.LocalProtocolError):
+            return
+        finally:
+            self._writer.close()
+
+    async def send_whole(
+        self, status: int, headers: RawList, content: bytes
+    ) -> None:
+        """Send a whole answer."""
+        length = (b'Content-Length', b'%d' % len(content))
+        self._send_head(status, [*headers, length])
+        self._write(h11.Data(data=content))
+        self._write(h11.EndOfMessage())
+        await self._writer.drain()
+
+    async def refuse(self, refusal: Refusal, request_id: str) -> None:
+        """Send an answer of this instance's own."""
+        fields = {
+            'code': refusal.code,
+            'verdict': refusal.verdict,
+            'detail': refusal.detail,
+        }
+        await self.send_whole(
+            refusal.status,
+            encode_refusal(request_id, refusal.retry_after_s),
+            json.dumps({'error': fields}).encode(),
+        )
+
+    def begin(self, status: int, headers: RawList) -> None:
+        """Send the head of an answer whose length is not known yet."""
+        kept = [
+            (name, value)
+            for name, value in headers
+            if name.lower() != b'content-length'
+        ]
+        self._send_head(status, kept)
+
+    async def send(self, content: bytes) -> None:
+        """Send a part of an answer."""
+        self._write(h11.Data(data=content))
+        await self._writer.drain()
+
+    async def finish(self) -> None:
+        """End an answer that is whole."""
+        self._write(h11.EndOfMessage())
+        await self._writer.drain()
+
+    def abort(self) -> None:
+        """End the connection so that the answer does not look whole."""
+        self._writer.close()
+
+    def close_idle(self) -> None:
+        """Close the connection unless a call is on it."""
+        if not self.is_serving and not self._received:
+            self._writer.close()
+
+    async def _run(
+        self,
+        serve: Callable[['CallerConnection', CallHead, bytes], Awaitable[None]],
+    ) -> None:
+        while True:
+            try:
+                request, body = await self._read_request()
+                head = decode_call(
+                    request.method,
+                    request.target,
+                    request.headers.raw_items(),
+                )
+            except h11.RemoteProtocolError as problem:
+                await self._refuse_bytes(problem.error_status_hint, problem)
+                return
+            except ValueError as problem:
+                await self._refuse_bytes(400, problem)
+                return
+            await self._serve_watched(serve, head, body)
+            if not self._is_open():
+                return
+            self._parser.start_next_cycle()
+            self._received = len(self._parser.trailing_data[0])
+
+    async def _serve_watched(
+        self,
+        serve: Callable[['CallerConnection', CallHead, bytes], Awaitable[None]],
+        head: CallHead,
+        body: bytes,
+    ) -> None:
+        """Serve a call; a caller that leaves ends it."""
+        self.is_serving = True
+        work = asyncio.ensure_future(serve(self, head, body))
+        watch = asyncio.ensure_future(self._watch())
+        try:
+            await asyncio.wait(
+                (work, watch), return_when=asyncio.FIRST_COMPLETED
+            )
+        finally:
+            self.is_serving = False
+            watch.cancel()
+            if not work.done():
+                work.cancel()
+        await asyncio.gather(work, watch, return_exceptions=True)
+        if work.cancelled():
+            raise CallerGone
+        work.result()
+
+    async def _watch(self) -> None:
+        """Return once the caller has left."""
+        ahead = 0
+        while ahead < READ_AHEAD_BYTES:
+            try:
+                data = await self._reader.read(READ_BYTES)
+            except OSError:
+                return
+            if not data:
+                return
+            ahead += len(data)
+            self._parser.receive_data(data)
+        await asyncio.Event().wait()
+
+    async def _read_request(self) -> tuple[h11.Request, bytes]:
+        request: h11.Request | None = None
+        body = bytearray()
+        while True:
+            event = self._parser.next_event()
+            if event is h11.NEED_DATA:
+                if self._parser.they_are_waiting_for_100_continue:
+                    self._write(
+                        h11.InformationalResponse(status_code=100, headers=[])
+                    )
+                await self._read_more(request)
+            elif isinstance(event, h11.Request):
+                request = event
+                _check_framing(event)
+            elif isinstance(event, h11.Data):
+                body += event.data
+                if len(body) > self._limits().body_bytes:
+                    raise h11.RemoteProtocolError(
+                        'the body is too long', error_status_hint=413
+                    )
+            elif isinstance(event, h11.EndOfMessage) and request is not None:
+                return request, bytes(body)
+            else:
+                raise CallerGone
+
+    async def _read_more(self, request: h11.Request | None) -> None:
+        limits = self._limits()
+        waits_for_first = request is None and not self._received
+        limit_s = (
+            limits.idle_timeout_s * IDLE_FACTOR
+            if waits_for_first
+            else limits.header_timeout_s * IDLE_FACTOR
+        )
+        try:
+            async with asyncio.timeout(limit_s):
+                data = await self._reader.read(READ_BYTES)
+        except TimeoutError:
+            if waits_for_first:
+                raise CallerGone from None
+            raise h11.RemoteProtocolError(
+                'the request took too long', error_status_hint=408
+            ) from None
+        if waits_for_first:
+            self.arrived_s = asyncio.get_running_loop().time()
+        self._received += len(data)
+        self._parser.receive_data(data)
+
+    async def _refuse_bytes(self, status: int, problem: Exception) -> None:
+        if self._parser.our_state not in {h11.IDLE, h11.SEND_RESPONSE}:
+            return
+        refusal = Refusal(status, 'request_malformed', 'not_run', str(problem))
+        await self.refuse(refusal, '')
+
+    def _is_open(self) -> bool:
+        return (
+            self._parser.our_state is h11.DONE
+            and self._parser.their_state is h11.DONE
+            and not self._writer.is_closing()
+        )
+
+    def _send_head(self, status: int, headers: RawList) -> None:
+        if self._is_stopping() or self._parser.our_state is h11.IDLE:
+            headers = [*headers, (b'Connection', b'close')]
+        self._write(h11.Response(status_code=status, headers=headers))
+
+    def _write(self, event: h11.Event) -> None:
+        data = self._parser.send(event)
+        if data:
+            self._writer.write(data)
+
+
+def _check_framing(request: h11.Request) -> None:
+    names = [name for name, _ in request.headers]
+    if b'transfer-encoding' in names and b'content-length' in names:
+        raise h11.RemoteProtocolError(
+            'a request has one length', error_status_hint=400
+        )
--- /dev/null
+++ b/trefoilhinge/gateway/daemon.py
@@ -0,0 +1,214 @@
+"""The gateway process: its listeners, its readers and its stop."""
+
+import asyncio
+import json
+import os
+import pathlib
+import signal
+
+from attrs import define, field
+
+from trefoilhinge.dispatch.documents import CallerLimits
+from trefoilhinge.dispatch.settings import Address, GatewaySettings
+from trefoilhinge.gateway.beliefs import Beliefs, make_beliefs
+from trefoilhinge.gateway.callers import DEFAULT_LIMITS, CallerConnection
+from trefoilhinge.gateway.exchange import PeerExchange, answer_peer
+from trefoilhinge.gateway.pages import Page, serve_pages
+from trefoilhinge.gateway.reading import StoreReader
+from trefoilhinge.gateway.serving import CallService
+from trefoilhinge.platform.settings import PATH_VARIABLE, decode_settings
+
+METRICS_PORT = 9464  # customary port of this format
+BACKLOG = 1_024  # connections that wait while the process is busy
+SWEEP_S = 0.5  # between looks for what is overdue
+STOP_QUIET_S = 3.5  # the platform sends callers elsewhere within two seconds
+STOP_MARGIN_S = 0.5  # before the platform kills the process
+STOP_LOOK_S = 0.1
+ANY_HOST = '0.0.0.0'  # noqa: S104
+
+
+@define
+class Gateway:
+    """One instance."""
+
+    _beliefs: Beliefs
+    _peers: PeerExchange
+    _service: CallService
+    _reader: StoreReader
+    _callers: set[CallerConnection] = field(factory=set)
+    _tasks: list[asyncio.Task[None]] = field(factory=list)
+    _stopped: asyncio.Event = field(factory=asyncio.Event)
+
+    async def run(self) -> None:
+        """Serve until the order to stop was carried out."""
+        settings = self._beliefs.settings
+        self._beliefs.log.write('started', origin=self._beliefs.origin)
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(self._note_exception)
+        await loop.create_datagram_endpoint(
+            lambda: self._peers,
+            local_addr=(settings.ip, settings.first_port),
+        )
+        await serve_pages(
+            (settings.ip, settings.first_port),
+            lambda path: answer_peer(self._beliefs, path),
+        )
+        await self._open_pages(settings)
+        await asyncio.start_server(
+            self._take_caller, *settings.entry, backlog=BACKLOG
+        )
+        loop.add_signal_handler(signal.SIGTERM, self._begin_stop)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        for work in (self._peers.speak(), self._reader.run(), self._sweep()):
+            self._tasks.append(asyncio.ensure_future(work))
+        await self._stopped.wait()
+
+    async def _open_pages(self, settings: GatewaySettings) -> None:
+        await serve_pages(settings.readiness, self._answer_readiness)
+        if settings.control is not None:
+            await serve_pages(settings.control, self._answer_operator)
+        metrics: Address = (settings.ip, METRICS_PORT)
+        await serve_pages(metrics, self._answer_operator)
+
+    async def _take_caller(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        caller = CallerConnection(
+            reader,
+            writer,
+            self._get_limits,
+            lambda: self._beliefs.is_stopping,
+        )
+        self._callers.add(caller)
+        try:
+            await caller.run(self._service.serve)
+        except Exception as problem:  # noqa: BLE001
+            self._beliefs.log.write(
+                'connection_failed',
+                problem=f'{type(problem).__name__}: {problem}',
+            )
+        finally:
+            self._callers.discard(caller)
+
+    def _note_exception(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        context: dict[str, object],
+    ) -> None:
+        problem = context.get('exception')
+        self._beliefs.log.write(
+            'task_failed',
+            message=context.get('message'),
+            problem=f'{type(problem).__name__}: {problem}',
+        )
+
+    def _get_limits(self) -> CallerLimits:
+        document = self._beliefs.document
+        return document.limits if document else DEFAULT_LIMITS
+
+    def _answer_readiness(self, path: str) -> Page:
+        return Page(200 if self._beliefs.is_ready else 503)
+
+    def _answer_operator(self, path: str) -> Page:
+        if path == '/metrics':
+            return Page(200, self._beliefs.counters.format_text().encode())
+        if path == '/status':
+            content = json.dumps(self._describe()).encode()
+            return Page(200, content, 'application/json')
+        return Page(404)
+
+    def _describe(self) -> dict[str, object]:
+        beliefs = self._beliefs
+        now_s = beliefs.get_now_s()
+        return {
+            'instance': beliefs.settings.instance,
+            'origin': beliefs.origin,
+            'ready': beliefs.is_ready,
+            'version': beliefs.document.version if beliefs.document else 0,
+            'revision': beliefs.directory.revision,
+            'peers': beliefs.peers.list_listeners(now_s),
+            'targets': {
+                name: {
+                    'service': record.service,
+                    'running': beliefs.loads.find(name).running,
+                }
+                for name, record in beliefs.directory.records.items()
+            },
+        }
+
+    async def _sweep(self) -> None:
+        beliefs = self._beliefs
+        while True:
+            await asyncio.sleep(SWEEP_S)
+            now_s = beliefs.get_now_s()
+            for record in beliefs.directory.expire_lapsed(now_s):
+                beliefs.log.write(
+                    'target_left', target=record.name, reason='lapsed'
+                )
+            overdue = beliefs.loads.forget_overdue(now_s)
+            if overdue:
+                beliefs.log.write('runs_forgotten', count=overdue)
+            beliefs.counters.set('calls_active', self._service.active)
+            beliefs.log.flush()
+
+    def _begin_stop(self) -> None:
+        if self._beliefs.is_stopping:
+            return
+        self._beliefs.is_stopping = True
+        self._beliefs.log.write('stop_ordered', active=self._service.active)
+        self._tasks.append(asyncio.ensure_future(self._stop()))
+
+    async def _stop(self) -> None:
+        loop = asyncio.get_running_loop()
+        began_s = loop.time()
+        latest_s = (
+            began_s + self._beliefs.settings.bounds.grace_s - STOP_MARGIN_S
+        )
+        while loop.time() < latest_s:
+            quiet = loop.time() - began_s > STOP_QUIET_S
+            if quiet and not self._service.active:
+                break
+            await asyncio.sleep(STOP_LOOK_S)
+        for caller in tuple(self._callers):
+            caller.close_idle()
+        await asyncio.sleep(STOP_LOOK_S)
+        self._beliefs.log.write('stopped', active=self._service.active)
+        self._stopped.set()
+
+    def _reload(self) -> None:
+        try:
+            settings = load_settings()
+        except (OSError, ValueError) as problem:
+            self._beliefs.log.write('reload_refused', problem=problem)
+            return
+        self._beliefs.settings = settings
+        self._beliefs.log.write('reloaded')
+
+
+def load_settings() -> GatewaySettings:
+    """Read the settings file that the environment names."""
+    path = pathlib.Path(os.environ[PATH_VARIABLE])
+    return decode_settings(path.read_text(encoding='utf-8'))
+
+
+def make_gateway(settings: GatewaySettings) -> Gateway:
+    """Return an instance that has not started."""
+    beliefs = make_beliefs(settings)
+    peers = PeerExchange(beliefs)
+    return Gateway(
+        beliefs,
+        peers,
+        CallService(beliefs, peers),
+        StoreReader(beliefs, peers),
+    )
+
+
+def run_gateway() -> None:
+    """Run an instance with the settings that the environment names."""
+
+    async def run() -> None:  # noqa: WPS430
+        await make_gateway(load_settings()).run()
+
+    asyncio.run(run())
--- /dev/null
+++ b/trefoilhinge/gateway/fetching.py
@@ -0,0 +1,92 @@
+"""One HTTP request on a connection of its own, with one time limit."""
+
+import asyncio
+
+import h11
+from attrs import frozen
+
+from trefoilhinge.dispatch.settings import Address
+from trefoilhinge.gateway.links import READ_BYTES, open_link
+
+CONNECT_TIMEOUT_S = 1.0  # a machine in reach answers within milliseconds
+
+
+class FetchFailed(Exception):
+    """No whole answer came; the message says why."""
+
+
+@frozen
+class Fetched:
+    """A whole answer."""
+
+    status: int
+    content: bytes
+
+
+async def fetch(
+    address: Address,
+    path: str,
+    timeout_s: float,
+    body: bytes | None = None,
+) -> Fetched:
+    """Send a GET, or a POST with a JSON body, and read the whole answer.
+
+    :raises FetchFailed: no whole answer came within the time.
+    """
+    try:
+        async with asyncio.timeout(timeout_s):
+            return await _exchange(address, path, timeout_s, body)
+    except (OSError, h11.ProtocolError) as problem:
+        kind = type(problem).__name__
+        raise FetchFailed(f'{kind}: {problem}') from problem
+
+
+async def _exchange(
+    address: Address,
+    path: str,
+    timeout_s: float,
+    body: bytes | None,
+) -> Fetched:
+    reader, writer = await open_link(
+        address, min(CONNECT_TIMEOUT_S, timeout_s)
+    )
+    try:
+        writer.write(_encode(address, path, body))
+        return await _read(reader)
+    finally:
+        writer.transport.abort()
+
+
+def _encode(address: Address, path: str, body: bytes | None) -> bytes:
+    connection = h11.Connection(h11.CLIENT)
+    headers = [('Host', f'{address[0]}:{address[1]}'), ('Connection', 'close')]
+    if body is not None:
+        headers.append(('Content-Type', 'application/json'))
+        headers.append(('Content-Length', str(len(body))))
+    request = h11.Request(
+        method='GET' if body is None else 'POST',
+        target=path,
+        headers=headers,
+    )
+    data = connection.send(request) or b''
+    return data + (body or b'')
+
+
+async def _read(reader: asyncio.StreamReader) -> Fetched:
+    connection = h11.Connection(h11.CLIENT)
+    connection.send(h11.Request(method='GET', target='/', headers=[('Host', '-')]))
+    connection.send(h11.EndOfMessage())
+    status = 0
+    content = bytearray()
+    while True:
+        event = connection.next_event()
+        if event is h11.NEED_DATA:
+            connection.receive_data(await reader.read(READ_BYTES))
+        elif isinstance(event, h11.Response):
+            status = event.status_code
+        elif isinstance(event, h11.Data):
+            content += event.data
+        elif isinstance(event, h11.EndOfMessage):
+            return Fetched(status, bytes(content))
+        elif isinstance(event, h11.ConnectionClosed):
+            raise FetchFailed('the connection ended before the answer')
--- /dev/null
+++ b/trefoilhinge/gateway/links.py
@@ -0,0 +1,48 @@
+"""TCP connections that notice when the other end has fallen silent."""
+
+import asyncio
+import socket
+
+from trefoilhinge.dispatch.settings import Address
+
+KEEPALIVE_IDLE_S = 1  # silence after which the kernel asks the other end
+KEEPALIVE_PAUSE_S = 1  # between two such questions
+KEEPALIVE_QUESTIONS = 2  # without an answer, the connection is lost
+USER_TIMEOUT_MS = 2_500  # sent bytes that stay unacknowledged that long
+READ_BYTES = 65_536
+
+
+def set_silence_limits(link: asyncio.BaseTransport) -> None:
+    """Let the kernel end a connection whose other end is silent."""
+    raw = link.get_extra_info('socket')
+    if raw is None:
+        return
+    options = (
+        (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_PAUSE_S),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_QUESTIONS),
+        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
+    )
+    for level, name, value in options:
+        raw.setsockopt(level, name, value)
+
+
+async def open_link(
+    address: Address,
+    timeout_s: float,
+) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    """Open a connection.
+
+    :raises OSError: it could not be opened within the time.
+    """
+    async with asyncio.timeout(timeout_s):
+        reader, writer = await asyncio.open_connection(*address)
+    set_silence_limits(writer.transport)
+    return reader, writer
+
+
+def parse_address(text: str) -> Address:
+    """Return host and port of an address in text."""
+    host, _, port = text.rpartition(':')
+    return host, int(port)
--- /dev/null
+++ b/trefoilhinge/gateway/pages.py
@@ -0,0 +1,77 @@
+"""Small pages for the platform, the other instances and operators."""
+
+import asyncio
+from collections.abc import Callable
+
+import h11
+from attrs import frozen
+
+from trefoilhinge.dispatch.settings import Address
+from trefoilhinge.gateway.links import READ_BYTES, set_silence_limits
+
+PAGE_TIMEOUT_S = 20.0  # of a kept connection without a question
+BACKLOG = 128
+
+
+@frozen
+class Page:
+    """An answer to a GET."""
+
+    status: int
+    content: bytes = b''
+    kind: str = 'text/plain'
+
+
+Answer = Callable[[str], Page]
+
+
+async def serve_pages(address: Address, answer: Answer) -> asyncio.Server:
+    """Serve pages at an address."""
+
+    async def handle(  # noqa: WPS430
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        set_silence_limits(writer.transport)
+        try:
+            while await _answer_one(reader, writer, answer):
+                pass  # noqa: WPS420
+        except (OSError, h11.ProtocolError):
+            return
+        finally:
+            writer.close()
+
+    return await asyncio.start_server(handle, *address, backlog=BACKLOG)
+
+
+async def _answer_one(
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+    answer: Answer,
+) -> bool:
+    connection = h11.Connection(h11.SERVER)
+    path = ''
+    while True:
+        event = connection.next_event()
+        if event is h11.NEED_DATA:
+            async with asyncio.timeout(PAGE_TIMEOUT_S):
+                connection.receive_data(await reader.read(READ_BYTES))
+        elif isinstance(event, h11.Request):
+            path = event.target.decode('latin-1')
+        elif isinstance(event, h11.EndOfMessage):
+            break
+        elif isinstance(event, h11.ConnectionClosed):
+            return False
+    page = answer(path)
+    head = h11.Response(
+        status_code=page.status,
+        headers=[
+            ('Content-Type', page.kind),
+            ('Content-Length', str(len(page.content))),
+        ],
+    )
+    writer.write(connection.send(head) or b'')
+    writer.write(connection.send(h11.Data(data=page.content)) or b'')
+    writer.write(connection.send(h11.EndOfMessage()) or b'')
+    await writer.drain()
+    return connection.our_state is h11.DONE
--- /dev/null
+++ b/trefoilhinge/gateway/reading.py
@@ -0,0 +1,183 @@
+"""Reads the platform's store and follows what changes there."""
+
+import asyncio
+
+from attrs import define
+
+from trefoilhinge.dispatch.targets import TargetRecord
+from trefoilhinge.gateway.beliefs import Beliefs
+from trefoilhinge.gateway.exchange import PeerExchange
+from trefoilhinge.gateway.fetching import Fetched, FetchFailed, fetch
+from trefoilhinge.platform import store
+
+READ_TIMEOUT_S = 1.5  # the store answers in milliseconds, slow in hundreds
+WATCH_WAIT_S = 2.0  # silence of the store is noticed soon after that
+WATCH_MARGIN_S = 1.0  # of the answer to a watch
+GATHER_S = 0.6  # events gather between two watches, as each call is priced
+FAILED_PAUSE_S = 0.5  # before the store is asked again after a failure
+PAGE_LIMIT = 40  # pages of one list; more would be a store gone wrong
+
+
+class StoreUnanswered(Exception):
+    """The store gave no answer that can be used."""
+
+
+@define
+class StoreReader:
+    """Keeps document and targets as new as the store allows."""
+
+    _beliefs: Beliefs
+    _peers: PeerExchange
+    _revision: int = 0
+    _has_list: bool = False
+
+    async def run(self) -> None:
+        """Read and follow, for ever."""
+        while True:
+            try:
+                if self._has_list:
+                    await self._follow()
+                else:
+                    await self._read_all()
+            except StoreUnanswered as problem:
+                self._note_failure(str(problem))
+                await asyncio.sleep(FAILED_PAUSE_S)
+
+    async def _read_all(self) -> None:
+        page = await self._read_document()
+        revision = page.revision
+        records: dict[str, store.StoreItem] = {}
+        after = ''
+        for _ in range(PAGE_LIMIT):
+            page = await self._ask(
+                store.make_list_path(store.TARGET_PREFIX, after)
+            )
+            for item in page.items:
+                records[item.key] = item
+            if not page.is_cut or not page.items:
+                break
+            after = page.items[-1].key
+        self._take_list(records)
+        self._revision = revision
+        self._beliefs.directory.revision = revision
+        self._has_list = True
+
+    async def _read_document(self) -> store.StorePage:
+        fetched = await self._fetch(
+            store.make_item_path(store.DOCUMENT_KEY), READ_TIMEOUT_S
+        )
+        if fetched.status == store.NOT_FOUND:
+            raise StoreUnanswered('the store holds no document yet')
+        decoded = store.decode_item(fetched.content)
+        if decoded.is_error():
+            raise StoreUnanswered(decoded.error)
+        self._take_item(decoded.ok.items[0])
+        return decoded.ok
+
+    async def _follow(self) -> None:
+        path = store.make_watch_path('', self._revision, WATCH_WAIT_S)
+        page = await self._ask(path, WATCH_WAIT_S + WATCH_MARGIN_S)
+        for item in page.items:
+            self._take_item(item)
+        self._revision = max(self._revision, page.revision)
+        self._beliefs.directory.revision = self._revision
+        await asyncio.sleep(GATHER_S)
+
+    async def _ask(
+        self, path: str, timeout_s: float = READ_TIMEOUT_S
+    ) -> store.StorePage:
+        fetched = await self._fetch(path, timeout_s)
+        if fetched.status == store.HISTORY_GONE:
+            self._has_list = False
+            raise StoreUnanswered('the history is gone')
+        decoded = store.decode_page(fetched.content)
+        if decoded.is_error():
+            raise StoreUnanswered(decoded.error)
+        return decoded.ok
+
+    async def _fetch(self, path: str, timeout_s: float) -> Fetched:
+        self._beliefs.counters.add('store_calls')
+        address = self._beliefs.settings.store
+        try:
+            fetched = await fetch(address, path, timeout_s)
+        except FetchFailed as problem:
+            raise StoreUnanswered(str(problem)) from problem
+        if fetched.status not in {200, store.HISTORY_GONE, store.NOT_FOUND}:
+            raise StoreUnanswered(f'status {fetched.status}')
+        self._note_answer()
+        return fetched
+
+    def _take_list(self, items: dict[str, store.StoreItem]) -> None:
+        for item in items.values():
+            self._take_item(item)
+        now_s = self._beliefs.get_now_s()
+        for name in tuple(self._beliefs.directory.records):
+            if f'{store.TARGET_PREFIX}{name}' not in items:
+                self._take_gone(name, now_s)
+        self._beliefs.log.write('targets_listed', count=len(items))
+
+    def _take_item(self, item: store.StoreItem) -> None:
+        if item.key == store.DOCUMENT_KEY and item.content is not None:
+            self._beliefs.accept_document(
+                item.content, f'store revision {item.revision}'
+            )
+        elif item.key.startswith(store.TARGET_PREFIX):
+            self._take_target(item)
+
+    def _take_target(self, item: store.StoreItem) -> None:
+        name = item.key.removeprefix(store.TARGET_PREFIX)
+        now_s = self._beliefs.get_now_s()
+        if item.content is None:
+            self._take_gone(name, now_s)
+            return
+        decoded = store.decode_target(item)
+        if decoded.is_error():
+            self._beliefs.log.write(
+                'target_refused',
+                target=name,
+                revision=item.revision,
+                problem=decoded.error,
+            )
+            return
+        record = decoded.ok
+        is_first = name not in self._beliefs.directory.records
+        if self._beliefs.directory.note_record(record):
+            self._note_left(record, 'draining')
+        elif is_first:
+            self._beliefs.log.write(
+                'target_seen',
+                target=name,
+                service=record.service,
+                address=record.address,
+                revision=record.revision,
+            )
+
+    def _take_gone(self, name: str, now_s: float) -> None:
+        record = self._beliefs.directory.note_gone(name, now_s)
+        if record is not None:
+            self._note_left(record, 'gone')
+
+    def _note_left(self, record: TargetRecord, reason: str) -> None:
+        self._peers.tell_leaving(record)
+        self._beliefs.log.write(
+            'target_left',
+            target=record.name,
+            source='store',
+            reason=reason,
+            revision=record.revision,
+        )
+
+    def _note_failure(self, problem: str) -> None:
+        directory = self._beliefs.directory
+        if directory.away_since_s is None and self._has_list:
+            self._beliefs.log.write('store_lost', problem=problem)
+        self._beliefs.counters.add('store_failures')
+        directory.note_away(self._beliefs.get_now_s())
+
+    def _note_answer(self) -> None:
+        directory = self._beliefs.directory
+        now_s = self._beliefs.get_now_s()
+        if directory.away_since_s is not None:
+            away_s = now_s - directory.away_since_s
+            self._beliefs.log.write('store_regained', away_s=away_s)
+        directory.note_answer(now_s)
--- /dev/null
+++ b/trefoilhinge/gateway/serving.py
@@ -0,0 +1,181 @@
+"""A call's life: accepted, placed, offered, relayed, ended."""
+
+import asyncio
+
+import xxhash
+from attrs import define, field
+
+from trefoilhinge.dispatch.calls import Call, CallHead
+from trefoilhinge.dispatch.documents import FleetDocument
+from trefoilhinge.gateway.attempts import Attempts, CallFailed
+from trefoilhinge.gateway.beliefs import Beliefs
+from trefoilhinge.gateway.callers import CallerConnection, Refusal
+from trefoilhinge.gateway.exchange import PeerExchange
+
+START_RETRY_S = 0.5  # an instance that starts knows its document by then
+DRAW_BITS = 32
+
+
+@define
+class CallService:
+    """Serves calls from what the instance believes."""
+
+    _beliefs: Beliefs
+    _peers: PeerExchange
+    active: int = 0
+    _numbers: int = field(default=0)
+
+    async def serve(
+        self,
+        caller: CallerConnection,
+        head: CallHead,
+        body: bytes,
+    ) -> None:
+        """Serve one call; returns when its answer was sent or given up."""
+        self.active += 1
+        try:
+            await self._serve(caller, head, body)
+        finally:
+            self.active -= 1
+
+    async def _serve(
+        self,
+        caller: CallerConnection,
+        head: CallHead,
+        body: bytes,
+    ) -> None:
+        accepted = self._accept(head, body, caller.arrived_s)
+        if isinstance(accepted, Refusal):
+            self._note_refusal(head, accepted)
+            await caller.refuse(accepted, head.request_id)
+            return
+        call = accepted
+        attempts = Attempts(self._beliefs, self._peers, call, caller)
+        try:
+            async with asyncio.timeout_at(call.ends_s):
+                await attempts.run()
+        except CallFailed as failure:
+            await self._end_failed(caller, call, attempts, failure.refusal)
+        except TimeoutError:
+            refusal = attempts.describe_timeout()
+            await self._end_failed(caller, call, attempts, refusal)
+        except asyncio.CancelledError:
+            self._note_end(call, attempts, 'caller_gone', None)
+            raise
+        else:
+            self._note_end(call, attempts, 'answered', None)
+        finally:
+            attempts.close()
+
+    def _accept(
+        self,
+        head: CallHead,
+        body: bytes,
+        arrived_s: float,
+    ) -> Call | Refusal:
+        document = self._beliefs.document
+        if document is None:
+            return Refusal(
+                503,
+                'document_unknown',
+                'not_run',
+                'this instance has just started',
+                START_RETRY_S,
+            )
+        route = document.find_route(head.host, head.path)
+        if route is None:
+            return Refusal(
+                404, 'route_unknown', 'not_run', 'no route has this path'
+            )
+        organisation = document.find_organisation(head.api_key)
+        needs_key = document.organisations is not None and not route.is_public
+        if needs_key and organisation is None:
+            return Refusal(
+                401, 'key_unknown', 'not_run', 'no organisation has this key'
+            )
+        waits_s = route.timeout_s
+        caller_ends_s = arrived_s + waits_s
+        if head.deadline_s is not None:
+            caller_ends_s = arrived_s + head.deadline_s
+            waits_s = min(waits_s, head.deadline_s)
+        call = Call(
+            head=head,
+            body=body,
+            route=route,
+            service=route.choose_service(_draw(head)),
+            organisation=organisation,
+            arrived_s=arrived_s,
+            ends_s=arrived_s + waits_s,
+            caller_ends_s=caller_ends_s,
+        )
+        self._note_accepted(call, document)
+        return call
+
+    async def _end_failed(
+        self,
+        caller: CallerConnection,
+        call: Call,
+        attempts: 'Attempts',
+        refusal: Refusal,
+    ) -> None:
+        self._note_end(call, attempts, 'failed', refusal)
+        if attempts.has_begun:
+            caller.abort()
+            return
+        await caller.refuse(refusal, call.head.request_id)
+
+    def _note_accepted(self, call: Call, document: FleetDocument) -> None:
+        size = call.head.prompt
+        self._beliefs.log.write(
+            'call_accepted',
+            request=call.head.request_id,
+            route=call.route.name,
+            service=call.service,
+            organisation=call.organisation.name if call.organisation else None,
+            version=document.version,
+            prompt=size.prompt if size else None,
+            waits_s=call.ends_s - self._beliefs.get_now_s(),
+            last_event=call.head.last_event,
+        )
+
+    def _note_refusal(self, head: CallHead, refusal: Refusal) -> None:
+        self._beliefs.counters.add('calls_refused', code=refusal.code)
+        document = self._beliefs.document
+        self._beliefs.log.write(
+            'call_refused',
+            request=head.request_id,
+            code=refusal.code,
+            verdict=refusal.verdict,
+            version=document.version if document else 0,
+        )
+
+    def _note_end(
+        self,
+        call: Call,
+        attempts: 'Attempts',
+        outcome: str,
+        refusal: Refusal | None,
+    ) -> None:
+        kind = call.route.kind.value
+        counters = self._beliefs.counters
+        counters.add('calls_ended', kind=kind, outcome=outcome)
+        took_s = self._beliefs.get_now_s() - call.arrived_s
+        counters.observe('call_duration', took_s, kind=kind)
+        self._beliefs.log.write(
+            'call_ended',
+            request=call.head.request_id,
+            outcome=outcome,
+            status=refusal.status if refusal else attempts.status,
+            code=refusal.code if refusal else None,
+            verdict=refusal.verdict if refusal else None,
+            offers=attempts.offers,
+            first_s=attempts.first_event_s,
+            longest_pause_s=attempts.longest_pause_s,
+            last_event=attempts.last_event,
+            took_s=took_s,
+        )
+
+
+def _draw(head: CallHead) -> int:
+    """Return an evenly spread number that the call's identifier fixes."""
+    return int(xxhash.xxh32_intdigest(head.request_id.encode('latin-1')))
--- /dev/null
+++ b/trefoilhinge/platform/documents.py
@@ -0,0 +1,116 @@
+"""Decodes the operator's configuration into the fleet's document."""
+
+import json
+from typing import Any
+
+from expression import Error, Ok, Result
+
+from trefoilhinge.dispatch.documents import (
+    CallerLimits,
+    CallKind,
+    EngineFigures,
+    FleetDocument,
+    Organisation,
+    Route,
+    Service,
+    Share,
+    sort_routes,
+)
+
+MS_PER_S = 1000
+KINDS = {
+    'idempotent': CallKind.idempotent,
+    'non_idempotent': CallKind.once,
+    'stream': CallKind.stream,
+}
+DEFAULT_AIM_MS = 1000
+DEFAULT_PRIORITY = 5  # of a call that names none, by the platform's pages
+
+
+def decode_document(content: bytes) -> Result[FleetDocument, str]:
+    """Decode a configuration; the error says what cannot be read."""
+    try:
+        return Ok(_decode(json.loads(content)))
+    except KeyError as missing:
+        return Error(f'the field {missing} is missing')
+    except (AttributeError, TypeError, ValueError) as problem:
+        return Error(str(problem))
+
+
+def _decode(fields: dict[str, Any]) -> FleetDocument:
+    services = {
+        entry['name']: _decode_service(entry) for entry in fields['services']
+    }
+    return FleetDocument(
+        version=int(fields['version']),
+        routes=sort_routes([_decode_route(one) for one in fields['routes']]),
+        services=services,
+        limits=_decode_limits(fields['limits']),
+        organisations=_decode_organisations(fields.get('tenants')),
+    )
+
+
+def _decode_route(fields: dict[str, Any]) -> Route:
+    aim_ms = fields.get('sloMs') or DEFAULT_AIM_MS
+    split = fields.get('split') or [{'service': fields['service'], 'weight': 1}]
+    return Route(
+        name=fields['name'],
+        host=fields['host'],
+        prefix=fields['prefix'],
+        kind=KINDS[fields['kind']],
+        timeout_s=fields['timeoutMs'] / MS_PER_S,
+        aim_s=aim_ms / MS_PER_S,
+        pause_aim_s=fields.get('gapAimMs', 0) / MS_PER_S,
+        priority=int(fields.get('priority', DEFAULT_PRIORITY)),
+        shares=tuple(
+            Share(part['service'], float(part['weight'])) for part in split
+        ),
+        attempts=int(fields.get('attempts', 1)),
+        is_public=bool(fields.get('public', False)),
+        is_resumable=bool(fields.get('resumable', False)),
+    )
+
+
+def _decode_service(fields: dict[str, Any]) -> Service:
+    engine = fields.get('engine')
+    return Service(
+        name=fields['name'],
+        maximum_connections=int(fields.get('maxConns', 0)),
+        engine=_decode_engine(engine) if engine else None,
+    )
+
+
+def _decode_engine(fields: dict[str, Any]) -> EngineFigures:
+    return EngineFigures(
+        places=int(fields['slots']),
+        memory_tokens=int(fields['kvCapacity']),
+        stride=int(fields.get('stride', 1)),
+        step_ms=float(fields['step_ms']),
+        per_writer_ms=float(fields['per_seq_ms']),
+        context_ms_per_k=float(fields['context_per_k']),
+        tokens_per_ms=float(fields['read_per_s']) / MS_PER_S,
+        pairs_ms_per_m=float(fields.get('pairs_per_m', 0)),
+        chunk_tokens=int(fields['chunk']),
+    )
+
+
+def _decode_limits(fields: dict[str, Any]) -> CallerLimits:
+    return CallerLimits(
+        header_bytes=int(fields['maxHeaderBytes']),
+        body_bytes=int(fields['maxBodyBytes']),
+        header_timeout_s=fields['headerTimeoutMs'] / MS_PER_S,
+        idle_timeout_s=fields['idleTimeoutMs'] / MS_PER_S,
+    )
+
+
+def _decode_organisations(
+    entries: list[dict[str, Any]] | None,
+) -> dict[str, Organisation] | None:
+    if entries is None:
+        return None
+    by_key = {}
+    for entry in entries:
+        organisation = Organisation(entry['name'], entry.get('priority'))
+        for key in entry.get('apiKeys') or ():
+            by_key[key] = organisation
+    return by_key
--- /dev/null
+++ b/trefoilhinge/platform/orders.py
@@ -0,0 +1,26 @@
+"""Orders that reserve and release an engine's memory."""
+
+import json
+
+ORDER_PATH = '/order'
+RESERVED = 200
+MS_PER_S = 1000
+
+
+def encode_reservation(ticket: str, tokens: int, hold_s: float) -> bytes:
+    """Return the body that reserves memory, or renews a reservation.
+
+    :param hold_s: seconds after which the target releases it by itself.
+    """
+    fields = {
+        'op': 'reserve',
+        'id': ticket,
+        'tokens': tokens,
+        'holdMs': int(hold_s * MS_PER_S),
+    }
+    return json.dumps(fields).encode()
+
+
+def encode_release(ticket: str) -> bytes:
+    """Return the body that ends a reservation."""
+    return json.dumps({'op': 'release', 'id': ticket}).encode()
--- /dev/null
+++ b/trefoilhinge/platform/settings.py
@@ -0,0 +1,66 @@
+"""Decodes the settings file that the platform writes."""
+
+import json
+from typing import Any
+
+from trefoilhinge.dispatch.settings import Address, Bounds, GatewaySettings
+from trefoilhinge.exceptions import ImproperlyConfigured
+
+PATH_VARIABLE = 'TREFOILHINGE_CONFIG'
+MS_PER_S = 1000
+
+
+def decode_settings(text: str) -> GatewaySettings:
+    """Decode the text of a settings file.
+
+    :raises ImproperlyConfigured: a field is missing or of the wrong type; the
+        message names it.
+    """
+    try:
+        fields = json.loads(text)
+    except ValueError as problem:
+        raise ImproperlyConfigured(f'settings file: {problem}') from problem
+    try:
+        return _decode(fields)
+    except KeyError as missing:
+        raise ImproperlyConfigured(
+            f'settings file: the field {missing} is missing',
+        ) from missing
+    except (AttributeError, IndexError, TypeError, ValueError) as problem:
+        raise ImproperlyConfigured(f'settings file: {problem}') from problem
+
+
+def _decode(fields: dict[str, Any]) -> GatewaySettings:
+    listen = fields['listen']
+    control = listen.get('control')
+    return GatewaySettings(
+        instance=str(fields['nodeName']),
+        ip=str(fields['ip']),
+        failure_domain=str(fields['zone']),
+        entry=_read_address(listen['front']),
+        readiness=_read_address(listen['ready']),
+        control=_read_address(control) if control else None,
+        first_port=int(fields['internalPorts'][0]),
+        seeds=tuple(
+            _read_address(seed)[0] for seed in fields.get('seeds') or ()
+        ),
+        store=_read_address(fields['platform']['address']),
+        memory_mb=int(fields['limits']['memoryMb']),
+        bounds=_decode_bounds(fields['bounds']),
+    )
+
+
+def _decode_bounds(fields: dict[str, Any]) -> Bounds:
+    return Bounds(
+        grace_s=float(fields['graceS']),
+        repeat_ratio=float(fields['retryRatio']),
+        repeat_slack=float(fields['retrySlack']),
+        repeat_window_s=float(fields['retryWindowS']),
+        free_s=float(fields['freeMs']) / MS_PER_S,
+        hold_maximum_s=float(fields['holdMaxMs']) / MS_PER_S,
+    )
+
+
+def _read_address(text: str) -> Address:
+    host, _, port = text.rpartition(':')
+    return host, int(port)
--- /dev/null
+++ b/trefoilhinge/platform/store.py
@@ -0,0 +1,145 @@
+"""Reads of the platform's store: paths, items and what they name."""
+
+import base64
+import binascii
+import json
+from typing import Any
+from urllib.parse import urlencode
+
+from attrs import frozen
+from expression import Error, Ok, Result
+
+from trefoilhinge.dispatch.targets import TargetRecord
+
+DOCUMENT_KEY = 'op/config'
+TARGET_PREFIX = 'servers/'
+STATES = frozenset(('ready', 'draining'))
+HISTORY_GONE = 410
+NOT_FOUND = 404
+
+
+@frozen
+class StoreItem:
+    """One item, or the news that it is gone.
+
+    :ivar content: none if the item is gone.
+    """
+
+    key: str
+    content: bytes | None
+    revision: int
+
+
+@frozen
+class StorePage:
+    """Answer to a read of many items, or to a watch."""
+
+    items: tuple[StoreItem, ...]
+    is_cut: bool
+    revision: int
+
+
+def make_item_path(key: str) -> str:
+    """Return the path that reads one item."""
+    return f'/kv-key?{urlencode({"key": key})}'
+
+
+def make_list_path(prefix: str, after_key: str) -> str:
+    """Return the path that reads items; the next page begins after a key."""
+    query = {'prefix': prefix}
+    if after_key:
+        query['after'] = after_key
+    return f'/kv-range?{urlencode(query)}'
+
+
+def make_watch_path(prefix: str, revision: int, wait_s: float) -> str:
+    """Return the path that waits for what changes after a revision."""
+    query = {
+        'prefix': prefix,
+        'after': revision,
+        'waitMs': int(wait_s * 1000),
+    }
+    return f'/kv-watch?{urlencode(query)}'
+
+
+def decode_item(content: bytes) -> Result[StorePage, str]:
+    """Decode the answer to a read of one item."""
+    return _guard(content, _decode_single)
+
+
+def decode_page(content: bytes) -> Result[StorePage, str]:
+    """Decode the answer to a read of items or to a watch."""
+    return _guard(content, _decode_many)
+
+
+def decode_target(item: StoreItem) -> Result[TargetRecord, str]:
+    """Decode a target's entry; the error says why it names none."""
+    try:
+        fields = json.loads(item.content or b'')
+        state = fields['state']
+        if state not in STATES:
+            return Error(f'the state {state!r} is unknown')
+        return Ok(
+            TargetRecord(
+                name=item.key.removeprefix(TARGET_PREFIX),
+                service=_require(fields, 'service', str),
+                address=_check_address(_require(fields, 'address', str)),
+                failure_domain=_require(fields, 'zone', str),
+                places=_require(fields, 'slots', int),
+                is_leaving=state == 'draining',
+                born_ms=int(fields.get('born', 0)),
+                sequence=int(fields.get('seq', 0)),
+                revision=item.revision,
+            ),
+        )
+    except KeyError as missing:
+        return Error(f'the field {missing} is missing')
+    except (AttributeError, TypeError, ValueError) as problem:
+        return Error(str(problem))
+
+
+def _require(fields: dict[str, Any], name: str, kind: type) -> Any:
+    value = fields[name]
+    if not isinstance(value, kind) or isinstance(value, bool):
+        raise TypeError(f'the field {name!r} is of another type')
+    return value
+
+
+def _check_address(text: str) -> str:
+    host, _, port = text.rpartition(':')
+    if not host or not port.isdigit():
+        raise ValueError('the address names no port')
+    return text
+
+
+def _guard(content: bytes, decode: Any) -> Result[StorePage, str]:
+    try:
+        return Ok(decode(json.loads(content)))
+    except KeyError as missing:
+        return Error(f'the field {missing} is missing')
+    except (AttributeError, TypeError, ValueError, binascii.Error) as problem:
+        return Error(str(problem))
+
+
+def _decode_single(fields: dict[str, Any]) -> StorePage:
+    return StorePage(
+        (_decode_entry(fields),), is_cut=False, revision=fields['currentRev']
+    )
+
+
+def _decode_many(fields: dict[str, Any]) -> StorePage:
+    entries = fields.get('items')
+    if entries is None:
+        entries = fields['events']
+    return StorePage(
+        tuple(_decode_entry(entry) for entry in entries),
+        bool(fields.get('truncated', False)),
+        int(fields['currentRev']),
+    )
+
+
+def _decode_entry(fields: dict[str, Any]) -> StoreItem:
+    if fields.get('tombstone'):
+        return StoreItem(fields['key'], None, int(fields['rev']))
+    content = base64.b64decode(fields['value'], validate=True)
+    return StoreItem(fields['key'], content, int(fields['rev']))
