Let instances hear each other's datagrams.

Cause: in Python 3.11 the selector loop's datagram transport is no subclass of DatagramTransport, so the check before keeping it failed and nothing was sent; each instance placed by its own work alone.

--- a/trefoilhinge/gateway/daemon.py
+++ b/trefoilhinge/gateway/daemon.py
@@ -60,7 +60,9 @@
         loop.add_signal_handler(signal.SIGTERM, self._begin_stop)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         for work in (self._peers.speak(), self._reader.run(), self._sweep()):
-            self._tasks.append(asyncio.ensure_future(work))
+            task = asyncio.ensure_future(work)
+            task.add_done_callback(self._note_task_end)
+            self._tasks.append(task)
         await self._stopped.wait()
 
     async def _open_pages(self, settings: GatewaySettings) -> None:
@@ -104,6 +106,16 @@
             problem=f'{type(problem).__name__}: {problem}',
         )
 
+    def _note_task_end(self, task: asyncio.Task[None]) -> None:
+        if task.cancelled():
+            return
+        problem = task.exception()
+        self._beliefs.log.write(
+            'task_failed',
+            message=task.get_name(),
+            problem=f'{type(problem).__name__}: {problem}',
+        )
+
     def _get_limits(self) -> CallerLimits:
         document = self._beliefs.document
         return document.limits if document else DEFAULT_LIMITS
--- a/trefoilhinge/gateway/exchange.py
+++ b/trefoilhinge/gateway/exchange.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import json
-from typing import Any
+from typing import Any, cast
 
 from attrs import define, field
 from expression import Error, Ok, Result
@@ -44,8 +44,8 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Take the socket."""
-        if isinstance(transport, asyncio.DatagramTransport):
-            self._transport = transport
+        # The selector loop's datagram transport is no such subclass in 3.11.
+        self._transport = cast(asyncio.DatagramTransport, transport)
 
     def datagram_received(self, data: bytes, address: tuple[Any, ...]) -> None:
         """Take a message; one that cannot be read is logged and skipped."""
