Refused calls that a stopping instance could not finish.

Long prompts wait for a part of their aim when every set of targets would stop short streams, and reservations are made at as few targets as can hold them. The attempts of a call are split into modules.

--- a/trefoilhinge/dispatch/budgets.py
+++ b/trefoilhinge/dispatch/budgets.py
@@ -36,10 +36,9 @@
         :param instances: instances that the slack is split between.
         """
         self._forget(now_s)
-        allowed = (
-            self.ratio * RATIO_SHARE * len(self._firsts)
-            + self.slack * SLACK_SHARE / max(1, instances)
-        )
+        allowed = self.ratio * RATIO_SHARE * len(
+            self._firsts
+        ) + self.slack * SLACK_SHARE / max(1, instances)
         return len(self._repeats) + 1 <= allowed
 
     def note_repeat(self, now_s: float) -> None:
--- /dev/null
+++ b/trefoilhinge/dispatch/costs.py
@@ -0,0 +1,92 @@
+"""What a placement costs: the worth that is expected to be lost by it."""
+
+from attrs import frozen
+
+from trefoilhinge.dispatch.documents import EngineFigures
+from trefoilhinge.dispatch.loads import TargetLoad, find_run_end_s
+from trefoilhinge.dispatch.targets import TargetRecord
+
+EARLY_SHARE = 0.55  # of an aim: sooner answers lose nothing
+LATE_SHARE = 1.05  # of an aim: later answers lose all that lateness costs
+LATE_LOSS = 0.75  # of a call's worth; the tables pay a quarter for late ones
+ABANDON_S = 1.8  # callers leave a stream after a pause of two seconds
+WORTH_TOKENS = 10_000  # tokens of prompt that add the worth of one short call
+WAIT_COST_PER_S = 0.02  # of a call's worth for each second
+CROWDED_COST = 0.06  # the last place: another instance may be taking it
+FULL_COST = 0.5  # of a call's worth, if it waits for a place or for memory
+
+
+@frozen
+class Candidate:
+    """A target with its load and its place in the common order, 0 to 1."""
+
+    record: TargetRecord
+    load: TargetLoad
+    rank: float
+
+
+def find_worth(size_tokens: float) -> float:
+    """Return the worth of a call in those of a short one."""
+    return 1 + size_tokens / WORTH_TOKENS
+
+
+def find_lateness(expected_s: float, aim_s: float) -> float:
+    """Return the part of a call's worth that is expected to be lost."""
+    share = expected_s / max(aim_s, 0.001)
+    if share <= EARLY_SHARE:
+        return 0
+    spread = (share - EARLY_SHARE) / (LATE_SHARE - EARLY_SHARE)
+    return LATE_LOSS * min(1, spread)
+
+
+def find_harm(
+    one: Candidate,
+    figures: EngineFigures,
+    reading_s: float,
+    begin_s: float,
+) -> float:
+    """Return the worth that others lose while a part is read here.
+
+    :param begin_s: monotonic seconds at which the part may begin; runs that
+        are expected to have ended by then lose nothing.
+    """
+    load = one.load
+    if not load.runs:
+        return 0
+    base_s = load.find_pass_s(figures)
+    step_s = base_s / figures.stride
+    before_s = load.find_backlog_s(begin_s)
+    after_s = base_s + before_s + reading_s * load.pace
+    harm = 0.0  # noqa: WPS358
+    for run in load.runs.values():
+        if run.pause_aim_s <= 0 or find_run_end_s(run, step_s) <= begin_s:
+            continue
+        share = _find_pause_loss(after_s, run.pause_aim_s)
+        share -= _find_pause_loss(base_s + before_s, run.pause_aim_s)
+        harm += find_worth(run.context_tokens) * share
+    return harm
+
+
+def find_crowding(
+    one: Candidate,
+    figures: EngineFigures,
+    worth: float,
+    *,
+    lacks_memory: bool,
+) -> float:
+    """Return the cost of a place that is the last, or taken."""
+    free = figures.places - one.load.running
+    cost = 0.0  # noqa: WPS358
+    if free <= 0:
+        cost += FULL_COST * worth
+    elif free == 1:
+        cost += CROWDED_COST
+    if lacks_memory:
+        cost += FULL_COST * worth
+    return cost
+
+
+def _find_pause_loss(pause_s: float, aim_s: float) -> float:
+    if pause_s > max(ABANDON_S, aim_s * 4):
+        return 1
+    return find_lateness(pause_s, aim_s)
--- a/trefoilhinge/dispatch/documents.py
+++ b/trefoilhinge/dispatch/documents.py
@@ -156,7 +156,10 @@
     by_host: dict[str, list[Route]] = {}
     for route in routes:
         by_host.setdefault(route.host.lower(), []).append(route)
-    return {
-        host: tuple(sorted(found, key=lambda route: -len(route.prefix)))
-        for host, found in by_host.items()
-    }
+    for found in by_host.values():
+        found.sort(key=_measure_prefix, reverse=True)
+    return {host: tuple(found) for host, found in by_host.items()}
+
+
+def _measure_prefix(route: Route) -> int:
+    return len(route.prefix)
--- a/trefoilhinge/dispatch/events.py
+++ b/trefoilhinge/dispatch/events.py
@@ -29,9 +29,10 @@
 
     def split(self, chunk: bytes) -> list[StreamPiece]:
         """Return the events that are whole with these bytes."""
-        *whole, self.rest = (self.rest + chunk).split(_SEPARATOR)
+        texts = (self.rest + chunk).split(_SEPARATOR)
+        self.rest = texts.pop()
         return [
-            StreamPiece(_read_number(text), text + _SEPARATOR) for text in whole
+            StreamPiece(_read_number(text), text + _SEPARATOR) for text in texts
         ]
 
 
--- a/trefoilhinge/dispatch/health.py
+++ b/trefoilhinge/dispatch/health.py
@@ -22,7 +22,7 @@
 
 @define
 class _Record:
-    failures: float = 0.0
+    failures: float = 0
     eject_s: float = EJECT_S
     until_s: float = float('-inf')
 
@@ -58,8 +58,7 @@
         usable = [
             name
             for name in targets
-            if name not in self._records
-            or self._records[name].until_s <= now_s
+            if name not in self._records or self._records[name].until_s <= now_s
         ]
         if len(usable) < len(targets) * MOST_EJECTED:
             return targets
--- /dev/null
+++ b/trefoilhinge/dispatch/joint.py
@@ -0,0 +1,234 @@
+"""Prompts that several targets read, and those that none can hold alone."""
+
+from collections.abc import Iterator, Sequence
+
+from attrs import frozen
+
+from trefoilhinge.dispatch.calls import PromptSize
+from trefoilhinge.dispatch.costs import (
+    WAIT_COST_PER_S,
+    Candidate,
+    find_crowding,
+    find_harm,
+    find_lateness,
+    find_worth,
+)
+from trefoilhinge.dispatch.documents import EngineFigures, Route
+from trefoilhinge.dispatch.engines import find_reading_s
+from trefoilhinge.dispatch.loads import RunPart
+
+MAXIMUM_READERS = 16  # the platform takes sixteen entries
+MEMORY_SHARE = 0.96  # of the published memory; blocks are not all full
+TICKET_SLACK_TOKENS = 256  # of a reservation, for blocks that are not full
+TICKET_LEAST_TOKENS = 16_000  # a smaller reservation is not worth its order
+READING_COST_PER_S = 0.05  # of engine time, so that work is not split in vain
+RANK_COST = 0.004  # keeps long prompts off the targets of short streams
+DELAY_SHARES = (0, 0.15, 0.3, 0.45)  # of the aim; short streams end meanwhile
+
+
+@frozen
+class Placement:
+    """Where a call goes.
+
+    :ivar parts: the target that answers first, then its helpers.
+    :ivar tickets: tokens to reserve at the first targets, in the order of
+        parts; empty where one target's memory is enough.
+    :ivar first_event_s: seconds until the first event is expected.
+    :ivar cost: expected loss, in worths of a short call.
+    :ivar delay_s: seconds to wait before the call is sent.
+    """
+
+    parts: tuple[RunPart, ...]
+    tickets: tuple[int, ...]
+    first_event_s: float
+    cost: float
+    delay_s: float = 0
+
+
+@frozen
+class _Plan:
+    """A prompt and the time at which it is to be read."""
+
+    figures: EngineFigures
+    route: Route
+    size: PromptSize
+    now_s: float
+    delay_s: float
+
+    @property
+    def begin_s(self) -> float:
+        return self.now_s + self.delay_s
+
+    @property
+    def need(self) -> int:
+        return self.size.prompt + self.size.answer_limit
+
+    @property
+    def memory(self) -> int:
+        return int(self.figures.memory_tokens * MEMORY_SHARE)
+
+
+def place_joint(
+    candidates: Sequence[Candidate],
+    figures: EngineFigures,
+    route: Route,
+    size: PromptSize,
+    now_s: float,
+) -> Placement | None:
+    """Return the cheapest set of targets; none if they cannot hold it.
+
+    Where every set would stop short streams, the prompt may wait for a part
+    of its aim until most of those have ended; it is told to all instances at
+    once, so that no new ones take their places.
+    """
+    best: Placement | None = None
+    for share in DELAY_SHARES:
+        plan = _Plan(figures, route, size, now_s, share * route.aim_s)
+        found = min(
+            _list_placements(candidates, plan),
+            key=lambda placement: placement.cost,
+            default=None,
+        )
+        if found is not None and (best is None or found.cost < best.cost):
+            best = found
+    return best
+
+
+def _list_placements(
+    candidates: Sequence[Candidate],
+    plan: _Plan,
+) -> Iterator[Placement]:
+    whole_s = find_reading_s(plan.figures, plan.size.prompt)
+    for count in range(1, min(len(candidates), MAXIMUM_READERS) + 1):
+        part_s = whole_s / count
+        ranked = _rank(candidates, plan, part_s)
+        placement = _compose(ranked[:count], plan, part_s)
+        if placement is not None:
+            yield placement
+
+
+def _rank(
+    candidates: Sequence[Candidate],
+    plan: _Plan,
+    part_s: float,
+) -> list[Candidate]:
+    def rate(one: Candidate) -> float:
+        return (
+            find_harm(one, plan.figures, part_s, plan.begin_s)
+            + one.load.find_backlog_s(plan.begin_s)
+            + part_s * one.load.pace
+            - RANK_COST * one.rank
+        )
+
+    return sorted(candidates, key=rate)
+
+
+def _compose(
+    chosen: Sequence[Candidate],
+    plan: _Plan,
+    part_s: float,
+) -> Placement | None:
+    ordered = sorted(
+        chosen,
+        key=lambda one: (
+            one.load.running >= plan.figures.places,
+            one.load.memory_tokens,
+            one.load.running,
+        ),
+    )
+    tickets = _split_memory(ordered, plan)
+    if tickets is None:
+        return None
+    first_s = _find_first_event_s(ordered, plan, part_s)
+    return Placement(
+        _make_parts(ordered, plan, part_s, tickets),
+        tickets,
+        first_s,
+        _find_cost(ordered, plan, part_s, first_s, has_tickets=bool(tickets)),
+        plan.delay_s,
+    )
+
+
+def _find_first_event_s(
+    ordered: Sequence[Candidate],
+    plan: _Plan,
+    part_s: float,
+) -> float:
+    slowest_s = max(
+        one.load.find_backlog_s(plan.begin_s)
+        + part_s * one.load.pace
+        + one.load.find_pass_s(plan.figures)
+        for one in ordered
+    )
+    wait_s = ordered[0].load.find_place_wait_s(plan.figures, plan.begin_s)
+    return plan.delay_s + slowest_s + wait_s
+
+
+def _find_cost(
+    ordered: Sequence[Candidate],
+    plan: _Plan,
+    part_s: float,
+    first_s: float,
+    *,
+    has_tickets: bool,
+) -> float:
+    worth = find_worth(plan.size.prompt)
+    first = ordered[0]
+    room = plan.memory - first.load.memory_tokens
+    need = plan.size.prompt + plan.size.answer_expected
+    harm = sum(
+        find_harm(one, plan.figures, part_s, plan.begin_s) for one in ordered
+    )
+    pass_s = first.load.find_pass_s(plan.figures)
+    return (
+        worth * find_lateness(first_s, plan.route.aim_s)
+        + worth * WAIT_COST_PER_S * first_s
+        + harm
+        + READING_COST_PER_S * len(ordered) * pass_s
+        + find_crowding(
+            first,
+            plan.figures,
+            worth,
+            lacks_memory=not has_tickets and need > room,
+        )
+    )
+
+
+def _make_parts(
+    ordered: Sequence[Candidate],
+    plan: _Plan,
+    part_s: float,
+    tickets: tuple[int, ...],
+) -> tuple[RunPart, ...]:
+    stored = tickets or (plan.size.prompt + plan.size.answer_expected,)
+    stored += (0,) * (len(ordered) - len(stored))
+    return tuple(
+        RunPart(one.record.name, part_s, tokens, has_place=position == 0)
+        for position, (one, tokens) in enumerate(
+            zip(ordered, stored, strict=True)
+        )
+    )
+
+
+def _split_memory(
+    ordered: Sequence[Candidate],
+    plan: _Plan,
+) -> tuple[int, ...] | None:
+    """Return tokens to reserve at the first targets; none if too few.
+
+    A prompt that one target can hold needs no reservation. As few targets
+    hold it as can, evenly by their room.
+    """
+    if plan.need <= plan.memory:
+        return ()
+    rooms = [max(0, plan.memory - one.load.memory_tokens) for one in ordered]
+    for count in range(2, len(ordered) + 1):
+        wanted = plan.need + TICKET_SLACK_TOKENS * count
+        total = sum(rooms[:count])
+        if min(rooms[:count]) < TICKET_LEAST_TOKENS:
+            return None
+        if total >= wanted:
+            shares = [wanted * room // total for room in rooms[:count]]
+            shares[0] += wanted - sum(shares)
+            return tuple(shares)
+    return None
--- a/trefoilhinge/dispatch/loads.py
+++ b/trefoilhinge/dispatch/loads.py
@@ -33,6 +33,7 @@
     :ivar origin: instance that sent it.
     :ivar answer_tokens: tokens that it is expected to write.
     :ivar pause_aim_s: longest pause on time; zero for a plain call.
+    :ivar delay_s: seconds after its start at which its targets begin.
     """
 
     origin: str
@@ -42,6 +43,7 @@
     answer_tokens: int
     pause_aim_s: float
     started_s: float
+    delay_s: float = 0
 
     @property
     def key(self) -> tuple[str, int]:
@@ -57,7 +59,7 @@
     :ivar pace: how many times slower than published the target was seen.
     """
 
-    reading_until_s: float = 0.0
+    reading_until_s: float = 0
     pace: float = 1.0
     runs: dict[tuple[str, int], Run] = field(factory=dict)
     helps: dict[tuple[str, int], Run] = field(factory=dict)
@@ -74,7 +76,7 @@
 
     def find_backlog_s(self, now_s: float) -> float:
         """Return seconds of reading that is left."""
-        return max(0.0, self.reading_until_s - now_s)
+        return max(0, self.reading_until_s - now_s)
 
     def find_pass_s(self, figures: EngineFigures) -> float:
         """Return seconds between two events while nothing is read."""
@@ -85,12 +87,10 @@
         """Return seconds until a place is expected to be free."""
         over = self.running + 1 - figures.places
         if over <= 0:
-            return 0.0
+            return 0
         step_s = find_step_s(figures, self.running, self.find_context())
         ends = sorted(
-            run.started_s
-            + sum(part.reading_s for part in run.parts if part.has_place)
-            + run.answer_tokens * step_s * self.pace
+            find_run_end_s(run, step_s * self.pace)
             for run in self.runs.values()
         )
         position = min(over, len(ends)) - 1
@@ -123,7 +123,7 @@
         self._runs[run.key] = (run, latest_end_s)
         for part in run.parts:
             load = self.find(part.target)
-            begin_s = max(now_s, load.reading_until_s)
+            begin_s = max(now_s + run.delay_s, load.reading_until_s)
             load.reading_until_s = begin_s + part.reading_s * load.pace
             load.memory_tokens += part.memory_tokens
             places = load.runs if part.has_place else load.helps
@@ -184,3 +184,13 @@
         for key in dropped:
             self.end(key, now_s)
         return len(dropped)
+
+
+def find_run_end_s(run: Run, step_s: float) -> float:
+    """Return monotonic seconds at which a run is expected to end.
+
+    :param step_s: seconds of a step of its target.
+    """
+    reading_s = sum(part.reading_s for part in run.parts if part.has_place)
+    writing_s = run.answer_tokens * step_s
+    return run.started_s + run.delay_s + reading_s + writing_s
--- a/trefoilhinge/dispatch/messages.py
+++ b/trefoilhinge/dispatch/messages.py
@@ -7,6 +7,7 @@
 import msgpack
 from attrs import frozen
 from expression import Error, Ok, Result
+from msgpack.exceptions import UnpackException
 
 from trefoilhinge.dispatch.loads import Run, RunPart
 from trefoilhinge.dispatch.peers import Word
@@ -66,9 +67,7 @@
     """
     try:
         return Ok(_decode(msgpack.unpackb(data), now_s))
-    except (IndexError, KeyError, TypeError, ValueError) as problem:
-        return Error(f'{type(problem).__name__}: {problem}')
-    except msgpack.exceptions.UnpackException as problem:
+    except (TypeError, ValueError, UnpackException) as problem:
         return Error(f'{type(problem).__name__}: {problem}')
 
 
@@ -106,15 +105,15 @@
         run.context_tokens,
         run.answer_tokens,
         run.pause_aim_s,
+        run.delay_s,
     ]
 
 
 def _decode(fields: list[object], now_s: float) -> Message:
     match fields:
-        case ['w', str(ip), str(origin), int(version), int(revision), away, known]:
-            names = tuple(str(name) for name in known)  # type: ignore[attr-defined]
-            return Word(ip, origin, version, revision, bool(away), names)
-        case ['r', *run, float(lasts_s)]:
+        case ['w', *word]:
+            return _decode_word(word)
+        case ['r', *run, int() | float() as lasts_s]:
             return RunStarted(_decode_run(run, now_s), lasts_s)
         case ['f', str(origin), int(number)]:
             return RunWrites(origin, number)
@@ -125,6 +124,22 @@
     raise ValueError('the message is of no known kind')
 
 
+def _decode_word(fields: list[object]) -> Word:
+    match fields:
+        case [
+            str(ip),
+            str(origin),
+            int(version),
+            int(revision),
+            bool(is_away),
+            list(known),
+        ]:
+            names = tuple(str(name) for name in known)
+            return Word(ip, origin, version, revision, is_away, names)
+        case _:
+            raise ValueError('a word has other fields')
+
+
 def _decode_run(fields: list[object], now_s: float) -> Run:
     match fields:
         case [
@@ -133,17 +148,31 @@
             list(parts),
             int(context),
             int(answer),
-            float(pause),
+            int() | float() as pause_aim_s,
+            int() | float() as delay_s,
         ]:
-            decoded = tuple(_decode_part(part) for part in parts)
             return Run(
-                origin, number, decoded, context, answer, pause, now_s
+                origin,
+                number,
+                tuple(_decode_part(part) for part in parts),
+                context,
+                answer,
+                max(0, pause_aim_s),
+                now_s,
+                max(0, delay_s),
             )
-    raise ValueError('a run has other fields')
+        case _:
+            raise ValueError('a run has other fields')
 
 
 def _decode_part(fields: object) -> RunPart:
     match fields:
-        case [str(target), float(reading_s), int(memory), bool(has_place)]:
-            return RunPart(target, max(0.0, reading_s), memory, has_place)
-    raise ValueError('a part of a run has other fields')
+        case [
+            str(target),
+            int() | float() as reading_s,
+            int(memory),
+            bool(has_place),
+        ]:
+            return RunPart(target, max(0, reading_s), memory, has_place)
+        case _:
+            raise ValueError('a part of a run has other fields')
--- a/trefoilhinge/gateway/beliefs.py
+++ b/trefoilhinge/gateway/beliefs.py
@@ -25,6 +25,9 @@
 
     :ivar origin: name of this life of the instance.
     :ivar document_bytes: the document as it was read, to pass on.
+    :ivar stops_s: monotonic seconds at which the process ends.
+    :ivar settles_s: monotonic seconds from which a stopping instance takes
+        only calls that are sure to end before it does.
     """
 
     settings: GatewaySettings
@@ -38,6 +41,8 @@
     loads: LoadView = field(factory=LoadView)
     health: TargetHealth = field(factory=TargetHealth)
     is_stopping: bool = False
+    stops_s: float = float('inf')
+    settles_s: float = float('inf')
     _budgets: dict[str, RepeatBudget] = field(factory=dict)
     _runs: int = 0
 
@@ -46,6 +51,11 @@
         """Return whether calls can be served."""
         return self.document is not None and not self.is_stopping
 
+    def has_time_for(self, duration_s: float) -> bool:
+        """Return whether a call that may last so long can be taken now."""
+        now_s = self.get_now_s()
+        return now_s < self.settles_s or now_s + duration_s < self.stops_s
+
     def get_now_s(self) -> float:
         """Return monotonic seconds."""
         return asyncio.get_running_loop().time()
--- a/trefoilhinge/gateway/callers.py
+++ b/trefoilhinge/gateway/callers.py
@@ -49,7 +49,7 @@
     _parser: h11.Connection = field(init=False)
     _received: int = 0
     is_serving: bool = False
-    arrived_s: float = 0.0
+    arrived_s: float = 0
 
     def __attrs_post_init__(self) -> None:
         """Make the parser with the limits in force."""
@@ -145,6 +145,7 @@
                 return
             self._parser.start_next_cycle()
             self._received = len(self._parser.trailing_data[0])
+            self.arrived_s = asyncio.get_running_loop().time()
 
     async def _serve_watched(
         self,
@@ -185,48 +186,53 @@
         await asyncio.Event().wait()
 
     async def _read_request(self) -> tuple[h11.Request, bytes]:
-        request: h11.Request | None = None
+        event = await self._read_event(has_head=False)
+        if not isinstance(event, h11.Request):
+            raise CallerGone
+        request = event
+        _check_framing(request)
         body = bytearray()
-        while True:
+        event = await self._read_event(has_head=True)
+        while isinstance(event, h11.Data):
+            body += event.data
+            self._check_length(body)
+            event = await self._read_event(has_head=True)
+        if not isinstance(event, h11.EndOfMessage):
+            raise CallerGone
+        return request, bytes(body)
+
+    async def _read_event(self, *, has_head: bool) -> object:
+        event = self._parser.next_event()
+        while event is h11.NEED_DATA:
+            self._invite_body()
+            await self._read_more(has_head=has_head)
             event = self._parser.next_event()
-            if event is h11.NEED_DATA:
-                if self._parser.they_are_waiting_for_100_continue:
-                    self._write(
-                        h11.InformationalResponse(status_code=100, headers=[])
-                    )
-                await self._read_more(request)
-            elif isinstance(event, h11.Request):
-                request = event
-                _check_framing(event)
-            elif isinstance(event, h11.Data):
-                body += event.data
-                if len(body) > self._limits().body_bytes:
-                    raise h11.RemoteProtocolError(
-                        'the body is too long', error_status_hint=413
-                    )
-            elif isinstance(event, h11.EndOfMessage) and request is not None:
-                return request, bytes(body)
-            else:
-                raise CallerGone
-
-    async def _read_more(self, request: h11.Request | None) -> None:
+        return event
+
+    def _invite_body(self) -> None:
+        if self._parser.they_are_waiting_for_100_continue:
+            self._write(h11.InformationalResponse(status_code=100, headers=[]))
+
+    def _check_length(self, body: bytearray) -> None:
+        if len(body) > self._limits().body_bytes:
+            raise h11.RemoteProtocolError(
+                'the body is too long', error_status_hint=413
+            )
+
+    async def _read_more(self, *, has_head: bool) -> None:
         limits = self._limits()
-        waits_for_first = request is None and not self._received
-        limit_s = (
-            limits.idle_timeout_s * IDLE_FACTOR
-            if waits_for_first
-            else limits.header_timeout_s * IDLE_FACTOR
-        )
+        is_idle = not has_head and not self._received
+        limit_s = limits.idle_timeout_s if is_idle else limits.header_timeout_s
         try:
-            async with asyncio.timeout(limit_s):
+            async with asyncio.timeout(limit_s * IDLE_FACTOR):
                 data = await self._reader.read(READ_BYTES)
         except TimeoutError:
-            if waits_for_first:
+            if is_idle:
                 raise CallerGone from None
             raise h11.RemoteProtocolError(
                 'the request took too long', error_status_hint=408
             ) from None
-        if waits_for_first:
+        if is_idle:
             self.arrived_s = asyncio.get_running_loop().time()
         self._received += len(data)
         self._parser.receive_data(data)
--- a/trefoilhinge/gateway/counters.py
+++ b/trefoilhinge/gateway/counters.py
@@ -30,7 +30,7 @@
         """Count one duration."""
         key = (name, tuple(sorted(labels.items())))
         buckets = self._histograms.setdefault(
-            key, [0] * (len(BUCKETS_S) + 1)
+            key, [0 for _ in range(len(BUCKETS_S) + 1)]
         )
         buckets[bisect_left(BUCKETS_S, duration_s)] += 1
 
@@ -41,7 +41,8 @@
             for (name, labels), count in sorted(self._counts.items())
         ]
         lines.extend(
-            f'{name} {figure:g}' for name, figure in sorted(self._gauges.items())
+            f'{name} {figure:g}'
+            for name, figure in sorted(self._gauges.items())
         )
         for (name, labels), buckets in sorted(self._histograms.items()):
             total = 0
@@ -50,7 +51,7 @@
                 text = _format((*labels, ('le', str(bound))))
                 lines.append(f'{name}_seconds_bucket{text} {total}')
             lines.append(f'{name}_seconds_count{_format(labels)} {total}')
-        return '\n'.join(lines) + '\n'
+        return '\n'.join((*lines, ''))
 
 
 def _format(labels: Labels) -> str:
--- a/trefoilhinge/gateway/daemon.py
+++ b/trefoilhinge/gateway/daemon.py
@@ -174,21 +174,22 @@
 
     async def _stop(self) -> None:
         loop = asyncio.get_running_loop()
-        began_s = loop.time()
-        latest_s = (
-            began_s + self._beliefs.settings.bounds.grace_s - STOP_MARGIN_S
-        )
-        while loop.time() < latest_s:
-            quiet = loop.time() - began_s > STOP_QUIET_S
-            if quiet and not self._service.active:
-                break
+        grace_s = self._beliefs.settings.bounds.grace_s
+        self._beliefs.settles_s = loop.time() + STOP_QUIET_S
+        self._beliefs.stops_s = loop.time() + grace_s - STOP_MARGIN_S
+        await asyncio.sleep(STOP_QUIET_S)
+        while self._service.active and loop.time() < self._beliefs.stops_s:
+            self._close_idle()
             await asyncio.sleep(STOP_LOOK_S)
-        for caller in tuple(self._callers):
-            caller.close_idle()
+        self._close_idle()
         await asyncio.sleep(STOP_LOOK_S)
         self._beliefs.log.write('stopped', active=self._service.active)
         self._stopped.set()
 
+    def _close_idle(self) -> None:
+        for caller in tuple(self._callers):
+            caller.close_idle()
+
     def _reload(self) -> None:
         try:
             settings = load_settings()
--- a/trefoilhinge/gateway/exchanges.py
+++ b/trefoilhinge/gateway/exchanges.py
@@ -33,6 +33,8 @@
     address: str
     _reader: asyncio.StreamReader
     _writer: asyncio.StreamWriter
+    patience_s: float = 0
+    heard_s: float = 0
     _parser: h11.Connection = field(factory=lambda: h11.Connection(h11.CLIENT))
 
     def send(self, call: Call, offer: Offer) -> None:
@@ -46,6 +48,7 @@
         if call.body:
             parts.append(self._parser.send(h11.Data(data=call.body)) or b'')
         parts.append(self._parser.send(h11.EndOfMessage()) or b'')
+        self.heard_s = asyncio.get_running_loop().time()
         self._writer.write(b''.join(parts))
 
     async def read_head(self, request_id: str) -> AnswerHead:
@@ -88,6 +91,7 @@
             event = self._parser.next_event()
             while event is h11.NEED_DATA:
                 self._parser.receive_data(await self._reader.read(READ_BYTES))
+                self.heard_s = asyncio.get_running_loop().time()
                 event = self._parser.next_event()
         except (OSError, h11.RemoteProtocolError) as problem:
             kind = type(problem).__name__
--- a/trefoilhinge/gateway/fetching.py
+++ b/trefoilhinge/gateway/fetching.py
@@ -1,6 +1,7 @@
 """One HTTP request on a connection of its own, with one time limit."""
 
 import asyncio
+from typing import cast
 
 import h11
 from attrs import frozen
@@ -47,9 +48,7 @@
     timeout_s: float,
     body: bytes | None,
 ) -> Fetched:
-    reader, writer = await open_link(
-        address, min(CONNECT_TIMEOUT_S, timeout_s)
-    )
+    reader, writer = await open_link(address, min(CONNECT_TIMEOUT_S, timeout_s))
     try:
         writer.write(_encode(address, path, body))
         return await _read(reader)
@@ -74,19 +73,30 @@
 
 async def _read(reader: asyncio.StreamReader) -> Fetched:
     connection = h11.Connection(h11.CLIENT)
-    connection.send(h11.Request(method='GET', target='/', headers=[('Host', '-')]))
+    # The parser must have sent a request before it reads an answer.
+    sent = h11.Request(method='GET', target='/', headers=[('Host', '-')])
+    connection.send(sent)
     connection.send(h11.EndOfMessage())
     status = 0
     content = bytearray()
-    while True:
-        event = connection.next_event()
-        if event is h11.NEED_DATA:
-            connection.receive_data(await reader.read(READ_BYTES))
-        elif isinstance(event, h11.Response):
+    event = await _read_event(reader, connection)
+    while not isinstance(event, h11.EndOfMessage):
+        if isinstance(event, h11.Response):
             status = event.status_code
         elif isinstance(event, h11.Data):
             content += event.data
-        elif isinstance(event, h11.EndOfMessage):
-            return Fetched(status, bytes(content))
-        elif isinstance(event, h11.ConnectionClosed):
-            raise FetchFailed('the connection ended before the answer')
+        event = await _read_event(reader, connection)
+    return Fetched(status, bytes(content))
+
+
+async def _read_event(
+    reader: asyncio.StreamReader,
+    connection: h11.Connection,
+) -> h11.Event:
+    event = connection.next_event()
+    while event is h11.NEED_DATA:
+        connection.receive_data(await reader.read(READ_BYTES))
+        event = connection.next_event()
+    if isinstance(event, h11.ConnectionClosed):
+        raise FetchFailed('the connection ended before the answer')
+    return cast(h11.Event, event)
--- a/trefoilhinge/gateway/logs.py
+++ b/trefoilhinge/gateway/logs.py
@@ -42,7 +42,8 @@
         if len(self._held) >= MAXIMUM_HELD_LINES:
             self._dropped += 1
             return
-        self._held.append(' '.join(words).encode('utf-8', 'replace') + b'\n')
+        line = f'{" ".join(words)}\n'
+        self._held.append(line.encode('utf-8', 'replace'))
         self.flush()
 
     def flush(self) -> None:
@@ -55,7 +56,8 @@
                 self._dropped += 1
                 return
         if self._dropped and not self._held:
-            dropped, self._dropped = self._dropped, 0
+            dropped = self._dropped
+            self._dropped = 0
             self.write('lines_dropped', count=dropped)
 
 
@@ -65,4 +67,5 @@
     text = str(value)
     if text and QUOTED.isdisjoint(text):
         return text
-    return '"' + ' '.join(text.replace('"', "'").split()) + '"'
+    words = ' '.join(text.replace('"', "'").split())
+    return f'"{words}"'
--- /dev/null
+++ b/trefoilhinge/gateway/offers.py
@@ -0,0 +1,105 @@
+"""Counts and writes down what becomes of one call's offers."""
+
+from attrs import define
+
+from trefoilhinge.dispatch.calls import AnswerHead, Call, Offer
+from trefoilhinge.dispatch.health import Outcome
+from trefoilhinge.dispatch.joint import Placement
+from trefoilhinge.gateway.beliefs import Beliefs
+from trefoilhinge.gateway.progress import CallProgress
+
+FAULT_AVOID_S = 2.0  # of a target that another one could not reach
+
+
+@define
+class OfferNotes:
+    """One call's notes: budget, health, log lines."""
+
+    _beliefs: Beliefs
+    _call: Call
+    _progress: CallProgress
+
+    def note_sent(self, placement: Placement, offer: Offer) -> None:
+        """Take that an offer is sent; from here the call may run."""
+        now_s = self._beliefs.get_now_s()
+        budget = self._beliefs.find_budget(self._call.service)
+        if self._progress.offers:
+            budget.note_repeat(now_s)
+        else:
+            budget.note_first(now_s)
+        self._progress.offers += 1
+        self._progress.runs += 1
+        load = self._beliefs.loads.find(offer.target)
+        helpers = [part.target for part in placement.parts[1:]]
+        self._write(
+            'call_offered',
+            target=offer.target,
+            number=self._progress.offers,
+            helpers=','.join(helpers) or None,
+            tickets=len(placement.tickets) or None,
+            reading_s=placement.parts[0].reading_s,
+            backlog_s=load.find_backlog_s(now_s),
+            expected_s=placement.first_event_s,
+            cost=placement.cost,
+            running=load.running,
+            last_event=offer.last_event,
+            remaining_s=offer.remaining_s,
+        )
+
+    def note_delayed(self, placement: Placement) -> None:
+        """Take that a prompt waits until short streams have ended."""
+        self._write(
+            'call_delayed', delay_s=placement.delay_s, cost=placement.cost
+        )
+
+    def note_outcome(self, target: str, outcome: Outcome) -> None:
+        """Take what became of an offer, for the target's health."""
+        now_s = self._beliefs.get_now_s()
+        if self._beliefs.health.note(target, outcome, now_s):
+            self._beliefs.counters.add('targets_avoided')
+            self._write('target_avoided', target=target, outcome=outcome.value)
+
+    def note_unreachable(self, placement: Placement, problem: str) -> None:
+        """Take that no connection to the target could be opened."""
+        target = placement.parts[0].target
+        self.note_outcome(target, Outcome.unreachable)
+        self._write('offer_unreachable', target=target, problem=problem)
+
+    def note_rejected(self, target: str, head: AnswerHead) -> None:
+        """Take that the target did not run the call."""
+        self._progress.runs -= 1
+        self.note_outcome(target, Outcome.rejected)
+        self._avoid_fault(head.at_fault)
+        self._write(
+            'offer_rejected',
+            target=target,
+            status=head.status,
+            at_fault=head.at_fault or None,
+        )
+
+    def note_broken(self, placement: Placement, problem: str) -> None:
+        """Take that the answer was lost on the way."""
+        target = placement.parts[0].target
+        self.note_outcome(target, Outcome.failed)
+        self._write(
+            'offer_broken',
+            target=target,
+            problem=problem,
+            last_event=self._progress.last_event,
+        )
+
+    def note_no_budget(self, instances: int) -> None:
+        """Take that a repeat would go over this instance's share."""
+        self._write('repeat_refused', instances=instances)
+
+    def _avoid_fault(self, at_fault: str) -> None:
+        if not at_fault:
+            return
+        now_s = self._beliefs.get_now_s()
+        for record in self._beliefs.directory.records.values():
+            if at_fault in {record.name, record.address}:
+                self._beliefs.health.avoid(record.name, FAULT_AVOID_S, now_s)
+
+    def _write(self, event: str, **fields: object) -> None:
+        request = self._call.head.request_id
+        self._beliefs.log.write(event, request=request, **fields)
--- a/trefoilhinge/gateway/pages.py
+++ b/trefoilhinge/gateway/pages.py
@@ -34,8 +34,9 @@
     ) -> None:
         set_silence_limits(writer.transport)
         try:
-            while await _answer_one(reader, writer, answer):
-                pass  # noqa: WPS420
+            is_open = True
+            while is_open:
+                is_open = await _answer_one(reader, writer, answer)
         except (OSError, h11.ProtocolError):
             return
         finally:
@@ -49,19 +50,11 @@
     writer: asyncio.StreamWriter,
     answer: Answer,
 ) -> bool:
+    """Answer one question; return whether the connection stays open."""
     connection = h11.Connection(h11.SERVER)
-    path = ''
-    while True:
-        event = connection.next_event()
-        if event is h11.NEED_DATA:
-            async with asyncio.timeout(PAGE_TIMEOUT_S):
-                connection.receive_data(await reader.read(READ_BYTES))
-        elif isinstance(event, h11.Request):
-            path = event.target.decode('latin-1')
-        elif isinstance(event, h11.EndOfMessage):
-            break
-        elif isinstance(event, h11.ConnectionClosed):
-            return False
+    path = await _read_path(reader, connection)
+    if path is None:
+        return False
     page = answer(path)
     head = h11.Response(
         status_code=page.status,
@@ -70,8 +63,24 @@
             ('Content-Length', str(len(page.content))),
         ],
     )
-    writer.write(connection.send(head) or b'')
-    writer.write(connection.send(h11.Data(data=page.content)) or b'')
-    writer.write(connection.send(h11.EndOfMessage()) or b'')
+    for event in (head, h11.Data(data=page.content), h11.EndOfMessage()):
+        writer.write(connection.send(event) or b'')
     await writer.drain()
     return connection.our_state is h11.DONE
+
+
+async def _read_path(
+    reader: asyncio.StreamReader,
+    connection: h11.Connection,
+) -> str | None:
+    """Return the path of the next question, none at the connection's end."""
+    path: str | None = None
+    while True:
+        event = connection.next_event()
+        if event is h11.NEED_DATA:
+            async with asyncio.timeout(PAGE_TIMEOUT_S):
+                connection.receive_data(await reader.read(READ_BYTES))
+        elif isinstance(event, h11.Request):
+            path = event.target.decode('latin-1')
+        elif not isinstance(event, h11.Data):
+            return path
--- /dev/null
+++ b/trefoilhinge/gateway/placing.py
@@ -0,0 +1,53 @@
+"""Chooses the targets of one call from what the instance believes."""
+
+from trefoilhinge.dispatch.calls import Call
+from trefoilhinge.dispatch.documents import EngineFigures
+from trefoilhinge.dispatch.joint import Placement
+from trefoilhinge.dispatch.loads import RunPart
+from trefoilhinge.dispatch.placement import (
+    list_candidates,
+    place_plain,
+    place_prompt,
+)
+from trefoilhinge.gateway.beliefs import Beliefs
+
+
+def find_placement(
+    beliefs: Beliefs,
+    call: Call,
+    excluded: set[str],
+) -> Placement | None:
+    """Return where a call goes; none if no target can take it.
+
+    :param excluded: targets that failed the call; asked only if no other is
+        left.
+    """
+    now_s = beliefs.get_now_s()
+    records = {
+        record.name: record
+        for record in beliefs.directory.list_serving(call.service)
+    }
+    usable = beliefs.health.list_usable(list(records), now_s)
+    fresh = [name for name in usable if name not in excluded]
+    found = [records[name] for name in fresh or usable]
+    figures = find_figures(beliefs, call.service)
+    if call.head.prompt is not None and figures is not None:
+        return place_prompt(
+            list_candidates(found, beliefs.loads),
+            figures,
+            call.route,
+            call.head.prompt,
+            now_s,
+        )
+    chosen = place_plain(found, beliefs.loads, beliefs.settings.failure_domain)
+    if chosen is None:
+        return None
+    part = RunPart(chosen.name, 0, 0, has_place=True)
+    return Placement((part,), (), 0, 0)
+
+
+def find_figures(beliefs: Beliefs, service: str) -> EngineFigures | None:
+    """Return the figures of a service's engines, none for a plain one."""
+    document = beliefs.document
+    found = document.services.get(service) if document else None
+    return found.engine if found else None
--- /dev/null
+++ b/trefoilhinge/gateway/progress.py
@@ -0,0 +1,36 @@
+"""How far one call has come."""
+
+from attrs import define
+
+
+@define
+class CallProgress:
+    """What was sent of a call, and what came back.
+
+    :ivar offers: offers that were sent.
+    :ivar runs: offers that may have run.
+    :ivar status: status that the caller got.
+    :ivar has_begun: whether a part of an answer went to the caller.
+    :ivar last_event: number of the last event that went to the caller.
+    :ivar first_event_s: seconds from arrival to the first event.
+    """
+
+    arrived_s: float
+    last_event: int | None = None
+    offers: int = 0
+    runs: int = 0
+    rejections: int = 0
+    status: int = 0
+    has_begun: bool = False
+    first_event_s: float | None = None
+    longest_pause_s: float = 0
+    _event_at_s: float = 0
+
+    def note_event(self, now_s: float) -> None:
+        """Take that events went to the caller."""
+        if self.first_event_s is None:
+            self.first_event_s = now_s - self.arrived_s
+        else:
+            pause_s = now_s - self._event_at_s
+            self.longest_pause_s = max(self.longest_pause_s, pause_s)
+        self._event_at_s = now_s
--- a/trefoilhinge/gateway/reservations.py
+++ b/trefoilhinge/gateway/reservations.py
@@ -17,7 +17,7 @@
 LEASE_S = 3.0  # under the time in which unused memory must be free
 RENEW_S = 1.0  # two renewals may be lost before a lease runs out
 ORDER_TIMEOUT_S = 0.5  # an engine takes milliseconds for an order
-RELEASE_TRIES_S = (0.0, 0.5, 1.5)  # pauses before each release that failed
+RELEASE_TRIES_S = (0, 0.5, 1.5)  # pauses before each release that failed
 LATE_RELEASES_S = (4.0, 4.0, 4.0)  # an unanswered order may come that late
 TICKET_LETTERS = 16  # of the request's identifier in a ticket's name
 
@@ -40,9 +40,7 @@
         answers = await asyncio.gather(
             *(
                 self._reserve(place, tokens)
-                for place, tokens in zip(
-                    self.places, self._tokens, strict=True
-                )
+                for place, tokens in zip(self.places, self._tokens, strict=True)
             )
         )
         if all(answers):
--- /dev/null
+++ b/trefoilhinge/gateway/runs.py
@@ -0,0 +1,58 @@
+"""Counts one call's run at its targets, here and at the other instances."""
+
+from attrs import define
+
+from trefoilhinge.dispatch.calls import Call
+from trefoilhinge.dispatch.documents import CallKind
+from trefoilhinge.dispatch.joint import Placement
+from trefoilhinge.dispatch.loads import Run
+from trefoilhinge.gateway.beliefs import Beliefs
+from trefoilhinge.gateway.exchange import PeerExchange
+
+
+@define
+class RunKeeper:
+    """The run of a call that is in progress, if one is."""
+
+    _beliefs: Beliefs
+    _peers: PeerExchange
+    _call: Call
+    _run: Run | None = None
+    _writes: bool = False
+
+    def start(self, placement: Placement) -> None:
+        """Count a run at a placement and tell the other instances."""
+        now_s = self._beliefs.get_now_s()
+        size = self._call.head.prompt
+        is_stream = self._call.route.kind is CallKind.stream
+        self._run = Run(
+            origin=self._beliefs.origin,
+            number=self._beliefs.make_run_number(),
+            parts=placement.parts,
+            context_tokens=size.prompt if size else 0,
+            answer_tokens=size.answer_expected if size else 0,
+            pause_aim_s=self._call.route.pause_aim_s if is_stream else 0,
+            started_s=now_s,
+            delay_s=placement.delay_s,
+        )
+        self._writes = False
+        lasts_s = max(0, self._call.ends_s - now_s)
+        self._beliefs.loads.start(self._run, now_s + lasts_s, now_s)
+        self._peers.tell_start(self._run, lasts_s)
+
+    def note_event(self, now_s: float) -> None:
+        """Take an event; the first shows that the prompt was read."""
+        if self._run is None or self._writes:
+            return
+        self._writes = True
+        self._beliefs.loads.note_first_event(self._run.key, now_s)
+        if len(self._run.parts) > 1:
+            self._peers.tell_writes(self._run)
+
+    def end(self) -> None:
+        """Count the run no longer, and tell the other instances."""
+        if self._run is None:
+            return
+        self._beliefs.loads.end(self._run.key, self._beliefs.get_now_s())
+        self._peers.tell_end(self._run)
+        self._run = None
--- a/trefoilhinge/gateway/serving.py
+++ b/trefoilhinge/gateway/serving.py
@@ -3,17 +3,21 @@
 import asyncio
 
 import xxhash
-from attrs import define, field
+from attrs import define
 
 from trefoilhinge.dispatch.calls import Call, CallHead
 from trefoilhinge.dispatch.documents import FleetDocument
-from trefoilhinge.gateway.attempts import Attempts, CallFailed
+from trefoilhinge.gateway.attempts import (
+    Attempts,
+    CallFailed,
+    make_attempts,
+)
 from trefoilhinge.gateway.beliefs import Beliefs
 from trefoilhinge.gateway.callers import CallerConnection, Refusal
 from trefoilhinge.gateway.exchange import PeerExchange
 
 START_RETRY_S = 0.5  # an instance that starts knows its document by then
-DRAW_BITS = 32
+STOPPING_RETRY_S = 0.1  # the other instances serve at once
 
 
 @define
@@ -23,7 +27,6 @@
     _beliefs: Beliefs
     _peers: PeerExchange
     active: int = 0
-    _numbers: int = field(default=0)
 
     async def serve(
         self,
@@ -50,7 +53,7 @@
             await caller.refuse(accepted, head.request_id)
             return
         call = accepted
-        attempts = Attempts(self._beliefs, self._peers, call, caller)
+        attempts = make_attempts(self._beliefs, self._peers, call, caller)
         try:
             async with asyncio.timeout_at(call.ends_s):
                 await attempts.run()
@@ -87,6 +90,14 @@
             return Refusal(
                 404, 'route_unknown', 'not_run', 'no route has this path'
             )
+        if not self._beliefs.has_time_for(route.timeout_s):
+            return Refusal(
+                503,
+                'stopping',
+                'not_run',
+                'this instance ends before the call could',
+                STOPPING_RETRY_S,
+            )
         organisation = document.find_organisation(head.api_key)
         needs_key = document.organisations is not None and not route.is_public
         if needs_key and organisation is None:
@@ -115,11 +126,11 @@
         self,
         caller: CallerConnection,
         call: Call,
-        attempts: 'Attempts',
+        attempts: Attempts,
         refusal: Refusal,
     ) -> None:
         self._note_end(call, attempts, 'failed', refusal)
-        if attempts.has_begun:
+        if attempts.progress.has_begun:
             caller.abort()
             return
         await caller.refuse(refusal, call.head.request_id)
@@ -152,10 +163,11 @@
     def _note_end(
         self,
         call: Call,
-        attempts: 'Attempts',
+        attempts: Attempts,
         outcome: str,
         refusal: Refusal | None,
     ) -> None:
+        progress = attempts.progress
         kind = call.route.kind.value
         counters = self._beliefs.counters
         counters.add('calls_ended', kind=kind, outcome=outcome)
@@ -165,13 +177,13 @@
             'call_ended',
             request=call.head.request_id,
             outcome=outcome,
-            status=refusal.status if refusal else attempts.status,
+            status=refusal.status if refusal else progress.status,
             code=refusal.code if refusal else None,
             verdict=refusal.verdict if refusal else None,
-            offers=attempts.offers,
-            first_s=attempts.first_event_s,
-            longest_pause_s=attempts.longest_pause_s,
-            last_event=attempts.last_event,
+            offers=progress.offers,
+            first_s=progress.first_event_s,
+            pause_s=progress.longest_pause_s or None,
+            last_event=progress.last_event,
             took_s=took_s,
         )
 
--- a/trefoilhinge/platform/calls.py
+++ b/trefoilhinge/platform/calls.py
@@ -14,45 +14,53 @@
 MS_PER_S = 1000
 
 # Headers that concern one connection only, and those that an instance sets.
-_CONNECTION_HEADERS = frozenset((
-    b'connection',
-    b'content-length',
-    b'expect',
-    b'keep-alive',
-    b'proxy-connection',
-    b'te',
-    b'trailer',
-    b'transfer-encoding',
-    b'upgrade',
-))
-_OWN_HEADERS = frozenset((
-    b'api-key',
-    b'last-event-id',
-    b'x-deadline',
-    b'x-expect-replica',
-    b'x-expect-version',
-    b'x-helpers',
-    b'x-request-priority',
-    b'x-tenant',
-))
+_CONNECTION_HEADERS = frozenset(
+    (
+        b'connection',
+        b'content-length',
+        b'expect',
+        b'keep-alive',
+        b'proxy-connection',
+        b'te',
+        b'trailer',
+        b'transfer-encoding',
+        b'upgrade',
+    )
+)
+_OWN_HEADERS = frozenset(
+    (
+        b'api-key',
+        b'last-event-id',
+        b'x-deadline',
+        b'x-expect-replica',
+        b'x-expect-version',
+        b'x-helpers',
+        b'x-request-priority',
+        b'x-tenant',
+    )
+)
 # Headers whose second copy would leave open which one holds.
-_SINGLE_HEADERS = frozenset((
-    b'api-key',
-    b'host',
-    b'x-deadline',
-    b'x-request-id',
-    b'x-token-count',
-))
+_SINGLE_HEADERS = frozenset(
+    (
+        b'api-key',
+        b'host',
+        b'x-deadline',
+        b'x-request-id',
+        b'x-token-count',
+    )
+)
 # What a target needs, whatever a caller lists under Connection.
-_KEPT_HEADERS = frozenset((
-    b'content-type',
-    b'host',
-    b'x-length-hint',
-    b'x-model',
-    b'x-prompt-prefix',
-    b'x-request-id',
-    b'x-token-count',
-))
+_KEPT_HEADERS = frozenset(
+    (
+        b'content-type',
+        b'host',
+        b'x-length-hint',
+        b'x-model',
+        b'x-prompt-prefix',
+        b'x-request-id',
+        b'x-token-count',
+    )
+)
 
 
 def decode_call(
@@ -152,7 +160,8 @@
 
 def _filter_passed(sent: RawHeaders, named: dict[bytes, bytes]) -> RawHeaders:
     listed = {
-        token.strip().lower() for token in named.get(b'connection', b'').split(b',')
+        token.strip().lower()
+        for token in named.get(b'connection', b'').split(b',')
     }
     dropped = (listed - _KEPT_HEADERS) | _CONNECTION_HEADERS | _OWN_HEADERS
     return tuple(
@@ -173,7 +182,7 @@
 def _read_seconds(value: bytes | None) -> float | None:
     if value is None:
         return None
-    return max(0.0, float(value) / MS_PER_S)
+    return max(0, float(value) / MS_PER_S)
 
 
 def _read_size(named: dict[bytes, bytes]) -> PromptSize | None:
--- a/trefoilhinge/platform/settings.py
+++ b/trefoilhinge/platform/settings.py
@@ -8,6 +8,8 @@
 
 PATH_VARIABLE = 'TREFOILHINGE_CONFIG'
 MS_PER_S = 1000
+# What a field of another type raises on its way.
+_UNREADABLE = (AttributeError, IndexError, TypeError, ValueError)
 
 
 def decode_settings(text: str) -> GatewaySettings:
@@ -26,7 +28,7 @@
         raise ImproperlyConfigured(
             f'settings file: the field {missing} is missing',
         ) from missing
-    except (AttributeError, IndexError, TypeError, ValueError) as problem:
+    except _UNREADABLE as problem:
         raise ImproperlyConfigured(f'settings file: {problem}') from problem
 
 
--- a/trefoilhinge/platform/store.py
+++ b/trefoilhinge/platform/store.py
@@ -1,7 +1,6 @@
 """Reads of the platform's store: paths, items and what they name."""
 
 import base64
-import binascii
 import json
 from typing import Any
 from urllib.parse import urlencode
@@ -75,29 +74,31 @@
 def decode_target(item: StoreItem) -> Result[TargetRecord, str]:
     """Decode a target's entry; the error says why it names none."""
     try:
-        fields = json.loads(item.content or b'')
-        state = fields['state']
-        if state not in STATES:
-            return Error(f'the state {state!r} is unknown')
-        return Ok(
-            TargetRecord(
-                name=item.key.removeprefix(TARGET_PREFIX),
-                service=_require(fields, 'service', str),
-                address=_check_address(_require(fields, 'address', str)),
-                failure_domain=_require(fields, 'zone', str),
-                places=_require(fields, 'slots', int),
-                is_leaving=state == 'draining',
-                born_ms=int(fields.get('born', 0)),
-                sequence=int(fields.get('seq', 0)),
-                revision=item.revision,
-            ),
-        )
+        return Ok(_decode_record(item))
     except KeyError as missing:
         return Error(f'the field {missing} is missing')
     except (AttributeError, TypeError, ValueError) as problem:
         return Error(str(problem))
 
 
+def _decode_record(item: StoreItem) -> TargetRecord:
+    fields = json.loads(item.content or b'')
+    state = fields['state']
+    if state not in STATES:
+        raise ValueError(f'the state {state!r} is unknown')
+    return TargetRecord(
+        name=item.key.removeprefix(TARGET_PREFIX),
+        service=_require(fields, 'service', str),
+        address=_check_address(_require(fields, 'address', str)),
+        failure_domain=_require(fields, 'zone', str),
+        places=_require(fields, 'slots', int),
+        is_leaving=state == 'draining',
+        born_ms=int(fields.get('born', 0)),
+        sequence=int(fields.get('seq', 0)),
+        revision=item.revision,
+    )
+
+
 def _require(fields: dict[str, Any], name: str, kind: type) -> Any:
     value = fields[name]
     if not isinstance(value, kind) or isinstance(value, bool):
@@ -117,7 +118,7 @@
         return Ok(decode(json.loads(content)))
     except KeyError as missing:
         return Error(f'the field {missing} is missing')
-    except (AttributeError, TypeError, ValueError, binascii.Error) as problem:
+    except (AttributeError, TypeError, ValueError) as problem:
         return Error(str(problem))
 
 
