Learned targets from peers and served late calls that can still end.

Change: a read at the start waits 0.6 s and is repeated soon; targets are taken from any instance that knows more; an instance without targets is not ready; a stopping instance takes calls that will end before it does. Each has a test.

--- a/tests/gateway/test_stop.py
+++ b/tests/gateway/test_stop.py
@@ -64,3 +64,17 @@
                 assert not fleet.targets['m1'].asked
 
         asyncio.run(run())
+
+    def test_late_call_that_can_end_is_served(self):
+        """An incident: a zone whose instances all stop still gets calls."""
+
+        async def run():
+            async with run_fleet(m1=stream()) as fleet:
+                fleet.gateway._begin_stop()
+                await asyncio.sleep(0.01)
+                now_s = fleet.beliefs.get_now_s()
+                fleet.beliefs.settles_s = now_s
+                fleet.beliefs.stops_s = now_s + 3.5
+                assert (await fleet.call()).status == 200
+
+        asyncio.run(run())
--- a/tests/gateway/test_store.py
+++ b/tests/gateway/test_store.py
@@ -1,6 +1,7 @@
 """Tests of how an instance follows the platform's store."""
 
 import asyncio
+import json
 
 from tests.gateway.fleets import make_call, run_fleet
 from tests.gateway.standins import (
@@ -194,3 +195,54 @@
                 other.close()
 
         asyncio.run(run())
+
+    def test_instance_that_starts_without_the_store_learns_the_targets(self):
+        """An incident: the store was silent for all, a new life had none."""
+
+        async def run():
+            async with run_fleet(m1=stream(), d1=reply(200)) as fleet:
+                fleet.store.is_down = True
+                await fleet.wait_for(
+                    lambda: fleet.beliefs.directory.away_since_s is not None
+                )
+                other = make_gateway(
+                    make_settings(
+                        1,
+                        ['127.0.0.1'],
+                        '127.0.0.2',
+                        fleet.settings.first_port,
+                    )
+                )
+                task = asyncio.ensure_future(other.run())
+                beliefs = other._beliefs
+                await fleet.wait_for(lambda: beliefs.is_ready, limit_s=1)
+                assert list_serving(beliefs) == ['m1']
+                task.cancel()
+                other.close()
+
+        asyncio.run(run())
+
+    def test_instance_without_targets_is_not_ready(self):
+        async def run():
+            async with run_fleet(has_document=False) as fleet:
+                fleet.beliefs.accept_document(
+                    json.dumps(make_document()).encode(), 'a peer'
+                )
+                assert not fleet.beliefs.is_ready
+
+        asyncio.run(run())
+
+
+class TestStart:
+    def test_silent_store_is_asked_again_soon(self):
+        """An incident: 1.5 s were waited for a store that was back by then."""
+
+        async def run():
+            async with run_fleet(has_document=False) as fleet:
+                fleet.store.put('op/config', make_document())
+                loop = asyncio.get_running_loop()
+                began_s = loop.time()
+                await fleet.wait_for(lambda: fleet.beliefs.is_ready)
+                assert loop.time() - began_s < 0.5
+
+        asyncio.run(run())
--- a/trefoilhinge/gateway/beliefs.py
+++ b/trefoilhinge/gateway/beliefs.py
@@ -49,7 +49,8 @@
     @property
     def is_ready(self) -> bool:
         """Return whether calls can be served."""
-        return self.document is not None and not self.is_stopping
+        knows = self.document is not None and self.directory.revision > 0
+        return knows and not self.is_stopping
 
     def has_time_for(self, duration_s: float) -> bool:
         """Return whether a call that may last so long can be taken now."""
--- a/trefoilhinge/gateway/exchange.py
+++ b/trefoilhinge/gateway/exchange.py
@@ -165,9 +165,9 @@
         version = beliefs.document.version if beliefs.document else 0
         if word.version > version:
             self._start_fetch(word.ip, DOCUMENT_PATH)
-        away = beliefs.directory.away_since_s is not None
-        behind = word.revision > beliefs.directory.revision
-        if away and behind and not word.is_away:
+        directory = beliefs.directory
+        alone = directory.away_since_s is not None or not directory.revision
+        if alone and word.revision > directory.revision:
             self._start_fetch(word.ip, TARGETS_PATH)
 
     def _start_fetch(self, ip: str, path: str) -> None:
--- a/trefoilhinge/gateway/reading.py
+++ b/trefoilhinge/gateway/reading.py
@@ -11,10 +11,12 @@
 from trefoilhinge.platform import store
 
 READ_TIMEOUT_S = 1.5  # the store answers in milliseconds, slow in hundreds
+START_TIMEOUT_S = 0.6  # of an instance that knows nothing and serves nobody
 WATCH_WAIT_S = 2.0  # silence of the store is noticed soon after that
 WATCH_MARGIN_S = 1.0  # of the answer to a watch
 GATHER_S = 0.6  # events gather between two watches, as each call is priced
 FAILED_PAUSE_S = 0.5  # before the store is asked again after a failure
+START_PAUSE_S = 0.1  # the same, of an instance that knows nothing
 PAGE_LIMIT = 40  # pages of one list; more would be a store gone wrong
 
 
@@ -45,12 +47,12 @@
                     await self._read_all()
             except HistoryGone:
                 self._has_list = False
-                self._beliefs.log.write(
-                    'history_gone', revision=self._revision
-                )
+                self._beliefs.log.write('history_gone', revision=self._revision)
             except StoreUnanswered as problem:
                 self._note_failure(str(problem))
-                await asyncio.sleep(FAILED_PAUSE_S)
+                await asyncio.sleep(
+                    FAILED_PAUSE_S if self._knows_fleet() else START_PAUSE_S
+                )
 
     async def _read_all(self) -> None:
         page = await self._read_document()
@@ -103,8 +105,13 @@
             raise StoreUnanswered(decoded.error)
         return decoded.ok
 
+    def _knows_fleet(self) -> bool:
+        return self._beliefs.directory.revision > 0
+
     async def _fetch(self, path: str, timeout_s: float) -> Fetched:
         self._beliefs.counters.add('store_calls')
+        if not self._knows_fleet():
+            timeout_s = START_TIMEOUT_S
         address = self._beliefs.settings.store
         try:
             fetched = await fetch(address, path, timeout_s)
--- a/trefoilhinge/gateway/serving.py
+++ b/trefoilhinge/gateway/serving.py
@@ -7,6 +7,7 @@
 
 from trefoilhinge.dispatch.calls import Call, CallHead
 from trefoilhinge.dispatch.documents import FleetDocument
+from trefoilhinge.dispatch.durations import find_duration_s
 from trefoilhinge.gateway.attempts import (
     Attempts,
     CallFailed,
@@ -90,7 +91,8 @@
             return Refusal(
                 404, 'route_unknown', 'not_run', 'no route has this path'
             )
-        if not self._beliefs.has_time_for(route.timeout_s):
+        expected_s = find_duration_s(document, route, head.prompt)
+        if not self._beliefs.has_time_for(expected_s):
             return Refusal(
                 503,
                 'stopping',
