--- /dev/null
+++ b/tests/client/test_stories.py
@@ -0,0 +1,48 @@
+"""Tests of the story of one request."""
+
+from trefoilhinge.client.commands import run_line
+from trefoilhinge.client.stories import find_cause, read_lines
+
+LINES = [
+    '  1.0 n2 at=12.5 instance=n2 event=call_ended request=r1 outcome=failed '
+    'status=502 code=answer_lost verdict=may_have_run',
+    'at=12.0 instance=n1 event=call_accepted request=r1 route=book',
+    'at=12.1 instance=n1 event=call_accepted request=r2 route=book',
+    'at=12.3 instance=n1 event=offer_broken request=r1 target=t1 '
+    'problem="the connection ended"',
+    'no pairs at all',
+]
+
+
+class TestStories:
+    def test_lines_of_other_requests_are_left_out(self):
+        story = read_lines(LINES, 'r1')
+        assert [line.event for line in story] == [
+            'call_accepted',
+            'offer_broken',
+            'call_ended',
+        ]
+
+    def test_cause_names_target_and_problem(self):
+        cause = find_cause(read_lines(LINES, 'r1'))
+        assert cause.startswith('answer_lost:')
+        assert 'target t1: the connection ended' in cause
+
+    def test_request_without_an_end_is_told(self):
+        assert find_cause(read_lines(LINES, 'r2')).startswith('not ended')
+
+
+class TestExplain:
+    def test_prints_cause_first(self, tmp_path, capsys):
+        file = tmp_path / 'log'
+        file.write_text('\n'.join(LINES))
+        assert run_line(['explain', 'r1', str(file)]) == 0
+        lines = capsys.readouterr().out.splitlines()
+        assert lines[0].startswith('answer_lost')
+        assert len(lines) == 4
+
+    def test_unknown_request(self, tmp_path, capsys):
+        file = tmp_path / 'log'
+        file.write_text('')
+        assert run_line(['explain', 'r9', str(file)]) == 1
+        assert 'r9' in capsys.readouterr().out
--- a/trefoilhinge/client/commands.py
+++ b/trefoilhinge/client/commands.py
@@ -22,6 +22,7 @@
 from trefoilhinge.client.exits import EXIT_DONE, EXIT_INVALID
 from trefoilhinge.client.fleets import StatusSource
 from trefoilhinge.client.status import print_status
+from trefoilhinge.client.stories import print_story
 from trefoilhinge.console.commands import run_console
 from trefoilhinge.demo.commands import run_demo
 from trefoilhinge.entry.commands import run_entry
@@ -31,6 +32,7 @@
     FaultRequest,
     run_faults,
 )
+from trefoilhinge.gateway.daemon import run_gateway
 from trefoilhinge.measure.commands import print_measure, read_options
 from trefoilhinge.measure.growth import print_growth
 
@@ -140,6 +142,23 @@
         """
         self._chosen.job = lambda: print_status(urls, format, authorities)
 
+    def explain(self, request: str, *files: str) -> None:
+        """Tell the story of one request from the logs of many instances.
+
+        The first line is its cause. Exits with 1 if no line names it.
+
+        :param request: identifier of the request, as in its lines.
+        :param files: files with the instances' log lines.
+        """
+        self._chosen.job = lambda: print_story(str(request), files)
+
+    def gateway(self) -> None:
+        """Run an instance on the users' platform.
+
+        Its settings file is named by the platform in the environment.
+        """
+        self._chosen.job = run_gateway
+
     def measure(self, **options: str) -> None:
         """Measure routing policies on simulated time.
 
--- a/trefoilhinge/gateway/daemon.py
+++ b/trefoilhinge/gateway/daemon.py
@@ -10,6 +10,7 @@
 
 from trefoilhinge.dispatch.documents import CallerLimits
 from trefoilhinge.dispatch.settings import Address, GatewaySettings
+from trefoilhinge.exceptions import ImproperlyConfigured
 from trefoilhinge.gateway.beliefs import Beliefs, make_beliefs
 from trefoilhinge.gateway.callers import DEFAULT_LIMITS, CallerConnection
 from trefoilhinge.gateway.exchange import PeerExchange, answer_peer
@@ -204,7 +205,7 @@
     def _reload(self) -> None:
         try:
             settings = load_settings()
-        except (OSError, ValueError) as problem:
+        except ImproperlyConfigured as problem:
             self._beliefs.log.write('reload_refused', problem=problem)
             return
         self._beliefs.settings = settings
@@ -212,9 +213,20 @@
 
 
 def load_settings() -> GatewaySettings:
-    """Read the settings file that the environment names."""
-    path = pathlib.Path(os.environ[PATH_VARIABLE])
-    return decode_settings(path.read_text(encoding='utf-8'))
+    """Read the settings file that the environment names.
+
+    :raises ImproperlyConfigured: none is named, or it cannot be read.
+    """
+    name = os.environ.get(PATH_VARIABLE)
+    if not name:
+        raise ImproperlyConfigured(
+            f'set {PATH_VARIABLE} to the path of the settings file',
+        )
+    try:
+        text = pathlib.Path(name).read_text(encoding='utf-8')
+    except OSError as problem:
+        raise ImproperlyConfigured(f'{name}: {problem.strerror}') from problem
+    return decode_settings(text)
 
 
 def make_gateway(settings: GatewaySettings) -> Gateway:
