Sent one copy of each message into a large failure domain.

Change: a failure domain of four instances or more gets one copy, at an instance that hands it on to its neighbours, another one each time; words name four instances in turn and come more rarely in a large fleet. What says that a target leaves still goes to everybody.

--- a/tests/dispatch/test_messages.py
+++ b/tests/dispatch/test_messages.py
@@ -17,10 +17,12 @@
     decode_message,
     encode_message,
 )
-from trefoilhinge.dispatch.peers import Word
+from trefoilhinge.dispatch.peers import NAMED_PEERS, Word
 
 SAMPLES = (
-    Word('10.0.0.1', '10.0.0.1/ab12cd', 7, 99, False, ('10.0.0.2',)),
+    Word(
+        '10.0.0.1', '10.0.0.1/ab12cd', 'pointe-a', 7, 99, False, ('10.0.0.2',)
+    ),
     RunStarted(make_short(5, 't01'), 9.5),
     RunWrites('me', 5),
     RunEnded('me', 5),
@@ -45,8 +47,10 @@
         assert len(encode_message(RunStarted(run, 15))) <= MAXIMUM_BYTES
 
     def test_largest_word_fits_one_packet(self):
-        known = tuple(f'10.100.100.{number}' for number in range(410))
-        word = Word('10.0.0.1', '10.0.0.1/ab12cd', 7, 99, False, known)
+        known = tuple(f'10.100.100.{number}' for number in range(NAMED_PEERS))
+        word = Word(
+            '10.0.0.1', '10.0.0.1/ab12cd', 'pointe-a', 7, 99, False, known
+        )
         assert len(encode_message(word)) <= MAXIMUM_BYTES
 
     @seed(1)
--- a/tests/dispatch/test_peers.py
+++ b/tests/dispatch/test_peers.py
@@ -1,11 +1,19 @@
 """Tests of who is heard."""
 
-from trefoilhinge.dispatch.peers import SILENT_S, PeerTable, Word
+from trefoilhinge.dispatch.peers import (
+    NAMED_PEERS,
+    SILENT_PAUSES,
+    WORD_PAUSE_S,
+    PeerTable,
+    Word,
+)
+
+SILENT_S = SILENT_PAUSES * WORD_PAUSE_S
 
 
 def make_word(ip, origin='one', known=()):
     """Return an instance's word."""
-    return Word(ip, origin, 3, 10, is_away=False, known=tuple(known))
+    return Word(ip, origin, 'a', 3, 10, is_away=False, known=tuple(known))
 
 
 class TestPeerTable:
@@ -34,3 +42,21 @@
         assert table.drop_silent(SILENT_S + 1) == ['one']
         assert not table.drop_silent(SILENT_S + 2)
         assert not table.list_listeners(SILENT_S + 2)
+
+    def test_all_instances_are_named_in_turn(self):
+        table = PeerTable('10.0.0.1')
+        for number in range(2, 62):
+            table.hear(make_word(f'10.0.0.{number}'), 0)
+        named = set()
+        for turn in range(60 // NAMED_PEERS + 1):
+            names = table.list_named(turn, 0)
+            assert len(names) <= NAMED_PEERS
+            named.update(names)
+        assert len(named) == 60
+
+    def test_words_grow_rarer_with_the_fleet(self):
+        table = PeerTable('10.0.0.1')
+        small_s = table.find_word_pause_s()
+        for number in range(2, 62):
+            table.hear(make_word(f'10.0.0.{number}'), 0)
+        assert table.find_word_pause_s() > 3 * small_s
--- a/trefoilhinge/dispatch/messages.py
+++ b/trefoilhinge/dispatch/messages.py
@@ -14,7 +14,6 @@
 
 MAXIMUM_BYTES = 1_400  # one packet
 LONGEST_S = 3_600.0  # no duration that instances tell is longer
-MAXIMUM_NAMED = 60  # instances named in one word, to stay within a packet
 
 
 @frozen
@@ -79,10 +78,11 @@
                 'w',
                 message.ip,
                 message.origin,
+                message.failure_domain,
                 message.version,
                 message.revision,
                 message.is_away,
-                list(message.known[:MAXIMUM_NAMED]),
+                list(message.known),
             ]
         case RunStarted(run, lasts_s):
             return ['r', *_list_run(run), lasts_s]
@@ -130,13 +130,14 @@
         case [
             str(ip),
             str(origin),
+            str(domain),
             int(version),
             int(revision),
             bool(is_away),
             list(known),
         ]:
             names = tuple(str(name) for name in known)
-            return Word(ip, origin, version, revision, is_away, names)
+            return Word(ip, origin, domain, version, revision, is_away, names)
         case _:
             raise ValueError('a word has other fields')
 
--- a/trefoilhinge/dispatch/peers.py
+++ b/trefoilhinge/dispatch/peers.py
@@ -2,7 +2,10 @@
 
 from attrs import define, field, frozen
 
-SILENT_S = 2.5  # five missed words; its runs are no longer counted
+WORD_PAUSE_S = 0.5  # between two words of an instance in a small fleet
+WORD_PAUSE_EACH_S = 0.03  # more for each instance, to bound words a second
+SILENT_PAUSES = 5  # missed words; its runs are no longer counted then
+NAMED_PEERS = 4  # instances named in one word, in turn
 FORGOTTEN_S = 30.0  # after that long an instance is no longer spoken to
 
 
@@ -18,6 +21,7 @@
 
     ip: str
     origin: str
+    failure_domain: str
     version: int
     revision: int
     is_away: bool
@@ -33,6 +37,7 @@
 
     ip: str
     origin: str = ''
+    failure_domain: str = ''
     version: int = 0
     revision: int = 0
     is_away: bool = False
@@ -65,9 +70,11 @@
         if peer is None:
             peer = Peer(word.ip)
             self.peers[word.ip] = peer
-        is_new = peer.origin != word.origin or now_s - peer.heard_s > SILENT_S
+        was_silent = now_s - peer.heard_s > self.find_silent_s()
+        is_new = peer.origin != word.origin or was_silent
         ended = peer.origin if peer.origin != word.origin else ''
         peer.origin = word.origin
+        peer.failure_domain = word.failure_domain
         peer.version = word.version
         peer.revision = word.revision
         peer.is_away = word.is_away
@@ -82,9 +89,36 @@
         return [
             peer.ip
             for peer in self.peers.values()
-            if now_s - peer.heard_s <= SILENT_S
+            if now_s - peer.heard_s <= self.find_silent_s()
         ]
 
+    def list_domains(self, now_s: float) -> dict[str, list[str]]:
+        """Return the instances that listen, by failure domain."""
+        domains: dict[str, list[str]] = {}
+        for ip in self.list_listeners(now_s):
+            domain = self.peers[ip].failure_domain
+            domains.setdefault(domain, []).append(ip)
+        return domains
+
+    def list_named(self, turn: int, now_s: float) -> tuple[str, ...]:
+        """Return a few instances to name in a word, others each turn."""
+        listeners = self.list_listeners(now_s)
+        if len(listeners) <= NAMED_PEERS:
+            return tuple(listeners)
+        begin = turn * NAMED_PEERS
+        return tuple(
+            listeners[(begin + step) % len(listeners)]
+            for step in range(NAMED_PEERS)
+        )
+
+    def find_word_pause_s(self) -> float:
+        """Return seconds between two words at the fleet's size."""
+        return max(WORD_PAUSE_S, WORD_PAUSE_EACH_S * len(self.peers))
+
+    def find_silent_s(self) -> float:
+        """Return seconds without a word after which one counts as gone."""
+        return SILENT_PAUSES * self.find_word_pause_s()
+
     def list_greeted(self, seeds: tuple[str, ...], now_s: float) -> list[str]:
         """Return the instances that hear this one's words: all known ones."""
         greeted = dict.fromkeys(seeds)
@@ -106,7 +140,7 @@
         silent = [
             peer
             for peer in self.peers.values()
-            if peer.origin and now_s - peer.heard_s > SILENT_S
+            if peer.origin and now_s - peer.heard_s > self.find_silent_s()
         ]
         ended = [peer.origin for peer in silent]
         for peer in silent:
--- a/trefoilhinge/gateway/exchange.py
+++ b/trefoilhinge/gateway/exchange.py
@@ -18,16 +18,17 @@
     encode_message,
 )
 from trefoilhinge.dispatch.peers import Word
+from trefoilhinge.dispatch.spreading import list_hops
 from trefoilhinge.dispatch.targets import TargetRecord
 from trefoilhinge.gateway.beliefs import Beliefs
 from trefoilhinge.gateway.fetching import FetchFailed, fetch
 from trefoilhinge.gateway.pages import Page
 
-WORD_PAUSE_S = 0.5  # between two words of an instance
 FIRST_PAUSE_S = 0.1  # until another instance was heard
 FIRST_WORDS = 30  # sent at that pace at the most
 FETCH_TIMEOUT_S = 2.0
 RUN_RETOLD_S = 15.0  # longest time that a retold run may last
+HAND_ON = b'\xc1'  # before a message to hand on; no MessagePack begins so
 DOCUMENT_PATH = '/document'
 TARGETS_PATH = '/targets'
 
@@ -39,6 +40,7 @@
     _beliefs: Beliefs
     _transport: asyncio.DatagramTransport | None = None
     _words: int = 0
+    _told: int = 0
     _fetching: set[str] = field(factory=set)
     _tasks: set[asyncio.Task[None]] = field(factory=set)
 
@@ -50,6 +52,9 @@
     def datagram_received(self, data: bytes, address: tuple[Any, ...]) -> None:
         """Take a message; one that cannot be read is logged and skipped."""
         now_s = self._beliefs.get_now_s()
+        if data.startswith(HAND_ON):
+            data = data[len(HAND_ON) :]
+            self._hand_on(data, now_s)
         decoded = decode_message(data, now_s)
         if decoded.is_error():
             self._beliefs.log.write(
@@ -72,7 +77,11 @@
 
     def tell_leaving(self, record: TargetRecord) -> None:
         """Tell that a target leaves."""
-        self._tell(TargetLeaves(record.name, record.born_ms, record.revision))
+        message = TargetLeaves(record.name, record.born_ms, record.revision)
+        now_s = self._beliefs.get_now_s()
+        # Rare, and too important to be handed on by an instance that may die.
+        for ip in self._beliefs.peers.list_listeners(now_s):
+            self._send(encode_message(message), ip)
 
     def close(self) -> None:
         """Close the socket."""
@@ -87,16 +96,20 @@
             self.send_words()
             alone = not self._beliefs.peers.peers
             early = alone and self._words < FIRST_WORDS
-            await asyncio.sleep(FIRST_PAUSE_S if early else WORD_PAUSE_S)
+            pause_s = self._beliefs.peers.find_word_pause_s()
+            await asyncio.sleep(FIRST_PAUSE_S if early else pause_s)
 
     def send_words(self) -> None:
         """Send one word to each instance that may run."""
         self._words += 1
         beliefs = self._beliefs
         now_s = beliefs.get_now_s()
-        data = encode_message(self._make_word(now_s))
+        word = self._make_word(now_s)
+        self._tell(word)
+        heard = set(beliefs.peers.list_listeners(now_s))
         for ip in beliefs.peers.list_greeted(beliefs.settings.seeds, now_s):
-            self._send(data, ip)
+            if ip not in heard:
+                self._send(encode_message(word), ip)
         for origin in beliefs.peers.drop_silent(now_s):
             dropped = beliefs.loads.forget_origin(origin, now_s)
             beliefs.log.write('peer_silent', origin=origin, runs=dropped)
@@ -106,16 +119,27 @@
         return Word(
             ip=beliefs.settings.ip,
             origin=beliefs.origin,
+            failure_domain=beliefs.settings.failure_domain,
             version=beliefs.document.version if beliefs.document else 0,
             revision=beliefs.directory.revision,
             is_away=beliefs.directory.away_since_s is not None,
-            known=tuple(beliefs.peers.list_listeners(now_s)),
+            known=beliefs.peers.list_named(self._words, now_s),
         )
 
     def _tell(self, message: Message) -> None:
         data = encode_message(message)
-        now_s = self._beliefs.get_now_s()
-        for ip in self._beliefs.peers.list_listeners(now_s):
+        beliefs = self._beliefs
+        domains = beliefs.peers.list_domains(beliefs.get_now_s())
+        self._told += 1
+        for hop in list_hops(
+            domains, beliefs.settings.failure_domain, self._told
+        ):
+            self._send(HAND_ON + data if hop.hands_on else data, hop.ip)
+
+    def _hand_on(self, data: bytes, now_s: float) -> None:
+        beliefs = self._beliefs
+        domains = beliefs.peers.list_domains(now_s)
+        for ip in domains.get(beliefs.settings.failure_domain, ()):
             self._send(data, ip)
 
     def _send(self, data: bytes, ip: str) -> None:
