--- a/trefoilhinge/dispatch/spreading.py
+++ b/trefoilhinge/dispatch/spreading.py
@@ -33,7 +33,7 @@
     :param domains: instances that listen, by failure domain.
     :param turn: number of the message.
     """
-    hops = []
+    hops: list[Hop] = []
     for domain, members in domains.items():
         if domain == own_domain or len(members) < LEAST_RELAYED:
             hops.extend(Hop(ip, hands_on=False) for ip in members)
