Kept the readings of prompts told ahead apart from the present backlog.

Change: each target has a queue of readings with the time from which each may begin; a target never stands still while something may begin; short streams keep off targets at which a long reading is to come. Open: prompts of 200,000 tokens and more that overlap take up to three times the predicted time.

--- a/trefoilhinge/dispatch/costs.py
+++ b/trefoilhinge/dispatch/costs.py
@@ -2,7 +2,7 @@
 
 from attrs import frozen
 
-from trefoilhinge.dispatch.documents import EngineFigures
+from trefoilhinge.dispatch.documents import EngineFigures, Route
 from trefoilhinge.dispatch.loads import TargetLoad, find_run_end_s
 from trefoilhinge.dispatch.targets import TargetRecord
 
@@ -67,6 +67,20 @@
     return harm
 
 
+def find_coming_loss(
+    one: Candidate,
+    figures: EngineFigures,
+    route: Route,
+    now_s: float,
+) -> float:
+    """Return the loss of a stream that a prompt told ahead will stretch."""
+    coming_s = one.load.readings.find_coming_s(now_s)
+    if coming_s <= 0 or route.pause_aim_s <= 0:
+        return 0
+    pause_s = one.load.find_pass_s(figures) + coming_s
+    return _find_pause_loss(pause_s, route.pause_aim_s)
+
+
 def find_crowding(
     one: Candidate,
     figures: EngineFigures,
--- a/trefoilhinge/dispatch/loads.py
+++ b/trefoilhinge/dispatch/loads.py
@@ -6,6 +6,7 @@
 
 from trefoilhinge.dispatch.documents import EngineFigures
 from trefoilhinge.dispatch.engines import find_pass_s, find_step_s
+from trefoilhinge.dispatch.readings import ReadingQueue
 
 OVERDUE_S = 3.0  # a run is forgotten this long after its latest possible end
 PLAIN_RUN_S = 5.0  # longest time that a plain call is counted without its end
@@ -55,14 +56,13 @@
 class TargetLoad:
     """Work at one target.
 
-    :ivar reading_until_s: monotonic seconds until which it reads prompts.
+    :ivar readings: prompts that it reads, or soon will.
     :ivar pace: how many times slower than published the target was seen.
     """
 
-    reading_until_s: float = 0
+    readings: ReadingQueue = field(factory=ReadingQueue)
     pace: float = 1.0
     runs: dict[tuple[str, int], Run] = field(factory=dict)
-    helps: dict[tuple[str, int], Run] = field(factory=dict)
     memory_tokens: int = 0
 
     @property
@@ -74,9 +74,9 @@
         """Return the tokens of context of all calls that run here."""
         return sum(run.context_tokens for run in self.runs.values())
 
-    def find_backlog_s(self, now_s: float) -> float:
-        """Return seconds of reading that is left."""
-        return max(0, self.reading_until_s - now_s)
+    def find_backlog_s(self, at_s: float) -> float:
+        """Return seconds that a prompt waits that comes at a time."""
+        return self.readings.find_backlog_s(at_s)
 
     def find_pass_s(self, figures: EngineFigures) -> float:
         """Return seconds between two events while nothing is read."""
@@ -123,11 +123,15 @@
         self._runs[run.key] = (run, latest_end_s)
         for part in run.parts:
             load = self.find(part.target)
-            begin_s = max(now_s + run.delay_s, load.reading_until_s)
-            load.reading_until_s = begin_s + part.reading_s * load.pace
+            load.readings.add(
+                run.key,
+                now_s + run.delay_s,
+                part.reading_s * load.pace,
+                now_s,
+            )
             load.memory_tokens += part.memory_tokens
-            places = load.runs if part.has_place else load.helps
-            places[run.key] = run
+            if part.has_place:
+                load.runs[run.key] = run
 
     def end(self, key: tuple[str, int], now_s: float) -> None:
         """Take that a run ended; a run that is unknown changes nothing."""
@@ -139,10 +143,7 @@
             load = self.find(part.target)
             load.memory_tokens -= part.memory_tokens
             load.runs.pop(key, None)
-            load.helps.pop(key, None)
-            unread_s = run.started_s + part.reading_s - now_s
-            if unread_s > 0:
-                load.reading_until_s -= min(unread_s, part.reading_s)
+            load.readings.drop(key, now_s)
 
     def note_first_event(self, key: tuple[str, int], now_s: float) -> None:
         """Take that a run began to write: its target read all it had."""
@@ -150,14 +151,7 @@
         if found is None:
             return
         for part in found[0].parts:
-            load = self.find(part.target)
-            later = [
-                run
-                for run in (*load.runs.values(), *load.helps.values())
-                if run.started_s > found[0].started_s
-            ]
-            if not later:
-                load.reading_until_s = min(load.reading_until_s, now_s)
+            self.find(part.target).readings.drop(key, now_s)
 
     def forget_origin(self, origin: str, now_s: float) -> int:
         """Drop the runs of an instance that is gone; return how many."""
