--- a/tests/dispatch/test_messages.py
+++ b/tests/dispatch/test_messages.py
@@ -13,6 +13,7 @@
     RunEnded,
     RunStarted,
     RunWrites,
+    TargetAvoided,
     TargetLeaves,
     decode_message,
     encode_message,
@@ -27,6 +28,7 @@
     RunWrites('me', 5),
     RunEnded('me', 5),
     TargetLeaves('t01', 1000, 33),
+    TargetAvoided('t01', 3.0),
 )
 
 
--- a/tests/gateway/test_calls.py
+++ b/tests/gateway/test_calls.py
@@ -5,6 +5,7 @@
 from tests.gateway.fleets import make_call, read_answer, run_fleet
 from tests.gateway.standins import (
     SEAL,
+    TargetStandIn,
     make_document,
     make_route,
     reply,
@@ -372,3 +373,46 @@
                 )
 
         asyncio.run(run())
+
+
+class TestHelpers:
+    def test_helpers_that_leave_unseen_are_done_without(self):
+        """An incident: the store was silent while seven targets left."""
+
+        async def run():
+            async with run_fleet() as fleet:
+                gone = set()
+
+                def refuse_gone(name):
+                    async def behave(asked):
+                        used = asked.headers.get('x-helpers', '').split(',')
+                        blamed = [one for one in used if one in gone]
+                        if blamed:
+                            await asked.reply(
+                                503,
+                                b'',
+                                [('X-Not-Run', '1'), ('At-Server', blamed[0])],
+                            )
+                            return
+                        await stream()(asked)
+
+                    return behave
+
+                for number in range(1, 21):
+                    target = TargetStandIn(f'm{number:02}')
+                    target.behave = refuse_gone(target.name)
+                    await target.start()
+                    fleet.targets[target.name] = target
+                    fleet.store.put_target(target.name, target.address)
+                gone.update(
+                    fleet.targets[f'm{number:02}'].address
+                    for number in range(13, 21)
+                )
+                await fleet.wait_for(
+                    lambda: len(fleet.beliefs.directory.records) == 20
+                )
+                answer = await fleet.call(X_Token_Count='200000,700')
+                assert answer.status == 200
+                assert answer.is_whole
+
+        asyncio.run(run())
--- a/trefoilhinge/dispatch/health.py
+++ b/trefoilhinge/dispatch/health.py
@@ -51,7 +51,8 @@
     def avoid(self, target: str, duration_s: float, now_s: float) -> None:
         """Avoid a target that another party named as unreachable."""
         record = self._records.setdefault(target, _Record())
-        record.until_s = max(record.until_s, now_s + duration_s)
+        until_s = now_s + min(duration_s, LONGEST_EJECT_S)
+        record.until_s = max(record.until_s, until_s)
 
     def list_usable(self, targets: list[str], now_s: float) -> list[str]:
         """Return targets that may be asked; all if most would be avoided."""
--- a/trefoilhinge/dispatch/messages.py
+++ b/trefoilhinge/dispatch/messages.py
@@ -52,7 +52,17 @@
     revision: int
 
 
-Message = Word | RunStarted | RunWrites | RunEnded | TargetLeaves
+@frozen
+class TargetAvoided:
+    """A target could not be reached, or refuses work, for now."""
+
+    name: str
+    duration_s: float
+
+
+Message = (
+    Word | RunStarted | RunWrites | RunEnded | TargetLeaves | TargetAvoided
+)
 
 
 def encode_message(message: Message) -> bytes:
@@ -92,6 +102,8 @@
             return ['e', origin, number]
         case TargetLeaves(name, born_ms, revision):
             return ['l', name, born_ms, revision]
+        case TargetAvoided(name, duration_s):
+            return ['a', name, duration_s]
 
 
 def _list_run(run: Run) -> list[object]:
@@ -122,6 +134,8 @@
             return RunEnded(origin, number)
         case ['l', str(name), int(born_ms), int(revision)]:
             return TargetLeaves(name, born_ms, revision)
+        case ['a', str(name), int() | float() as duration_s]:
+            return TargetAvoided(name, _check(duration_s))
     raise ValueError('the message is of no known kind')
 
 
--- a/trefoilhinge/gateway/attempts.py
+++ b/trefoilhinge/gateway/attempts.py
@@ -26,6 +26,7 @@
 from trefoilhinge.gateway.silence import await_answer
 
 MAXIMUM_REJECTIONS = 3  # targets that say they did not run the call
+MAXIMUM_FAULTS = 10  # offers that named another target which could not help
 REJECTED_PAUSE_S = 0.03  # before the next target is asked, for news to come
 BUSY_RETRY_S = 0.7  # until a short stream has freed a place
 NO_TARGET_RETRY_S = 1.0  # until a target that starts is in the store
@@ -199,8 +200,9 @@
     async def _take_answer(self, target: str, exchange: TargetExchange) -> bool:
         head = await exchange.read_head(self._call.head.request_id)
         if head.not_run:
-            self._excluded.add(target)
             self._notes.note_rejected(target, head)
+            if self._is_fault_of_other(target, head):
+                return False
             await self._take_rejection('all targets asked are full')
             return False
         if head.is_success and not head.is_sealed:
@@ -213,6 +215,20 @@
             return True
         return await self._take_whole(target, head, await exchange.read_whole())
 
+    def _is_fault_of_other(self, target: str, head: AnswerHead) -> bool:
+        """Take a rejection; return whether another target is to blame.
+
+        That one is avoided from now on, so that the next offer, which need
+        not wait, does without it.
+        """
+        record = self._beliefs.directory.records.get(target)
+        own = {target, record.address if record else ''}
+        if not head.at_fault or head.at_fault in own:
+            self._excluded.add(target)
+            return False
+        self.progress.faults += 1
+        return self.progress.faults <= MAXIMUM_FAULTS
+
     async def _take_whole(
         self, target: str, head: AnswerHead, content: bytes
     ) -> bool:
@@ -272,6 +288,6 @@
         call,
         AnswerRelay(caller, progress),
         RunKeeper(beliefs, peers, call),
-        OfferNotes(beliefs, call, progress),
+        OfferNotes(beliefs, peers, call, progress),
         progress,
     )
--- a/trefoilhinge/gateway/exchange.py
+++ b/trefoilhinge/gateway/exchange.py
@@ -13,6 +13,7 @@
     RunEnded,
     RunStarted,
     RunWrites,
+    TargetAvoided,
     TargetLeaves,
     decode_message,
     encode_message,
@@ -90,6 +91,10 @@
         if self._transport is not None:
             self._transport.close()
 
+    def tell_avoided(self, name: str, duration_s: float) -> None:
+        """Tell that a target is to be avoided for a while."""
+        self._tell(TargetAvoided(name, duration_s))
+
     async def speak(self) -> None:
         """Send this instance's word to all instances, for ever."""
         while True:
@@ -158,6 +163,8 @@
                 loads.note_first_event((origin, number), now_s)
             case RunEnded(origin, number):
                 loads.end((origin, number), now_s)
+            case TargetAvoided(name, duration_s):
+                self._beliefs.health.avoid(name, duration_s, now_s)
             case TargetLeaves():
                 self._take_leaving(message)
 
--- a/trefoilhinge/gateway/offers.py
+++ b/trefoilhinge/gateway/offers.py
@@ -6,9 +6,10 @@
 from trefoilhinge.dispatch.health import Outcome
 from trefoilhinge.dispatch.joint import Placement
 from trefoilhinge.gateway.beliefs import Beliefs
+from trefoilhinge.gateway.exchange import PeerExchange
 from trefoilhinge.gateway.progress import CallProgress
 
-FAULT_AVOID_S = 2.0  # of a target that another one could not reach
+FAULT_AVOID_S = 3.0  # of a helper that is gone or leaves; the store says more
 
 
 @define
@@ -16,6 +17,7 @@
     """One call's notes: budget, health, log lines."""
 
     _beliefs: Beliefs
+    _peers: PeerExchange
     _call: Call
     _progress: CallProgress
 
@@ -99,6 +101,7 @@
         for record in self._beliefs.directory.records.values():
             if at_fault in {record.name, record.address}:
                 self._beliefs.health.avoid(record.name, FAULT_AVOID_S, now_s)
+                self._peers.tell_avoided(record.name, FAULT_AVOID_S)
 
     def _write(self, event: str, **fields: object) -> None:
         request = self._call.head.request_id
--- a/trefoilhinge/gateway/progress.py
+++ b/trefoilhinge/gateway/progress.py
@@ -9,6 +9,8 @@
 
     :ivar offers: offers that were sent.
     :ivar runs: offers that may have run.
+    :ivar rejections: offers that targets refused on their own account.
+    :ivar faults: offers refused because of another target.
     :ivar status: status that the caller got.
     :ivar has_begun: whether a part of an answer went to the caller.
     :ivar last_event: number of the last event that went to the caller.
@@ -20,6 +22,7 @@
     offers: int = 0
     runs: int = 0
     rejections: int = 0
+    faults: int = 0
     status: int = 0
     has_begun: bool = False
     first_event_s: float | None = None
