--- a/trefoilhinge/dispatch/costs.py
+++ b/trefoilhinge/dispatch/costs.py
@@ -25,6 +25,22 @@
     rank: float
 
 
+@frozen
+class Exposure:
+    """What stands to be lost at a target while more is read there.
+
+    :ivar pass_s: seconds between two events while nothing is read.
+    :ivar backlog_s: seconds of reading before the next prompt's.
+    :ivar worths: worth of the streams that write, by their longest pause on
+        time.
+    """
+
+    pass_s: float
+    backlog_s: float
+    pace: float
+    worths: tuple[tuple[float, float], ...]
+
+
 def find_worth(size_tokens: float) -> float:
     """Return the worth of a call in those of a short one."""
     return 1 + size_tokens / WORTH_TOKENS
@@ -39,32 +55,41 @@
     return LATE_LOSS * min(1, spread)
 
 
-def find_harm(
+def make_exposure(
     one: Candidate,
     figures: EngineFigures,
-    reading_s: float,
     begin_s: float,
-) -> float:
-    """Return the worth that others lose while a part is read here.
+) -> Exposure:
+    """Return what stands to be lost at a target from a time on.
 
-    :param begin_s: monotonic seconds at which the part may begin; runs that
-        are expected to have ended by then lose nothing.
+    :param begin_s: monotonic seconds; runs that are expected to have ended by
+        then lose nothing.
     """
     load = one.load
-    if not load.runs:
-        return 0
-    base_s = load.find_pass_s(figures)
-    step_s = base_s / figures.stride
-    before_s = load.find_backlog_s(begin_s)
-    after_s = base_s + before_s + reading_s * load.pace
-    harm = 0.0  # noqa: WPS358
+    pass_s = load.find_pass_s(figures)
+    step_s = pass_s / figures.stride
+    worths: dict[float, float] = {}
     for run in load.runs.values():
-        if run.pause_aim_s <= 0 or find_run_end_s(run, step_s) <= begin_s:
-            continue
-        share = _find_pause_loss(after_s, run.pause_aim_s)
-        share -= _find_pause_loss(base_s + before_s, run.pause_aim_s)
-        harm += find_worth(run.context_tokens) * share
-    return harm
+        if run.pause_aim_s > 0 and find_run_end_s(run, step_s) > begin_s:
+            worth = find_worth(run.context_tokens)
+            worths[run.pause_aim_s] = worths.get(run.pause_aim_s, 0) + worth
+    return Exposure(
+        pass_s,
+        load.find_backlog_s(begin_s),
+        load.pace,
+        tuple(worths.items()),
+    )
+
+
+def find_harm(exposed: Exposure, reading_s: float) -> float:
+    """Return the worth that others lose while a part is read here."""
+    before_s = exposed.pass_s + exposed.backlog_s
+    after_s = before_s + reading_s * exposed.pace
+    return sum(
+        worth
+        * (_find_pause_loss(after_s, aim_s) - _find_pause_loss(before_s, aim_s))
+        for aim_s, worth in exposed.worths
+    )
 
 
 def find_coming_loss(
--- a/trefoilhinge/dispatch/joint.py
+++ b/trefoilhinge/dispatch/joint.py
@@ -8,16 +8,19 @@
 from trefoilhinge.dispatch.costs import (
     WAIT_COST_PER_S,
     Candidate,
+    Exposure,
     find_crowding,
     find_harm,
     find_lateness,
     find_worth,
+    make_exposure,
 )
 from trefoilhinge.dispatch.documents import EngineFigures, Route
 from trefoilhinge.dispatch.engines import find_reading_s
 from trefoilhinge.dispatch.loads import RunPart
 
-MAXIMUM_READERS = 16  # the platform takes sixteen entries
+READERS = (1, 2, 3, 4, 6, 8, 11, 16)  # the platform takes sixteen entries
+HARM_WORTH_A_WAIT = 0.5  # in worths of a short call; less is not waited for
 MEMORY_SHARE = 0.96  # of the published memory; blocks are not all full
 TICKET_SLACK_TOKENS = 256  # of a reservation, for blocks that are not full
 TICKET_LEAST_TOKENS = 16_000  # a smaller reservation is not worth its order
@@ -36,6 +39,7 @@
     :ivar first_event_s: seconds until the first event is expected.
     :ivar cost: expected loss, in worths of a short call.
     :ivar delay_s: seconds to wait before the call is sent.
+    :ivar harm: the part of the cost that other calls bear.
     """
 
     parts: tuple[RunPart, ...]
@@ -43,6 +47,7 @@
     first_event_s: float
     cost: float
     delay_s: float = 0
+    harm: float = 0
 
 
 @frozen
@@ -68,6 +73,14 @@
         return int(self.figures.memory_tokens * MEMORY_SHARE)
 
 
+@frozen
+class _Reader:
+    """A target that may read a part, and what is exposed there."""
+
+    one: Candidate
+    exposed: Exposure
+
+
 def place_joint(
     candidates: Sequence[Candidate],
     figures: EngineFigures,
@@ -83,6 +96,8 @@
     """
     best: Placement | None = None
     for share in DELAY_SHARES:
+        if best is not None and best.harm < HARM_WORTH_A_WAIT:
+            break
         plan = _Plan(figures, route, size, now_s, share * route.aim_s)
         found = min(
             _list_placements(candidates, plan),
@@ -99,75 +114,82 @@
     plan: _Plan,
 ) -> Iterator[Placement]:
     whole_s = find_reading_s(plan.figures, plan.size.prompt)
-    for count in range(1, min(len(candidates), MAXIMUM_READERS) + 1):
+    exposed = [
+        _Reader(one, make_exposure(one, plan.figures, plan.begin_s))
+        for one in candidates
+    ]
+    for count in READERS:
+        if count > len(candidates):
+            break
         part_s = whole_s / count
-        ranked = _rank(candidates, plan, part_s)
+        ranked = _rank(exposed, part_s)
         placement = _compose(ranked[:count], plan, part_s)
         if placement is not None:
             yield placement
 
 
-def _rank(
-    candidates: Sequence[Candidate],
-    plan: _Plan,
-    part_s: float,
-) -> list[Candidate]:
-    def rate(one: Candidate) -> float:
+def _rank(readers: Sequence[_Reader], part_s: float) -> list[_Reader]:
+    def rate(reader: _Reader) -> float:
+        exposed = reader.exposed
         return (
-            find_harm(one, plan.figures, part_s, plan.begin_s)
-            + one.load.find_backlog_s(plan.begin_s)
-            + part_s * one.load.pace
-            - RANK_COST * one.rank
+            find_harm(exposed, part_s)
+            + exposed.backlog_s
+            + part_s * exposed.pace
+            - RANK_COST * reader.one.rank
         )
 
-    return sorted(candidates, key=rate)
+    return sorted(readers, key=rate)
 
 
 def _compose(
-    chosen: Sequence[Candidate],
+    chosen: Sequence[_Reader],
     plan: _Plan,
     part_s: float,
 ) -> Placement | None:
-    ordered = sorted(
+    readers = sorted(
         chosen,
-        key=lambda one: (
-            one.load.running >= plan.figures.places,
-            one.load.memory_tokens,
-            one.load.running,
+        key=lambda reader: (
+            reader.one.load.running >= plan.figures.places,
+            reader.one.load.memory_tokens,
+            reader.one.load.running,
         ),
     )
+    ordered = [reader.one for reader in readers]
     tickets = _split_memory(ordered, plan)
     if tickets is None:
         return None
-    first_s = _find_first_event_s(ordered, plan, part_s)
+    first_s = _find_first_event_s(readers, plan, part_s)
+    harm = sum(find_harm(reader.exposed, part_s) for reader in readers)
+    own = _find_own_cost(ordered, plan, first_s, has_tickets=bool(tickets))
     return Placement(
         _make_parts(ordered, plan, part_s, tickets),
         tickets,
         first_s,
-        _find_cost(ordered, plan, part_s, first_s, has_tickets=bool(tickets)),
+        own + harm,
         plan.delay_s,
+        harm,
     )
 
 
 def _find_first_event_s(
-    ordered: Sequence[Candidate],
+    readers: Sequence[_Reader],
     plan: _Plan,
     part_s: float,
 ) -> float:
     slowest_s = max(
-        one.load.find_backlog_s(plan.begin_s)
-        + part_s * one.load.pace
-        + one.load.find_pass_s(plan.figures)
-        for one in ordered
+        reader.exposed.backlog_s
+        + part_s * reader.exposed.pace
+        + reader.exposed.pass_s
+        for reader in readers
     )
-    wait_s = ordered[0].load.find_place_wait_s(plan.figures, plan.begin_s)
+    load = readers[0].one.load
+    wait_s = load.find_place_wait_s(plan.figures, plan.begin_s)
     return plan.delay_s + slowest_s + wait_s
 
 
-def _find_cost(
+def _find_own_cost(
     ordered: Sequence[Candidate],
     plan: _Plan,
-    part_s: float,
     first_s: float,
     *,
     has_tickets: bool,
@@ -176,14 +198,10 @@
     first = ordered[0]
     room = plan.memory - first.load.memory_tokens
     need = plan.size.prompt + plan.size.answer_expected
-    harm = sum(
-        find_harm(one, plan.figures, part_s, plan.begin_s) for one in ordered
-    )
     pass_s = first.load.find_pass_s(plan.figures)
     return (
         worth * find_lateness(first_s, plan.route.aim_s)
         + worth * WAIT_COST_PER_S * first_s
-        + harm
         + READING_COST_PER_S * len(ordered) * pass_s
         + find_crowding(
             first,
--- a/trefoilhinge/dispatch/placement.py
+++ b/trefoilhinge/dispatch/placement.py
@@ -11,6 +11,7 @@
     find_harm,
     find_lateness,
     find_worth,
+    make_exposure,
 )
 from trefoilhinge.dispatch.documents import EngineFigures, Route
 from trefoilhinge.dispatch.engines import find_reading_s
@@ -100,7 +101,7 @@
     cost = (
         worth * find_lateness(first_s, route.aim_s)
         + worth * WAIT_COST_PER_S * first_s
-        + find_harm(one, figures, reading_s, now_s)
+        + find_harm(make_exposure(one, figures, now_s), reading_s)
         + worth * find_coming_loss(one, figures, route, now_s)
         + find_crowding(one, figures, worth, lacks_memory=need > room)
     )
