--- a/tests/docs/test_pages.py
+++ b/tests/docs/test_pages.py
@@ -59,3 +59,18 @@
         assert len(names) > 5
         listed = [f'`{one.replace("_", "-")}' for one in names]
         assert [one for one in listed if one not in page] == []
+
+    def test_every_event_of_the_gateway_is_explained(self):
+        text = read_code('gateway')
+        names = set(re.findall(r"write\(\s*'(\w+)'", text))
+        page = (DOCS / 'reference' / 'gateway-events.md').read_text()
+        assert {'call_offered', 'store_lost'} <= names
+        assert {one for one in names if f'`{one}`' not in page} == set()
+
+    def test_every_refusal_of_the_gateway_has_a_cause(self):
+        codes = set(
+            re.findall(r"Refusal\(\s*\d+[^,]*,\s*'(\w+)'", read_code('gateway'))
+        )
+        stories = read_code('client')
+        assert 'stopping' in codes
+        assert {one for one in codes if f"'{one}':" not in stories} == set()
--- /dev/null
+++ b/tests/platform/test_decoding.py
@@ -0,0 +1,199 @@
+"""Tests of what the platform says, decoded; fuzzed with fixed seeds."""
+
+import base64
+import json
+
+import pytest
+from hypothesis import given, seed, settings
+from hypothesis import strategies as st
+
+from tests.gateway.standins import make_document
+from trefoilhinge.dispatch.documents import CallKind
+from trefoilhinge.exceptions import ImproperlyConfigured
+from trefoilhinge.platform import store
+from trefoilhinge.platform.calls import decode_call
+from trefoilhinge.platform.documents import decode_document
+from trefoilhinge.platform.settings import decode_settings
+
+SETTINGS = {
+    'nodeName': 'front-a-1',
+    'zone': 'a',
+    'ip': '10.1.0.40',
+    'listen': {'front': '10.1.0.40:8227', 'ready': '10.1.0.40:8220'},
+    'internalPorts': [7340, 7355],
+    'seeds': ['10.2.0.29:8229'],
+    'limits': {'memoryMb': 300},
+    'bounds': {
+        'graceS': 8,
+        'retryRatio': 0.2,
+        'retryWindowS': 10,
+        'retrySlack': 104,
+        'freeMs': 4000,
+        'holdMaxMs': 20000,
+    },
+    'platform': {'address': '10.200.1.7:8223'},
+}
+JSON = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers()
+    | st.floats()
+    | st.text(max_size=8),
+    lambda inner: (
+        st.lists(inner, max_size=4)
+        | st.dictionaries(
+            st.sampled_from(
+                [
+                    'version',
+                    'routes',
+                    'services',
+                    'limits',
+                    'tenants',
+                    'items',
+                    'events',
+                    'key',
+                    'value',
+                    'rev',
+                    'currentRev',
+                    'service',
+                    'address',
+                    'zone',
+                    'slots',
+                    'state',
+                    'born',
+                    'seq',
+                    'name',
+                ]
+            ),
+            inner,
+            max_size=6,
+        )
+    ),
+    max_leaves=25,
+)
+
+
+class TestSettings:
+    def test_fields_are_read_with_their_units(self):
+        read = decode_settings(json.dumps(SETTINGS))
+        assert read.entry == ('10.1.0.40', 8227)
+        assert read.control is None
+        assert read.seeds == ('10.2.0.29',)
+        assert read.bounds.free_s == 4
+
+    @pytest.mark.parametrize('name', sorted(set(SETTINGS) - {'seeds'}))
+    def test_missing_field_is_named(self, name):
+        fields = {key: SETTINGS[key] for key in SETTINGS if key != name}
+        with pytest.raises(ImproperlyConfigured, match=name):
+            decode_settings(json.dumps(fields))
+
+    def test_text_that_is_no_json_is_refused(self):
+        with pytest.raises(ImproperlyConfigured):
+            decode_settings('{')
+
+
+class TestDocuments:
+    def test_routes_are_read_with_their_units(self):
+        document = decode_document(json.dumps(make_document()).encode()).ok
+        route = document.find_route('desk.example', '/stream/1')
+        assert route.kind is CallKind.stream
+        assert route.aim_s == 0.3
+        assert route.pause_aim_s == 0.25
+        assert route.is_resumable
+
+    def test_longest_prefix_holds(self):
+        fields = make_document()
+        longer = dict(fields['routes'][1], name='deep', prefix='/book/deep/')
+        fields['routes'].append(longer)
+        document = decode_document(json.dumps(fields).encode()).ok
+        assert (
+            document.find_route('desk.example', '/book/deep/1').name == 'deep'
+        )
+        assert document.find_route('desk.example', '/book/1').name == 'book'
+        assert document.find_route('other.example', '/book/1') is None
+
+    def test_split_follows_its_weights(self):
+        fields = make_document()
+        fields['routes'][1]['split'] = [
+            {'service': 'one', 'weight': 90},
+            {'service': 'two', 'weight': 10},
+        ]
+        route = decode_document(json.dumps(fields).encode()).ok.find_route(
+            'desk.example', '/book/1'
+        )
+        drawn = [
+            route.choose_service((2 * step + 1) * 2**31 // 100)
+            for step in range(100)
+        ]
+        assert drawn.count('two') == 10
+
+    @seed(3)
+    @settings(max_examples=300, deadline=None)
+    @given(JSON)
+    def test_any_json_is_read_or_refused_with_a_reason(self, fields):
+        decoded = decode_document(json.dumps(fields).encode())
+        assert decoded.is_ok() or isinstance(decoded.error, str)
+
+
+class TestStore:
+    @seed(4)
+    @settings(max_examples=300, deadline=None)
+    @given(JSON)
+    def test_any_page_is_read_or_refused_with_a_reason(self, fields):
+        content = json.dumps(fields).encode()
+        for decode in (store.decode_item, store.decode_page):
+            decoded = decode(content)
+            assert decoded.is_ok() or isinstance(decoded.error, str)
+
+    @seed(5)
+    @settings(max_examples=300, deadline=None)
+    @given(
+        st.binary(max_size=60) | JSON.map(lambda it: json.dumps(it).encode())
+    )
+    def test_any_entry_is_read_or_refused_with_a_reason(self, content):
+        item = store.StoreItem('servers/x', content, 1)
+        decoded = store.decode_target(item)
+        assert decoded.is_ok() or isinstance(decoded.error, str)
+
+    def test_events_and_tombstones_are_read(self):
+        value = base64.b64encode(b'{}').decode()
+        page = store.decode_page(
+            json.dumps(
+                {
+                    'events': [
+                        {'key': 'a', 'value': value, 'rev': 5},
+                        {'key': 'b', 'rev': 6, 'tombstone': True},
+                    ],
+                    'currentRev': 6,
+                }
+            ).encode()
+        ).ok
+        assert [item.content for item in page.items] == [b'{}', None]
+
+
+class TestCalls:
+    def test_header_that_connection_names_is_dropped_but_not_the_calls_own(
+        self,
+    ):
+        head = decode_call(
+            b'GET',
+            b'/x',
+            [
+                (b'Host', b'h'),
+                (b'Connection', b'x-hop, X-Model'),
+                (b'X-Hop', b'1'),
+                (b'X-Model', b'm'),
+            ],
+        )
+        names = {name for name, _ in head.passed}
+        assert names == {b'Host', b'X-Model'}
+
+    def test_repeated_key_is_refused(self):
+        headers = [(b'Host', b'h'), (b'Api-Key', b'a'), (b'Api-Key', b'b')]
+        with pytest.raises(ValueError, match='repeated'):
+            decode_call(b'GET', b'/x', headers)
+
+    def test_time_that_is_no_number_is_refused(self):
+        headers = [(b'Host', b'h'), (b'X-Deadline', b'soon')]
+        with pytest.raises(ValueError, match='soon'):
+            decode_call(b'GET', b'/x', headers)
--- a/trefoilhinge/dispatch/joint.py
+++ b/trefoilhinge/dispatch/joint.py
@@ -26,6 +26,7 @@
 TICKET_LEAST_TOKENS = 16_000  # a smaller reservation is not worth its order
 READING_COST_PER_S = 0.05  # of engine time, so that work is not split in vain
 RANK_COST = 0.004  # keeps long prompts off the targets of short streams
+BUSY_BACKLOG_S = 0.25  # of reading at each target; a wait would waste it
 DELAY_SHARES = (0, 0.15, 0.3, 0.45)  # of the aim; short streams end meanwhile
 
 
@@ -95,8 +96,10 @@
     once, so that no new ones take their places.
     """
     best: Placement | None = None
+    backlog_s = sum(one.load.find_backlog_s(now_s) for one in candidates)
+    is_busy = backlog_s > BUSY_BACKLOG_S * len(candidates)
     for share in DELAY_SHARES:
-        if best is not None and best.harm < HARM_WORTH_A_WAIT:
+        if best is not None and (is_busy or best.harm < HARM_WORTH_A_WAIT):
             break
         plan = _Plan(figures, route, size, now_s, share * route.aim_s)
         found = min(
