Took out the wait of long prompts for short streams.

Change: prompts are placed when they come; the queue of readings needs no times. The tests of the wait went with it; that one prompt's first event keeps the backlog of others stays tested.

--- a/tests/dispatch/test_loads.py
+++ b/tests/dispatch/test_loads.py
@@ -45,31 +45,21 @@
         loads.note_first_event(('me', 1), 1)
         assert loads.find('t00').find_backlog_s(1) == 0
 
-    def test_delayed_reading_begins_later(self):
-        loads = LoadView()
-        part = RunPart('t00', 1, 0, has_place=True)
-        loads.start(Run('me', 1, (part,), 0, 0, 1, 0, delay_s=0.5), 10, 0)
-        assert loads.find('t00').find_backlog_s(0.25) == 0
-        assert loads.find('t00').find_backlog_s(0.75) == 0.75
-
-    def test_prompts_told_ahead_leave_no_idle_time_between_them(self):
-        """Seen on scale-1: waits added up to backlogs of two seconds."""
+    def test_readings_follow_one_another(self):
         loads = LoadView()
         part = RunPart('t00', 0.2, 0, has_place=False)
         for number in range(3):
-            run = Run('me', number, (part,), 0, 0, 1, 0, delay_s=1)
-            loads.start(run, 10, 0)
-        assert round(loads.find('t00').find_backlog_s(1), 6) == 0.6
+            loads.start(Run('me', number, (part,), 0, 0, 1, 0), 10, 0)
+        assert round(loads.find('t00').find_backlog_s(0.25), 6) == 0.35
 
-    def test_first_event_keeps_the_backlog_of_prompts_told_ahead(self):
-        """Seen on scale-1: a later prompt's first event erased it."""
+    def test_first_event_keeps_the_backlog_of_other_prompts(self):
+        """Seen on scale-1: one prompt's first event erased all the others."""
         loads = LoadView()
         part = RunPart('t00', 1, 0, has_place=True)
-        ahead = Run('me', 1, (part,), 0, 0, 1, 0, delay_s=1)
-        loads.start(ahead, 10, 0)
+        loads.start(Run('me', 1, (part,), 0, 0, 1, 0), 10, 0)
         loads.start(Run('me', 2, (part,), 0, 0, 1, 0.1), 10, 0.1)
         loads.note_first_event(('me', 2), 0.5)
-        assert loads.find('t00').find_backlog_s(1) == 1
+        assert loads.find('t00').find_backlog_s(0.5) == 0.5
 
     def test_runs_of_a_dead_instance_are_forgotten(self):
         loads = make_loads({'t00': 3})
--- a/tests/dispatch/test_messages.py
+++ b/tests/dispatch/test_messages.py
@@ -45,7 +45,7 @@
             RunPart(f'i-{number:010}', 0.123456, 123_456, number == 0)
             for number in range(16)
         )
-        run = Run('10.0.0.1/ab12cd', 99_999, parts, 600_000, 4000, 1, 0, 1.5)
+        run = Run('10.0.0.1/ab12cd', 99_999, parts, 600_000, 4000, 1, 0)
         assert len(encode_message(RunStarted(run, 15))) <= MAXIMUM_BYTES
 
     def test_largest_word_fits_one_packet(self):
@@ -83,7 +83,7 @@
     def test_durations_that_are_no_numbers_are_refused(self):
         for bad in (math.nan, math.inf, -math.inf):
             part = ['t01', bad, 0, True]
-            fields = ['r', 'me', 1, [part], 0, 0, 0.25, 0.0, 5.0]
+            fields = ['r', 'me', 1, [part], 0, 0, 0.25, 5.0]
             assert decode_message(msgpack.packb(fields), 0).is_error()
-            fields = ['r', 'me', 1, [], 0, 0, 0.25, 0.0, bad]
+            fields = ['r', 'me', 1, [], 0, 0, 0.25, bad]
             assert decode_message(msgpack.packb(fields), 0).is_error()
--- a/tests/dispatch/test_placement.py
+++ b/tests/dispatch/test_placement.py
@@ -87,26 +87,6 @@
         used = {part.target for part in placement.parts}
         assert not used & {'t00', 't01', 't02'}
 
-    def test_waits_for_short_streams_where_all_targets_have_some(self):
-        """The load turns from short to long work: short streams still run."""
-        loads = make_loads({f't{number:02}': 6 for number in range(14)})
-        placement = place(loads, make_size(300_000), now_s=1)
-        assert placement.delay_s > 0
-
-    def test_delay_stays_within_a_part_of_the_aim(self):
-        loads = make_loads({f't{number:02}': 8 for number in range(14)})
-        placement = place(loads, make_size(200_000))
-        assert placement.delay_s < LONG_ROUTE.aim_s / 2
-
-    def test_announced_wait_keeps_new_short_streams_off(self):
-        loads = make_loads({f't{number:02}': 4 for number in range(14)})
-        placement = place(loads, make_size(200_000))
-        run = Run('me', 999, placement.parts, 0, 0, 1, 0, placement.delay_s)
-        loads.start(run, 15, 0)
-        short = place(loads, make_size(5000), make_route())
-        used = {part.target for part in placement.parts}
-        assert short.parts[0].target not in used
-
 
 class TestPromptsBeyondOneTarget:
     def test_is_stored_at_more_than_one_target(self):
--- a/trefoilhinge/dispatch/costs.py
+++ b/trefoilhinge/dispatch/costs.py
@@ -2,7 +2,7 @@
 
 from attrs import frozen
 
-from trefoilhinge.dispatch.documents import EngineFigures, Route
+from trefoilhinge.dispatch.documents import EngineFigures
 from trefoilhinge.dispatch.loads import TargetLoad, find_run_end_s
 from trefoilhinge.dispatch.targets import TargetRecord
 
@@ -58,24 +58,23 @@
 def make_exposure(
     one: Candidate,
     figures: EngineFigures,
-    begin_s: float,
+    now_s: float,
 ) -> Exposure:
-    """Return what stands to be lost at a target from a time on.
+    """Return what stands to be lost at a target.
 
-    :param begin_s: monotonic seconds; runs that are expected to have ended by
-        then lose nothing.
+    Runs that are expected to have ended lose nothing.
     """
     load = one.load
     pass_s = load.find_pass_s(figures)
     step_s = pass_s / figures.stride
     worths: dict[float, float] = {}
     for run in load.runs.values():
-        if run.pause_aim_s > 0 and find_run_end_s(run, step_s) > begin_s:
+        if run.pause_aim_s > 0 and find_run_end_s(run, step_s) > now_s:
             worth = find_worth(run.context_tokens)
             worths[run.pause_aim_s] = worths.get(run.pause_aim_s, 0) + worth
     return Exposure(
         pass_s,
-        load.find_backlog_s(begin_s),
+        load.find_backlog_s(now_s),
         load.pace,
         tuple(worths.items()),
     )
@@ -92,20 +91,6 @@
     )
 
 
-def find_coming_loss(
-    one: Candidate,
-    figures: EngineFigures,
-    route: Route,
-    now_s: float,
-) -> float:
-    """Return the loss of a stream that a prompt told ahead will stretch."""
-    coming_s = one.load.readings.find_coming_s(now_s)
-    if coming_s <= 0 or route.pause_aim_s <= 0:
-        return 0
-    pause_s = one.load.find_pass_s(figures) + coming_s
-    return _find_pause_loss(pause_s, route.pause_aim_s)
-
-
 def find_crowding(
     one: Candidate,
     figures: EngineFigures,
--- a/trefoilhinge/dispatch/joint.py
+++ b/trefoilhinge/dispatch/joint.py
@@ -20,14 +20,11 @@
 from trefoilhinge.dispatch.loads import RunPart
 
 READERS = (1, 2, 3, 4, 6, 8, 11, 16)  # the platform takes sixteen entries
-HARM_WORTH_A_WAIT = 0.5  # in worths of a short call; less is not waited for
 MEMORY_SHARE = 0.96  # of the published memory; blocks are not all full
 TICKET_SLACK_TOKENS = 256  # of a reservation, for blocks that are not full
 TICKET_LEAST_TOKENS = 16_000  # a smaller reservation is not worth its order
 READING_COST_PER_S = 0.05  # of engine time, so that work is not split in vain
 RANK_COST = 0.004  # keeps long prompts off the targets of short streams
-BUSY_BACKLOG_S = 0.25  # of reading at each target; a wait would waste it
-DELAY_SHARES = (0, 0.15, 0.3, 0.45)  # of the aim; short streams end meanwhile
 
 
 @frozen
@@ -39,31 +36,22 @@
         parts; empty where one target's memory is enough.
     :ivar first_event_s: seconds until the first event is expected.
     :ivar cost: expected loss, in worths of a short call.
-    :ivar delay_s: seconds to wait before the call is sent.
-    :ivar harm: the part of the cost that other calls bear.
     """
 
     parts: tuple[RunPart, ...]
     tickets: tuple[int, ...]
     first_event_s: float
     cost: float
-    delay_s: float = 0
-    harm: float = 0
 
 
 @frozen
 class _Plan:
-    """A prompt and the time at which it is to be read."""
+    """A prompt and the time at which it is placed."""
 
     figures: EngineFigures
     route: Route
     size: PromptSize
     now_s: float
-    delay_s: float
-
-    @property
-    def begin_s(self) -> float:
-        return self.now_s + self.delay_s
 
     @property
     def need(self) -> int:
@@ -89,27 +77,13 @@
     size: PromptSize,
     now_s: float,
 ) -> Placement | None:
-    """Return the cheapest set of targets; none if they cannot hold it.
-
-    Where every set would stop short streams, the prompt may wait for a part
-    of its aim until most of those have ended; it is told to all instances at
-    once, so that no new ones take their places.
-    """
-    best: Placement | None = None
-    backlog_s = sum(one.load.find_backlog_s(now_s) for one in candidates)
-    is_busy = backlog_s > BUSY_BACKLOG_S * len(candidates)
-    for share in DELAY_SHARES:
-        if best is not None and (is_busy or best.harm < HARM_WORTH_A_WAIT):
-            break
-        plan = _Plan(figures, route, size, now_s, share * route.aim_s)
-        found = min(
-            _list_placements(candidates, plan),
-            key=lambda placement: placement.cost,
-            default=None,
-        )
-        if found is not None and (best is None or found.cost < best.cost):
-            best = found
-    return best
+    """Return the cheapest set of targets; none if they cannot hold it."""
+    plan = _Plan(figures, route, size, now_s)
+    return min(
+        _list_placements(candidates, plan),
+        key=lambda placement: placement.cost,
+        default=None,
+    )
 
 
 def _list_placements(
@@ -118,7 +92,7 @@
 ) -> Iterator[Placement]:
     whole_s = find_reading_s(plan.figures, plan.size.prompt)
     exposed = [
-        _Reader(one, make_exposure(one, plan.figures, plan.begin_s))
+        _Reader(one, make_exposure(one, plan.figures, plan.now_s))
         for one in candidates
     ]
     for count in READERS:
@@ -169,8 +143,6 @@
         tickets,
         first_s,
         own + harm,
-        plan.delay_s,
-        harm,
     )
 
 
@@ -186,8 +158,8 @@
         for reader in readers
     )
     load = readers[0].one.load
-    wait_s = load.find_place_wait_s(plan.figures, plan.begin_s)
-    return plan.delay_s + slowest_s + wait_s
+    wait_s = load.find_place_wait_s(plan.figures, plan.now_s)
+    return slowest_s + wait_s
 
 
 def _find_own_cost(
--- a/trefoilhinge/dispatch/loads.py
+++ b/trefoilhinge/dispatch/loads.py
@@ -34,7 +34,6 @@
     :ivar origin: instance that sent it.
     :ivar answer_tokens: tokens that it is expected to write.
     :ivar pause_aim_s: longest pause on time; zero for a plain call.
-    :ivar delay_s: seconds after its start at which its targets begin.
     """
 
     origin: str
@@ -44,7 +43,6 @@
     answer_tokens: int
     pause_aim_s: float
     started_s: float
-    delay_s: float = 0
 
     @property
     def key(self) -> tuple[str, int]:
@@ -56,7 +54,7 @@
 class TargetLoad:
     """Work at one target.
 
-    :ivar readings: prompts that it reads, or soon will.
+    :ivar readings: prompts that it reads.
     :ivar pace: how many times slower than published the target was seen.
     """
 
@@ -123,12 +121,7 @@
         self._runs[run.key] = (run, latest_end_s)
         for part in run.parts:
             load = self.find(part.target)
-            load.readings.add(
-                run.key,
-                now_s + run.delay_s,
-                part.reading_s * load.pace,
-                now_s,
-            )
+            load.readings.add(run.key, part.reading_s * load.pace, now_s)
             load.memory_tokens += part.memory_tokens
             if part.has_place:
                 load.runs[run.key] = run
@@ -187,4 +180,4 @@
     """
     reading_s = sum(part.reading_s for part in run.parts if part.has_place)
     writing_s = run.answer_tokens * step_s
-    return run.started_s + run.delay_s + reading_s + writing_s
+    return run.started_s + reading_s + writing_s
--- a/trefoilhinge/dispatch/messages.py
+++ b/trefoilhinge/dispatch/messages.py
@@ -118,7 +118,6 @@
         run.context_tokens,
         run.answer_tokens,
         run.pause_aim_s,
-        run.delay_s,
     ]
 
 
@@ -165,7 +164,6 @@
             int(context),
             int(answer),
             int() | float() as pause_aim_s,
-            int() | float() as delay_s,
         ]:
             return Run(
                 origin,
@@ -175,7 +173,6 @@
                 answer,
                 _check(pause_aim_s),
                 now_s,
-                _check(delay_s),
             )
         case _:
             raise ValueError('a run has other fields')
--- a/trefoilhinge/dispatch/placement.py
+++ b/trefoilhinge/dispatch/placement.py
@@ -6,7 +6,6 @@
 from trefoilhinge.dispatch.costs import (
     WAIT_COST_PER_S,
     Candidate,
-    find_coming_loss,
     find_crowding,
     find_harm,
     find_lateness,
@@ -102,7 +101,6 @@
         worth * find_lateness(first_s, route.aim_s)
         + worth * WAIT_COST_PER_S * first_s
         + find_harm(make_exposure(one, figures, now_s), reading_s)
-        + worth * find_coming_loss(one, figures, route, now_s)
         + find_crowding(one, figures, worth, lacks_memory=need > room)
     )
     if size.prompt < JOINT_TOKENS:
--- a/trefoilhinge/gateway/attempts.py
+++ b/trefoilhinge/gateway/attempts.py
@@ -140,9 +140,6 @@
         target = placement.parts[0].target
         record = self._beliefs.directory.records[target]
         self._runs.start(placement)
-        if placement.delay_s:
-            self._notes.note_delayed(placement)
-            await asyncio.sleep(placement.delay_s)
         helpers = await self._prepare_helpers(placement)
         if helpers is None:
             return False
@@ -194,8 +191,7 @@
     def _find_patience_s(self, placement: Placement) -> float:
         if self._call.head.prompt is None:
             return PLAIN_PATIENCE_S
-        expected_s = placement.first_event_s - placement.delay_s
-        return LEAST_PATIENCE_S + PATIENCE_FACTOR * expected_s
+        return LEAST_PATIENCE_S + PATIENCE_FACTOR * placement.first_event_s
 
     async def _take_answer(self, target: str, exchange: TargetExchange) -> bool:
         head = await exchange.read_head(self._call.head.request_id)
--- a/trefoilhinge/gateway/offers.py
+++ b/trefoilhinge/gateway/offers.py
@@ -48,12 +48,6 @@
             remaining_s=offer.remaining_s,
         )
 
-    def note_delayed(self, placement: Placement) -> None:
-        """Take that a prompt waits until short streams have ended."""
-        self._write(
-            'call_delayed', delay_s=placement.delay_s, cost=placement.cost
-        )
-
     def note_outcome(self, target: str, outcome: Outcome) -> None:
         """Take what became of an offer, for the target's health."""
         now_s = self._beliefs.get_now_s()
--- a/trefoilhinge/gateway/runs.py
+++ b/trefoilhinge/gateway/runs.py
@@ -33,7 +33,6 @@
             answer_tokens=size.answer_expected if size else 0,
             pause_aim_s=self._call.route.pause_aim_s if is_stream else 0,
             started_s=now_s,
-            delay_s=placement.delay_s,
         )
         self._writes = False
         lasts_s = max(0, self._call.ends_s - now_s)
