Told callers to come back after an outage of the store.

Change: an instance that knows no document and whose store does not answer tells 1.5 to 2.5 s, spread by the request's id, and at most a third of the caller's time. A test that failed before.

--- a/tests/gateway/test_store.py
+++ b/tests/gateway/test_store.py
@@ -246,3 +246,26 @@
                 assert loop.time() - began_s < 0.5
 
         asyncio.run(run())
+
+    def test_callers_are_told_to_come_back_after_an_outage(self):
+        """An incident: told half a second, they came back too early."""
+
+        async def run():
+            async with run_fleet(has_document=False) as fleet:
+                fleet.store.is_down = True
+                await fleet.wait_for(
+                    lambda: fleet.beliefs.directory.away_since_s is not None
+                )
+                told = set()
+                for number in range(4):
+                    answer = await fleet.call(
+                        X_Deadline='10000', X_Request_Id=f'r-{number}'
+                    )
+                    assert answer.status == 503
+                    told.add(float(answer.headers['retry-after']))
+                assert min(told) >= 1.5
+                assert len(told) == 4
+                answer = await fleet.call('/book/1', X_Deadline='1500')
+                assert float(answer.headers['retry-after']) <= 0.5
+
+        asyncio.run(run())
--- a/trefoilhinge/gateway/serving.py
+++ b/trefoilhinge/gateway/serving.py
@@ -6,7 +6,10 @@
 from attrs import define
 
 from trefoilhinge.dispatch.calls import Call, CallHead
-from trefoilhinge.dispatch.documents import FleetDocument
+from trefoilhinge.dispatch.documents import (
+    WEIGHT_HASH_SPAN,
+    FleetDocument,
+)
 from trefoilhinge.dispatch.durations import find_duration_s
 from trefoilhinge.gateway.attempts import (
     Attempts,
@@ -17,7 +20,10 @@
 from trefoilhinge.gateway.callers import CallerConnection, Refusal
 from trefoilhinge.gateway.exchange import PeerExchange
 
-START_RETRY_S = 0.5  # an instance that starts knows its document by then
+START_RETRY_S = 0.3  # an instance that starts knows its document by then
+AWAY_RETRY_S = 1.5  # outages of the store last seconds; returns are spread
+AWAY_SPREAD_S = 1.0  # over as long again
+RETRY_SHARE = 0.33  # of its time: a caller that is told more gives up
 STOPPING_RETRY_S = 0.1  # the other instances serve at once
 
 
@@ -84,7 +90,7 @@
                 'document_unknown',
                 'not_run',
                 'this instance has just started',
-                START_RETRY_S,
+                self._find_start_retry_s(head),
             )
         route = document.find_route(head.host, head.path)
         if route is None:
@@ -124,6 +130,16 @@
         self._note_accepted(call, document)
         return call
 
+    def _find_start_retry_s(self, head: CallHead) -> float:
+        """Return when a caller should come back that came too early."""
+        if self._beliefs.directory.away_since_s is None:
+            return START_RETRY_S
+        spread_s = AWAY_SPREAD_S * _draw(head) / WEIGHT_HASH_SPAN
+        wait_s = AWAY_RETRY_S + spread_s
+        if head.deadline_s is None:
+            return wait_s
+        return min(wait_s, head.deadline_s * RETRY_SHARE)
+
     async def _end_failed(
         self,
         caller: CallerConnection,
