Split the stand-ins and the tests of calls into modules.

Change: settings, HTTP, store and targets of the tests have a module each; the tests of failed and repeated calls have one of their own.

--- a/tests/gateway/fleets.py
+++ b/tests/gateway/fleets.py
@@ -6,12 +6,9 @@
 import h11
 from attrs import define, field
 
-from tests.gateway.standins import (
-    StoreStandIn,
-    TargetStandIn,
-    make_document,
-    make_settings,
-)
+from tests.gateway.documents import make_document, make_settings
+from tests.gateway.stores import StoreStandIn
+from tests.gateway.targets import TargetStandIn
 from trefoilhinge.gateway.daemon import Gateway, make_gateway
 
 READY_WAIT_S = 5
--- /dev/null
+++ b/tests/gateway/test_repeats.py
@@ -0,0 +1,260 @@
+"""Tests of calls that targets fail, refuse or break off."""
+
+import asyncio
+
+from tests.gateway.documents import make_document
+from tests.gateway.fleets import make_call, run_fleet
+from tests.gateway.targets import (
+    SEAL,
+    TargetStandIn,
+    reply,
+    reset,
+    stay_mute,
+    stream,
+    stream_torn,
+    write_event,
+)
+
+WHOLE = b''.join(write_event(number) for number in range(1, 6))
+NOT_RUN = reply(503, b'', [('X-Not-Run', '1')])
+
+
+class TestAtMostOnce:
+    def test_lost_answer_is_never_asked_again(self):
+        async def run():
+            async with run_fleet(d1=reset, d2=reset) as fleet:
+                answer = await fleet.call('/book/1')
+                assert answer.status == 502
+                asked = sum(len(one.asked) for one in fleet.targets.values())
+                assert asked == 1
+
+        asyncio.run(run())
+
+    def test_call_that_did_not_run_is_offered_again(self):
+        async def run():
+            async with run_fleet(d1=NOT_RUN, d2=reply(200, b'booked')) as fleet:
+                answer = await fleet.call('/book/1')
+                assert (answer.status, answer.content) == (200, b'booked')
+
+        asyncio.run(run())
+
+    def test_refusal_is_true_when_no_target_ran_it(self):
+        async def run():
+            async with run_fleet(d1=NOT_RUN) as fleet:
+                answer = await fleet.call('/book/1')
+                assert answer.status == 503
+                assert b'"not_run"' in answer.content
+                assert 'x-server-seal' not in answer.headers
+
+        asyncio.run(run())
+
+    def test_success_without_signature_is_no_success(self):
+        async def run():
+            async with run_fleet(d1=reply(200, b'who', [])) as fleet:
+                assert (await fleet.call('/book/1')).status == 502
+
+        asyncio.run(run())
+
+    def test_answer_of_another_call_is_not_passed_on(self):
+        async def behave(asked):
+            asked.request = asked.request.__class__(
+                method='POST',
+                target='/',
+                headers=[('Host', 'h'), ('X-Request-Id', 'other')],
+            )
+            await asked.reply(200, b'secret', [SEAL])
+
+        async def run():
+            async with run_fleet(d1=behave) as fleet:
+                answer = await fleet.call('/book/1')
+                assert answer.status == 502
+                assert b'secret' not in answer.content
+
+        asyncio.run(run())
+
+
+class TestRepeats:
+    def test_idempotent_call_is_asked_elsewhere(self):
+        async def run():
+            async with run_fleet(d1=reset, d2=reply(200, b'found')) as fleet:
+                answer = await fleet.call('/look/1', 'GET')
+                assert answer.content == b'found'
+
+        asyncio.run(run())
+
+    def test_failure_is_passed_on_if_all_targets_fail(self):
+        async def run():
+            failing = reply(500, b'broken')
+            async with run_fleet(d1=failing, d2=failing) as fleet:
+                answer = await fleet.call('/look/1', 'GET')
+                assert (answer.status, answer.content) == (500, b'broken')
+
+        asyncio.run(run())
+
+    def test_no_more_targets_run_it_than_the_route_allows(self):
+        async def run():
+            behaviours = {f'd{number}': reset for number in range(1, 6)}
+            async with run_fleet(**behaviours) as fleet:
+                await fleet.call('/look/1', 'GET')
+                asked = sum(len(one.asked) for one in fleet.targets.values())
+                assert asked == 2
+
+        asyncio.run(run())
+
+    def test_mute_target_is_left_for_another(self):
+        async def run():
+            async with run_fleet(d1=stay_mute, d2=reply(200, b'ok')) as fleet:
+                answer = await fleet.call('/look/1', 'GET')
+                assert answer.content == b'ok'
+
+        asyncio.run(run())
+
+
+class TestStreams:
+    def test_torn_stream_goes_on_at_another_target(self):
+        async def run():
+            async with run_fleet(m1=stream_torn(2), m2=stream()) as fleet:
+                answer = await fleet.call()
+                assert answer.is_whole
+                assert answer.content == WHOLE
+                resumed = fleet.targets['m2'].asked[0]
+                assert resumed.headers['last-event-id'] == '2'
+
+        asyncio.run(run())
+
+    def test_events_that_come_twice_are_dropped(self):
+        async def replay(asked):
+            await asked.begin(200, [SEAL])
+            await asked.send(WHOLE)
+            await asked.finish()
+
+        async def run():
+            async with run_fleet(m1=stream_torn(3), m2=replay) as fleet:
+                assert (await fleet.call()).content == WHOLE
+
+        asyncio.run(run())
+
+    def test_missing_event_never_reaches_the_caller(self):
+        async def skip(asked):
+            await asked.begin(200, [SEAL])
+            await asked.send(write_event(5))
+            await asked.finish()
+
+        async def run():
+            async with run_fleet(m1=stream_torn(2), m2=skip) as fleet:
+                answer = await fleet.call()
+                assert not answer.is_whole
+                assert write_event(5) not in answer.content
+
+        asyncio.run(run())
+
+    def test_stream_that_cannot_go_on_does_not_look_whole(self):
+        async def run():
+            torn = stream_torn(2)
+            async with run_fleet(m1=torn, m2=reset) as fleet:
+                answer = await fleet.call()
+                assert not answer.is_whole
+
+        asyncio.run(run())
+
+    def test_stream_that_may_not_be_resumed_is_not(self):
+        async def run():
+            document = make_document()
+            document['routes'][0]['resumable'] = False
+            async with run_fleet(
+                document, m1=stream_torn(2), m2=stream()
+            ) as fleet:
+                answer = await fleet.call()
+                assert not answer.is_whole
+                assert not fleet.targets['m2'].asked
+
+        asyncio.run(run())
+
+    def test_callers_own_resumption_is_passed_on(self):
+        async def run():
+            async with run_fleet(m1=stream()) as fleet:
+                answer = await fleet.call(Last_Event_Id='3')
+                assert answer.content == write_event(4) + write_event(5)
+
+        asyncio.run(run())
+
+
+class TestEnds:
+    def test_call_ends_at_its_routes_time(self):
+        async def run():
+            document = make_document()
+            document['routes'][1]['timeoutMs'] = 300
+            async with run_fleet(document, d1=stay_mute) as fleet:
+                loop = asyncio.get_running_loop()
+                began_s = loop.time()
+                answer = await fleet.call('/book/1')
+                assert answer.status == 504
+                assert 0.25 < loop.time() - began_s < 0.8
+
+        asyncio.run(run())
+
+    def test_target_is_told_when_the_caller_leaves(self):
+        left = asyncio.Event()
+
+        async def behave(asked):
+            assert await asked.reader.read(10) == b''
+            left.set()
+
+        async def run():
+            async with run_fleet(m1=behave) as fleet:
+                reader, writer = await asyncio.open_connection(
+                    *fleet.settings.entry
+                )
+                writer.write(make_call())
+                await fleet.wait_for(lambda: fleet.targets['m1'].asked)
+                writer.close()
+                async with asyncio.timeout(1):
+                    await left.wait()
+                await fleet.wait_for(
+                    lambda: not fleet.beliefs.loads.find('m1').running
+                )
+
+        asyncio.run(run())
+
+
+class TestHelpers:
+    def test_helpers_that_leave_unseen_are_done_without(self):
+        """An incident: the store was silent while seven targets left."""
+
+        async def run():
+            async with run_fleet() as fleet:
+                gone = set()
+
+                def refuse_gone(name):
+                    async def behave(asked):
+                        used = asked.headers.get('x-helpers', '').split(',')
+                        blamed = [one for one in used if one in gone]
+                        if blamed:
+                            await asked.reply(
+                                503,
+                                b'',
+                                [('X-Not-Run', '1'), ('At-Server', blamed[0])],
+                            )
+                            return
+                        await stream()(asked)
+
+                    return behave
+
+                for number in range(1, 21):
+                    target = TargetStandIn(f'm{number:02}')
+                    target.behave = refuse_gone(target.name)
+                    await target.start()
+                    fleet.targets[target.name] = target
+                    fleet.store.put_target(target.name, target.address)
+                gone.update(
+                    fleet.targets[f'm{number:02}'].address
+                    for number in range(13, 21)
+                )
+                await fleet.wait_for(
+                    lambda: len(fleet.beliefs.directory.records) == 20
+                )
+                answer = await fleet.call(X_Token_Count='200000,700')
+                assert answer.status == 200
+                assert answer.is_whole
+
+        asyncio.run(run())
--- a/tests/gateway/test_reservations.py
+++ b/tests/gateway/test_reservations.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from tests.gateway.fleets import run_fleet
-from tests.gateway.standins import reset, stream
+from tests.gateway.targets import reset, stream
 
 
 def sort_orders(fleet):
--- a/tests/gateway/test_stop.py
+++ b/tests/gateway/test_stop.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from tests.gateway.fleets import make_call, read_answer, run_fleet
-from tests.gateway.standins import reply, stream
+from tests.gateway.targets import reply, stream
 from trefoilhinge.gateway.fetching import fetch
 
 
--- a/tests/gateway/test_store.py
+++ b/tests/gateway/test_store.py
@@ -3,15 +3,9 @@
 import asyncio
 import json
 
+from tests.gateway.documents import make_document, make_route, make_settings
 from tests.gateway.fleets import make_call, run_fleet
-from tests.gateway.standins import (
-    make_document,
-    make_route,
-    make_settings,
-    reply,
-    stay_mute,
-    stream,
-)
+from tests.gateway.targets import reply, stay_mute, stream
 from trefoilhinge.gateway.daemon import make_gateway
 
 
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -7,7 +7,7 @@
 from hypothesis import given, seed, settings
 from hypothesis import strategies as st
 
-from tests.gateway.standins import make_document
+from tests.gateway.documents import make_document
 from trefoilhinge.dispatch.documents import CallKind
 from trefoilhinge.exceptions import ImproperlyConfigured
 from trefoilhinge.platform import store
