Took leases and reading pauses from the operator's bounds.

Targets that cannot be reached were asked again as soon as half of a service was gone, and looked least used. Change: a lease is three quarters of the bound, renewed three times; the pause is at most 0.3 of the shorter bound; unreachable targets are avoided while any other can be reached, failing ones only while enough do not fail. Unused settings were removed.

--- a/tests/gateway/test_reservations.py
+++ b/tests/gateway/test_reservations.py
@@ -2,8 +2,11 @@
 
 import asyncio
 
+from tests.gateway.documents import make_settings
 from tests.gateway.fleets import run_fleet
 from tests.gateway.targets import reset, stream
+from trefoilhinge.gateway.beliefs import make_beliefs
+from trefoilhinge.gateway.reservations import Reservations
 
 
 def sort_orders(fleet):
@@ -16,6 +19,13 @@
     return reserved, released
 
 
+class TestLeases:
+    def test_stricter_bound_gives_a_shorter_lease(self):
+        settings = make_settings(1, free_s=1)
+        reservations = Reservations(make_beliefs(settings), (), ())
+        assert reservations._find_lease_s() < 1
+
+
 class TestReservations:
     def test_prompt_beyond_one_target_is_reserved_and_released(self):
         async def run():
@@ -49,6 +59,7 @@
                     if order['op'] == 'reserve'
                 }
                 assert max(holds) < fleet.settings.bounds.free_s * 1000
+                assert max(holds) <= 20_000
 
         asyncio.run(run())
 
--- a/trefoilhinge/dispatch/health.py
+++ b/trefoilhinge/dispatch/health.py
@@ -8,7 +8,7 @@
 EJECT_SHARE = 0.45  # running share of failures from which a target is avoided
 EJECT_S = 1.5  # first time out, doubled up to the longest
 LONGEST_EJECT_S = 6.0  # a target is asked again at least this often
-MOST_EJECTED = 0.5  # of a service's targets; beyond that all are asked
+LEAST_USABLE = 0.5  # of the targets in reach; with fewer, failing ones too
 
 
 class Outcome(enum.Enum):
@@ -24,12 +24,17 @@
 class _Record:
     failures: float = 0
     eject_s: float = EJECT_S
-    until_s: float = float('-inf')
+    failing_until_s: float = float('-inf')
+    gone_until_s: float = float('-inf')
 
 
 @define
 class TargetHealth:
-    """Running shares of failures and who is avoided until when."""
+    """Running shares of failures and who is avoided until when.
+
+    A target that cannot be reached is avoided as long as any other can. One
+    that fails calls is avoided only while enough others do not.
+    """
 
     _records: dict[str, _Record] = field(factory=dict)
 
@@ -43,31 +48,42 @@
         if outcome is Outcome.rejected:
             return False
         record.failures += FAILURE_WEIGHT * (1 - record.failures)
-        unreachable = outcome is Outcome.unreachable
-        if not unreachable and record.failures < EJECT_SHARE:
-            return False
-        return self._eject(record, now_s)
+        until_s = now_s + record.eject_s
+        if outcome is Outcome.unreachable:
+            is_news = record.gone_until_s <= now_s
+            record.gone_until_s = max(record.gone_until_s, until_s)
+        else:
+            is_news = (
+                record.failures >= EJECT_SHARE
+                and record.failing_until_s <= now_s
+            )
+            if is_news:
+                record.failing_until_s = until_s
+        if is_news:
+            record.eject_s = min(LONGEST_EJECT_S, record.eject_s * 2)
+        return is_news
 
     def avoid(self, target: str, duration_s: float, now_s: float) -> None:
         """Avoid a target that another party named as unreachable."""
         record = self._records.setdefault(target, _Record())
         until_s = now_s + min(duration_s, LONGEST_EJECT_S)
-        record.until_s = max(record.until_s, until_s)
+        record.gone_until_s = max(record.gone_until_s, until_s)
 
     def list_usable(self, targets: list[str], now_s: float) -> list[str]:
-        """Return targets that may be asked; all if most would be avoided."""
-        usable = [
+        """Return targets that may be asked; never none of some."""
+        known = self._records
+        reached = [
             name
             for name in targets
-            if name not in self._records or self._records[name].until_s <= now_s
+            if name not in known or known[name].gone_until_s <= now_s
         ]
-        if len(usable) < len(targets) * MOST_EJECTED:
+        if not reached:
             return targets
+        usable = [
+            name
+            for name in reached
+            if name not in known or known[name].failing_until_s <= now_s
+        ]
+        if len(usable) < len(reached) * LEAST_USABLE:
+            return reached
         return usable
-
-    def _eject(self, record: _Record, now_s: float) -> bool:
-        is_news = record.until_s <= now_s
-        if is_news:
-            record.until_s = now_s + record.eject_s
-            record.eject_s = min(LONGEST_EJECT_S, record.eject_s * 2)
-        return is_news
--- a/trefoilhinge/dispatch/settings.py
+++ b/trefoilhinge/dispatch/settings.py
@@ -15,6 +15,8 @@
     :ivar repeat_window_s: window in which repeats are counted.
     :ivar free_s: time in which reserved memory is released after its use.
     :ivar hold_maximum_s: longest lease of a reservation.
+    :ivar apply_s: time in which what the store says is in force: a new
+        document, and a target that leaves, whichever has less.
     """
 
     grace_s: float
@@ -23,6 +25,7 @@
     repeat_window_s: float
     free_s: float
     hold_maximum_s: float
+    apply_s: float
 
 
 @frozen
@@ -49,5 +52,4 @@
     first_port: int
     seeds: tuple[str, ...]
     store: Address
-    memory_mb: int
     bounds: Bounds
--- a/trefoilhinge/gateway/reading.py
+++ b/trefoilhinge/gateway/reading.py
@@ -15,6 +15,7 @@
 WATCH_WAIT_S = 2.0  # silence of the store is noticed soon after that
 WATCH_MARGIN_S = 1.0  # of the answer to a watch
 GATHER_S = 0.6  # events gather between two watches, as each call is priced
+GATHER_SHARE = 0.3  # of the time in which what the store says is in force
 FAILED_PAUSE_S = 0.5  # before the store is asked again after a failure
 START_PAUSE_S = 0.1  # the same, of an instance that knows nothing
 PAGE_LIMIT = 40  # pages of one list; more would be a store gone wrong
@@ -92,7 +93,8 @@
             self._take_item(item)
         self._revision = max(self._revision, page.revision)
         self._beliefs.directory.revision = self._revision
-        await asyncio.sleep(GATHER_S)
+        apply_s = self._beliefs.settings.bounds.apply_s
+        await asyncio.sleep(min(GATHER_S, apply_s * GATHER_SHARE))
 
     async def _ask(
         self, path: str, timeout_s: float = READ_TIMEOUT_S
--- a/trefoilhinge/gateway/reservations.py
+++ b/trefoilhinge/gateway/reservations.py
@@ -14,8 +14,8 @@
 from trefoilhinge.gateway.links import parse_address
 from trefoilhinge.platform import orders
 
-LEASE_S = 3.0  # under the time in which unused memory must be free
-RENEW_S = 1.0  # two renewals may be lost before a lease runs out
+LEASE_SHARE = 0.75  # of the time in which unused memory must be free
+RENEWALS = 3  # in one lease; two may be lost before it runs out
 ORDER_TIMEOUT_S = 0.5  # an engine takes milliseconds for an order
 RELEASE_TRIES_S = (0, 0.5, 1.5)  # pauses before each release that failed
 LATE_RELEASES_S = (4.0, 4.0, 4.0)  # an unanswered order may come that late
@@ -58,13 +58,19 @@
             task.add_done_callback(_BACKGROUND.discard)
 
     async def _reserve(self, place: HelperPlace, tokens: int) -> bool:
-        body = orders.encode_reservation(place.ticket, tokens, LEASE_S)
+        body = orders.encode_reservation(
+            place.ticket, tokens, self._find_lease_s()
+        )
         status = await self._order(place, body)
         return status == orders.RESERVED
 
+    def _find_lease_s(self) -> float:
+        bounds = self._beliefs.settings.bounds
+        return min(bounds.hold_maximum_s, bounds.free_s * LEASE_SHARE)
+
     async def _renew(self) -> None:
         while True:
-            await asyncio.sleep(RENEW_S)
+            await asyncio.sleep(self._find_lease_s() / RENEWALS)
             await asyncio.gather(
                 *(
                     self._reserve(place, tokens)
--- a/trefoilhinge/platform/settings.py
+++ b/trefoilhinge/platform/settings.py
@@ -49,7 +49,6 @@
             _read_address(seed)[0] for seed in fields.get('seeds') or ()
         ),
         store=_read_address(fields['platform']['address']),
-        memory_mb=int(fields['limits']['memoryMb']),
         bounds=_decode_bounds(fields['bounds']),
     )
 
@@ -62,6 +61,7 @@
         repeat_window_s=float(fields['retryWindowS']),
         free_s=float(fields['freeMs']) / MS_PER_S,
         hold_maximum_s=float(fields['holdMaxMs']) / MS_PER_S,
+        apply_s=min(fields['drainMs'], fields['configApplyMs']) / MS_PER_S,
     )
 
 
