Refused what comes while a stopping instance ends.

Change: once nothing runs, later calls get a true 503, and the instance ends only when nothing runs after that. A test that failed before.

--- a/tests/gateway/documents.py
+++ b/tests/gateway/documents.py
@@ -1,17 +1,22 @@
 """Settings and documents of the tests' fleets."""
 
-import socket
+import itertools
+import os
 
 from trefoilhinge.dispatch.settings import Bounds, GatewaySettings
 
-HOST = '127.0.0.1'
+# Each test process has loopback addresses of its own, so that none meets
+# another's ports.
+_PID = os.getpid()
+HOST = f'127.{1 + _PID // 256 % 126}.{_PID % 256}.1'
+OTHER_HOST = f'127.{1 + _PID // 256 % 126}.{_PID % 256}.2'
+FIRST_PORT = 12_000  # below the ports that the system gives to callers
+_ports = itertools.count(FIRST_PORT)
 
 
 def find_port():
-    """Return a port that is free now."""
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return probe.getsockname()[1]
+    """Return a port that this process gave to nobody yet."""
+    return next(_ports)
 
 
 def make_settings(store_port, seeds=(), ip=HOST, port=None, **bounds):
--- a/tests/gateway/test_stop.py
+++ b/tests/gateway/test_stop.py
@@ -3,7 +3,8 @@
 import asyncio
 
 from tests.gateway.fleets import make_call, read_answer, run_fleet
-from tests.gateway.targets import reply, stream
+from tests.gateway.targets import reply, stay_mute, stream
+from trefoilhinge.gateway.daemon import STOP_QUIET_S
 from trefoilhinge.gateway.fetching import fetch
 
 
@@ -78,3 +79,26 @@
                 assert (await fleet.call()).status == 200
 
         asyncio.run(run())
+
+    def test_call_that_comes_at_the_very_end_is_refused_not_cut(self):
+        """Hunted: LOST, a call taken within the last tenth of a second."""
+
+        async def run():
+            async with run_fleet(d1=stay_mute) as fleet:
+                loop = asyncio.get_running_loop()
+                fleet.gateway._begin_stop()
+                await asyncio.sleep(STOP_QUIET_S - 0.1)
+                reader, writer = await asyncio.open_connection(
+                    *fleet.settings.entry
+                )
+                data = make_call('/look/1', 'GET')
+                writer.write(data[:-2])
+                async with asyncio.timeout(1):
+                    while fleet.beliefs.stops_s > loop.time():
+                        await asyncio.sleep(0.005)
+                writer.write(data[-2:])
+                answer = await read_answer(reader)
+                assert (answer.status, answer.is_whole) == (503, True)
+                assert not fleet.targets['d1'].asked
+
+        asyncio.run(run())
--- a/tests/gateway/test_store.py
+++ b/tests/gateway/test_store.py
@@ -3,7 +3,13 @@
 import asyncio
 import json
 
-from tests.gateway.documents import make_document, make_route, make_settings
+from tests.gateway.documents import (
+    HOST,
+    OTHER_HOST,
+    make_document,
+    make_route,
+    make_settings,
+)
 from tests.gateway.fleets import make_call, run_fleet
 from tests.gateway.targets import reply, stay_mute, stream
 from trefoilhinge.gateway.daemon import make_gateway
@@ -150,7 +156,7 @@
         async def run():
             async with run_fleet(m1=stream(), d1=reply(200)) as fleet:
                 other_settings = make_settings(
-                    1, ['127.0.0.1'], '127.0.0.2', fleet.settings.first_port
+                    1, [HOST], OTHER_HOST, fleet.settings.first_port
                 )
                 other = make_gateway(other_settings)
                 task = asyncio.ensure_future(other.run())
@@ -172,8 +178,8 @@
             async with run_fleet(m1=stay_mute) as fleet:
                 other_settings = make_settings(
                     fleet.store.port,
-                    ['127.0.0.1'],
-                    '127.0.0.2',
+                    [HOST],
+                    OTHER_HOST,
                     fleet.settings.first_port,
                 )
                 other = make_gateway(other_settings)
@@ -202,8 +208,8 @@
                 other = make_gateway(
                     make_settings(
                         1,
-                        ['127.0.0.1'],
-                        '127.0.0.2',
+                        [HOST],
+                        OTHER_HOST,
                         fleet.settings.first_port,
                     )
                 )
--- a/trefoilhinge/gateway/daemon.py
+++ b/trefoilhinge/gateway/daemon.py
@@ -189,12 +189,17 @@
         grace_s = self._beliefs.settings.bounds.grace_s
         self._beliefs.settles_s = loop.time() + STOP_QUIET_S
         self._beliefs.stops_s = loop.time() + grace_s - STOP_MARGIN_S
+        latest_s = self._beliefs.stops_s
         await asyncio.sleep(STOP_QUIET_S)
-        while self._service.active and loop.time() < self._beliefs.stops_s:
+        while loop.time() < latest_s:
             self._close_idle()
+            if not self._service.active:
+                # What comes from now on is refused, so that none is cut.
+                self._beliefs.stops_s = loop.time()
             await asyncio.sleep(STOP_LOOK_S)
-        self._close_idle()
-        await asyncio.sleep(STOP_LOOK_S)
+            ends = self._beliefs.stops_s < latest_s
+            if ends and not self._service.active:
+                break
         self._beliefs.log.write('stopped', active=self._service.active)
         self._stopped.set()
 
