Read addresses with one function.

Cause: on the last read, gateway/links.parse_address and the settings' own reader were the same lines. Change: dispatch/settings.parse_address serves both; nothing else.

--- a/trefoilhinge/dispatch/settings.py
+++ b/trefoilhinge/dispatch/settings.py
@@ -53,3 +53,12 @@
     seeds: tuple[str, ...]
     store: Address
     bounds: Bounds
+
+
+def parse_address(text: str) -> Address:
+    """Return host and port of an address in text.
+
+    :raises ValueError: the port is no number.
+    """
+    host, _, port = text.rpartition(':')
+    return host, int(port)
--- a/trefoilhinge/gateway/links.py
+++ b/trefoilhinge/gateway/links.py
@@ -40,9 +40,3 @@
         reader, writer = await asyncio.open_connection(*address)
     set_silence_limits(writer.transport)
     return reader, writer
-
-
-def parse_address(text: str) -> Address:
-    """Return host and port of an address in text."""
-    host, _, port = text.rpartition(':')
-    return host, int(port)
--- a/trefoilhinge/gateway/silence.py
+++ b/trefoilhinge/gateway/silence.py
@@ -4,8 +4,9 @@
 from collections.abc import Coroutine
 from typing import Protocol, TypeVar
 
+from trefoilhinge.dispatch.settings import parse_address
 from trefoilhinge.gateway.exchanges import AnswerBroken
-from trefoilhinge.gateway.links import open_link, parse_address
+from trefoilhinge.gateway.links import open_link
 
 CHECK_TIMEOUT_S = 0.5  # a target in reach accepts a connection in milliseconds
 MUTE_CHECKS = 2  # silences in a row after which a live target counts as mute
--- a/trefoilhinge/platform/settings.py
+++ b/trefoilhinge/platform/settings.py
@@ -3,7 +3,11 @@
 import json
 from typing import Any
 
-from trefoilhinge.dispatch.settings import Address, Bounds, GatewaySettings
+from trefoilhinge.dispatch.settings import (
+    Bounds,
+    GatewaySettings,
+    parse_address,
+)
 from trefoilhinge.exceptions import ImproperlyConfigured
 
 PATH_VARIABLE = 'TREFOILHINGE_CONFIG'
@@ -40,15 +44,15 @@
         instance=str(fields['nodeName']),
         ip=str(fields['ip']),
         failure_domain=str(fields['zone']),
-        entry=_read_address(listen['front']),
-        readiness=_read_address(listen['ready']),
-        control=_read_address(control) if control else None,
+        entry=parse_address(listen['front']),
+        readiness=parse_address(listen['ready']),
+        control=parse_address(control) if control else None,
         metrics=(str(fields['ip']), METRICS_PORT),
         first_port=int(fields['internalPorts'][0]),
         seeds=tuple(
-            _read_address(seed)[0] for seed in fields.get('seeds') or ()
+            parse_address(seed)[0] for seed in fields.get('seeds') or ()
         ),
-        store=_read_address(fields['platform']['address']),
+        store=parse_address(fields['platform']['address']),
         bounds=_decode_bounds(fields['bounds']),
     )
 
@@ -63,8 +67,3 @@
         hold_maximum_s=float(fields['holdMaxMs']) / MS_PER_S,
         apply_s=min(fields['drainMs'], fields['configApplyMs']) / MS_PER_S,
     )
-
-
-def _read_address(text: str) -> Address:
-    host, _, port = text.rpartition(':')
-    return host, int(port)
