Found slow targets by their pauses and kept late prompts from being overtaken.

Change: the shortest of a target's last three pauses is compared with a pass of the published figures; a pace that changed is told to all instances and counts in every placement, also for the call's own pauses. An instance tells when a waiting prompt was sent. Silence in which a target is known to read is no reason to ask it. The ends of calls and the copies between instances became modules. Tests that failed before: slow targets, late sending, a target that reads.

--- a/tests/dispatch/test_loads.py
+++ b/tests/dispatch/test_loads.py
@@ -1,13 +1,8 @@
 """Tests of what is counted at each target."""
 
 from tests.dispatch.samples import FIGURES, make_loads, make_short
-from trefoilhinge.dispatch.loads import (
-    OVERDUE_READING_S,
-    OVERDUE_S,
-    LoadView,
-    Run,
-    RunPart,
-)
+from trefoilhinge.dispatch import readings
+from trefoilhinge.dispatch.loads import OVERDUE_S, LoadView, Run, RunPart
 
 
 class TestLoadView:
@@ -106,7 +101,7 @@
         loads.start(make_joint(1), 10, 0)
         run = make_joint(2, waits_s=1)
         loads.start(run, 10, 0)
-        assert loads.find_turn_s(run, 0.5) == 1 + OVERDUE_READING_S
+        assert loads.find_turn_s(run, 0.5) == 1 + readings.OVERDUE_S
 
     def test_first_event_of_the_one_ahead_ends_the_wait(self):
         loads = LoadView()
@@ -121,7 +116,7 @@
         loads.start(make_joint(1), 10, 0)
         run = make_joint(2, waits_s=1)
         loads.start(run, 10, 0)
-        late_s = 1.1 + OVERDUE_READING_S
+        late_s = 1.1 + readings.OVERDUE_S
         assert loads.find_turn_s(run, late_s) == late_s
 
     def test_run_after_it_holds_up_nothing(self):
@@ -142,3 +137,20 @@
         loads.start(make_joint(1), 10, 0)
         loads.start(make_joint(2, waits_s=1), 10, 0)
         assert loads.find('t00').find_backlog_s(0.5) == 1.5
+
+    def test_late_sending_moves_the_end_of_the_wait(self):
+        """Seen on trouble-3: one that was sent late was overtaken at once."""
+        loads = LoadView()
+        loads.start(make_joint(1, waits_s=0.5), 10, 0)
+        run = make_joint(2, waits_s=1.5)
+        loads.start(run, 10, 0)
+        loads.note_sent(('me', 1), 1.4)
+        assert loads.find_turn_s(run, 1.9) == 2.4 + readings.OVERDUE_S
+
+    def test_prompt_that_is_never_sent_holds_up_nothing_for_long(self):
+        loads = LoadView()
+        loads.start(make_joint(1, waits_s=0.5), 10, 0)
+        run = make_joint(2, waits_s=1.5)
+        loads.start(run, 10, 0)
+        late_s = 1.6 + readings.OVERDUE_S + readings.UNSENT_S
+        assert loads.find_turn_s(run, late_s) == late_s
--- a/tests/dispatch/test_messages.py
+++ b/tests/dispatch/test_messages.py
@@ -12,6 +12,8 @@
     MAXIMUM_BYTES,
     RunEnded,
     RunStarted,
+    RunSent,
+    TargetPaced,
     RunWrites,
     TargetAvoided,
     TargetLeaves,
@@ -25,6 +27,8 @@
         '10.0.0.1', '10.0.0.1/ab12cd', 'pointe-a', 7, 99, False, ('10.0.0.2',)
     ),
     RunStarted(make_short(5, 't01'), 9.5),
+    RunSent('me', 5),
+    TargetPaced('t00', 5.0),
     RunWrites('me', 5),
     RunEnded('me', 5),
     TargetLeaves('t01', 1000, 33),
--- a/trefoilhinge/dispatch/joint.py
+++ b/trefoilhinge/dispatch/joint.py
@@ -190,6 +190,7 @@
     return (
         worth * find_lateness(first_s, plan.route.aim_s)
         + worth * WAIT_COST_PER_S * first_s
+        + worth * find_lateness(pass_s, plan.route.pause_aim_s)
         + READING_COST_PER_S * len(ordered) * pass_s
         + find_crowding(
             first,
--- a/trefoilhinge/dispatch/loads.py
+++ b/trefoilhinge/dispatch/loads.py
@@ -8,7 +8,6 @@
 from trefoilhinge.dispatch.engines import find_pass_s, find_step_s
 from trefoilhinge.dispatch.readings import Reading, ReadingQueue
 
-OVERDUE_READING_S = 0.2  # a few passes; a target that died never ends one
 OVERDUE_S = 3.0  # a run is forgotten this long after its latest possible end
 PLAIN_RUN_S = 5.0  # longest time that a plain call is counted without its end
 
@@ -81,8 +80,11 @@
 
     def find_pass_s(self, figures: EngineFigures) -> float:
         """Return seconds between two events while nothing is read."""
-        base_s = find_pass_s(figures, self.running, self.find_context())
-        return base_s * self.pace
+        return self.find_published_pass_s(figures) * self.pace
+
+    def find_published_pass_s(self, figures: EngineFigures) -> float:
+        """Return the same for a target that is as fast as published."""
+        return find_pass_s(figures, self.running, self.find_context())
 
     def find_place_wait_s(self, figures: EngineFigures, now_s: float) -> float:
         """Return seconds until a place is expected to be free."""
@@ -125,12 +127,23 @@
         for part in run.parts:
             load = self.find(part.target)
             reading_s = part.reading_s * load.pace
-            reading = _make_reading(run, reading_s, now_s)
+            reading = Reading(
+                now_s + run.waits_s,
+                reading_s,
+                is_joint=len(run.parts) > 1,
+                is_sent=not run.waits_s,
+            )
             load.readings.add(run.key, reading, now_s)
             load.memory_tokens += part.memory_tokens
             if part.has_place:
                 load.runs[run.key] = run
 
+    def note_sent(self, key: tuple[str, int], now_s: float) -> None:
+        """Take that a run which waited was sent."""
+        found = self._runs.get(key)
+        for part in found[0].parts if found else ():
+            self.find(part.target).readings.note_sent(key, now_s)
+
     def find_turn_s(self, run: Run, now_s: float) -> float:
         """Return when a run's targets have read what is ahead of it.
 
@@ -197,13 +210,3 @@
     reading_s = sum(part.reading_s for part in run.parts if part.has_place)
     writing_s = run.answer_tokens * step_s
     return run.started_s + run.waits_s + reading_s + writing_s
-
-
-def _make_reading(run: Run, reading_s: float, now_s: float) -> Reading:
-    begin_s = now_s + run.waits_s
-    return Reading(
-        begin_s,
-        reading_s,
-        begin_s + reading_s + OVERDUE_READING_S,
-        is_joint=len(run.parts) > 1,
-    )
--- a/trefoilhinge/dispatch/messages.py
+++ b/trefoilhinge/dispatch/messages.py
@@ -27,6 +27,14 @@
     lasts_s: float
 
 
+@frozen
+class RunSent:
+    """A run that waited for its turn was sent."""
+
+    origin: str
+    number: int
+
+
 @frozen
 class RunWrites:
     """A run's first event came."""
@@ -60,8 +68,23 @@
     duration_s: float
 
 
+@frozen
+class TargetPaced:
+    """A target was seen to be slower than published, or as fast again."""
+
+    name: str
+    pace: float
+
+
 Message = (
-    Word | RunStarted | RunWrites | RunEnded | TargetLeaves | TargetAvoided
+    Word
+    | RunStarted
+    | RunSent
+    | RunWrites
+    | RunEnded
+    | TargetLeaves
+    | TargetAvoided
+    | TargetPaced
 )
 
 
@@ -96,6 +119,8 @@
             ]
         case RunStarted(run, lasts_s):
             return ['r', *_list_run(run), lasts_s]
+        case RunSent(origin, number):
+            return ['s', origin, number]
         case RunWrites(origin, number):
             return ['f', origin, number]
         case RunEnded(origin, number):
@@ -104,6 +129,8 @@
             return ['l', name, born_ms, revision]
         case TargetAvoided(name, duration_s):
             return ['a', name, duration_s]
+        case TargetPaced(name, pace):
+            return ['p', name, pace]
 
 
 def _list_run(run: Run) -> list[object]:
@@ -128,6 +155,8 @@
             return _decode_word(word)
         case ['r', *run, int() | float() as lasts_s]:
             return RunStarted(_decode_run(run, now_s), _check(lasts_s))
+        case ['s', str(origin), int(number)]:
+            return RunSent(origin, number)
         case ['f', str(origin), int(number)]:
             return RunWrites(origin, number)
         case ['e', str(origin), int(number)]:
@@ -136,6 +165,8 @@
             return TargetLeaves(name, born_ms, revision)
         case ['a', str(name), int() | float() as duration_s]:
             return TargetAvoided(name, _check(duration_s))
+        case ['p', str(name), int() | float() as pace]:
+            return TargetPaced(name, _check(pace))
     raise ValueError('the message is of no known kind')
 
 
--- a/trefoilhinge/dispatch/placement.py
+++ b/trefoilhinge/dispatch/placement.py
@@ -100,6 +100,7 @@
     cost = (
         worth * find_lateness(first_s, route.aim_s)
         + worth * WAIT_COST_PER_S * first_s
+        + worth * find_lateness(load.find_pass_s(figures), route.pause_aim_s)
         + find_harm(make_exposure(one, figures, now_s), reading_s)
         + find_crowding(one, figures, worth, lacks_memory=need > room)
     )
--- a/trefoilhinge/gateway/attempts.py
+++ b/trefoilhinge/gateway/attempts.py
@@ -1,6 +1,7 @@
 """Offers of one call to targets, until one answers or none may be asked."""
 
 import asyncio
+import functools
 
 from attrs import define, field
 
@@ -8,7 +9,6 @@
 from trefoilhinge.dispatch.documents import CallKind
 from trefoilhinge.dispatch.health import Outcome
 from trefoilhinge.dispatch.joint import Placement
-from trefoilhinge.exceptions import TrefoilhingeError
 from trefoilhinge.gateway.beliefs import Beliefs
 from trefoilhinge.gateway.callers import CallerConnection, Refusal
 from trefoilhinge.gateway.exchange import PeerExchange
@@ -19,6 +19,12 @@
     open_exchange,
 )
 from trefoilhinge.gateway.offers import OfferNotes
+from trefoilhinge.gateway.endings import (
+    CallFailed,
+    describe_end,
+    describe_no_target,
+    describe_timeout,
+)
 from trefoilhinge.gateway.placing import find_placement
 from trefoilhinge.gateway.progress import CallProgress
 from trefoilhinge.gateway.relays import AnswerRelay
@@ -30,8 +36,6 @@
 MAXIMUM_UNREACHABLE = 8  # connections that could not be opened
 MAXIMUM_FAULTS = 10  # offers that named another target which could not help
 REJECTED_PAUSE_S = 0.03  # before the next target is asked, for news to come
-BUSY_RETRY_S = 0.7  # until a short stream has freed a place
-NO_TARGET_RETRY_S = 1.0  # until a target that starts is in the store
 LEAST_PATIENCE_S = 0.6  # a few passes of an engine
 PLAIN_PATIENCE_S = 0.25  # of a plain call, several times what it takes
 PATIENCE_FACTOR = 1.5  # of the time that was predicted
@@ -39,15 +43,6 @@
 LOWEST_PRIORITY = 9  # the platform's ranks end there
 
 
-class CallFailed(TrefoilhingeError):
-    """No answer can be had; the refusal tells the caller so."""
-
-    def __init__(self, refusal: Refusal) -> None:
-        """Keep what the caller is told."""
-        super().__init__(refusal.code)
-        self.refusal = refusal
-
-
 @define
 class Attempts:
     """One call's offers."""
@@ -91,13 +86,7 @@
 
     def describe_timeout(self) -> Refusal:
         """Return what a caller is told whose time is over."""
-        if self.progress.runs:
-            return Refusal(
-                504, 'time_over', 'may_have_run', 'no answer came in time'
-            )
-        return Refusal(
-            503, 'time_over', 'not_run', 'no target could be asked in time'
-        )
+        return describe_timeout(self.progress)
 
     def close(self) -> None:
         """Drop whatever is still open."""
@@ -112,15 +101,7 @@
     def _place(self) -> Placement:
         placement = find_placement(self._beliefs, self._call, self._excluded)
         if placement is None:
-            raise CallFailed(
-                Refusal(
-                    502 if self.progress.runs else 503,
-                    'no_target',
-                    'may_have_run' if self.progress.runs else 'not_run',
-                    'no target can take the call now',
-                    NO_TARGET_RETRY_S,
-                )
-            )
+            raise CallFailed(describe_no_target(self.progress))
         return placement
 
     def _has_budget(self) -> bool:
@@ -153,6 +134,9 @@
         exchange = await open_exchange(record.address)
         self._exchange = exchange
         exchange.patience_s = self._find_patience_s(placement)
+        exchange.find_backlog_s = functools.partial(
+            self._find_backlog_s, target
+        )
         offer = self._make_offer(target, helpers)
         self._notes.note_sent(placement, offer)
         exchange.send(self._call, offer)
@@ -208,6 +192,10 @@
             return PLAIN_PATIENCE_S
         return LEAST_PATIENCE_S + PATIENCE_FACTOR * placement.first_event_s
 
+    def _find_backlog_s(self, target: str) -> float:
+        load = self._beliefs.loads.find(target)
+        return load.find_backlog_s(self._beliefs.get_now_s())
+
     async def _take_answer(self, target: str, exchange: TargetExchange) -> bool:
         head = await exchange.read_head(self._call.head.request_id)
         if head.not_run:
@@ -221,7 +209,9 @@
         if head.is_success and self._call.route.kind is CallKind.stream:
             pause_s = self._call.route.pause_aim_s * PAUSE_FACTOR
             exchange.patience_s = max(LEAST_PATIENCE_S, pause_s)
-            await self._relay.relay_stream(exchange, head, self._note_event)
+            await self._relay.relay_stream(
+                exchange, head, functools.partial(self._note_event, target)
+            )
             self._notes.note_outcome(target, Outcome.served)
             return True
         return await self._take_whole(target, head, await exchange.read_whole())
@@ -275,9 +265,11 @@
         if self.progress.unreachable > 1:
             await asyncio.sleep(REJECTED_PAUSE_S * self.progress.unreachable)
 
-    def _note_event(self) -> None:
+    def _note_event(self, target: str) -> None:
         now_s = self._beliefs.get_now_s()
-        self.progress.note_event(now_s)
+        pause_s = self.progress.note_event(now_s)
+        if pause_s is not None and self._runs.writes:
+            self._notes.note_pause(target, pause_s)
         self._runs.note_event(now_s)
 
     async def _give_up(self, reason: str) -> None:
@@ -285,13 +277,7 @@
         if self._failure is not None and not self.progress.has_begun:
             await self._send_answer(*self._failure)
             return
-        if self.progress.runs:
-            raise CallFailed(
-                Refusal(502, 'answer_lost', 'may_have_run', reason)
-            )
-        raise CallFailed(
-            Refusal(503, 'targets_full', 'not_run', reason, BUSY_RETRY_S)
-        )
+        raise CallFailed(describe_end(self.progress, reason))
 
 
 def make_attempts(
--- a/trefoilhinge/gateway/beliefs.py
+++ b/trefoilhinge/gateway/beliefs.py
@@ -9,6 +9,7 @@
 from trefoilhinge.dispatch.documents import FleetDocument
 from trefoilhinge.dispatch.health import TargetHealth
 from trefoilhinge.dispatch.loads import LoadView
+from trefoilhinge.dispatch.paces import PaceTable
 from trefoilhinge.dispatch.peers import PeerTable
 from trefoilhinge.dispatch.settings import GatewaySettings
 from trefoilhinge.dispatch.targets import TargetDirectory
@@ -42,6 +43,7 @@
     loads: LoadView = field(factory=LoadView)
     turns: Turns = field(init=False)
     health: TargetHealth = field(factory=TargetHealth)
+    paces: PaceTable = field(factory=PaceTable)
     is_stopping: bool = False
     stops_s: float = float('inf')
     settles_s: float = float('inf')
--- a/trefoilhinge/gateway/daemon.py
+++ b/trefoilhinge/gateway/daemon.py
@@ -13,7 +13,8 @@
 from trefoilhinge.exceptions import ImproperlyConfigured
 from trefoilhinge.gateway.beliefs import Beliefs, make_beliefs
 from trefoilhinge.gateway.callers import DEFAULT_LIMITS, CallerConnection
-from trefoilhinge.gateway.exchange import PeerExchange, answer_peer
+from trefoilhinge.gateway.copies import answer_peer
+from trefoilhinge.gateway.exchange import PeerExchange
 from trefoilhinge.gateway.pages import Answer, Page, serve_pages
 from trefoilhinge.gateway.reading import StoreReader
 from trefoilhinge.gateway.serving import CallService
--- /dev/null
+++ b/trefoilhinge/gateway/endings.py
@@ -0,0 +1,46 @@
+"""What a caller is told whose call no target answered."""
+
+from trefoilhinge.exceptions import TrefoilhingeError
+from trefoilhinge.gateway.callers import Refusal
+from trefoilhinge.gateway.progress import CallProgress
+
+BUSY_RETRY_S = 0.7  # until a short stream has freed a place
+NO_TARGET_RETRY_S = 1.0  # until a target that starts is in the store
+
+
+class CallFailed(TrefoilhingeError):
+    """No answer can be had; the refusal tells the caller so."""
+
+    def __init__(self, refusal: Refusal) -> None:
+        """Keep what the caller is told."""
+        super().__init__(refusal.code)
+        self.refusal = refusal
+
+
+def describe_timeout(progress: CallProgress) -> Refusal:
+    """Return the end of a call whose time is over."""
+    if progress.runs:
+        return Refusal(
+            504, 'time_over', 'may_have_run', 'no answer came in time'
+        )
+    return Refusal(
+        503, 'time_over', 'not_run', 'no target could be asked in time'
+    )
+
+
+def describe_no_target(progress: CallProgress) -> Refusal:
+    """Return the end of a call that no target can take."""
+    return Refusal(
+        502 if progress.runs else 503,
+        'no_target',
+        'may_have_run' if progress.runs else 'not_run',
+        'no target can take the call now',
+        NO_TARGET_RETRY_S,
+    )
+
+
+def describe_end(progress: CallProgress, reason: str) -> Refusal:
+    """Return the end of a call that was offered often enough."""
+    if progress.runs:
+        return Refusal(502, 'answer_lost', 'may_have_run', reason)
+    return Refusal(503, 'targets_full', 'not_run', reason, BUSY_RETRY_S)
--- a/trefoilhinge/gateway/exchange.py
+++ b/trefoilhinge/gateway/exchange.py
@@ -1,20 +1,20 @@
 """Words between instances: datagrams, and documents fetched over TCP."""
 
 import asyncio
-import json
 from typing import Any, cast
 
 from attrs import define, field
-from expression import Error, Ok, Result
 
 from trefoilhinge.dispatch.loads import Run
 from trefoilhinge.dispatch.messages import (
     Message,
     RunEnded,
+    RunSent,
     RunStarted,
     RunWrites,
     TargetAvoided,
     TargetLeaves,
+    TargetPaced,
     decode_message,
     encode_message,
 )
@@ -22,16 +22,18 @@
 from trefoilhinge.dispatch.spreading import list_hops
 from trefoilhinge.dispatch.targets import TargetRecord
 from trefoilhinge.gateway.beliefs import Beliefs
+from trefoilhinge.gateway.copies import (
+    DOCUMENT_PATH,
+    TARGETS_PATH,
+    take_targets,
+)
 from trefoilhinge.gateway.fetching import FetchFailed, fetch
-from trefoilhinge.gateway.pages import Page
 
 FIRST_PAUSE_S = 0.1  # until another instance was heard
 FIRST_WORDS = 30  # sent at that pace at the most
 FETCH_TIMEOUT_S = 2.0
 RUN_RETOLD_S = 15.0  # longest time that a retold run may last
 HAND_ON = b'\xc1'  # before a message to hand on; no MessagePack begins so
-DOCUMENT_PATH = '/document'
-TARGETS_PATH = '/targets'
 
 
 @define
@@ -68,6 +70,10 @@
         """Tell that a run was sent."""
         self._tell(RunStarted(run, lasts_s))
 
+    def tell_sent(self, run: Run) -> None:
+        """Tell that a run that waited was sent."""
+        self._tell(RunSent(run.origin, run.number))
+
     def tell_writes(self, run: Run) -> None:
         """Tell that a run's first event came."""
         self._tell(RunWrites(run.origin, run.number))
@@ -95,6 +101,10 @@
         """Tell that a target is to be avoided for a while."""
         self._tell(TargetAvoided(name, duration_s))
 
+    def tell_pace(self, name: str, pace: float) -> None:
+        """Tell how slow a target was seen to be."""
+        self._tell(TargetPaced(name, pace))
+
     async def speak(self) -> None:
         """Send this instance's word to all instances, for ever."""
         while True:
@@ -159,6 +169,8 @@
                 self._take_word(message, now_s)
             case RunStarted(run, lasts_s):
                 loads.start(run, now_s + lasts_s, now_s)
+            case RunSent(origin, number):
+                loads.note_sent((origin, number), now_s)
             case RunWrites(origin, number):
                 loads.note_first_event((origin, number), now_s)
                 self._beliefs.turns.note_news()
@@ -167,6 +179,8 @@
                 self._beliefs.turns.note_news()
             case TargetAvoided(name, duration_s):
                 self._beliefs.health.avoid(name, duration_s, now_s)
+            case TargetPaced(name, pace):
+                self._beliefs.paces.take(name, pace, now_s)
             case TargetLeaves():
                 self._take_leaving(message)
 
@@ -231,58 +245,3 @@
             beliefs.log.write(
                 'peer_fetch_failed', peer=ip, path=path, problem=taken.error
             )
-
-
-def answer_peer(beliefs: Beliefs, path: str) -> Page:
-    """Answer another instance's question."""
-    if path == DOCUMENT_PATH and beliefs.document_bytes:
-        return Page(200, beliefs.document_bytes, 'application/json')
-    if path == TARGETS_PATH:
-        return Page(200, write_targets(beliefs), 'application/json')
-    return Page(404)
-
-
-def write_targets(beliefs: Beliefs) -> bytes:
-    """Return the targets as one message."""
-    directory = beliefs.directory
-    targets = [
-        [
-            record.name,
-            record.service,
-            record.address,
-            record.failure_domain,
-            record.places,
-            (record.name, record.born_ms) in directory.left,
-            record.born_ms,
-            record.sequence,
-            record.revision,
-        ]
-        for record in directory.records.values()
-    ]
-    return json.dumps(
-        {'revision': directory.revision, 'targets': targets}
-    ).encode()
-
-
-def take_targets(beliefs: Beliefs, content: bytes) -> Result[int, str]:
-    """Take another instance's targets; return how many it named."""
-    try:
-        fields = json.loads(content)
-        records = [TargetRecord(*entry) for entry in fields['targets']]
-        revision = int(fields['revision'])
-    except (KeyError, TypeError, ValueError) as problem:
-        return Error(f'{type(problem).__name__}: {problem}')
-    directory = beliefs.directory
-    if revision <= directory.revision:
-        return Ok(0)
-    now_s = beliefs.get_now_s()
-    named = {record.name for record in records}
-    for name in set(directory.records) - named:
-        directory.note_gone(name, now_s)
-    for record in records:
-        directory.note_record(record)
-    directory.revision = revision
-    beliefs.log.write(
-        'targets_taken', source='peer', revision=revision, count=len(records)
-    )
-    return Ok(len(records))
--- a/trefoilhinge/gateway/exchanges.py
+++ b/trefoilhinge/gateway/exchanges.py
@@ -1,7 +1,7 @@
 """One call at one target: the request sent, the answer read strictly."""
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 
 import h11
 from attrs import define, field
@@ -27,6 +27,11 @@
 class TargetExchange:
     """A call on a connection of its own.
 
+    :ivar patience_s: seconds of silence that are expected besides.
+    :ivar heard_s: monotonic seconds at which the target was last heard.
+    :ivar find_backlog_s: seconds in which it reads what is known to come
+        first, and writes nothing.
+
     A fresh connection carries no late answer of an earlier call and has not
     fallen silent, so that a call that may run once is never in doubt because
     of the connection's past.
@@ -37,6 +42,7 @@
     _writer: asyncio.StreamWriter
     patience_s: float = 0
     heard_s: float = 0
+    find_backlog_s: Callable[[], float] = float
     _parser: h11.Connection = field(factory=lambda: h11.Connection(h11.CLIENT))
 
     def send(self, call: Call, offer: Offer) -> None:
--- a/trefoilhinge/gateway/offers.py
+++ b/trefoilhinge/gateway/offers.py
@@ -7,6 +7,7 @@
 from trefoilhinge.dispatch.joint import Placement
 from trefoilhinge.gateway.beliefs import Beliefs
 from trefoilhinge.gateway.exchange import PeerExchange
+from trefoilhinge.gateway.placing import find_figures
 from trefoilhinge.gateway.progress import CallProgress
 
 FAULT_AVOID_S = 3.0  # of a helper that is gone or leaves; the store says more
@@ -66,6 +67,30 @@
             self._beliefs.counters.add('targets_avoided')
             self._write('target_avoided', target=target, outcome=outcome.value)
 
+    def note_pause(self, target: str, pause_s: float) -> None:
+        """Take a pause of the target's stream, for the target's pace.
+
+        A pause in which prompts were read says nothing of it.
+        """
+        now_s = self._beliefs.get_now_s()
+        load = self._beliefs.loads.find(target)
+        figures = find_figures(self._beliefs, self._call.service)
+        if figures is None or load.readings.busy_until_s > now_s - pause_s:
+            return
+        expected_s = load.find_published_pass_s(figures)
+        pace = self._beliefs.paces.note_pause(
+            target, pause_s, expected_s, now_s
+        )
+        if pace is not None:
+            self._peers.tell_pace(target, pace)
+            self._write(
+                'target_paced',
+                target=target,
+                pace=pace,
+                pause_s=pause_s,
+                expected_s=expected_s,
+            )
+
     def note_unreachable(self, placement: Placement, problem: str) -> None:
         """Take that no connection to the target could be opened."""
         target = placement.parts[0].target
--- a/trefoilhinge/gateway/placing.py
+++ b/trefoilhinge/gateway/placing.py
@@ -32,6 +32,9 @@
     found = [records[name] for name in fresh or usable]
     figures = find_figures(beliefs, call.service)
     if call.head.prompt is not None and figures is not None:
+        for record in found:
+            pace = beliefs.paces.find(record.name, now_s)
+            beliefs.loads.find(record.name).pace = pace
         return place_prompt(
             list_candidates(found, beliefs.loads),
             figures,
--- a/trefoilhinge/gateway/progress.py
+++ b/trefoilhinge/gateway/progress.py
@@ -31,11 +31,16 @@
     longest_pause_s: float = 0
     _event_at_s: float = 0
 
-    def note_event(self, now_s: float) -> None:
-        """Take that events went to the caller."""
+    def note_event(self, now_s: float) -> float | None:
+        """Take that events went to the caller.
+
+        :return: seconds since the events before, none if these are the first.
+        """
+        pause_s = None
         if self.first_event_s is None:
             self.first_event_s = now_s - self.arrived_s
         else:
             pause_s = now_s - self._event_at_s
             self.longest_pause_s = max(self.longest_pause_s, pause_s)
         self._event_at_s = now_s
+        return pause_s
--- a/trefoilhinge/gateway/runs.py
+++ b/trefoilhinge/gateway/runs.py
@@ -12,13 +12,16 @@
 
 @define
 class RunKeeper:
-    """The run of a call that is in progress, if one is."""
+    """The run of a call that is in progress, if one is.
+
+    :ivar writes: whether its first event came.
+    """
 
     _beliefs: Beliefs
     _peers: PeerExchange
     _call: Call
     _run: Run | None = None
-    _writes: bool = False
+    writes: bool = False
 
     def start(self, placement: Placement) -> None:
         """Count a run at a placement and tell the other instances."""
@@ -35,21 +38,26 @@
             started_s=now_s,
             waits_s=placement.waits_s,
         )
-        self._writes = False
+        self.writes = False
         lasts_s = max(0, self._call.ends_s - now_s)
         self._beliefs.loads.start(self._run, now_s + lasts_s, now_s)
         self._peers.tell_start(self._run, lasts_s)
 
     async def wait_turn(self) -> None:
         """Wait until the targets have read what is ahead of the run."""
-        if self._run is not None and len(self._run.parts) > 1:
-            await self._beliefs.turns.wait(self._run)
+        if self._run is None or len(self._run.parts) == 1:
+            return
+        await self._beliefs.turns.wait(self._run)
+        if self._run.waits_s:
+            now_s = self._beliefs.get_now_s()
+            self._beliefs.loads.note_sent(self._run.key, now_s)
+            self._peers.tell_sent(self._run)
 
     def note_event(self, now_s: float) -> None:
         """Take an event; the first shows that the prompt was read."""
-        if self._run is None or self._writes:
+        if self._run is None or self.writes:
             return
-        self._writes = True
+        self.writes = True
         self._beliefs.loads.note_first_event(self._run.key, now_s)
         if len(self._run.parts) > 1:
             self._peers.tell_writes(self._run)
--- a/trefoilhinge/gateway/serving.py
+++ b/trefoilhinge/gateway/serving.py
@@ -11,13 +11,10 @@
     FleetDocument,
 )
 from trefoilhinge.dispatch.durations import find_duration_s
-from trefoilhinge.gateway.attempts import (
-    Attempts,
-    CallFailed,
-    make_attempts,
-)
+from trefoilhinge.gateway.attempts import Attempts, make_attempts
 from trefoilhinge.gateway.beliefs import Beliefs
 from trefoilhinge.gateway.callers import CallerConnection, Refusal
+from trefoilhinge.gateway.endings import CallFailed
 from trefoilhinge.gateway.exchange import PeerExchange
 
 START_RETRY_S = 0.3  # an instance that starts knows its document by then
--- a/trefoilhinge/gateway/silence.py
+++ b/trefoilhinge/gateway/silence.py
@@ -29,6 +29,9 @@
     def patience_s(self) -> float:
         """Return seconds of silence that are expected of it."""
 
+    def find_backlog_s(self) -> float:
+        """Return seconds in which it is known to read and to write nothing."""
+
 
 async def await_answer(
     work: Coroutine[object, object, Answer],
@@ -59,6 +62,8 @@
             checks = 0
         since_s = max(watched.heard_s, checked_s)
         wait_s = since_s + watched.patience_s - loop.time()
+        # A long reading may have come after the call itself.
+        wait_s = max(wait_s, watched.find_backlog_s())
         if wait_s > 0:
             await asyncio.wait((task,), timeout=wait_s)
             continue
--- a/trefoilhinge/measure/passes.py
+++ b/trefoilhinge/measure/passes.py
@@ -62,12 +62,16 @@
 
 @define
 class _Live:
-    """A call that was placed."""
+    """A call that was placed.
+
+    :ivar look_s: seconds at which its turn comes at the latest.
+    """
 
     arrival: Arrival
     run: Run
     placement: Placement
     prompt: Prompt
+    look_s: float = 0
 
 
 @define
@@ -134,12 +138,15 @@
     def _send_waiting(self, now_s: float) -> None:
         for live in tuple(self._waiting):
             turn_s = now_s
-            if len(live.run.parts) > 1:
+            if live.run.waits_s:
                 turn_s = self.loads.find_turn_s(live.run, now_s)
             if turn_s > now_s:
-                self._push(turn_s, None)
+                if turn_s != live.look_s:
+                    live.look_s = turn_s
+                    self._push(turn_s, None)
             else:
                 self._waiting.remove(live)
+                self.loads.note_sent(live.run.key, now_s)
                 self._send(live, now_s)
 
     def _send(self, live: _Live, now_s: float) -> None:
