Added a soak of real instances beside stand-ins, with faults from outside.

Change: trefoilhinge soak starts instances as processes, stand-ins of the store and of targets, callers that keep their connections and loopback proxies; a seed draws kills, pauses, stops, reloads, changes, revoked keys, leaving targets, lost answers, torn streams, mute and full targets, and connections that are delayed, reset, silenced or cut one way, in series that overlap. What callers and targets saw is checked against the promises. The stand-ins of the gateway's tests moved beside it; formats of the other side of the platform stand in a folder of their own below the adapter. Clocks that step are not played.

--- a/tests/gateway/documents.py
+++ b/tests/gateway/documents.py
@@ -4,6 +4,10 @@
 import os
 
 from trefoilhinge.dispatch.settings import Bounds, GatewaySettings
+from trefoilhinge.platform.standins.published import (
+    encode_document,
+    encode_route,
+)
 
 # Each test process has loopback addresses of its own, so that none meets
 # another's ports.
@@ -47,51 +51,7 @@
 
 def make_document(version=1, **fields):
     """Return a configuration as the operator writes it."""
-    engine = {
-        'slots': 8,
-        'kvCapacity': 232000,
-        'stride': 43,
-        'step_ms': 1.02,
-        'per_seq_ms': 0.00452,
-        'context_per_k': 0.00431,
-        'read_per_s': 206000.0,
-        'pairs_per_m': 0.138,
-        'chunk': 2048,
-    }
-    document = {
-        'version': version,
-        'routes': [
-            make_route('stream', 'stream', 'model', 300, resumable=True),
-            make_route('book', 'non_idempotent', 'desk', 100, attempts=1),
-            make_route('look', 'idempotent', 'desk', 100),
-        ],
-        'services': [
-            {'name': 'model', 'maxConns': 100, 'engine': engine},
-            {'name': 'desk', 'maxConns': 100},
-        ],
-        'limits': {
-            'maxHeaderBytes': 16384,
-            'maxBodyBytes': 100000,
-            'headerTimeoutMs': 1000,
-            'idleTimeoutMs': 2000,
-        },
-        'tenants': [{'name': 'mill', 'apiKeys': ['key-1'], 'priority': 1}],
-    }
-    return {**document, **fields}
+    return {**encode_document(version, {'key-1': 'mill'}), **fields}
 
 
-def make_route(name, kind, service, aim_ms, **fields):
-    """Return a route as the operator writes it."""
-    usual = {
-        'name': name,
-        'host': 'desk.example',
-        'prefix': f'/{name}/',
-        'kind': kind,
-        'timeoutMs': 3000,
-        'sloMs': aim_ms,
-        'priority': 1,
-        'service': service,
-        'attempts': 2,
-        'gapAimMs': 250,
-    }
-    return {**usual, **fields}
+make_route = encode_route
--- a/tests/gateway/targets.py
+++ b/tests/gateway/targets.py
@@ -6,9 +6,8 @@
 from attrs import define, field
 
 from tests.gateway.documents import HOST, find_port
-from tests.gateway.http import serve_http
-
-SEAL = ('X-Server-Seal', 'seal-1')
+from trefoilhinge.platform.standins.published import SEAL
+from trefoilhinge.standins.listeners import serve_http
 
 
 @define
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the soak of real instances."""
--- /dev/null
+++ b/tests/soak/variants.py
@@ -0,0 +1,67 @@
+"""Broken variants of an instance: ``python -m tests.soak.variants NAME``."""
+
+import asyncio
+import sys
+
+from trefoilhinge.gateway import attempts, beliefs, daemon, relays
+from trefoilhinge.gateway.callers import Refusal
+from trefoilhinge.gateway.exchanges import AnswerBroken
+from trefoilhinge.gateway.reservations import Reservations
+
+
+def send_twice():
+    """Offer a call again whose outcome is unknown."""
+    attempts.Attempts._may_repeat = lambda self: self.progress.runs < 2
+
+
+def refuse_falsely():
+    """Say that a call did not run, whatever became of it."""
+
+    def describe(progress, reason):
+        return Refusal(503, 'targets_full', 'not_run', reason, 0.5)
+
+    attempts.describe_end = describe
+
+
+def join_torn():
+    """End a torn stream as if it were whole."""
+    relay = relays.AnswerRelay.relay_stream
+
+    async def relay_torn(self, exchange, head, note_event):
+        try:
+            await relay(self, exchange, head, note_event)
+        except AnswerBroken:
+            self._begin(head)
+            await self._caller.finish()
+
+    relays.AnswerRelay.relay_stream = relay_torn
+
+
+def keep_memory():
+    """Never release a reservation, and go on renewing it."""
+    Reservations.release = lambda self: None
+
+
+def ignore_changes():
+    """Keep the first document."""
+    accept = beliefs.Beliefs.accept_document
+
+    def keep(self, content, source):
+        return self.document is None and accept(self, content, source)
+
+    beliefs.Beliefs.accept_document = keep
+
+
+def stop_at_once():
+    """End at the order to stop."""
+
+    async def stop(self):
+        await asyncio.sleep(0)
+        self._stopped.set()
+
+    daemon.Gateway._stop = stop
+
+
+if __name__ == '__main__':
+    globals()[sys.argv[1]]()
+    daemon.run_gateway()
--- a/trefoilhinge/client/arguments.py
+++ b/trefoilhinge/client/arguments.py
@@ -7,6 +7,7 @@
 
 from trefoilhinge.exceptions import ImproperlyConfigured
 
+MOST_MINUTES = 1440  # a day
 _MOST_DIGITS = 15
 _HELP = frozenset(('--help', '-h'))
 # Separators of the library, which are no values.
@@ -52,6 +53,22 @@
     return int(text)
 
 
+def read_minutes(value: str) -> float:
+    """Return a number of minutes above zero.
+
+    :raises ImproperlyConfigured: the value is none.
+    """
+    try:
+        minutes = float(value)
+    except ValueError:
+        minutes = 0
+    if not 0 < minutes <= MOST_MINUTES:
+        raise ImproperlyConfigured(
+            f'--minutes is {value!r}; write a number from 0 to {MOST_MINUTES}'
+        )
+    return minutes
+
+
 def read_choice(value: str, name: str, choices: tuple[str, ...]) -> str:
     """Return a value that must be one of some.
 
--- a/trefoilhinge/client/commands.py
+++ b/trefoilhinge/client/commands.py
@@ -5,7 +5,9 @@
 """
 
 import inspect
+import pathlib
 import sys
+import tempfile
 from collections.abc import Callable
 
 import fire
@@ -16,6 +18,7 @@
     quote_arguments,
     read_choice,
     read_count,
+    read_minutes,
     read_switch,
     wants_help,
 )
@@ -35,6 +38,11 @@
 from trefoilhinge.gateway.daemon import run_gateway
 from trefoilhinge.measure.commands import print_measure, read_options
 from trefoilhinge.measure.growth import print_growth
+from trefoilhinge.soak.commands import (
+    SECONDS_PER_MINUTE,
+    SoakRequest,
+    print_soak,
+)
 
 # Commands whose flags are the settings, which their help lists.
 _TAKE_SETTINGS = frozenset(('entry', 'check-settings', 'check_settings'))
@@ -174,6 +182,30 @@
         asked = read_options(options)
         self._chosen.job = lambda: print_measure(asked)
 
+    def soak(
+        self,
+        seed: str = '0',
+        minutes: str = '0.5',
+        seeds: str = '1',
+        folder: str = '',
+    ) -> None:
+        """Run real instances beside stand-ins, with faults from outside.
+
+        Exits with 1 if a promise is broken.
+
+        :param seed: first seed; each has its own faults.
+        :param minutes: minutes of traffic for each seed.
+        :param seeds: how many seeds to run, one after the other.
+        :param folder: where logs and settings go; empty makes a new one.
+        """
+        request = SoakRequest(
+            seed=read_count(seed, 'seed'),
+            seconds=read_minutes(minutes) * SECONDS_PER_MINUTE,
+            folder=pathlib.Path(folder or tempfile.mkdtemp(prefix='soak-')),
+        )
+        count = read_count(seeds, 'seeds')
+        self._chosen.job = lambda: print_soak(request, count)
+
     def demo(self, once: bool = False) -> None:
         """Run a small deployment on loopback with stand-ins.
 
--- a/trefoilhinge/platform/store.py
+++ b/trefoilhinge/platform/store.py
@@ -15,6 +15,9 @@
 STATES = frozenset(('ready', 'draining'))
 HISTORY_GONE = 410
 NOT_FOUND = 404
+ITEM_PATH = '/kv-key'
+LIST_PATH = '/kv-range'
+WATCH_PATH = '/kv-watch'
 
 
 @frozen
@@ -40,7 +43,7 @@
 
 def make_item_path(key: str) -> str:
     """Return the path that reads one item."""
-    return f'/kv-key?{urlencode({"key": key})}'
+    return f'{ITEM_PATH}?{urlencode({"key": key})}'
 
 
 def make_list_path(prefix: str, after_key: str) -> str:
@@ -48,7 +51,7 @@
     query = {'prefix': prefix}
     if after_key:
         query['after'] = after_key
-    return f'/kv-range?{urlencode(query)}'
+    return f'{LIST_PATH}?{urlencode(query)}'
 
 
 def make_watch_path(prefix: str, revision: int, wait_s: float) -> str:
@@ -58,7 +61,7 @@
         'after': revision,
         'waitMs': int(wait_s * 1000),
     }
-    return f'/kv-watch?{urlencode(query)}'
+    return f'{WATCH_PATH}?{urlencode(query)}'
 
 
 def decode_item(content: bytes) -> Result[StorePage, str]:
--- /dev/null
+++ b/trefoilhinge/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Real instances beside stand-ins, with faults from outside, checked."""
--- /dev/null
+++ b/trefoilhinge/soak/commands.py
@@ -0,0 +1,157 @@
+"""The ``soak`` command."""
+
+import asyncio
+import contextlib
+import functools
+import pathlib
+import random
+import time
+from collections import Counter
+from collections.abc import Iterator, Sequence
+
+from attrs import evolve, frozen
+
+from trefoilhinge.exceptions import TrefoilhingeError
+from trefoilhinge.gateway.fetching import FetchFailed, fetch
+from trefoilhinge.soak.callers import DEADLINE_S, GAVE_UP_S, SoakCaller
+from trefoilhinge.soak.fleets import SoakFleet, make_fleet
+from trefoilhinge.soak.happenings import carry_out
+from trefoilhinge.soak.instances import PROGRAM
+from trefoilhinge.soak.ledgers import FREE_S, Violation
+from trefoilhinge.soak.plans import Entry, draw_plan
+
+READY_S = 15.0  # for all instances to be ready
+READY_LOOK_S = 0.2
+SECONDS_PER_MINUTE = 60
+NETWORKS = 254  # fleets side by side that meet nowhere
+SHOWN = 20  # violations that are printed
+
+
+class SoakFailed(TrefoilhingeError):
+    """The fleet did not become ready."""
+
+
+@frozen
+class SoakRequest:
+    """What to run.
+
+    :ivar folder: where logs and settings stay.
+    :ivar program: interpreter's arguments of an instance.
+    :ivar plan: what happens; none draws it from the seed.
+    """
+
+    seed: int
+    seconds: float
+    folder: pathlib.Path
+    program: tuple[str, ...] = PROGRAM
+    plan: tuple[Entry, ...] | None = None
+
+
+@frozen
+class SoakResult:
+    """What a soak showed."""
+
+    seed: int
+    entries: int
+    calls: Counter[str]
+    violations: list[Violation]
+
+
+def run_soak(request: SoakRequest) -> SoakResult:
+    """Run one soak."""
+    return asyncio.run(_run(request))
+
+
+def print_soak(request: SoakRequest, seeds: int) -> int:
+    """Run soaks of seeds one after the other; return an exit code."""
+    failed = 0
+    for number in range(seeds):
+        one = evolve(request, seed=request.seed + number)
+        soak = run_soak(one)
+        failed += bool(soak.violations)
+        outcomes = ' '.join(
+            f'{name}={count}' for name, count in sorted(soak.calls.items())
+        )
+        print(
+            f'seed={soak.seed} entries={soak.entries} '
+            f'violations={len(soak.violations)} {outcomes}',
+            flush=True,
+        )
+        for violation in soak.violations[:SHOWN]:
+            print(
+                f'  {violation.promise} {violation.request_id}: '
+                f'{violation.detail}'
+            )
+    return int(failed > 0)
+
+
+async def _run(request: SoakRequest) -> SoakResult:
+    request.folder.mkdir(parents=True, exist_ok=True)
+    fleet = make_fleet(
+        request.folder, 1 + request.seed % NETWORKS, request.program
+    )
+    plan: Sequence[Entry] | None = request.plan
+    if plan is None:
+        plan = draw_plan(request.seed, request.seconds)
+    with contextlib.closing(fleet):
+        await fleet.start()
+        await _wait_ready(fleet)
+        callers = list(_make_callers(fleet, request.seed))
+        tasks = [asyncio.ensure_future(caller.run()) for caller in callers]
+        await _follow_plan(fleet, plan, request.seconds)
+        for caller in callers:
+            caller.stops = True
+        await asyncio.wait(tasks, timeout=DEADLINE_S + GAVE_UP_S + 1)
+        quiet_s = time.monotonic()
+        await asyncio.sleep(FREE_S + 1)
+        for target in fleet.targets:
+            fleet.ledger.kept_tickets.extend(
+                target.list_kept(time.monotonic(), quiet_s)
+            )
+    calls = Counter(
+        'whole' if call.is_whole and call.status == 200 else str(call.status)
+        for call in fleet.ledger.calls
+    )
+    return SoakResult(
+        request.seed, len(plan), calls, fleet.ledger.find_violations()
+    )
+
+
+async def _follow_plan(
+    fleet: SoakFleet, plan: Sequence[Entry], seconds: float
+) -> None:
+    began_s = time.monotonic()
+    tasks = []
+    for entry in plan:
+        await asyncio.sleep(max(0, began_s + entry.at_s - time.monotonic()))
+        tasks.append(asyncio.ensure_future(carry_out(fleet, entry)))
+    await asyncio.sleep(max(0, began_s + seconds - time.monotonic()))
+    await asyncio.gather(*tasks)
+
+
+async def _wait_ready(fleet: SoakFleet) -> None:
+    latest_s = time.monotonic() + READY_S
+    for instance in fleet.instances:
+        while not await _is_ready(instance.readiness):
+            if time.monotonic() > latest_s:
+                raise SoakFailed(f'{instance.name} did not become ready')
+            await asyncio.sleep(READY_LOOK_S)
+
+
+async def _is_ready(address: tuple[str, int]) -> bool:
+    try:
+        fetched = await fetch(address, '/ready', 1)
+    except FetchFailed:
+        return False
+    return fetched.status == 200
+
+
+def _make_callers(fleet: SoakFleet, seed: int) -> Iterator[SoakCaller]:
+    for number, key in enumerate(sorted(fleet.keys)):
+        yield SoakCaller(
+            key,
+            fleet.instances,
+            fleet.ledger,
+            random.Random(seed * len(fleet.keys) + number),
+            functools.partial(fleet.ended_keys.get, key),
+        )
--- /dev/null
+++ b/trefoilhinge/soak/fleets.py
@@ -0,0 +1,137 @@
+"""Instances, stand-ins and proxies of one soak, and what happens to them."""
+
+import pathlib
+import time
+
+from attrs import define, field
+
+from trefoilhinge.platform import store
+from trefoilhinge.platform.standins import published
+from trefoilhinge.soak.instances import PROGRAM, Instance
+from trefoilhinge.soak.ledgers import Ledger
+from trefoilhinge.soak.proxies import Proxy
+from trefoilhinge.soak.stores import StoreStandIn
+from trefoilhinge.soak.targets import SoakTarget
+
+INSTANCES = 4
+MODELS = 4
+DESKS = 3
+CALLER_KEYS = 6
+SPARE_KEYS = 2  # that are taken away, each with a caller of its own
+FIRST_PORT = 21_000
+PORTS_EACH = 30
+
+
+@define
+class SoakFleet:
+    """Everything that runs in one soak.
+
+    :ivar keys: name of the organisation that holds each key in force.
+    :ivar ended_keys: seconds at which keys were taken away.
+    """
+
+    ledger: Ledger
+    store: StoreStandIn
+    store_proxy: Proxy
+    instances: list[Instance]
+    targets: list[SoakTarget]
+    proxies: list[Proxy]
+    keys: dict[str, str]
+    version: int = 1
+    ended_keys: dict[str, float] = field(factory=dict)
+
+    async def start(self) -> None:
+        """Start stand-ins, proxies and instances."""
+        await self.store.start()
+        await self.store_proxy.start()
+        for proxy, target in zip(self.proxies, self.targets, strict=True):
+            await target.start()
+            await proxy.start()
+            self.put_target(target, is_leaving=False)
+        self.put_document()
+        for instance in self.instances:
+            instance.start()
+
+    def put_document(self) -> None:
+        """Write a newer document to the store."""
+        self.version += 1
+        self.store.put(
+            store.DOCUMENT_KEY,
+            published.encode_document(self.version, self.keys),
+        )
+
+    def put_target(self, target: SoakTarget, *, is_leaving: bool) -> None:
+        """Write a target's entry, at the address of its proxy."""
+        listen = self.proxies[self.targets.index(target)].listen
+        self.store.put_target(
+            target.name,
+            f'{listen[0]}:{listen[1]}',
+            target.service,
+            is_leaving=is_leaving,
+        )
+        if is_leaving:
+            self.ledger.left[target.name] = time.monotonic()
+
+    def end_key(self, key: str) -> None:
+        """Take a key away."""
+        if self.keys.pop(key, None) is not None:
+            self.put_document()
+            self.ended_keys[key] = time.monotonic()
+
+    def close(self) -> None:
+        """End all processes."""
+        for instance in self.instances:
+            instance.end()
+
+
+def make_fleet(
+    folder: pathlib.Path,
+    network: int,
+    program: tuple[str, ...] = PROGRAM,
+) -> SoakFleet:
+    """Return a fleet that has not started.
+
+    :param folder: where settings and logs go.
+    :param network: from 1 to 254; fleets of different ones meet nowhere.
+    """
+    host = f'127.77.{network}.1'
+    ledger = Ledger()
+    store_port = FIRST_PORT
+    proxy_port = FIRST_PORT + 1
+    services = [
+        'model' if number < MODELS else 'desk'
+        for number in range(MODELS + DESKS)
+    ]
+    ports = range(FIRST_PORT + 2, FIRST_PORT + 2 + 2 * len(services), 2)
+    targets = [
+        SoakTarget(f'{service}-{port}', service, (host, port), ledger)
+        for service, port in zip(services, ports, strict=True)
+    ]
+    ips = [f'127.77.{network}.{10 + number}' for number in range(INSTANCES)]
+    keys = {
+        f'key-{number}': f'organisation-{number}'
+        for number in range(CALLER_KEYS + SPARE_KEYS)
+    }
+    return SoakFleet(
+        ledger=ledger,
+        store=StoreStandIn(host, store_port),
+        store_proxy=Proxy((host, proxy_port), (host, store_port)),
+        instances=[
+            Instance(
+                f'instance-{number}',
+                ip,
+                FIRST_PORT,
+                f'{host}:{proxy_port}',
+                [f'{seed}:{FIRST_PORT}' for seed in ips[:3]],
+                folder,
+                program,
+            )
+            for number, ip in enumerate(ips)
+        ],
+        targets=targets,
+        proxies=[
+            Proxy((host, target.address[1] + 1), target.address)
+            for target in targets
+        ],
+        keys=keys,
+    )
--- /dev/null
+++ b/trefoilhinge/soak/instances.py
@@ -0,0 +1,82 @@
+"""Gateway processes that a soak starts, harms and ends."""
+
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+
+from attrs import define
+
+from trefoilhinge.dispatch.settings import Address
+from trefoilhinge.platform.settings import PATH_VARIABLE
+from trefoilhinge.platform.standins import published
+
+PROGRAM = ('-m', 'trefoilhinge.gateway')
+END_S = 10.0  # for a process to end by itself, over its grace
+
+
+@define
+class Instance:
+    """One gateway as a process of its own.
+
+    :ivar program: interpreter's arguments; another program stands for a
+        broken variant.
+    :ivar stops: whether it was told to stop.
+    """
+
+    name: str
+    ip: str
+    first_port: int
+    store: str
+    seeds: list[str]
+    folder: pathlib.Path
+    program: tuple[str, ...] = PROGRAM
+    stops: bool = False
+    _process: subprocess.Popen[bytes] | None = None
+
+    @property
+    def entry(self) -> Address:
+        """Return the address for callers."""
+        return self.ip, self.first_port
+
+    @property
+    def readiness(self) -> Address:
+        """Return the address of its readiness."""
+        return self.ip, self.first_port + 1
+
+    @property
+    def runs(self) -> bool:
+        """Return whether the process is there."""
+        return self._process is not None and self._process.poll() is None
+
+    def start(self) -> None:
+        """Start the process."""
+        path = self.folder / f'{self.name}.json'
+        path.write_text(
+            published.encode_settings(
+                self.name, self.ip, self.store, self.seeds, self.first_port
+            )
+        )
+        self.stops = False
+        log_path = self.folder / f'{self.name}.log'
+        with log_path.open('ab') as log:
+            self._process = subprocess.Popen(
+                [sys.executable, *self.program],
+                env={**os.environ, PATH_VARIABLE: str(path)},
+                stdout=log,
+                stderr=log,
+            )
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal to the process, if it is there."""
+        if self._process is not None and self.runs:
+            self._process.send_signal(number)
+
+    def end(self) -> None:
+        """End the process for good."""
+        if self._process is None:
+            return
+        self.send(signal.SIGCONT)
+        self.send(signal.SIGKILL)
+        self._process.wait(END_S)
--- /dev/null
+++ b/trefoilhinge/soak/ledgers.py
@@ -0,0 +1,179 @@
+"""What callers and targets saw, and the promises that it breaks.
+
+A core: every time is given, in seconds of one clock.
+"""
+
+import enum
+
+from attrs import define, field, frozen
+
+LATE_SLACK_S = 1.0  # of an answer after its caller's time
+CALM_S = 4.0  # without a fault before something, so that bounds hold
+APPLY_S = 2.5  # of a change of the store, its reading paces included
+FREE_S = 4.0  # of memory after the last call that used it
+SUCCESSES = range(200, 300)
+NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
+
+
+class Kind(enum.Enum):
+    """What may be repeated of a call."""
+
+    once = 'book'
+    repeatable = 'look'
+    stream = 'stream'
+
+
+@frozen
+class RunSeen:
+    """A target began to work on a call."""
+
+    request_id: str
+    target: str
+    at_s: float
+
+
+@define
+class CallSeen:
+    """One call as its caller saw it.
+
+    :ivar is_stopping: whether its instance had been told to stop.
+    :ivar key_ended_s: seconds at which its key was taken away; none if it
+        was not.
+    :ivar content: what arrived, without the parts of HTTP.
+    """
+
+    request_id: str
+    kind: Kind
+    instance: str
+    sent_s: float
+    deadline_s: float
+    key_ended_s: float | None = None
+    ended_s: float | None = None
+    status: int = 0
+    content: bytes = b''
+    is_whole: bool = False
+    is_stopping: bool = False
+
+
+@frozen
+class Violation:
+    """A promise that was broken."""
+
+    promise: str
+    request_id: str
+    detail: str
+
+
+@define
+class Ledger:
+    """Everything that was seen.
+
+    :ivar faults: begin and end of each fault, seconds; planned stops and
+        changes are none.
+    :ivar left: seconds at which the store acknowledged that a target leaves.
+    :ivar kept_tickets: reservations that outlived their calls.
+    """
+
+    calls: list[CallSeen] = field(factory=list)
+    runs: list[RunSeen] = field(factory=list)
+    faults: list[tuple[float, float]] = field(factory=list)
+    left: dict[str, float] = field(factory=dict)
+    kept_tickets: list[str] = field(factory=list)
+
+    def find_violations(self) -> list[Violation]:
+        """Return every promise that was broken."""
+        runs: dict[str, list[RunSeen]] = {}
+        for run in self.runs:
+            runs.setdefault(run.request_id, []).append(run)
+        found = [
+            violation
+            for call in self.calls
+            for violation in self._check_call(
+                call, runs.get(call.request_id, [])
+            )
+        ]
+        found.extend(
+            Violation('LEAVING', run.request_id, f'ran at {run.target}')
+            for run in self.runs
+            if self._ran_too_late(run)
+        )
+        found.extend(
+            Violation('MEMORY', ticket, 'was kept after its call')
+            for ticket in self.kept_tickets
+        )
+        return found
+
+    def _check_call(
+        self, call: CallSeen, runs: list[RunSeen]
+    ) -> list[Violation]:
+        checks = (
+            ('TWICE', call.kind is Kind.once and len(runs) > 1),
+            ('FALSE_REFUSAL', call.status in NOT_RUN_STATUSES and bool(runs)),
+            ('WRONG_ANSWER', self._is_wrong(call)),
+            ('LATE', self._is_late(call)),
+            ('CUT_AT_STOP', self._was_cut(call)),
+            ('REVOKED', self._was_served_late(call, runs)),
+        )
+        detail = (
+            f'{call.kind.value} at {call.instance}, sent {call.sent_s:.2f} s, '
+            f'status {call.status}, whole {call.is_whole}, runs {len(runs)}'
+        )
+        return [
+            Violation(promise, call.request_id, detail)
+            for promise, is_broken in checks
+            if is_broken
+        ]
+
+    def _is_wrong(self, call: CallSeen) -> bool:
+        if call.status not in SUCCESSES:
+            return False
+        expected = make_content(call.kind, call.request_id)
+        if call.is_whole:
+            return call.content != expected
+        return not expected.startswith(call.content)
+
+    def _is_late(self, call: CallSeen) -> bool:
+        latest_s = call.sent_s + call.deadline_s + LATE_SLACK_S
+        if call.ended_s is None or call.ended_s <= latest_s:
+            return False
+        return self._is_calm(call.sent_s, call.ended_s)
+
+    def _was_cut(self, call: CallSeen) -> bool:
+        if call.is_whole or not call.is_stopping or call.ended_s is None:
+            return False
+        if call.ended_s >= call.sent_s + call.deadline_s:
+            return False
+        return self._is_calm(call.sent_s, call.ended_s)
+
+    def _was_served_late(self, call: CallSeen, runs: list[RunSeen]) -> bool:
+        ended_s = call.key_ended_s
+        if ended_s is None or call.sent_s < ended_s + APPLY_S or not runs:
+            return False
+        return self._is_calm(ended_s, call.sent_s)
+
+    def _ran_too_late(self, run: RunSeen) -> bool:
+        left_s = self.left.get(run.target)
+        if left_s is None or run.at_s < left_s + APPLY_S:
+            return False
+        return self._is_calm(left_s, run.at_s)
+
+    def _is_calm(self, begin_s: float, end_s: float) -> bool:
+        """Return whether no fault touched a time, or came shortly before."""
+        return all(
+            end_s < fault_begin_s or begin_s - CALM_S > fault_end_s
+            for fault_begin_s, fault_end_s in self.faults
+        )
+
+
+def make_event(request_id: str, number: int) -> bytes:
+    """Return one event of a call's stream."""
+    return b'id: %d\ndata: %s\n\n' % (number, request_id.encode())
+
+
+def make_content(kind: Kind, request_id: str, events: int = 12) -> bytes:
+    """Return the whole content of the only right answer to a call."""
+    if kind is not Kind.stream:
+        return f'{kind.value} of {request_id}'.encode()
+    return b''.join(
+        make_event(request_id, number) for number in range(1, events + 1)
+    )
--- /dev/null
+++ b/trefoilhinge/soak/stores.py
@@ -0,0 +1,109 @@
+"""A stand-in of the platform's store."""
+
+import asyncio
+import json
+from typing import Any
+from urllib.parse import parse_qsl
+
+from attrs import define, field
+
+from trefoilhinge.platform import store
+from trefoilhinge.platform.standins import published
+from trefoilhinge.standins.listeners import Asked, serve_http
+
+PAGE_ITEMS = 2  # so that lists have several pages
+LOOK_S = 0.01  # between two looks of a waiting watch
+UNAVAILABLE = 503
+
+
+@define
+class StoreStandIn:
+    """The platform's store: items, revisions, watches.
+
+    :ivar history_from: revision before which no watch may begin.
+    :ivar calls: paths that were asked for, in order.
+    """
+
+    host: str
+    port: int
+    items: dict[str, dict[str, Any]] = field(factory=dict)
+    events: list[dict[str, Any]] = field(factory=list)
+    revision: int = 1
+    is_down: bool = False
+    history_from: int = 0
+    calls: list[str] = field(factory=list)
+    _server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        """Serve."""
+        self._server = await serve_http(self.host, self.port, self._answer)
+
+    def put(self, key: str, fields: dict[str, Any] | bytes) -> None:
+        """Write an item."""
+        self.revision += 1
+        content = (
+            fields if isinstance(fields, bytes) else json.dumps(fields).encode()
+        )
+        item = published.encode_item(key, content, self.revision)
+        self.items[key] = item
+        self.events.append(item)
+
+    def remove(self, key: str) -> None:
+        """Remove an item."""
+        self.revision += 1
+        self.items.pop(key, None)
+        self.events.append(published.encode_gone(key, self.revision))
+
+    def put_target(
+        self,
+        name: str,
+        address: str,
+        service: str = 'model',
+        **fields: Any,
+    ) -> None:
+        """Write a target's entry."""
+        entry = published.encode_target(service, address, **fields)
+        self.put(f'{store.TARGET_PREFIX}{name}', entry)
+
+    async def _answer(self, asked: Asked) -> None:
+        self.calls.append(asked.path)
+        if self.is_down:
+            await asked.reply(UNAVAILABLE)
+            return
+        path, _, query = asked.path.partition('?')
+        fields = dict(parse_qsl(query))
+        if path == store.ITEM_PATH:
+            item = self.items.get(fields['key'])
+            status = 200 if item else store.NOT_FOUND
+            content = {**(item or {}), 'currentRev': self.revision}
+        elif path == store.LIST_PATH:
+            status = 200
+            content = self._list(fields)
+        else:
+            status, content = await self._watch(fields)
+        await asked.reply(status, json.dumps(content).encode())
+
+    def _list(self, fields: dict[str, str]) -> dict[str, Any]:
+        prefix = fields['prefix']
+        after = fields.get('after', '')
+        keys = sorted(
+            key for key in self.items if key.startswith(prefix) and key > after
+        )
+        page = [self.items[key] for key in keys[:PAGE_ITEMS]]
+        return {
+            'items': page,
+            'truncated': len(keys) > PAGE_ITEMS,
+            'currentRev': self.revision,
+        }
+
+    async def _watch(self, fields: dict[str, str]) -> tuple[int, dict]:
+        after = int(fields['after'])
+        events: list[dict[str, Any]] = []
+        for _ in range(int(fields['waitMs']) // int(LOOK_S * 1000)):
+            if after < self.history_from:
+                return store.HISTORY_GONE, {}
+            events = [one for one in self.events if one['rev'] > after]
+            if events or self.is_down:
+                break
+            await asyncio.sleep(LOOK_S)
+        return 200, {'events': events, 'currentRev': self.revision}
--- /dev/null
+++ b/trefoilhinge/soak/targets.py
@@ -0,0 +1,135 @@
+"""Stand-ins of targets that write down what they run."""
+
+import asyncio
+import enum
+import time
+
+from attrs import define, field
+
+from trefoilhinge.dispatch.settings import Address
+from trefoilhinge.platform.orders import ORDER_PATH
+from trefoilhinge.platform.standins import published
+from trefoilhinge.soak.ledgers import (
+    FREE_S,
+    Kind,
+    Ledger,
+    RunSeen,
+    make_content,
+    make_event,
+)
+from trefoilhinge.standins.listeners import Asked, serve_http
+
+EVENTS = 12  # of a stream
+PAUSE_S = 0.05  # between two events
+WORK_S = 0.03  # of a plain call
+MUTE_S = 60.0
+TORN_AT = 5  # event in the middle of which a torn stream ends
+UNAVAILABLE = 503
+
+
+class Mood(enum.Enum):
+    """How a target behaves for now."""
+
+    sound = 'sound'
+    losing = 'losing'
+    tearing = 'tearing'
+    mute = 'mute'
+    full = 'full'
+
+
+@define
+class Ticket:
+    """Memory that a call reserved.
+
+    :ivar used_s: seconds of the last order about it.
+    """
+
+    expires_s: float
+    first_s: float
+    used_s: float
+
+
+@define
+class SoakTarget:
+    """One target.
+
+    :ivar service: service that its entry names.
+    """
+
+    name: str
+    service: str
+    address: Address
+    ledger: Ledger
+    mood: Mood = Mood.sound
+    tickets: dict[str, Ticket] = field(factory=dict)
+    _server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        """Serve."""
+        self._server = await serve_http(*self.address, self._answer)
+
+    def list_kept(self, now_s: float, quiet_since_s: float) -> list[str]:
+        """Return tickets that are held though no call has run for long."""
+        return [
+            name
+            for name, ticket in self.tickets.items()
+            if ticket.expires_s > now_s and now_s - quiet_since_s > FREE_S
+        ]
+
+    async def _answer(self, asked: Asked) -> None:
+        if asked.path == ORDER_PATH:
+            await self._take_order(asked)
+            return
+        offer = published.decode_offer(asked.headers)
+        if self.mood is Mood.full:
+            await asked.reply(UNAVAILABLE, b'', [published.NOT_RUN])
+            return
+        self._note_run(offer)
+        kind = Kind(asked.path.split('/')[1])
+        if kind is Kind.stream and self.mood is not Mood.mute:
+            await self._stream(asked, offer)
+        else:
+            await self._work(asked, offer, kind)
+
+    async def _work(
+        self, asked: Asked, offer: published.OfferRead, kind: Kind
+    ) -> None:
+        await asyncio.sleep(MUTE_S if self.mood is Mood.mute else WORK_S)
+        if self.mood is Mood.losing:
+            asked.writer.transport.abort()
+            return
+        content = make_content(kind, offer.request_id)
+        await asked.reply(200, content, [published.SEAL])
+
+    def _note_run(self, offer: published.OfferRead) -> None:
+        self.ledger.runs.append(
+            RunSeen(offer.request_id, self.name, time.monotonic())
+        )
+
+    async def _stream(self, asked: Asked, offer: published.OfferRead) -> None:
+        headers = [published.SEAL, published.STREAM_TYPE]
+        await asked.begin(200, headers)
+        for number in range(offer.last_event + 1, EVENTS + 1):
+            event = make_event(offer.request_id, number)
+            is_torn = self.mood is Mood.tearing and number == TORN_AT
+            if is_torn:
+                await asked.send(event[: len(event) // 2])
+                asked.writer.transport.abort()
+                return
+            await asked.send(event)
+            await asyncio.sleep(PAUSE_S)
+        await asked.finish()
+
+    async def _take_order(self, asked: Asked) -> None:
+        order = published.decode_order(asked.body)
+        now_s = time.monotonic()
+        if order.reserves:
+            known = self.tickets.get(order.ticket)
+            self.tickets[order.ticket] = Ticket(
+                now_s + order.hold_s,
+                known.first_s if known else now_s,
+                now_s,
+            )
+        else:
+            self.tickets.pop(order.ticket, None)
+        await asked.reply(200, b'{"free": 1}')
