--- a/trefoilhinge/client/commands.py
+++ b/trefoilhinge/client/commands.py
@@ -38,6 +38,7 @@
 from trefoilhinge.gateway.daemon import run_gateway
 from trefoilhinge.measure.commands import print_measure, read_options
 from trefoilhinge.measure.growth import print_growth
+from trefoilhinge.measure.placements import print_placements
 from trefoilhinge.soak.commands import (
     SECONDS_PER_MINUTE,
     SoakRequest,
@@ -173,8 +174,13 @@
         Flags: --deployment, --policy, --seed, --minutes, --faults, --load,
         --long-weight, --format and --report. Without --policy the default
         and every baseline are measured on the same arrivals. With --slopes
-        the costs that grow with size are measured instead, as JSON.
+        the costs that grow with size are measured instead, as JSON; with
+        --placements, where the gateway places prompts on engines that work in
+        passes.
         """
+        if 'placements' in options:
+            self._chosen.job = print_placements
+            return
         if 'slopes' in options:
             deployment = options.get('deployment', 'kandy')
             self._chosen.job = lambda: print_growth(deployment)
