Compared what gateway instances believe from the command line.

Cause: the status page was a bare map that no command read.

Conclusion: one of the gaps of the logs and metrics issue is closed.

--- /dev/null
+++ b/trefoilhinge/client/beliefs.py
@@ -0,0 +1,82 @@
+"""Compares what gateway instances believe, read from their status pages."""
+
+from collections.abc import Sequence
+
+import urllib3
+
+from trefoilhinge.client.exits import EXIT_DONE, EXIT_FAULT, EXIT_INVALID
+from trefoilhinge.client.fleets import STATUS_TIMEOUT_S, read_status
+from trefoilhinge.conf.converters import make_strict_reader
+from trefoilhinge.conf.generated import belief as classes
+from trefoilhinge.conf.generated.belief import BeliefSnapshot
+from trefoilhinge.conf.generator import load_schema
+
+MISSING = '-'
+# What instances learn at the same pace; figures of the moment differ always.
+TARGET_FIELDS = ('service', 'address', 'leaving', 'usable', 'pace')
+
+
+def print_beliefs(urls: str) -> int:
+    """Print a line for each instance and where they differ.
+
+    :param urls: URLs of control addresses, separated by commas.
+    :return: exit code.
+    """
+    snapshots = []
+    reader = make_strict_reader(load_schema('belief'), classes)
+    pool = urllib3.PoolManager(retries=False, timeout=STATUS_TIMEOUT_S)
+    for url in urls.split(','):
+        read = read_status(pool, url.strip(), reader)
+        if read.is_error():
+            print(f'{url}: {read.error}')
+            return EXIT_INVALID
+        snapshots.append(read.ok)
+        print(describe_snapshot(read.ok))
+    differences = list_differences(snapshots)
+    for line in differences:
+        print(line)
+    return EXIT_FAULT if differences else EXIT_DONE
+
+
+def describe_snapshot(snapshot: BeliefSnapshot) -> str:
+    """Return one instance's beliefs in a line."""
+    usable = sum(target.usable for target in snapshot.targets)
+    state = 'ready' if snapshot.ready else 'not ready'
+    if snapshot.stopping:
+        state = 'stopping'
+    away = ''
+    if snapshot.store_away_s:
+        away = f', store away for {snapshot.store_away_s:.1f} s'
+    return (
+        f'{snapshot.instance}: {state}, document {snapshot.version}, '
+        f'{len(snapshot.peers)} peers, {usable} of {len(snapshot.targets)} '
+        f'targets usable, {snapshot.calls} calls, '
+        f'{snapshot.waiting} waiting{away}'
+    )
+
+
+def list_differences(snapshots: Sequence[BeliefSnapshot]) -> list[str]:
+    """Return a line for each matter in which instances differ."""
+    lines = []
+    versions = {one.instance: str(one.version) for one in snapshots}
+    if len(set(versions.values())) > 1:
+        lines.append(_format('document', versions))
+    names = {target.name for one in snapshots for target in one.targets}
+    by_instance = {
+        one.instance: {target.name: target for target in one.targets}
+        for one in snapshots
+    }
+    for name in sorted(names):
+        for field in TARGET_FIELDS:
+            seen = {
+                instance: str(getattr(targets.get(name), field, MISSING))
+                for instance, targets in by_instance.items()
+            }
+            if len(set(seen.values())) > 1:
+                lines.append(_format(f'target {name} {field}', seen))
+    return lines
+
+
+def _format(matter: str, seen: dict[str, str]) -> str:
+    values = ', '.join(f'{one}={value}' for one, value in seen.items())
+    return f'differs: {matter}: {values}'
--- a/trefoilhinge/client/commands.py
+++ b/trefoilhinge/client/commands.py
@@ -22,6 +22,7 @@
     read_switch,
     wants_help,
 )
+from trefoilhinge.client.beliefs import print_beliefs
 from trefoilhinge.client.exits import EXIT_DONE, EXIT_INVALID
 from trefoilhinge.client.fleets import StatusSource
 from trefoilhinge.client.status import print_status
@@ -151,6 +152,15 @@
         """
         self._chosen.job = lambda: print_status(urls, format, authorities)
 
+    def beliefs(self, urls: str) -> None:
+        """Show what gateway instances believe, and where they differ.
+
+        Exits with 1 if they differ and with 2 if one cannot be read.
+
+        :param urls: URLs of control addresses, separated by commas.
+        """
+        self._chosen.job = lambda: print_beliefs(urls)
+
     def explain(self, request: str, *files: str) -> None:
         """Tell the story of one request from the logs of many instances.
 
--- a/trefoilhinge/client/fleets.py
+++ b/trefoilhinge/client/fleets.py
@@ -8,6 +8,7 @@
 
 import urllib3
 from attrs import frozen
+from expression import Error, Ok, Result
 
 from trefoilhinge.conf.converters import REFUSALS, make_strict_reader
 from trefoilhinge.conf.generated import status as classes
@@ -103,19 +104,32 @@
 
     :param url: URL of its peer listener, with or without ``/status``.
     """
+    read = read_status(pool, url, _make_reader())
+    if read.is_error():
+        return InstanceReport(url, None, read.error)
+    return InstanceReport(url, read.ok)
+
+
+def read_status(
+    pool: urllib3.PoolManager, url: str, read: Callable[[Any], Any]
+) -> Result[Any, str]:
+    """Read a status page; the error says why it cannot be read.
+
+    :param url: URL of a listener, with or without ``/status``.
+    :param read: returns the page's class from its JSON.
+    """
     base = url if '://' in url else f'http://{url}'
     address = f'{base.rstrip("/").removesuffix("/status")}/status'
     try:
         response = pool.request('GET', address)
     except (urllib3.exceptions.HTTPError, OSError, ValueError) as error:
-        return InstanceReport(url, None, f'no answer: {error}')
+        return Error(f'no answer: {error}')
     if response.status != 200:
-        return InstanceReport(url, None, f'HTTP status {response.status}')
+        return Error(f'HTTP status {response.status}')
     try:
-        status: NodeStatus = _make_reader()(json.loads(response.data))
+        return Ok(read(json.loads(response.data)))
     except _UNREADABLE as refusal:
-        return InstanceReport(url, None, f'no status of an instance: {refusal}')
-    return InstanceReport(url, status)
+        return Error(f'no status of an instance: {refusal}')
 
 
 @functools.cache
--- a/trefoilhinge/conf/generator.py
+++ b/trefoilhinge/conf/generator.py
@@ -13,7 +13,7 @@
 import jinja2
 
 HERE = pathlib.Path(__file__).parent
-MODULES = ('document', 'settings', 'messages', 'status')
+MODULES = ('document', 'settings', 'messages', 'status', 'belief')
 _SCALARS = {
     'integer': 'int',
     'number': 'float',
--- a/trefoilhinge/dispatch/budgets.py
+++ b/trefoilhinge/dispatch/budgets.py
@@ -41,6 +41,11 @@
         ) + self.slack * SLACK_SHARE / max(1, instances)
         return len(self._repeats) + 1 <= allowed
 
+    def count(self, now_s: float) -> tuple[int, int]:
+        """Return the first sendings and the repeats within the window."""
+        self._forget(now_s)
+        return len(self._firsts), len(self._repeats)
+
     def note_repeat(self, now_s: float) -> None:
         """Take a repeat."""
         self._repeats.append(now_s)
--- a/trefoilhinge/gateway/daemon.py
+++ b/trefoilhinge/gateway/daemon.py
@@ -6,7 +6,7 @@
 import pathlib
 import signal
 
-from attrs import define, field
+from attrs import asdict, define, field
 
 from trefoilhinge.dispatch.documents import CallerLimits
 from trefoilhinge.dispatch.settings import Address, GatewaySettings
@@ -18,6 +18,7 @@
 from trefoilhinge.gateway.pages import Answer, Page, serve_pages
 from trefoilhinge.gateway.reading import StoreReader
 from trefoilhinge.gateway.serving import CallService
+from trefoilhinge.gateway.snapshots import make_snapshot
 from trefoilhinge.platform.settings import PATH_VARIABLE, decode_settings
 
 BACKLOG = 1_024  # connections that wait while the process is busy
@@ -140,29 +141,11 @@
         if path == '/metrics':
             return Page(200, self._beliefs.counters.format_text().encode())
         if path == '/status':
-            content = json.dumps(self._describe()).encode()
+            snapshot = make_snapshot(self._beliefs, self._service.active)
+            content = json.dumps(asdict(snapshot)).encode()
             return Page(200, content, 'application/json')
         return Page(404)
 
-    def _describe(self) -> dict[str, object]:
-        beliefs = self._beliefs
-        now_s = beliefs.get_now_s()
-        return {
-            'instance': beliefs.settings.instance,
-            'origin': beliefs.origin,
-            'ready': beliefs.is_ready,
-            'version': beliefs.document.version if beliefs.document else 0,
-            'revision': beliefs.directory.revision,
-            'peers': beliefs.peers.list_listeners(now_s),
-            'targets': {
-                name: {
-                    'service': record.service,
-                    'running': beliefs.loads.find(name).running,
-                }
-                for name, record in beliefs.directory.records.items()
-            },
-        }
-
     async def _sweep(self) -> None:
         beliefs = self._beliefs
         while True:
--- a/trefoilhinge/gateway/turns.py
+++ b/trefoilhinge/gateway/turns.py
@@ -19,6 +19,10 @@
         for waiter in self._waiters:
             waiter.set()
 
+    def count(self) -> int:
+        """Return how many prompts wait."""
+        return len(self._waiters)
+
     async def wait(self, run: Run) -> None:
         """Return when a run's turn has come."""
         loop = asyncio.get_running_loop()
