Listed the models that a key may call.

Cause: a stock client library's first call, GET /v1/models, was refused with 404. Change: the caller's interface answers it with the model services of the key's organisation. Tests: the library lists, then streams; a list needs a key.

--- a/tests/calls/test_openai.py
+++ b/tests/calls/test_openai.py
@@ -54,6 +54,19 @@
         )
         assert answer.choices[0].text == WHOLE
 
+    def test_lists_what_the_key_may_call_then_streams(self, deployment):
+        client = make_client(deployment)
+        models = [one.id for one in client.models.list()]
+        assert models == ['writer']
+        chunks = client.completions.create(
+            model=models[0], prompt='A blurb', max_tokens=5, stream=True
+        )
+        assert ''.join(one.choices[0].text for one in chunks) == WHOLE
+
+    def test_list_needs_a_key(self, deployment):
+        with pytest.raises(openai.AuthenticationError):
+            make_client(deployment, 'th-no-key').models.list()
+
     def test_reads_a_streamed_completion(self, deployment):
         chunks = make_client(deployment).completions.create(
             model='writer', prompt='A blurb', max_tokens=5, stream=True
--- a/trefoilhinge/calls/answers.py
+++ b/trefoilhinge/calls/answers.py
@@ -9,6 +9,7 @@
 
 Headers = list[tuple[str, str]]
 
+OWNER = 'trefoilhinge'  # stock clients need some owner of a model
 REASONS = {
     200: 'OK',
     400: 'Bad Request',
@@ -25,6 +26,17 @@
 }
 
 
+def describe_models(names: Iterable[str]) -> dict[str, Any]:
+    """Return the JSON object that lists models, as stock clients read it."""
+    return {
+        'object': 'list',
+        'data': [
+            {'id': name, 'object': 'model', 'created': 0, 'owned_by': OWNER}
+            for name in names
+        ],
+    }
+
+
 def describe_refusal(refusal: Refusal, request_id: str) -> dict[str, Any]:
     """Return the JSON object that tells a refusal."""
     error = {
--- a/trefoilhinge/calls/application.py
+++ b/trefoilhinge/calls/application.py
@@ -2,23 +2,27 @@
 
 import json
 import uuid
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
+from typing import Any
 
 from attrs import define
 
-from trefoilhinge.calls.answers import format_status
+from trefoilhinge.calls.answers import describe_models, format_status
 from trefoilhinge.calls.authentication import KeyRing
 from trefoilhinge.calls.connections import CONNECTION_KEY
 from trefoilhinge.calls.profiles import CallContext
 from trefoilhinge.calls.refusals import RequestRefused
 from trefoilhinge.calls.requests import Environ, read_request
 from trefoilhinge.calls.service import CallService, StartResponse
+from trefoilhinge.calls.services import list_services
 from trefoilhinge.conf.generated.document import Document, Organisation
 from trefoilhinge.core.clocks import Clock
 from trefoilhinge.core.identifiers import RequestId
 from trefoilhinge.core.verdicts import RefusalCode, refuse_not_run
 
 KEYS_PATH = '/v1/idempotency-keys'
+MODELS_PATH = '/v1/models'
+MODEL_KIND = 'model'
 
 
 @define
@@ -59,6 +63,10 @@
         document, organisation = self._authenticate(environ)
         if environ['PATH_INFO'] == KEYS_PATH:
             return self._answer_key(organisation, start_response)
+        asked = environ['REQUEST_METHOD'], environ['PATH_INFO']
+        if asked == ('GET', MODELS_PATH):
+            names = list_services(document, organisation, MODEL_KIND)
+            return _answer_json(describe_models(names), start_response)
         request = read_request(environ, self._maximum_body_bytes)
         context = CallContext(
             request_id,
@@ -107,10 +115,16 @@
                     example='Idempotency-Key: booking-2041',
                 ),
             )
-        body = json.dumps({'key': key}).encode()
-        headers = [
-            ('Content-Type', 'application/json'),
-            ('Content-Length', str(len(body))),
-        ]
-        start_response(format_status(200), headers)
-        return [body]
+        return _answer_json({'key': key}, start_response)
+
+
+def _answer_json(
+    fields: Mapping[str, Any], start_response: StartResponse
+) -> Iterable[bytes]:
+    body = json.dumps(fields).encode()
+    headers = [
+        ('Content-Type', 'application/json'),
+        ('Content-Length', str(len(body))),
+    ]
+    start_response(format_status(200), headers)
+    return [body]
--- a/trefoilhinge/calls/services.py
+++ b/trefoilhinge/calls/services.py
@@ -26,11 +26,7 @@
     for service in document.services:
         if allowed and service.name == name and service.kind == kind:
             return service
-    names = sorted(
-        one.name
-        for one in document.services
-        if one.kind == kind and one.name in organisation.services
-    )
+    names = list_services(document, organisation, kind)
     raise RequestRefused(
         refuse_not_run(
             RefusalCode.SERVICE_FORBIDDEN,
@@ -41,6 +37,19 @@
     )
 
 
+def list_services(
+    document: Document,
+    organisation: Organisation,
+    kind: str,
+) -> list[str]:
+    """Return the names of the services that an organisation may call."""
+    return sorted(
+        one.name
+        for one in document.services
+        if one.kind == kind and one.name in organisation.services
+    )
+
+
 def is_idempotent(service: Service, path: str) -> bool:
     """Return whether the document lets a path be repeated.
 
