Showed the gateway's settings with the fields that they come from.

Cause: nobody could see how the platform's file was decoded. Change: trefoilhinge check-gateway FILE lists each setting, its value and its field; a field that is missing is named.

--- a/trefoilhinge/client/commands.py
+++ b/trefoilhinge/client/commands.py
@@ -5,9 +5,7 @@
 """
 
 import inspect
-import pathlib
 import sys
-import tempfile
 from collections.abc import Callable
 
 import fire
@@ -25,6 +23,7 @@
 from trefoilhinge.client.beliefs import print_beliefs
 from trefoilhinge.client.exits import EXIT_DONE, EXIT_INVALID
 from trefoilhinge.client.fleets import StatusSource
+from trefoilhinge.client.gateway_settings import print_gateway_settings
 from trefoilhinge.client.status import print_status
 from trefoilhinge.client.stories import print_story
 from trefoilhinge.console.commands import run_console
@@ -40,11 +39,7 @@
 from trefoilhinge.measure.commands import print_measure, read_options
 from trefoilhinge.measure.growth import print_growth
 from trefoilhinge.measure.placements import print_placements
-from trefoilhinge.soak.commands import (
-    SECONDS_PER_MINUTE,
-    SoakRequest,
-    print_soak,
-)
+from trefoilhinge.soak.commands import make_request, print_soak
 
 # Commands whose flags are the settings, which their help lists.
 _TAKE_SETTINGS = frozenset(('entry', 'check-settings', 'check_settings'))
@@ -171,6 +166,15 @@
         """
         self._chosen.job = lambda: print_story(str(request), files)
 
+    def check_gateway(self, file: str) -> None:
+        """Show the gateway's settings as the platform's file gives them.
+
+        Exits with 2 if the file cannot be read.
+
+        :param file: settings file that the platform wrote.
+        """
+        self._chosen.job = lambda: print_gateway_settings(file)
+
     def gateway(self) -> None:
         """Run an instance on the users' platform.
 
@@ -214,10 +218,8 @@
         :param seeds: how many seeds to run, one after the other.
         :param folder: where logs and settings go; empty makes a new one.
         """
-        request = SoakRequest(
-            seed=read_count(seed, 'seed'),
-            seconds=read_minutes(minutes) * SECONDS_PER_MINUTE,
-            folder=pathlib.Path(folder or tempfile.mkdtemp(prefix='soak-')),
+        request = make_request(
+            read_count(seed, 'seed'), read_minutes(minutes), folder
         )
         count = read_count(seeds, 'seeds')
         self._chosen.job = lambda: print_soak(request, count)
--- /dev/null
+++ b/trefoilhinge/client/gateway_settings.py
@@ -0,0 +1,44 @@
+"""Shows the gateway's settings as decoded from the platform's file."""
+
+from collections.abc import Iterator
+
+from attrs import asdict
+
+from trefoilhinge.client.exits import EXIT_DONE
+from trefoilhinge.dispatch.settings import GatewaySettings
+from trefoilhinge.gateway.daemon import read_settings
+from trefoilhinge.platform.settings import ORIGINS
+
+NONE = 'none'
+
+
+def print_gateway_settings(file: str) -> int:
+    """Print each setting, its value and the field that it comes from.
+
+    :raises ImproperlyConfigured: the file cannot be read; the message names
+        the field.
+    """
+    for name, value in list_settings(read_settings(file)):
+        print(f'{name} = {value}  ({ORIGINS[name]})')
+    return EXIT_DONE
+
+
+def list_settings(settings: GatewaySettings) -> Iterator[tuple[str, str]]:
+    """Yield each setting's name and its value as text."""
+    for name, value in asdict(settings).items():
+        if isinstance(value, dict):
+            for inner, figure in value.items():
+                yield f'{name}.{inner}', f'{figure:g}'
+        else:
+            yield name, _format(value)
+
+
+def _format(value: object) -> str:
+    match value:
+        case None:
+            return NONE
+        case (str(host), int(port)):
+            return f'{host}:{port}'
+        case [*entries]:
+            return ', '.join(map(str, entries)) or NONE
+    return str(value)
--- a/trefoilhinge/gateway/daemon.py
+++ b/trefoilhinge/gateway/daemon.py
@@ -211,6 +211,14 @@
         raise ImproperlyConfigured(
             f'set {PATH_VARIABLE} to the path of the settings file',
         )
+    return read_settings(name)
+
+
+def read_settings(name: str) -> GatewaySettings:
+    """Read a settings file.
+
+    :raises ImproperlyConfigured: it cannot be read.
+    """
     try:
         text = pathlib.Path(name).read_text(encoding='utf-8')
     except OSError as problem:
--- a/trefoilhinge/platform/settings.py
+++ b/trefoilhinge/platform/settings.py
@@ -13,6 +13,26 @@
 PATH_VARIABLE = 'TREFOILHINGE_CONFIG'
 METRICS_PORT = 9464  # as deploy/system.toml says
 MS_PER_S = 1000
+# Where each setting comes from: fields of the platform's file.
+ORIGINS = {
+    'instance': 'nodeName',
+    'ip': 'ip',
+    'failure_domain': 'zone',
+    'entry': 'listen.front',
+    'readiness': 'listen.ready',
+    'control': 'listen.control',
+    'metrics': 'ip, and the port of deploy/system.toml',
+    'first_port': 'internalPorts.0',
+    'seeds': 'seeds',
+    'store': 'platform.address',
+    'bounds.grace_s': 'bounds.graceS',
+    'bounds.repeat_ratio': 'bounds.retryRatio',
+    'bounds.repeat_slack': 'bounds.retrySlack',
+    'bounds.repeat_window_s': 'bounds.retryWindowS',
+    'bounds.free_s': 'bounds.freeMs',
+    'bounds.hold_maximum_s': 'bounds.holdMaxMs',
+    'bounds.apply_s': 'the smaller of bounds.drainMs and bounds.configApplyMs',
+}
 # What a field of another type raises on its way.
 _UNREADABLE = (AttributeError, IndexError, TypeError, ValueError)
 
--- a/trefoilhinge/soak/commands.py
+++ b/trefoilhinge/soak/commands.py
@@ -5,6 +5,7 @@
 import functools
 import pathlib
 import random
+import tempfile
 import time
 from collections import Counter
 from collections.abc import Iterator, Sequence
@@ -57,6 +58,18 @@
     violations: list[Violation]
 
 
+def make_request(seed: int, minutes: float, folder: str) -> SoakRequest:
+    """Return a request.
+
+    :param folder: empty makes a new one.
+    """
+    return SoakRequest(
+        seed,
+        minutes * SECONDS_PER_MINUTE,
+        pathlib.Path(folder or tempfile.mkdtemp(prefix='soak-')),
+    )
+
+
 def run_soak(request: SoakRequest) -> SoakResult:
     """Run one soak."""
     return asyncio.run(_run(request))
