--- a/trefoilhinge/client/commands.py
+++ b/trefoilhinge/client/commands.py
@@ -208,6 +208,7 @@
         minutes: str = '0.5',
         seeds: str = '1',
         folder: str = '',
+        instances: str = '4',
     ) -> None:
         """Run real instances beside stand-ins, with faults from outside.
 
@@ -217,9 +218,13 @@
         :param minutes: minutes of traffic for each seed.
         :param seeds: how many seeds to run, one after the other.
         :param folder: where logs and settings go; empty makes a new one.
+        :param instances: processes of the system.
         """
         request = make_request(
-            read_count(seed, 'seed'), read_minutes(minutes), folder
+            read_count(seed, 'seed'),
+            read_minutes(minutes),
+            folder,
+            read_count(instances, 'instances'),
         )
         count = read_count(seeds, 'seeds')
         self._chosen.job = lambda: print_soak(request, count)
--- a/trefoilhinge/soak/commands.py
+++ b/trefoilhinge/soak/commands.py
@@ -12,16 +12,18 @@
 
 from attrs import evolve, frozen
 
-from trefoilhinge.exceptions import TrefoilhingeError
+from trefoilhinge.exceptions import ImproperlyConfigured, TrefoilhingeError
 from trefoilhinge.gateway.fetching import FetchFailed, fetch
 from trefoilhinge.soak.callers import DEADLINE_S, GAVE_UP_S, SoakCaller
-from trefoilhinge.soak.fleets import SoakFleet, make_fleet
+from trefoilhinge.soak.fleets import INSTANCES, SoakFleet, make_fleet
 from trefoilhinge.soak.happenings import carry_out
 from trefoilhinge.soak.instances import PROGRAM
 from trefoilhinge.soak.ledgers import FREE_S, Violation
 from trefoilhinge.soak.plans import Entry, draw_plan
 
-READY_S = 15.0  # for all instances to be ready
+READY_S = 15.0  # for a few instances to be ready
+READY_EACH_S = 0.5  # more for each instance, on a machine of few cores
+MOST_INSTANCES = 240  # addresses of one network
 READY_LOOK_S = 0.2
 SECONDS_PER_MINUTE = 60
 NETWORKS = 254  # fleets side by side that meet nowhere
@@ -39,6 +41,7 @@
     :ivar folder: where logs and settings stay.
     :ivar program: interpreter's arguments of an instance.
     :ivar plan: what happens; none draws it from the seed.
+    :ivar instances: processes of the system.
     """
 
     seed: int
@@ -46,6 +49,7 @@
     folder: pathlib.Path
     program: tuple[str, ...] = PROGRAM
     plan: tuple[Entry, ...] | None = None
+    instances: int = INSTANCES
 
 
 @frozen
@@ -58,15 +62,23 @@
     violations: list[Violation]
 
 
-def make_request(seed: int, minutes: float, folder: str) -> SoakRequest:
+def make_request(
+    seed: int, minutes: float, folder: str, instances: int
+) -> SoakRequest:
     """Return a request.
 
     :param folder: empty makes a new one.
+    :raises ImproperlyConfigured: there is no room for so many instances.
     """
+    if not 1 <= instances <= MOST_INSTANCES:
+        raise ImproperlyConfigured(
+            f'--instances is {instances}; write 1 to {MOST_INSTANCES}'
+        )
     return SoakRequest(
         seed,
         minutes * SECONDS_PER_MINUTE,
         pathlib.Path(folder or tempfile.mkdtemp(prefix='soak-')),
+        instances=instances,
     )
 
 
@@ -101,7 +113,10 @@
 async def _run(request: SoakRequest) -> SoakResult:
     request.folder.mkdir(parents=True, exist_ok=True)
     fleet = make_fleet(
-        request.folder, 1 + request.seed % NETWORKS, request.program
+        request.folder,
+        1 + request.seed % NETWORKS,
+        request.program,
+        request.instances,
     )
     plan: Sequence[Entry] | None = request.plan
     if plan is None:
@@ -143,7 +158,8 @@
 
 
 async def _wait_ready(fleet: SoakFleet) -> None:
-    latest_s = time.monotonic() + READY_S
+    patience_s = READY_S + READY_EACH_S * len(fleet.instances)
+    latest_s = time.monotonic() + patience_s
     for instance in fleet.instances:
         while not await _is_ready(instance.readiness):
             if time.monotonic() > latest_s:
--- a/trefoilhinge/soak/fleets.py
+++ b/trefoilhinge/soak/fleets.py
@@ -88,11 +88,13 @@
     folder: pathlib.Path,
     network: int,
     program: tuple[str, ...] = PROGRAM,
+    instances: int = INSTANCES,
 ) -> SoakFleet:
     """Return a fleet that has not started.
 
     :param folder: where settings and logs go.
     :param network: from 1 to 254; fleets of different ones meet nowhere.
+    :param instances: at the most 240, for the addresses of a network.
     """
     host = f'127.77.{network}.1'
     ledger = Ledger()
@@ -107,7 +109,7 @@
         SoakTarget(f'{service}-{port}', service, (host, port), ledger)
         for service, port in zip(services, ports, strict=True)
     ]
-    ips = [f'127.77.{network}.{10 + number}' for number in range(INSTANCES)]
+    ips = [f'127.77.{network}.{10 + number}' for number in range(instances)]
     keys = {
         f'key-{number}': f'organisation-{number}'
         for number in range(CALLER_KEYS + SPARE_KEYS)
