Left mute targets at last though new prompts are placed on them.

Cause, from reading the change: silence is waited out while a target is known to read, and prompts that others place on a mute target would keep that up. Change: at the most four seconds since it was heard.

--- a/trefoilhinge/gateway/attempts.py
+++ b/trefoilhinge/gateway/attempts.py
@@ -11,6 +11,12 @@
 from trefoilhinge.dispatch.joint import Placement
 from trefoilhinge.gateway.beliefs import Beliefs
 from trefoilhinge.gateway.callers import CallerConnection, Refusal
+from trefoilhinge.gateway.endings import (
+    CallFailed,
+    describe_end,
+    describe_no_target,
+    describe_timeout,
+)
 from trefoilhinge.gateway.exchange import PeerExchange
 from trefoilhinge.gateway.exchanges import (
     AnswerBroken,
@@ -19,12 +25,6 @@
     open_exchange,
 )
 from trefoilhinge.gateway.offers import OfferNotes
-from trefoilhinge.gateway.endings import (
-    CallFailed,
-    describe_end,
-    describe_no_target,
-    describe_timeout,
-)
 from trefoilhinge.gateway.placing import find_placement
 from trefoilhinge.gateway.progress import CallProgress
 from trefoilhinge.gateway.relays import AnswerRelay
--- a/trefoilhinge/gateway/silence.py
+++ b/trefoilhinge/gateway/silence.py
@@ -9,6 +9,7 @@
 from trefoilhinge.gateway.links import open_link
 
 CHECK_TIMEOUT_S = 0.5  # a target in reach accepts a connection in milliseconds
+LONGEST_READING_S = 4.0  # of one pass; a mute target gets new prompts too
 MUTE_CHECKS = 2  # silences in a row after which a live target counts as mute
 
 Answer = TypeVar('Answer')
@@ -62,8 +63,9 @@
             checks = 0
         since_s = max(watched.heard_s, checked_s)
         wait_s = since_s + watched.patience_s - loop.time()
-        # A long reading may have come after the call itself.
-        wait_s = max(wait_s, watched.find_backlog_s())
+        if loop.time() - since_s < LONGEST_READING_S:
+            # A long reading may have come after the call itself.
+            wait_s = max(wait_s, watched.find_backlog_s())
         if wait_s > 0:
             await asyncio.wait((task,), timeout=wait_s)
             continue
