--- a/tests/gateway/test_silence.py
+++ b/tests/gateway/test_silence.py
@@ -6,6 +6,9 @@
 from attrs import define
 
 from tests.gateway.documents import HOST, find_port
+from tests.gateway.fleets import run_fleet
+from tests.gateway.targets import reply, stay_mute, stream
+from trefoilhinge.dispatch.loads import Run, RunPart
 from trefoilhinge.gateway import silence
 from trefoilhinge.gateway.exchanges import AnswerBroken
 
@@ -44,3 +47,38 @@
 
         with pytest.raises(AnswerBroken, match='mute'):
             asyncio.run(run())
+
+    def test_target_that_reads_a_long_prompt_is_not_mute(self):
+        """Seen on trouble-3 of Caroni: streams were cut while it was read."""
+
+        async def pause(asked):
+            await asyncio.sleep(2.5)
+            await stream(3)(asked)
+
+        async def run():
+            async with run_fleet(m1=pause, m2=stream(3)) as fleet:
+                loads = fleet.beliefs.loads
+                now_s = fleet.beliefs.get_now_s()
+                call = asyncio.ensure_future(
+                    fleet.call('/stream/1', X_Deadline='9000')
+                )
+                await fleet.wait_for(
+                    lambda: any(one.asked for one in fleet.targets.values())
+                )
+                for name in fleet.targets:
+                    part = RunPart(name, 3, 0, has_place=False)
+                    run = Run('other', len(loads.targets), (part,), 0, 0, 0, 0)
+                    loads.start(run, now_s + 9, now_s)
+                assert (await call).status == 200
+                asked = sum(len(one.asked) for one in fleet.targets.values())
+                assert asked == 1
+
+        asyncio.run(run())
+
+    def test_mute_target_is_left_for_another(self):
+        async def run():
+            async with run_fleet(d1=stay_mute, d2=reply(200, b'ok')) as fleet:
+                answer = await fleet.call('/look/1', 'GET')
+                assert answer.content == b'ok'
+
+        asyncio.run(run())
