--- a/tests/dispatch/samples.py
+++ b/tests/dispatch/samples.py
@@ -3,24 +3,14 @@
 from trefoilhinge.dispatch.calls import PromptSize
 from trefoilhinge.dispatch.documents import (
     CallKind,
-    EngineFigures,
     Route,
     Share,
 )
 from trefoilhinge.dispatch.loads import LoadView, Run, RunPart
 from trefoilhinge.dispatch.targets import TargetRecord
+from trefoilhinge.measure import placements
 
-FIGURES = EngineFigures(
-    places=8,
-    memory_tokens=232_000,
-    stride=43,
-    step_ms=1.02,
-    per_writer_ms=0.00452,
-    context_ms_per_k=0.00431,
-    tokens_per_ms=206,
-    pairs_ms_per_m=0.138,
-    chunk_tokens=2048,
-)
+FIGURES = placements.FIGURES
 
 
 def make_route(**fields):
--- a/trefoilhinge/dispatch/readings.py
+++ b/trefoilhinge/dispatch/readings.py
@@ -95,9 +95,7 @@
         reached_s = self.at_s
         for reading in self._readings.values():
             reached_s = max(reached_s, reading.begin_s)
-            if reached_s >= now_s:
-                break
-            if not reading.is_sent:
+            if reached_s >= now_s or not reading.is_sent:
                 break
             done_s = min(reading.left_s, now_s - reached_s)
             reading.left_s -= done_s
--- a/trefoilhinge/soak/targets.py
+++ b/trefoilhinge/soak/targets.py
@@ -37,23 +37,12 @@
     full = 'full'
 
 
-@define
-class Ticket:
-    """Memory that a call reserved.
-
-    :ivar used_s: seconds of the last order about it.
-    """
-
-    expires_s: float
-    first_s: float
-    used_s: float
-
-
 @define
 class SoakTarget:
     """One target.
 
     :ivar service: service that its entry names.
+    :ivar tickets: seconds at which each reservation ends by itself.
     """
 
     name: str
@@ -61,7 +50,7 @@
     address: Address
     ledger: Ledger
     mood: Mood = Mood.sound
-    tickets: dict[str, Ticket] = field(factory=dict)
+    tickets: dict[str, float] = field(factory=dict)
     _server: asyncio.Server | None = None
 
     async def start(self) -> None:
@@ -72,8 +61,8 @@
         """Return tickets that are held though no call has run for long."""
         return [
             name
-            for name, ticket in self.tickets.items()
-            if ticket.expires_s > now_s and now_s - quiet_since_s > FREE_S
+            for name, expires_s in self.tickets.items()
+            if expires_s > now_s and now_s - quiet_since_s > FREE_S
         ]
 
     async def _answer(self, asked: Asked) -> None:
@@ -122,14 +111,8 @@
 
     async def _take_order(self, asked: Asked) -> None:
         order = published.decode_order(asked.body)
-        now_s = time.monotonic()
         if order.reserves:
-            known = self.tickets.get(order.ticket)
-            self.tickets[order.ticket] = Ticket(
-                now_s + order.hold_s,
-                known.first_s if known else now_s,
-                now_s,
-            )
+            self.tickets[order.ticket] = time.monotonic() + order.hold_s
         else:
             self.tickets.pop(order.ticket, None)
         await asked.reply(200, b'{"free": 1}')
--- a/trefoilhinge/standins/passes.py
+++ b/trefoilhinge/standins/passes.py
@@ -43,6 +43,7 @@
     :ivar tokens_left: tokens that are not read yet.
     :ivar token_s: seconds that one of them takes.
     :ivar is_own: whether the engine also answers the call.
+    :ivar is_joint: whether other engines read parts of the same prompt.
     """
 
     prompt: Prompt
