Logged documents that are not newer and counted the bytes of documents.

In the incident the log did not tell whether an instance that reads the store again receives outdated documents first or no answer at all: a document that is not newer was dropped without a line, and no figure said how many bytes went between instances and from the store.

Added the event document_ignored, the size in document_accepted, and the counters store_bytes and peer_bytes.

--- a/trefoilhinge/gateway/metrics.py
+++ b/trefoilhinge/gateway/metrics.py
@@ -43,7 +43,11 @@
 
     def increment(self, name: str, **labels: str) -> None:
         """Increment a counter."""
-        self.counts[name, tuple(sorted(labels.items()))] += 1
+        self.add(name, 1, **labels)
+
+    def add(self, name: str, amount: int, **labels: str) -> None:
+        """Add an amount to a counter."""
+        self.counts[name, tuple(sorted(labels.items()))] += amount
 
     def set_gauge(self, name: str, value: float) -> None:
         """Set a gauge."""
--- a/trefoilhinge/gateway/replication.py
+++ b/trefoilhinge/gateway/replication.py
@@ -15,10 +15,13 @@
 def handle_peer_request(state: GatewayState, path: str) -> HttpResponse:
     """Return the response to a GET of another instance."""
     if path == DOCUMENT_PATH and state.document_bytes:
-        return HttpResponse(200, state.document_bytes, 'application/json')
-    if path == TARGETS_PATH:
-        return HttpResponse(200, encode_targets(state), 'application/json')
-    return HttpResponse(404)
+        content = state.document_bytes
+    elif path == TARGETS_PATH:
+        content = encode_targets(state)
+    else:
+        return HttpResponse(404)
+    state.metrics.add('peer_bytes', len(content), path=path)
+    return HttpResponse(200, content, 'application/json')
 
 
 def encode_targets(state: GatewayState) -> bytes:
--- a/trefoilhinge/gateway/state.py
+++ b/trefoilhinge/gateway/state.py
@@ -115,6 +115,12 @@
         document = decoded.ok
         known = self.document.version if self.document else 0
         if document.version <= known:
+            self.log.write(
+                'document_ignored',
+                version=document.version,
+                known=known,
+                source=source,
+            )
             return False
         self.document = document
         self.document_bytes = content
@@ -123,6 +129,7 @@
             version=document.version,
             before=known,
             source=source,
+            size=len(content),
         )
         return True
 
--- a/trefoilhinge/gateway/store_watcher.py
+++ b/trefoilhinge/gateway/store_watcher.py
@@ -137,6 +137,7 @@
             store.NOT_FOUND_STATUS,
         }:
             raise StoreUnanswered(f'status {fetched.status}')
+        self._state.metrics.add('store_bytes', len(fetched.content))
         self._record_answer()
         return fetched
 
