--- a/tests/gateway/documents.py
+++ b/tests/gateway/documents.py
@@ -12,8 +12,10 @@
 # Each test process uses its own loopback addresses, so that parallel processes
 # do not compete for ports.
 _PID = os.getpid()
-HOST = f'127.{1 + _PID // 256 % 126}.{_PID % 256}.1'
-OTHER_HOST = f'127.{1 + _PID // 256 % 126}.{_PID % 256}.2'
+_NETWORK = f'127.{1 + _PID // 256 % 126}.{_PID % 256}'
+HOST = f'{_NETWORK}.1'
+OTHER_HOST = f'{_NETWORK}.2'
+THIRD_HOST = f'{_NETWORK}.3'
 FIRST_PORT = 12_000  # below the range of ephemeral ports
 _ports = itertools.count(FIRST_PORT)
 
--- a/tests/gateway/test_store.py
+++ b/tests/gateway/test_store.py
@@ -15,6 +15,8 @@
 from trefoilhinge.gateway.daemon import make_gateway
 from trefoilhinge.gateway.store_watcher import find_watch_interval_s
 
+LONG_OUTAGE_S = 2.0  # longer than documents can be missed by one watch
+
 
 def list_serving(state, service='model'):
     """Return the names of the serving targets of a service."""
@@ -145,6 +147,33 @@
 
         asyncio.run(run())
 
+    def test_only_the_newest_document_is_read_after_an_outage(self):
+        """Guards against old documents being read one by one after an outage.
+
+        In an incident an instance received every document written during the
+        outage, oldest first, and enforced an older one meanwhile.
+        """
+
+        async def run():
+            async with run_fleet(m1=stream(), m2=stream()) as fleet:
+                fleet.store.is_down = True
+                for version in range(2, 7):
+                    fleet.store.put('op/config', make_document(version))
+                address = fleet.targets['m1'].address
+                fleet.store.put_target('m1', address, state='draining')
+                await asyncio.sleep(LONG_OUTAGE_S)
+                fleet.store.sent_keys.clear()
+                fleet.store.is_down = False
+                await fleet.wait_for(lambda: fleet.state.document.version == 6)
+                await fleet.wait_for(
+                    lambda: list_serving(fleet.state) == ['m2']
+                )
+                assert fleet.store.sent_keys.count('op/config') == 1
+                fleet.store.put('op/config', make_document(7))
+                await fleet.wait_for(lambda: fleet.state.document.version == 7)
+
+        asyncio.run(run())
+
 
 class TestPeers:
     def test_instance_cut_off_from_the_store_learns_from_a_peer(self):
--- a/trefoilhinge/soak/stores.py
+++ b/trefoilhinge/soak/stores.py
@@ -24,6 +24,7 @@
     :ivar is_down: whether all requests are refused.
     :ivar compact_revision: oldest revision that a watch may start after.
     :ivar requested_paths: paths of the requests, in order.
+    :ivar sent_keys: keys of the items and tombstones in responses, in order.
     """
 
     host: str
@@ -34,6 +35,7 @@
     is_down: bool = False
     compact_revision: int = 0
     requested_paths: list[str] = field(factory=list)
+    sent_keys: list[str] = field(factory=list)
     _server: asyncio.Server | None = None
 
     async def start(self) -> None:
@@ -80,6 +82,7 @@
             item = self.items.get(fields['key'])
             status = 200 if item else store.NOT_FOUND_STATUS
             content = {**(item or {}), 'currentRev': self.revision}
+            self.sent_keys.append(fields['key'])
         elif path == store.LIST_PATH:
             status = 200
             content = self._list(fields)
@@ -88,7 +91,7 @@
         await request.respond(status, json.dumps(content).encode())
 
     def _list(self, fields: dict[str, str]) -> dict[str, Any]:
-        prefix = fields['prefix']
+        prefix = fields.get('prefix', '')
         after_key = fields.get('after', '')
         keys = sorted(
             key
@@ -96,6 +99,7 @@
             if key.startswith(prefix) and key > after_key
         )
         page = [self.items[key] for key in keys[:PAGE_ITEMS]]
+        self.sent_keys.extend(item['key'] for item in page)
         return {
             'items': page,
             'truncated': len(keys) > PAGE_ITEMS,
@@ -104,14 +108,20 @@
 
     async def _watch(self, fields: dict[str, str]) -> tuple[int, dict]:
         after_revision = int(fields['after'])
+        prefix = fields.get('prefix', '')
         events: list[dict[str, Any]] = []
         for _ in range(
             int(fields['waitMs']) // int(WATCH_POLL_INTERVAL_S * 1000)
         ):
             if after_revision < self.compact_revision:
                 return store.HISTORY_GONE_STATUS, {}
-            events = [one for one in self.events if one['rev'] > after_revision]
+            events = [
+                one
+                for one in self.events
+                if one['rev'] > after_revision and one['key'].startswith(prefix)
+            ]
             if events or self.is_down:
                 break
             await asyncio.sleep(WATCH_POLL_INTERVAL_S)
+        self.sent_keys.extend(event['key'] for event in events)
         return 200, {'events': events, 'currentRev': self.revision}
