Refused pending watches in the stand-in while the store is down.

A watch that was pending when the store went down returned the documents written meanwhile, so that the listed test failed for another reason than the fault: no document was left to be read after the outage. Now it fails as listed: five documents are read, oldest first.

--- a/trefoilhinge/soak/stores.py
+++ b/trefoilhinge/soak/stores.py
@@ -113,6 +113,8 @@
         for _ in range(
             int(fields['waitMs']) // int(WATCH_POLL_INTERVAL_S * 1000)
         ):
+            if self.is_down:
+                return UNAVAILABLE_STATUS, {}
             if after_revision < self.compact_revision:
                 return store.HISTORY_GONE_STATUS, {}
             events = [
@@ -120,7 +122,7 @@
                 for one in self.events
                 if one['rev'] > after_revision and one['key'].startswith(prefix)
             ]
-            if events or self.is_down:
+            if events:
                 break
             await asyncio.sleep(WATCH_POLL_INTERVAL_S)
         self.sent_keys.extend(event['key'] for event in events)
