Read only the newest document after an outage of the store.

Callers of an instance that the store had refused for 9 s were served by an older document for another 4 s after the store answered again.

Cause: the watch went on from the last revision, so the store sent each document written meanwhile, oldest first. In the incident these were six of 525 KB, in two answers with 1.2 s between them; the first brought only documents that peers had already passed on. The evidence is that 16 instances accepted versions 26, 29 and 32 within 40 ms, 2.6 s after the store's first answer.

An instance that could not read for a second now reads the newest document, then the changes of the targets alone, and watches from the document's revision. The outage counts from the start of the first failed read: a silent watch fails only after 3 s.

--- a/trefoilhinge/dispatch/targets.py
+++ b/trefoilhinge/dispatch/targets.py
@@ -67,6 +67,12 @@
             self.unreachable_since_s = None
             self.reachable_since_s = now_s
 
+    def count_unreachable_s(self, now_s: float) -> float:
+        """Return for how many seconds the store has not answered."""
+        if self.unreachable_since_s is None:
+            return 0
+        return now_s - self.unreachable_since_s
+
     def apply_record(self, record: TargetRecord) -> bool:
         """Apply a record unless it is outdated.
 
--- a/trefoilhinge/gateway/store_watcher.py
+++ b/trefoilhinge/gateway/store_watcher.py
@@ -25,6 +25,9 @@
 LARGE_FLEET_WATCH_INTERVAL_S = 1.2
 # An instance that hears no other one still applies a change in time.
 LARGE_FLEET_WATCH_INTERVAL_FRACTION = 0.4
+# A longer outage may have hidden several documents.
+CATCH_UP_AFTER_S = 1.0
+CATCH_UP_WAIT_S = 0.1  # of the watch for changes that were already made
 RETRY_DELAY_S = 0.5
 STARTUP_RETRY_DELAY_S = 0.1  # while no targets are known
 MAXIMUM_LIST_PAGES = 40  # guards against a store that never ends its list
@@ -46,15 +49,14 @@
     _peers: PeerExchange
     _revision: int = 0
     _has_listed: bool = False
+    _needs_catch_up: bool = False
+    _read_began_s: float = 0
 
     async def run(self) -> None:
         """List and watch the store until cancelled."""
         while True:
             try:
-                if self._has_listed:
-                    await self._watch()
-                else:
-                    await self._list_all()
+                await self._read_changes()
             except HistoryGone:
                 self._has_listed = False
                 self._state.log.write('history_gone', revision=self._revision)
@@ -66,6 +68,14 @@
                     else STARTUP_RETRY_DELAY_S
                 )
 
+    async def _read_changes(self) -> None:
+        if not self._has_listed:
+            await self._list_all()
+        elif self._needs_catch_up:
+            await self._catch_up()
+        else:
+            await self._watch()
+
     async def _list_all(self) -> None:
         page = await self._read_document()
         revision = page.revision
@@ -81,9 +91,30 @@
                 break
             after = page.items[-1].key
         self._apply_list(records)
-        self._revision = revision
-        self._state.directory.revision = revision
+        self._set_revision(revision)
         self._has_listed = True
+        self._needs_catch_up = False
+
+    async def _catch_up(self) -> None:
+        """Read the changes of the targets, and only the newest document.
+
+        A watch would first send each document written during the outage.
+        """
+        document_revision = (await self._read_document()).revision
+        revision = self._revision
+        while revision < document_revision:
+            page = await self._fetch_page(
+                store.make_watch_path(
+                    store.TARGET_PREFIX, revision, CATCH_UP_WAIT_S
+                )
+            )
+            self._apply_items(page)
+            if page.revision <= revision:
+                raise StoreUnanswered(f'watch stays at revision {revision}')
+            revision = page.revision
+        # A document written after it was read is left to the next watch.
+        self._set_revision(document_revision)
+        self._needs_catch_up = False
 
     async def _read_document(self) -> store.StorePage:
         fetched = await self._fetch(
@@ -100,10 +131,8 @@
     async def _watch(self) -> None:
         path = store.make_watch_path('', self._revision, WATCH_WAIT_S)
         page = await self._fetch_page(path, WATCH_WAIT_S + WATCH_MARGIN_S)
-        for item in page.items:
-            self._apply_item(item)
-        self._revision = max(self._revision, page.revision)
-        self._state.directory.revision = self._revision
+        self._apply_items(page)
+        self._set_revision(max(self._revision, page.revision))
         instances = self._state.peers.count_instances(self._state.get_now_s())
         apply_s = self._state.settings.bounds.apply_s
         await asyncio.sleep(find_watch_interval_s(apply_s, instances))
@@ -127,6 +156,7 @@
         if not self._has_targets():
             timeout_s = STARTUP_TIMEOUT_S
         address = self._state.settings.store
+        self._read_began_s = self._state.get_now_s()
         try:
             fetched = await fetch(address, path, timeout_s)
         except FetchFailed as problem:
@@ -150,6 +180,14 @@
                 self._apply_removal(name, now_s)
         self._state.log.write('targets_listed', count=len(items))
 
+    def _set_revision(self, revision: int) -> None:
+        self._revision = revision
+        self._state.directory.revision = revision
+
+    def _apply_items(self, page: store.StorePage) -> None:
+        for item in page.items:
+            self._apply_item(item)
+
     def _apply_item(self, item: store.StoreItem) -> None:
         if item.key == store.DOCUMENT_KEY and item.content is not None:
             self._state.accept_document(
@@ -206,7 +244,10 @@
         if directory.unreachable_since_s is None and self._has_listed:
             self._state.log.write('store_lost', problem=problem)
         self._state.metrics.increment('store_failures')
-        directory.mark_store_unreachable(self._state.get_now_s())
+        directory.mark_store_unreachable(self._read_began_s)
+        unreachable_s = directory.count_unreachable_s(self._state.get_now_s())
+        if unreachable_s >= CATCH_UP_AFTER_S:
+            self._needs_catch_up = True
 
     def _record_answer(self) -> None:
         directory = self._state.directory
