Spread transfers of a newer document over the peers.

Callers of instances that the store refused were served by an older document, as no peer could pass on the newer one.

Cause: whoever heard of a newer version asked the peer that announced it first, and a heartbeat reaches all instances at once. Versions 17, 20 and 23 came in time because the announcer had a link of 100 Mbit/s.

A sender now serves two transfers at a time and answers 503 to others. An instance that reads the store waits for its own watch first. The lists of targets, fetched in the same way, use the same code.

--- a/trefoilhinge/dispatch/targets.py
+++ b/trefoilhinge/dispatch/targets.py
@@ -67,6 +67,11 @@
             self.unreachable_since_s = None
             self.reachable_since_s = now_s
 
+    @property
+    def is_cut_off(self) -> bool:
+        """Return whether the store does not answer, or never did."""
+        return self.unreachable_since_s is not None or not self.revision
+
     def count_unreachable_s(self, now_s: float) -> float:
         """Return for how many seconds the store has not answered."""
         if self.unreachable_since_s is None:
--- a/trefoilhinge/gateway/daemon.py
+++ b/trefoilhinge/gateway/daemon.py
@@ -88,7 +88,7 @@
             self._sweep(),
         ):
             task = asyncio.ensure_future(coroutine)
-            task.add_done_callback(self._log_task_end)
+            task.add_done_callback(self._state.log.write_task_end)
             self._tasks.append(task)
         await self._stopped.wait()
 
@@ -137,16 +137,6 @@
             problem=f'{type(problem).__name__}: {problem}',
         )
 
-    def _log_task_end(self, task: asyncio.Task[None]) -> None:
-        if task.cancelled():
-            return
-        problem = task.exception()
-        self._state.log.write(
-            'task_failed',
-            message=task.get_name(),
-            problem=f'{type(problem).__name__}: {problem}',
-        )
-
     def _get_limits(self) -> CallerLimits:
         document = self._state.document
         return document.limits if document else DEFAULT_LIMITS
--- a/trefoilhinge/gateway/http_client.py
+++ b/trefoilhinge/gateway/http_client.py
@@ -30,16 +30,21 @@
     path: str,
     timeout_s: float,
     body: bytes | None = None,
+    silence_timeout_s: float | None = None,
 ) -> FetchedResponse:
     """Send a GET, or a POST with a JSON body, and read the response.
 
     :param timeout_s: limit on connecting, sending and reading together.
     :param body: JSON to post, ``None`` for a GET.
+    :param silence_timeout_s: limit on connecting, and on each wait for data;
+        ``None`` for no other limit than ``timeout_s``.
     :raises FetchFailed: no complete response arrived within the limit.
     """
     try:
         async with asyncio.timeout(timeout_s):
-            return await _exchange(address, path, timeout_s, body)
+            return await _exchange(
+                address, path, silence_timeout_s or timeout_s, body
+            )
     except (OSError, h11.ProtocolError) as problem:
         kind = type(problem).__name__
         raise FetchFailed(f'{kind}: {problem}') from problem
@@ -48,15 +53,15 @@
 async def _exchange(
     address: Address,
     path: str,
-    timeout_s: float,
+    silence_timeout_s: float,
     body: bytes | None,
 ) -> FetchedResponse:
     reader, writer = await open_tcp_connection(
-        address, min(CONNECT_TIMEOUT_S, timeout_s)
+        address, min(CONNECT_TIMEOUT_S, silence_timeout_s)
     )
     try:
         writer.write(_encode(address, path, body))
-        return await _read(reader)
+        return await _read(reader, silence_timeout_s)
     finally:
         writer.transport.abort()
 
@@ -76,7 +81,9 @@
     return data + (body or b'')
 
 
-async def _read(reader: asyncio.StreamReader) -> FetchedResponse:
+async def _read(
+    reader: asyncio.StreamReader, silence_timeout_s: float
+) -> FetchedResponse:
     connection = h11.Connection(h11.CLIENT)
     # h11 reads a response only after a request was passed through it.
     sent = h11.Request(method='GET', target='/', headers=[('Host', '-')])
@@ -84,23 +91,25 @@
     connection.send(h11.EndOfMessage())
     status = 0
     content = bytearray()
-    event = await _read_event(reader, connection)
+    event = await _read_event(reader, connection, silence_timeout_s)
     while not isinstance(event, h11.EndOfMessage):
         if isinstance(event, h11.Response):
             status = event.status_code
         elif isinstance(event, h11.Data):
             content += event.data
-        event = await _read_event(reader, connection)
+        event = await _read_event(reader, connection, silence_timeout_s)
     return FetchedResponse(status, bytes(content))
 
 
 async def _read_event(
     reader: asyncio.StreamReader,
     connection: h11.Connection,
+    silence_timeout_s: float,
 ) -> h11.Event:
     event = connection.next_event()
     while event is h11.NEED_DATA:
-        connection.receive_data(await reader.read(READ_BYTES))
+        async with asyncio.timeout(silence_timeout_s):
+            connection.receive_data(await reader.read(READ_BYTES))
         event = connection.next_event()
     if isinstance(event, h11.ConnectionClosed):
         raise FetchFailed('connection closed before the end of the response')
--- a/trefoilhinge/gateway/http_server.py
+++ b/trefoilhinge/gateway/http_server.py
@@ -10,16 +10,22 @@
 from trefoilhinge.gateway.tcp import READ_BYTES, set_tcp_timeouts
 
 IDLE_TIMEOUT_S = 20.0  # of a kept-alive connection
+RECEIPT_TIMEOUT_S = 3.0  # longer than clients wait for a response
 LISTEN_BACKLOG = 128
 
 
 @frozen
 class HttpResponse:
-    """The response to a GET."""
+    """The response to a GET.
+
+    :ivar on_received: called once the client has closed the connection, which
+        it does after the whole response arrived.
+    """
 
     status: int
     content: bytes = b''
     content_type: str = 'text/plain'
+    on_received: Callable[[], None] | None = None
 
 
 RequestHandler = Callable[[str], HttpResponse]
@@ -63,6 +69,23 @@
     if path is None:
         return False
     response = handler(path)
+    try:
+        await _send_response(writer, connection, response)
+        if response.on_received is None:
+            return connection.our_state is h11.DONE
+        # Data that was drained may still wait in the kernel's buffer.
+        await _await_close(reader)
+    finally:
+        if response.on_received is not None:
+            response.on_received()
+    return False
+
+
+async def _send_response(
+    writer: asyncio.StreamWriter,
+    connection: h11.Connection,
+    response: HttpResponse,
+) -> None:
     head = h11.Response(
         status_code=response.status,
         headers=[
@@ -73,7 +96,11 @@
     for event in (head, h11.Data(data=response.content), h11.EndOfMessage()):
         writer.write(connection.send(event) or b'')
     await writer.drain()
-    return connection.our_state is h11.DONE
+
+
+async def _await_close(reader: asyncio.StreamReader) -> None:
+    async with asyncio.timeout(RECEIPT_TIMEOUT_S):
+        await reader.read(1)
 
 
 async def _read_path(
--- a/trefoilhinge/gateway/logs.py
+++ b/trefoilhinge/gateway/logs.py
@@ -6,6 +6,7 @@
 dropped lines is logged.
 """
 
+import asyncio
 import os
 import select
 import time
@@ -102,6 +103,16 @@
         )
         self._logger.info(format_pairs(pairs))
 
+    def write_task_end(self, task: asyncio.Task[None]) -> None:
+        """Write why a background task failed."""
+        problem = None if task.cancelled() else task.exception()
+        if problem is not None:
+            self.write(
+                'task_failed',
+                message=task.get_name(),
+                problem=f'{type(problem).__name__}: {problem}',
+            )
+
     def flush(self) -> None:
         """Write what the pipe takes, and the number of dropped lines."""
         self._handler.flush()
--- a/trefoilhinge/gateway/peer_exchange.py
+++ b/trefoilhinge/gateway/peer_exchange.py
@@ -19,9 +19,9 @@
     decode_message,
     encode_message,
 )
-from trefoilhinge.dispatch.peers import Heartbeat
+from trefoilhinge.dispatch.peers import Heartbeat, Peer
 from trefoilhinge.dispatch.targets import TargetRecord
-from trefoilhinge.gateway.http_client import FetchFailed, fetch
+from trefoilhinge.gateway.peer_fetcher import PeerFetcher
 from trefoilhinge.gateway.replication import (
     DOCUMENT_PATH,
     TARGETS_PATH,
@@ -31,7 +31,9 @@
 
 INITIAL_HEARTBEAT_INTERVAL_S = 0.1  # until the first peer answers
 MAXIMUM_INITIAL_HEARTBEATS = 30
-FETCH_TIMEOUT_S = 2.0
+# Of the time in which a document must be in force: an instance that reads the
+# store waits for its own watch first.
+FETCH_DELAY_FRACTION = 0.3
 # Maximum duration of a run in its announcement to a new peer.
 REANNOUNCED_RUN_S = 15.0
 # Marks a message that the receiver relays within its failure domain. No
@@ -47,8 +49,23 @@
     _transport: asyncio.DatagramTransport | None = None
     _heartbeats_sent: int = 0
     _broadcasts_sent: int = 0
-    _fetching: set[str] = field(factory=set)
-    _tasks: set[asyncio.Task[None]] = field(factory=set)
+    _document_fetcher: PeerFetcher = field(init=False)
+    _targets_fetcher: PeerFetcher = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Create the fetchers."""
+        self._document_fetcher = PeerFetcher(
+            self._state,
+            DOCUMENT_PATH,
+            self._list_document_offers,
+            self._apply_document,
+        )
+        self._targets_fetcher = PeerFetcher(
+            self._state,
+            TARGETS_PATH,
+            self._list_target_offers,
+            self._apply_targets,
+        )
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the socket."""
@@ -101,8 +118,8 @@
 
     def close(self) -> None:
         """Cancel pending fetches and close the socket."""
-        for task in self._tasks:
-            task.cancel()
+        self._document_fetcher.close()
+        self._targets_fetcher.close()
         if self._transport is not None:
             self._transport.close()
 
@@ -232,41 +249,51 @@
             for run in state.loads.list_by_origin(state.origin):
                 announcement = RunStarted(run, REANNOUNCED_RUN_S)
                 self._send(encode_message(announcement), heartbeat.ip)
-        version = state.document.version if state.document else 0
-        if heartbeat.version > version:
-            self._start_fetch(heartbeat.ip, DOCUMENT_PATH)
-        directory = state.directory
-        is_cut_off = (
-            directory.unreachable_since_s is not None or not directory.revision
-        )
-        if is_cut_off and heartbeat.revision > directory.revision:
-            self._start_fetch(heartbeat.ip, TARGETS_PATH)
+        if self._list_document_offers():
+            self._document_fetcher.start(self._find_fetch_delay_s())
+        if self._list_target_offers():
+            self._targets_fetcher.start(0)
 
-    def _start_fetch(self, ip: str, path: str) -> None:
-        if path in self._fetching:
-            return
-        self._fetching.add(path)
-        task = asyncio.ensure_future(self._fetch(ip, path))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
-    async def _fetch(self, ip: str, path: str) -> None:
+    def _find_fetch_delay_s(self) -> float:
         state = self._state
-        address = (ip, state.settings.first_port)
-        try:
-            fetched = await fetch(address, path, FETCH_TIMEOUT_S)
-        except FetchFailed as problem:
-            state.log.write(
-                'peer_fetch_failed', peer=ip, path=path, problem=problem
-            )
-            return
-        finally:
-            self._fetching.discard(path)
-        if path == DOCUMENT_PATH:
-            state.accept_document(fetched.content, f'peer {ip}')
-            return
-        applied = apply_targets(state, fetched.content)
+        if state.document is None or state.directory.is_cut_off:
+            return 0
+        return FETCH_DELAY_FRACTION * state.settings.bounds.apply_s
+
+    def _list_document_offers(self) -> dict[str, int]:
+        document = self._state.document
+        version = document.version if document else 0
+        return {
+            peer.ip: peer.version
+            for peer in self._list_live_peers()
+            if peer.version > version
+        }
+
+    def _list_target_offers(self) -> dict[str, int]:
+        directory = self._state.directory
+        if not directory.is_cut_off:
+            return {}
+        return {
+            peer.ip: peer.revision
+            for peer in self._list_live_peers()
+            if peer.revision > directory.revision
+        }
+
+    def _list_live_peers(self) -> list[Peer]:
+        peers = self._state.peers
+        return [
+            peers.peers[ip] for ip in peers.list_live(self._state.get_now_s())
+        ]
+
+    def _apply_document(self, content: bytes, ip: str) -> None:
+        self._state.accept_document(content, f'peer {ip}')
+
+    def _apply_targets(self, content: bytes, ip: str) -> None:
+        applied = apply_targets(self._state, content)
         if applied.is_error():
-            state.log.write(
-                'peer_fetch_failed', peer=ip, path=path, problem=applied.error
+            self._state.log.write(
+                'peer_fetch_failed',
+                peer=ip,
+                path=TARGETS_PATH,
+                problem=applied.error,
             )
--- a/trefoilhinge/gateway/replication.py
+++ b/trefoilhinge/gateway/replication.py
@@ -10,6 +10,9 @@
 
 DOCUMENT_PATH = '/document'
 TARGETS_PATH = '/targets'
+BUSY_STATUS = 503
+# More would share the bandwidth of a slow link until none ends in time.
+MAXIMUM_TRANSFERS = 2
 
 
 def handle_peer_request(state: GatewayState, path: str) -> HttpResponse:
@@ -20,8 +23,17 @@
         content = encode_targets(state)
     else:
         return HttpResponse(404)
+    if state.transfers >= MAXIMUM_TRANSFERS:
+        return HttpResponse(BUSY_STATUS)
+    state.transfers += 1
     state.metrics.add('peer_bytes', len(content), path=path)
-    return HttpResponse(200, content, 'application/json')
+    return HttpResponse(
+        200, content, 'application/json', lambda: _end_transfer(state)
+    )
+
+
+def _end_transfer(state: GatewayState) -> None:
+    state.transfers -= 1
 
 
 def encode_targets(state: GatewayState) -> bytes:
--- a/trefoilhinge/gateway/state.py
+++ b/trefoilhinge/gateway/state.py
@@ -34,6 +34,8 @@
     :ivar prefill_waiters: calls that wait until they may be sent.
     :ivar health: failure rates and ejections of the targets.
     :ivar slowdowns: observed slowdown of each target.
+    :ivar transfers: documents and lists of targets that are being sent to
+        peers.
     :ivar exit_at_s: monotonic seconds at which the process exits.
     :ivar admission_restricted_at_s: monotonic seconds from which a stopping
         instance takes only calls whose maximum duration ends before it exits.
@@ -51,6 +53,7 @@
     prefill_waiters: PrefillWaiters = field(init=False)
     health: HealthTable = field(factory=HealthTable)
     slowdowns: SlowdownTable = field(factory=SlowdownTable)
+    transfers: int = 0
     is_stopping: bool = False
     exit_at_s: float = float('inf')
     admission_restricted_at_s: float = float('inf')
