Told new peers which targets have departed.

A store that was restored from a copy may list a target as ready that has left since. An instance that started then, and read the store before it heard a peer, sent calls to it until the target reported again.

An instance now announces the departed targets that it still has a record of to each new peer, and remembers an announcement also when it has no record yet.

test_instance_that_starts_learns_of_targets_that_left failed before: the instance went on listing both targets. The fetchers got their factories beside them, so that the exchange of datagrams stays within one module.

--- a/tests/gateway/test_restored_store.py
+++ b/tests/gateway/test_restored_store.py
@@ -3,6 +3,8 @@
 import asyncio
 import contextlib
 
+from attrs import evolve
+
 from tests.gateway.documents import (
     HOST,
     OTHER_HOST,
@@ -22,14 +24,14 @@
 
 
 @contextlib.asynccontextmanager
-async def run_other(fleet, store_port):
-    """Run another instance of a fleet; give its state."""
+async def run_other(fleet, store_port, seeds=(HOST,)):
+    """Run another instance of a fleet."""
     other = make_gateway(
-        make_settings(store_port, [HOST], OTHER_HOST, fleet.settings.first_port)
+        make_settings(store_port, seeds, OTHER_HOST, fleet.settings.first_port)
     )
     task = asyncio.ensure_future(other.run())
     try:
-        yield other._state
+        yield other
     finally:
         task.cancel()
         other.close()
@@ -133,7 +135,8 @@
                 for number in range(6):
                     fleet.store.put(f'servers/x{number}', b'')
                 await wait_until_read(fleet)
-                async with run_other(fleet, 1) as state:
+                async with run_other(fleet, 1) as other:
+                    state = other._state
                     await fleet.wait_for(
                         lambda: list_serving(state) == ['m1', 'm2']
                     )
@@ -165,13 +168,12 @@
                     lambda: list_serving(fleet.state) == ['m2']
                 )
                 fleet.store.restore(before)
-                async with run_other(fleet, fleet.store.port) as state:
+                async with run_other(fleet, fleet.store.port, ()) as other:
+                    state = other._state
                     await fleet.wait_for(
-                        lambda: (
-                            len(state.directory.records) == 2
-                            and list_serving(state) == ['m2']
-                        )
+                        lambda: list_serving(state) == ['m1', 'm2']
                     )
-                assert list_serving(fleet.state) == ['m2']
+                    state.settings = evolve(state.settings, seeds=(HOST,))
+                    await fleet.wait_for(lambda: list_serving(state) == ['m2'])
 
         asyncio.run(run())
--- a/trefoilhinge/dispatch/targets.py
+++ b/trefoilhinge/dispatch/targets.py
@@ -98,11 +98,30 @@
 
     def mark_departed(self, record: TargetRecord) -> bool:
         """Mark an incarnation as departed; return whether it was not yet."""
-        incarnation = (record.name, record.started_ms)
+        return self.mark_incarnation_departed(
+            record.name, record.started_ms, record.revision
+        )
+
+    def mark_incarnation_departed(
+        self, name: str, started_ms: int, revision: int
+    ) -> bool:
+        """Mark an incarnation as departed, also one without a record.
+
+        :return: whether it was not departed yet.
+        """
+        incarnation = (name, started_ms)
         is_new = incarnation not in self.departed
-        self.departed[incarnation] = record.revision
+        self.departed[incarnation] = revision
         return is_new
 
+    def list_departed(self) -> list[TargetRecord]:
+        """Return the records of departed incarnations."""
+        return [
+            record
+            for record in self.records.values()
+            if (record.name, record.started_ms) in self.departed
+        ]
+
     def mark_removed(self, name: str, now_s: float) -> TargetRecord | None:
         """Record that a target's entry was removed from the store.
 
--- a/trefoilhinge/gateway/peer_exchange.py
+++ b/trefoilhinge/gateway/peer_exchange.py
@@ -19,21 +19,17 @@
     decode_message,
     encode_message,
 )
-from trefoilhinge.dispatch.peers import Heartbeat, Peer
+from trefoilhinge.dispatch.peers import Heartbeat
 from trefoilhinge.dispatch.targets import TargetRecord
-from trefoilhinge.gateway.peer_fetcher import PeerFetcher
-from trefoilhinge.gateway.replication import (
-    DOCUMENT_PATH,
-    TARGETS_PATH,
-    apply_targets,
+from trefoilhinge.gateway.peer_fetcher import (
+    PeerFetcher,
+    make_document_fetcher,
+    make_targets_fetcher,
 )
 from trefoilhinge.gateway.state import GatewayState
 
 INITIAL_HEARTBEAT_INTERVAL_S = 0.1  # until the first peer answers
 MAXIMUM_INITIAL_HEARTBEATS = 30
-# Of the time in which a document must be in force: an instance that reads the
-# store waits for its own watch first.
-FETCH_DELAY_FRACTION = 0.3
 # Maximum duration of a run in its announcement to a new peer.
 REANNOUNCED_RUN_S = 15.0
 # Marks a message that the receiver relays within its failure domain. No
@@ -54,18 +50,8 @@
 
     def __attrs_post_init__(self) -> None:
         """Create the fetchers."""
-        self._document_fetcher = PeerFetcher(
-            self._state,
-            DOCUMENT_PATH,
-            self._list_document_offers,
-            self._apply_document,
-        )
-        self._targets_fetcher = PeerFetcher(
-            self._state,
-            TARGETS_PATH,
-            self._list_target_offers,
-            self._apply_targets,
-        )
+        self._document_fetcher = make_document_fetcher(self._state)
+        self._targets_fetcher = make_targets_fetcher(self._state)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the socket."""
@@ -111,10 +97,10 @@
         The message is rare and must not be lost, so it goes to each peer
         directly: an instance that relays it might fail before it does.
         """
-        message = TargetLeaving(record.name, record.started_ms, record.revision)
+        data = encode_message(_make_target_leaving(record))
         now_s = self._state.get_now_s()
         for ip in self._state.peers.list_live(now_s):
-            self._send(encode_message(message), ip)
+            self._send(data, ip)
 
     def close(self) -> None:
         """Cancel pending fetches and close the socket."""
@@ -221,10 +207,9 @@
                 self._apply_target_leaving(message)
 
     def _apply_target_leaving(self, message: TargetLeaving) -> None:
-        directory = self._state.directory
-        record = directory.records.get(message.name)
-        known = record is not None and record.started_ms == message.started_ms
-        if known and record is not None and directory.mark_departed(record):
+        if self._state.directory.mark_incarnation_departed(
+            message.name, message.started_ms, message.revision
+        ):
             self._state.log.write(
                 'target_left',
                 target=message.name,
@@ -232,6 +217,17 @@
                 revision=message.revision,
             )
 
+    def _introduce(self, ip: str, now_s: float) -> None:
+        """Tell a new peer what it cannot read from the store."""
+        state = self._state
+        self._send(encode_message(self._make_heartbeat(now_s)), ip)
+        for run in state.loads.list_by_origin(state.origin):
+            announcement = RunStarted(run, REANNOUNCED_RUN_S)
+            self._send(encode_message(announcement), ip)
+        # A store restored from a copy may list a departed target as ready.
+        for record in state.directory.list_departed():
+            self._send(encode_message(_make_target_leaving(record)), ip)
+
     def _apply_heartbeat(self, heartbeat: Heartbeat, now_s: float) -> None:
         state = self._state
         if heartbeat.ip == state.settings.ip:
@@ -243,57 +239,10 @@
             state.log.write(
                 'peer_heard', peer=heartbeat.ip, origin=heartbeat.origin
             )
-            self._send(
-                encode_message(self._make_heartbeat(now_s)), heartbeat.ip
-            )
-            for run in state.loads.list_by_origin(state.origin):
-                announcement = RunStarted(run, REANNOUNCED_RUN_S)
-                self._send(encode_message(announcement), heartbeat.ip)
-        if self._list_document_offers():
-            self._document_fetcher.start(self._find_fetch_delay_s())
-        if self._list_target_offers():
-            self._targets_fetcher.start(0)
-
-    def _find_fetch_delay_s(self) -> float:
-        state = self._state
-        if state.document is None or state.directory.is_cut_off:
-            return 0
-        return FETCH_DELAY_FRACTION * state.settings.bounds.apply_s
-
-    def _list_document_offers(self) -> dict[str, int]:
-        document = self._state.document
-        version = document.version if document else 0
-        return {
-            peer.ip: peer.version
-            for peer in self._list_live_peers()
-            if peer.version > version
-        }
-
-    def _list_target_offers(self) -> dict[str, int]:
-        directory = self._state.directory
-        if not directory.is_cut_off:
-            return {}
-        return {
-            peer.ip: peer.revision
-            for peer in self._list_live_peers()
-            if peer.revision > directory.revision
-        }
-
-    def _list_live_peers(self) -> list[Peer]:
-        peers = self._state.peers
-        return [
-            peers.peers[ip] for ip in peers.list_live(self._state.get_now_s())
-        ]
-
-    def _apply_document(self, content: bytes, ip: str) -> None:
-        self._state.accept_document(content, f'peer {ip}')
-
-    def _apply_targets(self, content: bytes, ip: str) -> None:
-        applied = apply_targets(self._state, content)
-        if applied.is_error():
-            self._state.log.write(
-                'peer_fetch_failed',
-                peer=ip,
-                path=TARGETS_PATH,
-                problem=applied.error,
-            )
+            self._introduce(heartbeat.ip, now_s)
+        self._document_fetcher.start()
+        self._targets_fetcher.start()
+
+
+def _make_target_leaving(record: TargetRecord) -> TargetLeaving:
+    return TargetLeaving(record.name, record.started_ms, record.revision)
--- a/trefoilhinge/gateway/peer_fetcher.py
+++ b/trefoilhinge/gateway/peer_fetcher.py
@@ -2,13 +2,19 @@
 
 import asyncio
 from collections.abc import Callable, Mapping
-from typing import Any
+from functools import partial
 
 from attrs import define, field
 
 from trefoilhinge.dispatch.transfer_sources import SourceTable
+from trefoilhinge.dispatch.peers import Peer
 from trefoilhinge.gateway.http_client import FetchFailed, fetch
-from trefoilhinge.gateway.replication import BUSY_STATUS
+from trefoilhinge.gateway.replication import (
+    BUSY_STATUS,
+    DOCUMENT_PATH,
+    TARGETS_PATH,
+    apply_targets,
+)
 from trefoilhinge.gateway.state import GatewayState
 
 FETCH_TIMEOUT_S = 2.0
@@ -16,6 +22,9 @@
 BUSY_RETRY_S = 0.2  # about the duration of a transfer
 # A peer that failed, or whose state was refused, is not asked again sooner.
 FAILURE_RETRY_S = 2.0
+# Of the time in which a document must be in force: an instance that reads the
+# store waits for its own watch first.
+DELAY_FRACTION = 0.3
 POLL_INTERVAL_S = 0.05  # while all peers are avoided
 
 
@@ -31,7 +40,7 @@
 
     _state: GatewayState
     path: str
-    list_offers: Callable[[], Mapping[str, Any]]
+    list_offers: Callable[[], Mapping[str, int]]
     apply: Callable[[bytes, str], None]
     _sources: SourceTable = field(init=False)
     _task: asyncio.Task[None] | None = None
@@ -40,10 +49,11 @@
         """Create the table of sources."""
         self._sources = SourceTable(self._state.settings.ip)
 
-    def start(self, delay_s: float) -> None:
-        """Fetch after a delay, unless a fetch is already pending."""
-        if self._task is None or self._task.done():
-            self._task = asyncio.ensure_future(self._run(delay_s))
+    def start(self) -> None:
+        """Fetch if a peer has a newer state and no fetch is pending."""
+        is_pending = self._task is not None and not self._task.done()
+        if not is_pending and self.list_offers():
+            self._task = asyncio.ensure_future(self._run())
             self._task.add_done_callback(self._state.log.write_task_end)
 
     def close(self) -> None:
@@ -51,8 +61,10 @@
         if self._task is not None:
             self._task.cancel()
 
-    async def _run(self, delay_s: float) -> None:
-        await asyncio.sleep(delay_s)
+    async def _run(self) -> None:
+        state = self._state
+        if state.document is not None and not state.directory.is_cut_off:
+            await asyncio.sleep(DELAY_FRACTION * state.settings.bounds.apply_s)
         while offers := self.list_offers():
             ip = self._sources.choose(offers, self._state.get_now_s())
             if ip is None:
@@ -81,3 +93,63 @@
             return BUSY_RETRY_S
         self.apply(fetched.content, ip)
         return FAILURE_RETRY_S
+
+
+def make_document_fetcher(state: GatewayState) -> PeerFetcher:
+    """Return a fetcher of newer documents."""
+    return PeerFetcher(
+        state,
+        DOCUMENT_PATH,
+        partial(_list_document_offers, state),
+        partial(_accept_document, state),
+    )
+
+
+def make_targets_fetcher(state: GatewayState) -> PeerFetcher:
+    """Return a fetcher of the targets while the store does not answer."""
+    return PeerFetcher(
+        state,
+        TARGETS_PATH,
+        partial(_list_target_offers, state),
+        partial(_accept_targets, state),
+    )
+
+
+def _list_document_offers(state: GatewayState) -> dict[str, int]:
+    version = state.document.version if state.document else 0
+    return {
+        peer.ip: peer.version
+        for peer in _list_live_peers(state)
+        if peer.version > version
+    }
+
+
+def _list_target_offers(state: GatewayState) -> dict[str, int]:
+    directory = state.directory
+    if not directory.is_cut_off:
+        return {}
+    return {
+        peer.ip: peer.revision
+        for peer in _list_live_peers(state)
+        if peer.revision > directory.revision
+    }
+
+
+def _list_live_peers(state: GatewayState) -> list[Peer]:
+    live = state.peers.list_live(state.get_now_s())
+    return [state.peers.peers[ip] for ip in live]
+
+
+def _accept_document(state: GatewayState, content: bytes, ip: str) -> None:
+    state.accept_document(content, f'peer {ip}')
+
+
+def _accept_targets(state: GatewayState, content: bytes, ip: str) -> None:
+    applied = apply_targets(state, content)
+    if applied.is_error():
+        state.log.write(
+            'peer_fetch_failed',
+            peer=ip,
+            path=TARGETS_PATH,
+            problem=applied.error,
+        )
