Limited the silence of a read from the store, not its duration.

The same class of fault as between instances: a transfer that takes longer than its limit is thrown away and repeated from its beginning. With 2,000 routes a document takes 0.42 s over a link of 10 Mbit/s that nothing else uses; the limit on a read was 0.6 s while an instance starts, and 3 s on a watch, which may bring several documents. In the incident four instances that the store did not refuse logged store_lost with TimeoutError while their links sent documents to others.

Reads now end after 15 s, or after the former limits without data; fetches from peers after 5 s, or 0.5 s without data. test_large_document_is_read_over_a_slow_link failed before: with a transfer of 2 s the instance was not ready after 5 s.

--- a/tests/gateway/test_store.py
+++ b/tests/gateway/test_store.py
@@ -15,6 +15,7 @@
 from trefoilhinge.gateway.daemon import make_gateway
 from trefoilhinge.gateway.store_watcher import find_watch_interval_s
 
+SLOW_TRANSFER_S = 2.0  # of a large document
 LONG_OUTAGE_S = 2.0  # longer than documents can be missed by one watch
 
 
@@ -283,6 +284,27 @@
 
         asyncio.run(run())
 
+    def test_large_document_is_read_over_a_slow_link(self):
+        """Guards against a read that restarts before it can end.
+
+        The limit on the whole read was shorter than the transfer of a large
+        document, so that an instance never became ready.
+        """
+
+        async def run():
+            async with run_fleet(has_document=False) as fleet:
+                document = make_document(2)
+                document['routes'].extend(
+                    make_route(f'r{number}', 'idempotent', 'desk', 100)
+                    for number in range(2000)
+                )
+                fleet.store.put('op/config', document)
+                size = len(fleet.store.items['op/config']['value'])
+                fleet.store.bytes_per_s = size / SLOW_TRANSFER_S
+                await fleet.wait_for(lambda: fleet.state.is_ready)
+
+        asyncio.run(run())
+
     def test_retry_after_exceeds_the_store_outage(self):
         """Guards against retries while the outage still lasts.
 
--- a/trefoilhinge/gateway/http_server.py
+++ b/trefoilhinge/gateway/http_server.py
@@ -10,7 +10,7 @@
 from trefoilhinge.gateway.tcp import READ_BYTES, set_tcp_timeouts
 
 IDLE_TIMEOUT_S = 20.0  # of a kept-alive connection
-RECEIPT_TIMEOUT_S = 3.0  # longer than clients wait for a response
+RECEIPT_TIMEOUT_S = 6.0  # longer than clients wait for a response
 LISTEN_BACKLOG = 128
 
 
--- a/trefoilhinge/gateway/peer_fetcher.py
+++ b/trefoilhinge/gateway/peer_fetcher.py
@@ -17,7 +17,7 @@
 )
 from trefoilhinge.gateway.state import GatewayState
 
-FETCH_TIMEOUT_S = 2.0
+FETCH_TIMEOUT_S = 5.0
 SILENCE_TIMEOUT_S = 0.5  # a peer answers from memory
 BUSY_RETRY_S = 0.2  # about the duration of a transfer
 # A peer that failed, or whose state was refused, is not asked again sooner.
--- a/trefoilhinge/gateway/store_watcher.py
+++ b/trefoilhinge/gateway/store_watcher.py
@@ -11,7 +11,10 @@
 from trefoilhinge.gateway.state import GatewayState
 from trefoilhinge.platform import store
 
+# The limits on reads are limits on silence: a transfer that goes on is not
+# broken off, since its repetition would take as long.
 READ_TIMEOUT_S = 1.5  # a slow store answers within some hundred ms
+TRANSFER_TIMEOUT_S = 15.0  # of a whole read
 # Shorter while no targets are known, as the instance cannot serve calls.
 STARTUP_TIMEOUT_S = 0.6
 WATCH_WAIT_S = 2.0  # bounds how late an outage of the store is noticed
@@ -168,7 +171,12 @@
         address = self._state.settings.store
         self._read_began_s = self._state.get_now_s()
         try:
-            fetched = await fetch(address, path, timeout_s)
+            fetched = await fetch(
+                address,
+                path,
+                TRANSFER_TIMEOUT_S,
+                silence_timeout_s=timeout_s,
+            )
         except FetchFailed as problem:
             raise StoreUnanswered(str(problem)) from problem
         if fetched.status not in {
--- a/trefoilhinge/soak/stores.py
+++ b/trefoilhinge/soak/stores.py
@@ -13,6 +13,7 @@
 
 PAGE_ITEMS = 2  # small, so that lists have several pages
 WATCH_POLL_INTERVAL_S = 0.01  # of a waiting watch
+SEND_INTERVAL_S = 0.05  # between two parts of a response over a slow link
 UNAVAILABLE_STATUS = 503
 
 
@@ -23,6 +24,7 @@
     :ivar events: items written and tombstones, in order.
     :ivar is_down: whether all requests are refused.
     :ivar compact_revision: oldest revision that a watch may start after.
+    :ivar bytes_per_s: bandwidth of each response, none if it is not limited.
     :ivar era: number of restorations from a copy.
     :ivar requested_paths: paths of the requests, in order.
     :ivar sent_keys: keys of the items and tombstones in responses, in order.
@@ -35,6 +37,7 @@
     revision: int = 1
     is_down: bool = False
     compact_revision: int = 0
+    bytes_per_s: float | None = None
     era: int = 1
     requested_paths: list[str] = field(factory=list)
     sent_keys: list[str] = field(factory=list)
@@ -101,11 +104,22 @@
             content = self._list(fields)
         else:
             status, content = await self._watch(fields)
-        await request.respond(
-            status,
-            json.dumps(content).encode(),
-            [formats.encode_era_header(self.era)],
-        )
+        await self._respond(request, status, json.dumps(content).encode())
+
+    async def _respond(
+        self, request: HttpExchange, status: int, content: bytes
+    ) -> None:
+        headers = [formats.encode_era_header(self.era)]
+        if self.bytes_per_s is None:
+            await request.respond(status, content, headers)
+            return
+        size = max(1, int(self.bytes_per_s * SEND_INTERVAL_S))
+        headers.append(('Content-Length', str(len(content))))
+        await request.send_headers(status, headers)
+        for begin in range(0, len(content), size):
+            await request.send_body(content[begin : begin + size])
+            await asyncio.sleep(SEND_INTERVAL_S)
+        await request.end_response()
 
     def _list(self, fields: dict[str, str]) -> dict[str, Any]:
         prefix = fields.get('prefix', '')
