Played restorations of the store in the soak.

The store goes away for a moment and returns from a copy up to 12 revisions older; one second later the lost changes are made again.

--- a/trefoilhinge/soak/plan_execution.py
+++ b/trefoilhinge/soak/plan_execution.py
@@ -13,6 +13,8 @@
 
 STOP_TIMEOUT_S = 9.0  # for a process to exit after SIGTERM
 DRAIN_TIME_S = 6.0  # before a drained target returns as a new incarnation
+MAXIMUM_LOST_REVISIONS = 12  # by a restoration of the store
+REPLAY_DELAY_S = 1.0  # until operator and targets make lost changes again
 TARGET_BEHAVIOURS = {
     FaultKind.lose_answers: TargetBehaviour.losing,
     FaultKind.tear_streams: TargetBehaviour.tearing,
@@ -52,6 +54,8 @@
         fleet.store.is_down = True
         await asyncio.sleep(event.duration_s)
         fleet.store.is_down = False
+    elif kind is FaultKind.restore_store:
+        await _restore_store(fleet, event)
     elif kind in {FaultKind.kill, FaultKind.pause}:
         await _inject_instance_fault(_choose_instance(fleet, event), event)
     else:
@@ -59,6 +63,18 @@
         await _inject_connection_fault(proxy, event)
 
 
+async def _restore_store(fleet: SoakFleet, event: PlannedEvent) -> None:
+    """Return the store from a copy after a moment away."""
+    store = fleet.store
+    store.is_down = True
+    await asyncio.sleep(event.duration_s)
+    lost_revisions = int(event.selector * MAXIMUM_LOST_REVISIONS)
+    lost = store.restore(max(1, store.revision - lost_revisions))
+    store.is_down = False
+    await asyncio.sleep(REPLAY_DELAY_S)
+    store.replay(lost)
+
+
 async def _inject_instance_fault(
     instance: Instance, event: PlannedEvent
 ) -> None:
--- a/trefoilhinge/soak/plans.py
+++ b/trefoilhinge/soak/plans.py
@@ -22,6 +22,7 @@
     kill = 'kill'
     pause = 'pause'
     store_down = 'store_down'
+    restore_store = 'restore_store'
     reset_links = 'reset_links'
     silence_links = 'silence_links'
     cut_one_way = 'cut_one_way'
--- a/trefoilhinge/soak/stores.py
+++ b/trefoilhinge/soak/stores.py
@@ -1,6 +1,7 @@
 """Stand-in of the platform's store."""
 
 import asyncio
+import base64
 import json
 from typing import Any
 from urllib.parse import parse_qsl
@@ -76,8 +77,12 @@
         entry = formats.encode_target(service, address, **fields)
         self.put(f'{store.TARGET_PREFIX}{name}', entry)
 
-    def restore(self, revision: int) -> None:
-        """Lose all changes after a revision, as after a restoration."""
+    def restore(self, revision: int) -> list[dict[str, Any]]:
+        """Return to the state at a revision, in a new era.
+
+        :return: the changes that were lost, in order.
+        """
+        lost = [one for one in self.events if one['rev'] > revision]
         self.events = [one for one in self.events if one['rev'] <= revision]
         self.items = {}
         for event in self.events:
@@ -86,6 +91,15 @@
                 self.items.pop(event['key'])
         self.revision = revision
         self.era += 1
+        return lost
+
+    def replay(self, events: list[dict[str, Any]]) -> None:
+        """Make lost changes again."""
+        for event in events:
+            if event.get('tombstone'):
+                self.remove(event['key'])
+            else:
+                self.put(event['key'], base64.b64decode(event['value']))
 
     async def _handle_request(self, request: HttpExchange) -> None:
         self.requested_paths.append(request.path)
