Asked a peer again at once after it sent a newer document.

Found while reading the fetches between instances again. A peer was avoided for 2 s after each fetch, also one that brought a newer document: an instance with one live peer and no store had the next change up to 2 s late. And the content of a response other than 200, such as a restarted peer's 404, was decoded as a document and logged as document_refused.

Only a failure, an error status or content that is not newer keeps a peer from being asked; an error status is logged as peer_fetch_failed.

--- a/tests/gateway/peers.py
+++ b/tests/gateway/peers.py
@@ -55,6 +55,11 @@
     await asyncio.sleep(60)
 
 
+async def answer_not_found(exchange):
+    """Answer as an instance that has no document."""
+    await exchange.respond(404)
+
+
 def send(content):
     """Return a handler that sends a content."""
 
--- a/trefoilhinge/gateway/peer_fetcher.py
+++ b/trefoilhinge/gateway/peer_fetcher.py
@@ -6,12 +6,13 @@
 
 from attrs import define, field
 
-from trefoilhinge.dispatch.transfer_sources import SourceTable
 from trefoilhinge.dispatch.peers import Peer
+from trefoilhinge.dispatch.transfer_sources import SourceTable
 from trefoilhinge.gateway.http_client import FetchFailed, fetch
 from trefoilhinge.gateway.replication import (
     BUSY_STATUS,
     DOCUMENT_PATH,
+    OK_STATUS,
     TARGETS_PATH,
     apply_targets,
 )
@@ -35,13 +36,14 @@
     :ivar path: path of the state at a peer.
     :ivar list_offers: returns the version of the state at each live peer that
         has a newer one, by IP address.
-    :ivar apply: applies the content fetched from a peer.
+    :ivar apply: applies the content fetched from a peer; returns whether it
+        was newer.
     """
 
     _state: GatewayState
     path: str
     list_offers: Callable[[], Mapping[str, int]]
-    apply: Callable[[bytes, str], None]
+    apply: Callable[[bytes, str], bool]
     _sources: SourceTable = field(init=False)
     _task: asyncio.Task[None] | None = None
 
@@ -84,15 +86,20 @@
                 silence_timeout_s=SILENCE_TIMEOUT_S,
             )
         except FetchFailed as problem:
-            self._state.log.write(
-                'peer_fetch_failed', peer=ip, path=self.path, problem=problem
-            )
+            self._log_failure(ip, str(problem))
             return FAILURE_RETRY_S
         if fetched.status == BUSY_STATUS:
             self._state.metrics.increment('peer_busy', path=self.path)
             return BUSY_RETRY_S
-        self.apply(fetched.content, ip)
-        return FAILURE_RETRY_S
+        if fetched.status != OK_STATUS:
+            self._log_failure(ip, f'status {fetched.status}')
+            return FAILURE_RETRY_S
+        return 0 if self.apply(fetched.content, ip) else FAILURE_RETRY_S
+
+    def _log_failure(self, ip: str, problem: str) -> None:
+        self._state.log.write(
+            'peer_fetch_failed', peer=ip, path=self.path, problem=problem
+        )
 
 
 def make_document_fetcher(state: GatewayState) -> PeerFetcher:
@@ -140,11 +147,11 @@
     return [state.peers.peers[ip] for ip in live]
 
 
-def _accept_document(state: GatewayState, content: bytes, ip: str) -> None:
-    state.accept_document(content, f'peer {ip}')
+def _accept_document(state: GatewayState, content: bytes, ip: str) -> bool:
+    return state.accept_document(content, f'peer {ip}')
 
 
-def _accept_targets(state: GatewayState, content: bytes, ip: str) -> None:
+def _accept_targets(state: GatewayState, content: bytes, ip: str) -> bool:
     applied = apply_targets(state, content)
     if applied.is_error():
         state.log.write(
@@ -153,3 +160,5 @@
             path=TARGETS_PATH,
             problem=applied.error,
         )
+        return False
+    return applied.ok > 0
--- a/trefoilhinge/gateway/replication.py
+++ b/trefoilhinge/gateway/replication.py
@@ -10,6 +10,7 @@
 
 DOCUMENT_PATH = '/document'
 TARGETS_PATH = '/targets'
+OK_STATUS = 200
 BUSY_STATUS = 503
 # More would share the bandwidth of a slow link until none ends in time.
 MAXIMUM_TRANSFERS = 2
@@ -28,7 +29,7 @@
     state.transfers += 1
     state.metrics.add('peer_bytes', len(content), path=path)
     return HttpResponse(
-        200, content, 'application/json', lambda: _end_transfer(state)
+        OK_STATUS, content, 'application/json', lambda: _end_transfer(state)
     )
 
 
--- a/trefoilhinge/platform/store.py
+++ b/trefoilhinge/platform/store.py
@@ -21,8 +21,8 @@
 LIST_PATH = '/kv-range'
 WATCH_PATH = '/kv-watch'
 ERA_HEADER = 'store-era'
-# The store gives revisions out again after it was restored from a copy, in the
-# next era. Ours are numbers that also grow from era to era.
+# A store that was restored from a copy gives revisions out again, in its next
+# era. Revisions here include the era, so that they can be compared.
 REVISIONS_PER_ERA = 10**15
 
 
