Recorded and logged the limits that targets name in their answers.

Nothing is decided by it yet.

A limit is ordered by the interval in which the target may have written it: a higher rate or the end of a limit applies only if it is certainly newer, so that the delayed head of a long stream lifts nothing. Values that are no single decimal number change nothing and are logged once; zero is read as the lowest rate, since a target that says so takes nothing.

--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -12,7 +12,10 @@
 from trefoilhinge.exceptions import ImproperlyConfigured
 from trefoilhinge.platform import store
 from trefoilhinge.platform.documents import decode_document
-from trefoilhinge.platform.headers import decode_request_head
+from trefoilhinge.platform.headers import (
+    decode_request_head,
+    decode_response_head,
+)
 from trefoilhinge.platform.settings import decode_settings
 
 SETTINGS = {
@@ -214,3 +217,43 @@
         headers = [(b'Host', b'h'), (b'X-Deadline', b'soon')]
         with pytest.raises(ValueError, match='soon'):
             decode_request_head(b'GET', b'/x', headers)
+
+
+def decode_limit(*values):
+    headers = [(b'Server-Limit', value) for value in values]
+    head = decode_response_head(200, headers)
+    return head.requests_per_s, bool(head.rate_problem)
+
+
+class TestNamedRates:
+    @pytest.mark.parametrize(
+        ('value', 'expected'),
+        [
+            (b'1.2', 1.2),
+            (b'3', 3),
+            (b' .5 ', 0.5),
+            (b'1.', 1),
+            (b'0', 0.1),
+            (b'0.000001', 0.1),
+        ],
+    )
+    def test_decimal_number_is_read(self, value, expected):
+        assert decode_limit(value) == (expected, False)
+
+    @pytest.mark.parametrize(
+        'value',
+        [b'', b'-1', b'+1', b'1e3', b'nan', b'inf', b'1,2', b'1 2', b'0x1']
+        + [b'100001', b'9' * 400, '٣'.encode()],
+    )
+    def test_other_values_name_no_rate(self, value):
+        assert decode_limit(value) == (None, True)
+
+    def test_repeated_header_names_no_rate(self):
+        assert decode_limit(b'1', b'2') == (None, True)
+
+    def test_answer_without_the_header_names_no_rate(self):
+        assert decode_limit() == (None, False)
+
+    def test_header_is_passed_on_to_the_caller(self):
+        head = decode_response_head(200, [(b'Server-Limit', b'1.20')])
+        assert head.forwarded_headers == ((b'Server-Limit', b'1.20'),)
--- a/tests/platform/test_names.py
+++ b/tests/platform/test_names.py
@@ -6,7 +6,7 @@
 CODE = pathlib.Path(__file__).parents[2] / 'trefoilhinge'
 NAMES = re.compile(
     r'X-Server-Seal|X-Expect-Replica|X-Helpers|X-Token-Count|X-Tenant|Api-Key'
-    r'|At-Server|kv-key|kv-range|kv-watch|sloMs|timeoutMs|gapAimMs|apiKeys'
+    r'|At-Server|Server-Limit|kv-key|kv-range|kv-watch|sloMs|timeoutMs|gapAimMs|apiKeys'
     r'|coldLeftMs|holdMs|retrySlack|internalPorts',
     re.IGNORECASE,
 )
--- a/trefoilhinge/dispatch/calls.py
+++ b/trefoilhinge/dispatch/calls.py
@@ -108,6 +108,9 @@
     :ivar at_fault: address or name of the unreachable target that caused the
         failure; empty if the answer names none.
     :ivar forwarded_headers: headers passed to the caller unchanged.
+    :ivar requests_per_s: rate that the target takes from all instances
+        together; none if the answer names no limit.
+    :ivar rate_problem: why a named limit cannot be read, else empty.
     """
 
     status: int
@@ -116,6 +119,8 @@
     not_run: bool
     at_fault: str
     forwarded_headers: RawHeaders
+    requests_per_s: float | None = None
+    rate_problem: str = ''
 
     @property
     def is_success(self) -> bool:
--- a/trefoilhinge/gateway/attempts.py
+++ b/trefoilhinge/gateway/attempts.py
@@ -9,6 +9,7 @@
 from trefoilhinge.dispatch.documents import CallKind
 from trefoilhinge.dispatch.group_placement import Placement
 from trefoilhinge.dispatch.health import Outcome
+from trefoilhinge.dispatch.targets import TargetRecord
 from trefoilhinge.gateway.answer_relay import AnswerRelay
 from trefoilhinge.gateway.attempt_recorder import AttemptRecorder
 from trefoilhinge.gateway.caller_connections import CallerConnection, Refusal
@@ -16,6 +17,7 @@
 from trefoilhinge.gateway.peer_exchange import PeerExchange
 from trefoilhinge.gateway.placement import find_placement
 from trefoilhinge.gateway.progress import CallProgress
+from trefoilhinge.gateway.rate_limits import record_named_rate
 from trefoilhinge.gateway.refusals import (
     CallFailed,
     make_exhausted_refusal,
@@ -147,7 +149,7 @@
         attempt = self._make_attempt(target, helpers)
         self._recorder.record_sent(placement, attempt)
         connection.send(self._call, attempt)
-        answer = self._handle_answer(target, connection)
+        answer = self._handle_answer(record, connection)
         if not self._may_retry():
             return await answer
         return await await_answer(answer, connection)
@@ -212,9 +214,11 @@
         return load.estimate_backlog_s(self._state.get_now_s())
 
     async def _handle_answer(
-        self, target: str, connection: TargetConnection
+        self, record: TargetRecord, connection: TargetConnection
     ) -> bool:
+        target = record.name
         head = await connection.read_head(self._call.head.request_id)
+        record_named_rate(self._state, record, head, connection.sent_s)
         if head.not_run:
             self._recorder.record_rejected(target, head)
             if self._is_helper_fault(target, head):
--- a/trefoilhinge/gateway/state.py
+++ b/trefoilhinge/gateway/state.py
@@ -10,6 +10,7 @@
 from trefoilhinge.dispatch.health import HealthTable
 from trefoilhinge.dispatch.loads import LoadTable
 from trefoilhinge.dispatch.peers import PeerTable
+from trefoilhinge.dispatch.rate_limits import RateLimitTable
 from trefoilhinge.dispatch.settings import GatewaySettings
 from trefoilhinge.dispatch.slowdowns import SlowdownTable
 from trefoilhinge.dispatch.targets import TargetDirectory
@@ -34,6 +35,7 @@
     :ivar prefill_waiters: calls that wait until they may be sent.
     :ivar health: failure rates and ejections of the targets.
     :ivar slowdowns: observed slowdown of each target.
+    :ivar rate_limits: rates that targets named as their limits.
     :ivar transfers: documents and lists of targets that are being sent to
         peers.
     :ivar exit_at_s: monotonic seconds at which the process exits.
@@ -53,6 +55,7 @@
     prefill_waiters: PrefillWaiters = field(init=False)
     health: HealthTable = field(factory=HealthTable)
     slowdowns: SlowdownTable = field(factory=SlowdownTable)
+    rate_limits: RateLimitTable = field(factory=RateLimitTable)
     transfers: int = 0
     is_stopping: bool = False
     exit_at_s: float = float('inf')
--- a/trefoilhinge/gateway/target_connections.py
+++ b/trefoilhinge/gateway/target_connections.py
@@ -37,6 +37,7 @@
     :ivar address: ``host:port`` of the target.
     :ivar silence_timeout_s: seconds without data, beyond the prefill backlog,
         after which the target is probed.
+    :ivar sent_s: monotonic seconds at which the call was sent.
     :ivar last_received_s: monotonic seconds at which data last arrived, or
         at which the call was sent.
     :ivar find_backlog_s: returns seconds in which the target prefills earlier
@@ -47,6 +48,7 @@
     _reader: asyncio.StreamReader
     _writer: asyncio.StreamWriter
     silence_timeout_s: float = 0
+    sent_s: float = 0
     last_received_s: float = 0
     find_backlog_s: Callable[[], float] = float
     _parser: h11.Connection = field(factory=lambda: h11.Connection(h11.CLIENT))
@@ -62,7 +64,8 @@
         if call.body:
             parts.append(self._parser.send(h11.Data(data=call.body)) or b'')
         parts.append(self._parser.send(h11.EndOfMessage()) or b'')
-        self.last_received_s = asyncio.get_running_loop().time()
+        self.sent_s = asyncio.get_running_loop().time()
+        self.last_received_s = self.sent_s
         self._writer.write(b''.join(parts))
 
     async def read_head(self, request_id: str) -> AnswerHead:
--- a/trefoilhinge/platform/headers.py
+++ b/trefoilhinge/platform/headers.py
@@ -1,5 +1,6 @@
 """Codecs of the platform's request and response headers."""
 
+import re
 from collections.abc import Iterable
 
 from trefoilhinge.dispatch.calls import (
@@ -10,8 +11,12 @@
     PromptSize,
     RawHeaders,
 )
+from trefoilhinge.dispatch.rate_limits import MINIMUM_REQUESTS_PER_S
 
 MS_PER_S = 1000
+_RATE_HEADER = b'server-limit'
+_RATE_PATTERN = re.compile(rb'\d{1,12}(\.\d{0,12})?|\.\d{1,12}')
+MAXIMUM_REQUESTS_PER_S = 100_000  # more than any target serves
 
 # Headers that apply to a single connection and are never forwarded.
 _HOP_BY_HOP_HEADERS = frozenset(
@@ -128,6 +133,7 @@
     """Decode the status and headers of a target's response."""
     raw_headers = tuple(headers)
     by_name = {name.lower(): value for name, value in raw_headers}
+    requests_per_s, rate_problem = decode_rate(raw_headers)
     return AnswerHead(
         status=status,
         request_id=by_name.get(b'x-request-id', b'').decode('latin-1'),
@@ -140,9 +146,34 @@
             for name, value in raw_headers
             if name.lower() not in _HOP_BY_HOP_HEADERS
         ),
+        requests_per_s=requests_per_s,
+        rate_problem=rate_problem,
     )
 
 
+def decode_rate(
+    headers: Iterable[tuple[bytes, bytes]],
+) -> tuple[float | None, str]:
+    """Decode the rate that a target takes from all instances together.
+
+    :return: requests per second, not below ``MINIMUM_REQUESTS_PER_S``, and
+        an empty text; or none and why the header cannot be read, empty if
+        there is none.
+    """
+    values = [
+        value.strip() for name, value in headers if name.lower() == _RATE_HEADER
+    ]
+    if not values:
+        return None, ''
+    text = b', '.join(values)
+    if len(values) > 1 or not _RATE_PATTERN.fullmatch(text):
+        return None, f'{text[:40]!r} is not one decimal number'
+    rate = float(text)
+    if rate > MAXIMUM_REQUESTS_PER_S:
+        return None, f'{rate} is over {MAXIMUM_REQUESTS_PER_S} a second'
+    return max(rate, MINIMUM_REQUESTS_PER_S), ''
+
+
 def encode_refusal_headers(
     request_id: str,
     retry_after_s: float | None,
