--- a/tests/gateway/documents.py
+++ b/tests/gateway/documents.py
@@ -13,9 +13,16 @@
 # do not compete for ports.
 _PID = os.getpid()
 _NETWORK = f'127.{1 + _PID // 256 % 126}.{_PID % 256}'
-HOST = f'{_NETWORK}.1'
-OTHER_HOST = f'{_NETWORK}.2'
-THIRD_HOST = f'{_NETWORK}.3'
+
+
+def make_host(number):
+    """Return a loopback address of this test process, 1 to 254."""
+    return f'{_NETWORK}.{number}'
+
+
+HOST = make_host(1)
+OTHER_HOST = make_host(2)
+THIRD_HOST = make_host(3)
 FIRST_PORT = 12_000  # below the range of ephemeral ports
 _ports = itertools.count(FIRST_PORT)
 
--- a/tests/gateway/fleets.py
+++ b/tests/gateway/fleets.py
@@ -6,7 +6,12 @@
 import h11
 from attrs import define, field
 
-from tests.gateway.documents import make_document, make_settings
+from tests.gateway.documents import (
+    HOST,
+    make_document,
+    make_host,
+    make_settings,
+)
 from tests.gateway.stores import StoreStandIn
 from tests.gateway.targets import TargetStandIn
 from trefoilhinge.gateway.daemon import Gateway, make_gateway
@@ -148,3 +153,36 @@
         task.cancel()
         gateway.close()
         await asyncio.gather(task, return_exceptions=True)
+
+
+@contextlib.asynccontextmanager
+async def run_peers(fleet, count):
+    """Run further instances of a fleet until all know each other."""
+    gateways = [
+        make_gateway(
+            make_settings(
+                fleet.store.port,
+                [HOST],
+                make_host(2 + number),
+                fleet.settings.first_port,
+            )
+        )
+        for number in range(count)
+    ]
+    tasks = [asyncio.ensure_future(one.run()) for one in gateways]
+    try:
+        await fleet.wait_for(
+            lambda: all(
+                one._state.is_ready and len(one._state.peers.peers) == count
+                for one in (fleet.gateway, *gateways)
+            )
+        )
+        yield [
+            Fleet(fleet.store, fleet.targets, one, one._state.settings)
+            for one in gateways
+        ]
+    finally:
+        for task, gateway in zip(tasks, gateways, strict=True):
+            task.cancel()
+            gateway.close()
+        await asyncio.gather(*tasks, return_exceptions=True)
