--- a/tests/client/test_beliefs.py
+++ b/tests/client/test_beliefs.py
@@ -57,6 +57,13 @@
         )
         assert 'differs: target t1 leaving: a=False, b=True' in lines
 
+    def test_limit_known_to_one_instance_is_reported(self):
+        limited = evolve(TARGET, limit_per_s=1.2, limit_owner='10.0.0.2')
+        lines = list_differences(
+            [make_snapshot('a'), make_snapshot('b', limited)]
+        )
+        assert 'differs: target t1 limit_per_s: a=0, b=1.2' in lines
+
     def test_target_unknown_to_one_instance_is_reported(self):
         lines = list_differences([make_snapshot('a'), make_snapshot('b', None)])
         assert 'differs: target t1 address: a=10.0.0.1:80, b=-' in lines
--- a/tests/client/test_request_timeline.py
+++ b/tests/client/test_request_timeline.py
@@ -28,6 +28,17 @@
         assert cause.startswith('answer_lost:')
         assert 'target t1: the connection ended' in cause
 
+    def test_cause_includes_the_limits_that_refused_it(self):
+        lines = [
+            'at=1.0 instance=n1 event=permit_refused request=r3 target=t1 '
+            'rate=1.2 owner=10.0.0.2 waits_s=4.1',
+            'at=1.1 instance=n1 event=call_ended request=r3 outcome=failed '
+            'status=503 code=targets_limited verdict=not_run',
+        ]
+        cause = describe_cause(parse_timeline(lines, 'r3'))
+        assert cause.startswith('targets_limited:')
+        assert cause.endswith('limited: t1 at 1.2 a second')
+
     def test_unfinished_request_is_reported(self):
         assert describe_cause(parse_timeline(LINES, 'r2')).startswith(
             'not ended'
--- a/tests/dispatch/test_messages.py
+++ b/tests/dispatch/test_messages.py
@@ -8,19 +8,29 @@
 
 from tests.dispatch.samples import make_short
 from trefoilhinge.dispatch.loads import Run, RunPart
-from trefoilhinge.dispatch.messages import (
+from trefoilhinge.dispatch.message_codec import (
     MAXIMUM_DATAGRAM_BYTES,
+    decode_message,
+    encode_message,
+)
+from trefoilhinge.dispatch.messages import (
     RunEnded,
     RunFirstEvent,
     RunSent,
     RunStarted,
     TargetEjected,
     TargetLeaving,
+    TargetOrdered,
+    TargetRateNamed,
     TargetSlowdown,
-    decode_message,
-    encode_message,
 )
 from trefoilhinge.dispatch.peers import GOSSIPED_PEERS, Heartbeat
+from trefoilhinge.dispatch.permits import (
+    PermitDecision,
+    PermitRequest,
+    PermitVerdict,
+)
+from trefoilhinge.dispatch.rate_limits import NamedRate
 
 SAMPLES = (
     Heartbeat(
@@ -33,6 +43,11 @@
     RunEnded('me', 5),
     TargetLeaving('t01', 1000, 33),
     TargetEjected('t01', 3.0),
+    TargetRateNamed(NamedRate('t01', 1000, 1.2, 0, 0), 5),
+    TargetRateNamed(NamedRate('t01', 1000, None, 0, 0), 5),
+    TargetOrdered('t01'),
+    PermitRequest('me', 5, 't01', 1000, 1, 2.5),
+    PermitDecision('me', 5, 't01', PermitVerdict.granted, 0),
 )
 
 
@@ -79,7 +94,9 @@
             | st.integers(-(2**40), 2**40)
             | st.floats()
             | st.text(max_size=5)
-            | st.sampled_from(['w', 'r', 'f', 'e', 'l']),
+            | st.sampled_from(
+                ['w', 'r', 'f', 'e', 'l', 't', 'o', 'q', 'd', 'granted']
+            ),
             lambda inner: st.lists(inner, max_size=9),
             max_leaves=20,
         )
@@ -95,3 +112,23 @@
             assert decode_message(msgpack.packb(fields), 0).is_error()
             fields = ['r', 'me', 1, [], 0, 0, 0.25, bad]
             assert decode_message(msgpack.packb(fields), 0).is_error()
+
+    def test_limit_keeps_its_rate_and_its_age(self):
+        """Guards against instances that compare different numbers.
+
+        A rate that lost digits on its way would look like a change.
+        """
+        message = TargetRateNamed(NamedRate('t01', 1000, 1.2, 95, 96), 100)
+        decoded = decode_message(encode_message(message), 500).ok
+        assert decoded.named.requests_per_s == 1.2
+        assert 494 < decoded.named.earliest_s < 495
+        assert math.isclose(decoded.named.latest_s, 496, abs_tol=0.001)
+
+    def test_limit_that_is_very_old_is_sent(self):
+        message = TargetRateNamed(NamedRate('t01', 1000, 1.2, 0, 0), 1e6)
+        assert decode_message(encode_message(message), 0).is_ok()
+
+    def test_limit_that_blocks_a_target_is_refused(self):
+        for rate in (0, -1):
+            fields = ['t', 't01', 1000, rate, 0.0, 0.0]
+            assert decode_message(msgpack.packb(fields), 0).is_error()
--- a/tests/gateway/peers.py
+++ b/tests/gateway/peers.py
@@ -6,7 +6,7 @@
 from attrs import define
 
 from tests.gateway.documents import HOST
-from trefoilhinge.dispatch.messages import encode_message
+from trefoilhinge.dispatch.message_codec import encode_message
 from trefoilhinge.dispatch.peers import Heartbeat
 from trefoilhinge.standins.http_listener import serve_http
 
--- /dev/null
+++ b/tests/gateway/test_permits.py
@@ -0,0 +1,107 @@
+"""Tests of the rate that many instances hold together."""
+
+import asyncio
+
+import pytest
+
+from tests.gateway.permit_networks import make_network
+from tests.gateway.virtual_time import run_virtually
+
+WINDOW_S = 4.0
+SECONDS = 30
+# Instances, and requests a second that the target named.
+FLEETS = [(8, 0.5), (8, 1.2), (8, 10), (61, 0.3), (61, 1), (61, 10)]
+
+
+def count_most(times):
+    """Return the most times within a window."""
+    return max(
+        (
+            sum(one <= other < one + WINDOW_S for other in times)
+            for one in times
+        ),
+        default=0,
+    )
+
+
+def count_allowed(rate):
+    return 1.5 * rate * WINDOW_S + 5
+
+
+def run_network(count, rate, disturb=None, loss=0.0):
+    """Let all instances call without pause; return the times of sending.
+
+    :param disturb: coroutine function that changes the network meanwhile.
+    """
+
+    async def run():
+        network = make_network(count, rate)
+        network.loss = loss
+        heartbeats = asyncio.ensure_future(network.exchange_heartbeats())
+        await asyncio.sleep(0)
+        begin_s = asyncio.get_running_loop().time()
+        calls = [
+            asyncio.ensure_future(network.call(ip, begin_s + SECONDS))
+            for ip in network.states
+        ]
+        if disturb is not None:
+            await disturb(network)
+        await asyncio.gather(*calls)
+        heartbeats.cancel()
+        return [at_s - begin_s for at_s in network.sent_s]
+
+    return run_virtually(run())
+
+
+@pytest.mark.parametrize(('count', 'rate'), FLEETS)
+class TestFleetRate:
+    def test_calm_fleet_uses_the_rate_and_keeps_it(self, count, rate):
+        sent_s = run_network(count, rate)
+        assert count_most(sent_s) <= count_allowed(rate)
+        assert len(sent_s) >= rate * SECONDS * 0.7
+
+    def test_lost_datagrams_do_not_raise_it(self, count, rate):
+        sent_s = run_network(count, rate, loss=0.3)
+        assert count_most(sent_s) <= count_allowed(rate)
+        assert sent_s
+
+    def test_partition_does_not_raise_it(self, count, rate):
+        """Guards against two parts of a fleet that each use the whole rate."""
+
+        async def divide(network):
+            ips = list(network.states)
+            await asyncio.sleep(5)
+            network.groups = [ips[::2], ips[1::2]]
+            await asyncio.sleep(20)
+            network.groups = None
+
+        sent_s = run_network(count, rate, divide)
+        assert count_most(sent_s) <= count_allowed(rate)
+        during = [at_s for at_s in sent_s if 15 < at_s < 25]
+        assert len(during) <= rate * 10 + 5
+
+    def test_failed_owner_is_replaced_without_a_burst(self, count, rate):
+        async def kill_owner(network):
+            await asyncio.sleep(5)
+            network.dead.add(network.find_owner())
+
+        sent_s = run_network(count, rate, kill_owner)
+        assert count_most(sent_s) <= count_allowed(rate)
+        assert [at_s for at_s in sent_s if at_s > 20]
+
+    def test_instances_that_come_back_do_not_raise_it(self, count, rate):
+        """Guards against an instance that wakes with an old view.
+
+        It may take itself for the owner until it hears of the others.
+        """
+
+        async def isolate(network):
+            for ip in list(network.states)[:3]:
+                others = [one for one in network.states if one != ip]
+                network.groups = [others]
+                await asyncio.sleep(7)
+                network.groups = None
+                await asyncio.sleep(1)
+
+        sent_s = run_network(count, rate, isolate)
+        assert count_most(sent_s) <= count_allowed(rate)
--- a/tests/gateway/test_rate_limits.py
+++ b/tests/gateway/test_rate_limits.py
@@ -1,11 +1,13 @@
 """Tests of the requests that reach a target that named a limit."""
 
 import asyncio
+import json
 import time
 
-from tests.gateway.documents import make_document
+from tests.gateway.documents import HOST, make_document
 from tests.gateway.fleets import run_fleet, run_peers
-from tests.gateway.targets import SEAL_HEADER, make_event, reply, stream
+from tests.gateway.targets import SEAL_HEADER, make_event, stream
+from trefoilhinge.gateway.http_client import fetch
 
 STABLE_S = 3.0  # from the first naming until the limit has to hold
 WINDOW_S = 4.0
@@ -141,3 +143,207 @@
                 assert answer.headers['server-limit'] == '1.20'
 
         asyncio.run(run())
+
+
+async def learn_limits(fleet, path='/look/1', method='GET'):
+    """Make calls until the limits of all targets are known."""
+    async with asyncio.timeout(5):
+        while len(fleet.state.rate_limits.list_limits()) < len(fleet.targets):
+            await fleet.call(path, method)
+
+
+def settle(fleet):
+    """Let the instance act as if it had started long ago."""
+    fleet.state.started_s = float('-inf')
+
+
+class TestStatus:
+    def test_status_and_metrics_tell_limits_and_permits(self):
+        async def run():
+            async with run_fleet(d1=reply_limited('0.2')) as fleet:
+                settle(fleet)
+                await learn_limits(fleet)
+                for _ in range(2):
+                    await fleet.call('/look/1', 'GET')
+                status = await fetch(fleet.settings.control, '/status', 1)
+                (target,) = json.loads(status.content)['targets']
+                assert target['limit_per_s'] == 0.2
+                assert target['limit_owner'] == HOST
+                assert target['limit_level'] < 0
+                metrics = await fetch(fleet.settings.metrics, '/metrics', 1)
+                text = metrics.content.decode()
+                assert 'targets_limited 1.0' in text
+                assert 'permits_total{outcome="granted"} 1.0' in text
+                assert 'permits_total{outcome="refused"}' in text
+                assert 'calls_limited_total 1.0' in text
+
+        asyncio.run(run())
+
+
+class TestPlacement:
+    def test_group_leaves_out_a_target_that_named_a_limit(self):
+        """Guards against a prompt split over targets that refuse its parts."""
+
+        async def run():
+            handlers = {'m1': stream_limited(1, []), 'm2': stream()}
+            handlers['m3'] = stream()
+            async with run_fleet(**handlers) as fleet:
+                settle(fleet)
+                async with asyncio.timeout(5):
+                    while not fleet.targets['m1'].requests:
+                        await fleet.call()
+                await fleet.call(**{'X-Token-Count': '100000,1300'})
+                limited = fleet.targets['m1'].address
+                sent = [
+                    exchange.headers.get('x-helpers', '')
+                    for target in fleet.targets.values()
+                    for exchange in target.requests
+                ]
+                assert any(sent)
+                assert not any(limited in helpers for helpers in sent)
+
+        asyncio.run(run())
+
+    def test_call_at_its_limit_goes_to_another_target(self):
+        async def run():
+            handlers = {
+                'd1': reply_limited('0.1'),
+                'd2': reply_limited(None),
+            }
+            async with run_fleet(**handlers) as fleet:
+                settle(fleet)
+                statuses = [
+                    (await fleet.call('/look/1', 'GET')).status
+                    for _ in range(10)
+                ]
+                assert statuses == [200 for _ in range(10)]
+                assert len(fleet.targets['d1'].requests) <= 2
+
+        asyncio.run(run())
+
+    def test_limited_target_is_not_ejected(self):
+        async def run():
+            async with run_fleet(d1=reply_limited('5')) as fleet:
+                settle(fleet)
+                for _ in range(3):
+                    await fleet.call('/look/1', 'GET')
+                now_s = fleet.state.get_now_s()
+                assert fleet.state.health.list_usable(['d1'], now_s) == ['d1']
+
+        asyncio.run(run())
+
+
+class TestAllTargetsLimited:
+    def test_call_that_cannot_wait_is_refused_at_once(self):
+        async def run():
+            async with run_fleet(d1=reply_limited('0.2')) as fleet:
+                settle(fleet)
+                await learn_limits(fleet)
+                await fleet.call('/look/1', 'GET')
+                begin_s = time.monotonic()
+                answer = await fleet.call('/look/1', 'GET')
+                assert time.monotonic() - begin_s < 0.5
+                assert answer.status == 503
+                assert b'"targets_limited"' in answer.content
+                assert b'"not_run"' in answer.content
+                assert 3 < float(answer.headers['retry-after']) <= 11
+
+        asyncio.run(run())
+
+    def test_call_that_can_wait_is_served(self):
+        async def run():
+            async with run_fleet(d1=reply_limited('2')) as fleet:
+                settle(fleet)
+                await learn_limits(fleet)
+                answers = await asyncio.gather(
+                    *(fleet.call('/look/1', 'GET') for _ in range(3))
+                )
+                assert [one.status for one in answers] == [200, 200, 200]
+
+        asyncio.run(run())
+
+    def test_returns_of_refused_callers_are_spread(self):
+        async def run():
+            async with run_fleet(d1=reply_limited('0.2')) as fleet:
+                settle(fleet)
+                await learn_limits(fleet)
+                await fleet.call('/look/1', 'GET')
+                answers = [
+                    await fleet.call(
+                        '/look/1', 'GET', **{'X-Request-Id': f'r-{number}'}
+                    )
+                    for number in range(8)
+                ]
+                waits = {one.headers['retry-after'] for one in answers}
+                assert len(waits) > 4
+
+        asyncio.run(run())
+
+    def test_call_that_may_have_run_is_not_refused_as_not_run(self):
+        """Guards against a false refusal after a lost answer."""
+        answered = []
+
+        async def handle(exchange):
+            if answered:
+                exchange.writer.transport.abort()
+                return
+            answered.append(exchange)
+            await exchange.respond(
+                200, b'done', [SEAL_HEADER, ('Server-Limit', '0.5')]
+            )
+
+        async def run():
+            async with run_fleet(d1=handle) as fleet:
+                settle(fleet)
+                await learn_limits(fleet)
+                answer = await fleet.call('/look/1', 'GET')
+                assert answer.status == 502
+                assert b'"may_have_run"' in answer.content
+
+        asyncio.run(run())
+
+    def test_end_of_a_limit_releases_what_waits(self):
+        async def run():
+            handle = reply_limited('0.6', None)
+            async with run_fleet(d1=handle) as fleet:
+                settle(fleet)
+                await learn_limits(fleet)
+                begin_s = time.monotonic()
+                answers = await asyncio.gather(
+                    *(fleet.call('/look/1', 'GET') for _ in range(2))
+                )
+                assert {one.status for one in answers} == {200}
+                # Without the end, the second call would wait for 1.7 s.
+                assert time.monotonic() - begin_s < 1.2
+
+        asyncio.run(run())
+
+
+class TestPeers:
+    def test_instance_that_starts_knows_a_limit_before_its_first_call(self):
+        async def run():
+            async with run_fleet(d1=reply_limited('3')) as fleet:
+                await learn_limits(fleet)
+                async with run_peers(fleet, 1) as (other,):
+                    limits = other.state.rate_limits
+                    await fleet.wait_for(lambda: limits.get('d1', 1000) == 3)
+                    assert len(fleet.targets['d1'].requests) == 1
+
+        asyncio.run(run())
+
+    def test_change_and_end_reach_the_peers(self):
+        async def run():
+            handle = reply_limited('3', '2', None)
+            async with run_fleet(d1=handle) as fleet:
+                async with run_peers(fleet, 2) as others:
+                    for rate in (3, 2, None):
+                        # Longer than an announcement may be on its way.
+                        await asyncio.sleep(0.3)
+                        await fleet.call('/look/1', 'GET')
+                        for other in others:
+                            limits = other.state.rate_limits
+                            await fleet.wait_for(
+                                lambda: limits.get('d1', 1000) == rate
+                            )
+
+        asyncio.run(run())
--- a/tests/gateway/test_reservations.py
+++ b/tests/gateway/test_reservations.py
@@ -5,6 +5,7 @@
 from tests.gateway.documents import make_settings
 from tests.gateway.fleets import run_fleet
 from tests.gateway.targets import reset, stream
+from trefoilhinge.gateway.peer_exchange import PeerExchange
 from trefoilhinge.gateway.reservations import Reservations
 from trefoilhinge.gateway.state import make_state
 
@@ -22,7 +23,8 @@
 class TestLeases:
     def test_stricter_bound_gives_a_shorter_lease(self):
         settings = make_settings(1, free_s=1)
-        reservations = Reservations(make_state(settings), (), ())
+        state = make_state(settings)
+        reservations = Reservations(state, PeerExchange(state), (), ())
         assert reservations._find_lease_s() < 1
 
 
--- a/trefoilhinge/client/beliefs.py
+++ b/trefoilhinge/client/beliefs.py
@@ -18,7 +18,15 @@
 MISSING_VALUE = '-'
 # Fields that all instances learn at the same pace; momentary values, such as
 # loads, always differ.
-COMPARED_TARGET_FIELDS = ('service', 'address', 'leaving', 'usable', 'pace')
+COMPARED_TARGET_FIELDS = (
+    'service',
+    'address',
+    'leaving',
+    'usable',
+    'pace',
+    'limit_per_s',
+    'limit_owner',
+)
 
 
 def print_beliefs(urls: str) -> int:
--- a/trefoilhinge/client/request_timeline.py
+++ b/trefoilhinge/client/request_timeline.py
@@ -17,6 +17,7 @@
     'caller_gone': 'the caller disconnected before the answer was complete',
     'time_over': 'no answer within the time limit of the caller or the route',
     'targets_full': 'every target that was tried refused the call',
+    'targets_limited': 'no target had room within the limit that it named',
     'answer_lost': 'the answer was lost after a target may have run the call',
     'no_target': 'no target of the service was known or had capacity',
     'stream_lost': 'a stream broke and could not be resumed on another target',
@@ -98,7 +99,22 @@
         problem = broken_offers[-1].fields.get('problem', '')
         target = broken_offers[-1].fields.get('target', '')
         cause = f'{cause}; target {target}: {problem}'
-    return f'{reason}: {cause}'
+    return f'{reason}: {cause}{_describe_limits(timeline)}'
+
+
+def _describe_limits(timeline: list[TimelineEntry]) -> str:
+    """Return the targets that had no room within their limits."""
+    limits = {
+        entry.fields.get('target', ''): entry.fields.get('rate', '')
+        for entry in timeline
+        if entry.event == 'permit_refused'
+    }
+    if not limits:
+        return ''
+    named = ', '.join(
+        f'{target} at {rate} a second' for target, rate in limits.items()
+    )
+    return f'; limited: {named}'
 
 
 def format_timeline(timeline: list[TimelineEntry]) -> list[str]:
--- a/trefoilhinge/dispatch/calls.py
+++ b/trefoilhinge/dispatch/calls.py
@@ -1,5 +1,6 @@
 """Calls, the attempts at targets that serve them, and answer heads."""
 
+import xxhash
 from attrs import frozen
 
 from trefoilhinge.dispatch.documents import Organisation, Route
@@ -43,6 +44,12 @@
     last_event: int | None
     forwarded_headers: RawHeaders
 
+    @property
+    def request_hash(self) -> int:
+        """Return a uniform 32-bit hash of the request identifier."""
+        content = self.request_id.encode('latin-1')
+        return int(xxhash.xxh32_intdigest(content))
+
 
 @frozen
 class Call:
--- a/trefoilhinge/dispatch/costs.py
+++ b/trefoilhinge/dispatch/costs.py
@@ -30,11 +30,13 @@
 
     :ivar rank: position in the order that all instances share, from 0 for the
         first target to almost 1 for the last.
+    :ivar is_limited: whether it named a limit on its requests.
     """
 
     record: TargetRecord
     load: TargetLoad
     rank: float
+    is_limited: bool = False
 
 
 @frozen
--- a/trefoilhinge/dispatch/group_placement.py
+++ b/trefoilhinge/dispatch/group_placement.py
@@ -94,10 +94,15 @@
     size: PromptSize,
     now_s: float,
 ) -> Placement | None:
-    """Return the group of lowest cost; none if no group can hold the prompt."""
+    """Return the group of lowest cost; none if no group can hold the prompt.
+
+    Targets that named a limit are left out: a group sends several requests to
+    each of its members.
+    """
     request = _Request(engine, route, size, now_s)
+    unlimited = [one for one in candidates if not one.is_limited]
     return min(
-        _list_placements(candidates, request),
+        _list_placements(unlimited, request),
         key=lambda placement: placement.cost,
         default=None,
     )
--- a/trefoilhinge/dispatch/loads.py
+++ b/trefoilhinge/dispatch/loads.py
@@ -142,16 +142,17 @@
             self.targets[target] = load
         return load
 
-    def record_start(self, run: Run, latest_end_s: float, now_s: float) -> None:
+    def record_start(self, run: Run, latest_end_s: float, now_s: float) -> bool:
         """Record that a run was placed.
 
         A run that is already known is ignored.
 
         :param latest_end_s: monotonic seconds at which the run has ended,
             even if its end is not reported.
+        :return: whether the run was not known.
         """
         if run.key in self._runs:
-            return
+            return False
         self._runs[run.key] = (run, latest_end_s)
         for part in run.parts:
             load = self.get(part.target)
@@ -166,12 +167,14 @@
             load.memory_tokens += part.memory_tokens
             if part.has_slot:
                 load.runs[run.key] = run
+        return True
 
-    def record_sent(self, key: tuple[str, int], now_s: float) -> None:
-        """Record that a delayed run was sent."""
+    def record_sent(self, key: tuple[str, int], now_s: float) -> Run | None:
+        """Record that a delayed run was sent; return it if it is known."""
         found = self._runs.get(key)
         for part in found[0].parts if found else ():
             self.get(part.target).prefills.record_sent(key, now_s)
+        return found[0] if found else None
 
     def find_send_time_s(self, run: Run, now_s: float) -> float:
         """Return the time until which a run waits before it is sent.
--- /dev/null
+++ b/trefoilhinge/dispatch/message_codec.py
@@ -0,0 +1,188 @@
+"""Encoding of the datagrams between instances, as MessagePack arrays.
+
+The messages are small and binary because traffic between failure domains is
+expensive. The first entry of an array identifies the kind of message.
+"""
+
+import msgpack
+from expression import Error, Ok, Result
+from msgpack.exceptions import UnpackException
+
+from trefoilhinge.dispatch.loads import Run, RunPart
+from trefoilhinge.dispatch.message_checks import check_range
+from trefoilhinge.dispatch.messages import (
+    Message,
+    PermitMessage,
+    RunEnded,
+    RunFirstEvent,
+    RunMessage,
+    RunSent,
+    RunStarted,
+    TargetEjected,
+    TargetLeaving,
+    TargetSlowdown,
+)
+from trefoilhinge.dispatch.peers import Heartbeat
+from trefoilhinge.dispatch.permit_codec import (
+    PERMIT_KINDS,
+    decode_permit_message,
+    list_permit_fields,
+)
+
+MAXIMUM_DATAGRAM_BYTES = 1_400  # fits one packet
+
+
+def encode_message(message: Message) -> bytes:
+    """Return the encoded message."""
+    fields = (
+        list_permit_fields(message)
+        if isinstance(message, PermitMessage)
+        else _list_fields(message)
+    )
+    return bytes(msgpack.packb(fields, use_single_float=True))
+
+
+def decode_message(data: bytes, now_s: float) -> Result[Message, str]:
+    """Decode a datagram; the error describes why it is invalid.
+
+    :param now_s: monotonic seconds of arrival, from which durations count.
+    """
+    try:
+        return Ok(_decode_fields(msgpack.unpackb(data), now_s))
+    except (TypeError, ValueError, UnpackException) as problem:
+        return Error(f'{type(problem).__name__}: {problem}')
+
+
+def _decode_fields(fields: object, now_s: float) -> Message:
+    if isinstance(fields, list) and fields and fields[0] in PERMIT_KINDS:
+        return decode_permit_message(fields, now_s)
+    return _decode(fields, now_s)
+
+
+def _list_fields(message: RunMessage) -> list[object]:
+    match message:
+        case Heartbeat():
+            return [
+                'w',
+                message.ip,
+                message.origin,
+                message.failure_domain,
+                message.version,
+                message.revision,
+                message.store_unreachable,
+                list(message.known_peers),
+            ]
+        case RunStarted(run, maximum_duration_s):
+            return ['r', *_list_run(run), maximum_duration_s]
+        case RunSent(origin, number):
+            return ['s', origin, number]
+        case RunFirstEvent(origin, number):
+            return ['f', origin, number]
+        case RunEnded(origin, number):
+            return ['e', origin, number]
+        case TargetLeaving(name, started_ms, revision):
+            return ['l', name, started_ms, revision]
+        case TargetEjected(name, duration_s):
+            return ['a', name, duration_s]
+        case TargetSlowdown(name, slowdown):
+            return ['p', name, slowdown]
+
+
+def _list_run(run: Run) -> list[object]:
+    parts = [
+        [part.target, part.prefill_s, part.memory_tokens, part.has_slot]
+        for part in run.parts
+    ]
+    return [
+        run.origin,
+        run.number,
+        parts,
+        run.context_tokens,
+        run.output_tokens,
+        run.gap_slo_s,
+        run.send_delay_s,
+    ]
+
+
+def _decode(fields: object, now_s: float) -> RunMessage:
+    match fields:
+        case ['w', *heartbeat]:
+            return _decode_heartbeat(heartbeat)
+        case ['r', *run, int() | float() as maximum_duration_s]:
+            return RunStarted(
+                _decode_run(run, now_s), check_range(maximum_duration_s)
+            )
+        case ['s', str(origin), int(number)]:
+            return RunSent(origin, number)
+        case ['f', str(origin), int(number)]:
+            return RunFirstEvent(origin, number)
+        case ['e', str(origin), int(number)]:
+            return RunEnded(origin, number)
+        case ['l', str(name), int(started_ms), int(revision)]:
+            return TargetLeaving(name, started_ms, revision)
+        case ['a', str(name), int() | float() as duration_s]:
+            return TargetEjected(name, check_range(duration_s))
+        case ['p', str(name), int() | float() as slowdown]:
+            return TargetSlowdown(name, check_range(slowdown))
+    raise ValueError(
+        'unknown kind of message, or fields of unexpected number or type'
+    )
+
+
+def _decode_heartbeat(fields: list[object]) -> Heartbeat:
+    match fields:
+        case [
+            str(ip),
+            str(origin),
+            str(domain),
+            int(version),
+            int(revision),
+            bool(store_unreachable),
+            list(known),
+        ]:
+            names = tuple(str(name) for name in known)
+            return Heartbeat(
+                ip, origin, domain, version, revision, store_unreachable, names
+            )
+        case _:
+            raise ValueError('heartbeat with unexpected fields')
+
+
+def _decode_run(fields: list[object], now_s: float) -> Run:
+    match fields:
+        case [
+            str(origin),
+            int(number),
+            list(parts),
+            int(context_tokens),
+            int(output_tokens),
+            int() | float() as gap_slo_s,
+            int() | float() as send_delay_s,
+        ]:
+            return Run(
+                origin,
+                number,
+                tuple(_decode_part(part) for part in parts),
+                context_tokens,
+                output_tokens,
+                check_range(gap_slo_s),
+                now_s,
+                check_range(send_delay_s),
+            )
+        case _:
+            raise ValueError('run with unexpected fields')
+
+
+def _decode_part(fields: object) -> RunPart:
+    match fields:
+        case [
+            str(target),
+            int() | float() as prefill_s,
+            int(memory_tokens),
+            bool(has_slot),
+        ]:
+            return RunPart(
+                target, check_range(prefill_s), memory_tokens, has_slot
+            )
+        case _:
+            raise ValueError('part of a run with unexpected fields')
--- a/trefoilhinge/dispatch/peers.py
+++ b/trefoilhinge/dispatch/peers.py
@@ -174,6 +174,10 @@
             peer.origin = ''
         return ended
 
+    def count_known(self) -> int:
+        """Return the number of instances that are live or were lately."""
+        return 1 + len(self.peers)
+
     def count_instances(self, now_s: float) -> int:
         """Return the number of live instances, including this one."""
         return 1 + len(self.list_live(now_s))
--- a/trefoilhinge/dispatch/placement.py
+++ b/trefoilhinge/dispatch/placement.py
@@ -1,6 +1,6 @@
 """Choice of the targets of a call, by the work that it would delay."""
 
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 
 from trefoilhinge.dispatch.calls import PromptSize
 from trefoilhinge.dispatch.costs import (
@@ -30,11 +30,20 @@
 def list_candidates(
     records: Sequence[TargetRecord],
     loads: LoadTable,
+    limited: Collection[str] = (),
 ) -> list[Candidate]:
-    """Return the candidates, ranked in the order that all instances share."""
+    """Return the candidates, ranked in the order that all instances share.
+
+    :param limited: names of targets that named a limit.
+    """
     count = max(1, len(records))
     return [
-        Candidate(record, loads.get(record.name), position / count)
+        Candidate(
+            record,
+            loads.get(record.name),
+            position / count,
+            is_limited=record.name in limited,
+        )
         for position, record in enumerate(records)
     ]
 
@@ -43,19 +52,24 @@
     records: Sequence[TargetRecord],
     loads: LoadTable,
     failure_domain: str,
+    limited: Collection[str] = (),
 ) -> TargetRecord | None:
     """Return the least loaded target for a plain call, if there is any.
 
-    Among equally loaded targets, one in the given failure domain is
-    preferred.
+    Among equally loaded targets, one that named a limit is preferred, since
+    only an answer shows that the limit has ended, and then one in the given
+    failure domain.
+
+    :param limited: names of targets that named a limit.
     """
     if not records:
         return None
 
-    def rate(record: TargetRecord) -> tuple[float, bool, str]:
+    def rate(record: TargetRecord) -> tuple[float, bool, bool, str]:
         running = loads.get(record.name).running
         return (
             running / max(1, record.slots),
+            record.name not in limited,
             record.failure_domain != failure_domain,
             record.name,
         )
@@ -131,7 +145,8 @@
             lacks_memory=required_tokens > free_tokens,
         )
     )
-    if size.prompt_tokens < MINIMUM_GROUP_TOKENS:
+    # Short streams probe whether a limit has ended.
+    if size.prompt_tokens < MINIMUM_GROUP_TOKENS and not candidate.is_limited:
         cost += RANK_COST * candidate.rank
     part = RunPart(
         candidate.record.name, prefill_s, required_tokens, has_slot=True
--- a/trefoilhinge/dispatch/rate_limits.py
+++ b/trefoilhinge/dispatch/rate_limits.py
@@ -5,6 +5,12 @@
 # A lower rate would keep a target without requests, and only an answer shows
 # that its limit has ended.
 MINIMUM_REQUESTS_PER_S = 0.1
+# Interval at which a limit is announced that has not changed, as an earlier
+# announcement may be lost.
+ANNOUNCEMENT_INTERVAL_S = 1.0
+# Rates are multiples of a request in this many seconds, so that all instances
+# compare the same number.
+RATE_UNITS = 1_000_000
 
 
 @frozen
@@ -48,6 +54,7 @@
 
     _named: dict[str, NamedRate] = field(factory=dict)
     _problems: dict[str, str] = field(factory=dict)
+    _announced_s: dict[str, float] = field(factory=dict)
 
     def is_new_problem(self, target: str, problem: str) -> bool:
         """Record why a limit cannot be read; return whether that is new."""
@@ -77,6 +84,15 @@
             return known
         return None
 
+    def record_announcement(self, target: str, now_s: float) -> None:
+        """Record that the limit of a target was announced to all instances."""
+        self._announced_s[target] = now_s
+
+    def needs_announcement(self, target: str, now_s: float) -> bool:
+        """Return whether the limit of a target is to be announced again."""
+        announced_s = self._announced_s.get(target, float('-inf'))
+        return now_s - announced_s >= ANNOUNCEMENT_INTERVAL_S
+
     def get(self, target: str, started_ms: int) -> float | None:
         """Return the limit of an incarnation, requests per second, if any."""
         known = self._named.get(target)
@@ -84,6 +100,10 @@
             return None
         return known.requests_per_s
 
+    def find_named(self, target: str) -> NamedRate | None:
+        """Return what a target said last, if it ever named a limit."""
+        return self._named.get(target)
+
     def list_limits(self) -> list[NamedRate]:
         """Return the limits in force, by target."""
         return sorted(
--- a/trefoilhinge/gateway/attempts.py
+++ b/trefoilhinge/gateway/attempts.py
@@ -15,18 +15,18 @@
 from trefoilhinge.gateway.caller_connections import CallerConnection, Refusal
 from trefoilhinge.gateway.liveness import await_answer
 from trefoilhinge.gateway.peer_exchange import PeerExchange
-from trefoilhinge.gateway.placement import find_placement
+from trefoilhinge.gateway.placement import is_placement_current
 from trefoilhinge.gateway.progress import CallProgress
 from trefoilhinge.gateway.rate_limits import record_named_rate
 from trefoilhinge.gateway.refusals import (
     CallFailed,
     make_exhausted_refusal,
-    make_no_target_refusal,
     make_timeout_refusal,
 )
 from trefoilhinge.gateway.reservations import Reservations, reserve
 from trefoilhinge.gateway.run_tracker import RunTracker
 from trefoilhinge.gateway.state import GatewayState
+from trefoilhinge.gateway.target_choice import TargetChoice
 from trefoilhinge.gateway.target_connections import (
     AnswerBroken,
     TargetConnection,
@@ -53,10 +53,12 @@
     """
 
     _state: GatewayState
+    _peers: PeerExchange
     _call: Call
     _relay: AnswerRelay
     _run_tracker: RunTracker
     _recorder: AttemptRecorder
+    _target_choice: TargetChoice
     progress: CallProgress
     _excluded: set[str] = field(factory=set)
     _connection: TargetConnection | None = None
@@ -70,12 +72,14 @@
             attempts is reached.
         """
         while True:
-            placement = self._place()
             if self.progress.attempts and not self._has_retry_budget():
                 await self._end_call('repeats are used up')
                 return
+            placement, number = await self._target_choice.choose(
+                self.progress, self._excluded
+            )
             try:
-                if await self._try_placement(placement):
+                if await self._try_placement(placement, number):
                     return
             except TargetUnreachable as problem:
                 self._excluded.add(placement.parts[0].target)
@@ -104,12 +108,6 @@
             self._reservations.release()
             self._reservations = None
 
-    def _place(self) -> Placement:
-        placement = find_placement(self._state, self._call, self._excluded)
-        if placement is None:
-            raise CallFailed(make_no_target_refusal(self.progress))
-        return placement
-
     def _has_retry_budget(self) -> bool:
         now_s = self._state.get_now_s()
         budget = self._state.find_retry_budget(self._call.service)
@@ -125,16 +123,17 @@
             and self.progress.possible_runs < self._call.route.attempts
         )
 
-    async def _try_placement(self, placement: Placement) -> bool:
+    async def _try_placement(self, placement: Placement, number: int) -> bool:
         """Send the call to a placement.
 
+        :param number: number of the run.
         :return: whether the call was answered.
         """
         target = placement.parts[0].target
-        self._run_tracker.start(placement)
+        self._run_tracker.start(placement, number)
         self._recorder.record_send_delay(placement)
         await self._run_tracker.wait_for_send_time()
-        if not self._is_placement_current(placement):
+        if not is_placement_current(self._state, self._call, placement):
             return False
         record = self._state.directory.records[target]
         helpers = await self._prepare_helpers(placement)
@@ -154,14 +153,6 @@
             return await answer
         return await await_answer(answer, connection)
 
-    def _is_placement_current(self, placement: Placement) -> bool:
-        """Return whether all targets of the placement still take calls."""
-        serving = {
-            record.name
-            for record in self._state.directory.list_serving(self._call.service)
-        }
-        return all(part.target in serving for part in placement.parts)
-
     async def _prepare_helpers(
         self,
         placement: Placement,
@@ -177,6 +168,7 @@
         count = len(placement.reserved_tokens)
         self._reservations = await reserve(
             self._state,
+            self._peers,
             self._call.head.request_id,
             list(
                 zip(addresses[:count], placement.reserved_tokens, strict=True)
@@ -218,7 +210,9 @@
     ) -> bool:
         target = record.name
         head = await connection.read_head(self._call.head.request_id)
-        record_named_rate(self._state, record, head, connection.sent_s)
+        record_named_rate(
+            self._state, self._peers, record, head, connection.sent_s
+        )
         if head.not_run:
             self._recorder.record_rejected(target, head)
             if self._is_helper_fault(target, head):
@@ -332,9 +326,11 @@
     progress = CallProgress(call.received_s, call.head.last_event)
     return Attempts(
         state,
+        peers,
         call,
         AnswerRelay(caller, progress),
         RunTracker(state, peers, call),
         AttemptRecorder(state, peers, call, progress),
+        TargetChoice(state, peers.permits, call),
         progress,
     )
--- a/trefoilhinge/gateway/call_service.py
+++ b/trefoilhinge/gateway/call_service.py
@@ -2,7 +2,6 @@
 
 import asyncio
 
-import xxhash
 from attrs import define
 
 from trefoilhinge.dispatch.calls import Call, CallHead
@@ -124,7 +123,7 @@
             head=head,
             body=body,
             route=route,
-            service=route.choose_service(_hash_request_id(head)),
+            service=route.choose_service(head.request_hash),
             organisation=organisation,
             received_s=received_s,
             deadline_s=received_s + timeout_s,
@@ -143,7 +142,7 @@
             return STARTUP_RETRY_AFTER_S
         jitter_s = (
             STORE_OUTAGE_RETRY_JITTER_S
-            * _hash_request_id(head)
+            * head.request_hash
             / REQUEST_HASH_VALUES
         )
         wait_s = STORE_OUTAGE_RETRY_AFTER_S + jitter_s
@@ -215,8 +214,3 @@
             last_event=progress.last_event,
             took_s=took_s,
         )
-
-
-def _hash_request_id(head: CallHead) -> int:
-    """Return a uniform 32-bit hash of the request identifier."""
-    return int(xxhash.xxh32_intdigest(head.request_id.encode('latin-1')))
--- a/trefoilhinge/gateway/daemon.py
+++ b/trefoilhinge/gateway/daemon.py
@@ -70,6 +70,7 @@
         settings = self._state.settings
         self._state.log.write('started', origin=self._state.origin)
         loop = asyncio.get_running_loop()
+        self._state.started_s = loop.time()
         loop.set_exception_handler(self._log_loop_exception)
         await loop.create_datagram_endpoint(
             lambda: self._peers,
@@ -153,7 +154,9 @@
                 200, self._state.metrics.format_prometheus().encode()
             )
         if path == '/status':
-            snapshot = make_snapshot(self._state, self._service.active)
+            snapshot = make_snapshot(
+                self._state, self._peers.permits, self._service.active
+            )
             content = json.dumps(asdict(snapshot)).encode()
             return HttpResponse(200, content, 'application/json')
         return HttpResponse(404)
--- a/trefoilhinge/gateway/peer_exchange.py
+++ b/trefoilhinge/gateway/peer_exchange.py
@@ -7,25 +7,33 @@
 
 from trefoilhinge.dispatch.fanout import list_hops
 from trefoilhinge.dispatch.loads import Run
+from trefoilhinge.dispatch.message_codec import (
+    decode_message,
+    encode_message,
+)
 from trefoilhinge.dispatch.messages import (
     Message,
+    PermitMessage,
     RunEnded,
     RunFirstEvent,
+    RunMessage,
     RunSent,
     RunStarted,
     TargetEjected,
     TargetLeaving,
+    TargetOrdered,
+    TargetRateNamed,
     TargetSlowdown,
-    decode_message,
-    encode_message,
 )
 from trefoilhinge.dispatch.peers import Heartbeat
+from trefoilhinge.dispatch.rate_limits import NamedRate
 from trefoilhinge.dispatch.targets import TargetRecord
 from trefoilhinge.gateway.peer_fetcher import (
     PeerFetcher,
     make_document_fetcher,
     make_targets_fetcher,
 )
+from trefoilhinge.gateway.permits import Permits
 from trefoilhinge.gateway.state import GatewayState
 
 INITIAL_HEARTBEAT_INTERVAL_S = 0.1  # until the first peer answers
@@ -39,17 +47,22 @@
 
 @define
 class PeerExchange(asyncio.DatagramProtocol):
-    """Sends messages to the other instances and applies theirs."""
+    """Sends messages to the other instances and applies theirs.
+
+    :ivar permits: permits for requests to limited targets.
+    """
 
     _state: GatewayState
     _transport: asyncio.DatagramTransport | None = None
     _heartbeats_sent: int = 0
     _broadcasts_sent: int = 0
+    permits: Permits = field(init=False)
     _document_fetcher: PeerFetcher = field(init=False)
     _targets_fetcher: PeerFetcher = field(init=False)
 
     def __attrs_post_init__(self) -> None:
-        """Create the fetchers."""
+        """Create the fetchers and the permits."""
+        self.permits = Permits(self._state, self.send)
         self._document_fetcher = make_document_fetcher(self._state)
         self._targets_fetcher = make_targets_fetcher(self._state)
 
@@ -71,7 +84,14 @@
                 'message_refused', peer=address[0], problem=decoded.error
             )
             return
-        self._apply_message(decoded.ok, now_s)
+        if isinstance(decoded.ok, PermitMessage):
+            self.permits.apply_message(decoded.ok, address[0])
+        else:
+            self._apply_message(decoded.ok, now_s)
+
+    def send(self, message: Message, ip: str) -> None:
+        """Send a message to one instance."""
+        self._send(encode_message(message), ip)
 
     def broadcast_run_started(
         self, run: Run, maximum_duration_s: float
@@ -97,15 +117,26 @@
         The message is rare and must not be lost, so it goes to each peer
         directly: an instance that relays it might fail before it does.
         """
-        data = encode_message(_make_target_leaving(record))
-        now_s = self._state.get_now_s()
-        for ip in self._state.peers.list_live(now_s):
-            self._send(data, ip)
+        self._send_to_each(_make_target_leaving(record))
+
+    def announce_named_rate(self, named: NamedRate, *, is_new: bool) -> None:
+        """Announce the limit of a target; a new one goes to each peer."""
+        message = TargetRateNamed(named, self._state.get_now_s())
+        if is_new:
+            self._send_to_each(message)
+        else:
+            self._broadcast(message)
+
+    def broadcast_target_ordered(self, name: str) -> None:
+        """Announce a request to a limited target that belongs to no run."""
+        self._state.permits.charge(name, None, self._state.get_now_s())
+        self._broadcast(TargetOrdered(name))
 
     def close(self) -> None:
         """Cancel pending fetches and close the socket."""
         self._document_fetcher.close()
         self._targets_fetcher.close()
+        self.permits.close()
         if self._transport is not None:
             self._transport.close()
 
@@ -184,15 +215,15 @@
             port = self._state.settings.first_port
             self._transport.sendto(data, (ip, port))
 
-    def _apply_message(self, message: Message, now_s: float) -> None:
+    def _apply_message(self, message: RunMessage, now_s: float) -> None:
         loads = self._state.loads
         match message:
             case Heartbeat():
                 self._apply_heartbeat(message, now_s)
             case RunStarted(run, maximum_duration_s):
-                loads.record_start(run, now_s + maximum_duration_s, now_s)
+                self._state.record_run(run, now_s + maximum_duration_s)
             case RunSent(origin, number):
-                loads.record_sent((origin, number), now_s)
+                self._state.record_run_sent((origin, number))
             case RunFirstEvent(origin, number):
                 loads.record_first_event((origin, number), now_s)
                 self._state.prefill_waiters.notify_all()
@@ -206,6 +237,11 @@
             case TargetLeaving():
                 self._apply_target_leaving(message)
 
+    def _send_to_each(self, message: Message) -> None:
+        data = encode_message(message)
+        for ip in self._state.peers.list_live(self._state.get_now_s()):
+            self._send(data, ip)
+
     def _apply_target_leaving(self, message: TargetLeaving) -> None:
         if self._state.directory.mark_incarnation_departed(
             message.name, message.started_ms, message.revision
@@ -226,7 +262,9 @@
             self._send(encode_message(announcement), ip)
         # A store restored from a copy may list a departed target as ready.
         for record in state.directory.list_departed():
-            self._send(encode_message(_make_target_leaving(record)), ip)
+            self.send(_make_target_leaving(record), ip)
+        for named in state.rate_limits.list_limits():
+            self.send(TargetRateNamed(named, now_s), ip)
 
     def _apply_heartbeat(self, heartbeat: Heartbeat, now_s: float) -> None:
         state = self._state
--- a/trefoilhinge/gateway/placement.py
+++ b/trefoilhinge/gateway/placement.py
@@ -1,5 +1,7 @@
 """Placement of a call on targets according to the instance's state."""
 
+from collections.abc import Collection, Sequence
+
 from trefoilhinge.dispatch.calls import Call
 from trefoilhinge.dispatch.documents import EngineProfile
 from trefoilhinge.dispatch.group_placement import Placement
@@ -9,6 +11,7 @@
     place_plain_call,
     place_prompt,
 )
+from trefoilhinge.dispatch.targets import TargetRecord
 from trefoilhinge.gateway.state import GatewayState
 
 
@@ -16,40 +19,91 @@
     state: GatewayState,
     call: Call,
     excluded: set[str],
+    refused: Collection[str] = (),
+    *,
+    allows_limited: bool = True,
 ) -> Placement | None:
-    """Choose the targets of a call.
+    """Choose the targets of a call among those that have room.
 
     :param excluded: targets that failed the call; used only if no other one
         is left.
-    :return: the placement, ``None`` if no target can take the call.
+    :param refused: limited targets that refused the call a permit.
+    :param allows_limited: whether a target that named a limit may be chosen.
+    :return: the placement, ``None`` if no target can take the call now.
     """
     now_s = state.get_now_s()
-    records = {
-        record.name: record
-        for record in state.directory.list_serving(call.service)
-    }
-    usable = state.health.list_usable(list(records), now_s)
-    untried = [name for name in usable if name not in excluded]
-    found = [records[name] for name in untried or usable]
+    records = [
+        record
+        for record in _list_usable(state, call, excluded)
+        if record.name not in refused
+        and state.permits.has_room(record.name, record.started_ms, now_s)
+        and (allows_limited or not _is_limited(state, record))
+    ]
+    return place_call(state, call, records)
+
+
+def list_limited(
+    state: GatewayState, call: Call, excluded: set[str]
+) -> list[TargetRecord]:
+    """Return the limited targets that could take a call, shortest wait first.
+
+    :param excluded: targets that failed the call; used only if no other one
+        is left.
+    """
+    now_s = state.get_now_s()
+    found = []
+    for record in _list_usable(state, call, excluded):
+        bucket = state.permits.get(record.name, record.started_ms)
+        if bucket is not None and place_call(state, call, [record]) is not None:
+            found.append((bucket.estimate_wait_s(now_s), record.name, record))
+    return [record for _, _, record in sorted(found)]
+
+
+def place_call(
+    state: GatewayState, call: Call, records: Sequence[TargetRecord]
+) -> Placement | None:
+    """Choose among the given targets; ``None`` if they cannot take the call."""
+    now_s = state.get_now_s()
     engine = find_engine_profile(state, call.service)
+    limited = {record.name for record in records if _is_limited(state, record)}
     if call.head.prompt_size is not None and engine is not None:
-        for record in found:
+        for record in records:
             slowdown = state.slowdowns.get(record.name, now_s)
             state.loads.get(record.name).slowdown = slowdown
         return place_prompt(
-            list_candidates(found, state.loads),
+            list_candidates(records, state.loads, limited),
             engine,
             call.route,
             call.head.prompt_size,
             now_s,
         )
-    chosen = place_plain_call(found, state.loads, state.settings.failure_domain)
+    chosen = place_plain_call(
+        records, state.loads, state.settings.failure_domain, limited
+    )
     if chosen is None:
         return None
     part = RunPart(chosen.name, 0, 0, has_slot=True)
     return Placement((part,), (), 0, 0)
 
 
+def is_placement_current(
+    state: GatewayState, call: Call, placement: Placement
+) -> bool:
+    """Return whether all targets of a placement still take the call.
+
+    A target of a group that has named a limit meanwhile does not.
+    """
+    serving = {
+        record.name: record
+        for record in state.directory.list_serving(call.service)
+    }
+    if any(part.target not in serving for part in placement.parts):
+        return False
+    return len(placement.parts) == 1 or not any(
+        _is_limited(state, serving[part.target]) for part in placement.parts
+    )
+
+
 def find_engine_profile(
     state: GatewayState, service: str
 ) -> EngineProfile | None:
@@ -57,3 +111,19 @@
     document = state.document
     found = document.services.get(service) if document else None
     return found.engine if found else None
+
+
+def _list_usable(
+    state: GatewayState, call: Call, excluded: set[str]
+) -> list[TargetRecord]:
+    records = {
+        record.name: record
+        for record in state.directory.list_serving(call.service)
+    }
+    usable = state.health.list_usable(list(records), state.get_now_s())
+    untried = [name for name in usable if name not in excluded]
+    return [records[name] for name in untried or usable]
+
+
+def _is_limited(state: GatewayState, record: TargetRecord) -> bool:
+    return state.permits.get(record.name, record.started_ms) is not None
--- a/trefoilhinge/gateway/rate_limits.py
+++ b/trefoilhinge/gateway/rate_limits.py
@@ -1,22 +1,24 @@
-"""Learning of the rates that targets name in their answers."""
+"""Learning of the rates that targets name, from answers and from peers."""
 
 from trefoilhinge.dispatch.calls import AnswerHead
 from trefoilhinge.dispatch.rate_limits import NamedRate
 from trefoilhinge.dispatch.targets import TargetRecord
+from trefoilhinge.gateway.peer_exchange import PeerExchange
 from trefoilhinge.gateway.state import GatewayState
 
 # 421 Misdirected Request: another target than the one that was asked.
 _MISDIRECTED_STATUS = 421
-OWN_ANSWER = 'answer'
+OWN_ANSWER = 'answer'  # source of a limit in the log
 
 
 def record_named_rate(
     state: GatewayState,
+    peers: PeerExchange,
     record: TargetRecord,
     head: AnswerHead,
     sent_s: float,
 ) -> None:
-    """Record the limit that an answer names.
+    """Record the limit that an answer names and tell the peers.
 
     An answer without a limit ends a known one only if the target signed it: a
     rejection may come from a part of the target that does not know its limit.
@@ -37,32 +39,15 @@
         sent_s,
         state.get_now_s(),
     )
-    apply_named_rate(state, named, OWN_ANSWER)
-
-
-def apply_named_rate(
-    state: GatewayState, named: NamedRate, source: str
-) -> bool:
-    """Apply a limit and log a change.
-
-    :param source: who named it, for the log.
-    :return: whether the limit changed.
-    """
-    before = state.rate_limits.record(named)
-    if before is None:
-        return False
-    rate = named.requests_per_s
-    state.log.write(
-        'target_limit_ended' if rate is None else 'target_limited',
-        target=named.target,
-        rate=rate,
-        before=before.requests_per_s,
-        source=source,
-    )
-    state.metrics.set_gauge(
-        'targets_limited', len(state.rate_limits.list_limits())
-    )
-    return True
+    changed = peers.permits.apply_named_rate(named, OWN_ANSWER)
+    known = state.rate_limits.find_named(record.name)
+    now_s = state.get_now_s()
+    if known is None or not (
+        changed or state.rate_limits.needs_announcement(record.name, now_s)
+    ):
+        return
+    state.rate_limits.record_announcement(record.name, now_s)
+    peers.announce_named_rate(known, is_new=changed)
 
 
 def _record_malformed(state: GatewayState, target: str, problem: str) -> None:
--- a/trefoilhinge/gateway/refusals.py
+++ b/trefoilhinge/gateway/refusals.py
@@ -6,6 +6,7 @@
 
 BUSY_RETRY_AFTER_S = 0.7  # a short stream ends and frees a slot by then
 NO_TARGET_RETRY_AFTER_S = 1.0  # a target that starts is in the store by then
+MINIMUM_LIMITED_RETRY_AFTER_S = 0.2  # a limited target changes no sooner
 
 
 class CallFailed(TrefoilhingeError):
@@ -42,6 +43,23 @@
     )
 
 
+def make_limited_refusal(
+    progress: CallProgress, wait_s: float, spread: float
+) -> Refusal:
+    """Return the refusal of a call whose targets all are at their limits.
+
+    :param wait_s: seconds until a target is expected to take the call.
+    :param spread: number in [0, 1) that spreads the returns of callers.
+    """
+    return Refusal(
+        502 if progress.possible_runs else 503,
+        'targets_limited',
+        'may_have_run' if progress.possible_runs else 'not_run',
+        'all targets that could take the call are at the limits they named',
+        max(wait_s, MINIMUM_LIMITED_RETRY_AFTER_S) * (1 + spread),
+    )
+
+
 def make_exhausted_refusal(progress: CallProgress, reason: str) -> Refusal:
     """Return the refusal of a call whose attempts are exhausted."""
     if progress.possible_runs:
--- a/trefoilhinge/gateway/reservations.py
+++ b/trefoilhinge/gateway/reservations.py
@@ -11,6 +11,7 @@
 from trefoilhinge.dispatch.calls import PrefillHelper
 from trefoilhinge.dispatch.settings import parse_address
 from trefoilhinge.gateway.http_client import FetchFailed, fetch
+from trefoilhinge.gateway.peer_exchange import PeerExchange
 from trefoilhinge.gateway.state import GatewayState
 from trefoilhinge.platform import reservations
 
@@ -34,6 +35,7 @@
     """
 
     _state: GatewayState
+    _peers: PeerExchange
     helpers: tuple[PrefillHelper, ...]
     _tokens: tuple[int, ...]
     _unanswered: set[str] = field(factory=set)
@@ -104,6 +106,7 @@
 
     async def _order(self, helper: PrefillHelper, body: bytes) -> int | None:
         address = parse_address(helper.address)
+        self._count_order(helper.address)
         try:
             fetched = await fetch(
                 address, reservations.ORDER_PATH, ORDER_TIMEOUT_S, body
@@ -120,6 +123,14 @@
         self._state.metrics.increment('orders', status=str(fetched.status))
         return fetched.status
 
+    def _count_order(self, address: str) -> None:
+        """Count an order at a target that named a limit meanwhile."""
+        limited = {one.target for one in self._state.rate_limits.list_limits()}
+        for name in limited:
+            record = self._state.directory.records.get(name)
+            if record is not None and record.address == address:
+                self._peers.broadcast_target_ordered(name)
+
 
 # Releases outlive their call; the event loop keeps only weak references.
 _RELEASE_TASKS: set[asyncio.Task[None]] = set()
@@ -127,6 +138,7 @@
 
 async def reserve(
     state: GatewayState,
+    peers: PeerExchange,
     request_id: str,
     requested: list[tuple[str, int]],
 ) -> Reservations | None:
@@ -141,7 +153,7 @@
         for position, (address, _) in enumerate(requested)
     )
     reservations = Reservations(
-        state, helpers, tuple(tokens for _, tokens in requested)
+        state, peers, helpers, tuple(tokens for _, tokens in requested)
     )
     try:
         reserved = await reservations.reserve_all()
--- a/trefoilhinge/gateway/run_tracker.py
+++ b/trefoilhinge/gateway/run_tracker.py
@@ -24,14 +24,17 @@
     _run: Run | None = None
     has_first_event: bool = False
 
-    def start(self, placement: Placement) -> None:
-        """Add a run to the load of its targets and announce it."""
+    def start(self, placement: Placement, number: int) -> None:
+        """Add a run to the load of its targets and announce it.
+
+        :param number: number of the run, unique for this incarnation.
+        """
         now_s = self._state.get_now_s()
         size = self._call.head.prompt_size
         is_stream = self._call.route.kind is CallKind.stream
         self._run = Run(
             origin=self._state.origin,
-            number=self._state.make_run_number(),
+            number=number,
             parts=placement.parts,
             context_tokens=size.prompt_tokens if size else 0,
             output_tokens=size.expected_output_tokens if size else 0,
@@ -41,9 +44,7 @@
         )
         self.has_first_event = False
         maximum_duration_s = max(0, self._call.deadline_s - now_s)
-        self._state.loads.record_start(
-            self._run, now_s + maximum_duration_s, now_s
-        )
+        self._state.record_run(self._run, now_s + maximum_duration_s)
         self._peers.broadcast_run_started(self._run, maximum_duration_s)
 
     async def wait_for_send_time(self) -> None:
@@ -55,8 +56,7 @@
             return
         await self._state.prefill_waiters.wait_for_send_time(self._run)
         if self._run.send_delay_s:
-            now_s = self._state.get_now_s()
-            self._state.loads.record_sent(self._run.key, now_s)
+            self._state.record_run_sent(self._run.key)
             self._peers.broadcast_run_sent(self._run)
 
     def record_event(self, now_s: float) -> None:
--- a/trefoilhinge/gateway/snapshots.py
+++ b/trefoilhinge/gateway/snapshots.py
@@ -1,15 +1,21 @@
 """Snapshot of an instance's state for its status page."""
 
+from typing import Any
+
 from trefoilhinge.conf.generated.belief import (
     BeliefSnapshot,
     BudgetBelief,
     PeerBelief,
     TargetBelief,
 )
+from trefoilhinge.dispatch.targets import TargetRecord
+from trefoilhinge.gateway.permits import Permits
 from trefoilhinge.gateway.state import GatewayState
 
 
-def make_snapshot(state: GatewayState, active_calls: int) -> BeliefSnapshot:
+def make_snapshot(
+    state: GatewayState, permits: Permits, active_calls: int
+) -> BeliefSnapshot:
     """Return the present state of an instance.
 
     :param active_calls: calls in progress.
@@ -30,7 +36,7 @@
         if unreachable_since_s is None
         else now_s - unreachable_since_s,
         peers=_list_peers(state, now_s),
-        targets=_list_targets(state, now_s),
+        targets=_list_targets(state, permits, now_s),
         budgets=_list_budgets(state, now_s),
     )
 
@@ -50,8 +56,24 @@
     )
 
 
+def _describe_limit(
+    state: GatewayState, permits: Permits, record: TargetRecord
+) -> dict[str, Any]:
+    """Return the fields of a target that named a limit, else none."""
+    rate = state.rate_limits.get(record.name, record.started_ms)
+    bucket = state.permits.get(record.name, record.started_ms)
+    if rate is None or bucket is None:
+        return {}
+    return {
+        'limit_per_s': rate,
+        'limit_owner': permits.find_owner(record.name),
+        'limit_level': bucket.get_level(state.get_now_s()),
+        'limit_waiting': bucket.count_waiting(),
+    }
+
+
 def _list_targets(
-    state: GatewayState, now_s: float
+    state: GatewayState, permits: Permits, now_s: float
 ) -> tuple[TargetBelief, ...]:
     directory = state.directory
     usable = set(state.health.list_usable(list(directory.records), now_s))
@@ -70,6 +92,7 @@
                 reading_s=load.estimate_backlog_s(now_s),
                 memory_tokens=load.memory_tokens,
                 pace=state.slowdowns.get(name, now_s),
+                **_describe_limit(state, permits, record),
             )
         )
     return tuple(found)
--- a/trefoilhinge/gateway/state.py
+++ b/trefoilhinge/gateway/state.py
@@ -8,9 +8,10 @@
 from trefoilhinge.dispatch.budgets import RetryBudget
 from trefoilhinge.dispatch.documents import FleetDocument
 from trefoilhinge.dispatch.health import HealthTable
-from trefoilhinge.dispatch.loads import LoadTable
+from trefoilhinge.dispatch.loads import LoadTable, Run
 from trefoilhinge.dispatch.peers import PeerTable
-from trefoilhinge.dispatch.rate_limits import RateLimitTable
+from trefoilhinge.dispatch.permit_buckets import PermitTable
+from trefoilhinge.dispatch.rate_limits import NamedRate, RateLimitTable
 from trefoilhinge.dispatch.settings import GatewaySettings
 from trefoilhinge.dispatch.slowdowns import SlowdownTable
 from trefoilhinge.dispatch.targets import TargetDirectory
@@ -36,6 +37,8 @@
     :ivar health: failure rates and ejections of the targets.
     :ivar slowdowns: observed slowdown of each target.
     :ivar rate_limits: rates that targets named as their limits.
+    :ivar permits: permits for requests to these targets.
+    :ivar started_s: monotonic seconds at which the process started to serve.
     :ivar transfers: documents and lists of targets that are being sent to
         peers.
     :ivar exit_at_s: monotonic seconds at which the process exits.
@@ -56,6 +59,8 @@
     health: HealthTable = field(factory=HealthTable)
     slowdowns: SlowdownTable = field(factory=SlowdownTable)
     rate_limits: RateLimitTable = field(factory=RateLimitTable)
+    permits: PermitTable = field(factory=PermitTable)
+    started_s: float = 0
     transfers: int = 0
     is_stopping: bool = False
     exit_at_s: float = float('inf')
@@ -106,6 +111,49 @@
         self._last_run_number += 1
         return self._last_run_number
 
+    def record_run(self, run: Run, latest_end_s: float) -> None:
+        """Record a run that this instance or another one placed.
+
+        A run that is not delayed is sent at once.
+
+        :param latest_end_s: monotonic seconds at which it has ended.
+        """
+        is_new = self.loads.record_start(run, latest_end_s, self.get_now_s())
+        if is_new and not run.send_delay_s:
+            self._charge_run(run)
+
+    def record_run_sent(self, key: tuple[str, int]) -> None:
+        """Record that a delayed run was sent."""
+        run = self.loads.record_sent(key, self.get_now_s())
+        if run is not None:
+            self._charge_run(run)
+
+    def apply_named_rate(self, named: NamedRate, source: str) -> bool:
+        """Apply what a target said about its limit.
+
+        :param source: who said so, for the log.
+        :return: whether the limit changed.
+        """
+        before = self.rate_limits.record(named)
+        if before is None:
+            return False
+        rate = named.requests_per_s
+        if rate is not None:
+            self.permits.set_rate(
+                named.target, named.started_ms, rate, self.get_now_s()
+            )
+        self.log.write(
+            'target_limited' if rate else 'target_limit_ended',
+            target=named.target,
+            rate=rate,
+            before=before.requests_per_s,
+            source=source,
+        )
+        self.metrics.set_gauge(
+            'targets_limited', len(self.rate_limits.list_limits())
+        )
+        return True
+
     def accept_document(self, content: bytes, source: str) -> bool:
         """Put a document in force if it is valid and newer.
 
@@ -139,6 +187,12 @@
         )
         return True
 
+    def _charge_run(self, run: Run) -> None:
+        """Count the requests of a run at targets that named limits."""
+        now_s = self.get_now_s()
+        for part in run.parts:
+            self.permits.charge(part.target, run.key, now_s)
+
 
 def make_state(settings: GatewaySettings) -> GatewayState:
     """Return the empty state of an instance that starts."""
--- /dev/null
+++ b/trefoilhinge/gateway/target_choice.py
@@ -0,0 +1,149 @@
+"""Choice of a call's targets, with permits where these named limits."""
+
+from attrs import define
+
+from trefoilhinge.dispatch.calls import Call
+from trefoilhinge.dispatch.documents import REQUEST_HASH_VALUES
+from trefoilhinge.dispatch.durations import estimate_duration_s
+from trefoilhinge.dispatch.group_placement import Placement
+from trefoilhinge.dispatch.permits import PermitDecision, PermitVerdict
+from trefoilhinge.dispatch.targets import TargetRecord
+from trefoilhinge.gateway.permits import Permits, make_permit_request
+from trefoilhinge.gateway.placement import (
+    find_placement,
+    list_limited,
+    place_call,
+)
+from trefoilhinge.gateway.progress import CallProgress
+from trefoilhinge.gateway.refusals import (
+    CallFailed,
+    make_limited_refusal,
+    make_no_target_refusal,
+)
+from trefoilhinge.gateway.state import GatewayState
+
+# Limited targets that a call without other targets waits for in succession.
+MAXIMUM_ASKED_TARGETS = 3
+PLAIN_DURATION_S = 0.25  # several times the duration of a plain call
+
+
+@define
+class TargetChoice:
+    """Chooses the targets of one call."""
+
+    _state: GatewayState
+    _permits: Permits
+    _call: Call
+
+    async def choose(
+        self, progress: CallProgress, excluded: set[str]
+    ) -> tuple[Placement, int]:
+        """Choose targets that may be sent the call now.
+
+        :param excluded: targets that failed the call; used only if no other
+            one is left.
+        :return: the placement and the number of its run.
+        :raises CallFailed: no target can take the call in time.
+        """
+        refused: set[str] = set()
+        while True:
+            placement = find_placement(
+                self._state, self._call, excluded, refused
+            )
+            if placement is None:
+                placement, number = await self._wait_for_limited(
+                    progress, excluded
+                )
+                if placement is not None:
+                    return placement, number
+                refused.clear()
+                continue
+            number = self._state.make_run_number()
+            record = self._find_limited_record(placement)
+            if record is None:
+                return placement, number
+            decision = await self._ask(record, number, 0, excluded)
+            if decision.verdict is PermitVerdict.granted:
+                return placement, number
+            refused.add(record.name)
+
+    async def _wait_for_limited(
+        self, progress: CallProgress, excluded: set[str]
+    ) -> tuple[Placement | None, int]:
+        """Wait for a permit of a limited target.
+
+        :return: the placement and the number of its run; no placement if a
+            target without a limit can take the call meanwhile.
+        :raises CallFailed: no limited target can take the call in time.
+        """
+        limited = list_limited(self._state, self._call, excluded)
+        if not limited:
+            raise CallFailed(make_no_target_refusal(progress))
+        waits_s = []
+        for record in limited[:MAXIMUM_ASKED_TARGETS]:
+            number = self._state.make_run_number()
+            decision = await self._ask(
+                record, number, self._compute_patience_s(), excluded
+            )
+            if decision.verdict is PermitVerdict.granted:
+                return place_call(self._state, self._call, [record]), number
+            if self._has_unlimited(excluded):
+                return None, 0
+            waits_s.append(decision.wait_s)
+        self._state.metrics.increment('calls_limited')
+        spread = self._call.head.request_hash / REQUEST_HASH_VALUES
+        raise CallFailed(make_limited_refusal(progress, min(waits_s), spread))
+
+    async def _ask(
+        self,
+        record: TargetRecord,
+        number: int,
+        patience_s: float,
+        excluded: set[str],
+    ) -> PermitDecision:
+        request = make_permit_request(
+            self._state, record, number, self._call.priority, patience_s
+        )
+        decision = await self._permits.acquire(
+            request,
+            lambda: patience_s > 0 and self._has_unlimited(excluded),
+        )
+        self._log(record, decision)
+        return decision
+
+    def _has_unlimited(self, excluded: set[str]) -> bool:
+        found = find_placement(
+            self._state, self._call, excluded, allows_limited=False
+        )
+        return found is not None
+
+    def _find_limited_record(self, placement: Placement) -> TargetRecord | None:
+        record = self._state.directory.records[placement.parts[0].target]
+        bucket = self._state.permits.get(record.name, record.started_ms)
+        return None if bucket is None else record
+
+    def _compute_patience_s(self) -> float:
+        """Return for how long the call may wait and still end in time."""
+        document = self._state.document
+        size = self._call.head.prompt_size
+        duration_s = PLAIN_DURATION_S
+        if size is not None and document is not None:
+            duration_s = estimate_duration_s(document, self._call.route, size)
+        remaining_s = self._call.deadline_s - self._state.get_now_s()
+        return max(0, remaining_s - duration_s)
+
+    def _log(self, record: TargetRecord, decision: PermitDecision) -> None:
+        state = self._state
+        now_s = state.get_now_s()
+        bucket = state.permits.get(record.name, record.started_ms)
+        state.log.write(
+            f'permit_{decision.verdict.value}',
+            request=self._call.head.request_id,
+            target=record.name,
+            rate=state.rate_limits.get(record.name, record.started_ms),
+            owner=self._permits.find_owner(record.name),
+            level=None if bucket is None else bucket.get_level(now_s),
+            instances=state.peers.count_instances(now_s),
+            known=state.peers.count_known(),
+            waits_s=decision.wait_s,
+        )
--- a/trefoilhinge/platform/headers.py
+++ b/trefoilhinge/platform/headers.py
@@ -11,7 +11,7 @@
     PromptSize,
     RawHeaders,
 )
-from trefoilhinge.dispatch.rate_limits import MINIMUM_REQUESTS_PER_S
+from trefoilhinge.dispatch.rate_limits import MINIMUM_REQUESTS_PER_S, RATE_UNITS
 
 MS_PER_S = 1000
 _RATE_HEADER = b'server-limit'
@@ -168,7 +168,7 @@
     text = b', '.join(values)
     if len(values) > 1 or not _RATE_PATTERN.fullmatch(text):
         return None, f'{text[:40]!r} is not one decimal number'
-    rate = float(text)
+    rate = round(float(text) * RATE_UNITS) / RATE_UNITS
     if rate > MAXIMUM_REQUESTS_PER_S:
         return None, f'{rate} is over {MAXIMUM_REQUESTS_PER_S} a second'
     return max(rate, MINIMUM_REQUESTS_PER_S), ''
