Let targets of the soak name limits, and checked them.

The soak could not find the incident LIMIT: its targets named no limits. They now do, from random numbers of their own, so that the other events of a seed stay as they were. The check is stricter than the rule: all requests count, orders too, from instances that had not heard of the limit as well; only windows in which an instance was killed or paused are left out. A broken variant in which each instance applies the whole rate is found; the gateway passes the same plan.

--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -3,7 +3,12 @@
 import pytest
 
 from trefoilhinge.soak.commands import SoakRequest, run_soak
-from trefoilhinge.soak.plans import FaultKind, MaintenanceKind, PlannedEvent
+from trefoilhinge.soak.plans import (
+    FaultKind,
+    MaintenanceKind,
+    NeedKind,
+    PlannedEvent,
+)
 
 # Seeds that have failed before, with the violation that was observed.
 REGRESSIONS = ()
@@ -63,6 +68,13 @@
         plan = make_plan(MaintenanceKind.revoke_key, count=1)
         assert 'REVOKED' in soak(tmp_path, 105, plan, 'ignore_changes')
 
+    def test_rate_that_each_instance_applies_alone(self, tmp_path):
+        # The selector chooses the fifth target, with 2.3 requests a second.
+        plan = (PlannedEvent(0.5, 11, NeedKind.name_limit, 4.73 / 7),)
+        violated = soak(tmp_path, 107, plan, 'apply_whole_rate', seconds=12)
+        assert 'LIMIT' in violated
+        assert soak(tmp_path, 108, plan, seconds=12) == set()
+
     def test_stop_that_aborts_calls(self, tmp_path):
         plan = make_plan(MaintenanceKind.stop, count=4)
         assert 'CUT_AT_STOP' in soak(tmp_path, 106, plan, 'stop_at_once')
--- a/tests/soak/variants.py
+++ b/tests/soak/variants.py
@@ -3,7 +3,8 @@
 import asyncio
 import sys
 
-from trefoilhinge.gateway import answer_relay, attempts, daemon, state
+from trefoilhinge.dispatch import permit_buckets
+from trefoilhinge.gateway import answer_relay, attempts, daemon, permits, state
 from trefoilhinge.gateway.caller_connections import Refusal
 from trefoilhinge.gateway.reservations import Reservations
 from trefoilhinge.gateway.target_connections import AnswerBroken
@@ -52,6 +53,13 @@
     state.GatewayState.accept_document = accept_first
 
 
+def apply_whole_rate():
+    """Let each instance apply the limit of a target as if it were alone."""
+    permits.Permits.find_owner = lambda self, target: self._state.settings.ip
+    permits.Permits._adjust_rate = lambda self, target, started_ms: None
+    permit_buckets.PermitBucket.charge = lambda self, key, now_s: None
+
+
 def stop_at_once():
     """Exit at the order to stop, without draining."""
 
--- a/trefoilhinge/platform/standins/formats.py
+++ b/trefoilhinge/platform/standins/formats.py
@@ -54,6 +54,11 @@
     }
 
 
+def encode_rate_header(requests_per_s: float) -> tuple[str, str]:
+    """Encode the limit on its requests that a target names."""
+    return 'Server-Limit', f'{requests_per_s:g}'
+
+
 def encode_era_header(era: int) -> tuple[str, str]:
     """Encode the era of the store as a header of its responses."""
     return 'Store-Era', str(era)
--- a/trefoilhinge/soak/observations.py
+++ b/trefoilhinge/soak/observations.py
@@ -11,6 +11,11 @@
 RECOVERY_S = 4.0  # fault-free time after which time limits apply again
 CHANGE_PROPAGATION_S = 2.5  # of a store change, including polling intervals
 RELEASE_TIMEOUT_S = 4.0  # for memory to be released after its last call
+# A limit that a target names has to hold from this time on, in each window.
+LIMIT_STABLE_S = 3.0
+LIMIT_WINDOW_S = 4.0
+LIMIT_FACTOR = 1.5  # times the requests that the limit allows in a window
+LIMIT_SLACK = 5  # requests on top of that
 SUCCESS_STATUSES = range(200, 300)
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 
@@ -35,6 +40,20 @@
     at_s: float
 
 
+@frozen
+class ObservedLimit:
+    """Limit on its requests that a target named for a time.
+
+    :ivar port: port of the target, which keeps it over its incarnations.
+    :ivar requests_per_s: rate for all instances together.
+    """
+
+    port: int
+    requests_per_s: float
+    begin_s: float
+    end_s: float
+
+
 @define
 class ObservedCall:
     """One call as observed by its caller.
@@ -80,6 +99,9 @@
     - ``LEAVING``: a target started to work on a call later than
       ``CHANGE_PROPAGATION_S`` after it was leaving.
     - ``MEMORY``: a reservation was held after its call.
+    - ``LIMIT``: a target got more requests than the limit that it had named
+      allows, from all instances together, with no instance killed or paused
+      meanwhile or shortly before.
 
     ``LATE``, ``CUT_AT_STOP``, ``REVOKED`` and ``LEAVING`` are not checked for
     periods that a fault overlaps or that begin within ``RECOVERY_S`` after one.
@@ -101,6 +123,10 @@
     :ivar leaving_since_s: time at which the store acknowledged that a target
         is leaving, by target.
     :ivar leaked_reservations: reservations that were held after their calls.
+    :ivar arrivals: port of the target and time of each request that reached
+        it.
+    :ivar limits: limits that targets named.
+    :ivar instance_faults: start and end of each kill and pause of an instance.
     """
 
     calls: list[ObservedCall] = field(factory=list)
@@ -108,6 +134,9 @@
     faults: list[tuple[float, float]] = field(factory=list)
     leaving_since_s: dict[str, float] = field(factory=dict)
     leaked_reservations: list[str] = field(factory=list)
+    arrivals: list[tuple[int, float]] = field(factory=list)
+    limits: list[ObservedLimit] = field(factory=list)
+    instance_faults: list[tuple[float, float]] = field(factory=list)
 
     def find_violations(self) -> list[Violation]:
         """Return all violations of the invariants."""
@@ -130,8 +159,40 @@
             Violation('MEMORY', reservation, 'was held after its call')
             for reservation in self.leaked_reservations
         )
+        violations.extend(
+            Violation('LIMIT', f'port {limit.port}', detail)
+            for limit in self.limits
+            for detail in self._list_excesses(limit)
+        )
         return violations
 
+    def _list_excesses(self, limit: ObservedLimit) -> list[str]:
+        """Return the first window in which a target got too many requests."""
+        allowed = (
+            LIMIT_FACTOR * limit.requests_per_s * LIMIT_WINDOW_S + LIMIT_SLACK
+        )
+        checked_s = sorted(
+            at_s
+            for port, at_s in self.arrivals
+            if port == limit.port
+            and limit.begin_s + LIMIT_STABLE_S <= at_s <= limit.end_s
+        )
+        for position, begin_s in enumerate(checked_s):
+            end_s = begin_s + LIMIT_WINDOW_S
+            count = sum(at_s < end_s for at_s in checked_s[position:])
+            if count > allowed and self._are_instances_sound(begin_s, end_s):
+                return [
+                    f'{count} requests in {LIMIT_WINDOW_S} s, limit '
+                    f'{limit.requests_per_s} a second, allowed {allowed:.1f}'
+                ]
+        return []
+
+    def _are_instances_sound(self, begin_s: float, end_s: float) -> bool:
+        return all(
+            end_s < fault_begin_s or begin_s - LIMIT_STABLE_S > fault_end_s
+            for fault_begin_s, fault_end_s in self.instance_faults
+        )
+
     def _check_call(
         self, call: ObservedCall, runs: list[ObservedRun]
     ) -> list[Violation]:
--- a/trefoilhinge/soak/plan_execution.py
+++ b/trefoilhinge/soak/plan_execution.py
@@ -1,13 +1,20 @@
 """Executes the events of a plan."""
 
 import asyncio
+import math
 import signal
 import time
 
 from trefoilhinge.platform.store import TARGET_PREFIX
 from trefoilhinge.soak.fleets import CALLER_KEYS, SoakFleet
 from trefoilhinge.soak.instances import Instance
-from trefoilhinge.soak.plans import FaultKind, MaintenanceKind, PlannedEvent
+from trefoilhinge.soak.observations import ObservedLimit
+from trefoilhinge.soak.plans import (
+    FaultKind,
+    MaintenanceKind,
+    NeedKind,
+    PlannedEvent,
+)
 from trefoilhinge.soak.proxies import ConnectionFault, Proxy
 from trefoilhinge.soak.targets import SoakTarget, TargetBehaviour
 
@@ -15,6 +22,9 @@
 DRAIN_TIME_S = 6.0  # before a drained target returns as a new incarnation
 MAXIMUM_LOST_REVISIONS = 12  # by a restoration of the store
 REPLAY_DELAY_S = 1.0  # until operator and targets make lost changes again
+# Requests per second that a target in need names.
+LOWEST_LIMIT = 0.4
+HIGHEST_LIMIT = 3.0
 TARGET_BEHAVIOURS = {
     FaultKind.lose_answers: TargetBehaviour.losing,
     FaultKind.tear_streams: TargetBehaviour.tearing,
@@ -32,6 +42,9 @@
     if isinstance(event.kind, MaintenanceKind):
         await _execute_maintenance(fleet, event)
         return
+    if isinstance(event.kind, NeedKind):
+        await _name_limit(fleet, event)
+        return
     begin_s = time.monotonic()
     # Until its end is known, the fault exempts all later observations.
     fleet.observations.faults.append((begin_s, float('inf')))
@@ -39,7 +52,27 @@
     try:
         await _inject_fault(fleet, event)
     finally:
-        fleet.observations.faults[position] = (begin_s, time.monotonic())
+        fault = (begin_s, time.monotonic())
+        fleet.observations.faults[position] = fault
+        if event.kind in {FaultKind.kill, FaultKind.pause}:
+            fleet.observations.instance_faults.append(fault)
+
+
+async def _name_limit(fleet: SoakFleet, event: PlannedEvent) -> None:
+    """Let a target name a limit for a time."""
+    target = _choose_target(fleet, event)
+    if target.requests_per_s is not None:
+        return
+    # The selector's digits after those that chose the target.
+    share, _ = math.modf(event.selector * len(fleet.targets))
+    rate = round(LOWEST_LIMIT + share * (HIGHEST_LIMIT - LOWEST_LIMIT), 1)
+    begin_s = time.monotonic()
+    target.requests_per_s = rate
+    await asyncio.sleep(event.duration_s)
+    target.requests_per_s = None
+    fleet.observations.limits.append(
+        ObservedLimit(target.address[1], rate, begin_s, time.monotonic())
+    )
 
 
 async def _inject_fault(fleet: SoakFleet, event: PlannedEvent) -> None:
--- a/trefoilhinge/soak/plans.py
+++ b/trefoilhinge/soak/plans.py
@@ -11,6 +11,9 @@
 EVENTS_PER_ROUND = 6
 ROUND_PAUSE_S = 7.0  # without events, so that time limits can be checked
 MAINTENANCE_SHARE = 0.4  # of the events
+# Durations of limits: longer than the time in which they need not hold yet.
+LIMIT_DURATIONS_S = (8.0, 12.0)
+LIMIT_INTERVALS_S = (4.0, 9.0)  # between two targets that name a limit
 
 
 class FaultKind(enum.Enum):
@@ -43,9 +46,18 @@
     drain_target = 'drain_target'
 
 
+class NeedKind(enum.Enum):
+    """What a target in need asks of all instances together."""
+
+    name_limit = 'name_limit'
+
+
+EventKind = FaultKind | MaintenanceKind | NeedKind
+
+
 @frozen
 class PlannedEvent:
-    """One fault or maintenance action of a plan.
+    """One fault or maintenance action of a plan, or one need of a target.
 
     :ivar at_s: seconds from the start of traffic.
     :ivar duration_s: seconds until a fault is undone.
@@ -55,7 +67,7 @@
 
     at_s: float
     duration_s: float
-    kind: FaultKind | MaintenanceKind
+    kind: EventKind
     selector: float
 
 
@@ -73,7 +85,7 @@
             if generator.uniform() < MAINTENANCE_SHARE
             else FaultKind
         )
-        choices: list[FaultKind | MaintenanceKind] = list(category)
+        choices: list[EventKind] = list(category)
         kind = choices[int(generator.integers(len(choices)))]
         duration_s = float(generator.uniform(*DURATIONS_S))
         events.append(
@@ -82,4 +94,28 @@
         at_s += float(generator.uniform(*EVENT_INTERVALS_S))
         if len(events) % EVENTS_PER_ROUND == 0:
             at_s += ROUND_PAUSE_S
+    return sorted(
+        [*events, *_generate_limits(seed, seconds)], key=lambda one: one.at_s
+    )
+
+
+def _generate_limits(seed: int, seconds: float) -> list[PlannedEvent]:
+    """Return the limits that targets name.
+
+    They have random numbers of their own, so that the other events of a seed
+    are the same as before targets named limits.
+    """
+    generator = np.random.default_rng((seed, 1))
+    events: list[PlannedEvent] = []
+    at_s = float(generator.uniform(*LIMIT_INTERVALS_S))
+    while at_s < seconds:
+        events.append(
+            PlannedEvent(
+                at_s,
+                float(generator.uniform(*LIMIT_DURATIONS_S)),
+                NeedKind.name_limit,
+                float(generator.uniform()),
+            )
+        )
+        at_s += float(generator.uniform(*LIMIT_INTERVALS_S))
     return events
--- a/trefoilhinge/soak/targets.py
+++ b/trefoilhinge/soak/targets.py
@@ -17,7 +17,7 @@
     make_content,
     make_event,
 )
-from trefoilhinge.standins.http_listener import HttpExchange, serve_http
+from trefoilhinge.standins.http_listener import Header, HttpExchange, serve_http
 
 STREAM_EVENTS = 12
 EVENT_INTERVAL_S = 0.05  # between two events
@@ -47,6 +47,7 @@
     """Stand-in of one target.
 
     :ivar service: service that its entry in the store names.
+    :ivar requests_per_s: limit that its answers name, none if it has none.
     :ivar reservations: expiry time of each reservation, in seconds of the
         monotonic clock.
     """
@@ -56,6 +57,7 @@
     address: Address
     observations: ObservationLog
     behaviour: TargetBehaviour = TargetBehaviour.sound
+    requests_per_s: float | None = None
     reservations: dict[str, float] = field(factory=dict)
     _server: asyncio.Server | None = None
 
@@ -76,14 +78,23 @@
             if expires_s > now_s and now_s - quiet_since_s > RELEASE_TIMEOUT_S
         ]
 
+    def _list_headers(self, *headers: Header) -> list[Header]:
+        """Return the headers of an answer, with the limit if there is one."""
+        if self.requests_per_s is None:
+            return list(headers)
+        return [*headers, formats.encode_rate_header(self.requests_per_s)]
+
     async def _handle_request(self, request: HttpExchange) -> None:
+        self.observations.arrivals.append((self.address[1], time.monotonic()))
         if request.path == ORDER_PATH:
             await self._handle_order(request)
             return
         received = formats.decode_request_headers(request.headers)
         if self.behaviour is TargetBehaviour.full:
             await request.respond(
-                UNAVAILABLE_STATUS, b'', [formats.NOT_RUN_HEADER]
+                UNAVAILABLE_STATUS,
+                b'',
+                self._list_headers(formats.NOT_RUN_HEADER),
             )
             return
         self._record_run(received)
@@ -111,7 +122,9 @@
             request.writer.transport.abort()
             return
         content = make_content(kind, received.request_id)
-        await request.respond(200, content, [formats.SEAL_HEADER])
+        await request.respond(
+            200, content, self._list_headers(formats.SEAL_HEADER)
+        )
 
     def _record_run(self, received: formats.ReceivedRequest) -> None:
         self.observations.runs.append(
@@ -121,7 +134,9 @@
     async def _serve_stream(
         self, request: HttpExchange, received: formats.ReceivedRequest
     ) -> None:
-        headers = [formats.SEAL_HEADER, formats.EVENT_STREAM_HEADER]
+        headers = self._list_headers(
+            formats.SEAL_HEADER, formats.EVENT_STREAM_HEADER
+        )
         await request.send_headers(200, headers)
         for number in range(received.last_event + 1, STREAM_EVENTS + 1):
             event = make_event(received.request_id, number)
