Bounded the bytes of answers that come without end.

Heads were bounded by h11 already. Now an answer that is kept until it is whole has at most 8 MiB, an event 1 MiB, a response to an own read 32 MiB, an order's answer 64 KiB, and 16 interim responses may precede a head. The call is then taken for lost: repeated elsewhere where it may be, else answered 502.

--- a/tests/gateway/targets.py
+++ b/tests/gateway/targets.py
@@ -17,6 +17,7 @@
     :ivar handle: coroutine that answers a request.
     :ivar requests: calls that were received, in order.
     :ivar orders: bodies of the orders that were received, in order.
+    :ivar handle_order: coroutine that answers an order, if it is scripted.
     """
 
     name: str
@@ -24,6 +25,7 @@
     port: int = field(factory=find_port)
     requests: list = field(factory=list)
     orders: list = field(factory=list)
+    handle_order: object = None
     gone: int = 0
     _server: object = None
 
@@ -40,6 +42,9 @@
     async def _answer(self, exchange):
         if exchange.path == '/order':
             self.orders.append(json.loads(exchange.body))
+            if self.handle_order is not None:
+                await self.handle_order(exchange)
+                return
             await exchange.respond(200, b'{"free": 1}')
             return
         self.requests.append(exchange)
@@ -97,3 +102,22 @@
 async def never_answer(exchange):
     """Never answer."""
     await asyncio.sleep(60)
+
+
+def send_without_end(begin, filler, sent=None):
+    """Return a handler that sends bytes until its connection is closed.
+
+    :param begin: bytes that are sent once, before the filler.
+    :param sent: list that receives the number of bytes of each write.
+    """
+
+    async def handle(exchange):
+        exchange.writer.write(begin)
+        while True:
+            exchange.writer.write(filler)
+            if sent is not None:
+                sent.append(len(filler))
+            await exchange.writer.drain()
+            await asyncio.sleep(0)
+
+    return handle
--- a/trefoilhinge/gateway/answer_relay.py
+++ b/trefoilhinge/gateway/answer_relay.py
@@ -13,6 +13,8 @@
     TargetConnection,
 )
 
+MAXIMUM_EVENT_BYTES = 1_048_576  # of one event of a stream
+
 EventCallback = Callable[[], None]
 
 
@@ -42,7 +44,8 @@
         Events that the caller already has are dropped.
 
         :param on_event: called before new events are sent.
-        :raises AnswerBroken: the stream ended early or an event is missing.
+        :raises AnswerBroken: the stream ended early, an event is missing, or
+            one is longer than ``MAXIMUM_EVENT_BYTES``.
         """
         splitter = EventSplitter()
         async for chunk in connection.read_content():
@@ -51,6 +54,10 @@
                 self._start_answer(head)
                 on_event()
                 await self._caller.send(content)
+            if len(splitter.remainder) > MAXIMUM_EVENT_BYTES:
+                raise AnswerBroken(
+                    f'event is longer than {MAXIMUM_EVENT_BYTES} bytes'
+                )
         if splitter.remainder:
             raise AnswerBroken('stream ended within an event')
         self._start_answer(head)
--- a/trefoilhinge/gateway/http_client.py
+++ b/trefoilhinge/gateway/http_client.py
@@ -5,12 +5,15 @@
 from typing import cast
 
 import h11
-from attrs import field, frozen
+from attrs import define, field, frozen
 
 from trefoilhinge.dispatch.settings import Address
 from trefoilhinge.exceptions import TrefoilhingeError
 from trefoilhinge.gateway.tcp import READ_BYTES, open_tcp_connection
 
+# A list of all targets or several documents in one response.
+MAXIMUM_RESPONSE_BYTES = 33_554_432
+MAXIMUM_INTERIM_RESPONSES = 16  # before the head of a response
 CONNECT_TIMEOUT_S = 1.0  # a reachable machine accepts within milliseconds
 
 
@@ -36,6 +39,7 @@
     timeout_s: float,
     body: bytes | None = None,
     silence_timeout_s: float | None = None,
+    maximum_bytes: int | None = None,
 ) -> FetchedResponse:
     """Send a GET, or a POST with a JSON body, and read the response.
 
@@ -43,12 +47,20 @@
     :param body: JSON to post, ``None`` for a GET.
     :param silence_timeout_s: limit on connecting, and on each wait for data;
         ``None`` for no other limit than ``timeout_s``.
+    :param maximum_bytes: limit on the content, ``None`` for
+        ``MAXIMUM_RESPONSE_BYTES``.
     :raises FetchFailed: no complete response arrived within the limit.
     """
     try:
         async with asyncio.timeout(timeout_s):
             return await _exchange(
-                address, path, silence_timeout_s or timeout_s, body
+                address,
+                path,
+                body,
+                _ResponseReader(
+                    silence_timeout_s or timeout_s,
+                    maximum_bytes or MAXIMUM_RESPONSE_BYTES,
+                ),
             )
     except (OSError, h11.ProtocolError) as problem:
         kind = type(problem).__name__
@@ -58,15 +70,15 @@
 async def _exchange(
     address: Address,
     path: str,
-    silence_timeout_s: float,
     body: bytes | None,
+    response: '_ResponseReader',
 ) -> FetchedResponse:
     reader, writer = await open_tcp_connection(
-        address, min(CONNECT_TIMEOUT_S, silence_timeout_s)
+        address, min(CONNECT_TIMEOUT_S, response.silence_timeout_s)
     )
     try:
         writer.write(_encode(address, path, body))
-        return await _read(reader, silence_timeout_s)
+        return await response.read(reader)
     finally:
         writer.transport.abort()
 
@@ -86,41 +98,67 @@
     return data + (body or b'')
 
 
-async def _read(
-    reader: asyncio.StreamReader, silence_timeout_s: float
-) -> FetchedResponse:
-    connection = h11.Connection(h11.CLIENT)
-    # h11 reads a response only after a request was passed through it.
-    sent = h11.Request(method='GET', target='/', headers=[('Host', '-')])
-    connection.send(sent)
-    connection.send(h11.EndOfMessage())
-    status = 0
-    headers: dict[str, str] = {}
-    content = bytearray()
-    event = await _read_event(reader, connection, silence_timeout_s)
-    while not isinstance(event, h11.EndOfMessage):
+@define
+class _ResponseReader:
+    """Reads one response within its limits.
+
+    :ivar silence_timeout_s: limit on each wait for data.
+    :ivar maximum_bytes: limit on the content.
+    """
+
+    silence_timeout_s: float
+    maximum_bytes: int
+    _parser: h11.Connection = field(factory=lambda: h11.Connection(h11.CLIENT))
+    _status: int = 0
+    _headers: dict[str, str] = field(factory=dict)
+    _content: bytearray = field(factory=bytearray)
+    _interim_responses: int = 0
+
+    async def read(self, reader: asyncio.StreamReader) -> FetchedResponse:
+        """Read the response to its end.
+
+        :raises FetchFailed: it ends early or exceeds a limit.
+        """
+        # h11 reads a response only after a request was passed through it.
+        sent = h11.Request(method='GET', target='/', headers=[('Host', '-')])
+        self._parser.send(sent)
+        self._parser.send(h11.EndOfMessage())
+        event = await self._read_event(reader)
+        while not isinstance(event, h11.EndOfMessage):
+            self._apply_event(event)
+            event = await self._read_event(reader)
+        return FetchedResponse(
+            self._status, bytes(self._content), self._headers
+        )
+
+    def _apply_event(self, event: h11.Event) -> None:
         if isinstance(event, h11.Response):
-            status = event.status_code
-            headers = {
+            self._status = event.status_code
+            self._headers = {
                 name.decode('latin-1'): text.decode('latin-1')
                 for name, text in event.headers
             }
         elif isinstance(event, h11.Data):
-            content += event.data
-        event = await _read_event(reader, connection, silence_timeout_s)
-    return FetchedResponse(status, bytes(content), headers)
-
-
-async def _read_event(
-    reader: asyncio.StreamReader,
-    connection: h11.Connection,
-    silence_timeout_s: float,
-) -> h11.Event:
-    event = connection.next_event()
-    while event is h11.NEED_DATA:
-        async with asyncio.timeout(silence_timeout_s):
-            connection.receive_data(await reader.read(READ_BYTES))
-        event = connection.next_event()
-    if isinstance(event, h11.ConnectionClosed):
-        raise FetchFailed('connection closed before the end of the response')
-    return cast(h11.Event, event)
+            self._content += event.data
+            if len(self._content) > self.maximum_bytes:
+                raise FetchFailed(
+                    f'content is longer than {self.maximum_bytes} bytes'
+                )
+        elif isinstance(event, h11.InformationalResponse):
+            self._interim_responses += 1
+            if self._interim_responses > MAXIMUM_INTERIM_RESPONSES:
+                raise FetchFailed(
+                    f'over {MAXIMUM_INTERIM_RESPONSES} interim responses'
+                )
+
+    async def _read_event(self, reader: asyncio.StreamReader) -> h11.Event:
+        event = self._parser.next_event()
+        while event is h11.NEED_DATA:
+            async with asyncio.timeout(self.silence_timeout_s):
+                self._parser.receive_data(await reader.read(READ_BYTES))
+            event = self._parser.next_event()
+        if isinstance(event, h11.ConnectionClosed):
+            raise FetchFailed(
+                'connection closed before the end of the response'
+            )
+        return cast(h11.Event, event)
--- a/trefoilhinge/gateway/reservations.py
+++ b/trefoilhinge/gateway/reservations.py
@@ -17,6 +17,7 @@
 
 LEASE_FRACTION = 0.75  # of the time within which unused memory must be free
 RENEWALS_PER_LEASE = 3  # two may be lost before the lease expires
+MAXIMUM_ORDER_ANSWER_BYTES = 65_536
 ORDER_TIMEOUT_S = 0.5  # an engine answers an order within milliseconds
 RELEASE_DELAYS_S = (0, 0.5, 1.5)  # before each attempt at a release
 # Before each further release after an order went unanswered: a reservation that
@@ -109,7 +110,11 @@
         self._count_order(helper.address)
         try:
             fetched = await fetch(
-                address, reservations.ORDER_PATH, ORDER_TIMEOUT_S, body
+                address,
+                reservations.ORDER_PATH,
+                ORDER_TIMEOUT_S,
+                body,
+                maximum_bytes=MAXIMUM_ORDER_ANSWER_BYTES,
             )
         except FetchFailed as problem:
             self._unanswered.add(helper.reservation_id)
--- a/trefoilhinge/gateway/target_connections.py
+++ b/trefoilhinge/gateway/target_connections.py
@@ -15,6 +15,8 @@
     encode_request_headers,
 )
 
+MAXIMUM_BODY_BYTES = 8_388_608  # of an answer that is kept until it is whole
+MAXIMUM_INTERIM_RESPONSES = 16  # before the head of an answer
 CONNECT_TIMEOUT_S = 0.3  # a reachable target accepts in a few milliseconds
 
 
@@ -75,7 +77,13 @@
         :raises AnswerBroken: there is none, or it belongs to another call.
         """
         event = await self._read_event()
+        interim_responses = 0
         while isinstance(event, h11.InformationalResponse):
+            interim_responses += 1
+            if interim_responses > MAXIMUM_INTERIM_RESPONSES:
+                raise AnswerBroken(
+                    f'over {MAXIMUM_INTERIM_RESPONSES} interim responses'
+                )
             event = await self._read_event()
         if not isinstance(event, h11.Response):
             raise AnswerBroken('answer has no response head')
@@ -103,9 +111,17 @@
     async def read_body(self) -> bytes:
         """Read the complete content.
 
-        :raises AnswerBroken: the connection ended before the content did.
+        :raises AnswerBroken: the connection ended before the content did, or
+            the content is longer than ``MAXIMUM_BODY_BYTES``.
         """
-        return b''.join([chunk async for chunk in self.read_content()])
+        content = bytearray()
+        async for chunk in self.read_content():
+            content += chunk
+            if len(content) > MAXIMUM_BODY_BYTES:
+                raise AnswerBroken(
+                    f'content is longer than {MAXIMUM_BODY_BYTES} bytes'
+                )
+        return bytes(content)
 
     def close(self) -> None:
         """Abort the connection, so that the target drops the call."""
