Refused malformed entries, documents and headers with a reason.

Looked for after the operators' report that one malformed message took a whole process down: an entry that is nested deeply, or whose start is an infinite number, raised RecursionError or OverflowError in the watch of the store, which ended and was not started again; the instance went on with what it knew until its end. An address without a proper IP address and port failed each call that was placed there, and a token count of 400 digits the call that carried it; the caller's connection was closed without an answer.

--- a/trefoilhinge/dispatch/message_codec.py
+++ b/trefoilhinge/dispatch/message_codec.py
@@ -28,6 +28,7 @@
     decode_permit_message,
     list_permit_fields,
 )
+from trefoilhinge.exceptions import MALFORMED_CONTENT_ERRORS
 
 MAXIMUM_DATAGRAM_BYTES = 1_400  # fits one packet
 
@@ -49,7 +50,9 @@
     """
     try:
         return Ok(_decode_fields(msgpack.unpackb(data), now_s))
-    except (TypeError, ValueError, UnpackException) as problem:
+    except UnpackException as problem:
+        return Error(f'{type(problem).__name__}: {problem}')
+    except MALFORMED_CONTENT_ERRORS as problem:
         return Error(f'{type(problem).__name__}: {problem}')
 
 
--- a/trefoilhinge/exceptions.py
+++ b/trefoilhinge/exceptions.py
@@ -5,6 +5,17 @@
 change.
 """
 
+# Exceptions that content from outside can raise while it is decoded: fields
+# of another type, infinite numbers, and JSON that is nested too deeply.
+MALFORMED_CONTENT_ERRORS = (
+    AttributeError,
+    IndexError,
+    OverflowError,
+    RecursionError,
+    TypeError,
+    ValueError,
+)
+
 
 class TrefoilhingeError(Exception):
     """Base class of all exceptions in this package."""
--- a/trefoilhinge/gateway/replication.py
+++ b/trefoilhinge/gateway/replication.py
@@ -5,6 +5,7 @@
 from expression import Error, Ok, Result
 
 from trefoilhinge.dispatch.targets import TargetRecord
+from trefoilhinge.exceptions import MALFORMED_CONTENT_ERRORS
 from trefoilhinge.gateway.http_server import HttpResponse
 from trefoilhinge.gateway.state import GatewayState
 
@@ -70,7 +71,9 @@
         fields = json.loads(content)
         records = [TargetRecord(*entry) for entry in fields['targets']]
         revision = int(fields['revision'])
-    except (KeyError, TypeError, ValueError) as problem:
+    except KeyError as missing:
+        return Error(f'the field {missing} is missing')
+    except MALFORMED_CONTENT_ERRORS as problem:
         return Error(f'{type(problem).__name__}: {problem}')
     directory = state.directory
     if revision <= directory.revision:
--- a/trefoilhinge/platform/documents.py
+++ b/trefoilhinge/platform/documents.py
@@ -16,6 +16,7 @@
     ServiceShare,
     sort_routes,
 )
+from trefoilhinge.exceptions import MALFORMED_CONTENT_ERRORS
 
 MS_PER_S = 1000
 CALL_KINDS = {
@@ -36,7 +37,7 @@
         return Ok(_decode_fields(json.loads(content)))
     except KeyError as missing:
         return Error(f'the field {missing} is missing')
-    except (AttributeError, TypeError, ValueError) as error:
+    except MALFORMED_CONTENT_ERRORS as error:
         return Error(str(error))
 
 
--- a/trefoilhinge/platform/headers.py
+++ b/trefoilhinge/platform/headers.py
@@ -1,5 +1,6 @@
 """Codecs of the platform's request and response headers."""
 
+import math
 import re
 from collections.abc import Iterable
 
@@ -16,6 +17,7 @@
 MS_PER_S = 1000
 _RATE_HEADER = b'server-limit'
 _RATE_PATTERN = re.compile(rb'\d{1,12}(\.\d{0,12})?|\.\d{1,12}')
+_TOKENS_PATTERN = re.compile(rb'\d{1,12}')
 MAXIMUM_REQUESTS_PER_S = 100_000  # more than any target serves
 
 # Headers that apply to a single connection and are never forwarded.
@@ -231,17 +233,28 @@
 def _parse_seconds(value: bytes | None) -> float | None:
     if value is None:
         return None
-    return max(0, float(value) / MS_PER_S)
+    seconds = float(value) / MS_PER_S
+    if not 0 <= seconds < math.inf:
+        raise ValueError(f'x-deadline is no duration: {value[:40]!r}')
+    return seconds
 
 
 def _parse_prompt_size(by_name: dict[bytes, bytes]) -> PromptSize | None:
     value = by_name.get(b'x-token-count')
     if value is None:
         return None
-    prompt, _, limit = value.partition(b',')
-    maximum_tokens = int(limit or b'0')
+    prompt_tokens, maximum_tokens = _parse_token_counts(value)
     hint = _parse_number(by_name.get(b'x-length-hint'))
     expected_tokens = (
         maximum_tokens if hint is None else min(hint, maximum_tokens)
     )
-    return PromptSize(int(prompt), maximum_tokens, expected_tokens)
+    return PromptSize(prompt_tokens, maximum_tokens, expected_tokens)
+
+
+def _parse_token_counts(value: bytes) -> tuple[int, int]:
+    """Return the tokens of a prompt and the limit on those of its output."""
+    prompt, _, limit = value.partition(b',')
+    counts = (prompt.strip(), limit.strip() or b'0')
+    if not all(_TOKENS_PATTERN.fullmatch(count) for count in counts):
+        raise ValueError(f'x-token-count is malformed: {value[:40]!r}')
+    return int(counts[0]), int(counts[1])
--- a/trefoilhinge/platform/settings.py
+++ b/trefoilhinge/platform/settings.py
@@ -8,7 +8,10 @@
     GatewaySettings,
     parse_address,
 )
-from trefoilhinge.exceptions import ImproperlyConfigured
+from trefoilhinge.exceptions import (
+    MALFORMED_CONTENT_ERRORS,
+    ImproperlyConfigured,
+)
 
 SETTINGS_PATH_VARIABLE = 'TREFOILHINGE_CONFIG'
 METRICS_PORT = 9464  # must match deploy/system.toml
@@ -33,8 +36,6 @@
     'bounds.hold_maximum_s': 'bounds.holdMaxMs',
     'bounds.apply_s': 'the smaller of bounds.drainMs and bounds.configApplyMs',
 }
-# Exceptions raised by the conversion of a field that has the wrong type.
-_DECODE_ERRORS = (AttributeError, IndexError, TypeError, ValueError)
 
 
 def decode_settings(text: str) -> GatewaySettings:
@@ -45,7 +46,7 @@
     """
     try:
         fields = json.loads(text)
-    except ValueError as error:
+    except (RecursionError, ValueError) as error:
         raise ImproperlyConfigured(f'invalid settings file: {error}') from error
     try:
         return _decode_fields(fields)
@@ -53,7 +54,7 @@
         raise ImproperlyConfigured(
             f'invalid settings file: the field {missing} is missing',
         ) from missing
-    except _DECODE_ERRORS as error:
+    except MALFORMED_CONTENT_ERRORS as error:
         raise ImproperlyConfigured(f'invalid settings file: {error}') from error
 
 
--- a/trefoilhinge/platform/store.py
+++ b/trefoilhinge/platform/store.py
@@ -1,6 +1,7 @@
 """Request paths and response formats of the platform's key-value store."""
 
 import base64
+import ipaddress
 import json
 from collections.abc import Mapping
 from functools import partial
@@ -11,6 +12,7 @@
 from expression import Error, Ok, Result
 
 from trefoilhinge.dispatch.targets import TargetRecord
+from trefoilhinge.exceptions import MALFORMED_CONTENT_ERRORS
 
 DOCUMENT_KEY = 'op/config'
 TARGET_PREFIX = 'servers/'
@@ -24,6 +26,7 @@
 # A store that was restored from a copy gives revisions out again, in its next
 # era. Revisions here include the era, so that they can be compared.
 REVISIONS_PER_ERA = 10**15
+MAXIMUM_PORT = 65_535
 
 
 @frozen
@@ -118,7 +121,7 @@
         return Ok(_decode_record(item))
     except KeyError as missing:
         return Error(f'the field {missing} is missing')
-    except (AttributeError, TypeError, ValueError) as error:
+    except MALFORMED_CONTENT_ERRORS as error:
         return Error(str(error))
 
 
@@ -151,11 +154,15 @@
 
 
 def _check_address(text: str) -> str:
+    """Return an address that a connection can be opened to.
+
+    :raises ValueError: it is no IP address and port.
+    """
     host, _, port = text.rpartition(':')
-    if not host or not port.isdigit():
-        raise ValueError(
-            f'the field address must have the form host:port, not {text!r}'
-        )
+    is_port = port.isascii() and port.isdigit()
+    if not is_port or not 0 < int(port) <= MAXIMUM_PORT:
+        raise ValueError(f'the field address has no port: {text!r}')
+    ipaddress.ip_address(host)
     return text
 
 
@@ -164,7 +171,7 @@
         return Ok(decode(json.loads(content)))
     except KeyError as missing:
         return Error(f'the field {missing} is missing')
-    except (AttributeError, TypeError, ValueError) as error:
+    except MALFORMED_CONTENT_ERRORS as error:
         return Error(str(error))
 
 
