Kept an unexpected error to what caused it.

- A heartbeat whose address, or one of the peers it names, is no IP address closed the datagram socket for all messages: a message to such an address is a fatal error of asyncio's transport.
Addresses are checked when they are decoded.
It is logged and the task runs again after 0.5 s.
- An unexpected error in a call closed the caller's connection without an answer.
The call is refused with `internal_error`, as `not_run` only if nothing was sent.

--- a/trefoilhinge/client/request_timeline.py
+++ b/trefoilhinge/client/request_timeline.py
@@ -17,6 +17,7 @@
     'caller_gone': 'the caller disconnected before the answer was complete',
     'time_over': 'no answer within the time limit of the caller or the route',
     'targets_full': 'every target that was tried refused the call',
+    'internal_error': 'an unexpected error ended the call',
     'targets_limited': 'no target had room within the limit that it named',
     'answer_lost': 'the answer was lost after a target may have run the call',
     'no_target': 'no target of the service was known or had capacity',
--- a/trefoilhinge/dispatch/message_checks.py
+++ b/trefoilhinge/dispatch/message_checks.py
@@ -1,4 +1,6 @@
-"""Checks of numbers in messages between instances."""
+"""Checks of numbers and addresses in messages between instances."""
+
+import ipaddress
 
 # Longest duration that a message may state, and the largest factor.
 MAXIMUM_DURATION_S = 3_600.0
@@ -16,3 +18,23 @@
             f' {MAXIMUM_DURATION_S}'
         )
     return number
+
+
+def check_ip(text: str) -> str:
+    """Return an IP address if it is one.
+
+    A message that is sent to anything else fails the socket of all messages.
+
+    :raises ValueError: it is no IP address.
+    """
+    ipaddress.ip_address(text)
+    return text
+
+
+def check_origin(text: str) -> str:
+    """Return the incarnation of an instance if it begins with an IP address.
+
+    :raises ValueError: it does not.
+    """
+    check_ip(text.partition('/')[0])
+    return text
--- a/trefoilhinge/dispatch/message_codec.py
+++ b/trefoilhinge/dispatch/message_codec.py
@@ -9,7 +9,7 @@
 from msgpack.exceptions import UnpackException
 
 from trefoilhinge.dispatch.loads import Run, RunPart
-from trefoilhinge.dispatch.message_checks import check_range
+from trefoilhinge.dispatch.message_checks import check_ip, check_range
 from trefoilhinge.dispatch.messages import (
     Message,
     PermitMessage,
@@ -143,9 +143,15 @@
             bool(store_unreachable),
             list(known),
         ]:
-            names = tuple(str(name) for name in known)
+            names = tuple(check_ip(str(name)) for name in known)
             return Heartbeat(
-                ip, origin, domain, version, revision, store_unreachable, names
+                check_ip(ip),
+                origin,
+                domain,
+                version,
+                revision,
+                store_unreachable,
+                names,
             )
         case _:
             raise ValueError('heartbeat with unexpected fields')
--- a/trefoilhinge/dispatch/permit_codec.py
+++ b/trefoilhinge/dispatch/permit_codec.py
@@ -2,6 +2,7 @@
 
 from trefoilhinge.dispatch.message_checks import (
     MAXIMUM_DURATION_S,
+    check_origin,
     check_range,
 )
 from trefoilhinge.dispatch.messages import (
@@ -109,7 +110,7 @@
             int() | float() as patience_s,
         ]:
             return PermitRequest(
-                origin,
+                check_origin(origin),
                 number,
                 target,
                 started_ms,
--- a/trefoilhinge/gateway/call_service.py
+++ b/trefoilhinge/gateway/call_service.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import h11
 from attrs import define
 
 from trefoilhinge.dispatch.calls import Call, CallHead
@@ -13,7 +14,7 @@
 from trefoilhinge.gateway.attempts import Attempts, make_attempts
 from trefoilhinge.gateway.caller_connections import CallerConnection, Refusal
 from trefoilhinge.gateway.peer_exchange import PeerExchange
-from trefoilhinge.gateway.refusals import CallFailed
+from trefoilhinge.gateway.refusals import CallFailed, make_internal_refusal
 from trefoilhinge.gateway.state import GatewayState
 
 STARTUP_RETRY_AFTER_S = 0.3  # a starting instance has its document by then
@@ -62,8 +63,7 @@
         call = accepted
         attempts = make_attempts(self._state, self._peers, call, caller)
         try:
-            async with asyncio.timeout_at(call.deadline_s):
-                await attempts.run()
+            await self._run(call, attempts)
         except CallFailed as failure:
             await self._fail(caller, call, attempts, failure.refusal)
         except TimeoutError:
@@ -77,6 +77,26 @@
         finally:
             attempts.close()
 
+    async def _run(self, call: Call, attempts: Attempts) -> None:
+        """Run the attempts until the call's deadline.
+
+        :raises CallFailed: the attempts failed, also with an unexpected error.
+        """
+        try:
+            async with asyncio.timeout_at(call.deadline_s):
+                await attempts.run()
+        except (CallFailed, OSError, h11.LocalProtocolError):
+            # The last two are of the caller's connection, or the timeout.
+            raise
+        except Exception as problem:
+            self._state.log.write(
+                'call_crashed',
+                request=call.head.request_id,
+                problem=f'{type(problem).__name__}: {problem}',
+            )
+            refusal = make_internal_refusal(attempts.progress)
+            raise CallFailed(refusal) from problem
+
     def _accept(
         self,
         head: CallHead,
--- a/trefoilhinge/gateway/daemon.py
+++ b/trefoilhinge/gateway/daemon.py
@@ -5,6 +5,7 @@
 import os
 import pathlib
 import signal
+from collections.abc import Callable, Coroutine
 
 from attrs import asdict, define, field
 
@@ -33,6 +34,7 @@
 
 LISTEN_BACKLOG = 1_024  # connections that wait to be accepted
 SWEEP_INTERVAL_S = 0.5
+TASK_RESTART_DELAY_S = 0.5  # of a background task that failed
 # The platform routes new calls elsewhere within 2 s of the order to stop.
 DRAIN_UNRESTRICTED_S = 2.5
 # Another second lets calls that were already in transit arrive.
@@ -83,16 +85,29 @@
         self._servers.append(entry)
         loop.add_signal_handler(signal.SIGTERM, self._begin_stop)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
-        for coroutine in (
-            self._peers.run_heartbeats(),
-            self._store_watcher.run(),
-            self._sweep(),
+        for run in (
+            self._peers.run_heartbeats,
+            self._store_watcher.run,
+            self._sweep,
         ):
-            task = asyncio.ensure_future(coroutine)
-            task.add_done_callback(self._state.log.write_task_end)
-            self._tasks.append(task)
+            self._tasks.append(asyncio.ensure_future(self._keep_running(run)))
         await self._stopped.wait()
 
+    async def _keep_running(
+        self, run: Callable[[], Coroutine[object, object, None]]
+    ) -> None:
+        """Run a background task again after an unexpected error."""
+        while True:
+            try:
+                await run()
+            except Exception as problem:  # noqa: BLE001
+                self._state.log.write(
+                    'task_failed',
+                    message=run.__qualname__,
+                    problem=f'{type(problem).__name__}: {problem}',
+                )
+            await asyncio.sleep(TASK_RESTART_DELAY_S)
+
     async def _start_http_servers(self, settings: GatewaySettings) -> None:
         endpoints: list[tuple[Address, RequestHandler]] = [
             ((settings.ip, settings.first_port), self._handle_peer_request),
--- a/trefoilhinge/gateway/refusals.py
+++ b/trefoilhinge/gateway/refusals.py
@@ -4,6 +4,7 @@
 from trefoilhinge.gateway.caller_connections import Refusal
 from trefoilhinge.gateway.progress import CallProgress
 
+INTERNAL_RETRY_AFTER_S = 0.3  # another attempt may not be affected
 BUSY_RETRY_AFTER_S = 0.7  # a short stream ends and frees a slot by then
 NO_TARGET_RETRY_AFTER_S = 1.0  # a target that starts is in the store by then
 MINIMUM_LIMITED_RETRY_AFTER_S = 0.2  # a limited target changes no sooner
@@ -21,6 +22,17 @@
         self.refusal = refusal
 
 
+def make_internal_refusal(progress: CallProgress) -> Refusal:
+    """Return the refusal of a call that an unexpected error ended."""
+    return Refusal(
+        502 if progress.possible_runs else 503,
+        'internal_error',
+        'may_have_run' if progress.possible_runs else 'not_run',
+        'an unexpected error ended the call',
+        INTERNAL_RETRY_AFTER_S,
+    )
+
+
 def make_timeout_refusal(progress: CallProgress) -> Refusal:
     """Return the refusal of a call that reached its deadline."""
     if progress.possible_runs:
