Limited the time of a request instead of each wait for its bytes.

A head now has its limit from the first byte on, and a body more time as it arrives, at 1 KB a second at least, so that a slow but sound one is not cut.

--- a/trefoilhinge/gateway/caller_connections.py
+++ b/trefoilhinge/gateway/caller_connections.py
@@ -21,6 +21,8 @@
 # Margin over the timeouts of the document: callers reuse a connection up to
 # four fifths of its limit, and must not find it closed.
 TIMEOUT_FACTOR = 1.2
+# A body that arrives more slowly counts as stalled.
+MINIMUM_BODY_BYTES_PER_S = 1_024
 MAXIMUM_PIPELINED_BYTES = 65_536  # read ahead while a call is served
 
 RawHeaderList = list[tuple[bytes, bytes]]
@@ -246,11 +248,11 @@
             )
 
     async def _receive(self, *, has_head: bool) -> None:
-        limits = self._limits()
         is_idle = not has_head and not self._received_bytes
-        limit_s = limits.idle_timeout_s if is_idle else limits.header_timeout_s
         try:
-            async with asyncio.timeout(limit_s * TIMEOUT_FACTOR):
+            async with asyncio.timeout(
+                self._find_receive_limit_s(is_idle=is_idle, has_head=has_head)
+            ):
                 data = await self._reader.read(READ_BYTES)
         except TimeoutError:
             if is_idle:
@@ -263,6 +265,23 @@
         self._received_bytes += len(data)
         self._parser.receive_data(data)
 
+    def _find_receive_limit_s(self, *, is_idle: bool, has_head: bool) -> float:
+        """Return for how long to wait for more data, seconds.
+
+        A head has one limit from its first byte on, so that a caller that
+        sends a byte now and then is not waited for; a body is given more time
+        as it arrives.
+        """
+        limits = self._limits()
+        if is_idle:
+            return limits.idle_timeout_s * TIMEOUT_FACTOR
+        limit_s = limits.header_timeout_s * TIMEOUT_FACTOR
+        elapsed_s = asyncio.get_running_loop().time() - self.received_s
+        allowed_s = limit_s
+        if has_head:
+            allowed_s += self._received_bytes / MINIMUM_BODY_BYTES_PER_S
+        return max(0, min(limit_s, allowed_s - elapsed_s))
+
     async def _refuse_malformed(self, status: int, problem: Exception) -> None:
         if self._parser.our_state not in {h11.IDLE, h11.SEND_RESPONSE}:
             return
--- a/trefoilhinge/gateway/http_server.py
+++ b/trefoilhinge/gateway/http_server.py
@@ -10,6 +10,7 @@
 from trefoilhinge.gateway.tcp import READ_BYTES, set_tcp_timeouts
 
 IDLE_TIMEOUT_S = 20.0  # of a kept-alive connection
+REQUEST_TIMEOUT_S = 5.0  # from the first byte of a request to its last
 RECEIPT_TIMEOUT_S = 6.0  # longer than clients wait for a response
 LISTEN_BACKLOG = 128
 
@@ -109,11 +110,16 @@
 ) -> str | None:
     """Return the path of the next request, ``None`` at the end of input."""
     path: str | None = None
+    loop = asyncio.get_running_loop()
+    latest_s = None
     while True:
         event = connection.next_event()
         if event is h11.NEED_DATA:
-            async with asyncio.timeout(IDLE_TIMEOUT_S):
+            async with asyncio.timeout_at(
+                latest_s or loop.time() + IDLE_TIMEOUT_S
+            ):
                 connection.receive_data(await reader.read(READ_BYTES))
+            latest_s = latest_s or loop.time() + REQUEST_TIMEOUT_S
         elif isinstance(event, h11.Request):
             path = event.target.decode('latin-1')
         elif not isinstance(event, h11.Data):
