Counted progress of an answer instead of its bytes.

A head, a complete event or 1 KB of a body is progress now; less is silence, after which the target is probed and a call that may be repeated moves on. Four tests with such targets failed before; a stream with an event a second still passes.

--- a/tests/gateway/test_liveness.py
+++ b/tests/gateway/test_liveness.py
@@ -20,7 +20,8 @@
     address: str
     backlog_s: float
     silence_timeout_s: float = 0.05
-    last_received_s: float = 0
+    last_progress_s: float = 0
+    waits_for_caller: bool = False
 
     def find_backlog_s(self):
         return self.backlog_s
@@ -40,7 +41,7 @@
             )
             loop = asyncio.get_running_loop()
             connection = MonitoredConnection(
-                f'{HOST}:{port}', 0.1, last_received_s=loop.time()
+                f'{HOST}:{port}', 0.1, last_progress_s=loop.time()
             )
             try:
                 await asyncio.wait_for(
--- a/tests/gateway/test_stalled_peers.py
+++ b/tests/gateway/test_stalled_peers.py
@@ -1,11 +1,13 @@
 """Tests of callers and targets that send a byte now and then."""
 
 import asyncio
+import time
 
 import pytest
 
+from tests.gateway.documents import make_document, make_route
 from tests.gateway.fleets import make_call, read_answer, run_fleet
-from tests.gateway.targets import reply
+from tests.gateway.targets import SEAL_HEADER, make_event, reply, stream
 from trefoilhinge.gateway import http_server
 from trefoilhinge.gateway.http_server import HttpResponse, serve_http
 
@@ -85,3 +87,86 @@
             return content
 
         assert not asyncio.run(run()).startswith(b'HTTP/1.1 200')
+
+
+def trickle_answer(begin, rest):
+    """Return a handler that sends bytes at once, and others one at a time."""
+
+    async def handle(exchange):
+        exchange.writer.write(begin)
+        await trickle(exchange.writer, rest)
+
+    return handle
+
+
+HEAD = b'HTTP/1.1 200 OK\r\nX-Server-Seal: s\r\n'
+BODY = HEAD + b'Content-Length: 500\r\n\r\n'
+
+
+class TestTargets:
+    """Guards against an answer that stalls and counts as alive."""
+
+    @pytest.mark.parametrize('begin', [b'', HEAD, BODY])
+    def test_call_that_may_be_repeated_moves_on(self, begin):
+        async def run():
+            stalled = trickle_answer(begin, HEAD + b'x' * 500)
+            document = make_document(
+                routes=[
+                    make_route(
+                        'look', 'idempotent', 'desk', 100, timeoutMs=9000
+                    )
+                ]
+            )
+            handlers = {'d1': stalled, 'd2': reply(200, b'found')}
+            async with run_fleet(document, **handlers) as fleet:
+                begin_s = time.monotonic()
+                for _ in range(2):
+                    answer = await fleet.call(
+                        '/look/1', 'GET', X_Deadline='8000'
+                    )
+                    assert answer.content == b'found'
+                assert time.monotonic() - begin_s < 4
+
+        asyncio.run(run())
+
+    def test_stream_that_stalls_within_an_event_moves_on(self):
+        async def stall(exchange):
+            await exchange.send_headers(200, [SEAL_HEADER])
+            await exchange.send_body(make_event(1))
+            for byte in b'id: 2\ndata: ' + b'x' * 500:
+                await exchange.send_body(bytes((byte,)))
+                await asyncio.sleep(TRICKLE_S)
+
+        async def run():
+            route = make_route(
+                'stream', 'stream', 'model', 300, resumable=True, timeoutMs=9000
+            )
+            document = make_document(routes=[route])
+            async with run_fleet(document, m1=stall, m2=stream()) as fleet:
+                begin_s = time.monotonic()
+                answer = await fleet.call(X_Deadline='8000')
+                assert answer.is_complete
+                assert answer.content.count(b'id:') == 5
+                assert time.monotonic() - begin_s < 4
+
+        asyncio.run(run())
+
+    def test_slow_but_sound_stream_is_not_cut(self):
+        """Guards against a stream that is given up because it is slow."""
+
+        async def run():
+            route = make_route(
+                'stream', 'stream', 'model', 300, resumable=True, timeoutMs=9000
+            )
+            document = make_document(routes=[route])
+            slow = stream(last=4, gap_s=1.0)
+            async with run_fleet(document, m1=slow, m2=slow) as fleet:
+                answer = await fleet.call(X_Deadline='8000')
+                assert answer.is_complete
+                assert answer.content.count(b'id:') == 4
+                requests = [
+                    len(target.requests) for target in fleet.targets.values()
+                ]
+                assert sorted(requests) == [0, 1]
+
+        asyncio.run(run())
--- a/trefoilhinge/gateway/answer_relay.py
+++ b/trefoilhinge/gateway/answer_relay.py
@@ -49,11 +49,17 @@
         """
         splitter = EventSplitter()
         async for chunk in connection.read_content():
-            content = self._select_new_events(splitter.split(chunk))
+            events = splitter.split(chunk)
+            if events:
+                connection.record_progress()
+            content = self._select_new_events(events)
             if content:
                 self._start_answer(head)
                 on_event()
+                connection.waits_for_caller = True
                 await self._caller.send(content)
+                connection.waits_for_caller = False
+                connection.record_progress()
             if len(splitter.remainder) > MAXIMUM_EVENT_BYTES:
                 raise AnswerBroken(
                     f'event is longer than {MAXIMUM_EVENT_BYTES} bytes'
--- a/trefoilhinge/gateway/liveness.py
+++ b/trefoilhinge/gateway/liveness.py
@@ -26,12 +26,16 @@
         """Return the ``host:port`` of the target."""
 
     @property
-    def last_received_s(self) -> float:
-        """Return monotonic seconds at which data last arrived."""
+    def last_progress_s(self) -> float:
+        """Return monotonic seconds at which the answer last progressed."""
+
+    @property
+    def waits_for_caller(self) -> bool:
+        """Return whether nothing is read because the caller is slow."""
 
     @property
     def silence_timeout_s(self) -> float:
-        """Return seconds without data after which the target is probed."""
+        """Return seconds without progress after which the target is probed."""
 
     def find_backlog_s(self) -> float:
         """Return seconds of prefill in which the target sends nothing."""
@@ -64,9 +68,12 @@
     probed_s = float('-inf')
     probes = 0
     while not task.done():
-        if connection.last_received_s > probed_s:
+        if connection.waits_for_caller:
+            await asyncio.wait((task,), timeout=connection.silence_timeout_s)
+            continue
+        if connection.last_progress_s > probed_s:
             probes = 0
-        since_s = max(connection.last_received_s, probed_s)
+        since_s = max(connection.last_progress_s, probed_s)
         wait_s = since_s + connection.silence_timeout_s - loop.time()
         if loop.time() - since_s < MAXIMUM_PREFILL_SILENCE_S:
             # A long prompt may have been placed there after this call.
--- a/trefoilhinge/gateway/target_connections.py
+++ b/trefoilhinge/gateway/target_connections.py
@@ -15,6 +15,7 @@
     encode_request_headers,
 )
 
+MINIMUM_PROGRESS_BYTES = 1_024  # of an event or a body that is not complete
 MAXIMUM_BODY_BYTES = 8_388_608  # of an answer that is kept until it is whole
 MAXIMUM_INTERIM_RESPONSES = 16  # before the head of an answer
 CONNECT_TIMEOUT_S = 0.3  # a reachable target accepts in a few milliseconds
@@ -40,8 +41,10 @@
     :ivar silence_timeout_s: seconds without data, beyond the prefill backlog,
         after which the target is probed.
     :ivar sent_s: monotonic seconds at which the call was sent.
-    :ivar last_received_s: monotonic seconds at which data last arrived, or
-        at which the call was sent.
+    :ivar last_progress_s: monotonic seconds at which the answer last made
+        progress, or at which the call was sent.
+    :ivar waits_for_caller: whether nothing is read because the caller has not
+        taken what was read before.
     :ivar find_backlog_s: returns seconds in which the target prefills earlier
         prompts and sends nothing.
     """
@@ -51,9 +54,11 @@
     _writer: asyncio.StreamWriter
     silence_timeout_s: float = 0
     sent_s: float = 0
-    last_received_s: float = 0
+    last_progress_s: float = 0
+    waits_for_caller: bool = False
     find_backlog_s: Callable[[], float] = float
     _parser: h11.Connection = field(factory=lambda: h11.Connection(h11.CLIENT))
+    _pending_bytes: int = 0
 
     def send(self, call: Call, attempt: Attempt) -> None:
         """Send the request, head and body."""
@@ -67,9 +72,18 @@
             parts.append(self._parser.send(h11.Data(data=call.body)) or b'')
         parts.append(self._parser.send(h11.EndOfMessage()) or b'')
         self.sent_s = asyncio.get_running_loop().time()
-        self.last_received_s = self.sent_s
+        self.last_progress_s = self.sent_s
         self._writer.write(b''.join(parts))
 
+    def record_progress(self) -> None:
+        """Record that a part of the answer is complete.
+
+        A few bytes alone are no progress: a target that has stalled may send
+        one now and then.
+        """
+        self.last_progress_s = asyncio.get_running_loop().time()
+        self._pending_bytes = 0
+
     async def read_head(self, request_id: str) -> AnswerHead:
         """Read the head of the answer.
 
@@ -87,6 +101,7 @@
             event = await self._read_event()
         if not isinstance(event, h11.Response):
             raise AnswerBroken('answer has no response head')
+        self.record_progress()
         head = decode_response_head(
             event.status_code, event.headers.raw_items()
         )
@@ -131,8 +146,11 @@
         try:
             event = self._parser.next_event()
             while event is h11.NEED_DATA:
-                self._parser.receive_data(await self._reader.read(READ_BYTES))
-                self.last_received_s = asyncio.get_running_loop().time()
+                data = await self._reader.read(READ_BYTES)
+                self._parser.receive_data(data)
+                self._pending_bytes += len(data)
+                if self._pending_bytes >= MINIMUM_PROGRESS_BYTES:
+                    self.record_progress()
                 event = self._parser.next_event()
         except (OSError, h11.RemoteProtocolError) as problem:
             kind = type(problem).__name__
