--- a/tests/gateway/test_stalled_peers.py
+++ b/tests/gateway/test_stalled_peers.py
@@ -170,3 +170,37 @@
                 assert sorted(requests) == [0, 1]
 
         asyncio.run(run())
+
+    def test_stream_to_a_caller_that_reads_slowly_is_not_cut(self):
+        """Guards against a sound target that is blamed for a slow caller."""
+        event = b'id: %d\ndata: ' + b'x' * 500_000 + b'\n\n'
+
+        async def send(exchange):
+            await exchange.send_headers(200, [SEAL_HEADER])
+            for number in range(1, 41):
+                await exchange.send_body(event % number)
+            await exchange.end_response()
+
+        async def run():
+            route = make_route(
+                'stream', 'stream', 'model', 300, resumable=True, timeoutMs=9000
+            )
+            document = make_document(routes=[route])
+            async with run_fleet(document, m1=send, m2=send) as fleet:
+                reader, writer = await asyncio.open_connection(
+                    *fleet.settings.entry
+                )
+                writer.write(make_call(X_Deadline='8000'))
+                await asyncio.sleep(3.5)
+                answer = await read_answer(reader)
+                writer.close()
+                assert answer.is_complete
+                assert len(answer.content) == sum(
+                    len(event % number) for number in range(1, 41)
+                )
+                requests = [
+                    len(target.requests) for target in fleet.targets.values()
+                ]
+                assert sorted(requests) == [0, 1]
+
+        asyncio.run(run())
--- a/trefoilhinge/gateway/caller_connections.py
+++ b/trefoilhinge/gateway/caller_connections.py
@@ -10,7 +10,11 @@
 from trefoilhinge.dispatch.calls import CallHead
 from trefoilhinge.dispatch.documents import CallerLimits
 from trefoilhinge.exceptions import TrefoilhingeError
-from trefoilhinge.gateway.tcp import READ_BYTES, set_tcp_timeouts
+from trefoilhinge.gateway.tcp import (
+    CALLER_USER_TIMEOUT_MS,
+    READ_BYTES,
+    set_tcp_timeouts,
+)
 from trefoilhinge.platform.headers import (
     decode_request_head,
     encode_refusal_headers,
@@ -74,7 +78,7 @@
             h11.SERVER,
             max_incomplete_event_size=self._limits().header_bytes,
         )
-        set_tcp_timeouts(self._writer.transport)
+        set_tcp_timeouts(self._writer.transport, CALLER_USER_TIMEOUT_MS)
 
     async def run(
         self,
--- a/trefoilhinge/gateway/tcp.py
+++ b/trefoilhinge/gateway/tcp.py
@@ -9,11 +9,19 @@
 KEEPALIVE_INTERVAL_S = 1  # between two probes
 KEEPALIVE_PROBES = 2  # unanswered probes that end the connection
 USER_TIMEOUT_MS = 2_500  # limit on data that stays unacknowledged
+# The limit applies also to data that a sound caller has not read yet.
+CALLER_USER_TIMEOUT_MS = 10_000
 READ_BYTES = 65_536
 
 
-def set_tcp_timeouts(transport: asyncio.BaseTransport) -> None:
-    """Let the kernel close a connection whose peer no longer answers."""
+def set_tcp_timeouts(
+    transport: asyncio.BaseTransport,
+    user_timeout_ms: int = USER_TIMEOUT_MS,
+) -> None:
+    """Let the kernel close a connection whose peer no longer answers.
+
+    :param user_timeout_ms: limit on data that stays unacknowledged or unread.
+    """
     raw = transport.get_extra_info('socket')
     if raw is None:
         return
@@ -22,7 +30,7 @@
         (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
         (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
         (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
-        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
+        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, user_timeout_ms),
     )
     for level, name, value in options:
         raw.setsockopt(level, name, value)
