Reset the connection of a truncated answer to HTTP/1.0.

Looked for after the operators' report of answers that broke off halfway and reached the caller as a success: the answer to a caller of HTTP/1.0 has no length and ends with its connection, so a stream that could not be resumed ended like a complete one.

--- a/trefoilhinge/gateway/caller_connections.py
+++ b/trefoilhinge/gateway/caller_connections.py
@@ -13,6 +13,7 @@
 from trefoilhinge.gateway.tcp import (
     CALLER_USER_TIMEOUT_MS,
     READ_BYTES,
+    reset_tcp_connection,
     set_tcp_timeouts,
 )
 from trefoilhinge.platform.headers import (
@@ -29,6 +30,8 @@
 MINIMUM_BODY_BYTES_PER_S = 1_024
 MAXIMUM_PIPELINED_BYTES = 65_536  # read ahead while a call is served
 
+_VERSIONS_WITHOUT_CHUNKS = frozenset((b'1.0', b'0.9'))
+
 RawHeaderList = list[tuple[bytes, bytes]]
 
 
@@ -138,8 +141,15 @@
         await self._writer.drain()
 
     def abort(self) -> None:
-        """Close the connection so that the caller sees a truncated answer."""
-        self._writer.close()
+        """Close the connection so that the caller sees a truncated answer.
+
+        The answer to a caller without chunks ends with its connection, and
+        only a reset shows that it is truncated.
+        """
+        if self._parser.their_http_version in _VERSIONS_WITHOUT_CHUNKS:
+            reset_tcp_connection(self._writer.transport)
+        else:
+            self._writer.close()
 
     def close_idle(self) -> None:
         """Close the connection unless a request is being received or served."""
--- a/trefoilhinge/gateway/tcp.py
+++ b/trefoilhinge/gateway/tcp.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import struct
 
 from trefoilhinge.dispatch.settings import Address
 
@@ -36,6 +37,16 @@
         raw.setsockopt(level, name, value)
 
 
+def reset_tcp_connection(transport: asyncio.WriteTransport) -> None:
+    """Close a connection so that its peer sees that its data is incomplete."""
+    raw = transport.get_extra_info('socket')
+    if raw is not None:
+        # On, with no time to send what is left.
+        linger = struct.pack('ii', 1, 0)
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    transport.abort()
+
+
 async def open_tcp_connection(
     address: Address,
     timeout_s: float,
