Answered the calls that cross the exit of a stopping instance.

- The exit closed the listening socket, which resets connections that the kernel had accepted, with the calls on them. asyncio's servers close in this way, and drop connections that they have accepted but not handed over.
The listener is now our own: it accepts what waits, hands it over, and refuses from then on; what is open is answered before the exit.
- Idle connections were closed even if they had been opened a moment before and their request was not read yet.
They are kept for 0.2 s.

--- a/tests/gateway/test_stop.py
+++ b/tests/gateway/test_stop.py
@@ -2,8 +2,11 @@
 
 import asyncio
 
+import pytest
+
 from tests.gateway.fleets import make_call, read_answer, run_fleet
 from tests.gateway.targets import never_answer, reply, stream
+from trefoilhinge.gateway import daemon
 from trefoilhinge.gateway.daemon import DRAIN_MINIMUM_S
 from trefoilhinge.gateway.http_client import fetch
 
@@ -133,3 +136,60 @@
                 assert not fleet.targets['d1'].requests
 
         asyncio.run(run())
+
+
+async def call_until_refused(address, cut, kept):
+    """Call until no connection can be opened; note calls without an answer.
+
+    :param kept: whether a connection is used until it is closed.
+    """
+    while True:
+        try:
+            reader, writer = await asyncio.open_connection(*address)
+        except OSError:
+            return
+        try:
+            while True:
+                writer.write(make_call('/book/1'))
+                answer = await read_answer(reader)
+                if not answer.is_complete:
+                    cut.append(answer)
+                is_closed = answer.headers.get('connection') == 'close'
+                if not kept or is_closed or not answer.is_complete:
+                    break
+        finally:
+            writer.close()
+
+
+class TestExit:
+    @pytest.mark.parametrize('kept', [False, True])
+    def test_calls_that_cross_the_exit_are_answered(self, monkeypatch, kept):
+        """Guards against CUT_AT_STOP of the soak, seeds 1706, 1727 and 1728.
+
+        Connections that the kernel had accepted, and the calls on them, were
+        reset by the exit of a stopping instance that never read them.
+        """
+        monkeypatch.setattr(daemon, 'DRAIN_MINIMUM_S', 0.3)
+        cut = []
+
+        async def run():
+            async with run_fleet(d1=reply(200, b'yes')) as fleet:
+                task = asyncio.ensure_future(fleet.gateway._stopped.wait())
+                callers = [
+                    asyncio.ensure_future(
+                        call_until_refused(fleet.settings.entry, cut, kept)
+                    )
+                    for _ in range(20)
+                ]
+                await asyncio.sleep(0.1)
+                fleet.gateway._begin_stop()
+                await task
+                # What the end of the process does to its sockets.
+                fleet.gateway.close()
+                for caller in tuple(fleet.gateway._callers):
+                    caller._writer.transport.abort()
+                async with asyncio.timeout(5):
+                    await asyncio.gather(*callers)
+
+        asyncio.run(run())
+        assert cut == []
--- a/trefoilhinge/gateway/caller_connections.py
+++ b/trefoilhinge/gateway/caller_connections.py
@@ -28,6 +28,8 @@
 TIMEOUT_FACTOR = 1.2
 # A body that arrives more slowly counts as stalled.
 MINIMUM_BODY_BYTES_PER_S = 1_024
+# Before a connection is closed by a stop; requests arrive sooner.
+MINIMUM_IDLE_S = 0.2
 MAXIMUM_PIPELINED_BYTES = 65_536  # read ahead while a call is served
 
 _VERSIONS_WITHOUT_CHUNKS = frozenset((b'1.0', b'0.9'))
@@ -72,6 +74,7 @@
     _is_stopping: Callable[[], bool]
     _parser: h11.Connection = field(init=False)
     _received_bytes: int = 0
+    _idle_since_s: float = field(init=False)
     is_serving: bool = False
     received_s: float = 0
 
@@ -82,6 +85,7 @@
             max_incomplete_event_size=self._limits().header_bytes,
         )
         set_tcp_timeouts(self._writer.transport, CALLER_USER_TIMEOUT_MS)
+        self._idle_since_s = asyncio.get_running_loop().time()
 
     async def run(
         self,
@@ -152,8 +156,14 @@
             self._writer.close()
 
     def close_idle(self) -> None:
-        """Close the connection unless a request is being received or served."""
-        if not self.is_serving and not self._received_bytes:
+        """Close the connection unless a request is received or served.
+
+        A connection that has just been opened or answered is kept: a request
+        may have arrived that was not read yet.
+        """
+        idle_s = asyncio.get_running_loop().time() - self._idle_since_s
+        is_used = self.is_serving or self._received_bytes
+        if not is_used and idle_s >= MINIMUM_IDLE_S:
             self._writer.close()
 
     async def _run(
@@ -180,6 +190,7 @@
             self._parser.start_next_cycle()
             self._received_bytes = len(self._parser.trailing_data[0])
             self.received_s = asyncio.get_running_loop().time()
+            self._idle_since_s = self.received_s
 
     async def _serve_until_disconnect(
         self,
--- a/trefoilhinge/gateway/daemon.py
+++ b/trefoilhinge/gateway/daemon.py
@@ -22,6 +22,7 @@
     RequestHandler,
     serve_http,
 )
+from trefoilhinge.gateway.listeners import CallerListener, listen
 from trefoilhinge.gateway.peer_exchange import PeerExchange
 from trefoilhinge.gateway.replication import handle_peer_request
 from trefoilhinge.gateway.snapshots import make_snapshot
@@ -32,7 +33,6 @@
     decode_settings,
 )
 
-LISTEN_BACKLOG = 1_024  # connections that wait to be accepted
 SWEEP_INTERVAL_S = 0.5
 TASK_RESTART_DELAY_S = 0.5  # of a background task that failed
 # The platform routes new calls elsewhere within 2 s of the order to stop.
@@ -41,6 +41,9 @@
 DRAIN_MINIMUM_S = 3.5
 EXIT_MARGIN_S = 0.5  # between the exit and the platform's kill
 DRAIN_POLL_INTERVAL_S = 0.1
+# For calls on connections that were open when the listener closed.
+EXIT_LINGER_S = 0.3
+EXIT_POLL_INTERVAL_S = 0.02
 
 
 @define
@@ -54,12 +57,15 @@
     _callers: set[CallerConnection] = field(factory=set)
     _tasks: list[asyncio.Task[None]] = field(factory=list)
     _servers: list[asyncio.Server] = field(factory=list)
+    _entry: CallerListener | None = None
     _stopped: asyncio.Event = field(factory=asyncio.Event)
 
     def close(self) -> None:
         """Cancel all tasks and close all sockets at once."""
         for task in self._tasks:
             task.cancel()
+        if self._entry is not None:
+            self._entry.stop()
         for server in self._servers:
             server.close()
         self._peers.close()
@@ -79,10 +85,8 @@
             local_addr=(settings.ip, settings.first_port),
         )
         await self._start_http_servers(settings)
-        entry = await asyncio.start_server(
-            self._handle_caller, *settings.entry, backlog=LISTEN_BACKLOG
-        )
-        self._servers.append(entry)
+        self._entry = listen(settings.entry, self._handle_caller)
+        self._entry.start()
         loop.add_signal_handler(signal.SIGTERM, self._begin_stop)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         for run in (
@@ -216,9 +220,28 @@
             refuses_calls = self._state.exit_at_s < latest_exit_s
             if refuses_calls and not self._service.active:
                 break
+        await self._close_entry(latest_exit_s)
         self._state.log.write('stopped', active=self._service.active)
         self._stopped.set()
 
+    async def _close_entry(self, latest_exit_s: float) -> None:
+        """Refuse connections, and answer the calls on those that are open.
+
+        The exit resets a connection that has bytes to read.
+        """
+        if self._entry is None:
+            return
+        self._entry.stop()
+        await self._entry.wait_until_handed_over()
+        loop = asyncio.get_running_loop()
+        linger_until_s = min(
+            loop.time() + EXIT_LINGER_S, latest_exit_s + EXIT_MARGIN_S / 2
+        )
+        while self._callers and loop.time() < linger_until_s:
+            await asyncio.sleep(EXIT_POLL_INTERVAL_S)
+        self._close_idle()
+        await asyncio.sleep(0)
+
     def _close_idle(self) -> None:
         for caller in tuple(self._callers):
             caller.close_idle()
--- /dev/null
+++ b/trefoilhinge/gateway/listeners.py
@@ -0,0 +1,94 @@
+"""Listener for callers that can stop without resetting a connection."""
+
+import asyncio
+import errno
+import socket
+from collections.abc import Awaitable, Callable
+
+from attrs import define, field
+
+from trefoilhinge.dispatch.settings import Address
+
+BACKLOG = 1_024  # connections that wait to be accepted
+# Pause after the process ran out of descriptors or memory for a connection.
+EXHAUSTED_PAUSE_S = 0.5
+_EXHAUSTED_ERRORS = frozenset(
+    (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+)
+
+ConnectionHandler = Callable[
+    [asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]
+]
+
+
+@define(eq=False)
+class CallerListener:
+    """Accepts connections until it is stopped.
+
+    Closing a listening socket resets the connections that wait to be
+    accepted, and callers may have sent requests on them. ``asyncio`` closes
+    its servers in this way, so the socket is kept here.
+    """
+
+    _handle: ConnectionHandler
+    _socket: socket.socket
+    _tasks: set[asyncio.Task[None]] = field(factory=set)
+    _is_stopped: bool = False
+
+    def start(self) -> None:
+        """Accept connections from now on."""
+        if not self._is_stopped:
+            loop = asyncio.get_running_loop()
+            loop.add_reader(self._socket, self._accept_waiting)
+
+    def stop(self) -> None:
+        """Accept what waits, then refuse connections."""
+        if self._is_stopped:
+            return
+        self._is_stopped = True
+        asyncio.get_running_loop().remove_reader(self._socket)
+        self._accept_waiting()
+        self._socket.close()
+
+    async def wait_until_handed_over(self) -> None:
+        """Wait until all accepted connections have reached their handler."""
+        if self._tasks:
+            await asyncio.wait(self._tasks)
+
+    def _accept_waiting(self) -> None:
+        for _ in range(BACKLOG):
+            try:
+                accepted, _address = self._socket.accept()
+            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+                return
+            except OSError as problem:
+                if problem.errno not in _EXHAUSTED_ERRORS:
+                    raise
+                self._pause()
+                return
+            accepted.setblocking(False)
+            task = asyncio.ensure_future(self._hand_over(accepted))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    def _pause(self) -> None:
+        loop = asyncio.get_running_loop()
+        loop.remove_reader(self._socket)
+        loop.call_later(EXHAUSTED_PAUSE_S, self.start)
+
+    async def _hand_over(self, accepted: socket.socket) -> None:
+        loop = asyncio.get_running_loop()
+        reader = asyncio.StreamReader(loop=loop)
+        protocol = asyncio.StreamReaderProtocol(reader, self._handle, loop=loop)
+        await loop.connect_accepted_socket(lambda: protocol, accepted)
+
+
+def listen(address: Address, handle: ConnectionHandler) -> CallerListener:
+    """Return a listener at an address that accepts nothing yet.
+
+    :param handle: coroutine function that serves one connection.
+    :raises OSError: the address is in use.
+    """
+    listening = socket.create_server(address, backlog=BACKLOG)
+    listening.setblocking(False)
+    return CallerListener(handle, listening)
