Sent queries and orders to engines on connections of their own.

Looked for after the operators' report of a second copy of an answer on a connection that was in use again. The gateway keeps no connections, but the entry daemon queried engines over kept ones, though its effect says 'on a new connection': a late copy of 'never_started' was taken for the state of a running stream, whose call may then run twice or be reported as not run. Queries, cancellations, orders, steps of groups and releases now have a connection each; reports of load and cache events, which name their target and are guesses anyway, keep theirs.

The same client read reports and plain answers without a bound, and waited for each byte anew: an endless report used memory until it ended, and one of a byte now and then held its thread. A head that trickles in is bounded by its number of lines only.

--- a/trefoilhinge/targets/engine_client.py
+++ b/trefoilhinge/targets/engine_client.py
@@ -42,6 +42,7 @@
     make_pool,
     parse_retry_after_s,
     request_json,
+    request_json_once,
     send_request,
 )
 from trefoilhinge.targets.interfaces import OutgoingCall
@@ -124,14 +125,14 @@
 
     def read_load(self, read: ReadLoad) -> LoadRead:
         """Read the load report."""
-        fields = self._request('GET', f'http://{read.address}/load')
+        fields = self._read(f'http://{read.address}/load')
         report = _parse(fields, LoadReport, target=read.target)
         return LoadRead(read.target, report)
 
     def read_cache_events(self, read: ReadLoad) -> CacheEventsRead:
         """Read the cache events after a sequence number."""
         url = f'http://{read.address}/cache/events?after={read.after_sequence}'
-        fields = self._request('GET', url)
+        fields = self._read(url)
         cache_events = _parse(fields, _CacheEvents)
         return CacheEventsRead(
             read.target, cache_events.events if cache_events else ()
@@ -139,7 +140,7 @@
 
     def read_state(self, read: ReadEngineState) -> EngineStateRead:
         """Read the engine's state."""
-        fields = self._request('GET', f'http://{read.address}/state')
+        fields = self._read(f'http://{read.address}/state')
         state = _parse(fields, EngineState, target=read.target)
         return EngineStateRead(read.target, state, read.address)
 
@@ -156,8 +157,7 @@
         headers = {}
         if order.requires_credential:
             headers[ORDER_TOKEN_HEADER] = self._order_token
-        fields = request_json(
-            self._pool,
+        fields = request_json_once(
             'POST',
             f'http://{order.address}/orders',
             body,
@@ -225,7 +225,11 @@
         body: Mapping[str, Any] | None = None,
         timeout_s: float = CONTROL_TIMEOUT_S,
     ) -> Mapping[str, Any] | None:
-        return request_json(self._pool, method, url, body, {}, timeout_s)
+        return request_json_once(method, url, body, {}, timeout_s)
+
+    def _read(self, url: str) -> Mapping[str, Any] | None:
+        """Read a report, which may come from a kept connection."""
+        return request_json(self._pool, 'GET', url, None, {}, CONTROL_TIMEOUT_S)
 
 
 @frozen
--- a/trefoilhinge/targets/http_requests.py
+++ b/trefoilhinge/targets/http_requests.py
@@ -2,6 +2,7 @@
 
 import functools
 import json
+import time
 from collections.abc import Mapping
 from typing import Any
 
@@ -16,6 +17,8 @@
 
 CONNECT_TIMEOUT_S = 1.0
 POOL_SIZE = 64
+READ_SIZE_BYTES = 65_536
+MAXIMUM_JSON_BYTES = 8_388_608  # of a report, a list or the answer to an order
 # Socket time-outs end this long after the deadline, at which the thread of the
 # call aborts the request itself.
 DEADLINE_MARGIN_S = 1.0
@@ -170,6 +173,28 @@
     )
 
 
+def read_content(
+    response: urllib3.BaseHTTPResponse, latest_s: float, maximum_bytes: int
+) -> bytes:
+    """Read the content of a response to its end.
+
+    A limit on each wait for data would never end a response of which a byte
+    arrives now and then.
+
+    :param latest_s: monotonic seconds by which it has to be complete.
+    :raises TargetBroke: it is longer than ``maximum_bytes`` or not complete
+        in time.
+    """
+    content = bytearray()
+    while chunk := response.read1(READ_SIZE_BYTES):
+        content += chunk
+        if len(content) > maximum_bytes:
+            raise TargetBroke(f'content is longer than {maximum_bytes} bytes')
+        if time.monotonic() > latest_s:
+            raise TargetBroke('content is not complete in time')
+    return bytes(content)
+
+
 def request_json(
     pool: urllib3.PoolManager,
     method: str,
@@ -181,10 +206,11 @@
     """Send a JSON request and return the JSON object of its response.
 
     :param body: fields of the JSON body, ``None`` to send none.
-    :param timeout_s: seconds to wait for data of the response.
+    :param timeout_s: seconds to wait for the response.
     :return: ``None`` if the request failed, the status is 500 or above, or
         the response holds no JSON object.
     """
+    latest_s = time.monotonic() + timeout_s
     try:
         response = pool.request(
             method,
@@ -194,15 +220,50 @@
             timeout=urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=timeout_s),
             redirect=False,
             retries=False,
+            preload_content=False,
         )
-        fields = json.loads(response.data)
-    except (urllib3.exceptions.HTTPError, OSError, ValueError):
+        content = _read_and_release(response, latest_s)
+        fields = json.loads(content)
+    except CONNECTION_ERRORS:
+        return None
+    except (RecursionError, TargetBroke):
         return None
     if response.status >= 500 or not isinstance(fields, dict):
         return None
     return fields
 
 
+def request_json_once(
+    method: str,
+    url: str,
+    body: Mapping[str, Any] | None,
+    headers: Mapping[str, str],
+    timeout_s: float,
+) -> Mapping[str, Any] | None:
+    """Send a JSON request on a connection of its own.
+
+    A kept connection may deliver a late copy of the answer to an earlier
+    request, which nothing in it tells from the answer to this one.
+
+    :param timeout_s: seconds for the whole exchange.
+    :return: as of ``request_json``.
+    """
+    with make_pool() as pool:
+        return request_json(pool, method, url, body, headers, timeout_s)
+
+
+def _read_and_release(
+    response: urllib3.BaseHTTPResponse, latest_s: float
+) -> bytes:
+    try:
+        content = read_content(response, latest_s, MAXIMUM_JSON_BYTES)
+    except BaseException:
+        response.close()
+        raise
+    response.release_conn()
+    return content
+
+
 def parse_retry_after_s(response: urllib3.BaseHTTPResponse) -> float | None:
     """Return the seconds of the ``Retry-After`` header.
 
--- a/trefoilhinge/targets/plain_client.py
+++ b/trefoilhinge/targets/plain_client.py
@@ -1,5 +1,7 @@
 """HTTP client of plain services."""
 
+import time
+
 from attrs import frozen
 
 from trefoilhinge.core.effects import Dispatch
@@ -8,10 +10,13 @@
 from trefoilhinge.targets.http_requests import (
     CONNECTION_ERRORS,
     parse_retry_after_s,
+    read_content,
     send_request,
 )
 from trefoilhinge.targets.interfaces import OutgoingCall, PlainAnswer
 
+MAXIMUM_ANSWER_BYTES = 33_554_432
+
 
 @frozen
 class HttpPlainClient:
@@ -49,7 +54,11 @@
             response.close()
             raise TargetRefused(retry_after_s)
         try:
-            body = response.read()
+            body = read_content(
+                response,
+                time.monotonic() + remaining_s,
+                MAXIMUM_ANSWER_BYTES,
+            )
         except CONNECTION_ERRORS as error:
             raise TargetBroke(str(error)) from error
         return PlainAnswer(
