Divided the slack of retries by all instances known, not by the live ones.

An instance that heard no other one took the whole slack; the parts of a divided fleet each took it. Instances that were heard of within 30 s now count, as for the permits of limited targets. An instance that was alone for longer, or has just started, still counts itself alone.

--- a/tests/gateway/test_permits.py
+++ b/tests/gateway/test_permits.py
@@ -105,3 +105,45 @@
 
         sent_s = run_network(count, rate, isolate)
         assert count_most(sent_s) <= count_allowed(rate)
+
+
+def count_retries(network):
+    """Use up the retry budgets of all instances; return the retries."""
+    count = 0
+    for state in network.states.values():
+        budget = state.find_retry_budget('model')
+        while state.allows_retry('model'):
+            budget.record_retry(state.get_now_s())
+            count += 1
+    return count
+
+
+@pytest.mark.parametrize('count', [8, 61])
+class TestRetryBudget:
+    """Guards against parts of a fleet that each use the whole slack."""
+
+    SLACK = 104
+
+    def run(self, count, disturb):
+        async def run():
+            network = make_network(count, 1)
+            heartbeats = asyncio.ensure_future(network.exchange_heartbeats())
+            await asyncio.sleep(2)
+            await disturb(network)
+            heartbeats.cancel()
+            return count_retries(network)
+
+        return run_virtually(run())
+
+    def test_calm_fleet_shares_the_slack(self, count):
+        async def nothing(network):
+            await asyncio.sleep(0)
+
+        assert self.SLACK / 4 <= self.run(count, nothing) <= self.SLACK
+
+    def test_isolated_instances_share_the_slack(self, count):
+        async def isolate(network):
+            network.groups = []
+            await asyncio.sleep(15)
+
+        assert self.run(count, isolate) <= self.SLACK
--- a/trefoilhinge/gateway/attempts.py
+++ b/trefoilhinge/gateway/attempts.py
@@ -109,12 +109,9 @@
             self._reservations = None
 
     def _has_retry_budget(self) -> bool:
-        now_s = self._state.get_now_s()
-        budget = self._state.find_retry_budget(self._call.service)
-        instances = self._state.peers.count_instances(now_s)
-        if budget.allows_retry(instances, now_s):
+        if self._state.allows_retry(self._call.service):
             return True
-        self._recorder.record_retry_refused(instances)
+        self._recorder.record_retry_refused(self._state.peers.count_known())
         return False
 
     def _may_retry(self) -> bool:
--- a/trefoilhinge/gateway/state.py
+++ b/trefoilhinge/gateway/state.py
@@ -106,6 +106,16 @@
             self._budgets[service] = budget
         return budget
 
+    def allows_retry(self, service: str) -> bool:
+        """Return whether this instance's share allows another retry now.
+
+        Instances that are silent are counted too: they may be alive behind a
+        partition, with their own share of the budget.
+        """
+        return self.find_retry_budget(service).allows_retry(
+            self.peers.count_known(), self.get_now_s()
+        )
+
     def make_run_number(self) -> int:
         """Return a number that is unique among the runs of this incarnation."""
         self._last_run_number += 1
