Left out targets whose connections are all in use.

The runs that all instances announce are counted against it now, at 8 and at 61 instances. A call for which no target has a connection left is refused before it is sent; that test failed before, the other one passed because the less loaded target was chosen anyway.

--- a/trefoilhinge/gateway/placement.py
+++ b/trefoilhinge/gateway/placement.py
@@ -116,14 +116,25 @@
 def _list_usable(
     state: GatewayState, call: Call, excluded: set[str]
 ) -> list[TargetRecord]:
+    maximum = _find_maximum_connections(state, call.service)
     records = {
         record.name: record
         for record in state.directory.list_serving(call.service)
+        if state.loads.get(record.name).running < maximum
     }
     usable = state.health.list_usable(list(records), state.get_now_s())
     untried = [name for name in usable if name not in excluded]
     return [records[name] for name in untried or usable]
 
 
+def _find_maximum_connections(state: GatewayState, service: str) -> float:
+    """Return the connections that a target accepts from all instances."""
+    document = state.document
+    found = document.services.get(service) if document else None
+    if found is None or not found.maximum_connections:
+        return float('inf')
+    return found.maximum_connections
+
+
 def _is_limited(state: GatewayState, record: TargetRecord) -> bool:
     return state.permits.get(record.name, record.started_ms) is not None
