Split settings files and request checks from the gateway's larger modules.

`Refusal` now stands beside the functions that make refusals, and the tests count requests in windows in one place. Along the way: a timer of an owner checks that it still owns the target, and grants the live instances' part of the rate as of then; limits of departed targets are removed, so that they are not told to each instance that starts (its test failed before); permit lines in the log are limited in rate like other routine lines.

--- a/tests/dispatch/test_permits.py
+++ b/tests/dispatch/test_permits.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from tests.gateway.rate_windows import WINDOW_S, count_most
 from trefoilhinge.dispatch.permit_buckets import make_permit_bucket
 from trefoilhinge.dispatch.permits import (
     PermitRequest,
@@ -11,7 +12,6 @@
     choose_owner,
 )
 
-WINDOW_S = 4.0
 STEP_S = 0.01
 INSTANCES = [f'10.1.0.{number}' for number in range(61)]
 
@@ -26,13 +26,6 @@
     return next(one.verdict for one in decisions if one.key == request.key)
 
 
-def count_most(times):
-    """Return the most times within a window."""
-    return max(
-        sum(one <= other < one + WINDOW_S for other in times) for one in times
-    )
-
-
 def grant_without_pause(rate, seconds, begin_s=100.0):
     """Ask without pause; return the times of the granted permits."""
     bucket = make_permit_bucket(rate, begin_s)
--- a/tests/gateway/test_permits.py
+++ b/tests/gateway/test_permits.py
@@ -5,29 +5,14 @@
 import pytest
 
 from tests.gateway.permit_networks import make_network
+from tests.gateway.rate_windows import compute_allowed, count_most
 from tests.gateway.virtual_time import run_virtually
 
-WINDOW_S = 4.0
 SECONDS = 30
 # Instances, and requests a second that the target named.
 FLEETS = [(8, 0.5), (8, 1.2), (8, 10), (61, 0.3), (61, 1), (61, 10)]
 
 
-def count_most(times):
-    """Return the most times within a window."""
-    return max(
-        (
-            sum(one <= other < one + WINDOW_S for other in times)
-            for one in times
-        ),
-        default=0,
-    )
-
-
-def count_allowed(rate):
-    return 1.5 * rate * WINDOW_S + 5
-
-
 def run_network(count, rate, disturb=None, loss=0.0):
     """Let all instances call without pause; return the times of sending.
 
@@ -57,12 +42,12 @@
 class TestFleetRate:
     def test_calm_fleet_uses_the_rate_and_keeps_it(self, count, rate):
         sent_s = run_network(count, rate)
-        assert count_most(sent_s) <= count_allowed(rate)
+        assert count_most(sent_s) <= compute_allowed(rate)
         assert len(sent_s) >= rate * SECONDS * 0.7
 
     def test_lost_datagrams_do_not_raise_it(self, count, rate):
         sent_s = run_network(count, rate, loss=0.3)
-        assert count_most(sent_s) <= count_allowed(rate)
+        assert count_most(sent_s) <= compute_allowed(rate)
         assert sent_s
 
     def test_partition_does_not_raise_it(self, count, rate):
@@ -76,7 +61,7 @@
             network.groups = None
 
         sent_s = run_network(count, rate, divide)
-        assert count_most(sent_s) <= count_allowed(rate)
+        assert count_most(sent_s) <= compute_allowed(rate)
         during = [at_s for at_s in sent_s if 15 < at_s < 25]
         assert len(during) <= rate * 10 + 5
 
@@ -86,7 +71,7 @@
             network.dead.add(network.find_owner())
 
         sent_s = run_network(count, rate, kill_owner)
-        assert count_most(sent_s) <= count_allowed(rate)
+        assert count_most(sent_s) <= compute_allowed(rate)
         assert [at_s for at_s in sent_s if at_s > 20]
 
     def test_instances_that_come_back_do_not_raise_it(self, count, rate):
@@ -104,7 +89,7 @@
                 await asyncio.sleep(1)
 
         sent_s = run_network(count, rate, isolate)
-        assert count_most(sent_s) <= count_allowed(rate)
+        assert count_most(sent_s) <= compute_allowed(rate)
 
 
 def count_retries(network):
--- a/tests/gateway/test_rate_limits.py
+++ b/tests/gateway/test_rate_limits.py
@@ -6,11 +6,15 @@
 
 from tests.gateway.documents import HOST, make_document
 from tests.gateway.fleets import run_fleet, run_peers
+from tests.gateway.rate_windows import (
+    STABLE_S,
+    WINDOW_S,
+    compute_allowed,
+    count_most,
+)
 from tests.gateway.targets import SEAL_HEADER, make_event, stream
 from trefoilhinge.gateway.http_client import fetch
 
-STABLE_S = 3.0  # from the first naming until the limit has to hold
-WINDOW_S = 4.0
 PEERS = 7
 SHORT_INTERVAL_S = 0.03  # between two calls of one caller
 
@@ -42,23 +46,6 @@
     return handle
 
 
-def count_most(arrivals, begin_s):
-    """Return the most arrivals within a window that begins after a time."""
-    counted = [at_s for at_s in arrivals if at_s >= begin_s]
-    return max(
-        (
-            sum(at_s <= other_s < at_s + WINDOW_S for other_s in counted)
-            for at_s in counted
-        ),
-        default=0,
-    )
-
-
-def compute_allowed(rate):
-    """Return the most requests that a limited target may get in a window."""
-    return 1.5 * rate * WINDOW_S + 5
-
-
 async def call_repeatedly(fleet, path, until_s):
     """Make calls until a time; return the statuses."""
     statuses = []
@@ -347,3 +334,18 @@
                             )
 
         asyncio.run(run())
+
+
+class TestDepartedTargets:
+    def test_limit_of_a_departed_target_is_forgotten(self):
+        async def run():
+            async with run_fleet(d1=reply_limited('3')) as fleet:
+                await learn_limits(fleet)
+                target = fleet.targets['d1']
+                fleet.store.put_target(
+                    'd1', target.address, 'desk', is_leaving=True
+                )
+                limits = fleet.state.rate_limits
+                await fleet.wait_for(lambda: not limits.list_limits())
+
+        asyncio.run(run())
--- a/tests/soak/variants.py
+++ b/tests/soak/variants.py
@@ -5,7 +5,7 @@
 
 from trefoilhinge.dispatch import permit_buckets
 from trefoilhinge.gateway import answer_relay, attempts, daemon, permits, state
-from trefoilhinge.gateway.caller_connections import Refusal
+from trefoilhinge.gateway.refusals import Refusal
 from trefoilhinge.gateway.reservations import Reservations
 from trefoilhinge.gateway.target_connections import AnswerBroken
 
--- a/trefoilhinge/client/gateway_settings.py
+++ b/trefoilhinge/client/gateway_settings.py
@@ -6,7 +6,7 @@
 
 from trefoilhinge.client.exit_codes import EXIT_SUCCESS
 from trefoilhinge.dispatch.settings import GatewaySettings
-from trefoilhinge.gateway.daemon import read_settings
+from trefoilhinge.gateway.settings_files import read_settings
 from trefoilhinge.platform.settings import SETTING_SOURCES
 
 NONE_TEXT = 'none'
--- a/trefoilhinge/dispatch/rate_limits.py
+++ b/trefoilhinge/dispatch/rate_limits.py
@@ -100,6 +100,12 @@
             return None
         return known.requests_per_s
 
+    def remove(self, target: str) -> None:
+        """Remove a target that has departed."""
+        self._named.pop(target, None)
+        self._problems.pop(target, None)
+        self._announced_s.pop(target, None)
+
     def find_named(self, target: str) -> NamedRate | None:
         """Return what a target said last, if it ever named a limit."""
         return self._named.get(target)
--- a/trefoilhinge/gateway/attempts.py
+++ b/trefoilhinge/gateway/attempts.py
@@ -12,7 +12,7 @@
 from trefoilhinge.dispatch.targets import TargetRecord
 from trefoilhinge.gateway.answer_relay import AnswerRelay
 from trefoilhinge.gateway.attempt_recorder import AttemptRecorder
-from trefoilhinge.gateway.caller_connections import CallerConnection, Refusal
+from trefoilhinge.gateway.caller_connections import CallerConnection
 from trefoilhinge.gateway.liveness import await_answer
 from trefoilhinge.gateway.peer_exchange import PeerExchange
 from trefoilhinge.gateway.placement import is_placement_current
@@ -20,6 +20,7 @@
 from trefoilhinge.gateway.rate_limits import record_named_rate
 from trefoilhinge.gateway.refusals import (
     CallFailed,
+    Refusal,
     make_exhausted_refusal,
     make_timeout_refusal,
 )
--- a/trefoilhinge/gateway/call_service.py
+++ b/trefoilhinge/gateway/call_service.py
@@ -12,9 +12,13 @@
 )
 from trefoilhinge.dispatch.durations import estimate_duration_s
 from trefoilhinge.gateway.attempts import Attempts, make_attempts
-from trefoilhinge.gateway.caller_connections import CallerConnection, Refusal
+from trefoilhinge.gateway.caller_connections import CallerConnection
 from trefoilhinge.gateway.peer_exchange import PeerExchange
-from trefoilhinge.gateway.refusals import CallFailed, make_internal_refusal
+from trefoilhinge.gateway.refusals import (
+    CallFailed,
+    Refusal,
+    make_internal_refusal,
+)
 from trefoilhinge.gateway.state import GatewayState
 
 STARTUP_RETRY_AFTER_S = 0.3  # a starting instance has its document by then
--- a/trefoilhinge/gateway/caller_connections.py
+++ b/trefoilhinge/gateway/caller_connections.py
@@ -5,11 +5,16 @@
 from collections.abc import Awaitable, Callable
 
 import h11
-from attrs import define, field, frozen
+from attrs import define, field
 
 from trefoilhinge.dispatch.calls import CallHead
 from trefoilhinge.dispatch.documents import CallerLimits
 from trefoilhinge.exceptions import TrefoilhingeError
+from trefoilhinge.gateway.refusals import Refusal
+from trefoilhinge.gateway.request_checks import (
+    check_request_head,
+    find_receipt_deadline_s,
+)
 from trefoilhinge.gateway.tcp import (
     CALLER_USER_TIMEOUT_MS,
     READ_BYTES,
@@ -23,11 +28,6 @@
 
 # The platform's defaults, used until a document is known.
 DEFAULT_LIMITS = CallerLimits(16_384, 4_194_304, 3.0, 15.0)
-# Margin over the timeouts of the document: callers reuse a connection up to
-# four fifths of its limit, and must not find it closed.
-TIMEOUT_FACTOR = 1.2
-# A body that arrives more slowly counts as stalled.
-MINIMUM_BODY_BYTES_PER_S = 1_024
 # Before a connection is closed by a stop; requests arrive sooner.
 MINIMUM_IDLE_S = 0.2
 MAXIMUM_PIPELINED_BYTES = 65_536  # read ahead while a call is served
@@ -37,24 +37,6 @@
 RawHeaderList = list[tuple[bytes, bytes]]
 
 
-@frozen
-class Refusal:
-    """An error answer that the instance itself gives to a caller.
-
-    :ivar status: HTTP status.
-    :ivar code: stable error code.
-    :ivar verdict: whether the call may have run.
-    :ivar detail: what happened, for a reader.
-    :ivar retry_after_s: seconds after which the caller should try again.
-    """
-
-    status: int
-    code: str
-    verdict: str
-    detail: str
-    retry_after_s: float | None = None
-
-
 class CallerGone(TrefoilhingeError):
     """The caller closed its connection."""
 
@@ -243,7 +225,7 @@
         if not isinstance(event, h11.Request):
             raise CallerGone
         request = event
-        _check_head(request, self._limits().header_bytes)
+        check_request_head(request, self._limits().header_bytes)
         body = bytearray()
         event = await self._read_event(has_head=True)
         while isinstance(event, h11.Data):
@@ -275,8 +257,13 @@
     async def _receive(self, *, has_head: bool) -> None:
         is_idle = not has_head and not self._received_bytes
         try:
-            async with asyncio.timeout(
-                self._find_receive_limit_s(is_idle=is_idle, has_head=has_head)
+            async with asyncio.timeout_at(
+                find_receipt_deadline_s(
+                    self._limits(),
+                    asyncio.get_running_loop().time(),
+                    None if is_idle else self.received_s,
+                    self._received_bytes if has_head else 0,
+                )
             ):
                 data = await self._reader.read(READ_BYTES)
         except TimeoutError:
@@ -290,23 +277,6 @@
         self._received_bytes += len(data)
         self._parser.receive_data(data)
 
-    def _find_receive_limit_s(self, *, is_idle: bool, has_head: bool) -> float:
-        """Return for how long to wait for more data, seconds.
-
-        A head has one limit from its first byte on, so that a caller that
-        sends a byte now and then is not waited for; a body is given more time
-        as it arrives.
-        """
-        limits = self._limits()
-        if is_idle:
-            return limits.idle_timeout_s * TIMEOUT_FACTOR
-        limit_s = limits.header_timeout_s * TIMEOUT_FACTOR
-        elapsed_s = asyncio.get_running_loop().time() - self.received_s
-        allowed_s = limit_s
-        if has_head:
-            allowed_s += self._received_bytes / MINIMUM_BODY_BYTES_PER_S
-        return max(0, min(limit_s, allowed_s - elapsed_s))
-
     async def _refuse_malformed(self, status: int, problem: Exception) -> None:
         if self._parser.our_state not in {h11.IDLE, h11.SEND_RESPONSE}:
             return
@@ -329,27 +299,3 @@
         data = self._parser.send(event)
         if data:
             self._writer.write(data)
-
-
-def _check_head(request: h11.Request, maximum_bytes: int) -> None:
-    """Check the size of the head and that the body has one length.
-
-    h11 limits only incomplete heads and accepts two lengths, with which a
-    caller could smuggle a request past a parser that applies the other one.
-
-    :param maximum_bytes: limit on target and headers together.
-    :raises h11.RemoteProtocolError: the head is too long, or has both
-        ``Content-Length`` and ``Transfer-Encoding``.
-    """
-    size = len(request.target) + sum(
-        len(name) + len(value) for name, value in request.headers
-    )
-    if size > maximum_bytes:
-        raise h11.RemoteProtocolError(
-            'the head is too long', error_status_hint=431
-        )
-    names = {name for name, _ in request.headers}
-    if {b'transfer-encoding', b'content-length'} <= names:
-        raise h11.RemoteProtocolError(
-            'a request has one length', error_status_hint=400
-        )
--- a/trefoilhinge/gateway/daemon.py
+++ b/trefoilhinge/gateway/daemon.py
@@ -2,8 +2,6 @@
 
 import asyncio
 import json
-import os
-import pathlib
 import signal
 from collections.abc import Callable, Coroutine
 
@@ -25,13 +23,10 @@
 from trefoilhinge.gateway.listeners import CallerListener, listen
 from trefoilhinge.gateway.peer_exchange import PeerExchange
 from trefoilhinge.gateway.replication import handle_peer_request
+from trefoilhinge.gateway.settings_files import load_settings
 from trefoilhinge.gateway.snapshots import make_snapshot
 from trefoilhinge.gateway.state import GatewayState, make_state
 from trefoilhinge.gateway.store_watcher import StoreWatcher
-from trefoilhinge.platform.settings import (
-    SETTINGS_PATH_VARIABLE,
-    decode_settings,
-)
 
 SWEEP_INTERVAL_S = 0.5
 TASK_RESTART_DELAY_S = 0.5  # of a background task that failed
@@ -189,6 +184,7 @@
                 state.log.write(
                     'target_left', target=record.name, reason='lapsed'
                 )
+            state.remove_departed_limits()
             overdue = state.loads.remove_overdue(now_s)
             if overdue:
                 state.log.write('runs_forgotten', count=overdue)
@@ -257,33 +253,6 @@
         self._state.log.write('reloaded')
 
 
-def load_settings() -> GatewaySettings:
-    """Read the settings file that the environment names.
-
-    :raises ImproperlyConfigured: the variable is not set, or the file cannot
-        be read.
-    """
-    path = os.environ.get(SETTINGS_PATH_VARIABLE)
-    if not path:
-        raise ImproperlyConfigured(
-            f'set {SETTINGS_PATH_VARIABLE} to the path of the settings file',
-        )
-    return read_settings(path)
-
-
-def read_settings(path: str) -> GatewaySettings:
-    """Read a settings file.
-
-    :param path: path of the file.
-    :raises ImproperlyConfigured: the file cannot be read.
-    """
-    try:
-        text = pathlib.Path(path).read_text(encoding='utf-8')
-    except OSError as problem:
-        raise ImproperlyConfigured(f'{path}: {problem.strerror}') from problem
-    return decode_settings(text)
-
-
 def make_gateway(settings: GatewaySettings) -> Gateway:
     """Return an instance that is not running yet."""
     state = make_state(settings)
--- a/trefoilhinge/gateway/logs.py
+++ b/trefoilhinge/gateway/logs.py
@@ -22,7 +22,15 @@
 # Three lines for each call at the load expected in two years.
 MAXIMUM_ROUTINE_LINES_PER_S = 400
 ANSWERED = 'answered'
-ROUTINE_EVENTS = frozenset(('call_accepted', 'call_offered', 'call_waits'))
+ROUTINE_EVENTS = frozenset(
+    (
+        'call_accepted',
+        'call_offered',
+        'call_waits',
+        'permit_granted',
+        'permit_refused',
+    )
+)
 
 
 class PipeHandler(logbook.Handler):
--- a/trefoilhinge/gateway/permits.py
+++ b/trefoilhinge/gateway/permits.py
@@ -12,7 +12,6 @@
     TargetOrdered,
     TargetRateNamed,
 )
-from trefoilhinge.dispatch.permit_buckets import PermitBucket
 from trefoilhinge.dispatch.permits import (
     PermitDecision,
     PermitKey,
@@ -183,7 +182,7 @@
             return [_postpone(request, settled_s - now_s)]
         self._adjust_rate(request.target, request.started_ms)
         decisions = bucket.request(request, now_s)
-        self._schedule(request.target, bucket)
+        self._schedule(request.target, request.started_ms)
         return decisions
 
     def _decide_without_limit(self, request: PermitRequest) -> PermitDecision:
@@ -208,21 +207,30 @@
         known = state.peers.count_known()
         state.permits.set_rate(target, started_ms, rate * live / known, now_s)
 
-    def _schedule(self, target: str, bucket: PermitBucket) -> None:
+    def _schedule(self, target: str, started_ms: int) -> None:
+        """Decide again once the next permit is available."""
         timer = self._timers.pop(target, None)
         if timer is not None:
             timer.cancel()
+        bucket = self._state.permits.get(target, started_ms)
+        if bucket is None:
+            return
         due_s = bucket.find_due_s(self._state.get_now_s())
         if due_s is not None:
             self._timers[target] = asyncio.get_running_loop().call_later(
                 max(due_s, MINIMUM_TIMER_S),
-                functools.partial(self._decide_due, target, bucket),
+                functools.partial(self._decide_due, target, started_ms),
             )
 
-    def _decide_due(self, target: str, bucket: PermitBucket) -> None:
+    def _decide_due(self, target: str, started_ms: int) -> None:
+        bucket = self._state.permits.get(target, started_ms)
+        if bucket is None or self.find_owner(target) != self._state.settings.ip:
+            # What waits is repeated to the new owner.
+            return
+        self._adjust_rate(target, started_ms)
         for decision in bucket.decide_due(self._state.get_now_s()):
             self._deliver(decision)
-        self._schedule(target, bucket)
+        self._schedule(target, started_ms)
 
     def _deliver(self, decision: PermitDecision) -> None:
         if decision.origin == self._state.origin:
--- a/trefoilhinge/gateway/refusals.py
+++ b/trefoilhinge/gateway/refusals.py
@@ -1,7 +1,8 @@
 """Refusals of calls that no target answered."""
 
+from attrs import frozen
+
 from trefoilhinge.exceptions import TrefoilhingeError
-from trefoilhinge.gateway.caller_connections import Refusal
 from trefoilhinge.gateway.progress import CallProgress
 
 INTERNAL_RETRY_AFTER_S = 0.3  # another attempt may not be affected
@@ -10,6 +11,24 @@
 MINIMUM_LIMITED_RETRY_AFTER_S = 0.2  # a limited target changes no sooner
 
 
+@frozen
+class Refusal:
+    """An error answer that the instance itself gives to a caller.
+
+    :ivar status: HTTP status.
+    :ivar code: stable error code.
+    :ivar verdict: whether the call may have run.
+    :ivar detail: what happened, for a reader.
+    :ivar retry_after_s: seconds after which the caller should try again.
+    """
+
+    status: int
+    code: str
+    verdict: str
+    detail: str
+    retry_after_s: float | None = None
+
+
 class CallFailed(TrefoilhingeError):
     """A call cannot be answered.
 
--- a/trefoilhinge/gateway/state.py
+++ b/trefoilhinge/gateway/state.py
@@ -164,6 +164,13 @@
         )
         return True
 
+    def remove_departed_limits(self) -> None:
+        """Remove the limits of targets that have departed."""
+        for named in self.rate_limits.list_limits():
+            if (named.target, named.started_ms) in self.directory.departed:
+                self.rate_limits.remove(named.target)
+                self.permits.remove(named.target)
+
     def accept_document(self, content: bytes, source: str) -> bool:
         """Put a document in force if it is valid and newer.
 
