--- a/tests/gateway/test_permits.py
+++ b/tests/gateway/test_permits.py
@@ -1,6 +1,7 @@
 """Tests of the rate that many instances hold together."""
 
 import asyncio
+import random
 
 import pytest
 
@@ -68,7 +69,7 @@
     def test_failed_owner_is_replaced_without_a_burst(self, count, rate):
         async def kill_owner(network):
             await asyncio.sleep(5)
-            network.dead.add(network.find_owner())
+            network.kill(network.find_owner())
 
         sent_s = run_network(count, rate, kill_owner)
         assert count_most(sent_s) <= compute_allowed(rate)
@@ -132,3 +133,50 @@
             await asyncio.sleep(15)
 
         assert self.run(count, isolate) <= self.SLACK
+
+
+async def disturb_at_random(network, seed):
+    """Restart, freeze and cut off instances, and lose datagrams."""
+    generator = random.Random(seed)
+    ips = list(network.states)
+    begin_s = asyncio.get_running_loop().time()
+    while asyncio.get_running_loop().time() < begin_s + SECONDS:
+        kind = generator.choice(['kill', 'freeze', 'divide', 'isolate', 'lose'])
+        chosen = generator.sample(ips, generator.randint(1, 3))
+        if kind == 'kill':
+            for ip in chosen:
+                network.kill(ip)
+        elif kind == 'freeze':
+            for ip in chosen:
+                network.freeze(ip)
+        elif kind == 'divide':
+            half = generator.sample(ips, len(ips) // 2)
+            network.groups = [half, [ip for ip in ips if ip not in half]]
+        elif kind == 'isolate':
+            network.groups = [[ip for ip in ips if ip not in chosen]]
+        else:
+            network.loss = generator.uniform(0, 0.4)
+        await asyncio.sleep(generator.uniform(0.3, 4))
+        for ip in tuple(network.dead):
+            network.start(ip)
+        for ip in tuple(network.frozen):
+            network.thaw(ip)
+        network.groups = None
+        network.loss = 0
+        await asyncio.sleep(generator.uniform(0.2, 2))
+
+
+@pytest.mark.parametrize('seed', range(6))
+@pytest.mark.parametrize(('count', 'rate'), [(8, 1.2), (8, 10), (61, 1)])
+class TestRandomFaults:
+    def test_rate_holds(self, count, rate, seed):
+        """Guards against a sum over the limit while views differ.
+
+        Only calls of instances that were restarted or frozen within 3 s are
+        excused.
+        """
+        sent_s = run_network(
+            count, rate, lambda network: disturb_at_random(network, seed)
+        )
+        assert sent_s
+        assert count_most(sent_s) <= compute_allowed(rate)
