Renewed memory at limited targets less often.

Orders reach a target that named a limit as well, and the renewals of memory that was reserved before it cannot be held back: each reservation took one request a second of the limit. They are renewed every 2 s of a lease of 3 s there, and counted as before.

--- a/tests/gateway/test_reservations.py
+++ b/tests/gateway/test_reservations.py
@@ -2,9 +2,13 @@
 
 import asyncio
 
-from tests.gateway.documents import make_settings
+from tests.gateway.documents import (
+    make_document,
+    make_route,
+    make_settings,
+)
 from tests.gateway.fleets import run_fleet
-from tests.gateway.targets import reset, stream
+from tests.gateway.targets import SEAL_HEADER, make_event, reset, stream
 from trefoilhinge.gateway.peer_exchange import PeerExchange
 from trefoilhinge.gateway.reservations import Reservations
 from trefoilhinge.gateway.state import make_state
@@ -100,3 +104,61 @@
                 assert len(sent_ids) == len(set(sent_ids)) >= 2
 
         asyncio.run(run())
+
+
+class TestLimitedTargets:
+    def test_memory_at_a_limited_target_is_renewed_less_often(self):
+        """Guards against renewals that alone exceed a target's limit.
+
+        Each of its reservations was renewed once a second.
+        """
+
+        async def handle(exchange):
+            headers = [SEAL_HEADER, ('Server-Limit', '1')]
+            await exchange.send_headers(200, headers)
+            for number in range(1, 24):
+                await exchange.send_body(make_event(number))
+                await asyncio.sleep(0.25)
+            await exchange.end_response()
+
+        async def run():
+            route = make_route(
+                'stream', 'stream', 'model', 300, resumable=True, timeoutMs=9000
+            )
+            handlers = {f'm{number}': handle for number in range(1, 3)}
+            document = make_document(routes=[route])
+            async with run_fleet(document, **handlers) as fleet:
+                answer = await fleet.call(
+                    X_Token_Count='300000,700', X_Deadline='8500'
+                )
+                assert answer.is_complete
+                orders = {
+                    target.name: [
+                        order
+                        for order in target.orders
+                        if order['op'] == 'reserve'
+                    ]
+                    for target in fleet.targets.values()
+                }
+                (limited,) = [
+                    one.target for one in fleet.state.rate_limits.list_limits()
+                ]
+                other = next(name for name in orders if name != limited)
+                assert 3 <= len(orders[limited]) <= 4
+                assert len(orders[other]) >= 6
+
+        asyncio.run(run())
+
+    def test_order_takes_a_permit(self):
+        async def run():
+            async with run_fleet(m1=stream()) as fleet:
+                state = fleet.state
+                now_s = state.get_now_s()
+                state.permits.set_rate('m1', 1000, 1, now_s)
+                bucket = state.permits.get('m1', 1000)
+                before = bucket.get_level(now_s)
+                fleet.gateway._peers.broadcast_target_ordered('m1')
+                after = bucket.get_level(state.get_now_s())
+                assert after < before - 0.9
+
+        asyncio.run(run())
--- a/trefoilhinge/gateway/reservations.py
+++ b/trefoilhinge/gateway/reservations.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import itertools
 
 from attrs import define, field
 
@@ -17,6 +18,8 @@
 
 LEASE_FRACTION = 0.75  # of the time within which unused memory must be free
 RENEWALS_PER_LEASE = 3  # two may be lost before the lease expires
+# Of these turns, one renews memory at a target that named a limit.
+LIMITED_RENEWAL_TURNS = 2
 MAXIMUM_ORDER_ANSWER_BYTES = 65_536
 ORDER_TIMEOUT_S = 0.5  # an engine answers an order within milliseconds
 RELEASE_DELAYS_S = (0, 0.5, 1.5)  # before each attempt at a release
@@ -81,14 +84,17 @@
         return min(bounds.hold_maximum_s, bounds.free_s * LEASE_FRACTION)
 
     async def _renew(self) -> None:
-        while True:
+        for turn in itertools.count():
             await asyncio.sleep(self._find_lease_s() / RENEWALS_PER_LEASE)
+            is_skipped_if_limited = turn % LIMITED_RENEWAL_TURNS
             await asyncio.gather(
                 *(
                     self._reserve(helper, tokens)
                     for helper, tokens in zip(
                         self.helpers, self._tokens, strict=True
                     )
+                    if not is_skipped_if_limited
+                    or self._find_limited_target(helper.address) is None
                 )
             )
 
@@ -107,7 +113,9 @@
 
     async def _order(self, helper: PrefillHelper, body: bytes) -> int | None:
         address = parse_address(helper.address)
-        self._count_order(helper.address)
+        limited = self._find_limited_target(helper.address)
+        if limited is not None:
+            self._peers.broadcast_target_ordered(limited)
         try:
             fetched = await fetch(
                 address,
@@ -128,13 +136,13 @@
         self._state.metrics.increment('orders', status=str(fetched.status))
         return fetched.status
 
-    def _count_order(self, address: str) -> None:
-        """Count an order at a target that named a limit meanwhile."""
-        limited = {one.target for one in self._state.rate_limits.list_limits()}
-        for name in limited:
-            record = self._state.directory.records.get(name)
+    def _find_limited_target(self, address: str) -> str | None:
+        """Return the target at an address if it named a limit meanwhile."""
+        for named in self._state.rate_limits.list_limits():
+            record = self._state.directory.records.get(named.target)
             if record is not None and record.address == address:
-                self._peers.broadcast_target_ordered(name)
+                return named.target
+        return None
 
 
 # Releases outlive their call; the event loop keeps only weak references.
