Left repeated releases at a limited target to the lease.

Connections had been reset before, and each order without an answer is followed by releases for 12 s. The lease of 3 s frees the memory anyway, so that a release is not repeated where it takes up a limit.

--- a/tests/gateway/test_reservations.py
+++ b/tests/gateway/test_reservations.py
@@ -9,6 +9,8 @@
 )
 from tests.gateway.fleets import run_fleet
 from tests.gateway.targets import SEAL_HEADER, make_event, reset, stream
+from trefoilhinge.dispatch.rate_limits import NamedRate
+from trefoilhinge.gateway import reservations
 from trefoilhinge.gateway.peer_exchange import PeerExchange
 from trefoilhinge.gateway.reservations import Reservations
 from trefoilhinge.gateway.state import make_state
@@ -162,3 +164,36 @@
                 assert after < before - 0.9
 
         asyncio.run(run())
+
+    def test_lost_orders_are_not_followed_up_at_a_limited_target(
+        self, monkeypatch
+    ):
+        """Guards against the LIMIT violations of the soak, seeds 2133 and 2148.
+
+        Each order without an answer was followed by releases for 12 s, after
+        the target had named its limit.
+        """
+        for name in ('RELEASE_DELAYS_S', 'LATE_RELEASE_DELAYS_S'):
+            monkeypatch.setattr(reservations, name, (0, 0.1, 0.1))
+
+        async def run():
+            handlers = {f'm{number}': stream() for number in range(1, 4)}
+            async with run_fleet(**handlers) as fleet:
+                for target in fleet.targets.values():
+                    target.handle_order = reset
+                answer = await fleet.call(X_Token_Count='300000,700')
+                assert answer.status == 503
+                ordered = [one for one in fleet.targets.values() if one.orders]
+                now_s = fleet.state.get_now_s()
+                named = NamedRate(ordered[0].name, 1000, 1, now_s, now_s)
+                fleet.gateway._peers.permits.apply_named_rate(named, 'test')
+                counts = [len(one.orders) for one in ordered]
+                await asyncio.sleep(1)
+                added = [
+                    len(one.orders) - count
+                    for one, count in zip(ordered, counts, strict=True)
+                ]
+                assert added[0] <= 1
+                assert added[1] > 3
+
+        asyncio.run(run())
--- a/trefoilhinge/gateway/reservations.py
+++ b/trefoilhinge/gateway/reservations.py
@@ -99,17 +99,25 @@
             )
 
     async def _release(self, helper: PrefillHelper) -> None:
+        body = reservations.encode_release(helper.reservation_id)
         for delay_s in RELEASE_DELAYS_S:
             await asyncio.sleep(delay_s)
-            body = reservations.encode_release(helper.reservation_id)
+            if delay_s and self._is_left_to_lease(helper):
+                return
             if await self._order(helper, body) is not None:
                 break
         if helper.reservation_id in self._unanswered:
-            for delay_s in LATE_RELEASE_DELAYS_S:
-                await asyncio.sleep(delay_s)
-                await self._order(
-                    helper, reservations.encode_release(helper.reservation_id)
-                )
+            for late_s in LATE_RELEASE_DELAYS_S:
+                await asyncio.sleep(late_s)
+                if not self._is_left_to_lease(helper):
+                    await self._order(helper, body)
+
+    def _is_left_to_lease(self, helper: PrefillHelper) -> bool:
+        """Return whether a release is not repeated, but left to the lease.
+
+        Repetitions would take up the requests of a target that named a limit.
+        """
+        return self._find_limited_target(helper.address) is not None
 
     async def _order(self, helper: PrefillHelper, body: bytes) -> int | None:
         address = parse_address(helper.address)
