Logged which targets ended under a call, and the parts of its prompt.

`target_crashed` says that the machine of a target refused a new connection after an answer had broken, with the parts of the prompt that others may share and how much of the answer had arrived; the same is in `offer_broken`. The connection is opened only after an answer broke, once for each target at a time, and not for a target that was leaving.

--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -13,6 +13,9 @@
 from trefoilhinge.platform import store
 from trefoilhinge.platform.documents import decode_document
 from trefoilhinge.platform.headers import (
+    MAXIMUM_PART_BYTES,
+    MAXIMUM_PROMPT_PARTS,
+    decode_prompt_parts,
     decode_request_head,
     decode_response_head,
 )
@@ -225,6 +228,34 @@
     return head.requests_per_s, bool(head.rate_problem)
 
 
+class TestPromptParts:
+    @pytest.mark.parametrize(
+        ('value', 'parts'),
+        (
+            (b'5C1E:800,91bd:410,e440:250', ('5c1e', '91bd')),
+            (b'5c1e:800', ()),
+            (b'', ()),
+            (b' 5c1e : 800 ,, e440:250 ,', ('5c1e',)),
+            (b'5c1e:800,5c1e:800,5c1e:1', ('5c1e',)),
+            (b':1,:2,x', ()),
+            (b'no hex,e440', ('no hex',)),
+        ),
+    )
+    def test_last_part_and_empty_entries_are_left_out(self, value, parts):
+        assert decode_prompt_parts(value) == parts
+
+    def test_repeated_headers_are_one_list(self):
+        headers = [(b'X-Prompt-Prefix', b'a:1'), (b'x-prompt-prefix', b'b:1')]
+        head = decode_request_head(b'POST', b'/', headers)
+        assert head.prompt_parts == ('a',)
+
+    def test_list_and_identifiers_are_bounded(self):
+        value = b','.join(b'%0100d:1' % number for number in range(1000))
+        parts = decode_prompt_parts(value)
+        assert len(parts) == MAXIMUM_PROMPT_PARTS
+        assert max(map(len, parts)) <= MAXIMUM_PART_BYTES
+
+
 class TestNamedRates:
     @pytest.mark.parametrize(
         ('value', 'expected'),
--- a/trefoilhinge/dispatch/calls.py
+++ b/trefoilhinge/dispatch/calls.py
@@ -31,6 +31,8 @@
     :ivar timeout_s: seconds that the caller waits; none if it did not say.
     :ivar last_event: number of the last event that the caller received.
     :ivar forwarded_headers: headers passed to the target unchanged.
+    :ivar prompt_parts: identifiers of the parts of the prompt that other
+        prompts may share, which are all but the last, in order.
     """
 
     method: bytes
@@ -43,6 +45,7 @@
     prompt_size: PromptSize | None
     last_event: int | None
     forwarded_headers: RawHeaders
+    prompt_parts: tuple[str, ...] = ()
 
     @property
     def request_hash(self) -> int:
--- a/trefoilhinge/gateway/attempt_recorder.py
+++ b/trefoilhinge/gateway/attempt_recorder.py
@@ -43,8 +43,7 @@
             budget.record_retry(now_s)
         else:
             budget.record_first_attempt(now_s)
-        self._progress.attempts += 1
-        self._progress.possible_runs += 1
+        self._progress.record_attempt(now_s)
         load = self._state.loads.get(attempt.target)
         helpers = [part.target for part in placement.parts[1:]]
         self._write(
@@ -123,6 +122,8 @@
             target=target,
             problem=problem,
             last_event=self._progress.last_event,
+            events=self._progress.attempt_events,
+            parts=','.join(self._call.head.prompt_parts) or None,
         )
 
     def record_retry_refused(self, instances: int) -> None:
--- a/trefoilhinge/gateway/attempts.py
+++ b/trefoilhinge/gateway/attempts.py
@@ -13,6 +13,7 @@
 from trefoilhinge.gateway.answer_relay import AnswerRelay
 from trefoilhinge.gateway.attempt_recorder import AttemptRecorder
 from trefoilhinge.gateway.caller_connections import CallerConnection
+from trefoilhinge.gateway.crash_detection import CrashDetector
 from trefoilhinge.gateway.liveness import await_answer
 from trefoilhinge.gateway.peer_exchange import PeerExchange
 from trefoilhinge.gateway.placement import is_placement_current
@@ -60,6 +61,7 @@
     _run_tracker: RunTracker
     _recorder: AttemptRecorder
     _target_choice: TargetChoice
+    _crash_detector: CrashDetector
     progress: CallProgress
     _excluded: set[str] = field(factory=set)
     _connection: TargetConnection | None = None
@@ -88,7 +90,7 @@
                 await self._handle_unreachable()
             except AnswerBroken as problem:
                 self._excluded.add(placement.parts[0].target)
-                self._recorder.record_broken(placement, str(problem))
+                self._record_broken(placement, str(problem))
                 if not self._may_retry():
                     await self._end_call('the answer was lost')
                     return
@@ -109,6 +111,13 @@
             self._reservations.release()
             self._reservations = None
 
+    def _record_broken(self, placement: Placement, problem: str) -> None:
+        self._recorder.record_broken(placement, problem)
+        name = placement.parts[0].target
+        record = self._state.directory.records.get(name)
+        if record is not None:
+            self._crash_detector.check(record, self._call, self.progress)
+
     def _has_retry_budget(self) -> bool:
         if self._state.allows_retry(self._call.service):
             return True
@@ -319,6 +328,7 @@
     peers: PeerExchange,
     call: Call,
     caller: CallerConnection,
+    crash_detector: CrashDetector,
 ) -> Attempts:
     """Return the attempts of a call, before the first one."""
     progress = CallProgress(call.received_s, call.head.last_event)
@@ -330,5 +340,6 @@
         RunTracker(state, peers, call),
         AttemptRecorder(state, peers, call, progress),
         TargetChoice(state, peers.permits, call),
+        crash_detector,
         progress,
     )
--- a/trefoilhinge/gateway/call_service.py
+++ b/trefoilhinge/gateway/call_service.py
@@ -3,7 +3,7 @@
 import asyncio
 
 import h11
-from attrs import define
+from attrs import define, field
 
 from trefoilhinge.dispatch.calls import Call, CallHead
 from trefoilhinge.dispatch.documents import (
@@ -13,6 +13,7 @@
 from trefoilhinge.dispatch.durations import estimate_duration_s
 from trefoilhinge.gateway.attempts import Attempts, make_attempts
 from trefoilhinge.gateway.caller_connections import CallerConnection
+from trefoilhinge.gateway.crash_detection import CrashDetector
 from trefoilhinge.gateway.peer_exchange import PeerExchange
 from trefoilhinge.gateway.refusals import (
     CallFailed,
@@ -39,6 +40,15 @@
     _state: GatewayState
     _peers: PeerExchange
     active: int = 0
+    _crash_detector: CrashDetector = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Create the detector of crashes under all calls."""
+        self._crash_detector = CrashDetector(self._state)
+
+    def close(self) -> None:
+        """Cancel what goes on in the background."""
+        self._crash_detector.close()
 
     async def serve(
         self,
@@ -65,7 +75,9 @@
             await caller.refuse(accepted, head.request_id)
             return
         call = accepted
-        attempts = make_attempts(self._state, self._peers, call, caller)
+        attempts = make_attempts(
+            self._state, self._peers, call, caller, self._crash_detector
+        )
         try:
             await self._run(call, attempts)
         except CallFailed as failure:
--- a/trefoilhinge/gateway/daemon.py
+++ b/trefoilhinge/gateway/daemon.py
@@ -63,6 +63,7 @@
             self._entry.stop()
         for server in self._servers:
             server.close()
+        self._service.close()
         self._peers.close()
 
     async def run(self) -> None:
--- a/trefoilhinge/gateway/progress.py
+++ b/trefoilhinge/gateway/progress.py
@@ -11,6 +11,8 @@
     :ivar last_event: number of the last event that was sent to the caller.
     :ivar attempts: attempts that were sent.
     :ivar possible_runs: attempts that may have run.
+    :ivar attempt_sent_s: monotonic seconds at which the last attempt was sent.
+    :ivar attempt_events: number of times that events of it arrived.
     :ivar rejections: attempts that targets rejected for their own reasons.
     :ivar helper_rejections: attempts rejected because of another target.
     :ivar failed_connections: connections that could not be opened.
@@ -24,6 +26,8 @@
     last_event: int | None = None
     attempts: int = 0
     possible_runs: int = 0
+    attempt_sent_s: float = 0
+    attempt_events: int = 0
     rejections: int = 0
     helper_rejections: int = 0
     failed_connections: int = 0
@@ -33,11 +37,19 @@
     longest_gap_s: float = 0
     _last_event_at_s: float = 0
 
+    def record_attempt(self, now_s: float) -> None:
+        """Record that an attempt is sent; from here on the call may run."""
+        self.attempts += 1
+        self.possible_runs += 1
+        self.attempt_sent_s = now_s
+        self.attempt_events = 0
+
     def record_event(self, now_s: float) -> float | None:
         """Record that events were sent to the caller.
 
         :return: seconds since the previous events, ``None`` for the first.
         """
+        self.attempt_events += 1
         gap_s = None
         if self.first_event_s is None:
             self.first_event_s = now_s - self.received_s
--- a/trefoilhinge/platform/headers.py
+++ b/trefoilhinge/platform/headers.py
@@ -4,6 +4,8 @@
 import re
 from collections.abc import Iterable
 
+import xxhash
+
 from trefoilhinge.dispatch.calls import (
     AnswerHead,
     Attempt,
@@ -19,6 +21,9 @@
 _RATE_PATTERN = re.compile(rb'\d{1,12}(\.\d{0,12})?|\.\d{1,12}')
 _TOKENS_PATTERN = re.compile(rb'\d{1,12}')
 MAXIMUM_REQUESTS_PER_S = 100_000  # more than any target serves
+_PROMPT_HEADER = b'x-prompt-prefix'
+MAXIMUM_PROMPT_PARTS = 64  # shared parts that are kept of a prompt
+MAXIMUM_PART_BYTES = 32  # of an identifier; a longer one is hashed
 
 # Headers that apply to a single connection and are never forwarded.
 _HOP_BY_HOP_HEADERS = frozenset(
@@ -96,9 +101,24 @@
         prompt_size=_parse_prompt_size(by_name),
         last_event=_parse_number(by_name.get(b'last-event-id')),
         forwarded_headers=_select_forwarded(raw_headers, by_name),
+        prompt_parts=decode_prompt_parts(by_name.get(_PROMPT_HEADER, b'')),
     )
 
 
+def decode_prompt_parts(value: bytes) -> tuple[str, ...]:
+    """Return the identifiers of the parts that prompts may share.
+
+    The last part belongs to the request or its session. Of a long list, the
+    ``MAXIMUM_PROMPT_PARTS`` before it are kept, as the first ones are the most
+    common. Entries that are malformed count like others.
+    """
+    entries = value.lower().split(b',')
+    names = [entry.partition(b':')[0].strip() for entry in entries]
+    shared = [name for name in names if name][:-1]
+    kept = dict.fromkeys(shared[-MAXIMUM_PROMPT_PARTS:])
+    return tuple(_identify_part(name) for name in kept)
+
+
 def encode_request_headers(
     call: Call, attempt: Attempt
 ) -> list[tuple[bytes, bytes]]:
@@ -197,10 +217,18 @@
             raise ValueError(
                 f'the header {name.decode("latin-1")} must not be repeated'
             )
+        if name == _PROMPT_HEADER and name in by_name:
+            value = b','.join((by_name[name], value))
         by_name[name] = value
     return by_name
 
 
+def _identify_part(name: bytes) -> str:
+    if len(name) <= MAXIMUM_PART_BYTES:
+        return name.decode('latin-1')
+    return f'#{xxhash.xxh64_hexdigest(name)}'
+
+
 def _select_forwarded(
     raw_headers: RawHeaders, by_name: dict[bytes, bytes]
 ) -> RawHeaders:
