--- /dev/null
+++ b/tests/gateway/crashing_targets.py
@@ -0,0 +1,102 @@
+"""Fake engines that some requests crash."""
+
+import asyncio
+import time
+
+from attrs import define, field
+
+from tests.gateway.targets import SEAL_HEADER, make_event
+
+PREFILL_S = 0.05
+EVENTS = 8
+EVENT_INTERVAL_S = 0.05
+RESTART_S = 0.8
+
+
+@define
+class CrashingFleet:
+    """Targets that crash under some requests and start again.
+
+    :ivar crashes: whether a request crashes the target that begins to run it.
+    :ivar fleet: the fleet of instances in front of the targets.
+    :ivar arrivals: time, target and headers of each request.
+    :ivar crash_times_s: times of the crashes.
+    :ivar begun: identifiers of requests that were begun by a target.
+    """
+
+    crashes: object
+    fleet: object = None
+    arrivals: list = field(factory=list)
+    crash_times_s: list = field(factory=list)
+    begun: set = field(factory=set)
+    _open: dict = field(factory=dict)
+    _restarts: set = field(factory=set)
+
+    def make_handler(self, name):
+        """Return the handler of the target with a name."""
+
+        async def handle(exchange):
+            writers = self._open.setdefault(name, set())
+            writers.add(exchange.writer)
+            try:
+                await self._serve(name, exchange)
+            finally:
+                writers.discard(exchange.writer)
+
+        return handle
+
+    def make_handlers(self, *names):
+        """Return the handlers of targets by their names."""
+        return {name: self.make_handler(name) for name in names}
+
+    def count_arrivals(self, begin_s, is_counted):
+        """Return the requests that arrived from a time on."""
+        return sum(
+            at_s >= begin_s and is_counted(headers)
+            for at_s, _, headers in self.arrivals
+        )
+
+    def crash(self, name):
+        """Let a target end with all its connections, and start again."""
+        target = self.fleet.targets[name]
+        self.crash_times_s.append(time.monotonic())
+        target._server.close()
+        for writer in tuple(self._open.get(name, ())):
+            writer.transport.abort()
+        restart = asyncio.ensure_future(self._restart(target))
+        self._restarts.add(restart)
+        restart.add_done_callback(self._restarts.discard)
+
+    async def _serve(self, name, exchange):
+        headers = exchange.headers
+        self.arrivals.append((time.monotonic(), name, headers))
+        is_plain = 'x-token-count' not in headers
+        await asyncio.sleep(PREFILL_S)
+        if exchange.writer.transport.is_closing():
+            return
+        if not is_plain:
+            await exchange.send_headers(
+                200, [SEAL_HEADER, ('Content-Type', 'text/event-stream')]
+            )
+        if self.crashes(exchange):
+            self.crash(name)
+            return
+        self.begun.add(headers['x-request-id'])
+        if is_plain:
+            await exchange.respond(200, b'done', [SEAL_HEADER])
+            return
+        first = int(headers.get('last-event-id', 0)) + 1
+        for number in range(first, EVENTS + 1):
+            await exchange.send_body(make_event(number))
+            await asyncio.sleep(EVENT_INTERVAL_S)
+        await exchange.end_response()
+
+    async def _restart(self, target):
+        await asyncio.sleep(RESTART_S)
+        await target.start()
+        self.fleet.store.put_target(
+            target.name,
+            target.address,
+            'desk' if target.name.startswith('d') else 'model',
+            born=int(time.time() * 1000),
+        )
