Kept prompts with a part that crashes targets from them.

Callers of one kind of request saw a fifth to a half of their calls late or failed: calls with one part in their prompts ended each target that began to write an answer on them, and the targets' other calls with them. Nothing was kept of what a target ran when it ended, so each retry, repeat and further call was placed like any other.

Every instance now reports the calls that a target had just begun when it crashed, and all pool the reports. A part under which targets crashed three times in succession, with no answer under way in between, is quarantined: calls with it are refused at once, also those that wait. Each crash of a succession counts only if its call was sent after the one before, so that targets that fail together count once; a crash that a quarantined part explains says nothing about other parts. Answers under way free a part; so do probes, of which the part's owner grants two for all instances, as it grants permits; and ten minutes without such calls. Before a retry, a call waits up to 30 ms until it is known whether the target has ended.

--- a/tests/dispatch/test_messages.py
+++ b/tests/dispatch/test_messages.py
@@ -3,10 +3,12 @@
 import math
 
 import msgpack
+import pytest
 from hypothesis import given, seed, settings
 from hypothesis import strategies as st
 
 from tests.dispatch.samples import make_short
+from trefoilhinge.dispatch.crash_evidence import CrashReport
 from trefoilhinge.dispatch.loads import Run, RunPart
 from trefoilhinge.dispatch.message_codec import (
     MAXIMUM_DATAGRAM_BYTES,
@@ -19,11 +21,14 @@
     RunFirstEvent,
     RunSent,
     RunStarted,
+    TargetCrashed,
     TargetEjected,
     TargetLeaving,
     TargetOrdered,
     TargetRateNamed,
     TargetSlowdown,
+    TraitQuarantined,
+    TraitsCleared,
 )
 from trefoilhinge.dispatch.peers import GOSSIPED_PEERS, Heartbeat
 from trefoilhinge.dispatch.permits import (
@@ -31,6 +36,10 @@
     PermitRequest,
     PermitVerdict,
 )
+from trefoilhinge.dispatch.quarantine_codec import (
+    MAXIMUM_TRAIT_LENGTH,
+    MAXIMUM_TRAITS,
+)
 from trefoilhinge.dispatch.rate_limits import NamedRate
 
 SAMPLES = (
@@ -50,6 +59,9 @@
     InstanceLeft('10.0.0.1/ab12cd'),
     PermitRequest('10.0.0.1/ab12cd', 5, 't01', 1000, 1, 2.5),
     PermitDecision('me', 5, 't01', PermitVerdict.granted, 0),
+    TargetCrashed(CrashReport('t01', 1000, 'mill', ('part/a',), 1, 2), 5),
+    TraitQuarantined('part/a', 3, 0.5, 1),
+    TraitsCleared(('part/a', 'part/b'), 0.5),
 )
 
 
@@ -71,6 +83,38 @@
             len(encode_message(RunStarted(run, 15))) <= MAXIMUM_DATAGRAM_BYTES
         )
 
+    def test_largest_crash_report_fits_one_packet(self):
+        traits = tuple(
+            f'{number:0{MAXIMUM_TRAIT_LENGTH}}'
+            for number in range(MAXIMUM_TRAITS)
+        )
+        report = CrashReport('i-0123456789', 10**12, 'o' * 32, traits, 1, 2)
+        message = TargetCrashed(report, 5)
+        assert len(encode_message(message)) <= MAXIMUM_DATAGRAM_BYTES
+        decoded = decode_message(encode_message(message), 5).ok.report
+        assert decoded.traits == traits
+        assert (decoded.sent_s, decoded.crashed_s) == (1, 2)
+
+    @pytest.mark.parametrize(
+        'fields',
+        (
+            ['c', 't', 1, 'o', ['x'] * 25, 1, 1],
+            ['c', 't', 1, 'o', ['x' * 49], 1, 1],
+            ['c', 't', 1, 'o', [None], 1, 1],
+            ['c', 't', 1, 'o', ['x'], math.nan, 1],
+            ['c', 't', 1, 'o', ['x'], -1, 1],
+            ['z', 'x', 1, math.inf, 0],
+            ['z', 'x' * 49, 1, 1, 0],
+            ['y', 'x', 1],
+            ['y', [['x']], 1],
+            ['c'],
+            ['z'],
+            ['y'],
+        ),
+    )
+    def test_malformed_message_about_crashes_is_refused(self, fields):
+        assert decode_message(msgpack.packb(fields), 5).is_error()
+
     def test_largest_heartbeat_fits_one_packet(self):
         known = tuple(
             f'10.100.100.{number}' for number in range(GOSSIPED_PEERS)
--- a/tests/gateway/permit_networks.py
+++ b/tests/gateway/permit_networks.py
@@ -58,7 +58,9 @@
             self.permits[ip].close()
         self.states[ip] = state
         self.permits[ip] = Permits(
-            state, lambda message, to: self.deliver(ip, message, to)
+            state,
+            lambda message, to: self.deliver(ip, message, to),
+            lambda trait: False,
         )
         self.dead.discard(ip)
         self._excused_until_s[ip] = now_s + EXCUSE_S
--- a/tests/gateway/test_crashing_prompts.py
+++ b/tests/gateway/test_crashing_prompts.py
@@ -6,10 +6,8 @@
 import time
 
 from tests.gateway.crashing_targets import CrashingFleet
-from tests.gateway.documents import make_document, make_route
 from tests.gateway.fleets import run_fleet, run_peers
 from tests.gateway.rate_windows import STABLE_S
-from trefoilhinge.platform.standins.formats import encode_document
 
 PEERS = 7
 TARGETS = tuple(f'm{number}' for number in range(10, 20))
@@ -57,15 +55,6 @@
     results.append((sent_s, request_id, BAD_PART in prefix, answer))
 
 
-def make_resumable_document():
-    """Return a document whose streams may be resumed."""
-    routes = encode_document(1, {})['routes']
-    stream = make_route(
-        'stream', 'stream', 'model', 300, resumable=True, sticky=True
-    )
-    return make_document(1, routes=[stream, *routes[1:]])
-
-
 class TestCrashingPart:
     def test_part_that_crashes_targets_is_kept_from_them(self):
         """Guards against requests with one part that crash all targets.
@@ -77,9 +66,7 @@
         results = []
 
         async def run():
-            async with run_fleet(
-                make_resumable_document(), **targets.make_handlers(*TARGETS)
-            ) as fleet:
+            async with run_fleet(**targets.make_handlers(*TARGETS)) as fleet:
                 targets.fleet = fleet
                 async with run_peers(fleet, PEERS) as peers:
                     until_s = time.monotonic() + 3 * STABLE_S
--- a/trefoilhinge/client/request_timeline.py
+++ b/trefoilhinge/client/request_timeline.py
@@ -18,6 +18,7 @@
     'time_over': 'no answer within the time limit of the caller or the route',
     'targets_full': 'every target that was tried refused the call',
     'internal_error': 'an unexpected error ended the call',
+    'request_quarantined': 'targets crashed under requests like this one',
     'targets_limited': 'no target had room within the limit that it named',
     'answer_lost': 'the answer was lost after a target may have run the call',
     'no_target': 'no target of the service was known or had capacity',
@@ -100,7 +101,8 @@
         problem = broken_offers[-1].fields.get('problem', '')
         target = broken_offers[-1].fields.get('target', '')
         cause = f'{cause}; target {target}: {problem}'
-    return f'{reason}: {cause}{_describe_limits(timeline)}'
+    limits = _describe_limits(timeline)
+    return f'{reason}: {cause}{limits}{_describe_quarantine(timeline)}'
 
 
 def _describe_limits(timeline: list[TimelineEntry]) -> str:
@@ -118,6 +120,16 @@
     return f'; limited: {named}'
 
 
+def _describe_quarantine(timeline: list[TimelineEntry]) -> str:
+    """Return the quarantined traits and the targets that crashed."""
+    texts = [
+        f'{entry.fields.get("trait", "")} after {entry.fields.get("targets")}'
+        for entry in timeline
+        if entry.event == 'call_quarantined'
+    ]
+    return f'; quarantined: {"; ".join(texts)}' if texts else ''
+
+
 def format_timeline(timeline: list[TimelineEntry]) -> list[str]:
     """Return the cause, then a line for each event."""
     start_s = timeline[0].at_s
--- a/trefoilhinge/dispatch/message_codec.py
+++ b/trefoilhinge/dispatch/message_codec.py
@@ -18,6 +18,7 @@
     InstanceLeft,
     Message,
     PermitMessage,
+    QuarantineMessage,
     RunEnded,
     RunFirstEvent,
     RunMessage,
@@ -33,6 +34,11 @@
     decode_permit_message,
     list_permit_fields,
 )
+from trefoilhinge.dispatch.quarantine_codec import (
+    QUARANTINE_KINDS,
+    decode_quarantine_message,
+    list_quarantine_fields,
+)
 from trefoilhinge.exceptions import MALFORMED_CONTENT_ERRORS
 
 MAXIMUM_DATAGRAM_BYTES = 1_400  # fits one packet
@@ -46,11 +52,12 @@
 
 def encode_message(message: Message) -> bytes:
     """Return the encoded message."""
-    fields = (
-        list_permit_fields(message)
-        if isinstance(message, PermitMessage)
-        else _list_fields(message)
-    )
+    if isinstance(message, PermitMessage):
+        fields = list_permit_fields(message)
+    elif isinstance(message, QuarantineMessage):
+        fields = list_quarantine_fields(message)
+    else:
+        fields = _list_fields(message)
     return bytes(msgpack.packb(fields, use_single_float=True))
 
 
@@ -68,8 +75,11 @@
 
 
 def _decode_fields(fields: object, now_s: float) -> Message:
-    if isinstance(fields, list) and fields and fields[0] in PERMIT_KINDS:
-        return decode_permit_message(fields, now_s)
+    if isinstance(fields, list) and fields:
+        if fields[0] in PERMIT_KINDS:
+            return decode_permit_message(fields, now_s)
+        if fields[0] in QUARANTINE_KINDS:
+            return decode_quarantine_message(fields, now_s)
     return _decode(fields, now_s)
 
 
--- a/trefoilhinge/dispatch/messages.py
+++ b/trefoilhinge/dispatch/messages.py
@@ -2,6 +2,7 @@
 
 from attrs import frozen
 
+from trefoilhinge.dispatch.crash_evidence import CrashReport
 from trefoilhinge.dispatch.loads import Run
 from trefoilhinge.dispatch.peers import Heartbeat
 from trefoilhinge.dispatch.permits import PermitDecision, PermitRequest
@@ -101,6 +102,43 @@
     origin: str
 
 
+@frozen
+class TargetCrashed:
+    """A target crashed under a call.
+
+    :ivar now_s: monotonic seconds of this instance.
+    """
+
+    report: CrashReport
+    now_s: float
+
+
+@frozen
+class TraitQuarantined:
+    """Calls with a trait are kept from all targets.
+
+    :ivar crashes: targets that crashed under such calls.
+    :ivar crashed_age_s: seconds since the latest crash.
+    :ivar probes: probes that were granted.
+    """
+
+    trait: str
+    crashes: int
+    crashed_age_s: float
+    probes: int
+
+
+@frozen
+class TraitsCleared:
+    """A call with these traits was under way at a target.
+
+    :ivar age_s: seconds since then.
+    """
+
+    traits: tuple[str, ...]
+    age_s: float
+
+
 RunMessage = (
     Heartbeat
     | InstanceLeft
@@ -113,4 +151,5 @@
     | TargetSlowdown
 )
 PermitMessage = TargetRateNamed | TargetOrdered | PermitRequest | PermitDecision
-Message = RunMessage | PermitMessage
+QuarantineMessage = TargetCrashed | TraitQuarantined | TraitsCleared
+Message = RunMessage | PermitMessage | QuarantineMessage
--- a/trefoilhinge/dispatch/permits.py
+++ b/trefoilhinge/dispatch/permits.py
@@ -1,10 +1,13 @@
-"""Permits to send requests to targets that named a limit.
+"""Permits to send requests to targets that named a limit, and probes.
 
 For each limited target one instance, the owner, grants the permits of all
 instances from one bucket that fills at the named rate. All instances compute
 the same owner from their view of the live instances. The others estimate the
 level of the bucket from the runs that are announced, so that they rarely ask
 in vain; only the owner's grants count.
+
+A quarantined trait has an owner too, which grants the probes of all instances.
+Its requests name the trait in place of a target.
 """
 
 import enum
@@ -31,6 +34,7 @@
 
     :ivar origin: incarnation of the instance that asks.
     :ivar number: number of the run that is to be sent.
+    :ivar target: name of the target, or a quarantined trait.
     :ivar started_ms: incarnation of the target.
     :ivar priority: priority of the call; 0 is the highest.
     :ivar patience_s: seconds that the request may wait.
--- a/trefoilhinge/gateway/attempt_recorder.py
+++ b/trefoilhinge/gateway/attempt_recorder.py
@@ -5,6 +5,7 @@
 from trefoilhinge.dispatch.calls import AnswerHead, Attempt, Call
 from trefoilhinge.dispatch.group_placement import Placement
 from trefoilhinge.dispatch.health import Outcome
+from trefoilhinge.dispatch.messages import TargetEjected, TargetSlowdown
 from trefoilhinge.gateway.peer_exchange import PeerExchange
 from trefoilhinge.gateway.placement import find_engine_profile
 from trefoilhinge.gateway.progress import CallProgress
@@ -86,7 +87,7 @@
             target, gap_s, expected_s, now_s
         )
         if slowdown is not None:
-            self._peers.broadcast_target_slowdown(target, slowdown)
+            self._peers.broadcast(TargetSlowdown(target, slowdown))
             self._write(
                 'target_paced',
                 target=target,
@@ -142,8 +143,8 @@
                 self._state.health.eject(
                     record.name, FAILED_HELPER_EJECTION_S, now_s
                 )
-                self._peers.broadcast_target_ejected(
-                    record.name, FAILED_HELPER_EJECTION_S
+                self._peers.broadcast(
+                    TargetEjected(record.name, FAILED_HELPER_EJECTION_S)
                 )
 
     def _write(self, event: str, **fields: object) -> None:
--- a/trefoilhinge/gateway/attempts.py
+++ b/trefoilhinge/gateway/attempts.py
@@ -18,6 +18,7 @@
 from trefoilhinge.gateway.peer_exchange import PeerExchange
 from trefoilhinge.gateway.placement import is_placement_current
 from trefoilhinge.gateway.progress import CallProgress
+from trefoilhinge.gateway.quarantine_gate import QuarantineGate
 from trefoilhinge.gateway.rate_limits import record_named_rate
 from trefoilhinge.gateway.refusals import (
     CallFailed,
@@ -62,6 +63,7 @@
     _recorder: AttemptRecorder
     _target_choice: TargetChoice
     _crash_detector: CrashDetector
+    _gate: QuarantineGate
     progress: CallProgress
     _excluded: set[str] = field(factory=set)
     _connection: TargetConnection | None = None
@@ -75,6 +77,7 @@
             attempts is reached.
         """
         while True:
+            self._gate.check()
             if self.progress.attempts and not self._has_retry_budget():
                 await self._end_call('repeats are used up')
                 return
@@ -89,10 +92,7 @@
                 self._recorder.record_unreachable(placement, str(problem))
                 await self._handle_unreachable()
             except AnswerBroken as problem:
-                self._excluded.add(placement.parts[0].target)
-                self._record_broken(placement, str(problem))
-                if not self._may_retry():
-                    await self._end_call('the answer was lost')
+                if not await self._recover(placement, str(problem)):
                     return
             finally:
                 self.close()
@@ -111,12 +111,21 @@
             self._reservations.release()
             self._reservations = None
 
-    def _record_broken(self, placement: Placement, problem: str) -> None:
-        self._recorder.record_broken(placement, problem)
+    async def _recover(self, placement: Placement, problem: str) -> bool:
+        """Record that the answer was lost; end the call if that is final.
+
+        :return: whether the call may be attempted again.
+        """
         name = placement.parts[0].target
+        self._excluded.add(name)
+        self._recorder.record_broken(placement, problem)
         record = self._state.directory.records.get(name)
         if record is not None:
-            self._crash_detector.check(record, self._call, self.progress)
+            await self._crash_detector.check(record, self._call, self.progress)
+        if self._may_retry():
+            return True
+        await self._end_call('the answer was lost')
+        return False
 
     def _has_retry_budget(self) -> bool:
         if self._state.allows_retry(self._call.service):
@@ -146,19 +155,34 @@
         helpers = await self._prepare_helpers(placement)
         if helpers is None:
             return False
+        connection = await self._send(placement, record, helpers)
+        answer = self._handle_answer(record, connection)
+        if not self._may_retry():
+            return await answer
+        return await await_answer(answer, connection)
+
+    async def _send(
+        self,
+        placement: Placement,
+        record: TargetRecord,
+        helpers: tuple[PrefillHelper, ...],
+    ) -> TargetConnection:
+        """Send the call on a new connection.
+
+        :raises CallFailed: the call is kept from targets.
+        :raises TargetUnreachable: the connection could not be opened.
+        """
         connection = await open_target_connection(record.address)
         self._connection = connection
         connection.silence_timeout_s = self._find_silence_timeout_s(placement)
         connection.find_backlog_s = functools.partial(
-            self._find_backlog_s, target
+            self._find_backlog_s, record.name
         )
-        attempt = self._make_attempt(target, helpers)
+        await self._gate.enter()
+        attempt = self._make_attempt(record.name, helpers)
         self._recorder.record_sent(placement, attempt)
         connection.send(self._call, attempt)
-        answer = self._handle_answer(record, connection)
-        if not self._may_retry():
-            return await answer
-        return await await_answer(answer, connection)
+        return connection
 
     async def _prepare_helpers(
         self,
@@ -237,6 +261,7 @@
                 connection, head, functools.partial(self._record_event, target)
             )
             self._recorder.record_outcome(target, Outcome.served)
+            self._gate.record_answer()
             return True
         return await self._handle_complete_answer(
             target, head, await connection.read_body()
@@ -263,6 +288,8 @@
         self, target: str, head: AnswerHead, content: bytes
     ) -> bool:
         served = head.status < 500
+        if head.is_success:
+            self._gate.record_answer()
         outcome = Outcome.served if served else Outcome.failed
         self._recorder.record_outcome(target, outcome)
         if not served and self._may_retry():
@@ -310,6 +337,7 @@
         if gap_s is not None and self._run_tracker.has_first_event:
             self._recorder.record_event_gap(target, gap_s)
         self._run_tracker.record_event(now_s)
+        self._gate.record_event()
 
     async def _end_call(self, reason: str) -> None:
         """Send the last failure that a target answered, or fail the call.
@@ -341,5 +369,6 @@
         AttemptRecorder(state, peers, call, progress),
         TargetChoice(state, peers.permits, call),
         crash_detector,
+        QuarantineGate(state, peers, call, progress),
         progress,
     )
--- a/trefoilhinge/gateway/call_service.py
+++ b/trefoilhinge/gateway/call_service.py
@@ -44,7 +44,9 @@
 
     def __attrs_post_init__(self) -> None:
         """Create the detector of crashes under all calls."""
-        self._crash_detector = CrashDetector(self._state)
+        self._crash_detector = CrashDetector(
+            self._state, self._peers.quarantine
+        )
 
     def close(self) -> None:
         """Cancel what goes on in the background."""
--- a/trefoilhinge/gateway/crash_detection.py
+++ b/trefoilhinge/gateway/crash_detection.py
@@ -2,16 +2,19 @@
 
 import asyncio
 
-from attrs import define, field
+from attrs import define, field, frozen
 
 from trefoilhinge.dispatch.calls import Call
+from trefoilhinge.dispatch.crash_evidence import EVENTS_UNDER_WAY
 from trefoilhinge.dispatch.settings import parse_address
 from trefoilhinge.dispatch.targets import TargetRecord
 from trefoilhinge.gateway.progress import CallProgress
+from trefoilhinge.gateway.quarantine import Quarantine
 from trefoilhinge.gateway.state import GatewayState
 from trefoilhinge.gateway.tcp import open_tcp_connection
 
 CHECK_TIMEOUT_S = 0.3  # a reachable machine refuses within milliseconds
+MAXIMUM_WAIT_S = 0.03  # of a call that broke, before its next attempt
 MAXIMUM_CHECKS = 64  # at a time, one for each target
 
 
@@ -25,15 +28,17 @@
     """
 
     _state: GatewayState
+    _quarantine: Quarantine
     _checks: dict[str, asyncio.Task[bool]] = field(factory=dict)
     _reports: set[asyncio.Task[None]] = field(factory=set)
 
-    def check(
+    async def check(
         self, record: TargetRecord, call: Call, progress: CallProgress
     ) -> None:
-        """Find out in the background whether a target ended under a call.
+        """Find out whether a target ended under a call, and report that.
 
-        A target that was leaving has ended as planned.
+        A target that was leaving has ended as planned. The caller waits
+        ``MAXIMUM_WAIT_S`` at most, so that a retry knows of the crash.
         """
         departed = self._state.directory.departed
         if (record.name, record.started_ms) in departed:
@@ -46,10 +51,20 @@
             self._checks[record.name] = check
             check.add_done_callback(lambda _: self._checks.pop(record.name))
         report = asyncio.ensure_future(
-            self._report(check, record, call, progress.attempt_events)
+            self._report(
+                check,
+                record,
+                call,
+                _BrokenAttempt(
+                    progress.attempt_events,
+                    progress.attempt_sent_s,
+                    self._state.get_now_s(),
+                ),
+            )
         )
         self._reports.add(report)
         report.add_done_callback(self._reports.discard)
+        await asyncio.wait((report,), timeout=MAXIMUM_WAIT_S)
 
     def close(self) -> None:
         """Cancel all checks."""
@@ -61,7 +76,7 @@
         check: asyncio.Task[bool],
         record: TargetRecord,
         call: Call,
-        events: int,
+        attempt: '_BrokenAttempt',
     ) -> None:
         if not await check:
             return
@@ -71,9 +86,20 @@
             request=call.head.request_id,
             target=record.name,
             started_ms=record.started_ms,
-            events=events,
+            events=attempt.events,
             parts=','.join(call.head.prompt_parts) or None,
         )
+        if attempt.events < EVENTS_UNDER_WAY:
+            self._quarantine.report_crash(
+                record, call, attempt.sent_s, attempt.broken_s
+            )
+
+
+@frozen
+class _BrokenAttempt:
+    events: int
+    sent_s: float
+    broken_s: float
 
 
 async def _has_ended(address: str) -> bool:
--- a/trefoilhinge/gateway/daemon.py
+++ b/trefoilhinge/gateway/daemon.py
@@ -186,6 +186,7 @@
                     'target_left', target=record.name, reason='lapsed'
                 )
             state.remove_departed_limits()
+            self._peers.quarantine.remove_expired()
             overdue = state.loads.remove_overdue(now_s)
             if overdue:
                 state.log.write('runs_forgotten', count=overdue)
--- a/trefoilhinge/gateway/peer_exchange.py
+++ b/trefoilhinge/gateway/peer_exchange.py
@@ -6,7 +6,6 @@
 from attrs import define, field
 
 from trefoilhinge.dispatch.fanout import list_hops
-from trefoilhinge.dispatch.loads import Run
 from trefoilhinge.dispatch.message_codec import (
     decode_message,
     encode_message,
@@ -15,6 +14,7 @@
     InstanceLeft,
     Message,
     PermitMessage,
+    QuarantineMessage,
     RunEnded,
     RunFirstEvent,
     RunMessage,
@@ -35,6 +35,7 @@
     make_targets_fetcher,
 )
 from trefoilhinge.gateway.permits import Permits
+from trefoilhinge.gateway.quarantine import Quarantine
 from trefoilhinge.gateway.state import GatewayState
 
 INITIAL_HEARTBEAT_INTERVAL_S = 0.1  # until the first peer answers
@@ -51,6 +52,7 @@
     """Sends messages to the other instances and applies theirs.
 
     :ivar permits: permits for requests to limited targets.
+    :ivar quarantine: requests that are kept from all targets.
     """
 
     _state: GatewayState
@@ -58,12 +60,18 @@
     _heartbeats_sent: int = 0
     _broadcasts_sent: int = 0
     permits: Permits = field(init=False)
+    quarantine: Quarantine = field(init=False)
     _document_fetcher: PeerFetcher = field(init=False)
     _targets_fetcher: PeerFetcher = field(init=False)
 
     def __attrs_post_init__(self) -> None:
-        """Create the fetchers and the permits."""
-        self.permits = Permits(self._state, self.send)
+        """Create the fetchers, the permits and the quarantine."""
+        self.quarantine = Quarantine(
+            self._state, self.broadcast, self.send_to_each
+        )
+        self.permits = Permits(
+            self._state, self.send, self.quarantine.grant_probe
+        )
         self._document_fetcher = make_document_fetcher(self._state)
         self._targets_fetcher = make_targets_fetcher(self._state)
 
@@ -87,6 +95,8 @@
             return
         if isinstance(decoded.ok, PermitMessage):
             self.permits.apply_message(decoded.ok, address[0])
+        elif isinstance(decoded.ok, QuarantineMessage):
+            self.quarantine.apply_message(decoded.ok, address[0])
         else:
             self._apply_message(decoded.ok, now_s)
 
@@ -94,44 +104,45 @@
         """Send a message to one instance."""
         self._send(encode_message(message), ip)
 
-    def broadcast_run_started(
-        self, run: Run, maximum_duration_s: float
-    ) -> None:
-        """Announce a run and its maximum duration."""
-        self._broadcast(RunStarted(run, maximum_duration_s))
-
-    def broadcast_run_sent(self, run: Run) -> None:
-        """Announce that a delayed run was sent."""
-        self._broadcast(RunSent(run.origin, run.number))
+    def broadcast(self, message: Message) -> None:
+        """Send a message to all live instances, relayed between domains."""
+        data = encode_message(message)
+        state = self._state
+        domains = state.peers.list_live_by_domain(state.get_now_s())
+        self._broadcasts_sent += 1
+        for hop in list_hops(
+            domains, state.settings.failure_domain, self._broadcasts_sent
+        ):
+            self._send(RELAY_PREFIX + data if hop.is_relayed else data, hop.ip)
 
-    def broadcast_first_event(self, run: Run) -> None:
-        """Announce the first event of a run."""
-        self._broadcast(RunFirstEvent(run.origin, run.number))
+    def send_to_each(self, message: Message) -> None:
+        """Send a message to each live instance directly.
 
-    def broadcast_run_ended(self, run: Run) -> None:
-        """Announce that a run ended."""
-        self._broadcast(RunEnded(run.origin, run.number))
+        An instance that relays a message might fail before it does.
+        """
+        data = encode_message(message)
+        for ip in self._state.peers.list_live(self._state.get_now_s()):
+            self._send(data, ip)
 
     def broadcast_target_leaving(self, record: TargetRecord) -> None:
         """Announce that a target is leaving.
 
-        The message is rare and must not be lost, so it goes to each peer
-        directly: an instance that relays it might fail before it does.
+        The message is rare and must not be lost.
         """
-        self._send_to_each(_make_target_leaving(record))
+        self.send_to_each(_make_target_leaving(record))
 
     def announce_named_rate(self, named: NamedRate, *, is_new: bool) -> None:
         """Announce the limit of a target; a new one goes to each peer."""
         message = TargetRateNamed(named, self._state.get_now_s())
         if is_new:
-            self._send_to_each(message)
+            self.send_to_each(message)
         else:
-            self._broadcast(message)
+            self.broadcast(message)
 
     def broadcast_target_ordered(self, name: str) -> None:
         """Announce a request to a limited target that belongs to no run."""
         self._state.permits.charge(name, None, self._state.get_now_s())
-        self._broadcast(TargetOrdered(name))
+        self.broadcast(TargetOrdered(name))
 
     def announce_end(self) -> None:
         """Announce that this instance ends.
@@ -139,24 +150,17 @@
         The others need not wait until its heartbeats are missed, for instance
         for permits that it granted.
         """
-        self._send_to_each(InstanceLeft(self._state.origin))
+        self.send_to_each(InstanceLeft(self._state.origin))
 
     def close(self) -> None:
         """Cancel pending fetches and close the socket."""
         self._document_fetcher.close()
         self._targets_fetcher.close()
         self.permits.close()
+        self.quarantine.close()
         if self._transport is not None:
             self._transport.close()
 
-    def broadcast_target_ejected(self, name: str, duration_s: float) -> None:
-        """Announce that a target is ejected."""
-        self._broadcast(TargetEjected(name, duration_s))
-
-    def broadcast_target_slowdown(self, name: str, slowdown: float) -> None:
-        """Announce the observed slowdown of a target."""
-        self._broadcast(TargetSlowdown(name, slowdown))
-
     async def run_heartbeats(self) -> None:
         """Send heartbeats until cancelled."""
         while True:
@@ -180,7 +184,7 @@
         state = self._state
         now_s = state.get_now_s()
         heartbeat = self._make_heartbeat(now_s)
-        self._broadcast(heartbeat)
+        self.broadcast(heartbeat)
         live_ips = set(state.peers.list_live(now_s))
         for ip in state.peers.list_heartbeat_receivers(
             state.settings.seeds, now_s
@@ -203,16 +207,6 @@
             known_peers=state.peers.list_gossiped(self._heartbeats_sent, now_s),
         )
 
-    def _broadcast(self, message: Message) -> None:
-        data = encode_message(message)
-        state = self._state
-        domains = state.peers.list_live_by_domain(state.get_now_s())
-        self._broadcasts_sent += 1
-        for hop in list_hops(
-            domains, state.settings.failure_domain, self._broadcasts_sent
-        ):
-            self._send(RELAY_PREFIX + data if hop.is_relayed else data, hop.ip)
-
     def _relay_to_domain(self, data: bytes, now_s: float) -> None:
         state = self._state
         domains = state.peers.list_live_by_domain(now_s)
@@ -250,11 +244,6 @@
             case TargetLeaving():
                 self._apply_target_leaving(message)
 
-    def _send_to_each(self, message: Message) -> None:
-        data = encode_message(message)
-        for ip in self._state.peers.list_live(self._state.get_now_s()):
-            self._send(data, ip)
-
     def _apply_target_leaving(self, message: TargetLeaving) -> None:
         if self._state.directory.mark_incarnation_departed(
             message.name, message.started_ms, message.revision
@@ -278,6 +267,8 @@
             self.send(_make_target_leaving(record), ip)
         for named in state.rate_limits.list_limits():
             self.send(TargetRateNamed(named, now_s), ip)
+        for entry in self.quarantine.list_announcements():
+            self.send(entry, ip)
 
     def _apply_heartbeat(self, heartbeat: Heartbeat, now_s: float) -> None:
         state = self._state
--- a/trefoilhinge/gateway/permits.py
+++ b/trefoilhinge/gateway/permits.py
@@ -43,10 +43,12 @@
     """Asks the owners of limited targets, and answers as an owner.
 
     :ivar send: sends a message to the instance at an IP address.
+    :ivar grant_probe: grants a probe of a quarantined trait if one is due.
     """
 
     _state: GatewayState
     send: Send
+    grant_probe: Callable[[str], bool]
     _inboxes: dict[PermitKey, Inbox] = field(factory=dict)
     _timers: dict[str, asyncio.TimerHandle] = field(factory=dict)
 
@@ -173,18 +175,27 @@
         if self.find_owner(request.target) != state.settings.ip:
             return [_postpone(request, NO_OWNER_WAIT_S)]
         bucket = state.permits.get(request.target, request.started_ms)
-        if bucket is None:
+        is_probe = state.quarantine.get(request.target) is not None
+        if bucket is None and not is_probe:
             return [self._decide_without_limit(request)]
         settled_s = state.started_s + (
             SETTLING_HEARTBEATS * state.peers.compute_heartbeat_interval_s()
         )
         if now_s < settled_s:
             return [_postpone(request, settled_s - now_s)]
+        if bucket is None:
+            return [self._decide_probe(request)]
         self._adjust_rate(request.target, request.started_ms)
         decisions = bucket.request(request, now_s)
         self._schedule(request.target, request.started_ms)
         return decisions
 
+    def _decide_probe(self, request: PermitRequest) -> PermitDecision:
+        """Decide on a probe of a quarantined trait."""
+        is_granted = self.grant_probe(request.target)
+        verdict = PermitVerdict.granted if is_granted else PermitVerdict.refused
+        return make_decision(request, verdict, 0)
+
     def _decide_without_limit(self, request: PermitRequest) -> PermitDecision:
         """Grant a permit if the limit is known to have ended."""
         named = self._state.rate_limits.find_named(request.target)
--- a/trefoilhinge/gateway/run_tracker.py
+++ b/trefoilhinge/gateway/run_tracker.py
@@ -6,6 +6,12 @@
 from trefoilhinge.dispatch.documents import CallKind
 from trefoilhinge.dispatch.group_placement import Placement
 from trefoilhinge.dispatch.loads import Run
+from trefoilhinge.dispatch.messages import (
+    RunEnded,
+    RunFirstEvent,
+    RunSent,
+    RunStarted,
+)
 from trefoilhinge.gateway.peer_exchange import PeerExchange
 from trefoilhinge.gateway.state import GatewayState
 
@@ -45,7 +51,7 @@
         self.has_first_event = False
         maximum_duration_s = max(0, self._call.deadline_s - now_s)
         self._state.record_run(self._run, now_s + maximum_duration_s)
-        self._peers.broadcast_run_started(self._run, maximum_duration_s)
+        self._peers.broadcast(RunStarted(self._run, maximum_duration_s))
 
     async def wait_for_send_time(self) -> None:
         """Wait until the targets have prefilled the prompts ahead of the run.
@@ -57,7 +63,7 @@
         await self._state.prefill_waiters.wait_for_send_time(self._run)
         if self._run.send_delay_s:
             self._state.record_run_sent(self._run.key)
-            self._peers.broadcast_run_sent(self._run)
+            self._peers.broadcast(RunSent(*self._run.key))
 
     def record_event(self, now_s: float) -> None:
         """Record an event; the first shows that the prompt was prefilled."""
@@ -66,7 +72,7 @@
         self.has_first_event = True
         self._state.loads.record_first_event(self._run.key, now_s)
         if len(self._run.parts) > 1:
-            self._peers.broadcast_first_event(self._run)
+            self._peers.broadcast(RunFirstEvent(*self._run.key))
             self._state.prefill_waiters.notify_all()
 
     def end(self) -> None:
@@ -74,6 +80,6 @@
         if self._run is None:
             return
         self._state.loads.record_end(self._run.key, self._state.get_now_s())
-        self._peers.broadcast_run_ended(self._run)
+        self._peers.broadcast(RunEnded(*self._run.key))
         self._state.prefill_waiters.notify_all()
         self._run = None
--- a/trefoilhinge/gateway/state.py
+++ b/trefoilhinge/gateway/state.py
@@ -6,11 +6,13 @@
 from attrs import define, field
 
 from trefoilhinge.dispatch.budgets import RetryBudget
+from trefoilhinge.dispatch.crash_evidence import CrashEvidence
 from trefoilhinge.dispatch.documents import FleetDocument
 from trefoilhinge.dispatch.health import HealthTable
 from trefoilhinge.dispatch.loads import LoadTable, Run
 from trefoilhinge.dispatch.peers import PeerTable
 from trefoilhinge.dispatch.permit_buckets import PermitTable
+from trefoilhinge.dispatch.quarantine import QuarantineTable
 from trefoilhinge.dispatch.rate_limits import NamedRate, RateLimitTable
 from trefoilhinge.dispatch.settings import GatewaySettings
 from trefoilhinge.dispatch.slowdowns import SlowdownTable
@@ -38,6 +40,8 @@
     :ivar slowdowns: observed slowdown of each target.
     :ivar rate_limits: rates that targets named as their limits.
     :ivar permits: permits for requests to these targets.
+    :ivar crash_evidence: traits of calls under which targets crashed.
+    :ivar quarantine: traits of calls that are kept from all targets.
     :ivar started_s: monotonic seconds at which the process started to serve.
     :ivar transfers: documents and lists of targets that are being sent to
         peers.
@@ -60,6 +64,8 @@
     slowdowns: SlowdownTable = field(factory=SlowdownTable)
     rate_limits: RateLimitTable = field(factory=RateLimitTable)
     permits: PermitTable = field(factory=PermitTable)
+    crash_evidence: CrashEvidence = field(factory=CrashEvidence)
+    quarantine: QuarantineTable = field(factory=QuarantineTable)
     started_s: float = 0
     transfers: int = 0
     is_stopping: bool = False
