Took a stream without length or events for a broken one.

An answer with neither a length nor chunks ends with its connection. A target that ended right after the head of such a stream looked like one that had answered: the caller got an empty stream as a complete success, it was not resumed elsewhere, and the end of the target was not noticed. A stream of this kind now needs at least one event.

--- a/tests/gateway/test_truncated_answers.py
+++ b/tests/gateway/test_truncated_answers.py
@@ -76,6 +76,110 @@
         asyncio.run(run())
 
 
+def send_without_length(*parts, resets=False):
+    """Return a handler whose answers end with their connection.
+
+    :param parts: bytes that are sent one after the other.
+    :param resets: whether the connection is reset at the end.
+    """
+
+    async def handle(exchange):
+        seal = b'HTTP/1.1 200 OK\r\nX-Server-Seal: s\r\n\r\n'
+        for part in (seal, *parts):
+            exchange.writer.write(part)
+            await exchange.writer.drain()
+            await asyncio.sleep(0.02)
+        if resets:
+            reset_tcp_connection(exchange.writer.transport)
+        else:
+            exchange.writer.close()
+
+    return handle
+
+
+EVENTS = b''.join(map(make_event, range(1, 6)))
+BROKEN_STREAMS = {
+    'no event': send_without_length(),
+    'within an event': send_without_length(EVENTS[:-5]),
+    'reset between events': send_without_length(EVENTS, resets=True),
+    'reset within an event': send_without_length(EVENTS[:-5], resets=True),
+    'reset before events': send_without_length(resets=True),
+}
+
+
+class TestAnswersWithoutLength:
+    """Guards against the end of a target that looks like that of an answer.
+
+    An answer with neither length nor chunks ends with its connection.
+    """
+
+    @pytest.mark.parametrize('make', [make_call, make_old_call])
+    def test_stream_that_ends_after_an_event_is_complete(self, make):
+        async def run():
+            handle = send_without_length(EVENTS[:40], EVENTS[40:])
+            async with run_fleet(m1=handle) as fleet:
+                content, is_clean = await read_to_the_end(
+                    fleet,
+                    make('/stream/1').replace(
+                        b'Host', b'Connection: close\r\nHost'
+                    ),
+                )
+                assert content.count(b'id:') == 5
+                assert is_clean
+                if make is make_call:
+                    assert content.endswith(b'0\r\n\r\n')
+                assert len(fleet.targets['m1'].requests) == 1
+
+        asyncio.run(run())
+
+    @pytest.mark.parametrize('version', [b'HTTP/1.1', b'HTTP/1.0'])
+    @pytest.mark.parametrize('name', BROKEN_STREAMS)
+    def test_broken_stream_is_no_success(self, name, version):
+        async def run():
+            async with run_fleet(m1=BROKEN_STREAMS[name]) as fleet:
+                content, is_clean = await read_to_the_end(
+                    fleet, make_call().replace(b'HTTP/1.1', version)
+                )
+                status = int(content.split()[1]) if content else 0
+                if status == 200 and version == b'HTTP/1.0':
+                    assert not is_clean
+                elif status == 200:
+                    assert not content.endswith(b'0\r\n\r\n')
+                else:
+                    assert status in {0, 502}
+
+        asyncio.run(run())
+
+    @pytest.mark.parametrize('name', BROKEN_STREAMS)
+    def test_broken_stream_is_resumed_at_another_target(self, name):
+        async def run():
+            async with run_fleet(m1=BROKEN_STREAMS[name], m2=stream()) as fleet:
+                for _ in range(4):
+                    answer = await fleet.call()
+                    assert answer.status == 200
+                    assert answer.is_complete
+                    assert answer.content == EVENTS
+
+        asyncio.run(run())
+
+    @pytest.mark.parametrize('make', [make_call, make_old_call])
+    def test_plain_answer_gets_a_length(self, make):
+        async def run():
+            handle = send_without_length(b'ye', b's')
+            async with run_fleet(d1=handle) as fleet:
+                content, is_clean = await read_to_the_end(
+                    fleet,
+                    make('/book/1').replace(
+                        b'Host', b'Connection: close\r\nHost'
+                    ),
+                )
+                assert b'content-length: 3' in content.lower()
+                assert content.endswith(b'\r\n\r\nyes')
+                assert is_clean
+
+        asyncio.run(run())
+
+
 TRUNCATED_BODIES = {
     'length': b'Content-Length: 500\r\n\r\n' + b'x' * 100,
     'chunked': b'Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n',
--- a/trefoilhinge/dispatch/calls.py
+++ b/trefoilhinge/dispatch/calls.py
@@ -118,6 +118,8 @@
     :ivar at_fault: address or name of the unreachable target that caused the
         failure; empty if the answer names none.
     :ivar forwarded_headers: headers passed to the caller unchanged.
+    :ivar ends_with_connection: whether only the end of its connection shows
+        the end of the answer, as it has neither a length nor chunks.
     :ivar requests_per_s: rate that the target takes from all instances
         together; none if the answer names no limit.
     :ivar rate_problem: why a named limit cannot be read, else empty.
@@ -129,6 +131,7 @@
     not_run: bool
     at_fault: str
     forwarded_headers: RawHeaders
+    ends_with_connection: bool = False
     requests_per_s: float | None = None
     rate_problem: str = ''
 
--- a/trefoilhinge/gateway/answer_relay.py
+++ b/trefoilhinge/gateway/answer_relay.py
@@ -45,12 +45,15 @@
 
         :param on_event: called before new events are sent.
         :raises AnswerBroken: the stream ended early, an event is missing, or
-            one is longer than ``MAXIMUM_EVENT_BYTES``.
+            one is longer than ``MAXIMUM_EVENT_BYTES``. Without a length, one
+            that ends before its first event has ended early.
         """
         splitter = EventSplitter()
+        has_events = False
         async for chunk in connection.read_content():
             events = splitter.split(chunk)
             if events:
+                has_events = True
                 connection.record_progress()
             content = self._select_new_events(events)
             if content:
@@ -66,6 +69,8 @@
                 )
         if splitter.remainder:
             raise AnswerBroken('stream ended within an event')
+        if head.ends_with_connection and not has_events:
+            raise AnswerBroken('connection ended before the first event')
         self._start_answer(head)
         await self._caller.finish()
 
--- a/trefoilhinge/platform/headers.py
+++ b/trefoilhinge/platform/headers.py
@@ -39,6 +39,7 @@
         b'upgrade',
     )
 )
+_LENGTH_HEADERS = frozenset((b'content-length', b'transfer-encoding'))
 # Headers that an instance evaluates or sets itself instead of forwarding them.
 _REPLACED_HEADERS = frozenset(
     (
@@ -168,6 +169,7 @@
             for name, value in raw_headers
             if name.lower() not in _HOP_BY_HOP_HEADERS
         ),
+        ends_with_connection=not _LENGTH_HEADERS & by_name.keys(),
         requests_per_s=requests_per_s,
         rate_problem=rate_problem,
     )
