Showed suspected and quarantined traits in the status of an instance.

`beliefs` names the quarantined traits of each instance and where they differ; the status lists suspects with the targets that crashed.

--- a/tests/client/test_beliefs.py
+++ b/tests/client/test_beliefs.py
@@ -11,7 +11,11 @@
     list_differences,
     print_beliefs,
 )
-from trefoilhinge.conf.generated.belief import BeliefSnapshot, TargetBelief
+from trefoilhinge.conf.generated.belief import (
+    BeliefSnapshot,
+    QuarantineBelief,
+    TargetBelief,
+)
 
 TARGET = TargetBelief(
     name='t1',
@@ -64,6 +68,24 @@
         )
         assert 'differs: target t1 limit_per_s: a=0, b=1.2' in lines
 
+    def test_trait_that_one_instance_quarantines_is_reported(self):
+        entry = QuarantineBelief(
+            trait='part/bad',
+            crashes=3,
+            crashed_s=1,
+            seen_s=1,
+            probes=0,
+            owner='10.0.0.2',
+        )
+        snapshots = [
+            make_snapshot('a'),
+            make_snapshot('b', quarantined=(entry,)),
+        ]
+        lines = list_differences(snapshots)
+        assert lines == ['differs: quarantined: a=, b=part/bad']
+        text = describe_snapshot(snapshots[1])
+        assert text.endswith('quarantined: part/bad')
+
     def test_target_unknown_to_one_instance_is_reported(self):
         lines = list_differences([make_snapshot('a'), make_snapshot('b', None)])
         assert 'differs: target t1 address: a=10.0.0.1:80, b=-' in lines
--- a/tests/gateway/test_quarantine.py
+++ b/tests/gateway/test_quarantine.py
@@ -7,10 +7,12 @@
 import pytest
 
 from tests.gateway.crashing_targets import CrashingFleet
+from tests.gateway.documents import HOST
 from tests.gateway.fleets import make_call, run_fleet, run_peers
 from tests.gateway.targets import never_answer, reset, stream
 from trefoilhinge.client.request_timeline import print_timeline
 from trefoilhinge.dispatch.quarantine import MAXIMUM_PROBES
+from trefoilhinge.gateway.http_client import fetch
 from trefoilhinge.gateway.run_tracker import RunTracker
 
 TRAIT = 'part/bad'
@@ -113,6 +115,32 @@
         assert cause.endswith('quarantined: part/bad after m1,m2,m3')
 
 
+class TestStatus:
+    def test_suspects_and_quarantined_traits_are_shown(self):
+        targets = CrashingFleet(lambda exchange: True)
+
+        async def read_status(fleet):
+            fetched = await fetch(fleet.settings.metrics, '/status', 1)
+            return json.loads(fetched.content)
+
+        async def run():
+            handlers = targets.make_handlers('m1', 'm2', 'm3', 'm4')
+            async with run_fleet(**handlers) as fleet:
+                targets.fleet = fleet
+                await fleet.call(X_Prompt_Prefix='bad:900,ee:300')
+                (suspect,) = (await read_status(fleet))['suspects']
+                assert suspect['trait'] == TRAIT
+                assert suspect['organisation'] == 'mill'
+                assert suspect['targets'] == ['m1', 'm2']
+                await fleet.call(X_Prompt_Prefix='bad:900,ee:300')
+                (entry,) = (await read_status(fleet))['quarantined']
+                assert entry['trait'] == TRAIT
+                assert entry['crashes'] == 3
+                assert entry['owner'] == HOST
+
+        asyncio.run(run())
+
+
 class TestProbe:
     def test_probe_that_is_answered_frees_the_trait_everywhere(self):
         """Guards against sound work that is refused for ever."""
--- a/trefoilhinge/client/beliefs.py
+++ b/trefoilhinge/client/beliefs.py
@@ -58,6 +58,10 @@
     state = 'ready' if snapshot.ready else 'not ready'
     if snapshot.stopping:
         state = 'stopping'
+    quarantine = ''
+    if snapshot.quarantined:
+        traits = ', '.join(entry.trait for entry in snapshot.quarantined)
+        quarantine = f', quarantined: {traits}'
     store_outage = ''
     if snapshot.store_away_s:
         store_outage = f', store unreachable for {snapshot.store_away_s:.1f} s'
@@ -65,7 +69,7 @@
         f'{snapshot.instance}: {state}, document {snapshot.version}, '
         f'{len(snapshot.peers)} peers, {usable} of {len(snapshot.targets)} '
         f'targets usable, {snapshot.calls} calls, '
-        f'{snapshot.waiting} waiting{store_outage}'
+        f'{snapshot.waiting} waiting{store_outage}{quarantine}'
     )
 
 
@@ -77,6 +81,14 @@
     }
     if len(set(versions.values())) > 1:
         lines.append(_format_difference('document', versions))
+    quarantined = {
+        snapshot.instance: ' '.join(
+            entry.trait for entry in snapshot.quarantined
+        )
+        for snapshot in snapshots
+    }
+    if len(set(quarantined.values())) > 1:
+        lines.append(_format_difference('quarantined', quarantined))
     names = {
         target.name for snapshot in snapshots for target in snapshot.targets
     }
--- a/trefoilhinge/gateway/snapshots.py
+++ b/trefoilhinge/gateway/snapshots.py
@@ -6,12 +6,16 @@
     BeliefSnapshot,
     BudgetBelief,
     PeerBelief,
+    QuarantineBelief,
+    SuspectBelief,
     TargetBelief,
 )
 from trefoilhinge.dispatch.targets import TargetRecord
 from trefoilhinge.gateway.permits import Permits
 from trefoilhinge.gateway.state import GatewayState
 
+MAXIMUM_SUSPECTS_SHOWN = 20
+
 
 def make_snapshot(
     state: GatewayState, permits: Permits, active_calls: int
@@ -38,6 +42,40 @@
         peers=_list_peers(state, now_s),
         targets=_list_targets(state, permits, now_s),
         budgets=_list_budgets(state, now_s),
+        quarantined=_list_quarantined(state, permits, now_s),
+        suspects=_list_suspects(state, now_s),
+    )
+
+
+def _list_quarantined(
+    state: GatewayState, permits: Permits, now_s: float
+) -> tuple[QuarantineBelief, ...]:
+    return tuple(
+        QuarantineBelief(
+            trait=entry.trait,
+            crashes=entry.crashes,
+            crashed_s=now_s - entry.crashed_s,
+            seen_s=now_s - entry.seen_s,
+            probes=entry.probes,
+            owner=permits.find_owner(entry.trait),
+        )
+        for entry in state.quarantine.list_all()
+    )
+
+
+def _list_suspects(
+    state: GatewayState, now_s: float
+) -> tuple[SuspectBelief, ...]:
+    suspects = state.crash_evidence.list_suspects()
+    return tuple(
+        SuspectBelief(
+            trait=suspect.trait,
+            organisation=suspect.organisation,
+            succession=suspect.succession,
+            targets=tuple(name for name, _ in suspect.targets),
+            crashed_s=now_s - suspect.crashed_s,
+        )
+        for suspect in suspects[:MAXIMUM_SUSPECTS_SHOWN]
     )
 
 
