Ended the ejection of a target with its incarnation.

A target that crashed and started again under the name that it had got no calls for up to 6 s more: its ejection, which doubles with each crash, and the slowdown that was learnt of it outlasted its start, as both are kept by name. A record of a later start now ends them.

--- a/trefoilhinge/dispatch/health.py
+++ b/trefoilhinge/dispatch/health.py
@@ -80,6 +80,10 @@
         until_s = now_s + min(duration_s, MAXIMUM_EJECTION_S)
         health.unreachable_until_s = max(health.unreachable_until_s, until_s)
 
+    def forget(self, target: str) -> None:
+        """Forget what is known of a target that has started again."""
+        self._targets.pop(target, None)
+
     def list_usable(self, targets: list[str], now_s: float) -> list[str]:
         """Return the targets that may be used.
 
--- a/trefoilhinge/dispatch/slowdowns.py
+++ b/trefoilhinge/dispatch/slowdowns.py
@@ -71,6 +71,10 @@
             return 1
         return history.slowdown
 
+    def forget(self, target: str) -> None:
+        """Forget what is known of a target that has started again."""
+        self._targets.pop(target, None)
+
     def _set(self, history: _GapHistory, slowdown: float, now_s: float) -> None:
         history.slowdown = slowdown
         history.updated_s = now_s
--- a/trefoilhinge/gateway/replication.py
+++ b/trefoilhinge/gateway/replication.py
@@ -83,7 +83,7 @@
     for name in set(directory.records) - named:
         directory.mark_removed(name, now_s)
     for record in records:
-        directory.apply_record(record)
+        state.apply_target(record)
     directory.revision = revision
     state.log.write(
         'targets_taken', source='peer', revision=revision, count=len(records)
--- a/trefoilhinge/gateway/state.py
+++ b/trefoilhinge/gateway/state.py
@@ -16,7 +16,7 @@
 from trefoilhinge.dispatch.rate_limits import NamedRate, RateLimitTable
 from trefoilhinge.dispatch.settings import GatewaySettings
 from trefoilhinge.dispatch.slowdowns import SlowdownTable
-from trefoilhinge.dispatch.targets import TargetDirectory
+from trefoilhinge.dispatch.targets import TargetDirectory, TargetRecord
 from trefoilhinge.gateway.logs import EventLog
 from trefoilhinge.gateway.metrics import MetricsRegistry
 from trefoilhinge.gateway.prefill_waiters import PrefillWaiters
@@ -144,6 +144,20 @@
         if run is not None:
             self._charge_run(run)
 
+    def apply_target(self, record: TargetRecord) -> bool:
+        """Apply a record of a target unless it is outdated.
+
+        What was learnt of a target's failures and speed ends with its
+        incarnation.
+
+        :return: whether the target is newly departed.
+        """
+        known = self.directory.records.get(record.name)
+        if known is not None and known.started_ms < record.started_ms:
+            self.health.forget(record.name)
+            self.slowdowns.forget(record.name)
+        return self.directory.apply_record(record)
+
     def apply_named_rate(self, named: NamedRate, source: str) -> bool:
         """Apply what a target said about its limit.
 
--- a/trefoilhinge/gateway/store_watcher.py
+++ b/trefoilhinge/gateway/store_watcher.py
@@ -244,7 +244,7 @@
             return
         record = decoded.ok
         is_first = name not in self._state.directory.records
-        if self._state.directory.apply_record(record):
+        if self._state.apply_target(record):
             self._report_leaving(record, 'draining')
         elif is_first:
             self._state.log.write(
