--- a/trefoilhinge/gateway/attempts.py
+++ b/trefoilhinge/gateway/attempts.py
@@ -28,6 +28,10 @@
 )
 from trefoilhinge.gateway.reservations import Reservations, reserve
 from trefoilhinge.gateway.run_tracker import RunTracker
+from trefoilhinge.gateway.silence_timeouts import (
+    find_answer_timeout_s,
+    find_event_timeout_s,
+)
 from trefoilhinge.gateway.state import GatewayState
 from trefoilhinge.gateway.target_choice import TargetChoice
 from trefoilhinge.gateway.target_connections import (
@@ -41,10 +45,6 @@
 MAXIMUM_FAILED_CONNECTIONS = 8
 MAXIMUM_HELPER_REJECTIONS = 10  # rejections that blame another target
 RETRY_DELAY_S = 0.03  # lets load updates arrive before the next attempt
-MINIMUM_SILENCE_TIMEOUT_S = 0.6  # a few engine iterations
-PLAIN_SILENCE_TIMEOUT_S = 0.25  # several times the duration of a plain call
-FIRST_EVENT_TIMEOUT_FACTOR = 1.5  # times the predicted time to first event
-GAP_TIMEOUT_FACTOR = 2.0  # times the maximum gap that meets the SLO
 LOWEST_PRIORITY = 9  # the platform's priorities are 0 to 9
 
 
@@ -174,7 +174,9 @@
         """
         connection = await open_target_connection(record.address)
         self._connection = connection
-        connection.silence_timeout_s = self._find_silence_timeout_s(placement)
+        connection.silence_timeout_s = find_answer_timeout_s(
+            self._call, placement
+        )
         connection.find_backlog_s = functools.partial(
             self._find_backlog_s, record.name
         )
@@ -196,22 +198,18 @@
         addresses = [records[part.target].address for part in placement.parts]
         if not placement.reserved_tokens:
             return tuple(PrefillHelper(address) for address in addresses[1:])
-        count = len(placement.reserved_tokens)
         self._reservations = await reserve(
             self._state,
             self._peers,
             self._call.head.request_id,
-            list(
-                zip(addresses[:count], placement.reserved_tokens, strict=True)
-            ),
+            list(zip(addresses, placement.reserved_tokens, strict=False)),
         )
         if self._reservations is None:
             await self._handle_rejection('memory could not be reserved')
             return None
-        unreserved = tuple(
-            PrefillHelper(address) for address in addresses[count:]
-        )
-        return self._reservations.helpers + unreserved
+        unreserved = addresses[len(placement.reserved_tokens) :]
+        helpers = (PrefillHelper(address) for address in unreserved)
+        return *self._reservations.helpers, *helpers
 
     def _make_attempt(
         self, target: str, helpers: tuple[PrefillHelper, ...]
@@ -224,14 +222,6 @@
             last_event=self.progress.last_event,
         )
 
-    def _find_silence_timeout_s(self, placement: Placement) -> float:
-        if self._call.head.prompt_size is None:
-            return PLAIN_SILENCE_TIMEOUT_S
-        return (
-            MINIMUM_SILENCE_TIMEOUT_S
-            + FIRST_EVENT_TIMEOUT_FACTOR * placement.first_event_s
-        )
-
     def _find_backlog_s(self, target: str) -> float:
         load = self._state.loads.get(target)
         return load.estimate_backlog_s(self._state.get_now_s())
@@ -253,9 +243,8 @@
         if head.is_success and not head.is_signed:
             raise AnswerBroken('successful answer without a signature header')
         if head.is_success and self._call.route.kind is CallKind.stream:
-            gap_timeout_s = self._call.route.gap_slo_s * GAP_TIMEOUT_FACTOR
-            connection.silence_timeout_s = max(
-                MINIMUM_SILENCE_TIMEOUT_S, gap_timeout_s
+            connection.silence_timeout_s = find_event_timeout_s(
+                self._call.route
             )
             await self._relay.relay_stream(
                 connection, head, functools.partial(self._record_event, target)
