--- /dev/null
+++ b/tests/soak/test_instances.py
@@ -0,0 +1,53 @@
+"""Tests of the processes that a soak starts."""
+
+import asyncio
+import os
+
+from tests.soak.test_soak import make_plan
+from trefoilhinge.soak.fleets import make_fleet
+from trefoilhinge.soak.plan_execution import execute_event
+from trefoilhinge.soak.plans import FaultKind
+
+WAITING_PROGRAM = ('-c', 'import time; time.sleep(60)')
+
+
+def is_alive(process_id):
+    """Return whether a process exists."""
+    try:
+        os.kill(process_id, 0)
+    except ProcessLookupError:
+        return False
+    return True
+
+
+class TestInstance:
+    def test_overlapping_kills_leave_no_process_behind(
+        self, tmp_path, monkeypatch
+    ):
+        """Guards against a process that outlives the soak.
+
+        Two overlapping kills of one instance both started it again; only the
+        second process was known.
+        """
+        fleet = make_fleet(tmp_path, 200, WAITING_PROGRAM, 1)
+        (instance,) = fleet.instances
+        started = []
+        start = type(instance).start
+
+        def start_and_note(self):
+            start(self)
+            started.append(self._process.pid)
+
+        monkeypatch.setattr(type(instance), 'start', start_and_note)
+        events = make_plan(FaultKind.kill, count=2, duration_s=0.2)
+
+        async def run():
+            instance.start()
+            await asyncio.gather(
+                *(execute_event(fleet, event) for event in events)
+            )
+
+        asyncio.run(run())
+        fleet.close()
+        assert len(started) == 3
+        assert not any(map(is_alive, started))
--- a/trefoilhinge/soak/instances.py
+++ b/trefoilhinge/soak/instances.py
@@ -56,7 +56,12 @@
         return self._process is not None and self._process.poll() is None
 
     def start(self) -> None:
-        """Write the settings file and start the process."""
+        """Write the settings file and start the process, unless it runs.
+
+        Two events of a plan may both start an instance that they have ended.
+        """
+        if self.is_running:
+            return
         path = self.folder / f'{self.name}.json'
         path.write_text(
             formats.encode_settings(
