--- a/trefoilhinge/platform/headers.py
+++ b/trefoilhinge/platform/headers.py
@@ -113,6 +113,8 @@
     ``MAXIMUM_PROMPT_PARTS`` before it are kept, as the first ones are the most
     common. Entries that are malformed count like others.
     """
+    if not value:
+        return ()
     entries = value.lower().split(b',')
     names = [entry.partition(b':')[0].strip() for entry in entries]
     shared = [name for name in names if name][:-1]
