--- a/tests/dispatch/test_quarantine.py
+++ b/tests/dispatch/test_quarantine.py
@@ -32,6 +32,15 @@
         table.record(BAD, 3, 9, 11, probes=MAXIMUM_PROBES)
         assert not table.grant_probe(BAD, 2000)
 
+    def test_wait_until_the_next_probe_is_known(self):
+        entry = make_table().get(BAD)
+        assert entry.estimate_wait_s(10) == PROBE_DELAYS_S[0]
+        assert entry.estimate_wait_s(100) == 0
+        entry.record_probes(1, 100)
+        assert entry.estimate_wait_s(101) == PROBE_DELAYS_S[1] - 1
+        entry.record_probes(MAXIMUM_PROBES, 120)
+        assert entry.estimate_wait_s(1000) is None
+
     def test_unknown_trait_is_not_probed(self):
         assert not QuarantineTable().grant_probe(BAD, 20)
 
--- a/trefoilhinge/dispatch/quarantine.py
+++ b/trefoilhinge/dispatch/quarantine.py
@@ -44,6 +44,12 @@
         """Return whether a probe may be granted."""
         return self.probes < MAXIMUM_PROBES and now_s >= self.next_probe_s
 
+    def estimate_wait_s(self, now_s: float) -> float | None:
+        """Return seconds until the next probe; none if there will be none."""
+        if self.probes >= MAXIMUM_PROBES:
+            return None
+        return max(0, self.next_probe_s - now_s)
+
     def record_probes(self, probes: int, now_s: float) -> None:
         """Record how many probes were granted."""
         if probes <= self.probes:
--- a/trefoilhinge/gateway/quarantine_gate.py
+++ b/trefoilhinge/gateway/quarantine_gate.py
@@ -118,4 +118,6 @@
                 if suspect
                 else None,
             )
-        raise CallFailed(make_quarantine_refusal(self._progress, entries))
+        raise CallFailed(
+            make_quarantine_refusal(self._progress, entries, now_s)
+        )
--- a/trefoilhinge/gateway/refusals.py
+++ b/trefoilhinge/gateway/refusals.py
@@ -2,15 +2,14 @@
 
 from attrs import frozen
 
-from trefoilhinge.dispatch.quarantine import MAXIMUM_PROBES, QuarantinedTrait
+from trefoilhinge.dispatch.quarantine import QuarantinedTrait
 from trefoilhinge.exceptions import TrefoilhingeError
 from trefoilhinge.gateway.progress import CallProgress
 
 INTERNAL_RETRY_AFTER_S = 0.3  # another attempt may not be affected
 BUSY_RETRY_AFTER_S = 0.7  # a short stream ends and frees a slot by then
 NO_TARGET_RETRY_AFTER_S = 1.0  # a target that starts is in the store by then
-# A probe shows within this time whether a request was quarantined wrongly.
-PROBED_RETRY_AFTER_S = 1.5
+PROBE_DURATION_S = 0.5  # until a probe shows whether a quarantine was wrong
 QUARANTINED_RETRY_AFTER_S = 60.0  # nothing is expected to change sooner
 MINIMUM_LIMITED_RETRY_AFTER_S = 0.2  # a limited target changes no sooner
 
@@ -96,13 +95,19 @@
 
 
 def make_quarantine_refusal(
-    progress: CallProgress, entries: list[QuarantinedTrait]
+    progress: CallProgress, entries: list[QuarantinedTrait], now_s: float
 ) -> Refusal:
     """Return the refusal of a call that is kept from all targets.
 
     :param entries: the quarantined traits of the call.
     """
-    may_be_freed = all(entry.probes < MAXIMUM_PROBES for entry in entries)
+    waits_s = [entry.estimate_wait_s(now_s) for entry in entries]
+    retry_after_s = max(
+        QUARANTINED_RETRY_AFTER_S
+        if wait_s is None
+        else wait_s + PROBE_DURATION_S
+        for wait_s in waits_s
+    )
     crashes = max(entry.crashes for entry in entries)
     return Refusal(
         502 if progress.possible_runs else 503,
@@ -110,7 +115,7 @@
         'may_have_run' if progress.possible_runs else 'not_run',
         f'{crashes} targets crashed under requests that have this in common:'
         f' {", ".join(entry.trait for entry in entries)}',
-        PROBED_RETRY_AFTER_S if may_be_freed else QUARANTINED_RETRY_AFTER_S,
+        retry_after_s,
     )
 
 
