Kept announcements from making the last crash look newer.

Each announcement of a quarantined trait added its time on the way to the time of the last crash, so that an answer seen right after the crash could count as older. The time is now taken with the same margin as that of announced limits; the test failed before.

--- a/tests/dispatch/test_crash_evidence.py
+++ b/tests/dispatch/test_crash_evidence.py
@@ -31,7 +31,7 @@
 
 
 class TestSuccession:
-    def test_trait_of_crashes_in_succession_is_convicted(self):
+    def test_trait_of_crashes_in_succession_needs_quarantine(self):
         evidence = CrashEvidence()
         fewer = QUARANTINE_CRASHES - 1
         assert not record_series(evidence, BAD, count=fewer)
@@ -103,8 +103,8 @@
         record_series(evidence, BAD, SHARED, count=2)
         for number in range(5):
             crash = report(f'u{number}', 20 + number, BAD, SHARED)
-            convicted = evidence.record(crash, [BAD])
-            assert [one.trait for one in convicted] == [BAD]
+            found = evidence.record(crash, [BAD])
+            assert [one.trait for one in found] == [BAD]
             witness = report(f'u{number}', 20 + number, SHARED)
             assert not evidence.record(witness)
         assert evidence.get(SHARED).succession == 2
--- a/tests/gateway/test_quarantine.py
+++ b/tests/gateway/test_quarantine.py
@@ -279,7 +279,31 @@
 
         asyncio.run(run())
 
-    def test_announcements_do_not_come_with_each_refusal(self):
+    def test_announcements_do_not_make_a_crash_look_newer(self):
+        """Guards against a quarantine that outlasts what cleared it.
+
+        Each announcement added its time on the way.
+        """
+
+        async def run():
+            async with (
+                run_fleet(m1=stream()) as fleet,
+                run_peers(fleet, 1) as (peer,),
+            ):
+                quarantine(fleet)
+                crashed_s = fleet.state.quarantine.get(TRAIT).crashed_s
+                for one in (fleet, peer) * 3:
+                    for entry in one.state.quarantine.list_all():
+                        entry.announced_s = float('-inf')
+                    await one.call(X_Prompt_Prefix=PREFIX)
+                    await asyncio.sleep(0.02)
+                for one in (fleet, peer):
+                    entry = one.state.quarantine.get(TRAIT)
+                    assert entry.crashed_s <= crashed_s
+
+        asyncio.run(run())
+
+    def test_announcements_do_not_come_come_with_each_refusal(self):
         async def run():
             async with (
                 run_fleet(m1=stream()) as fleet,
--- a/trefoilhinge/dispatch/crash_evidence.py
+++ b/trefoilhinge/dispatch/crash_evidence.py
@@ -82,7 +82,7 @@
         return sum(self.targets.values())
 
     @property
-    def is_convicted(self) -> bool:
+    def needs_quarantine(self) -> bool:
         """Return whether the trait is to be quarantined."""
         if self.succession >= QUARANTINE_CRASHES:
             return True
@@ -154,7 +154,7 @@
                 suspect = Suspect(trait, report.organisation)
                 self._suspects[trait] = suspect
             suspect.record(report)
-            if suspect.is_convicted:
+            if suspect.needs_quarantine:
                 found.append(suspect)
         return found
 
--- a/trefoilhinge/dispatch/message_checks.py
+++ b/trefoilhinge/dispatch/message_checks.py
@@ -4,6 +4,9 @@
 
 # Longest duration that a message may state, and the largest factor.
 MAXIMUM_DURATION_S = 3_600.0
+# Subtracted from the time of what a peer announced, so that the time on the way
+# never makes it look newer than it is.
+MAXIMUM_TRANSIT_S = 0.1
 
 
 def check_range(number: float) -> float:
--- a/trefoilhinge/dispatch/permit_codec.py
+++ b/trefoilhinge/dispatch/permit_codec.py
@@ -2,6 +2,7 @@
 
 from trefoilhinge.dispatch.message_checks import (
     MAXIMUM_DURATION_S,
+    MAXIMUM_TRANSIT_S,
     check_origin,
     check_range,
 )
@@ -22,9 +23,6 @@
 )
 
 PERMIT_KINDS = frozenset('toqd')
-# Subtracted from the time of a limit that a peer announced, so that the time
-# on the way never makes it look newer than it is.
-MAXIMUM_TRANSIT_S = 0.1
 
 
 def list_permit_fields(message: PermitMessage) -> list[object]:
--- a/trefoilhinge/gateway/quarantine.py
+++ b/trefoilhinge/gateway/quarantine.py
@@ -13,6 +13,7 @@
 
 from trefoilhinge.dispatch.calls import Call
 from trefoilhinge.dispatch.crash_evidence import CrashReport, Suspect
+from trefoilhinge.dispatch.message_checks import MAXIMUM_TRANSIT_S
 from trefoilhinge.dispatch.messages import (
     Message,
     QuarantineMessage,
@@ -196,7 +197,7 @@
         """Adopt a quarantine unless the trait was cleared meanwhile."""
         state = self._state
         now_s = state.get_now_s()
-        crashed_s = now_s - message.crashed_age_s
+        crashed_s = now_s - message.crashed_age_s - MAXIMUM_TRANSIT_S
         cleared_s = state.crash_evidence.find_cleared_s(message.trait)
         if cleared_s >= crashed_s:
             self.broadcast(TraitsCleared((message.trait,), now_s - cleared_s))
