Let requests crash targets in the soak.

For a time, calls with one part in their prompts, or one request of one caller, end the target that begins to run them: its connections are reset and new ones refused, until it starts again 1.5 s later. Judged from outside: CRASH, if more than three such requests reach targets later than 3 s after the fifth crash of a part or the third of a request. A broken variant, in which each instance counts the crashes that it sees alone, is found with both kinds.

--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -4,6 +4,7 @@
 
 from trefoilhinge.soak.commands import SoakRequest, run_soak
 from trefoilhinge.soak.plans import (
+    CrashKind,
     FaultKind,
     MaintenanceKind,
     NeedKind,
@@ -75,6 +76,17 @@
         assert 'LIMIT' in violated
         assert soak(tmp_path, 108, plan, seconds=12) == set()
 
+    @pytest.mark.parametrize(
+        ('kind', 'seed'), [(CrashKind.part, 110), (CrashKind.request, 112)]
+    )
+    def test_crashes_that_each_instance_counts_alone(
+        self, tmp_path, kind, seed
+    ):
+        plan = (PlannedEvent(0.5, 12, kind, 0.1),)
+        violated = soak(tmp_path, seed, plan, 'count_crashes_alone', seconds=13)
+        assert 'CRASH' in violated
+        assert soak(tmp_path, seed + 1, plan, seconds=13) == set()
+
     def test_stop_that_aborts_calls(self, tmp_path):
         plan = make_plan(MaintenanceKind.stop, count=4)
         assert 'CUT_AT_STOP' in soak(tmp_path, 106, plan, 'stop_at_once')
--- a/tests/soak/variants.py
+++ b/tests/soak/variants.py
@@ -4,7 +4,14 @@
 import sys
 
 from trefoilhinge.dispatch import permit_buckets
-from trefoilhinge.gateway import answer_relay, attempts, daemon, permits, state
+from trefoilhinge.gateway import (
+    answer_relay,
+    attempts,
+    daemon,
+    permits,
+    quarantine,
+    state,
+)
 from trefoilhinge.gateway.refusals import Refusal
 from trefoilhinge.gateway.reservations import Reservations
 from trefoilhinge.gateway.target_connections import AnswerBroken
@@ -60,6 +67,11 @@
     permit_buckets.PermitBucket.charge = lambda self, key, now_s: None
 
 
+def count_crashes_alone():
+    """Let each instance count the crashes that it sees, and no others."""
+    quarantine.Quarantine.apply_message = lambda self, message, ip: None
+
+
 def stop_at_once():
     """Exit at the order to stop, without draining."""
 
--- a/trefoilhinge/platform/standins/formats.py
+++ b/trefoilhinge/platform/standins/formats.py
@@ -24,10 +24,12 @@
 
     :ivar last_event: number of the last event that the caller received, zero
         if none.
+    :ivar prompt_parts: identifiers of all parts of the prompt.
     """
 
     request_id: str
     last_event: int
+    prompt_parts: tuple[str, ...] = ()
 
 
 @frozen
@@ -205,10 +207,18 @@
     return list({**defaults, **added}.items())
 
 
+def encode_prompt_parts(parts: Mapping[str, int]) -> str:
+    """Encode the parts of a prompt, identifiers and token counts."""
+    return ','.join(f'{name}:{tokens}' for name, tokens in parts.items())
+
+
 def decode_request_headers(headers: Mapping[str, str]) -> ReceivedRequest:
     """Decode the request headers that a target evaluates."""
+    entries = headers.get('x-prompt-prefix', '').split(',')
     return ReceivedRequest(
-        headers.get('x-request-id', ''), int(headers.get('last-event-id', 0))
+        headers.get('x-request-id', ''),
+        int(headers.get('last-event-id', 0)),
+        tuple(entry.partition(':')[0] for entry in entries),
     )
 
 
--- a/trefoilhinge/soak/callers.py
+++ b/trefoilhinge/soak/callers.py
@@ -10,6 +10,7 @@
 from attrs import define, field
 
 from trefoilhinge.platform.standins import formats
+from trefoilhinge.soak.crashes import CrashSource
 from trefoilhinge.soak.instances import Instance
 from trefoilhinge.soak.observations import (
     CallKind,
@@ -29,6 +30,7 @@
     '300000,1300',
 )
 READ_BYTES = 65_536
+SHARED_TOKENS = 40  # of each part that a prompt names
 SERVED_STATUS = 200
 
 _numbers = itertools.count(1)
@@ -41,6 +43,8 @@
     :ivar key: API key of the caller.
     :ivar get_key_revoked_s: returns the time at which the key was revoked, in
         seconds of the monotonic clock, none if it is valid.
+    :ivar get_crash_source: returns what crashes targets at present, if
+        anything does.
     :ivar stop_requested: whether to stop after the current call.
     """
 
@@ -49,6 +53,7 @@
     observations: ObservationLog
     random_source: random.Random
     get_key_revoked_s: Callable[[], float | None]
+    get_crash_source: Callable[[], CrashSource | None]
     stop_requested: bool = False
     _connections: dict[
         str, tuple[asyncio.StreamReader, asyncio.StreamWriter]
@@ -74,6 +79,11 @@
         if connection is None:
             return False
         kind = self.random_source.choice(list(CallKind))
+        source = self.get_crash_source()
+        if source is not None and not source.draw(self.key, self.random_source):
+            source = None
+        if source is not None:
+            kind = source.call_kind
         call = ObservedCall(
             request_id=f'{self.key}-{next(_numbers)}',
             kind=kind,
@@ -85,7 +95,7 @@
         self.observations.calls.append(call)
         try:
             async with asyncio.timeout(DEADLINE_S + RESPONSE_GRACE_S):
-                await self._exchange(connection, call)
+                await self._exchange(connection, call, source)
         except (OSError, TimeoutError, h11.ProtocolError):
             call.is_complete = False
         call.ended_s = time.monotonic()
@@ -113,6 +123,7 @@
         self,
         connection: tuple[asyncio.StreamReader, asyncio.StreamWriter],
         call: ObservedCall,
+        source: CrashSource | None,
     ) -> None:
         reader, writer = connection
         parser = h11.Connection(h11.CLIENT)
@@ -121,13 +132,16 @@
             sizes = {
                 'X_Token_Count': self.random_source.choice(TOKEN_COUNTS),
                 'X_Model': 'm',
+                'X_Prompt_Prefix': self._encode_prompt(call, source),
             }
+        is_bad_request = source is not None and not sizes
+        name = source.trait.name if source and is_bad_request else '1'
         headers = formats.encode_caller_headers(
             call.request_id, self.key, call.deadline_s, **sizes
         )
         request = h11.Request(
             method='GET' if call.kind is CallKind.idempotent else 'POST',
-            target=f'/{call.kind.value}/1',
+            target=f'/{call.kind.value}/{name}',
             headers=[*headers, ('Content-Length', '0')],
         )
         writer.write(parser.send(request) or b'')
@@ -136,6 +150,17 @@
         if parser.their_state is not h11.DONE:
             self._close_connection(call.instance)
 
+    def _encode_prompt(
+        self, call: ObservedCall, source: CrashSource | None
+    ) -> str:
+        """Encode a prompt that shares parts with others."""
+        parts = {'shared': SHARED_TOKENS, self.key: SHARED_TOKENS}
+        if source is not None:
+            parts[source.trait.name] = SHARED_TOKENS
+        return formats.encode_prompt_parts(
+            {**parts, call.request_id: SHARED_TOKENS}
+        )
+
     async def _read_answer(
         self,
         parser: h11.Connection,
--- a/trefoilhinge/soak/commands.py
+++ b/trefoilhinge/soak/commands.py
@@ -198,4 +198,5 @@
             fleet.observations,
             random.Random(seed * len(fleet.keys) + number),
             functools.partial(fleet.revoked_keys.get, key),
+            fleet.find_crash_source,
         )
--- a/trefoilhinge/soak/fleets.py
+++ b/trefoilhinge/soak/fleets.py
@@ -1,5 +1,6 @@
 """Instances, stand-ins and proxies of one soak."""
 
+import asyncio
 import pathlib
 import time
 
@@ -7,6 +8,7 @@
 
 from trefoilhinge.platform import store
 from trefoilhinge.platform.standins import formats
+from trefoilhinge.soak.crashes import CrashSource
 from trefoilhinge.soak.instances import PROGRAM, Instance
 from trefoilhinge.soak.observations import ObservationLog
 from trefoilhinge.soak.proxies import Proxy
@@ -19,6 +21,7 @@
 CALLER_KEYS = 6
 REVOCABLE_KEYS = 2  # may be revoked in a soak, each with a caller of its own
 FIRST_PORT = 21_000
+RESTART_S = 1.5  # of a target that has crashed
 PORTS_EACH = 30
 
 
@@ -29,6 +32,7 @@
     :ivar proxies: proxies of the targets, in their order.
     :ivar keys: organisation of each valid API key.
     :ivar version: version of the latest document.
+    :ivar crash_source: what crashes targets at present, if anything does.
     :ivar revoked_keys: time at which each key was revoked, in seconds of the
         monotonic clock.
     """
@@ -41,6 +45,8 @@
     proxies: list[Proxy]
     keys: dict[str, str]
     version: int = 1
+    crash_source: CrashSource | None = None
+    _restarts: dict[str, asyncio.Task[None]] = field(factory=dict)
     revoked_keys: dict[str, float] = field(factory=dict)
 
     async def start(self) -> None:
@@ -48,6 +54,8 @@
         await self.store.start()
         await self.store_proxy.start()
         for proxy, target in zip(self.proxies, self.targets, strict=True):
+            target.get_crash_source = self.find_crash_source
+            target.on_crash = self.crash_target
             await target.start()
             await proxy.start()
             self.put_target(target, is_leaving=False)
@@ -71,10 +79,36 @@
             f'{listen[0]}:{listen[1]}',
             target.service,
             is_leaving=is_leaving,
+            born=target.started_ms,
         )
         if is_leaving:
             self.observations.leaving_since_s[target.name] = time.monotonic()
 
+    def find_crash_source(self) -> CrashSource | None:
+        """Return what crashes targets at present, if anything does."""
+        return self.crash_source
+
+    def crash_target(self, target: SoakTarget, source: CrashSource) -> None:
+        """Let a target end with all its connections, and start again."""
+        address = f'{target.address}'
+        if address in self._restarts:
+            return
+        target.crashed_s = time.monotonic()
+        target.requests_per_s = None
+        target.reservations.clear()
+        source.trait.crashes_s.append(target.crashed_s)
+        self.proxies[self.targets.index(target)].stop()
+        restart = asyncio.ensure_future(self._restart_target(target))
+        self._restarts[address] = restart
+        restart.add_done_callback(lambda _: self._restarts.pop(address))
+
+    async def _restart_target(self, target: SoakTarget) -> None:
+        await asyncio.sleep(RESTART_S)
+        await self.proxies[self.targets.index(target)].start()
+        target.started_ms = int(time.time() * formats.MS_PER_S)
+        if target.name not in self.observations.leaving_since_s:
+            self.put_target(target, is_leaving=False)
+
     def revoke_key(self, key: str) -> None:
         """Revoke an API key, unless it is revoked already."""
         if self.keys.pop(key, None) is not None:
@@ -82,7 +116,9 @@
             self.revoked_keys[key] = time.monotonic()
 
     def close(self) -> None:
-        """Kill all instances."""
+        """Kill all instances, and leave crashed targets down."""
+        for restart in self._restarts.values():
+            restart.cancel()
         for instance in self.instances:
             instance.kill()
 
--- a/trefoilhinge/soak/observations.py
+++ b/trefoilhinge/soak/observations.py
@@ -16,6 +16,12 @@
 LIMIT_WINDOW_S = 4.0
 LIMIT_FACTOR = 1.5  # times the requests that the limit allows in a window
 LIMIT_SLACK = 5  # requests on top of that
+# Crashes after which requests with a part, or one request, are to be kept from
+# targets, from a time on and but for a few.
+PART_CRASHES = 5
+REQUEST_CRASHES = 3
+CRASH_STABLE_S = 3.0
+CRASH_ALLOWED = 3
 SUCCESS_STATUSES = range(200, 300)
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 
@@ -54,6 +60,23 @@
     end_s: float
 
 
+@define
+class CrashingTrait:
+    """What requests have in common that crash targets.
+
+    :ivar name: part of prompts, or path of a request.
+    :ivar free_crashes: crashes after which such requests are to be kept from
+        targets.
+    :ivar crashes_s: times of the crashes.
+    :ivar arrivals_s: times at which such requests reached targets.
+    """
+
+    name: str
+    free_crashes: int
+    crashes_s: list[float] = field(factory=list)
+    arrivals_s: list[float] = field(factory=list)
+
+
 @define
 class ObservedCall:
     """One call as observed by its caller.
@@ -102,6 +125,10 @@
     - ``LIMIT``: a target got more requests than the limit that it had named
       allows, from all instances together, with no instance killed or paused
       meanwhile or shortly before.
+    - ``CRASH``: requests that crash targets reached more than
+      ``CRASH_ALLOWED`` of them, later than ``CRASH_STABLE_S`` after they had
+      crashed ``PART_CRASHES`` or ``REQUEST_CRASHES``. Those do not count that
+      arrived while an instance was killed or paused, or shortly after.
 
     ``LATE``, ``CUT_AT_STOP``, ``REVOKED`` and ``LEAVING`` are not checked for
     periods that a fault overlaps or that begin within ``RECOVERY_S`` after one.
@@ -127,6 +154,7 @@
         it.
     :ivar limits: limits that targets named.
     :ivar instance_faults: start and end of each kill and pause of an instance.
+    :ivar crashing_traits: what crashed targets, each for a time.
     """
 
     calls: list[ObservedCall] = field(factory=list)
@@ -137,6 +165,7 @@
     arrivals: list[tuple[int, float]] = field(factory=list)
     limits: list[ObservedLimit] = field(factory=list)
     instance_faults: list[tuple[float, float]] = field(factory=list)
+    crashing_traits: list[CrashingTrait] = field(factory=list)
 
     def find_violations(self) -> list[Violation]:
         """Return all violations of the invariants."""
@@ -164,8 +193,24 @@
             for limit in self.limits
             for detail in self._list_excesses(limit)
         )
+        violations.extend(
+            Violation('CRASH', trait.name, f'{count} requests came late')
+            for trait in self.crashing_traits
+            if (count := self._count_late(trait)) > CRASH_ALLOWED
+        )
         return violations
 
+    def _count_late(self, trait: CrashingTrait) -> int:
+        """Return the requests that had to be kept from targets."""
+        crashes_s = sorted(trait.crashes_s)
+        if len(crashes_s) < trait.free_crashes:
+            return 0
+        begin_s = crashes_s[trait.free_crashes - 1] + CRASH_STABLE_S
+        return sum(
+            at_s > begin_s and self._are_instances_sound(at_s, at_s)
+            for at_s in trait.arrivals_s
+        )
+
     def _list_excesses(self, limit: ObservedLimit) -> list[str]:
         """Return the first window in which a target got too many requests."""
         allowed = (
--- a/trefoilhinge/soak/plan_execution.py
+++ b/trefoilhinge/soak/plan_execution.py
@@ -6,10 +6,17 @@
 import time
 
 from trefoilhinge.platform.store import TARGET_PREFIX
+from trefoilhinge.soak.crashes import CrashSource
 from trefoilhinge.soak.fleets import CALLER_KEYS, SoakFleet
 from trefoilhinge.soak.instances import Instance
-from trefoilhinge.soak.observations import ObservedLimit
+from trefoilhinge.soak.observations import (
+    PART_CRASHES,
+    REQUEST_CRASHES,
+    CrashingTrait,
+    ObservedLimit,
+)
 from trefoilhinge.soak.plans import (
+    CrashKind,
     FaultKind,
     MaintenanceKind,
     NeedKind,
@@ -45,6 +52,9 @@
     if isinstance(event.kind, NeedKind):
         await _name_limit(fleet, event)
         return
+    if isinstance(event.kind, CrashKind):
+        await _crash_targets(fleet, event, event.kind)
+        return
     begin_s = time.monotonic()
     # Until its end is known, the fault exempts all later observations.
     fleet.observations.faults.append((begin_s, float('inf')))
@@ -70,11 +80,32 @@
     target.requests_per_s = rate
     await asyncio.sleep(event.duration_s)
     target.requests_per_s = None
+    end_s = time.monotonic()
+    if target.crashed_s > begin_s:
+        # Its next incarnation names no limit.
+        end_s = target.crashed_s
     fleet.observations.limits.append(
-        ObservedLimit(target.address[1], rate, begin_s, time.monotonic())
+        ObservedLimit(target.address[1], rate, begin_s, end_s)
     )
 
 
+async def _crash_targets(
+    fleet: SoakFleet, event: PlannedEvent, kind: CrashKind
+) -> None:
+    """Let some requests crash targets for a time."""
+    traits = fleet.observations.crashing_traits
+    is_part = kind is CrashKind.part
+    trait = CrashingTrait(
+        f'bad{len(traits)}', PART_CRASHES if is_part else REQUEST_CRASHES
+    )
+    traits.append(trait)
+    keys = sorted(fleet.keys)
+    key = keys[int(event.selector * len(keys))]
+    fleet.crash_source = CrashSource(kind, trait, key)
+    await asyncio.sleep(event.duration_s)
+    fleet.crash_source = None
+
+
 async def _inject_fault(fleet: SoakFleet, event: PlannedEvent) -> None:
     kind = event.kind
     proxies = [*fleet.proxies, fleet.store_proxy]
--- a/trefoilhinge/soak/plans.py
+++ b/trefoilhinge/soak/plans.py
@@ -14,6 +14,9 @@
 # Durations of limits: longer than the time in which they need not hold yet.
 LIMIT_DURATIONS_S = (8.0, 12.0)
 LIMIT_INTERVALS_S = (4.0, 9.0)  # between two targets that name a limit
+# Of requests that crash targets: longer than these may reach any.
+CRASH_DURATIONS_S = (9.0, 12.0)
+CRASH_PAUSES_S = (3.0, 9.0)  # between the end of one kind and the next
 
 
 class FaultKind(enum.Enum):
@@ -52,17 +55,28 @@
     name_limit = 'name_limit'
 
 
-EventKind = FaultKind | MaintenanceKind | NeedKind
+class CrashKind(enum.Enum):
+    """What the requests have in common that crash targets for a time.
+
+    The requests are new ones with one part in their prompts, or one request of
+    one caller that comes again.
+    """
+
+    part = 'part'
+    request = 'request'
+
+
+EventKind = FaultKind | MaintenanceKind | NeedKind | CrashKind
 
 
 @frozen
 class PlannedEvent:
-    """One fault or maintenance action of a plan, or one need of a target.
+    """One event of a plan.
 
     :ivar at_s: seconds from the start of traffic.
     :ivar duration_s: seconds until a fault is undone.
     :ivar selector: number in [0, 1) that selects the affected instance,
-        target or proxy.
+        target, proxy or caller.
     """
 
     at_s: float
@@ -94,9 +108,9 @@
         at_s += float(generator.uniform(*EVENT_INTERVALS_S))
         if len(events) % EVENTS_PER_ROUND == 0:
             at_s += ROUND_PAUSE_S
-    return sorted(
-        [*events, *_generate_limits(seed, seconds)], key=lambda one: one.at_s
-    )
+    events.extend(_generate_limits(seed, seconds))
+    events.extend(_generate_crashes(seed, seconds))
+    return sorted(events, key=lambda one: one.at_s)
 
 
 def _generate_limits(seed: int, seconds: float) -> list[PlannedEvent]:
@@ -119,3 +133,22 @@
         )
         at_s += float(generator.uniform(*LIMIT_INTERVALS_S))
     return events
+
+
+def _generate_crashes(seed: int, seconds: float) -> list[PlannedEvent]:
+    """Return the times in which requests crash targets.
+
+    They have random numbers of their own, as limits do.
+    """
+    generator = np.random.default_rng((seed, 2))
+    kinds = list(CrashKind)
+    events: list[PlannedEvent] = []
+    at_s = float(generator.uniform(*CRASH_PAUSES_S))
+    while at_s < seconds:
+        duration_s = float(generator.uniform(*CRASH_DURATIONS_S))
+        kind = kinds[int(generator.integers(len(kinds)))]
+        events.append(
+            PlannedEvent(at_s, duration_s, kind, float(generator.uniform()))
+        )
+        at_s += duration_s + float(generator.uniform(*CRASH_PAUSES_S))
+    return events
--- a/trefoilhinge/soak/proxies.py
+++ b/trefoilhinge/soak/proxies.py
@@ -45,6 +45,12 @@
             self._handle_connection, *self.listen
         )
 
+    def stop(self) -> None:
+        """Refuse connections and reset all that are open."""
+        if self._server is not None:
+            self._server.close()
+        self.reset()
+
     def reset(self) -> None:
         """Reset all open connections."""
         for writer in tuple(self._writers):
--- a/trefoilhinge/soak/targets.py
+++ b/trefoilhinge/soak/targets.py
@@ -3,12 +3,14 @@
 import asyncio
 import enum
 import time
+from collections.abc import Callable
 
 from attrs import define, field
 
 from trefoilhinge.dispatch.settings import Address
 from trefoilhinge.platform.reservations import ORDER_PATH
 from trefoilhinge.platform.standins import formats
+from trefoilhinge.soak.crashes import CrashSource
 from trefoilhinge.soak.observations import (
     RELEASE_TIMEOUT_S,
     CallKind,
@@ -48,6 +50,11 @@
 
     :ivar service: service that its entry in the store names.
     :ivar requests_per_s: limit that its answers name, none if it has none.
+    :ivar started_ms: wall-clock milliseconds of its start.
+    :ivar crashed_s: time of its last crash.
+    :ivar get_crash_source: returns what crashes targets at present, if
+        anything does.
+    :ivar on_crash: called when a request crashes the target.
     :ivar reservations: expiry time of each reservation, in seconds of the
         monotonic clock.
     """
@@ -58,6 +65,10 @@
     observations: ObservationLog
     behaviour: TargetBehaviour = TargetBehaviour.sound
     requests_per_s: float | None = None
+    started_ms: int = 1000
+    crashed_s: float = float('-inf')
+    get_crash_source: Callable[[], CrashSource | None] = lambda: None
+    on_crash: Callable[['SoakTarget', CrashSource], None] | None = None
     reservations: dict[str, float] = field(factory=dict)
     _server: asyncio.Server | None = None
 
@@ -90,6 +101,7 @@
             await self._handle_order(request)
             return
         received = formats.decode_request_headers(request.headers)
+        source = self._find_crash_source(request, received)
         if self.behaviour is TargetBehaviour.full:
             await request.respond(
                 UNAVAILABLE_STATUS,
@@ -98,6 +110,9 @@
             )
             return
         self._record_run(received)
+        if source is not None and self.behaviour is not TargetBehaviour.mute:
+            await self._crash(request, source)
+            return
         kind = CallKind(request.path.split('/')[1])
         if (
             kind is CallKind.stream
@@ -107,6 +122,25 @@
         else:
             await self._serve_plain(request, received, kind)
 
+    def _find_crash_source(
+        self, request: HttpExchange, received: formats.ReceivedRequest
+    ) -> CrashSource | None:
+        source = self.get_crash_source()
+        if source is None or not source.matches(request.path, received):
+            return None
+        source.trait.arrivals_s.append(time.monotonic())
+        return source
+
+    async def _crash(self, request: HttpExchange, source: CrashSource) -> None:
+        """Begin to run a request, and crash."""
+        await asyncio.sleep(PLAIN_CALL_S)
+        if source.call_kind is CallKind.stream:
+            await request.send_headers(
+                200, [formats.SEAL_HEADER, formats.EVENT_STREAM_HEADER]
+            )
+        if self.on_crash is not None:
+            self.on_crash(self, source)
+
     async def _serve_plain(
         self,
         request: HttpExchange,
