Granted fewer probes soon after a start.

A restart of all instances forgets which traits were quarantined and how often they were probed, so that each restart granted two probes more of the same trait; the users allow three requests over the whole fleet. Instances that have run for less than a minute assume one probe.

--- a/tests/gateway/test_quarantine.py
+++ b/tests/gateway/test_quarantine.py
@@ -250,6 +250,24 @@
         asyncio.run(run())
 
 
+class TestRestartOfAll:
+    @pytest.mark.parametrize(('age_s', 'probes'), [(10, 1), (100, 0)])
+    def test_young_instances_grant_fewer_probes(self, age_s, probes):
+        """Guards against probes that each restart of all grants anew."""
+        targets = CrashingFleet(lambda exchange: True)
+
+        async def run():
+            handlers = targets.make_handlers('m1', 'm2', 'm3', 'm4')
+            async with run_fleet(**handlers) as fleet:
+                targets.fleet = fleet
+                fleet.state.started_s = fleet.state.get_now_s() - age_s
+                for number in range(3):
+                    await call_bad(fleet, number)
+                assert fleet.state.quarantine.get(TRAIT).probes == probes
+
+        asyncio.run(run())
+
+
 class TestPeers:
     def test_instance_that_starts_is_told(self):
         async def run():
--- a/trefoilhinge/gateway/quarantine.py
+++ b/trefoilhinge/gateway/quarantine.py
@@ -31,6 +31,10 @@
 from trefoilhinge.gateway.state import GatewayState
 
 REPEAT_DELAY_S = 0.3  # of a report, as the first may be lost
+# An instance that runs for less may have lost, in a restart of all instances,
+# that the trait was quarantined and probed before.
+FORGETFUL_S = 60.0
+PROBES_FORGOTTEN = 1
 
 Send = Callable[[Message], None]
 
@@ -169,10 +173,16 @@
                 len(suspect.targets),
                 suspect.crashed_s,
                 state.get_now_s(),
+                self._count_forgotten_probes(),
             )
             if is_new:
                 self._announce_quarantine(suspect, ip)
 
+    def _count_forgotten_probes(self) -> int:
+        """Return the probes to assume for a trait that was not known."""
+        runs_s = self._state.get_now_s() - self._state.started_s
+        return PROBES_FORGOTTEN if runs_s < FORGETFUL_S else 0
+
     def _announce_quarantine(self, suspect: Suspect, ip: str) -> None:
         """Announce a trait that this instance has quarantined.
 
