--- a/trefoilhinge/dispatch/crash_evidence.py
+++ b/trefoilhinge/dispatch/crash_evidence.py
@@ -126,6 +126,10 @@
         """Return what is known of a trait, if it is suspected."""
         return self._suspects.get(trait)
 
+    def count(self) -> int:
+        """Return the number of suspects."""
+        return len(self._suspects)
+
     def list_suspects(self) -> list[Suspect]:
         """Return all suspects, those with most crashes first."""
         return sorted(self._suspects.values(), key=_get_weight, reverse=True)
--- a/trefoilhinge/dispatch/quarantine.py
+++ b/trefoilhinge/dispatch/quarantine.py
@@ -80,6 +80,10 @@
             self._entries[trait] for trait in traits if trait in self._entries
         ]
 
+    def count(self) -> int:
+        """Return the number of quarantined traits."""
+        return len(self._entries)
+
     def list_all(self) -> list[QuarantinedTrait]:
         """Return all entries, by trait."""
         return sorted(self._entries.values(), key=lambda entry: entry.trait)
--- a/trefoilhinge/gateway/quarantine.py
+++ b/trefoilhinge/gateway/quarantine.py
@@ -31,10 +31,10 @@
 from trefoilhinge.gateway.state import GatewayState
 
 REPEAT_DELAY_S = 0.3  # of a report, as the first may be lost
-# An instance that runs for less may have lost, in a restart of all instances,
-# that the trait was quarantined and probed before.
-FORGETFUL_S = 60.0
-PROBES_FORGOTTEN = 1
+# A restart of all instances forgets which traits were quarantined and probed, so
+# instances that have run for less time assume that a new trait was probed.
+YOUNG_INSTANCE_S = 60.0
+ASSUMED_PROBES = 1
 
 Send = Callable[[Message], None]
 
@@ -134,11 +134,9 @@
         for entry in state.quarantine.expire(state.get_now_s()):
             state.log.write('trait_freed', trait=entry.trait, reason='expired')
         state.metrics.set_gauge(
-            'traits_suspected', len(state.crash_evidence.list_suspects())
-        )
-        state.metrics.set_gauge(
-            'traits_quarantined', len(state.quarantine.list_all())
+            'traits_suspected', state.crash_evidence.count()
         )
+        state.metrics.set_gauge('traits_quarantined', state.quarantine.count())
 
     def close(self) -> None:
         """Cancel all timers."""
@@ -168,20 +166,21 @@
             entry.crashed_s = max(entry.crashed_s, report.crashed_s)
             known.append(entry.trait)
         for suspect in state.crash_evidence.record(report, known):
-            is_new = state.quarantine.record(
+            is_new = state.quarantine.get(suspect.trait) is None
+            state.quarantine.record(
                 suspect.trait,
                 len(suspect.targets),
                 suspect.crashed_s,
                 state.get_now_s(),
-                self._count_forgotten_probes(),
+                self._assume_probes() if is_new else 0,
             )
             if is_new:
                 self._announce_quarantine(suspect, ip)
 
-    def _count_forgotten_probes(self) -> int:
-        """Return the probes to assume for a trait that was not known."""
+    def _assume_probes(self) -> int:
+        """Return the probes that a new trait may have had before."""
         runs_s = self._state.get_now_s() - self._state.started_s
-        return PROBES_FORGOTTEN if runs_s < FORGETFUL_S else 0
+        return ASSUMED_PROBES if runs_s < YOUNG_INSTANCE_S else 0
 
     def _announce_quarantine(self, suspect: Suspect, ip: str) -> None:
         """Announce a trait that this instance has quarantined.
