--- a/trefoilhinge/gateway/quarantine.py
+++ b/trefoilhinge/gateway/quarantine.py
@@ -31,8 +31,8 @@
 from trefoilhinge.gateway.state import GatewayState
 
 REPEAT_DELAY_S = 0.3  # of a report, as the first may be lost
-# A restart of all instances forgets which traits were quarantined and probed, so
-# instances that have run for less time assume that a new trait was probed.
+# A restart of all instances forgets which traits were probed, so instances that
+# have run for less time assume that a new trait was.
 YOUNG_INSTANCE_S = 60.0
 ASSUMED_PROBES = 1
 
