Logged when a target of the service was last reached.

An offer_unreachable line did not tell an instance that is cut off from one that met a single target that is gone. It now says how long ago any target of the service accepted a connection. No behaviour changes.

--- a/tests/gateway/fleets.py
+++ b/tests/gateway/fleets.py
@@ -12,6 +12,7 @@
     make_host,
     make_settings,
 )
+from tests.gateway.partitions import start_gateway
 from tests.gateway.stores import StoreStandIn
 from tests.gateway.targets import TargetStandIn
 from trefoilhinge.gateway.daemon import Gateway, make_gateway
@@ -137,7 +138,7 @@
     settings = make_settings(store.port)
     gateway = make_gateway(settings)
     fleet = Fleet(store, targets, gateway, settings)
-    task = asyncio.ensure_future(gateway.run())
+    task = start_gateway(gateway)
     try:
         if has_document:
             await fleet.wait_for(
@@ -169,7 +170,7 @@
         )
         for number in range(count)
     ]
-    tasks = [asyncio.ensure_future(one.run()) for one in gateways]
+    tasks = [start_gateway(one) for one in gateways]
     try:
         await fleet.wait_for(
             lambda: all(
--- /dev/null
+++ b/tests/gateway/partitions.py
@@ -0,0 +1,100 @@
+"""Partitions between instances of a test process and their targets."""
+
+import asyncio
+import contextlib
+import contextvars
+import enum
+from unittest import mock
+
+from attrs import define, field
+
+# Address of the instance whose task runs; tasks inherit it.
+INSTANCE = contextvars.ContextVar('INSTANCE', default='')
+FOREVER_S = 3600
+
+
+def start_gateway(gateway):
+    """Run an instance in a context that names it."""
+    context = contextvars.copy_context()
+    context.run(INSTANCE.set, gateway._state.settings.ip)
+    loop = asyncio.get_running_loop()
+    return loop.create_task(gateway.run(), context=context)
+
+
+class CutKind(enum.Enum):
+    """What becomes of an instance's connections to targets."""
+
+    hang = 'hang'
+    reset = 'reset'
+    refuse_new = 'refuse_new'
+
+
+@define
+class Partition:
+    """Partitions instances from targets.
+
+    :ivar cuts: kind of cut, by address of the instance.
+    :ivar spared: addresses of targets that cut instances still reach.
+    :ivar opened: connections that each instance tried to open to targets.
+    """
+
+    targets: set
+    open_connection: object
+    cuts: dict = field(factory=dict)
+    spared: set = field(factory=set)
+    opened: dict = field(factory=dict)
+    _writers: list = field(factory=list)
+    _paused: list = field(factory=list)
+
+    def cut(self, kind, *ips):
+        """Cut instances off from all targets."""
+        for ip in ips:
+            self.cuts[ip] = kind
+            for owner, address, writer in self._writers:
+                if owner == ip and address not in self.spared:
+                    self._break(kind, writer)
+
+    def heal(self, *ips):
+        """End the cuts of instances."""
+        for ip in ips:
+            self.cuts.pop(ip)
+        for transport in self._paused:
+            transport.resume_reading()
+        self._paused.clear()
+
+    async def open(self, host, port, **options):
+        """Open a connection, unless the instance is cut off."""
+        ip = INSTANCE.get()
+        address = (host, port)
+        if not ip or address not in self.targets:
+            return await self.open_connection(host, port, **options)
+        self.opened[ip] = self.opened.get(ip, 0) + 1
+        kind = None if address in self.spared else self.cuts.get(ip)
+        if kind is CutKind.hang:
+            await asyncio.sleep(FOREVER_S)
+        if kind is not None:
+            raise ConnectionRefusedError('partitioned')
+        reader, writer = await self.open_connection(host, port, **options)
+        self._writers.append((ip, address, writer))
+        return reader, writer
+
+    def _break(self, kind, writer):
+        if writer.transport.is_closing():
+            return
+        if kind is CutKind.hang:
+            writer.transport.pause_reading()
+            self._paused.append(writer.transport)
+        elif kind is CutKind.reset:
+            writer.transport.abort()
+
+
+@contextlib.contextmanager
+def partition(fleet):
+    """Let a test cut the instances of a fleet off from its targets."""
+    targets = {
+        (target.address.partition(':')[0], target.port)
+        for target in fleet.targets.values()
+    }
+    cut = Partition(targets, asyncio.open_connection)
+    with mock.patch.object(asyncio, 'open_connection', cut.open):
+        yield cut
--- a/trefoilhinge/gateway/attempt_recorder.py
+++ b/trefoilhinge/gateway/attempt_recorder.py
@@ -100,7 +100,14 @@
         """Record that no connection to the target could be opened."""
         target = placement.parts[0].target
         self.record_outcome(target, Outcome.unreachable)
-        self._write('offer_unreachable', target=target, problem=problem)
+        self._write(
+            'offer_unreachable',
+            target=target,
+            problem=problem,
+            reached_s=self._state.reach.compute_reached_age_s(
+                self._call.service, self._state.get_now_s()
+            ),
+        )
 
     def record_rejected(self, target: str, head: AnswerHead) -> None:
         """Record that the target did not run the call."""
--- a/trefoilhinge/gateway/attempts.py
+++ b/trefoilhinge/gateway/attempts.py
@@ -174,6 +174,9 @@
         """
         connection = await open_target_connection(record.address)
         self._connection = connection
+        self._state.reach.record_reached(
+            self._call.service, self._state.get_now_s()
+        )
         connection.silence_timeout_s = find_answer_timeout_s(
             self._call, placement
         )
--- a/trefoilhinge/gateway/state.py
+++ b/trefoilhinge/gateway/state.py
@@ -14,6 +14,7 @@
 from trefoilhinge.dispatch.permit_buckets import PermitTable
 from trefoilhinge.dispatch.quarantine import QuarantineTable
 from trefoilhinge.dispatch.rate_limits import NamedRate, RateLimitTable
+from trefoilhinge.dispatch.reachability import ReachTable
 from trefoilhinge.dispatch.settings import GatewaySettings
 from trefoilhinge.dispatch.slowdowns import SlowdownTable
 from trefoilhinge.dispatch.targets import TargetDirectory, TargetRecord
@@ -37,6 +38,7 @@
     :ivar loads: load of each target, over all instances.
     :ivar prefill_waiters: calls that wait until they may be sent.
     :ivar health: failure rates and ejections of the targets.
+    :ivar reach: services whose targets this instance reaches.
     :ivar slowdowns: observed slowdown of each target.
     :ivar rate_limits: rates that targets named as their limits.
     :ivar permits: permits for requests to these targets.
@@ -61,6 +63,7 @@
     loads: LoadTable = field(factory=LoadTable)
     prefill_waiters: PrefillWaiters = field(init=False)
     health: HealthTable = field(factory=HealthTable)
+    reach: ReachTable = field(factory=ReachTable)
     slowdowns: SlowdownTable = field(factory=SlowdownTable)
     rate_limits: RateLimitTable = field(factory=RateLimitTable)
     permits: PermitTable = field(factory=PermitTable)
