Kept calls with peers until half of a sample of targets is reached.

A service is now reachable again once half of a sample accept connections; the targets that do are used if no peer can help. Two tests of partial cuts.

--- a/tests/gateway/test_relayed_calls.py
+++ b/tests/gateway/test_relayed_calls.py
@@ -42,11 +42,12 @@
     """Let an instance check its services until it knows that it is cut off."""
     reach = fleet.gateway._peers.reach
     services = {record.service for record in list_records(fleet)}
-    for service in services:
-        run_as(fleet.settings.ip, reach.suspect, service)
-    await fleet.wait_for(
-        lambda: services <= set(fleet.state.reach.list_unreachable())
-    )
+
+    def knows():
+        run_as(fleet.settings.ip, reach.suspect_all)
+        return services <= set(fleet.state.reach.list_unreachable())
+
+    await fleet.wait_for(knows)
 
 
 def list_records(fleet):
@@ -448,6 +449,40 @@
         asyncio.run(run())
 
 
+class TestPartialCuts:
+    def test_few_reachable_targets_do_not_end_the_cut(self):
+        """Guards against all calls of an instance at its only target."""
+
+        async def run():
+            handlers = {f'd{n}': reply(200, b'done') for n in range(5)}
+            async with run_cut_fleet(**handlers) as (fleet, others, cut):
+                target = fleet.targets['d4']
+                cut.spared.add((HOST, target.port))
+                # Long enough to probe all targets in turn.
+                await asyncio.sleep(2)
+                assert fleet.state.reach.list_unreachable() == ('desk',)
+                for _ in range(6):
+                    assert (await fleet.call('/look/1')).status == 200
+                assert others[0].state.metrics.counts['calls_carried', ()] == 6
+
+        asyncio.run(run())
+
+    def test_only_reachable_target_is_used_if_no_peer_can_help(self):
+        async def run():
+            handlers = {f'd{n}': reply(200, b'done') for n in range(3)}
+            async with run_cut_fleet(**handlers) as (fleet, others, cut):
+                cut.cut(CutKind.refuse_new, others[0].settings.ip)
+                await notice(others[0])
+                cut.spared.add((HOST, fleet.targets['d2'].port))
+                await asyncio.sleep(1.5)
+                for _ in range(3):
+                    answer = await fleet.call('/look/1')
+                    assert (answer.status, answer.content) == (200, b'done')
+                assert len(fleet.targets['d2'].requests) == 3
+
+        asyncio.run(run())
+
+
 class TestFalseAlarms:
     def test_targets_that_are_all_gone_are_no_reason_to_send_calls_around(
         self,
--- a/trefoilhinge/dispatch/reachability.py
+++ b/trefoilhinge/dispatch/reachability.py
@@ -9,24 +9,33 @@
 from trefoilhinge.dispatch.targets import TargetRecord
 
 
+# Since the last connection that a target accepted; targets of an unreachable
+# service are probed more often.
+PARTLY_REACHABLE_S = 1.0
+
+
 @define
 class ReachTable:
     """Which services this instance reaches.
 
-    A service is unreachable if none of several targets accepted a connection.
+    A service is unreachable if none of several targets accepted a connection,
+    and until half of them do.
     """
 
     _reached_s: dict[str, float] = field(factory=dict)
     _unreachable_since_s: dict[str, float] = field(factory=dict)
     _probed_s: dict[tuple[str, int], float] = field(factory=dict)
 
-    def record_reached(self, service: str, now_s: float) -> float | None:
-        """Record that a target of a service accepted a connection.
+    def record_reached(self, service: str, now_s: float) -> None:
+        """Record that a target of a service accepted a connection."""
+        self._reached_s[service] = now_s
+
+    def mark_reachable(self, service: str, now_s: float) -> float | None:
+        """Record that enough targets accept connections again.
 
         :return: seconds for which the service was unreachable, ``None`` if it
             was not.
         """
-        self._reached_s[service] = now_s
         since_s = self._unreachable_since_s.pop(service, None)
         return None if since_s is None else now_s - since_s
 
@@ -40,6 +49,12 @@
         """Return whether no target of a service can be reached."""
         return service in self._unreachable_since_s
 
+    def is_partly_reachable(self, service: str, now_s: float) -> bool:
+        """Return whether a target of an unreachable service was reached."""
+        reached_s = self._reached_s.get(service, float('-inf'))
+        since_s = self._unreachable_since_s.get(service, now_s)
+        return reached_s >= max(since_s, now_s - PARTLY_REACHABLE_S)
+
     def list_unreachable(self) -> tuple[str, ...]:
         """Return the services of which no target can be reached."""
         return tuple(sorted(self._unreachable_since_s))
--- a/trefoilhinge/gateway/attempts.py
+++ b/trefoilhinge/gateway/attempts.py
@@ -91,8 +91,9 @@
         """
         self._gate.check()
         await self._peers.reach.settle(self._call.service)
-        if self._state.reach.is_unreachable(self._call.service):
-            return await self._relay_to_peer()
+        is_unreachable = self._state.reach.is_unreachable(self._call.service)
+        if is_unreachable and await self._relay_to_peer():
+            return True
         if self.progress.attempts and not self._has_retry_budget():
             await self._end_call('repeats are used up')
             return True
@@ -115,11 +116,16 @@
     async def _relay_to_peer(self) -> bool:
         """Let a peer serve the call, as this instance reaches no target.
 
-        :return: whether the call was answered.
+        :return: whether the call was answered; if not, it is to be sent to a
+            target after all.
         :raises CallFailed: no peer can serve the call, or another instance
             sent it to this one.
         """
         if self._call.relayed_by:
+            if self._state.reach.is_partly_reachable(
+                self._call.service, self._state.get_now_s()
+            ):
+                return False
             raise CallFailed(
                 make_unreachable_refusal(self.progress, 0, is_local=True)
             )
@@ -207,7 +213,9 @@
         """
         connection = await open_target_connection(record.address)
         self._connection = connection
-        self._peers.reach.record_reached(self._call.service)
+        self._state.reach.record_reached(
+            self._call.service, self._state.get_now_s()
+        )
         connection.silence_timeout_s = find_answer_timeout_s(
             self._call, placement
         )
--- a/trefoilhinge/gateway/peer_relay.py
+++ b/trefoilhinge/gateway/peer_relay.py
@@ -72,9 +72,13 @@
         :return: whether it was answered; if not, a target can be reached.
         :raises CallFailed: no peer can serve the call.
         """
-        while self._state.reach.is_unreachable(self._call.service):
+        reach = self._state.reach
+        service = self._call.service
+        while reach.is_unreachable(service):
             ip = self._choose_peer()
             if ip is None:
+                if reach.is_partly_reachable(service, self._state.get_now_s()):
+                    return False
                 spread = self._call.head.request_hash / REQUEST_HASH_VALUES
                 raise CallFailed(
                     make_unreachable_refusal(self._progress, spread)
--- a/trefoilhinge/gateway/reach.py
+++ b/trefoilhinge/gateway/reach.py
@@ -140,8 +140,21 @@
             self._mark_unreachable(service, records)
 
     async def _probe_service(self, service: str) -> None:
-        records = self._choose_probes(service, PROBED_TARGETS)
-        await self._probe(service, records)
+        """Probe an unreachable service.
+
+        A few of its targets alone could not take all calls that peers serve,
+        so it is reachable again once half of a sample accept connections.
+        """
+        if not await self._probe(
+            service, self._choose_probes(service, PROBED_TARGETS)
+        ):
+            return
+        sample = self._choose_probes(service, CHECKED_TARGETS)
+        accepted = await asyncio.gather(
+            *(_accepts_connection(record.address) for record in sample)
+        )
+        if 2 * sum(accepted) >= len(sample):
+            self._mark_reachable(service)
 
     async def _probe(
         self, service: str, records: Sequence[TargetRecord]
@@ -154,22 +167,21 @@
         try:
             for probe in asyncio.as_completed(probes):
                 if await probe:
-                    self.record_reached(service)
+                    now_s = self._state.get_now_s()
+                    self._state.reach.record_reached(service, now_s)
                     return True
         finally:
             for task in probes:
                 task.cancel()
         return False
 
-    def record_reached(self, service: str) -> None:
-        """Record that a target of a service accepted a connection.
+    def _mark_reachable(self, service: str) -> None:
+        """Record that a service can be reached again.
 
-        What was learnt of the service's targets behind a cut is forgotten.
+        What was learnt of its targets behind the cut is forgotten.
         """
         state = self._state
-        away_s = state.reach.record_reached(service, state.get_now_s())
-        if away_s is None:
-            return
+        away_s = state.reach.mark_reachable(service, state.get_now_s())
         for record in state.directory.list_serving(service):
             state.health.forget(record.name)
         state.log.write('service_reached', service=service, away_s=away_s)
