Drew no conclusions about crashes behind a cut.

A cut that resets connections and refuses new ones looks like targets that have ended: each call that broke testified against the parts of its prompt and against itself, at all instances, and the next such calls would have been refused everywhere. The cause: _has_ended takes a refused connection for the end of a target. An instance that reaches no target of any service while a peer may reach one now doubts the crash and says so in its log.

--- a/tests/gateway/test_crash_detection.py
+++ b/tests/gateway/test_crash_detection.py
@@ -2,8 +2,16 @@
 
 import asyncio
 
-from tests.gateway.fleets import run_fleet
-from tests.gateway.targets import SEAL_HEADER, make_event, reset
+from tests.gateway.fleets import make_call, run_fleet, run_peers
+from tests.gateway.partitions import CutKind, partition
+from tests.gateway.targets import (
+    SEAL_HEADER,
+    make_event,
+    never_answer,
+    reset,
+)
+
+PROMPT = '5C1E:800,91bd:410,e440:250'
 
 
 def crash(events):
@@ -22,7 +30,7 @@
 async def call_and_read_log(handle, capfd):
     async with run_fleet(m1=handle) as fleet:
         handle.target = fleet.targets['m1']
-        await fleet.call(X_Prompt_Prefix='5C1E:800,91bd:410,e440:250')
+        await fleet.call(X_Prompt_Prefix=PROMPT)
         await asyncio.sleep(0.1)
         fleet.state.log.flush()
     return capfd.readouterr().out
@@ -46,3 +54,34 @@
         log = asyncio.run(call_and_read_log(handle, capfd))
         assert 'event=offer_broken' in log
         assert 'event=target_crashed' not in log
+
+    def test_targets_behind_a_cut_have_not_crashed(self, capfd):
+        """Guards against crash reports of an instance that is cut off.
+
+        Its connections are reset and new ones are refused, like those of
+        targets that have ended.
+        """
+
+        async def run():
+            async with (
+                run_fleet(m1=never_answer, m2=never_answer) as fleet,
+                run_peers(fleet, 1) as peers,
+            ):
+                with partition(fleet) as cut:
+                    _, writer = await asyncio.open_connection(
+                        *fleet.settings.entry
+                    )
+                    writer.write(make_call(X_Prompt_Prefix=PROMPT))
+                    await fleet.wait_for(
+                        lambda: any(
+                            one.requests for one in fleet.targets.values()
+                        )
+                    )
+                    cut.cut(CutKind.reset, fleet.settings.ip)
+                    await asyncio.sleep(0.5)
+                    writer.close()
+                for one in (fleet, *peers):
+                    assert one.state.crash_evidence.list_suspects() == []
+
+        asyncio.run(run())
+        assert 'event=target_crashed' not in capfd.readouterr().out
--- a/trefoilhinge/gateway/call_service.py
+++ b/trefoilhinge/gateway/call_service.py
@@ -46,7 +46,7 @@
     def __attrs_post_init__(self) -> None:
         """Create the detector of crashes under all calls."""
         self._crash_detector = CrashDetector(
-            self._state, self._peers.quarantine
+            self._state, self._peers.quarantine, self._peers.reach
         )
 
     def close(self) -> None:
--- a/trefoilhinge/gateway/crash_detection.py
+++ b/trefoilhinge/gateway/crash_detection.py
@@ -11,6 +11,7 @@
 from trefoilhinge.dispatch.traits import list_traits
 from trefoilhinge.gateway.progress import CallProgress
 from trefoilhinge.gateway.quarantine import Quarantine
+from trefoilhinge.gateway.reach import ReachMonitor
 from trefoilhinge.gateway.state import GatewayState
 from trefoilhinge.gateway.tcp import open_tcp_connection
 
@@ -25,11 +26,13 @@
 
     The connections of a faulty target, or of one behind a lossy link, end like
     those of a target that has ended. Only a new connection tells: the machine
-    of a process that has ended refuses it.
+    of a process that has ended refuses it. So may a cut between this instance
+    and all targets, which is ruled out first.
     """
 
     _state: GatewayState
     _quarantine: Quarantine
+    _reach: ReachMonitor
     _checks: dict[str, asyncio.Task[bool]] = field(factory=dict)
     _reports: set[asyncio.Task[None]] = field(factory=set)
 
@@ -81,6 +84,13 @@
     ) -> None:
         if not await check:
             return
+        if await self._reach.is_isolated():
+            self._state.log.write(
+                'crash_doubted',
+                request=call.head.request_id,
+                target=record.name,
+            )
+            return
         self._state.metrics.increment('targets_crashed')
         self._state.log.write(
             'target_crashed',
--- a/trefoilhinge/gateway/reach.py
+++ b/trefoilhinge/gateway/reach.py
@@ -55,10 +55,10 @@
         self._checks[service] = check
         check.add_done_callback(lambda _: self._checks.pop(service))
 
-    def suspect_all(self) -> None:
-        """Check all services."""
+    def suspect_all(self, fresh_s: float = FRESH_S) -> None:
+        """Check all services that were not reached just now."""
         for service in self._list_serving():
-            self.suspect(service)
+            self.suspect(service, fresh_s)
 
     def apply_message(self, message: ServicesUnreachable) -> None:
         """Apply the announcement of a peer.
@@ -85,9 +85,9 @@
     async def is_isolated(self) -> bool:
         """Return whether no service is reached while a peer may reach one.
 
-        Services that are suspected are checked first.
+        All services are checked first.
         """
-        self.suspect_all()
+        self.suspect_all(fresh_s=0)
         for service in tuple(self._checks):
             await self.settle(service)
         state = self._state
