Said what ends a connection whose keepalive probes are unanswered.

The constant for the number of probes had no effect: with TCP_USER_TIMEOUT set, as it is on all connections, that limit alone decides. The constant is gone; nothing else changes.

--- a/trefoilhinge/gateway/tcp.py
+++ b/trefoilhinge/gateway/tcp.py
@@ -8,8 +8,9 @@
 
 KEEPALIVE_IDLE_S = 1  # silence before the first keepalive probe
 KEEPALIVE_INTERVAL_S = 1  # between two probes
-KEEPALIVE_PROBES = 2  # unanswered probes that end the connection
-USER_TIMEOUT_MS = 2_500  # limit on data that stays unacknowledged
+# Limit on data that stays unacknowledged. It also decides when unanswered
+# probes end a connection, whatever their number.
+USER_TIMEOUT_MS = 2_500
 # The limit applies also to data that a sound caller has not read yet.
 CALLER_USER_TIMEOUT_MS = 10_000
 READ_BYTES = 65_536
@@ -30,7 +31,6 @@
         (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
         (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
         (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
-        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
         (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, user_timeout_ms),
     )
     for level, name, value in options:
