Logged the rest that a target asks for when it turns a call away.

Retry-After of a target's 503 was read nowhere, so that the log could not tell a target that asked for rest from one that is full. It is decoded now, seconds or a date, and logged with the rejection. No behaviour changes.

--- a/trefoilhinge/dispatch/calls.py
+++ b/trefoilhinge/dispatch/calls.py
@@ -126,6 +126,9 @@
     :ivar requests_per_s: rate that the target takes from all instances
         together; none if the answer names no limit.
     :ivar rate_problem: why a named limit cannot be read, else empty.
+    :ivar rest_s: seconds for which the target wants nothing from this
+        instance, zero if it did not say.
+    :ivar rest_problem: why a rest cannot be read, else empty.
     """
 
     status: int
@@ -137,6 +140,8 @@
     ends_with_connection: bool = False
     requests_per_s: float | None = None
     rate_problem: str = ''
+    rest_s: float = 0
+    rest_problem: str = ''
 
     @property
     def is_success(self) -> bool:
--- a/trefoilhinge/gateway/attempt_recorder.py
+++ b/trefoilhinge/gateway/attempt_recorder.py
@@ -119,6 +119,8 @@
             target=target,
             status=head.status,
             at_fault=head.at_fault or None,
+            rest_s=head.rest_s or None,
+            rest_problem=head.rest_problem or None,
         )
 
     def record_broken(self, placement: Placement, problem: str) -> None:
--- a/trefoilhinge/gateway/liveness.py
+++ b/trefoilhinge/gateway/liveness.py
@@ -9,8 +9,8 @@
 from trefoilhinge.gateway.target_connections import AnswerBroken
 from trefoilhinge.gateway.tcp import open_tcp_connection
 
-# A sound target may be silent for about a second and then go on. Callers leave a
-# stream after two seconds of silence.
+# A sound target may be silent for a second and go on. Callers leave a stream
+# after two seconds of silence.
 PROBE_TIMEOUT_S = 1.0
 # Longest prefill within one iteration. After it the backlog no longer extends
 # the wait: an unresponsive target gets new prompts too, so its backlog might
--- a/trefoilhinge/platform/headers.py
+++ b/trefoilhinge/platform/headers.py
@@ -15,6 +15,7 @@
     RawHeaders,
 )
 from trefoilhinge.dispatch.rate_limits import MINIMUM_REQUESTS_PER_S, RATE_UNITS
+from trefoilhinge.dispatch.rests import parse_rest
 
 MS_PER_S = 1000
 _RATE_HEADER = b'server-limit'
@@ -159,6 +160,12 @@
     raw_headers = tuple(headers)
     by_name = {name.lower(): value for name, value in raw_headers}
     requests_per_s, rate_problem = decode_rate(raw_headers)
+    rest_s: float = 0
+    rest_problem = ''
+    if status == 503 and b'retry-after' in by_name:
+        rest_s, rest_problem = parse_rest(
+            by_name[b'retry-after'], by_name.get(b'date', b'')
+        )
     return AnswerHead(
         status=status,
         request_id=by_name.get(b'x-request-id', b'').decode('latin-1'),
@@ -174,6 +181,8 @@
         ends_with_connection=not _LENGTH_HEADERS & by_name.keys(),
         requests_per_s=requests_per_s,
         rate_problem=rate_problem,
+        rest_s=rest_s,
+        rest_problem=rest_problem,
     )
 
 
