Kept all requests from targets that asked this instance for rest.

The cause: what a target asks for was dropped with the call. The rejection left the target out of that call only, and the next one asked it again.

The rest is kept for each target and incarnation, from calls and from orders. Targets that rest are taken out before any other choice is made, so that no fallback reaches them, and once more right before a call is sent; releases are left to their lease, memory in use is renewed at most twice. If all targets of a service rest, a call waits up to a second for the first of them, the most urgent first, and returns 30 ms after another over all instances; longer rests are told to the caller at once, as the true shortest wait.

--- a/tests/gateway/test_resting_targets.py
+++ b/tests/gateway/test_resting_targets.py
@@ -76,3 +76,92 @@
         asyncio.run(run())
         assert arrivals_s
         assert count_in_rest(arrivals_s) <= MAXIMUM_REQUESTS
+
+    def test_rest_ends_with_the_incarnation(self):
+        async def run():
+            arrivals_s = []
+            async with run_fleet(d1=ask_for_rest(arrivals_s, 60)) as fleet:
+                target = fleet.targets['d1']
+                assert (await fleet.call('/look/1')).status == 503
+                assert (await fleet.call('/look/1')).status == 503
+                assert len(arrivals_s) == 1
+                target.handle = reply(200, b'done')
+                fleet.store.put_target('d1', target.address, 'desk', born=2000)
+                await fleet.wait_for(
+                    lambda: (
+                        fleet.state.directory.records['d1'].started_ms == 2000
+                    )
+                )
+                assert (await fleet.call('/look/1')).status == 200
+
+        asyncio.run(run())
+
+
+class TestServicesThatRest:
+    def test_call_is_refused_at_once_with_the_shortest_wait(self):
+        async def run():
+            handlers = {
+                'd1': ask_for_rest([], 20),
+                'd2': ask_for_rest([], 5),
+                'd3': ask_for_rest([], 60),
+            }
+            async with run_fleet(**handlers) as fleet:
+                for _ in range(4):
+                    begin_s = time.monotonic()
+                    answer = await fleet.call('/look/1')
+                    assert answer.status == 503
+                    assert time.monotonic() - begin_s < 0.5
+                assert b'"targets_resting"' in answer.content
+                assert 4 < float(answer.headers['retry-after']) < 5.2
+
+        asyncio.run(run())
+
+    def test_calls_return_in_order_and_not_all_at_once(self):
+        """Guards against all waiting calls at the end of a rest."""
+        arrivals_s = []
+
+        async def rest_once(exchange):
+            arrivals_s.append(time.monotonic())
+            if len(arrivals_s) == 1:
+                headers = [NOT_RUN_HEADER, ('Retry-After', '0.6')]
+                await exchange.respond(503, b'', headers)
+            else:
+                await reply(200, b'done')(exchange)
+
+        async def run():
+            async with run_fleet(d1=rest_once) as fleet:
+                first = asyncio.ensure_future(fleet.call('/look/1'))
+                await fleet.wait_for(lambda: arrivals_s)
+                calls = [
+                    fleet.call('/look/1', X_Request_Id=f'r-{number}')
+                    for number in range(8)
+                ]
+                answers = await asyncio.gather(first, *calls)
+                assert {answer.status for answer in answers} == {200}
+
+        asyncio.run(run())
+        returns_s = sorted(at_s - arrivals_s[0] for at_s in arrivals_s[1:])
+        assert returns_s[0] >= 0.6
+        assert returns_s[-1] - returns_s[0] > 0.1
+
+
+class TestOrders:
+    def test_order_may_ask_for_rest(self):
+        """Guards against a rest that is noticed in answers to calls only."""
+
+        async def refuse(exchange):
+            headers = [NOT_RUN_HEADER, ('Retry-After', '30')]
+            await exchange.respond(503, b'', headers)
+
+        async def run():
+            async with run_fleet(m1=stream(), m2=stream()) as fleet:
+                for target in fleet.targets.values():
+                    target.handle_order = refuse
+                # Longer than the memory of one target.
+                answer = await fleet.call(X_Token_Count='300000,1300')
+                assert answer.status == 503
+                orders = sum(len(one.orders) for one in fleet.targets.values())
+                assert orders <= 2
+                assert not fleet.state.rests.is_empty
+
+        asyncio.run(run())
--- a/trefoilhinge/client/request_timeline.py
+++ b/trefoilhinge/client/request_timeline.py
@@ -19,6 +19,7 @@
     'targets_full': 'every target that was tried refused the call',
     'internal_error': 'an unexpected error ended the call',
     'request_quarantined': 'targets crashed under requests like this one',
+    'targets_resting': 'all targets had asked this instance for rest',
     'targets_limited': 'no target had room within the limit that it named',
     'answer_lost': 'the answer was lost after a target may have run the call',
     'no_target': 'no target of the service was known or had capacity',
--- a/trefoilhinge/gateway/attempts.py
+++ b/trefoilhinge/gateway/attempts.py
@@ -17,7 +17,10 @@
 from trefoilhinge.gateway.liveness import await_answer
 from trefoilhinge.gateway.peer_exchange import PeerExchange
 from trefoilhinge.gateway.peer_relay import PeerRelay
-from trefoilhinge.gateway.placement import is_placement_current
+from trefoilhinge.gateway.placement import (
+    has_resting_target,
+    is_placement_current,
+)
 from trefoilhinge.gateway.progress import CallProgress
 from trefoilhinge.gateway.quarantine_gate import QuarantineGate
 from trefoilhinge.gateway.reach import probe_suspect
@@ -30,6 +33,7 @@
     make_unreachable_refusal,
 )
 from trefoilhinge.gateway.reservations import Reservations, reserve
+from trefoilhinge.gateway.rest_queue import RestQueue
 from trefoilhinge.gateway.run_tracker import RunTracker
 from trefoilhinge.gateway.silence_timeouts import (
     find_answer_timeout_s,
@@ -37,6 +41,7 @@
 )
 from trefoilhinge.gateway.state import GatewayState
 from trefoilhinge.gateway.target_choice import TargetChoice
+from trefoilhinge.gateway.target_needs import record_rest
 from trefoilhinge.gateway.target_connections import (
     AnswerBroken,
     TargetConnection,
@@ -192,6 +197,8 @@
         if helpers is None:
             return False
         connection = await self._send(placement, record, helpers)
+        if connection is None:
+            return False
         answer = self._handle_answer(record, connection)
         if not self._may_retry():
             return await answer
@@ -205,9 +212,10 @@
         placement: Placement,
         record: TargetRecord,
         helpers: tuple[PrefillHelper, ...],
-    ) -> TargetConnection:
+    ) -> TargetConnection | None:
         """Send the call on a new connection.
 
+        :return: the connection, ``None`` if a target asked for rest meanwhile.
         :raises CallFailed: the call is kept from targets.
         :raises TargetUnreachable: the connection could not be opened.
         """
@@ -223,6 +231,8 @@
             self._find_backlog_s, record.name
         )
         await self._gate.enter()
+        if has_resting_target(self._state, placement):
+            return None
         attempt = self._make_attempt(record.name, helpers)
         self._recorder.record_sent(placement, attempt)
         connection.send(self._call, attempt)
@@ -276,6 +286,7 @@
         record_named_rate(
             self._state, self._peers, record, head, connection.sent_s
         )
+        record_rest(self._state, record, head)
         if head.not_run:
             self._recorder.record_rejected(target, head)
             if self._is_helper_fault(target, head):
@@ -393,6 +404,7 @@
     call: Call,
     caller: CallerConnection,
     crash_detector: CrashDetector,
+    rest_queue: RestQueue,
 ) -> Attempts:
     """Return the attempts of a call, before the first one."""
     progress = CallProgress(call.received_s, call.head.last_event)
@@ -404,7 +416,7 @@
         relay,
         RunTracker(state, peers, call),
         AttemptRecorder(state, peers, call, progress),
-        TargetChoice(state, peers.permits, call),
+        TargetChoice(state, peers.permits, rest_queue, call),
         crash_detector,
         QuarantineGate(state, peers, call, progress),
         PeerRelay(state, call, relay, progress),
--- a/trefoilhinge/gateway/call_service.py
+++ b/trefoilhinge/gateway/call_service.py
@@ -21,6 +21,7 @@
     Refusal,
     make_internal_refusal,
 )
+from trefoilhinge.gateway.rest_queue import RestQueue
 from trefoilhinge.gateway.state import GatewayState
 
 STARTUP_RETRY_AFTER_S = 0.3  # a starting instance has its document by then
@@ -42,9 +43,11 @@
     _peers: PeerExchange
     active: int = 0
     _crash_detector: CrashDetector = field(init=False)
+    _rest_queue: RestQueue = field(init=False)
 
     def __attrs_post_init__(self) -> None:
-        """Create the detector of crashes under all calls."""
+        """Create what all calls share."""
+        self._rest_queue = RestQueue(self._state)
         self._crash_detector = CrashDetector(
             self._state, self._peers.quarantine, self._peers.reach
         )
@@ -94,7 +97,12 @@
             return
         call = accepted
         attempts = make_attempts(
-            self._state, self._peers, call, caller, self._crash_detector
+            self._state,
+            self._peers,
+            call,
+            caller,
+            self._crash_detector,
+            self._rest_queue,
         )
         if relayed is not None:
             attempts.progress.attempts = relayed.attempts
--- a/trefoilhinge/gateway/daemon.py
+++ b/trefoilhinge/gateway/daemon.py
@@ -191,6 +191,7 @@
                     'target_left', target=record.name, reason='lapsed'
                 )
             state.remove_departed_limits()
+            state.rests.remove_ended(now_s)
             state.reach.forget_departed(
                 state.directory.departed,
                 state.document.services if state.document else (),
--- a/trefoilhinge/gateway/placement.py
+++ b/trefoilhinge/gateway/placement.py
@@ -99,11 +99,26 @@
     }
     if any(part.target not in serving for part in placement.parts):
         return False
+    if has_resting_target(state, placement):
+        return False
     return len(placement.parts) == 1 or not any(
         _is_limited(state, serving[part.target]) for part in placement.parts
     )
 
 
+def has_resting_target(state: GatewayState, placement: Placement) -> bool:
+    """Return whether a target of a placement asked for rest meanwhile."""
+    if state.rests.is_empty:
+        return False
+    records = state.directory.records
+    now_s = state.get_now_s()
+    return any(
+        state.rests.is_resting(records[part.target], now_s)
+        for part in placement.parts
+        if part.target in records
+    )
+
+
 def find_engine_profile(
     state: GatewayState, service: str
 ) -> EngineProfile | None:
@@ -117,12 +132,14 @@
     state: GatewayState, call: Call, excluded: set[str]
 ) -> list[TargetRecord]:
     maximum = _find_maximum_connections(state, call.service)
+    now_s = state.get_now_s()
     records = {
         record.name: record
         for record in state.directory.list_serving(call.service)
         if state.loads.get(record.name).running < maximum
+        and not state.rests.is_resting(record, now_s)
     }
-    usable = state.health.list_usable(list(records), state.get_now_s())
+    usable = state.health.list_usable(list(records), now_s)
     untried = [name for name in usable if name not in excluded]
     return [records[name] for name in untried or usable]
 
--- a/trefoilhinge/gateway/refusals.py
+++ b/trefoilhinge/gateway/refusals.py
@@ -119,6 +119,21 @@
     )
 
 
+def make_resting_refusal(progress: CallProgress, wait_s: float) -> Refusal:
+    """Return the refusal of a call whose targets all asked for rest.
+
+    :param wait_s: seconds until one of them may be asked, different for each
+        caller.
+    """
+    return Refusal(
+        502 if progress.possible_runs else 503,
+        'targets_resting',
+        'may_have_run' if progress.possible_runs else 'not_run',
+        'all targets that could take the call asked for rest',
+        max(wait_s, MINIMUM_LIMITED_RETRY_AFTER_S),
+    )
+
+
 def make_quarantine_refusal(
     progress: CallProgress, entries: list[QuarantinedTrait], now_s: float
 ) -> Refusal:
--- a/trefoilhinge/gateway/reservations.py
+++ b/trefoilhinge/gateway/reservations.py
@@ -11,9 +11,11 @@
 
 from trefoilhinge.dispatch.calls import PrefillHelper
 from trefoilhinge.dispatch.settings import parse_address
+from trefoilhinge.dispatch.targets import TargetRecord
 from trefoilhinge.gateway.http_client import FetchFailed, fetch
 from trefoilhinge.gateway.peer_exchange import PeerExchange
 from trefoilhinge.gateway.state import GatewayState
+from trefoilhinge.gateway.target_needs import find_record, record_rest
 from trefoilhinge.platform import reservations
 
 LEASE_FRACTION = 0.75  # of the time within which unused memory must be free
@@ -93,23 +95,52 @@
                     for helper, tokens in zip(
                         self.helpers, self._tokens, strict=True
                     )
-                    if not is_skipped_if_limited
-                    or self._find_limited_target(helper.address) is None
+                    if self._may_renew(
+                        helper, is_first_turn=not is_skipped_if_limited
+                    )
                 )
             )
 
+    def _may_renew(self, helper: PrefillHelper, *, is_first_turn: bool) -> bool:
+        """Return whether a reservation is renewed in this turn.
+
+        Two turns make up a round; the second is left out at a target that
+        named a limit or asked for rest.
+        """
+        record = self._find_resting(helper)
+        if record is not None:
+            return is_first_turn and self._state.rests.take_renewal(record)
+        return (
+            is_first_turn or self._find_limited_target(helper.address) is None
+        )
+
+    def _find_resting(self, helper: PrefillHelper) -> TargetRecord | None:
+        """Return the target of a reservation if it asked for rest."""
+        rests = self._state.rests
+        if rests.is_empty:
+            return None
+        record = find_record(self._state, helper.address)
+        if record is None or not rests.is_resting(
+            record, self._state.get_now_s()
+        ):
+            return None
+        return record
+
     async def _release(self, helper: PrefillHelper) -> None:
         body = reservations.encode_release(helper.reservation_id)
         for delay_s in RELEASE_DELAYS_S:
             await asyncio.sleep(delay_s)
-            if delay_s and self._is_left_to_lease(helper):
+            is_resting = self._find_resting(helper) is not None
+            if is_resting or (delay_s and self._is_left_to_lease(helper)):
                 return
             if await self._order(helper, body) is not None:
                 break
         if helper.reservation_id in self._unanswered:
             for late_s in LATE_RELEASE_DELAYS_S:
                 await asyncio.sleep(late_s)
-                if not self._is_left_to_lease(helper):
+                if self._find_resting(
+                    helper
+                ) is None and not self._is_left_to_lease(helper):
                     await self._order(helper, body)
 
     def _is_left_to_lease(self, helper: PrefillHelper) -> bool:
@@ -121,6 +152,7 @@
 
     async def _order(self, helper: PrefillHelper, body: bytes) -> int | None:
         address = parse_address(helper.address)
+        record = find_record(self._state, helper.address)
         limited = self._find_limited_target(helper.address)
         if limited is not None:
             self._peers.broadcast_target_ordered(limited)
@@ -142,6 +174,11 @@
             )
             return None
         self._state.metrics.increment('orders', status=str(fetched.status))
+        if record is not None:
+            head = reservations.decode_order_head(
+                fetched.status, fetched.headers
+            )
+            record_rest(self._state, record, head)
         return fetched.status
 
     def _find_limited_target(self, address: str) -> str | None:
--- a/trefoilhinge/gateway/state.py
+++ b/trefoilhinge/gateway/state.py
@@ -16,6 +16,7 @@
 from trefoilhinge.dispatch.rate_limits import NamedRate, RateLimitTable
 from trefoilhinge.dispatch.reachability import ReachTable
 from trefoilhinge.dispatch.relay_peers import RelayPeers
+from trefoilhinge.dispatch.rests import RestTable
 from trefoilhinge.dispatch.settings import GatewaySettings
 from trefoilhinge.dispatch.slowdowns import SlowdownTable
 from trefoilhinge.dispatch.targets import TargetDirectory, TargetRecord
@@ -40,6 +41,7 @@
     :ivar prefill_waiters: calls that wait until they may be sent.
     :ivar health: failure rates and ejections of the targets.
     :ivar reach: services whose targets this instance reaches.
+    :ivar rests: targets that asked this instance for rest.
     :ivar relay_peers: peers that may serve calls for this instance.
     :ivar slowdowns: observed slowdown of each target.
     :ivar rate_limits: rates that targets named as their limits.
@@ -66,6 +68,7 @@
     prefill_waiters: PrefillWaiters = field(init=False)
     health: HealthTable = field(factory=HealthTable)
     reach: ReachTable = field(factory=ReachTable)
+    rests: RestTable = field(factory=RestTable)
     relay_peers: RelayPeers = field(factory=RelayPeers)
     slowdowns: SlowdownTable = field(factory=SlowdownTable)
     rate_limits: RateLimitTable = field(factory=RateLimitTable)
--- a/trefoilhinge/gateway/target_choice.py
+++ b/trefoilhinge/gateway/target_choice.py
@@ -19,7 +19,9 @@
     CallFailed,
     make_limited_refusal,
     make_no_target_refusal,
+    make_resting_refusal,
 )
+from trefoilhinge.gateway.rest_queue import MAXIMUM_WAIT_S, RestQueue
 from trefoilhinge.gateway.state import GatewayState
 
 # Limited targets that a call without other targets waits for in succession.
@@ -33,6 +35,7 @@
 
     _state: GatewayState
     _permits: Permits
+    _rest_queue: RestQueue
     _call: Call
 
     async def choose(
@@ -78,7 +81,8 @@
         """
         limited = list_limited(self._state, self._call, excluded)
         if not limited:
-            raise CallFailed(make_no_target_refusal(progress))
+            await self._wait_for_rested(progress)
+            return None, 0
         waits_s = []
         for record in limited[:MAXIMUM_ASKED_TARGETS]:
             number = self._state.make_run_number()
@@ -94,6 +98,22 @@
         spread = self._call.head.request_hash / REQUEST_HASH_VALUES
         raise CallFailed(make_limited_refusal(progress, min(waits_s), spread))
 
+    async def _wait_for_rested(self, progress: CallProgress) -> None:
+        """Wait until a target has rested that asked for it.
+
+        :raises CallFailed: no target rests, or it rests for too long.
+        """
+        wait_s = self._rest_queue.estimate_wait_s(self._call)
+        if wait_s is None:
+            raise CallFailed(make_no_target_refusal(progress))
+        if wait_s > min(MAXIMUM_WAIT_S, self._compute_patience_s()):
+            self._state.metrics.increment('calls_resting')
+            raise CallFailed(make_resting_refusal(progress, wait_s))
+        self._state.log.write(
+            'rest_awaited', request=self._call.head.request_id, waits_s=wait_s
+        )
+        await self._rest_queue.wait(self._call, wait_s)
+
     async def _ask(
         self,
         record: TargetRecord,
--- /dev/null
+++ b/trefoilhinge/gateway/target_needs.py
@@ -0,0 +1,49 @@
+"""Learning what targets ask of this instance in their answers."""
+
+from trefoilhinge.dispatch.calls import AnswerHead
+from trefoilhinge.dispatch.targets import TargetRecord
+from trefoilhinge.gateway.state import GatewayState
+
+
+def record_rest(
+    state: GatewayState, record: TargetRecord, head: AnswerHead
+) -> None:
+    """Record the rest that an answer asks for.
+
+    An answer that blames another target may speak for that one as well.
+    """
+    if head.rest_problem:
+        state.metrics.increment('rests_malformed')
+        if state.rests.is_new_problem(record.name, head.rest_problem):
+            state.log.write(
+                'rest_malformed', target=record.name, problem=head.rest_problem
+            )
+    if not head.rest_s:
+        return
+    now_s = state.get_now_s()
+    for resting in (record, *_list_blamed(state, head.at_fault)):
+        if state.rests.record(resting, head.rest_s, now_s):
+            state.metrics.increment('rests')
+            state.log.write(
+                'target_rests', target=resting.name, rest_s=head.rest_s
+            )
+
+
+def find_record(state: GatewayState, address: str) -> TargetRecord | None:
+    """Return the latest incarnation at an address, if any is known."""
+    found = [
+        record
+        for record in state.directory.records.values()
+        if record.address == address
+    ]
+    return max(found, key=lambda record: record.started_ms, default=None)
+
+
+def _list_blamed(state: GatewayState, at_fault: str) -> list[TargetRecord]:
+    if not at_fault:
+        return []
+    return [
+        record
+        for record in state.directory.records.values()
+        if at_fault in {record.name, record.address}
+    ]
--- a/trefoilhinge/platform/reservations.py
+++ b/trefoilhinge/platform/reservations.py
@@ -1,6 +1,10 @@
 """Orders that reserve and release KV-cache memory of an engine."""
 
 import json
+from collections.abc import Mapping
+
+from trefoilhinge.dispatch.calls import AnswerHead
+from trefoilhinge.platform.headers import decode_response_head
 
 ORDER_PATH = '/order'
 RESERVED_STATUS = 200
@@ -28,3 +32,12 @@
 def encode_release(reservation_id: str) -> bytes:
     """Encode an order that releases a reservation."""
     return json.dumps({'op': 'release', 'id': reservation_id}).encode()
+
+
+def decode_order_head(status: int, headers: Mapping[str, str]) -> AnswerHead:
+    """Decode the status and headers of the answer to an order."""
+    encoded = (
+        (name.encode('latin-1'), text.encode('latin-1'))
+        for name, text in headers.items()
+    )
+    return decode_response_head(status, encoded)
