Took targets that say they leave out of service at once.

A replica that leaves says so in its answers (Server-Leaving: 1), but only the store's word was heeded: until it arrived, and all the while the store was away, calls went on to that target. The header is now read in each answer: streams, complete answers, rejections, 421 and orders. The incarnation departs for good, whatever older entries say, what runs there goes on, and the peers are told.

--- a/tests/gateway/test_resting_targets.py
+++ b/tests/gateway/test_resting_targets.py
@@ -1,12 +1,12 @@
-"""Tests of targets that ask an instance for rest."""
+"""Tests of targets that ask an instance for rest, or say that they leave."""
 
 import asyncio
 import time
 
 import pytest
 
-from tests.gateway.fleets import run_fleet
-from tests.gateway.targets import reply, stream
+from tests.gateway.fleets import make_call, read_answer, run_fleet, run_peers
+from tests.gateway.targets import SEAL_HEADER, make_event, reply, stream
 from trefoilhinge.platform.standins.formats import NOT_RUN_HEADER
 
 REST_S = 2.0
@@ -165,3 +165,72 @@
                 assert not fleet.state.rests.is_empty
 
         asyncio.run(run())
+
+
+LEAVING_HEADER = ('Server-Leaving', '1')
+
+
+class TestLeaving:
+    @pytest.mark.parametrize(
+        'handler',
+        [
+            reply(200, b'done', [SEAL_HEADER, LEAVING_HEADER]),
+            reply(503, b'', [NOT_RUN_HEADER, LEAVING_HEADER]),
+            reply(421, b'', [LEAVING_HEADER]),
+        ],
+        ids=('answer', 'rejection', 'misdirected'),
+    )
+    def test_target_that_says_it_leaves_gets_no_more_calls(self, handler):
+        """Guards against calls at a target that the store still lists."""
+
+        async def run():
+            handlers = {'d1': handler, 'd2': reply(200, b'done')}
+            async with (
+                run_fleet(**handlers) as fleet,
+                run_peers(fleet, 1) as peers,
+            ):
+                answers = await call_steadily(fleet, '/look/1', 1)
+                answers.extend(await call_steadily(peers[0], '/look/1', 0.5))
+                assert {one.status for one in answers} == {200}
+                target = fleet.targets['d1']
+                assert len(target.requests) == 1
+                # The store's word is older, a new incarnation is newer.
+                fleet.store.put_target('d1', target.address, 'desk', seq=2)
+                await asyncio.sleep(1)
+                await call_steadily(fleet, '/look/1', 0.5)
+                assert len(target.requests) == 1
+                target.handle = reply(200, b'done')
+                fleet.store.put_target('d1', target.address, 'desk', born=2000)
+                await fleet.wait_for(
+                    lambda: (
+                        fleet.state.directory.records['d1'].started_ms == 2000
+                    )
+                )
+                await call_steadily(fleet, '/look/1', 0.5)
+                assert len(target.requests) > 1
+
+        asyncio.run(run())
+
+    def test_stream_of_a_target_that_leaves_goes_on(self):
+        async def leave(exchange):
+            headers = [SEAL_HEADER, LEAVING_HEADER]
+            await exchange.send_headers(200, headers)
+            for number in range(1, 9):
+                await exchange.send_body(make_event(number))
+                await asyncio.sleep(0.05)
+            await exchange.end_response()
+
+        async def run():
+            async with run_fleet(m1=leave) as fleet:
+                reader, writer = await asyncio.open_connection(
+                    *fleet.settings.entry
+                )
+                writer.write(make_call())
+                answer = await read_answer(reader)
+                writer.close()
+                assert answer.is_complete
+                assert answer.content.count(b'id:') == 8
+                assert (await fleet.call()).status == 503
+                assert len(fleet.targets['m1'].requests) == 1
+
+        asyncio.run(run())
--- a/trefoilhinge/dispatch/calls.py
+++ b/trefoilhinge/dispatch/calls.py
@@ -129,6 +129,7 @@
     :ivar rest_s: seconds for which the target wants nothing from this
         instance, zero if it did not say.
     :ivar rest_problem: why a rest cannot be read, else empty.
+    :ivar is_leaving: whether the target says that it takes no new calls.
     """
 
     status: int
@@ -142,6 +143,7 @@
     rate_problem: str = ''
     rest_s: float = 0
     rest_problem: str = ''
+    is_leaving: bool = False
 
     @property
     def is_success(self) -> bool:
--- a/trefoilhinge/gateway/attempts.py
+++ b/trefoilhinge/gateway/attempts.py
@@ -41,7 +41,7 @@
 )
 from trefoilhinge.gateway.state import GatewayState
 from trefoilhinge.gateway.target_choice import TargetChoice
-from trefoilhinge.gateway.target_needs import record_rest
+from trefoilhinge.gateway.target_needs import record_needs
 from trefoilhinge.gateway.target_connections import (
     AnswerBroken,
     TargetConnection,
@@ -286,7 +286,7 @@
         record_named_rate(
             self._state, self._peers, record, head, connection.sent_s
         )
-        record_rest(self._state, record, head)
+        record_needs(self._state, self._peers, record, head)
         if head.not_run:
             self._recorder.record_rejected(target, head)
             if self._is_helper_fault(target, head):
--- a/trefoilhinge/gateway/reservations.py
+++ b/trefoilhinge/gateway/reservations.py
@@ -15,7 +15,7 @@
 from trefoilhinge.gateway.http_client import FetchFailed, fetch
 from trefoilhinge.gateway.peer_exchange import PeerExchange
 from trefoilhinge.gateway.state import GatewayState
-from trefoilhinge.gateway.target_needs import find_record, record_rest
+from trefoilhinge.gateway.target_needs import find_record, record_needs
 from trefoilhinge.platform import reservations
 
 LEASE_FRACTION = 0.75  # of the time within which unused memory must be free
@@ -178,7 +178,7 @@
             head = reservations.decode_order_head(
                 fetched.status, fetched.headers
             )
-            record_rest(self._state, record, head)
+            record_needs(self._state, self._peers, record, head)
         return fetched.status
 
     def _find_limited_target(self, address: str) -> str | None:
--- a/trefoilhinge/gateway/target_needs.py
+++ b/trefoilhinge/gateway/target_needs.py
@@ -2,10 +2,29 @@
 
 from trefoilhinge.dispatch.calls import AnswerHead
 from trefoilhinge.dispatch.targets import TargetRecord
+from trefoilhinge.gateway.peer_exchange import PeerExchange
 from trefoilhinge.gateway.state import GatewayState
 
 
-def record_rest(
+def record_needs(
+    state: GatewayState,
+    peers: PeerExchange,
+    record: TargetRecord,
+    head: AnswerHead,
+) -> None:
+    """Record what the answer of a target asks for.
+
+    A target that says it leaves departs before the store says so, for this
+    incarnation; the peers are told.
+    """
+    if head.is_leaving and state.directory.mark_departed(record):
+        state.log.write('target_left', target=record.name, source='answer')
+        peers.broadcast_target_leaving(record)
+    if head.rest_s or head.rest_problem:
+        _record_rest(state, record, head)
+
+
+def _record_rest(
     state: GatewayState, record: TargetRecord, head: AnswerHead
 ) -> None:
     """Record the rest that an answer asks for.
--- a/trefoilhinge/platform/headers.py
+++ b/trefoilhinge/platform/headers.py
@@ -183,6 +183,7 @@
         rate_problem=rate_problem,
         rest_s=rest_s,
         rest_problem=rest_problem,
+        is_leaving=by_name.get(b'server-leaving', b'').strip() == b'1',
     )
 
 
