Moved the sending of an attempt into a module of its own.

Names and order of the steps are as they were; the tests of calls, retries, reservations and rests pass before and after.

--- /dev/null
+++ b/trefoilhinge/gateway/attempt_sender.py
@@ -0,0 +1,118 @@
+"""Sends one call to the targets of a placement."""
+
+import functools
+
+from attrs import define
+
+from trefoilhinge.dispatch.calls import Attempt, Call, PrefillHelper
+from trefoilhinge.dispatch.group_placement import Placement
+from trefoilhinge.dispatch.targets import TargetRecord
+from trefoilhinge.gateway.attempt_recorder import AttemptRecorder
+from trefoilhinge.gateway.peer_exchange import PeerExchange
+from trefoilhinge.gateway.placement import has_resting_target
+from trefoilhinge.gateway.progress import CallProgress
+from trefoilhinge.gateway.quarantine_gate import QuarantineGate
+from trefoilhinge.gateway.reservations import Reservations, reserve
+from trefoilhinge.gateway.silence_timeouts import find_answer_timeout_s
+from trefoilhinge.gateway.state import GatewayState
+from trefoilhinge.gateway.target_connections import (
+    TargetConnection,
+    open_target_connection,
+)
+
+LOWEST_PRIORITY = 9  # the platform's priorities are 0 to 9
+
+
+@define
+class AttemptSender:
+    """Holds what the present attempt of a call uses at its targets."""
+
+    _state: GatewayState
+    _peers: PeerExchange
+    _call: Call
+    _progress: CallProgress
+    _recorder: AttemptRecorder
+    _gate: QuarantineGate
+    _connection: TargetConnection | None = None
+    _reservations: Reservations | None = None
+
+    async def prepare_helpers(
+        self, placement: Placement
+    ) -> tuple[PrefillHelper, ...] | None:
+        """Reserve memory at the helpers if the placement asks for it.
+
+        :return: the helpers, or ``None`` if memory could not be reserved.
+        """
+        records = self._state.directory.records
+        addresses = [records[part.target].address for part in placement.parts]
+        if not placement.reserved_tokens:
+            return tuple(PrefillHelper(address) for address in addresses[1:])
+        self._reservations = await reserve(
+            self._state,
+            self._peers,
+            self._call.head.request_id,
+            list(zip(addresses, placement.reserved_tokens, strict=False)),
+        )
+        if self._reservations is None:
+            return None
+        unreserved = addresses[len(placement.reserved_tokens) :]
+        helpers = (PrefillHelper(address) for address in unreserved)
+        return *self._reservations.helpers, *helpers
+
+    async def send(
+        self,
+        placement: Placement,
+        record: TargetRecord,
+        helpers: tuple[PrefillHelper, ...],
+    ) -> TargetConnection | None:
+        """Send the call on a new connection.
+
+        :return: the connection, ``None`` if a target asked for rest meanwhile.
+        :raises CallFailed: the call is kept from targets.
+        :raises TargetUnreachable: the connection could not be opened.
+        """
+        connection = await open_target_connection(record.address)
+        self._connection = connection
+        self._state.reach.record_reached(
+            self._call.service, self._state.get_now_s()
+        )
+        connection.silence_timeout_s = find_answer_timeout_s(
+            self._call, placement
+        )
+        connection.find_backlog_s = functools.partial(
+            self._find_backlog_s, record.name
+        )
+        await self._gate.enter()
+        if has_resting_target(self._state, placement):
+            return None
+        attempt = self._make_attempt(record.name, helpers)
+        self._recorder.record_sent(placement, attempt)
+        connection.send(self._call, attempt)
+        return connection
+
+    def close(self) -> None:
+        """Close the connection, so that the target drops the call."""
+        if self._connection is not None:
+            self._connection.close()
+            self._connection = None
+
+    def release(self) -> None:
+        """Release reserved memory."""
+        if self._reservations is not None:
+            self._reservations.release()
+            self._reservations = None
+
+    def _make_attempt(
+        self, target: str, helpers: tuple[PrefillHelper, ...]
+    ) -> Attempt:
+        return Attempt(
+            target=target,
+            remaining_s=self._call.deadline_s - self._state.get_now_s(),
+            priority=min(LOWEST_PRIORITY, self._call.priority),
+            helpers=helpers,
+            last_event=self._progress.last_event,
+        )
+
+    def _find_backlog_s(self, target: str) -> float:
+        load = self._state.loads.get(target)
+        return load.estimate_backlog_s(self._state.get_now_s())
--- a/trefoilhinge/gateway/attempts.py
+++ b/trefoilhinge/gateway/attempts.py
@@ -5,22 +5,20 @@
 
 from attrs import define, field
 
-from trefoilhinge.dispatch.calls import AnswerHead, Attempt, Call, PrefillHelper
+from trefoilhinge.dispatch.calls import AnswerHead, Call
 from trefoilhinge.dispatch.documents import CallKind
 from trefoilhinge.dispatch.group_placement import Placement
 from trefoilhinge.dispatch.health import Outcome
 from trefoilhinge.dispatch.targets import TargetRecord
 from trefoilhinge.gateway.answer_relay import AnswerRelay
 from trefoilhinge.gateway.attempt_recorder import AttemptRecorder
+from trefoilhinge.gateway.attempt_sender import AttemptSender
 from trefoilhinge.gateway.caller_connections import CallerConnection
 from trefoilhinge.gateway.crash_detection import CrashDetector
 from trefoilhinge.gateway.liveness import await_answer
 from trefoilhinge.gateway.peer_exchange import PeerExchange
 from trefoilhinge.gateway.peer_relay import PeerRelay
-from trefoilhinge.gateway.placement import (
-    has_resting_target,
-    is_placement_current,
-)
+from trefoilhinge.gateway.placement import is_placement_current
 from trefoilhinge.gateway.progress import CallProgress
 from trefoilhinge.gateway.quarantine_gate import QuarantineGate
 from trefoilhinge.gateway.reach import probe_suspect
@@ -32,11 +30,9 @@
     make_timeout_refusal,
     make_unreachable_refusal,
 )
-from trefoilhinge.gateway.reservations import Reservations, reserve
 from trefoilhinge.gateway.rest_queue import RestQueue
 from trefoilhinge.gateway.run_tracker import RunTracker
 from trefoilhinge.gateway.silence_timeouts import (
-    find_answer_timeout_s,
     find_event_timeout_s,
 )
 from trefoilhinge.gateway.state import GatewayState
@@ -46,14 +42,12 @@
     AnswerBroken,
     TargetConnection,
     TargetUnreachable,
-    open_target_connection,
 )
 
 MAXIMUM_REJECTIONS = 3  # attempts that targets state they did not run
 MAXIMUM_FAILED_CONNECTIONS = 8
 MAXIMUM_HELPER_REJECTIONS = 10  # rejections that blame another target
 RETRY_DELAY_S = 0.03  # lets load updates arrive before the next attempt
-LOWEST_PRIORITY = 9  # the platform's priorities are 0 to 9
 
 
 @define
@@ -69,14 +63,13 @@
     _relay: AnswerRelay
     _run_tracker: RunTracker
     _recorder: AttemptRecorder
+    _sender: AttemptSender
     _target_choice: TargetChoice
     _crash_detector: CrashDetector
     _gate: QuarantineGate
     _peer_relay: PeerRelay
     progress: CallProgress
     _excluded: set[str] = field(factory=set)
-    _connection: TargetConnection | None = None
-    _reservations: Reservations | None = None
     _last_failure: tuple[AnswerHead, bytes] | None = None
 
     async def run(self) -> None:
@@ -142,14 +135,10 @@
 
     def close(self) -> None:
         """Close the connection, end the run and release reserved memory."""
-        if self._connection is not None:
-            self._connection.close()
-            self._connection = None
+        self._sender.close()
         self._peer_relay.close()
         self._run_tracker.end()
-        if self._reservations is not None:
-            self._reservations.release()
-            self._reservations = None
+        self._sender.release()
 
     async def _recover(self, placement: Placement, problem: str) -> bool:
         """Record that the answer was lost; end the call if that is final.
@@ -193,12 +182,22 @@
         if not is_placement_current(self._state, self._call, placement):
             return False
         record = self._state.directory.records[target]
-        helpers = await self._prepare_helpers(placement)
+        helpers = await self._sender.prepare_helpers(placement)
         if helpers is None:
+            await self._handle_rejection('memory could not be reserved')
             return False
-        connection = await self._send(placement, record, helpers)
+        connection = await self._sender.send(placement, record, helpers)
         if connection is None:
             return False
+        return await self._await_answer(record, connection)
+
+    async def _await_answer(
+        self, record: TargetRecord, connection: TargetConnection
+    ) -> bool:
+        """Return whether the call was answered.
+
+        A call that may not run again is not given up for silence.
+        """
         answer = self._handle_answer(record, connection)
         if not self._may_retry():
             return await answer
@@ -207,77 +206,6 @@
         )
         return await await_answer(answer, connection, probe)
 
-    async def _send(
-        self,
-        placement: Placement,
-        record: TargetRecord,
-        helpers: tuple[PrefillHelper, ...],
-    ) -> TargetConnection | None:
-        """Send the call on a new connection.
-
-        :return: the connection, ``None`` if a target asked for rest meanwhile.
-        :raises CallFailed: the call is kept from targets.
-        :raises TargetUnreachable: the connection could not be opened.
-        """
-        connection = await open_target_connection(record.address)
-        self._connection = connection
-        self._state.reach.record_reached(
-            self._call.service, self._state.get_now_s()
-        )
-        connection.silence_timeout_s = find_answer_timeout_s(
-            self._call, placement
-        )
-        connection.find_backlog_s = functools.partial(
-            self._find_backlog_s, record.name
-        )
-        await self._gate.enter()
-        if has_resting_target(self._state, placement):
-            return None
-        attempt = self._make_attempt(record.name, helpers)
-        self._recorder.record_sent(placement, attempt)
-        connection.send(self._call, attempt)
-        return connection
-
-    async def _prepare_helpers(
-        self,
-        placement: Placement,
-    ) -> tuple[PrefillHelper, ...] | None:
-        """Reserve memory at the helpers if the placement asks for it.
-
-        :return: the helpers, or ``None`` if memory could not be reserved.
-        """
-        records = self._state.directory.records
-        addresses = [records[part.target].address for part in placement.parts]
-        if not placement.reserved_tokens:
-            return tuple(PrefillHelper(address) for address in addresses[1:])
-        self._reservations = await reserve(
-            self._state,
-            self._peers,
-            self._call.head.request_id,
-            list(zip(addresses, placement.reserved_tokens, strict=False)),
-        )
-        if self._reservations is None:
-            await self._handle_rejection('memory could not be reserved')
-            return None
-        unreserved = addresses[len(placement.reserved_tokens) :]
-        helpers = (PrefillHelper(address) for address in unreserved)
-        return *self._reservations.helpers, *helpers
-
-    def _make_attempt(
-        self, target: str, helpers: tuple[PrefillHelper, ...]
-    ) -> Attempt:
-        return Attempt(
-            target=target,
-            remaining_s=self._call.deadline_s - self._state.get_now_s(),
-            priority=min(LOWEST_PRIORITY, self._call.priority),
-            helpers=helpers,
-            last_event=self.progress.last_event,
-        )
-
-    def _find_backlog_s(self, target: str) -> float:
-        load = self._state.loads.get(target)
-        return load.estimate_backlog_s(self._state.get_now_s())
-
     async def _handle_answer(
         self, record: TargetRecord, connection: TargetConnection
     ) -> bool:
@@ -409,16 +337,19 @@
     """Return the attempts of a call, before the first one."""
     progress = CallProgress(call.received_s, call.head.last_event)
     relay = AnswerRelay(caller, progress)
+    recorder = AttemptRecorder(state, peers, call, progress)
+    gate = QuarantineGate(state, peers, call, progress)
     return Attempts(
         state,
         peers,
         call,
         relay,
         RunTracker(state, peers, call),
-        AttemptRecorder(state, peers, call, progress),
+        recorder,
+        AttemptSender(state, peers, call, progress, recorder, gate),
         TargetChoice(state, peers.permits, rest_queue, call),
         crash_detector,
-        QuarantineGate(state, peers, call, progress),
+        gate,
         PeerRelay(state, call, relay, progress),
         progress,
     )
