--- a/tests/gateway/test_quarantine.py
+++ b/tests/gateway/test_quarantine.py
@@ -10,6 +10,8 @@
 from tests.gateway.fleets import make_call, run_fleet, run_peers
 from tests.gateway.targets import never_answer, reset, stream
 from trefoilhinge.client.request_timeline import print_timeline
+from trefoilhinge.dispatch.crash_evidence import CrashReport
+from trefoilhinge.dispatch.messages import TargetCrashed, TraitQuarantined
 from trefoilhinge.dispatch.quarantine import MAXIMUM_PROBES
 from trefoilhinge.gateway.http_client import fetch
 from trefoilhinge.gateway.quarantine import Quarantine
@@ -267,6 +269,54 @@
 
         asyncio.run(run())
 
+    def test_trait_that_peers_announced_keeps_its_probes(self):
+        """Guards against a young instance that forgoes probes of others."""
+
+        async def run():
+            async with run_fleet(m1=stream()) as fleet:
+                messages = fleet.gateway._peers.quarantine
+                messages.apply_message(
+                    TraitQuarantined(TRAIT, 3, 0.5, 0), '10.0.0.2'
+                )
+                now_s = fleet.state.get_now_s()
+                for number in range(4):
+                    crashed_s = now_s + number
+                    report = CrashReport(
+                        f't{number}',
+                        1,
+                        'mill',
+                        (TRAIT,),
+                        crashed_s - 0.2,
+                        crashed_s,
+                    )
+                    messages.apply_message(
+                        TargetCrashed(report, now_s), '10.0.0.2'
+                    )
+                assert fleet.state.quarantine.get(TRAIT).probes == 0
+
+        asyncio.run(run())
+
+
+class TestMetrics:
+    def test_suspected_and_quarantined_traits_are_counted(self):
+        targets = CrashingFleet(lambda exchange: True)
+
+        async def run():
+            handlers = targets.make_handlers('m1', 'm2', 'm3', 'm4')
+            async with run_fleet(**handlers) as fleet:
+                targets.fleet = fleet
+                gauges = fleet.state.metrics.gauges
+                await call_bad(fleet, 1)
+                # The part, and the request that was sent twice.
+                await fleet.wait_for(
+                    lambda: gauges.get('traits_suspected') == 2
+                )
+                assert gauges['traits_quarantined'] == 0
+                await call_bad(fleet, 2)
+                await fleet.wait_for(lambda: gauges['traits_quarantined'] == 1)
+
+        asyncio.run(run())
+
 
 class TestPeers:
     def test_instance_that_starts_is_told(self):
