Patched the connection of an attempt where it is opened now.

test_call_with_an_unexpected_error_is_refused lets open_target_connection fail once. It now patches attempt_sender.py; what it asserts is unchanged.

--- a/tests/gateway/test_unexpected_errors.py
+++ b/tests/gateway/test_unexpected_errors.py
@@ -9,7 +9,7 @@
 from tests.gateway.documents import HOST, OTHER_HOST, make_document
 from tests.gateway.fleets import run_fleet
 from tests.gateway.targets import reply, stream
-from trefoilhinge.gateway import attempts, peer_exchange, store_watcher
+from trefoilhinge.gateway import attempt_sender, peer_exchange, store_watcher
 
 
 def fail_once(monkeypatch, module, name):
@@ -64,7 +64,7 @@
 
         async def run():
             async with run_fleet(d1=reply(200, b'yes')) as fleet:
-                fail_once(monkeypatch, attempts, 'open_target_connection')
+                fail_once(monkeypatch, attempt_sender, 'open_target_connection')
                 answer = await fleet.call('/book/1')
                 assert answer.status == 503
                 assert b'"internal_error"' in answer.content
