--- a/tests/gateway/test_unexpected_errors.py
+++ b/tests/gateway/test_unexpected_errors.py
@@ -9,7 +9,12 @@
 from tests.gateway.documents import HOST, OTHER_HOST, make_document
 from tests.gateway.fleets import run_fleet
 from tests.gateway.targets import reply, stream
-from trefoilhinge.gateway import attempt_sender, peer_exchange, store_watcher
+from trefoilhinge.gateway import (
+    attempt_sender,
+    attempts,
+    peer_exchange,
+    store_watcher,
+)
 
 
 def fail_once(monkeypatch, module, name):
