Placed prompts that miss their SLO in any case on few targets.

Cause: a prompt of 900,040 tokens needs 71 s of one engine, 5.1 s of all fourteen, with an SLO of 4 s. It was late in any case, but each second of its wait still cost a fiftieth of its weight, so that it was sent to twelve targets. The logged cost of 81 is its own lateness (68) and wait (13), not a loss of others. Targets that prefill such a part decode nothing in time, and a burst of short calls found two targets for four seconds.

Change: past its SLO a prompt's wait costs nothing more; what counts is that it ends before its deadline, with a fifth of the remaining time to spare. So the narrowest group that does so is chosen, and the other targets stay free.

--- a/benchmarks/placement_cost.py
+++ b/benchmarks/placement_cost.py
@@ -75,7 +75,9 @@
     for _ in range(REPETITIONS):
         started_s = time.process_time()
         candidates = list_candidates(records, loads)
-        place_prompt(candidates, ENGINE_PROFILE, ROUTE, SIZE, 0.5)
+        place_prompt(
+            candidates, ENGINE_PROFILE, ROUTE, SIZE, 0.5, ROUTE.timeout_s
+        )
         durations_ms.append((time.process_time() - started_s) * 1000)
     return statistics.median(durations_ms)
 
--- a/tests/dispatch/test_placement.py
+++ b/tests/dispatch/test_placement.py
@@ -25,7 +25,9 @@
 def place(loads, size, route=LONG_ROUTE, count=14, now_s=0):
     """Return the placement of a prompt on a number of targets."""
     candidates = list_candidates(make_records(count), loads)
-    return place_prompt(candidates, ENGINE_PROFILE, route, size, now_s)
+    return place_prompt(
+        candidates, ENGINE_PROFILE, route, size, now_s, route.timeout_s
+    )
 
 
 class TestPlainCalls:
--- a/tests/dispatch/test_slowdowns.py
+++ b/tests/dispatch/test_slowdowns.py
@@ -65,7 +65,12 @@
         loads.get('t00').slowdown = 6
         candidates = list_candidates(make_records(14), loads)
         return place_prompt(
-            candidates, ENGINE_PROFILE, route, make_size(size), 0
+            candidates,
+            ENGINE_PROFILE,
+            route,
+            make_size(size),
+            0,
+            route.timeout_s,
         )
 
     def test_short_stream_avoids_it(self):
--- a/trefoilhinge/dispatch/costs.py
+++ b/trefoilhinge/dispatch/costs.py
@@ -18,6 +18,9 @@
 TOKENS_PER_WEIGHT = 10_000  # prompt tokens that weigh as much as a short call
 # Share of a call's weight per second until its first event.
 WAIT_COST_PER_S = 0.02
+# Share of the remaining time at which a call is expected to end. Above it, a
+# slower target or a longer output may cut the call off at its deadline.
+DEADLINE_RISK_RATIO = 0.8
 # Cost of the last free slot, which another instance may be taking.
 LAST_SLOT_COST = 0.06
 # Share of a call's weight that is lost when it must wait for a slot or memory.
@@ -76,6 +79,19 @@
     return LATE_LOSS_SHARE * min(1, excess)
 
 
+def estimate_deadline_loss(end_s: float, remaining_s: float) -> float:
+    """Return the share of a late call's weight that its deadline may cost.
+
+    :param end_s: expected seconds until the call ends.
+    :param remaining_s: seconds until its deadline.
+    """
+    ratio = end_s / max(remaining_s, 0.001)
+    if ratio <= DEADLINE_RISK_RATIO:
+        return 0
+    risk = (ratio - DEADLINE_RISK_RATIO) / (1 - DEADLINE_RISK_RATIO)
+    return (1 - LATE_LOSS_SHARE) * min(1, risk)
+
+
 def make_decode_state(
     candidate: Candidate,
     engine: EngineProfile,
--- a/trefoilhinge/dispatch/group_placement.py
+++ b/trefoilhinge/dispatch/group_placement.py
@@ -15,6 +15,7 @@
     DecodeState,
     compute_call_weight,
     compute_occupancy_cost,
+    estimate_deadline_loss,
     estimate_interference_loss,
     estimate_lateness_loss,
     make_decode_state,
@@ -63,12 +64,16 @@
 
 @frozen
 class _Request:
-    """A prompt to place and the time of its placement."""
+    """A prompt to place and the time of its placement.
+
+    :ivar remaining_s: seconds until the deadline of the call.
+    """
 
     engine: EngineProfile
     route: Route
     size: PromptSize
     now_s: float
+    remaining_s: float
 
     @property
     def required_tokens(self) -> int:
@@ -93,13 +98,16 @@
     route: Route,
     size: PromptSize,
     now_s: float,
+    remaining_s: float,
 ) -> Placement | None:
     """Return the group of lowest cost; none if no group can hold the prompt.
 
     Targets that named a limit are left out: a group sends several requests to
     each of its members.
+
+    :param remaining_s: seconds until the deadline of the call.
     """
-    request = _Request(engine, route, size, now_s)
+    request = _Request(engine, route, size, now_s, remaining_s)
     unlimited = [one for one in candidates if not one.is_limited]
     return min(
         _list_placements(unlimited, request),
@@ -215,7 +223,7 @@
     iteration_s = first.load.estimate_iteration_s(request.engine)
     return (
         weight * estimate_lateness_loss(first_event_s, request.route.slo_s)
-        + weight * WAIT_COST_PER_S * first_event_s
+        + weight * _estimate_wait_loss(first, request, first_event_s)
         + weight * estimate_lateness_loss(iteration_s, request.route.gap_slo_s)
         + PREFILL_COST_PER_S * len(ordered) * iteration_s
         + compute_occupancy_cost(
@@ -227,6 +235,26 @@
     )
 
 
+def _estimate_wait_loss(
+    first: Candidate, request: _Request, first_event_s: float
+) -> float:
+    """Return the share of the call's weight that its wait costs.
+
+    A call that misses its objective in any case gains little by a wider group,
+    which keeps more targets from other calls. Past the objective only the
+    deadline counts, so that the narrowest group that ends in time is chosen.
+    """
+    waited_s = min(first_event_s, request.route.slo_s)
+    step_s = (
+        first.load.estimate_iteration_s(request.engine)
+        / request.engine.steps_per_iteration
+    )
+    end_s = first_event_s + request.size.expected_output_tokens * step_s
+    return WAIT_COST_PER_S * waited_s + estimate_deadline_loss(
+        end_s, request.remaining_s
+    )
+
+
 def _make_parts(
     ordered: Sequence[Candidate],
     request: _Request,
--- a/trefoilhinge/dispatch/placement.py
+++ b/trefoilhinge/dispatch/placement.py
@@ -83,16 +83,18 @@
     route: Route,
     size: PromptSize,
     now_s: float,
+    remaining_s: float,
 ) -> Placement | None:
     """Return the placement of lowest cost.
 
+    :param remaining_s: seconds until the deadline of the call.
     :return: none if there are no targets or they cannot hold the prompt.
     """
     if not candidates:
         return None
     required_tokens = size.prompt_tokens + size.maximum_output_tokens
     if required_tokens > engine.memory_tokens * USABLE_MEMORY_SHARE:
-        return place_group(candidates, engine, route, size, now_s)
+        return place_group(candidates, engine, route, size, now_s, remaining_s)
     single = min(
         (
             _place_single(candidate, engine, route, size, now_s)
@@ -102,7 +104,7 @@
     )
     if size.prompt_tokens < MINIMUM_GROUP_TOKENS:
         return single
-    group = place_group(candidates, engine, route, size, now_s)
+    group = place_group(candidates, engine, route, size, now_s, remaining_s)
     if group is None or single.cost < group.cost:
         return single
     return group
--- a/trefoilhinge/gateway/placement.py
+++ b/trefoilhinge/gateway/placement.py
@@ -76,6 +76,7 @@
             call.route,
             call.head.prompt_size,
             now_s,
+            call.deadline_s - now_s,
         )
     chosen = place_plain_call(
         records, state.loads, state.settings.failure_domain, limited
--- a/trefoilhinge/measure/placement_simulation.py
+++ b/trefoilhinge/measure/placement_simulation.py
@@ -148,6 +148,7 @@
             arrival.call_class.route,
             arrival.size,
             now_s,
+            arrival.call_class.route.timeout_s,
         )
         if placement is None:
             self.outcomes.append(Outcome(arrival, None, 0, 0, 0))
