Counted callers that abandon a late call in its placement.

Callers: a stream without a first event after the longest of two seconds, four times its SLO and eight times its gap SLO is abandoned. A very long prompt could be placed for later than that, as only its deadline was looked at: with an SLO of 2.5 s its callers leave after 10 s of 15.

Change: the share of a late call's weight that is not lost yet is at risk as its first event comes near that limit, or its end near the deadline; for prompts on one target as for groups. What a placement is asked for is one object now, since it grew a sixth parameter.

The test failed before: the prompt was abandoned.

--- a/benchmarks/placement_cost.py
+++ b/benchmarks/placement_cost.py
@@ -16,6 +16,7 @@
 )
 from trefoilhinge.dispatch.loads import LoadTable, Run, RunPart
 from trefoilhinge.dispatch.placement import list_candidates, place_prompt
+from trefoilhinge.dispatch.placement_requests import PlacementRequest
 from trefoilhinge.dispatch.targets import TargetRecord
 
 REPETITIONS = 30
@@ -75,9 +76,10 @@
     for _ in range(REPETITIONS):
         started_s = time.process_time()
         candidates = list_candidates(records, loads)
-        place_prompt(
-            candidates, ENGINE_PROFILE, ROUTE, SIZE, 0.5, ROUTE.timeout_s
+        request = PlacementRequest(
+            ENGINE_PROFILE, ROUTE, SIZE, 0.5, ROUTE.timeout_s
         )
+        place_prompt(candidates, request)
         durations_ms.append((time.process_time() - started_s) * 1000)
     return statistics.median(durations_ms)
 
--- a/tests/dispatch/test_placement.py
+++ b/tests/dispatch/test_placement.py
@@ -10,23 +10,25 @@
     make_short,
     make_size,
 )
-from trefoilhinge.dispatch.group_placement import (
-    MAXIMUM_HELPERS,
-    USABLE_MEMORY_SHARE,
-)
+from trefoilhinge.dispatch.group_placement import MAXIMUM_HELPERS
 from trefoilhinge.dispatch.loads import LoadTable, Run, RunPart
 from trefoilhinge.dispatch.placement import (
     list_candidates,
     place_plain_call,
     place_prompt,
 )
+from trefoilhinge.dispatch.placement_requests import (
+    USABLE_MEMORY_SHARE,
+    PlacementRequest,
+)
 
 
 def place(loads, size, route=LONG_ROUTE, count=14, now_s=0):
     """Return the placement of a prompt on a number of targets."""
     candidates = list_candidates(make_records(count), loads)
     return place_prompt(
-        candidates, ENGINE_PROFILE, route, size, now_s, route.timeout_s
+        candidates,
+        PlacementRequest(ENGINE_PROFILE, route, size, now_s, route.timeout_s),
     )
 
 
--- a/tests/dispatch/test_slowdowns.py
+++ b/tests/dispatch/test_slowdowns.py
@@ -8,6 +8,7 @@
 )
 from trefoilhinge.dispatch.loads import LoadTable
 from trefoilhinge.dispatch.placement import list_candidates, place_prompt
+from trefoilhinge.dispatch.placement_requests import PlacementRequest
 from trefoilhinge.dispatch.slowdowns import (
     GAP_WINDOW,
     SLOWDOWN_TTL_S,
@@ -64,14 +65,10 @@
         loads = LoadTable()
         loads.get('t00').slowdown = 6
         candidates = list_candidates(make_records(14), loads)
-        return place_prompt(
-            candidates,
-            ENGINE_PROFILE,
-            route,
-            make_size(size),
-            0,
-            route.timeout_s,
+        request = PlacementRequest(
+            ENGINE_PROFILE, route, make_size(size), 0, route.timeout_s
         )
+        return place_prompt(candidates, request)
 
     def test_short_stream_avoids_it(self):
         """A slow target must not be filled with short streams."""
--- a/tests/measure/test_bursts_after_long_prompts.py
+++ b/tests/measure/test_bursts_after_long_prompts.py
@@ -7,6 +7,8 @@
 
 import statistics
 
+from attrs import evolve
+
 from tests.dispatch.samples import ENGINE_PROFILE, make_records, make_route
 from trefoilhinge.dispatch.calls import PromptSize
 from trefoilhinge.measure.phased_workload import Arrival, CallClass
@@ -79,6 +81,13 @@
         longs, _ = simulate([make_long(self.prompt_tokens)])
         assert longs[0].first_event_s < 0.8 * LONG.route.timeout_s
 
+    def test_first_event_comes_before_the_caller_abandons_it(self):
+        """Callers abandon a stream after four times its SLO at the latest."""
+        long_class = make_class(evolve(LONG.route, slo_s=2.5))
+        arrival = evolve(make_long(self.prompt_tokens), call_class=long_class)
+        simulation = PlacementSimulation(ENGINE_PROFILE, make_records(TARGETS))
+        assert simulation.run([arrival])[0].earned_weight > 0
+
     def test_prompt_that_can_be_on_time_still_is(self):
         longs, _ = simulate([make_long(500_000), *make_burst(30)])
         assert longs[0].meets_slo
--- a/trefoilhinge/dispatch/costs.py
+++ b/trefoilhinge/dispatch/costs.py
@@ -4,6 +4,7 @@
 
 from trefoilhinge.dispatch.documents import EngineProfile
 from trefoilhinge.dispatch.loads import TargetLoad, estimate_run_end_s
+from trefoilhinge.dispatch.placement_requests import PlacementRequest
 from trefoilhinge.dispatch.targets import TargetRecord
 
 # Ratios of the expected latency to its SLO. An answer up to the first ratio
@@ -18,9 +19,13 @@
 TOKENS_PER_WEIGHT = 10_000  # prompt tokens that weigh as much as a short call
 # Share of a call's weight per second until its first event.
 WAIT_COST_PER_S = 0.02
-# Share of the remaining time at which a call is expected to end. Above it, a
-# slower target or a longer output may cut the call off at its deadline.
-DEADLINE_RISK_RATIO = 0.8
+# Ratio of an expected time to its limit from which the call may be lost: the
+# target may be slower, or the output longer, than expected.
+LOSS_RISK_RATIO = 0.8
+# Callers abandon a stream whose first event takes longer than all of these.
+ABANDON_FIRST_EVENT_S = 2.0
+ABANDON_SLO_FACTOR = 4
+ABANDON_GAP_FACTOR = 8
 # Cost of the last free slot, which another instance may be taking.
 LAST_SLOT_COST = 0.06
 # Share of a call's weight that is lost when it must wait for a slot or memory.
@@ -79,16 +84,30 @@
     return LATE_LOSS_SHARE * min(1, excess)
 
 
-def estimate_deadline_loss(end_s: float, remaining_s: float) -> float:
-    """Return the share of a late call's weight that its deadline may cost.
+def estimate_abandonment_loss(
+    request: PlacementRequest, first_event_s: float, iteration_s: float
+) -> float:
+    """Return the share of its weight that a late call may lose altogether.
+
+    Its caller abandons it before its first event, or its deadline cuts it off.
 
-    :param end_s: expected seconds until the call ends.
-    :param remaining_s: seconds until its deadline.
+    :param first_event_s: expected seconds until the first event.
+    :param iteration_s: expected seconds between two events.
     """
-    ratio = end_s / max(remaining_s, 0.001)
-    if ratio <= DEADLINE_RISK_RATIO:
+    route = request.route
+    patience_s = max(
+        ABANDON_FIRST_EVENT_S,
+        ABANDON_SLO_FACTOR * route.slo_s,
+        ABANDON_GAP_FACTOR * route.gap_slo_s,
+    )
+    step_s = iteration_s / request.engine.steps_per_iteration
+    end_s = first_event_s + request.size.expected_output_tokens * step_s
+    ratio = max(
+        first_event_s / patience_s, end_s / max(request.remaining_s, 0.001)
+    )
+    if ratio <= LOSS_RISK_RATIO:
         return 0
-    risk = (ratio - DEADLINE_RISK_RATIO) / (1 - DEADLINE_RISK_RATIO)
+    risk = (ratio - LOSS_RISK_RATIO) / (1 - LOSS_RISK_RATIO)
     return (1 - LATE_LOSS_SHARE) * min(1, risk)
 
 
--- a/trefoilhinge/dispatch/group_placement.py
+++ b/trefoilhinge/dispatch/group_placement.py
@@ -8,26 +8,22 @@
 
 from attrs import frozen
 
-from trefoilhinge.dispatch.calls import PromptSize
 from trefoilhinge.dispatch.costs import (
     WAIT_COST_PER_S,
     Candidate,
     DecodeState,
     compute_call_weight,
     compute_occupancy_cost,
-    estimate_deadline_loss,
+    estimate_abandonment_loss,
     estimate_interference_loss,
     estimate_lateness_loss,
     make_decode_state,
 )
-from trefoilhinge.dispatch.documents import EngineProfile, Route
 from trefoilhinge.dispatch.latency_model import estimate_prefill_s
 from trefoilhinge.dispatch.loads import RunPart
+from trefoilhinge.dispatch.placement_requests import PlacementRequest
 
 MAXIMUM_HELPERS = 16  # the platform accepts no more entries in one header
-# Share of the published memory that placements may fill; the rest covers
-# partly filled blocks.
-USABLE_MEMORY_SHARE = 0.96
 RESERVATION_SLACK_TOKENS = 256  # per reservation, for partly filled blocks
 # A smaller reservation is not worth the request that makes it.
 MINIMUM_RESERVATION_TOKENS = 16_000
@@ -62,28 +58,6 @@
     send_delay_s: float = 0
 
 
-@frozen
-class _Request:
-    """A prompt to place and the time of its placement.
-
-    :ivar remaining_s: seconds until the deadline of the call.
-    """
-
-    engine: EngineProfile
-    route: Route
-    size: PromptSize
-    now_s: float
-    remaining_s: float
-
-    @property
-    def required_tokens(self) -> int:
-        return self.size.prompt_tokens + self.size.maximum_output_tokens
-
-    @property
-    def usable_tokens(self) -> int:
-        return int(self.engine.memory_tokens * USABLE_MEMORY_SHARE)
-
-
 @frozen
 class _Member:
     """A target that may join the group, and the streams it decodes."""
@@ -93,21 +67,13 @@
 
 
 def place_group(
-    candidates: Sequence[Candidate],
-    engine: EngineProfile,
-    route: Route,
-    size: PromptSize,
-    now_s: float,
-    remaining_s: float,
+    candidates: Sequence[Candidate], request: PlacementRequest
 ) -> Placement | None:
     """Return the group of lowest cost; none if no group can hold the prompt.
 
     Targets that named a limit are left out: a group sends several requests to
     each of its members.
-
-    :param remaining_s: seconds until the deadline of the call.
     """
-    request = _Request(engine, route, size, now_s, remaining_s)
     unlimited = [one for one in candidates if not one.is_limited]
     return min(
         _list_placements(unlimited, request),
@@ -118,7 +84,7 @@
 
 def _list_placements(
     candidates: Sequence[Candidate],
-    request: _Request,
+    request: PlacementRequest,
 ) -> Iterator[Placement]:
     whole_s = estimate_prefill_s(request.engine, request.size.prompt_tokens)
     members = [
@@ -152,7 +118,7 @@
 
 def _make_placement(
     chosen: Sequence[_Member],
-    request: _Request,
+    request: PlacementRequest,
     part_s: float,
 ) -> Placement | None:
     members = sorted(
@@ -193,7 +159,7 @@
 
 def _estimate_first_event_s(
     members: Sequence[_Member],
-    request: _Request,
+    request: PlacementRequest,
     part_s: float,
 ) -> float:
     slowest_s = max(
@@ -209,7 +175,7 @@
 
 def _compute_own_cost(
     ordered: Sequence[Candidate],
-    request: _Request,
+    request: PlacementRequest,
     first_event_s: float,
     *,
     has_reservations: bool,
@@ -217,9 +183,6 @@
     weight = compute_call_weight(request.size.prompt_tokens)
     first = ordered[0]
     free_tokens = request.usable_tokens - first.load.memory_tokens
-    needed_tokens = (
-        request.size.prompt_tokens + request.size.expected_output_tokens
-    )
     iteration_s = first.load.estimate_iteration_s(request.engine)
     return (
         weight * estimate_lateness_loss(first_event_s, request.route.slo_s)
@@ -230,40 +193,36 @@
             first,
             request.engine,
             weight,
-            lacks_memory=not has_reservations and needed_tokens > free_tokens,
+            lacks_memory=not has_reservations
+            and request.expected_tokens > free_tokens,
         )
     )
 
 
 def _estimate_wait_loss(
-    first: Candidate, request: _Request, first_event_s: float
+    first: Candidate, request: PlacementRequest, first_event_s: float
 ) -> float:
     """Return the share of the call's weight that its wait costs.
 
     A call that misses its objective in any case gains little by a wider group,
-    which keeps more targets from other calls. Past the objective only the
-    deadline counts, so that the narrowest group that ends in time is chosen.
+    which keeps more targets from other calls. Past the objective it only
+    counts that its caller still waits, so that the narrowest group that is in
+    time for that is chosen.
     """
     waited_s = min(first_event_s, request.route.slo_s)
-    step_s = (
-        first.load.estimate_iteration_s(request.engine)
-        / request.engine.steps_per_iteration
-    )
-    end_s = first_event_s + request.size.expected_output_tokens * step_s
-    return WAIT_COST_PER_S * waited_s + estimate_deadline_loss(
-        end_s, request.remaining_s
+    iteration_s = first.load.estimate_iteration_s(request.engine)
+    return WAIT_COST_PER_S * waited_s + estimate_abandonment_loss(
+        request, first_event_s, iteration_s
     )
 
 
 def _make_parts(
     ordered: Sequence[Candidate],
-    request: _Request,
+    request: PlacementRequest,
     part_s: float,
     reserved_tokens: tuple[int, ...],
 ) -> tuple[RunPart, ...]:
-    stored = reserved_tokens or (
-        request.size.prompt_tokens + request.size.expected_output_tokens,
-    )
+    stored = reserved_tokens or (request.expected_tokens,)
     stored += (0,) * (len(ordered) - len(stored))
     return tuple(
         RunPart(one.record.name, part_s, tokens, has_slot=position == 0)
@@ -275,7 +234,7 @@
 
 def _split_memory(
     ordered: Sequence[Candidate],
-    request: _Request,
+    request: PlacementRequest,
 ) -> tuple[int, ...] | None:
     """Return tokens to reserve at the first targets; none if too few are free.
 
--- a/trefoilhinge/dispatch/placement.py
+++ b/trefoilhinge/dispatch/placement.py
@@ -2,24 +2,20 @@
 
 from collections.abc import Collection, Sequence
 
-from trefoilhinge.dispatch.calls import PromptSize
 from trefoilhinge.dispatch.costs import (
     WAIT_COST_PER_S,
     Candidate,
     compute_call_weight,
     compute_occupancy_cost,
+    estimate_abandonment_loss,
     estimate_interference_loss,
     estimate_lateness_loss,
     make_decode_state,
 )
-from trefoilhinge.dispatch.documents import EngineProfile, Route
-from trefoilhinge.dispatch.group_placement import (
-    USABLE_MEMORY_SHARE,
-    Placement,
-    place_group,
-)
+from trefoilhinge.dispatch.group_placement import Placement, place_group
 from trefoilhinge.dispatch.latency_model import estimate_prefill_s
 from trefoilhinge.dispatch.loads import LoadTable, RunPart
+from trefoilhinge.dispatch.placement_requests import PlacementRequest
 from trefoilhinge.dispatch.targets import TargetRecord
 
 # Shorter prompts are prefilled within one iteration anyway.
@@ -78,79 +74,67 @@
 
 
 def place_prompt(
-    candidates: Sequence[Candidate],
-    engine: EngineProfile,
-    route: Route,
-    size: PromptSize,
-    now_s: float,
-    remaining_s: float,
+    candidates: Sequence[Candidate], request: PlacementRequest
 ) -> Placement | None:
     """Return the placement of lowest cost.
 
-    :param remaining_s: seconds until the deadline of the call.
     :return: none if there are no targets or they cannot hold the prompt.
     """
     if not candidates:
         return None
-    required_tokens = size.prompt_tokens + size.maximum_output_tokens
-    if required_tokens > engine.memory_tokens * USABLE_MEMORY_SHARE:
-        return place_group(candidates, engine, route, size, now_s, remaining_s)
+    if request.required_tokens > request.usable_tokens:
+        return place_group(candidates, request)
     single = min(
-        (
-            _place_single(candidate, engine, route, size, now_s)
-            for candidate in candidates
-        ),
+        (_place_single(candidate, request) for candidate in candidates),
         key=lambda placement: placement.cost,
     )
-    if size.prompt_tokens < MINIMUM_GROUP_TOKENS:
+    if request.size.prompt_tokens < MINIMUM_GROUP_TOKENS:
         return single
-    group = place_group(candidates, engine, route, size, now_s, remaining_s)
+    group = place_group(candidates, request)
     if group is None or single.cost < group.cost:
         return single
     return group
 
 
-def _place_single(
-    candidate: Candidate,
-    engine: EngineProfile,
-    route: Route,
-    size: PromptSize,
-    now_s: float,
-) -> Placement:
-    prefill_s = estimate_prefill_s(engine, size.prompt_tokens)
-    weight = compute_call_weight(size.prompt_tokens)
+def _place_single(candidate: Candidate, request: PlacementRequest) -> Placement:
+    engine = request.engine
+    prefill_s = estimate_prefill_s(engine, request.size.prompt_tokens)
     load = candidate.load
+    iteration_s = load.estimate_iteration_s(engine)
     first_event_s = (
-        load.estimate_slot_wait_s(engine, now_s)
-        + load.estimate_backlog_s(now_s)
+        load.estimate_slot_wait_s(engine, request.now_s)
+        + load.estimate_backlog_s(request.now_s)
         + prefill_s * load.slowdown
-        + load.estimate_iteration_s(engine)
+        + iteration_s
     )
-    free_tokens = (
-        engine.memory_tokens * USABLE_MEMORY_SHARE - load.memory_tokens
+    own_loss = (
+        estimate_lateness_loss(first_event_s, request.route.slo_s)
+        + WAIT_COST_PER_S * first_event_s
+        + estimate_abandonment_loss(request, first_event_s, iteration_s)
+        + estimate_lateness_loss(iteration_s, request.route.gap_slo_s)
     )
-    required_tokens = size.prompt_tokens + size.expected_output_tokens
+    weight = compute_call_weight(request.size.prompt_tokens)
+    free_tokens = request.usable_tokens - load.memory_tokens
     cost = (
-        weight * estimate_lateness_loss(first_event_s, route.slo_s)
-        + weight * WAIT_COST_PER_S * first_event_s
-        + weight
-        * estimate_lateness_loss(
-            load.estimate_iteration_s(engine), route.gap_slo_s
-        )
+        weight * own_loss
         + estimate_interference_loss(
-            make_decode_state(candidate, engine, now_s), prefill_s
+            make_decode_state(candidate, engine, request.now_s), prefill_s
         )
         + compute_occupancy_cost(
             candidate,
             engine,
             weight,
-            lacks_memory=required_tokens > free_tokens,
+            lacks_memory=request.expected_tokens > free_tokens,
         )
     )
     # Short streams probe whether a limit has ended.
-    if size.prompt_tokens < MINIMUM_GROUP_TOKENS and not candidate.is_limited:
+    is_short = request.size.prompt_tokens < MINIMUM_GROUP_TOKENS
+    if is_short and not candidate.is_limited:
         cost += RANK_COST * candidate.rank
     part = RunPart(
-        candidate.record.name, prefill_s, required_tokens, has_slot=True
+        candidate.record.name,
+        prefill_s,
+        request.expected_tokens,
+        has_slot=True,
     )
     return Placement((part,), (), first_event_s, cost)
--- a/trefoilhinge/gateway/placement.py
+++ b/trefoilhinge/gateway/placement.py
@@ -11,6 +11,7 @@
     place_plain_call,
     place_prompt,
 )
+from trefoilhinge.dispatch.placement_requests import PlacementRequest
 from trefoilhinge.dispatch.targets import TargetRecord
 from trefoilhinge.gateway.state import GatewayState
 
@@ -72,11 +73,13 @@
             state.loads.get(record.name).slowdown = slowdown
         return place_prompt(
             list_candidates(records, state.loads, limited),
-            engine,
-            call.route,
-            call.head.prompt_size,
-            now_s,
-            call.deadline_s - now_s,
+            PlacementRequest(
+                engine,
+                call.route,
+                call.head.prompt_size,
+                now_s,
+                call.deadline_s - now_s,
+            ),
         )
     chosen = place_plain_call(
         records, state.loads, state.settings.failure_domain, limited
--- a/trefoilhinge/measure/placement_simulation.py
+++ b/trefoilhinge/measure/placement_simulation.py
@@ -14,6 +14,7 @@
 from trefoilhinge.dispatch.group_placement import Placement
 from trefoilhinge.dispatch.loads import LoadTable, Run
 from trefoilhinge.dispatch.placement import list_candidates, place_prompt
+from trefoilhinge.dispatch.placement_requests import PlacementRequest
 from trefoilhinge.dispatch.targets import TargetRecord
 from trefoilhinge.measure.phased_workload import Arrival
 from trefoilhinge.standins.iterations import (
@@ -74,7 +75,9 @@
             ABANDON_GAP_FACTOR * call_class.route.gap_slo_s,
             ABANDON_SLO_FACTOR * call_class.route.slo_s,
         )
-        if self.first_event_s is None or self.maximum_gap_s > abandon_gap_s:
+        if self.first_event_s is None:
+            return 0
+        if max(self.first_event_s, self.maximum_gap_s) > abandon_gap_s:
             return 0
         full_weight = (
             call_class.weight if self.meets_slo else call_class.late_weight
@@ -144,11 +147,13 @@
     def _place(self, arrival: Arrival, now_s: float) -> None:
         placement = place_prompt(
             list_candidates(self.records, self.loads),
-            self.engine_profile,
-            arrival.call_class.route,
-            arrival.size,
-            now_s,
-            arrival.call_class.route.timeout_s,
+            PlacementRequest(
+                self.engine_profile,
+                arrival.call_class.route,
+                arrival.size,
+                now_s,
+                arrival.call_class.route.timeout_s,
+            ),
         )
         if placement is None:
             self.outcomes.append(Outcome(arrival, None, 0, 0, 0))
