Added the registry's deployment to the benchmark of placements.

The classes of calls take their sizes from each deployment, as the registry's engines, prompts and weights differ.

--- a/trefoilhinge/measure/placements.py
+++ b/trefoilhinge/measure/placements.py
@@ -35,10 +35,45 @@
     pairs_ms_per_m=0.138,
     chunk_tokens=2048,
 )
+REGISTRY_PROFILE = EngineProfile(
+    slots=8,
+    memory_tokens=405_000,
+    steps_per_iteration=34,
+    step_ms=1.31,
+    per_stream_ms=0.000917,
+    context_ms_per_k=0.00213,
+    prefill_tokens_per_ms=154,
+    pairs_ms_per_m=0.162,
+    chunk_tokens=2048,
+)
 DURATION_S = 44.0  # of each run, about four phases
 WINDOW_S = 2.0
 WORST_WINDOWS = 2
 SEED_COUNT = 8
+# Standard deviations of the logarithm of the output of short, middle and long
+# prompts.
+OUTPUT_SIGMAS = (0.7, 0.6, 0.5)
+
+
+@frozen
+class ClassSizes:
+    """Sizes and weights of one class of calls, from the users' data sheet.
+
+    :ivar weights: weight of a call of mean size on time, and late.
+    :ivar prompt_tokens: mean and maximum length of the prompt.
+    :ivar prompt_sigma: standard deviation of the logarithm of that length.
+    :ivar output_tokens: mean and maximum number of output tokens.
+    """
+
+    weights: tuple[float, float]
+    prompt_tokens: tuple[float, int]
+    prompt_sigma: float
+    output_tokens: tuple[float, int]
+
+
+SHORT_SIZES = ClassSizes((1.3, 0.33), (4_960, 23_800), 0.9, (1_359, 3_397))
+MIDDLE_SIZES = ClassSizes((3.9, 0.98), (45_000, 110_000), 0.5, (817, 2_021))
+LONG_SIZES = ClassSizes((15, 3.7), (133_000, 600_000), 0.55, (679, 1_677))
 
 
 @frozen
@@ -48,17 +83,37 @@
     :ivar engines: number of engines.
     :ivar rates: calls per second of short, middle and long prompts.
     :ivar long_slo_s: objective for the first event of long prompts, seconds.
+    :ivar profile: profile of every engine.
+    :ivar sizes: sizes of short, middle and long prompts.
     """
 
     name: str
     engines: int
     rates: tuple[float, float, float]
     long_slo_s: float
+    profile: EngineProfile = ENGINE_PROFILE
+    sizes: tuple[ClassSizes, ClassSizes, ClassSizes] = (
+        SHORT_SIZES,
+        MIDDLE_SIZES,
+        LONG_SIZES,
+    )
 
 
 DEPLOYMENTS = (
     Deployment('caroni', 14, (14.9, 0.81, 0.685), 3.0),
     Deployment('kandy', 23, (24.5, 1.34, 1.12), 2.5),
+    Deployment(
+        'registry',
+        14,
+        (14.0, 0.785, 0.364),
+        4.0,
+        REGISTRY_PROFILE,
+        (
+            ClassSizes((1.3, 0.33), (4_960, 23_800), 0.9, (1_309, 3_271)),
+            ClassSizes((3.9, 0.97), (45_000, 110_000), 0.5, (785, 1_962)),
+            ClassSizes((24, 6.1), (182_000, 900_000), 0.55, (653, 1_635)),
+        ),
+    ),
 )
 
 
@@ -78,47 +133,39 @@
 
 def list_call_classes(deployment: Deployment) -> tuple[CallClass, ...]:
     """Return the call classes of a deployment."""
-    short, middle, long = deployment.rates
-    return (
-        CallClass(
-            route=make_route('short', 0.3, 0.25, 10),
-            rate=short,
-            phase_rate_factors=SHORT_CLASS_RATE_FACTORS,
-            weight=1.3,
-            late_weight=0.33,
-            prompt_mean_tokens=4_960,
-            prompt_sigma=0.9,
-            prompt_maximum_tokens=23_800,
-            output_mean_tokens=1_359,
-            output_sigma=0.7,
-            output_maximum_tokens=3_397,
-        ),
-        CallClass(
-            route=make_route('middle', 1.5, 0.6, 10),
-            rate=middle,
-            phase_rate_factors=MIDDLE_CLASS_RATE_FACTORS,
-            weight=3.9,
-            late_weight=0.98,
-            prompt_mean_tokens=45_000,
-            prompt_sigma=0.5,
-            prompt_maximum_tokens=110_000,
-            output_mean_tokens=817,
-            output_sigma=0.6,
-            output_maximum_tokens=2_021,
-        ),
+    routes = (
+        make_route('short', 0.3, 0.25, 10),
+        make_route('middle', 1.5, 0.6, 10),
+        make_route('long', deployment.long_slo_s, 1, 15),
+    )
+    factors = (
+        SHORT_CLASS_RATE_FACTORS,
+        MIDDLE_CLASS_RATE_FACTORS,
+        LONG_CLASS_RATE_FACTORS,
+    )
+    parts = zip(
+        routes,
+        deployment.rates,
+        factors,
+        deployment.sizes,
+        OUTPUT_SIGMAS,
+        strict=True,
+    )
+    return tuple(
         CallClass(
-            route=make_route('long', deployment.long_slo_s, 1, 15),
-            rate=long,
-            phase_rate_factors=LONG_CLASS_RATE_FACTORS,
-            weight=15,
-            late_weight=3.7,
-            prompt_mean_tokens=133_000,
-            prompt_sigma=0.55,
-            prompt_maximum_tokens=600_000,
-            output_mean_tokens=679,
-            output_sigma=0.5,
-            output_maximum_tokens=1_677,
-        ),
+            route=route,
+            rate=rate,
+            phase_rate_factors=rate_factors,
+            weight=sizes.weights[0],
+            late_weight=sizes.weights[1],
+            prompt_mean_tokens=sizes.prompt_tokens[0],
+            prompt_sigma=sizes.prompt_sigma,
+            prompt_maximum_tokens=sizes.prompt_tokens[1],
+            output_mean_tokens=sizes.output_tokens[0],
+            output_sigma=output_sigma,
+            output_maximum_tokens=sizes.output_tokens[1],
+        )
+        for route, rate, rate_factors, sizes, output_sigma in parts
     )
 
 
@@ -149,7 +196,7 @@
 def run_seed(deployment: Deployment, seed: int) -> PlacementScore:
     """Run and score the calls of one seed."""
     simulation = PlacementSimulation(
-        ENGINE_PROFILE, _make_records(deployment.engines)
+        deployment.profile, _make_records(deployment.engines)
     )
     arrivals = generate_arrivals(
         list_call_classes(deployment), DURATION_S, seed
