Kept calls for a moment while an instance starts.

Cause: the platform sends calls to an instance as soon as it listens. Document and targets are read some tens of milliseconds later, one after the other. That no target could take the call was not known; it was untrue 20 to 60 ms later in the log.

Ruled out: listening later.

Change: a call waits until document and targets are known, for 0.3 s after the start at the most, which is the time after which such callers were told to come back. If neither store nor a peer answers by then, it is refused as before.

The tests failed before: 503 instead of 200, with and without a document.

--- /dev/null
+++ b/tests/gateway/test_startup.py
@@ -0,0 +1,87 @@
+"""Tests of instances that have just started.
+
+Pattern: all instances end at once and start again. Their callers are back
+before the instances know the document, the targets and each other.
+"""
+
+import asyncio
+import contextlib
+import json
+
+from tests.gateway.documents import (
+    find_port_pair,
+    make_document,
+    make_host,
+    make_settings,
+)
+from tests.gateway.fleets import Fleet, run_fleet
+from tests.gateway.partitions import start_gateway
+from tests.gateway.targets import stream
+from trefoilhinge.gateway.daemon import make_gateway
+
+STORE_DOWN_S = 0.1
+
+
+@contextlib.asynccontextmanager
+async def start_without_store(fleet):
+    """Start another instance of a fleet while its store is down."""
+    fleet.store.is_down = True
+    settings = make_settings(
+        fleet.store.port, ip=make_host(2), port=find_port_pair()
+    )
+    gateway = make_gateway(settings)
+    starting = Fleet(fleet.store, fleet.targets, gateway, settings)
+    task = start_gateway(gateway)
+    try:
+        await fleet.wait_for(lambda: gateway._entry is not None)
+        yield starting
+    finally:
+        task.cancel()
+        gateway.close()
+        await asyncio.gather(task, return_exceptions=True)
+
+
+async def call_while_starting(has_document, store_returns):
+    """Call an instance right after its start; return answer and duration."""
+    async with run_fleet(m1=stream()) as fleet:
+        async with start_without_store(fleet) as starting:
+            if has_document:
+                content = json.dumps(make_document()).encode()
+                starting.state.accept_document(content, 'a test')
+            loop = asyncio.get_running_loop()
+            began_s = loop.time()
+            if store_returns:
+                loop.call_later(
+                    STORE_DOWN_S, setattr, fleet.store, 'is_down', False
+                )
+            answer = await starting.call()
+            return answer, loop.time() - began_s
+
+
+class TestCallsDuringTheStart:
+    def test_call_before_the_document_is_served(self):
+        answer, _ = asyncio.run(
+            call_while_starting(has_document=False, store_returns=True)
+        )
+        assert answer.status == 200
+        assert answer.is_complete
+
+    def test_call_before_the_targets_is_served(self):
+        """Guards against refusals that are untrue.
+
+        After a kill of all instances, eighteen calls were refused as if no
+        target could take them, some milliseconds before the targets were read.
+        """
+        answer, _ = asyncio.run(
+            call_while_starting(has_document=True, store_returns=True)
+        )
+        assert answer.status == 200
+        assert answer.is_complete
+
+    def test_call_is_refused_soon_if_the_store_stays_away(self):
+        answer, took_s = asyncio.run(
+            call_while_starting(has_document=False, store_returns=False)
+        )
+        assert answer.status == 503
+        assert float(answer.headers['retry-after']) > 0
+        assert took_s < 1
--- a/trefoilhinge/gateway/call_service.py
+++ b/trefoilhinge/gateway/call_service.py
@@ -24,7 +24,7 @@
 from trefoilhinge.gateway.rest_queue import RestQueue
 from trefoilhinge.gateway.state import GatewayState
 
-STARTUP_RETRY_AFTER_S = 0.3  # a starting instance has its document by then
+STARTUP_RETRY_AFTER_S = 0.3  # another instance may have its document by then
 STORE_OUTAGE_RETRY_AFTER_S = 1.5  # outages of the store last seconds
 STORE_OUTAGE_RETRY_JITTER_S = 1.0  # spreads the retries of callers
 # Of the caller's timeout; a caller that is told to wait longer gives up.
@@ -90,6 +90,7 @@
         relayed: RelayedCall | None = None,
         relayed_by: str = '',
     ) -> None:
+        await self._state.startup.wait(self._state.started_s)
         accepted = self._accept(head, body, caller.received_s, relayed_by)
         if isinstance(accepted, Refusal):
             self._record_refusal(head, accepted)
--- a/trefoilhinge/gateway/replication.py
+++ b/trefoilhinge/gateway/replication.py
@@ -85,7 +85,7 @@
         directory.mark_removed(name, now_s)
     for record in records:
         state.apply_target(record)
-    directory.revision = revision
+    state.record_targets_read(revision)
     state.log.write(
         'targets_taken', source='peer', revision=revision, count=len(records)
     )
--- a/trefoilhinge/gateway/state.py
+++ b/trefoilhinge/gateway/state.py
@@ -23,6 +23,7 @@
 from trefoilhinge.gateway.logs import EventLog
 from trefoilhinge.gateway.metrics import MetricsRegistry
 from trefoilhinge.gateway.prefill_waiters import PrefillWaiters
+from trefoilhinge.gateway.startup import StartupGate
 from trefoilhinge.platform.documents import decode_document
 
 INCARNATION_BYTES = 3  # random part of the identifier of an incarnation
@@ -49,6 +50,7 @@
     :ivar crash_evidence: traits of calls under which targets crashed.
     :ivar quarantine: traits of calls that are kept from all targets.
     :ivar started_s: monotonic seconds at which the process started to serve.
+    :ivar startup: keeps calls until document and targets are known.
     :ivar transfers: documents and lists of targets that are being sent to
         peers.
     :ivar exit_at_s: monotonic seconds at which the process exits.
@@ -76,6 +78,7 @@
     crash_evidence: CrashEvidence = field(factory=CrashEvidence)
     quarantine: QuarantineTable = field(factory=QuarantineTable)
     started_s: float = 0
+    startup: StartupGate = field(factory=StartupGate)
     transfers: int = 0
     is_stopping: bool = False
     exit_at_s: float = float('inf')
@@ -90,8 +93,7 @@
     @property
     def is_ready(self) -> bool:
         """Return whether the instance knows its fleet and is not stopping."""
-        knows = self.document is not None and self.directory.revision > 0
-        return knows and not self.is_stopping
+        return self.startup.is_open and not self.is_stopping
 
     def can_finish_within(self, duration_s: float) -> bool:
         """Return whether a call may be taken now.
@@ -167,6 +169,14 @@
             self.slowdowns.forget(record.name)
         return self.directory.apply_record(record)
 
+    def record_targets_read(self, revision: int) -> None:
+        """Record that all targets were read.
+
+        :param revision: revision of the store at which they were read.
+        """
+        self.directory.revision = revision
+        self._open_startup_gate()
+
     def apply_named_rate(self, named: NamedRate, source: str) -> bool:
         """Apply what a target said about its limit.
 
@@ -231,8 +241,13 @@
             source=source,
             size=len(content),
         )
+        self._open_startup_gate()
         return True
 
+    def _open_startup_gate(self) -> None:
+        if self.document is not None and self.directory.revision > 0:
+            self.startup.open()
+
     def _charge_run(self, run: Run) -> None:
         """Count the requests of a run at targets that named limits."""
         now_s = self.get_now_s()
--- a/trefoilhinge/gateway/store_watcher.py
+++ b/trefoilhinge/gateway/store_watcher.py
@@ -213,7 +213,7 @@
 
     def _set_revision(self, revision: int) -> None:
         self._revision = revision
-        self._state.directory.revision = revision
+        self._state.record_targets_read(revision)
 
     def _apply_items(self, page: store.StorePage) -> None:
         for item in page.items:
