Spread calls over the targets until the other instances are heard.

Cause: all instances rank the targets alike, so that short streams gather on few targets and long prompts find others. Instances that start together hear each other 0.2 to 0.75 s later (67 instances). Until then each takes all targets for idle, and all fill the first ones by name: i-01594ff418 and two others got most of the calls, each placed as the first to fourth there.

Change: for 1.5 s after its start an instance ranks the targets from one of its own on, found from its incarnation; among equally loaded targets of plain services, the first in that order is taken. An instance without seeds is the only one and does not.

The test failed before: all 24 calls of 24 incarnations went to one target.

--- a/tests/gateway/test_startup.py
+++ b/tests/gateway/test_startup.py
@@ -8,6 +8,8 @@
 import contextlib
 import json
 
+from attrs import evolve
+
 from tests.gateway.documents import (
     find_port_pair,
     make_document,
@@ -18,8 +20,10 @@
 from tests.gateway.partitions import start_gateway
 from tests.gateway.targets import stream
 from trefoilhinge.gateway.daemon import make_gateway
+from trefoilhinge.gateway.state import PEER_DISCOVERY_S
 
 STORE_DOWN_S = 0.1
+INSTANCES = 24
 
 
 @contextlib.asynccontextmanager
@@ -85,3 +89,30 @@
         assert answer.status == 503
         assert float(answer.headers['retry-after']) > 0
         assert took_s < 1
+
+
+class TestInstancesThatDoNotHearEachOther:
+    """All instances filled the targets that are first by name."""
+
+    async def place_calls(self, *, is_settled):
+        """Return the calls that each target got from instances in turn."""
+        handlers = {f'm{number:02}': stream() for number in range(INSTANCES)}
+        async with run_fleet(**handlers) as fleet:
+            now_s = asyncio.get_running_loop().time()
+            started_s = now_s - PEER_DISCOVERY_S if is_settled else now_s + 60
+            fleet.state.started_s = started_s
+            fleet.state.settings = evolve(fleet.settings, seeds=(make_host(2),))
+            for number in range(INSTANCES):
+                fleet.state.origin = f'10.0.0.{number}/a1b2c3'
+                await fleet.call()
+            return [len(target.requests) for target in fleet.targets.values()]
+
+    def test_calls_are_spread_over_the_targets(self):
+        calls = asyncio.run(self.place_calls(is_settled=False))
+        assert sum(calls) == INSTANCES
+        assert max(calls) <= INSTANCES / 4
+
+    def test_calls_are_packed_once_the_others_are_heard(self):
+        """Long prompts need targets without short streams."""
+        calls = asyncio.run(self.place_calls(is_settled=True))
+        assert max(calls) == INSTANCES
--- a/trefoilhinge/dispatch/placement.py
+++ b/trefoilhinge/dispatch/placement.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Collection, Sequence
 
+import xxhash
+
 from trefoilhinge.dispatch.costs import (
     WAIT_COST_PER_S,
     Candidate,
@@ -44,6 +46,20 @@
     ]
 
 
+def rotate_targets(
+    records: Sequence[TargetRecord], origin: str
+) -> list[TargetRecord]:
+    """Return the targets in an order of this instance's own.
+
+    Instances that do not hear each other would all fill the same targets if
+    they ranked them alike.
+
+    :param origin: incarnation of the instance.
+    """
+    start = xxhash.xxh32_intdigest(origin.encode()) % max(1, len(records))
+    return [*records[start:], *records[:start]]
+
+
 def place_plain_call(
     records: Sequence[TargetRecord],
     loads: LoadTable,
@@ -53,21 +69,20 @@
     """Return the least loaded target for a plain call, if there is any.
 
     Among equally loaded targets, one that named a limit is preferred, since
-    only an answer shows that the limit has ended, and then one in the given
-    failure domain.
+    only an answer shows that the limit has ended, then one in the given
+    failure domain, then the first.
 
     :param limited: names of targets that named a limit.
     """
     if not records:
         return None
 
-    def rate(record: TargetRecord) -> tuple[float, bool, bool, str]:
+    def rate(record: TargetRecord) -> tuple[float, bool, bool]:
         running = loads.get(record.name).running
         return (
             running / max(1, record.slots),
             record.name not in limited,
             record.failure_domain != failure_domain,
-            record.name,
         )
 
     return min(records, key=rate)
--- a/trefoilhinge/gateway/placement.py
+++ b/trefoilhinge/gateway/placement.py
@@ -10,6 +10,7 @@
     list_candidates,
     place_plain_call,
     place_prompt,
+    rotate_targets,
 )
 from trefoilhinge.dispatch.placement_requests import PlacementRequest
 from trefoilhinge.dispatch.targets import TargetRecord
@@ -66,6 +67,8 @@
     """Choose among the given targets; ``None`` if they cannot take the call."""
     now_s = state.get_now_s()
     engine = find_engine_profile(state, call.service)
+    if not state.is_settled:
+        records = rotate_targets(records, state.origin)
     limited = {record.name for record in records if _is_limited(state, record)}
     if call.head.prompt_size is not None and engine is not None:
         for record in records:
--- a/trefoilhinge/gateway/state.py
+++ b/trefoilhinge/gateway/state.py
@@ -27,6 +27,8 @@
 from trefoilhinge.platform.documents import decode_document
 
 INCARNATION_BYTES = 3  # random part of the identifier of an incarnation
+# Instances that start hear each other's heartbeats within about a second.
+PEER_DISCOVERY_S = 1.5
 
 
 @define
@@ -95,6 +97,17 @@
         """Return whether the instance knows its fleet and is not stopping."""
         return self.startup.is_open and not self.is_stopping
 
+    @property
+    def is_settled(self) -> bool:
+        """Return whether the runs of the other instances are known.
+
+        An instance that has just started does not hear them yet, unless it has
+        no seeds and so is the only one.
+        """
+        if not self.settings.seeds:
+            return True
+        return self.get_now_s() >= self.started_s + PEER_DISCOVERY_S
+
     def can_finish_within(self, duration_s: float) -> bool:
         """Return whether a call may be taken now.
 
