--- a/trefoilhinge/gateway/call_service.py
+++ b/trefoilhinge/gateway/call_service.py
@@ -6,10 +6,7 @@
 from attrs import define, evolve, field
 
 from trefoilhinge.dispatch.calls import Call, CallHead
-from trefoilhinge.dispatch.documents import (
-    REQUEST_HASH_VALUES,
-    FleetDocument,
-)
+from trefoilhinge.dispatch.documents import FleetDocument
 from trefoilhinge.dispatch.durations import estimate_duration_s
 from trefoilhinge.dispatch.relay_codec import RelayedCall
 from trefoilhinge.gateway.attempts import Attempts, make_attempts
@@ -22,13 +19,9 @@
     make_internal_refusal,
 )
 from trefoilhinge.gateway.rest_queue import RestQueue
+from trefoilhinge.gateway.startup import find_startup_retry_after_s
 from trefoilhinge.gateway.state import GatewayState
 
-STARTUP_RETRY_AFTER_S = 0.3  # another instance may have its document by then
-STORE_OUTAGE_RETRY_AFTER_S = 1.5  # outages of the store last seconds
-STORE_OUTAGE_RETRY_JITTER_S = 1.0  # spreads the retries of callers
-# Of the caller's timeout; a caller that is told to wait longer gives up.
-MAXIMUM_RETRY_AFTER_FRACTION = 0.33
 STOPPING_RETRY_AFTER_S = 0.1  # other instances can serve the call at once
 
 
@@ -90,7 +83,7 @@
         relayed: RelayedCall | None = None,
         relayed_by: str = '',
     ) -> None:
-        await self._state.startup.wait(self._state.started_s)
+        await self._wait_for_start(head)
         accepted = self._accept(head, body, caller.received_s, relayed_by)
         if isinstance(accepted, Refusal):
             self._record_refusal(head, accepted)
@@ -124,6 +117,19 @@
         finally:
             attempts.close()
 
+    async def _wait_for_start(self, head: CallHead) -> None:
+        state = self._state
+        if state.startup.is_open:
+            return
+        began_s = state.get_now_s()
+        await state.startup.wait(state.started_s)
+        state.log.write(
+            'start_awaited',
+            request=head.request_id,
+            took_s=state.get_now_s() - began_s,
+            ready=state.startup.is_open,
+        )
+
     async def _run(self, call: Call, attempts: Attempts) -> None:
         """Run the attempts until the call's deadline.
 
@@ -158,7 +164,12 @@
                 'document_unknown',
                 'not_run',
                 'this instance has just started',
-                self._find_startup_retry_after_s(head),
+                find_startup_retry_after_s(
+                    head,
+                    is_store_unreachable=(
+                        self._state.directory.unreachable_since_s is not None
+                    ),
+                ),
                 is_local=True,
             )
         route = document.find_route(head.host, head.path)
@@ -203,24 +214,6 @@
         self._log_accepted(call, document)
         return call
 
-    def _find_startup_retry_after_s(self, head: CallHead) -> float:
-        """Return ``Retry-After`` for a call that cannot be served yet.
-
-        During an outage of the store it has a jitter that depends on the
-        request identifier, so that callers do not return all at once.
-        """
-        if self._state.directory.unreachable_since_s is None:
-            return STARTUP_RETRY_AFTER_S
-        jitter_s = (
-            STORE_OUTAGE_RETRY_JITTER_S
-            * head.request_hash
-            / REQUEST_HASH_VALUES
-        )
-        wait_s = STORE_OUTAGE_RETRY_AFTER_S + jitter_s
-        if head.timeout_s is None:
-            return wait_s
-        return min(wait_s, head.timeout_s * MAXIMUM_RETRY_AFTER_FRACTION)
-
     async def _fail(
         self,
         caller: CallerConnection,
--- a/trefoilhinge/gateway/startup.py
+++ b/trefoilhinge/gateway/startup.py
@@ -4,8 +4,16 @@
 
 from attrs import define, field
 
+from trefoilhinge.dispatch.calls import CallHead
+from trefoilhinge.dispatch.documents import REQUEST_HASH_VALUES
+
 # The store or a peer has told a starting instance by then.
 STARTUP_WAIT_S = 0.3
+STARTUP_RETRY_AFTER_S = 0.3  # another instance may have its document by then
+STORE_OUTAGE_RETRY_AFTER_S = 1.5  # outages of the store last seconds
+STORE_OUTAGE_RETRY_JITTER_S = 1.0  # spreads the retries of callers
+# Of the caller's timeout; a caller that is told to wait longer gives up.
+MAXIMUM_RETRY_AFTER_FRACTION = 0.33
 
 
 @define
@@ -40,3 +48,22 @@
         except TimeoutError:
             # The call is refused with the reason that is known by now.
             return
+
+
+def find_startup_retry_after_s(
+    head: CallHead, *, is_store_unreachable: bool
+) -> float:
+    """Return ``Retry-After`` for a call that cannot be served yet.
+
+    During an outage of the store it has a jitter that depends on the request
+    identifier, so that callers do not return all at once.
+    """
+    if not is_store_unreachable:
+        return STARTUP_RETRY_AFTER_S
+    jitter_s = (
+        STORE_OUTAGE_RETRY_JITTER_S * head.request_hash / REQUEST_HASH_VALUES
+    )
+    wait_s = STORE_OUTAGE_RETRY_AFTER_S + jitter_s
+    if head.timeout_s is None:
+        return wait_s
+    return min(wait_s, head.timeout_s * MAXIMUM_RETRY_AFTER_FRACTION)
