Took the deadline out of the test of a caller that reads slowly.

The deadline is not its subject, silence is; it is 60 s now. With the check for slow callers taken out of await_answer the test still fails, as it did before.

--- a/tests/gateway/test_stalled_peers.py
+++ b/tests/gateway/test_stalled_peers.py
@@ -206,7 +206,11 @@
         asyncio.run(run())
 
     def test_stream_to_a_caller_that_reads_slowly_is_not_cut(self):
-        """Guards against a sound target that is blamed for a slow caller."""
+        """Guards against a sound target that is blamed for a slow caller.
+
+        The deadline is long, so that only a limit on silence could cut the
+        20 MB off, on a busy machine as well.
+        """
         event = b'id: %d\ndata: ' + b'x' * 500_000 + b'\n\n'
 
         async def send(exchange):
@@ -217,14 +221,19 @@
 
         async def run():
             route = make_route(
-                'stream', 'stream', 'model', 300, resumable=True, timeoutMs=9000
+                'stream',
+                'stream',
+                'model',
+                300,
+                resumable=True,
+                timeoutMs=60_000,
             )
             document = make_document(routes=[route])
             async with run_fleet(document, m1=send, m2=send) as fleet:
                 reader, writer = await asyncio.open_connection(
                     *fleet.settings.entry
                 )
-                writer.write(make_call(X_Deadline='8000'))
+                writer.write(make_call(X_Deadline='60000'))
                 await asyncio.sleep(3.5)
                 answer = await read_answer(reader)
                 writer.close()
