Probed targets while they are expected to be silent.

Callers: a prompt of 458,713 tokens, sent at 26.4 s, got no answer until its deadline at 34.3 s. The target that it was sent to had gone dark at 27.1 s.

Cause: a target is first probed after 0.6 s and 1.5 times the expected time to the first event, 10.2 s here. Until then the memory reserved for the prompt at a second target was renewed.

Change: a target that is silent is probed every 1.5 s, also while silence is expected. Accepted probes are not counted then, so that no long prefill is cut off; a refused or unanswered one ends the attempt, which releases the memory within 2.5 s.

Not covered: an attempt after which the call may not run again is not monitored.

Both tests failed before.

--- a/tests/gateway/test_liveness.py
+++ b/tests/gateway/test_liveness.py
@@ -55,6 +55,52 @@
         ):
             asyncio.run(run())
 
+    def test_dark_target_is_noticed_while_silence_is_expected(
+        self, monkeypatch
+    ):
+        """Guards against memory that stays reserved for a dead prompt.
+
+        A prompt whose first event was expected after 6.4 s was sent to a target
+        that went dark at once. It was only to be probed after 10 s, and the
+        memory reserved for it at another target was renewed meanwhile.
+        """
+        monkeypatch.setattr(liveness, 'LIVENESS_INTERVAL_S', 0.1)
+
+        async def refuse():
+            raise AnswerBroken('target does not accept connections')
+
+        async def run():
+            loop = asyncio.get_running_loop()
+            connection = MonitoredConnection(
+                'unused', 0, silence_timeout_s=20, last_progress_s=loop.time()
+            )
+            await asyncio.wait_for(
+                liveness.await_answer(asyncio.sleep(30), connection, refuse), 2
+            )
+
+        with pytest.raises(AnswerBroken, match='does not accept'):
+            asyncio.run(run())
+
+    def test_probes_within_the_expected_silence_are_not_counted(
+        self, monkeypatch
+    ):
+        """Guards against long prefills that are cut off for their silence."""
+        monkeypatch.setattr(liveness, 'LIVENESS_INTERVAL_S', 0.05)
+        probes = []
+
+        async def accept():
+            probes.append(1)
+
+        async def run():
+            loop = asyncio.get_running_loop()
+            connection = MonitoredConnection(
+                'unused', 0, silence_timeout_s=20, last_progress_s=loop.time()
+            )
+            await liveness.await_answer(asyncio.sleep(0.5), connection, accept)
+
+        asyncio.run(run())
+        assert len(probes) > liveness.MAXIMUM_SILENT_PROBES
+
     def test_target_that_prefills_a_long_prompt_is_responsive(self):
         """Guards against cutting off streams during a long prefill.
 
--- a/trefoilhinge/gateway/liveness.py
+++ b/trefoilhinge/gateway/liveness.py
@@ -17,6 +17,9 @@
 # never end.
 MAXIMUM_PREFILL_SILENCE_S = 4.0
 MAXIMUM_SILENT_PROBES = 2  # consecutive accepted probes without data
+# Between two probes of a target that is expected to be silent for longer: one
+# that went dark keeps the call, and memory that is reserved for it elsewhere.
+LIVENESS_INTERVAL_S = 1.5
 
 Answer = TypeVar('Answer')
 Probe = Callable[[], Awaitable[None]]
@@ -83,7 +86,8 @@
     maximum_silent_probes: float,
 ) -> None:
     loop = asyncio.get_running_loop()
-    probed_s = float('-inf')
+    probed_s = float('-inf')  # latest probe after a silence that is too long
+    alive_s = float('-inf')  # latest probe at all
     probes = 0
     while not task.done():
         if connection.waits_for_caller:
@@ -92,18 +96,31 @@
         if connection.last_progress_s > probed_s:
             probes = 0
         since_s = max(connection.last_progress_s, probed_s)
-        wait_s = since_s + connection.silence_timeout_s - loop.time()
-        if loop.time() - since_s < MAXIMUM_PREFILL_SILENCE_S:
-            # A long prompt may have been placed there after this call.
-            wait_s = max(wait_s, connection.find_backlog_s())
-        if wait_s > 0:
-            await asyncio.wait((task,), timeout=wait_s)
+        wait_s = _compute_silence_wait_s(connection, since_s, loop.time())
+        check_s = max(since_s, alive_s) + LIVENESS_INTERVAL_S - loop.time()
+        if wait_s > 0 and check_s > 0:
+            await asyncio.wait((task,), timeout=min(wait_s, check_s))
             continue
-        probes += 1
+        is_overdue = wait_s <= 0
+        if is_overdue:
+            probes += 1
         if probes > maximum_silent_probes:
             raise AnswerBroken('target accepts connections but sends no data')
         await probe()
-        probed_s = loop.time()
+        alive_s = loop.time()
+        if is_overdue:
+            probed_s = alive_s
+
+
+def _compute_silence_wait_s(
+    connection: MonitoredConnection, since_s: float, now_s: float
+) -> float:
+    """Return seconds for which the target may still be silent."""
+    wait_s = since_s + connection.silence_timeout_s - now_s
+    if now_s - since_s >= MAXIMUM_PREFILL_SILENCE_S:
+        return wait_s
+    # A long prompt may have been placed there after this call.
+    return max(wait_s, connection.find_backlog_s())
 
 
 async def probe_target(address: str) -> None:
