--- a/trefoilhinge/gateway/liveness.py
+++ b/trefoilhinge/gateway/liveness.py
@@ -102,8 +102,7 @@
             await asyncio.wait((task,), timeout=min(wait_s, check_s))
             continue
         is_overdue = wait_s <= 0
-        if is_overdue:
-            probes += 1
+        probes += int(is_overdue)
         if probes > maximum_silent_probes:
             raise AnswerBroken('target accepts connections but sends no data')
         await probe()
