Explained the wait of single placements and what the revision tells.

Found while reading the diff again: the wait of a group is capped at its SLO, that of a single target is not, and the reason stood nowhere. Comments only.

--- a/trefoilhinge/dispatch/placement.py
+++ b/trefoilhinge/dispatch/placement.py
@@ -122,6 +122,8 @@
         + prefill_s * load.slowdown
         + iteration_s
     )
+    # A single target is occupied equally long wherever the prompt is placed, so
+    # that its wait counts past the SLO as well, unlike that of a group.
     own_loss = (
         estimate_lateness_loss(first_event_s, request.route.slo_s)
         + WAIT_COST_PER_S * first_event_s
--- a/trefoilhinge/gateway/state.py
+++ b/trefoilhinge/gateway/state.py
@@ -183,9 +183,9 @@
         return self.directory.apply_record(record)
 
     def record_targets_read(self, revision: int) -> None:
-        """Record that all targets were read.
+        """Record up to which change of the store the targets are known.
 
-        :param revision: revision of the store at which they were read.
+        :param revision: revision of the store.
         """
         self.directory.revision = revision
         self._open_startup_gate()
