--- a/tests/dispatch/test_placement.py
+++ b/tests/dispatch/test_placement.py
@@ -77,6 +77,20 @@
         most = max(load.running for load in loads.targets.values())
         assert most <= ENGINE_PROFILE.slots
 
+    def test_late_call_takes_the_shortest_wait(self):
+        """A call that is late at each target still goes where it is served first.
+
+        Without a price of the wait past the SLO, late calls would all go to the
+        first target.
+        """
+        loads = LoadTable()
+        for number in range(14):
+            part = RunPart(f't{number:02}', 2 - number / 10, 0, has_slot=False)
+            loads.record_start(Run('me', number, (part,), 0, 0, 0, 0), 10, 0)
+        placement = place(loads, make_size(5000), make_route())
+        assert placement.first_event_s > make_route().slo_s
+        assert placement.parts[0].target == 't13'
+
     def test_has_no_helpers(self):
         placement = place(LoadTable(), make_size(5000), make_route())
         assert len(placement.parts) == 1
--- a/tests/gateway/test_liveness.py
+++ b/tests/gateway/test_liveness.py
@@ -101,6 +101,31 @@
         asyncio.run(run())
         assert len(probes) > liveness.MAXIMUM_SILENT_PROBES
 
+    def test_silence_beyond_the_expected_one_ends_the_call(self, monkeypatch):
+        """Only probes after the expected silence are counted."""
+        monkeypatch.setattr(liveness, 'LIVENESS_INTERVAL_S', 0.05)
+        probed_s = []
+
+        async def run():
+            loop = asyncio.get_running_loop()
+            began_s = loop.time()
+
+            async def accept():
+                probed_s.append(loop.time() - began_s)
+
+            connection = MonitoredConnection(
+                'unused', 0, silence_timeout_s=0.4, last_progress_s=began_s
+            )
+            await asyncio.wait_for(
+                liveness.await_answer(asyncio.sleep(30), connection, accept), 5
+            )
+
+        with pytest.raises(AnswerBroken, match='sends no data'):
+            asyncio.run(run())
+        assert probed_s[0] < 0.4
+        # The answer is given up at the third time of silence that is too long.
+        assert probed_s[-1] >= 0.4 * liveness.MAXIMUM_SILENT_PROBES
+
     def test_target_that_prefills_a_long_prompt_is_responsive(self):
         """Guards against cutting off streams during a long prefill.
 
--- a/tests/gateway/test_startup.py
+++ b/tests/gateway/test_startup.py
@@ -19,7 +19,13 @@
 from tests.gateway.fleets import Fleet, run_fleet
 from tests.gateway.partitions import start_gateway
 from tests.gateway.targets import stream
+from trefoilhinge.dispatch.calls import CallHead
 from trefoilhinge.gateway.daemon import make_gateway
+from trefoilhinge.gateway.startup import (
+    STARTUP_RETRY_AFTER_S,
+    STARTUP_WAIT_S,
+    find_startup_retry_after_s,
+)
 from trefoilhinge.gateway.state import PEER_DISCOVERY_S
 
 STORE_DOWN_S = 0.1
@@ -91,6 +97,54 @@
         assert took_s < 1
 
 
+class TestLog:
+    def find_line(self, text):
+        """Return the fields of the line about the wait of a call."""
+        (line,) = [
+            one for one in text.splitlines() if 'event=start_awaited' in one
+        ]
+        return dict(one.split('=', 1) for one in line.split())
+
+    def test_wait_that_ended_in_time_is_logged(self, capfd):
+        asyncio.run(call_while_starting(has_document=True, store_returns=True))
+        fields = self.find_line(capfd.readouterr().out)
+        assert fields['request'] == 'r-1'
+        assert fields['ready'] == 'True'
+        assert 0 < float(fields['took_s']) <= STARTUP_WAIT_S + 0.2
+
+    def test_wait_in_vain_is_logged(self, capfd):
+        asyncio.run(
+            call_while_starting(has_document=False, store_returns=False)
+        )
+        fields = self.find_line(capfd.readouterr().out)
+        assert fields['ready'] == 'False'
+
+
+class TestRetryAfter:
+    def find(self, request_id='r-1', timeout_s=10, **fields):
+        """Return when a caller is told to come back."""
+        head = CallHead(
+            b'GET', b'/', 'h', '/', request_id, None, timeout_s, None, None, ()
+        )
+        return find_startup_retry_after_s(head, **fields)
+
+    def test_is_short_while_the_store_answers(self):
+        assert self.find(is_store_unreachable=False) == STARTUP_RETRY_AFTER_S
+
+    def test_is_spread_during_an_outage(self):
+        """Callers that come back all at once would overload the instance."""
+        waits_s = {
+            self.find(f'r-{number}', is_store_unreachable=True)
+            for number in range(20)
+        }
+        assert len(waits_s) == 20
+        assert max(waits_s) - min(waits_s) > 0.5
+
+    def test_is_within_the_time_that_the_caller_has(self):
+        wait_s = self.find(timeout_s=3, is_store_unreachable=True)
+        assert wait_s <= 1
+
+
 class TestInstancesThatDoNotHearEachOther:
     """All instances filled the targets that are first by name."""
 
