Let instances settle once they hear no new ones.

Found while reading the diff again: that an instance knows the others 1.5 s after its start was taken from a fleet of 67. On a simulated network (0.5 % of datagrams lost, starts spread over 0.7 s) the median instance knows, 1.5 s after the first start, 61 of 66 others at 67, 147 of 194 at 195 and 241 of 409 at 410; at 410 it knows 342 after 3 s, and the slowest one 305 after 14.75 s, as gossip names four instances in a heartbeat whose interval grows with the fleet.

Change: an instance is settled when it has heard no new one for a second since its start, and stays so. No time for a fleet's size is left in it; the slow discovery itself belongs to membership.

The test failed before: an instance that hears a new one each 0.15 s was settled after 1.5 s.

--- a/tests/gateway/test_startup.py
+++ b/tests/gateway/test_startup.py
@@ -19,14 +19,16 @@
 from tests.gateway.fleets import Fleet, run_fleet
 from tests.gateway.partitions import start_gateway
 from tests.gateway.targets import stream
+from tests.gateway.virtual_time import run_virtually
 from trefoilhinge.dispatch.calls import CallHead
+from trefoilhinge.dispatch.peers import Heartbeat
 from trefoilhinge.gateway.daemon import make_gateway
 from trefoilhinge.gateway.startup import (
     STARTUP_RETRY_AFTER_S,
     STARTUP_WAIT_S,
     find_startup_retry_after_s,
 )
-from trefoilhinge.gateway.state import PEER_DISCOVERY_S
+from trefoilhinge.gateway.state import PEER_QUIET_S, make_state
 
 STORE_DOWN_S = 0.1
 INSTANCES = 24
@@ -153,9 +155,10 @@
         handlers = {f'm{number:02}': stream() for number in range(INSTANCES)}
         async with run_fleet(**handlers) as fleet:
             now_s = asyncio.get_running_loop().time()
-            started_s = now_s - PEER_DISCOVERY_S if is_settled else now_s + 60
+            started_s = now_s - PEER_QUIET_S if is_settled else now_s + 60
             fleet.state.started_s = started_s
             fleet.state.settings = evolve(fleet.settings, seeds=(make_host(2),))
+            fleet.state._is_settled = False
             for number in range(INSTANCES):
                 fleet.state.origin = f'10.0.0.{number}/a1b2c3'
                 await fleet.call()
@@ -170,3 +173,31 @@
         """Long prompts need targets without short streams."""
         calls = asyncio.run(self.place_calls(is_settled=True))
         assert max(calls) == INSTANCES
+
+    def test_instance_that_still_hears_new_ones_is_not_settled(self):
+        """Guards against a time for discovery that only fits a small fleet.
+
+        Of 410 simulated instances that start within 0.7 s, the median one knows
+        241 after 1.5 s.
+        """
+
+        async def run():
+            settings = make_settings(1, seeds=(make_host(2),))
+            state = make_state(settings)
+            state.started_s = state.get_now_s()
+            settled = []
+            for number in range(20):
+                await asyncio.sleep(0.15)
+                heartbeat = Heartbeat(
+                    f'10.0.0.{number}', f'o{number}', 'a', 1, 1, False, ()
+                )
+                state.peers.record_heartbeat(heartbeat, state.get_now_s())
+                settled.append(state.check_settled())
+            assert not any(settled)
+            await asyncio.sleep(PEER_QUIET_S)
+            assert state.check_settled()
+            late = Heartbeat('10.0.1.1', 'late', 'a', 1, 1, False, ())
+            state.peers.record_heartbeat(late, state.get_now_s())
+            assert state.check_settled()
+
+        run_virtually(run())
--- a/trefoilhinge/dispatch/peers.py
+++ b/trefoilhinge/dispatch/peers.py
@@ -67,10 +67,13 @@
     """The other instances.
 
     :ivar peers: instances by IP address.
+    :ivar discovered_s: monotonic seconds at which an instance that was not
+        known before was last heard.
     """
 
     own_ip: str
     peers: dict[str, Peer] = field(factory=dict)
+    discovered_s: float = float('-inf')
     _gossiped: dict[str, float] = field(factory=dict)
 
     def record_heartbeat(
@@ -81,6 +84,7 @@
         if peer is None:
             peer = Peer(heartbeat.ip)
             self.peers[heartbeat.ip] = peer
+            self.discovered_s = now_s
         was_silent = (
             now_s - peer.last_heartbeat_s > self.compute_peer_timeout_s()
         )
--- a/trefoilhinge/gateway/placement.py
+++ b/trefoilhinge/gateway/placement.py
@@ -67,7 +67,7 @@
     """Choose among the given targets; ``None`` if they cannot take the call."""
     now_s = state.get_now_s()
     engine = find_engine_profile(state, call.service)
-    if not state.is_settled:
+    if not state.check_settled():
         records = rotate_targets(records, state.origin)
     limited = {record.name for record in records if _is_limited(state, record)}
     if call.head.prompt_size is not None and engine is not None:
--- a/trefoilhinge/gateway/state.py
+++ b/trefoilhinge/gateway/state.py
@@ -27,8 +27,9 @@
 from trefoilhinge.platform.documents import decode_document
 
 INCARNATION_BYTES = 3  # random part of the identifier of an incarnation
-# Instances that start hear each other's heartbeats within about a second.
-PEER_DISCOVERY_S = 1.5
+# An instance that starts and hears no new peer for this long knows the others.
+# How long that takes depends on their number.
+PEER_QUIET_S = 1.0
 
 
 @define
@@ -87,6 +88,7 @@
     admission_restricted_at_s: float = float('inf')
     _budgets: dict[str, RetryBudget] = field(factory=dict)
     _last_run_number: int = 0
+    _is_settled: bool = False
 
     def __attrs_post_init__(self) -> None:
         """Create the waiters over the shared loads."""
@@ -97,16 +99,20 @@
         """Return whether the instance knows its fleet and is not stopping."""
         return self.startup.is_open and not self.is_stopping
 
-    @property
-    def is_settled(self) -> bool:
+    def check_settled(self) -> bool:
         """Return whether the runs of the other instances are known.
 
-        An instance that has just started does not hear them yet, unless it has
-        no seeds and so is the only one.
+        An instance that starts does not hear them yet, unless it has no seeds
+        and so is the only one. Once it has heard them it stays settled: later
+        ones tell it of their runs when they start.
         """
-        if not self.settings.seeds:
-            return True
-        return self.get_now_s() >= self.started_s + PEER_DISCOVERY_S
+        if not self._is_settled:
+            quiet_since_s = max(self.started_s, self.peers.discovered_s)
+            self._is_settled = (
+                not self.settings.seeds
+                or self.get_now_s() >= quiet_since_s + PEER_QUIET_S
+            )
+        return self._is_settled
 
     def can_finish_within(self, duration_s: float) -> bool:
         """Return whether a call may be taken now.
