Released the memory of a prompt when a target that holds part of it is dark.

With the last attempt of a call at a target that went dark, the memory at the others was renewed until the deadline.

Cause: renewals went on whatever became of the other holders, although a prompt cannot be served without any one of them.

Change: a target that does not answer a renewal is probed; if it accepts no connection, all memory of the prompt is released (memory_void). The call goes on, since silence is no reason to end an answer.

Ruled out: two unanswered renewals alone, as targets may leave orders unanswered and carry them out late.

--- a/tests/gateway/test_reservations.py
+++ b/tests/gateway/test_reservations.py
@@ -3,12 +3,20 @@
 import asyncio
 
 from tests.gateway.documents import (
+    HOST,
     make_document,
     make_route,
     make_settings,
 )
 from tests.gateway.fleets import run_fleet
-from tests.gateway.targets import SEAL_HEADER, make_event, reset, stream
+from tests.gateway.partitions import CutKind, partition
+from tests.gateway.targets import (
+    SEAL_HEADER,
+    make_event,
+    never_answer,
+    reset,
+    stream,
+)
 from trefoilhinge.dispatch.rate_limits import NamedRate
 from trefoilhinge.gateway import reservations
 from trefoilhinge.gateway.peer_exchange import PeerExchange
@@ -108,6 +116,55 @@
         asyncio.run(run())
 
 
+class TestDarkTargets:
+    def test_memory_elsewhere_is_released_though_the_call_goes_on(self):
+        """Guards against memory that stays reserved for a prompt that is lost.
+
+        An attempt after which the call may not run again is not given up for
+        the silence of its target. When that target goes dark, the memory at
+        the others must be free within the bound all the same.
+        """
+
+        async def run():
+            route = make_route(
+                'stream', 'stream', 'model', 300, resumable=False
+            )
+            handlers = {f'm{number}': never_answer for number in range(1, 4)}
+            async with run_fleet(
+                make_document(routes=[route]), **handlers
+            ) as fleet:
+                with partition(fleet) as cut:
+                    call = asyncio.ensure_future(
+                        fleet.call(
+                            X_Token_Count='300000,700', X_Deadline='9000'
+                        )
+                    )
+                    targets = fleet.targets.values()
+                    await fleet.wait_for(
+                        lambda: any(one.requests for one in targets)
+                    )
+                    cut.spared = {
+                        (HOST, one.port) for one in targets if not one.requests
+                    }
+                    cut.cut(CutKind.hang, fleet.settings.ip)
+                    reserved, _ = sort_orders(fleet)
+                    sound = {
+                        key
+                        for key, name in reserved.items()
+                        if not fleet.targets[name].requests
+                    }
+                    assert sound
+                    await fleet.wait_for(
+                        lambda: sound <= sort_orders(fleet)[1].keys(),
+                        fleet.settings.bounds.free_s,
+                    )
+                    assert not call.done()
+                    call.cancel()
+                    cut.heal(fleet.settings.ip)
+
+        asyncio.run(run())
+
+
 class TestLimitedTargets:
     def test_memory_at_a_limited_target_is_renewed_less_often(self):
         """Guards against renewals that alone exceed a target's limit.
--- a/trefoilhinge/gateway/reservations.py
+++ b/trefoilhinge/gateway/reservations.py
@@ -13,8 +13,10 @@
 from trefoilhinge.dispatch.settings import parse_address
 from trefoilhinge.dispatch.targets import TargetRecord
 from trefoilhinge.gateway.http_client import FetchFailed, fetch
+from trefoilhinge.gateway.liveness import probe_target
 from trefoilhinge.gateway.peer_exchange import PeerExchange
 from trefoilhinge.gateway.state import GatewayState
+from trefoilhinge.gateway.target_connections import AnswerBroken
 from trefoilhinge.gateway.target_needs import find_record, record_needs
 from trefoilhinge.platform import reservations
 
@@ -46,6 +48,7 @@
     _tokens: tuple[int, ...]
     _unanswered: set[str] = field(factory=set)
     _renewal: asyncio.Task[None] | None = None
+    _is_released: bool = False
 
     async def reserve_all(self) -> bool:
         """Order all reservations concurrently and renew them from then on.
@@ -60,13 +63,16 @@
                 )
             )
         )
-        if all(answers):
+        if all(answer == reservations.RESERVED_STATUS for answer in answers):
             self._renewal = asyncio.ensure_future(self._renew())
             return True
         return False
 
     def release(self) -> None:
         """Stop renewals and release all reservations in the background."""
+        if self._is_released:
+            return
+        self._is_released = True
         if self._renewal is not None:
             self._renewal.cancel()
         for helper in self.helpers:
@@ -74,12 +80,12 @@
             _RELEASE_TASKS.add(task)
             task.add_done_callback(_RELEASE_TASKS.discard)
 
-    async def _reserve(self, helper: PrefillHelper, tokens: int) -> bool:
+    async def _reserve(self, helper: PrefillHelper, tokens: int) -> int | None:
+        """Order a reservation; return the status of the answer, if any."""
         body = reservations.encode_reservation(
             helper.reservation_id, tokens, self._find_lease_s()
         )
-        status = await self._order(helper, body)
-        return status == reservations.RESERVED_STATUS
+        return await self._order(helper, body)
 
     def _find_lease_s(self) -> float:
         bounds = self._state.settings.bounds
@@ -89,17 +95,47 @@
         for turn in itertools.count():
             await asyncio.sleep(self._find_lease_s() / RENEWALS_PER_LEASE)
             is_skipped_if_limited = turn % LIMITED_RENEWAL_TURNS
-            await asyncio.gather(
-                *(
-                    self._reserve(helper, tokens)
-                    for helper, tokens in zip(
-                        self.helpers, self._tokens, strict=True
-                    )
-                    if self._may_renew(
-                        helper, is_first_turn=not is_skipped_if_limited
-                    )
+            due = [
+                (helper, tokens)
+                for helper, tokens in zip(
+                    self.helpers, self._tokens, strict=True
+                )
+                if self._may_renew(
+                    helper, is_first_turn=not is_skipped_if_limited
                 )
+            ]
+            answers = await asyncio.gather(
+                *(self._reserve(helper, tokens) for helper, tokens in due)
             )
+            silent = [
+                helper
+                for (helper, _), answer in zip(due, answers, strict=True)
+                if answer is None
+            ]
+            if await self._has_dark_target(silent):
+                self.release()
+                return
+
+    async def _has_dark_target(self, silent: list[PrefillHelper]) -> bool:
+        """Return whether a target that holds memory of the prompt is gone.
+
+        The prompt cannot be served without it, so that the memory elsewhere is
+        of no use any more, whatever becomes of the call.
+
+        :param silent: targets that did not answer a renewal.
+        """
+        for helper in silent:
+            try:
+                await probe_target(helper.address)
+            except AnswerBroken as problem:
+                self._state.log.write(
+                    'memory_void',
+                    address=helper.address,
+                    ticket=helper.reservation_id,
+                    problem=problem,
+                )
+                return True
+        return False
 
     def _may_renew(self, helper: PrefillHelper, *, is_first_turn: bool) -> bool:
         """Return whether a reservation is renewed in this turn.
