Told apart the two waits after a start.

check_settled and the permits' SETTLING_HEARTBEATS are not copies of one decision: the one is a guess that costs a worse placement, the other keeps a limit. Comment only; the test of the former is tests/gateway/test_discovery.py, of the latter tests/gateway/test_permits.py.

--- a/trefoilhinge/gateway/state.py
+++ b/trefoilhinge/gateway/state.py
@@ -104,7 +104,9 @@
 
         An instance that starts does not hear them yet, unless it has no seeds
         and so is the only one. Once it has heard them it stays settled: later
-        ones tell it of their runs when they start.
+        ones tell it of their runs when they start. Being wrong costs a worse
+        placement; permits, which must not be granted twice, wait for longer
+        (``SETTLING_HEARTBEATS``).
         """
         if not self._is_settled:
             quiet_since_s = max(self.started_s, self.peers.discovered_s)
