Showed that one restart after an outage of the store loses all replicas for good.

A machine that starts within the two seconds in which replicas register again takes the list of replicas from a peer, then lists the store and takes those that are not back yet for gone. It tells all peers, and a departed incarnation is never used again.

--- a/review/standins/store.py
+++ b/review/standins/store.py
@@ -15,7 +15,7 @@
     """Items, revisions and watches, as PROTOCOL.md tells them.
 
     ``cut_after_s``: a waiting watch is cut after this time, none if it is
-    kept to its end.
+    kept to its end. ``is_down``: all calls get 503, nothing is done.
     """
 
     def __init__(self, host: str, port: int) -> None:
@@ -26,6 +26,7 @@
         self.events: list[dict] = []
         self.cut_after_s: float | None = None
         self.cuts = 0
+        self.is_down = False
         self._changed = asyncio.Event()
         self._host = host
         self._port = port
@@ -56,6 +57,12 @@
             {'key': key, 'rev': self.revision, 'tombstone': True}
         )
 
+    def go_down(self) -> None:
+        """Refuse all calls, also those that wait."""
+        self.is_down = True
+        self._changed.set()
+        self._changed = asyncio.Event()
+
     def _record(self, event: dict) -> float:
         self.events.append(event)
         self._changed.set()
@@ -63,6 +70,9 @@
         return time.monotonic()
 
     async def _handle(self, exchange: Exchange) -> None:
+        if self.is_down:
+            await exchange.respond(503)
+            return
         path, _, query = exchange.target.partition('?')
         fields = dict(parse_qsl(query))
         if path == '/kv-key':
@@ -101,6 +111,9 @@
                     await changed.wait()
             except TimeoutError:
                 pass
+            if self.is_down:
+                await exchange.respond(503)
+                return
             events = self._find_events(fields)
         if not events and cut_s is not None and cut_s < wait_s:
             self.cuts += 1
