--- a/review/standins/http.py
+++ b/review/standins/http.py
@@ -95,9 +95,7 @@
         finally:
             writer.close()
 
-    return await asyncio.start_server(
-        serve_connection, host, port, backlog=512
-    )
+    return await asyncio.start_server(serve_connection, host, port, backlog=512)
 
 
 @dataclass
