--- a/review/standins/store.py
+++ b/review/standins/store.py
@@ -9,6 +9,7 @@
 from review.standins.http import Exchange, serve
 
 PAGE_ITEMS = 500
+ANSWER_S = 0.004  # as the sheet has it
 
 
 class Store:
@@ -133,6 +134,7 @@
         self, exchange: Exchange, fields: dict, status: int = 200
     ) -> None:
         content = {**fields, 'currentRev': self.revision}
+        await asyncio.sleep(ANSWER_S)
         await exchange.respond(
             status,
             json.dumps(content).encode(),
