--- a/review/2/case.py
+++ b/review/2/case.py
@@ -74,13 +74,14 @@
 ) -> bool:
     """Return whether a request reached the replica after drainMs."""
     store = deployment.store
+    port = deployment.network.replica_port
     replicas = [
-        Replica(f'i-{index}', (deployment.network.make_ip(), 8120))
+        Replica(f'i-{index}', (deployment.network.make_ip(), port))
         for index in range(REPLICAS)
     ]
     for replica in replicas:
         await replica.start()
-        host, port = replica.address
+        host = replica.address[0]
         store.put(
             f'servers/{replica.name}',
             make_entry('yard-ops', f'{host}:{port}', slots=6),
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -24,6 +24,7 @@
 DRAIN_S = 2.0
 GRACE_S = 8
 START_TIMEOUT_S = 20.0
+REPLICA_PORT_OFFSET = 40  # after the ports of a machine
 BOUNDS = {
     'seedLagS': 3,
     'addrReuseS': 2,
@@ -75,6 +76,7 @@
         self._prefix = f'127.{pick.randint(10, 250)}.{pick.randint(1, 250)}'
         self._last = 1
         self.first_port = self._find_port(pick)
+        self.replica_port = self.first_port + REPLICA_PORT_OFFSET
 
     def make_ip(self) -> str:
         """Return another loopback address."""
@@ -84,14 +86,18 @@
     def _find_port(self, pick: random.Random) -> int:
         for _ in range(50):
             port = pick.randint(20_000, 29_000)
-            try:
-                with socket.socket() as probe:
-                    probe.bind((f'{self._prefix}.1', port))
-            except OSError:
-                continue
-            return port
+            if all(map(self._is_free, (port, port + REPLICA_PORT_OFFSET))):
+                return port
         raise CannotRun('no free port')
 
+    def _is_free(self, port: int) -> bool:
+        try:
+            with socket.socket() as probe:
+                probe.bind((f'{self._prefix}.1', port))
+        except OSError:
+            return False
+        return True
+
 
 class Gateway:
     """One machine with the program of the deploy file."""
