Logged targets whose entries are missing around an outage of the store.

An entry that is removed shortly after an outage keeps its target in use, and no line said so: an on-call engineer could not see why a removed target still gets calls, nor that the time of grace began anew. Now target_missing and target_registered_again are logged.

--- a/trefoilhinge/gateway/daemon.py
+++ b/trefoilhinge/gateway/daemon.py
@@ -28,6 +28,7 @@
 from trefoilhinge.gateway.snapshots import make_snapshot
 from trefoilhinge.gateway.state import GatewayState, make_state
 from trefoilhinge.gateway.store_watcher import StoreWatcher
+from trefoilhinge.gateway.target_entries import TargetEntries
 
 SWEEP_INTERVAL_S = 0.5
 TASK_RESTART_DELAY_S = 0.5  # of a background task that failed
@@ -275,7 +276,7 @@
         state,
         peers,
         service,
-        StoreWatcher(state, peers),
+        StoreWatcher(state, TargetEntries(state, peers)),
         RelayServer(state, service),
     )
 
--- a/trefoilhinge/gateway/store_watcher.py
+++ b/trefoilhinge/gateway/store_watcher.py
@@ -4,11 +4,10 @@
 
 from attrs import define
 
-from trefoilhinge.dispatch.targets import TargetRecord
 from trefoilhinge.exceptions import TrefoilhingeError
 from trefoilhinge.gateway.http_client import FetchedResponse, FetchFailed, fetch
-from trefoilhinge.gateway.peer_exchange import PeerExchange
 from trefoilhinge.gateway.state import GatewayState
+from trefoilhinge.gateway.target_entries import TargetEntries
 from trefoilhinge.platform import store
 
 # The limits on reads are limits on silence: a transfer that goes on is not
@@ -53,7 +52,7 @@
     """Keeps the document and the targets in step with the store."""
 
     _state: GatewayState
-    _peers: PeerExchange
+    _entries: TargetEntries
     _revision: int = 0
     _era: int | None = None
     _has_listed: bool = False
@@ -103,7 +102,7 @@
             if not page.is_truncated or not page.items:
                 break
             after = page.items[-1].key
-        self._apply_list(records)
+        self._entries.apply_list(records)
         self._set_revision(revision)
         self._has_listed = True
         self._needs_catch_up = False
@@ -202,15 +201,6 @@
         if known is not None and decoded.ok > known:
             raise StoreRestored
 
-    def _apply_list(self, items: dict[str, store.StoreItem]) -> None:
-        for item in items.values():
-            self._apply_item(item)
-        now_s = self._state.get_now_s()
-        for name in tuple(self._state.directory.records):
-            if f'{store.TARGET_PREFIX}{name}' not in items:
-                self._apply_removal(name, now_s)
-        self._state.log.write('targets_listed', count=len(items))
-
     def _set_revision(self, revision: int) -> None:
         self._revision = revision
         self._state.record_targets_read(revision)
@@ -225,50 +215,7 @@
                 item.content, f'store revision {item.revision}'
             )
         elif item.key.startswith(store.TARGET_PREFIX):
-            self._apply_target(item)
-
-    def _apply_target(self, item: store.StoreItem) -> None:
-        name = item.key.removeprefix(store.TARGET_PREFIX)
-        now_s = self._state.get_now_s()
-        if item.content is None:
-            self._apply_removal(name, now_s)
-            return
-        decoded = store.decode_target(item)
-        if decoded.is_error():
-            self._state.log.write(
-                'target_refused',
-                target=name,
-                revision=item.revision,
-                problem=decoded.error,
-            )
-            return
-        record = decoded.ok
-        is_first = name not in self._state.directory.records
-        if self._state.apply_target(record):
-            self._report_leaving(record, 'draining')
-        elif is_first:
-            self._state.log.write(
-                'target_seen',
-                target=name,
-                service=record.service,
-                address=record.address,
-                revision=record.revision,
-            )
-
-    def _apply_removal(self, name: str, now_s: float) -> None:
-        record = self._state.directory.mark_removed(name, now_s)
-        if record is not None:
-            self._report_leaving(record, 'gone')
-
-    def _report_leaving(self, record: TargetRecord, reason: str) -> None:
-        self._peers.broadcast_target_leaving(record)
-        self._state.log.write(
-            'target_left',
-            target=record.name,
-            source='store',
-            reason=reason,
-            revision=record.revision,
-        )
+            self._entries.apply_item(item)
 
     def _record_failure(self, problem: str) -> None:
         directory = self._state.directory
--- /dev/null
+++ b/trefoilhinge/gateway/target_entries.py
@@ -0,0 +1,92 @@
+"""Entries of the targets in the platform's store."""
+
+from collections.abc import Mapping
+
+from attrs import define
+
+from trefoilhinge.dispatch.targets import TargetRecord
+from trefoilhinge.gateway.peer_exchange import PeerExchange
+from trefoilhinge.gateway.state import GatewayState
+from trefoilhinge.platform import store
+
+
+@define
+class TargetEntries:
+    """Applies entries that were written or removed, and tells the peers."""
+
+    _state: GatewayState
+    _peers: PeerExchange
+
+    def apply_list(self, items: Mapping[str, store.StoreItem]) -> None:
+        """Apply a complete list; targets that it lacks were removed.
+
+        :param items: entries by key.
+        """
+        for item in items.values():
+            self.apply_item(item)
+        for name in tuple(self._state.directory.records):
+            if f'{store.TARGET_PREFIX}{name}' not in items:
+                self._apply_removal(name)
+        self._state.log.write('targets_listed', count=len(items))
+
+    def apply_item(self, item: store.StoreItem) -> None:
+        """Apply an entry or its removal; log one that cannot be decoded."""
+        name = item.key.removeprefix(store.TARGET_PREFIX)
+        if item.content is None:
+            self._apply_removal(name)
+            return
+        decoded = store.decode_target(item)
+        if decoded.is_error():
+            self._state.log.write(
+                'target_refused',
+                target=name,
+                revision=item.revision,
+                problem=decoded.error,
+            )
+            return
+        self._apply_record(decoded.ok)
+
+    def _apply_record(self, record: TargetRecord) -> None:
+        directory = self._state.directory
+        is_first = record.name not in directory.records
+        was_missing = record.name in directory.missing
+        if self._state.apply_target(record):
+            self._report_leaving(record, 'draining')
+        elif is_first:
+            self._state.log.write(
+                'target_seen',
+                target=record.name,
+                service=record.service,
+                address=record.address,
+                revision=record.revision,
+            )
+        elif was_missing and record.name not in directory.missing:
+            self._state.log.write(
+                'target_registered_again',
+                target=record.name,
+                revision=record.revision,
+            )
+
+    def _apply_removal(self, name: str) -> None:
+        directory = self._state.directory
+        now_s = self._state.get_now_s()
+        was_missing = name in directory.missing
+        record = directory.mark_removed(name, now_s)
+        if record is not None:
+            self._report_leaving(record, 'gone')
+        elif name in directory.missing and not was_missing:
+            self._state.log.write(
+                'target_missing',
+                target=name,
+                store_back_s=now_s - directory.reachable_since_s,
+            )
+
+    def _report_leaving(self, record: TargetRecord, reason: str) -> None:
+        self._peers.broadcast_target_leaving(record)
+        self._state.log.write(
+            'target_left',
+            target=record.name,
+            source='store',
+            reason=reason,
+            revision=record.revision,
+        )
