Refused entries with numbers and names that cannot be sent.

Reported by operators of systems like this one: an odd entry among those of the targets ends the processes that read the list, or their watch. Shown here: an entry that is draining, with a born of 400 digits, ended the watcher of the store (OverflowError, the datagram to the peers holds 64 bits), which then listed the store anew. Other entries named targets that no request can be sent to: numbers over 64 bits, negative ones, a born of 0.5, keys that are no header value.

TargetRecord checks its fields, for entries of the store and lists of peers alike. Nesting, ports, infinite numbers and NaN were refused before.

--- a/tests/platform/test_hostile_content.py
+++ b/tests/platform/test_hostile_content.py
@@ -1,5 +1,7 @@
 """Tests of content that decoders must refuse without failing."""
 
+import json
+
 import pytest
 
 from trefoilhinge.gateway.replication import apply_targets
@@ -62,6 +64,17 @@
     def test_deeply_nested_list_of_a_peer_is_refused(self):
         assert apply_targets(None, NESTED).is_error()
 
+    @pytest.mark.parametrize(
+        ('position', 'value'),
+        [(0, 'a b'), (4, 2**64), (4, 0), (6, -1), (6, 0.5), (7, '1')],
+    )
+    def test_odd_target_in_the_list_of_a_peer_is_refused(self, position, value):
+        """Guards against a record that cannot be announced to other peers."""
+        entry = ['t', 'a', '10.0.0.1:80', 'a', 8, False, 1000, 1, 1]
+        entry[position] = value
+        content = json.dumps({'revision': 1, 'targets': [entry]}).encode()
+        assert apply_targets(None, content).is_error()
+
 
 class TestTokenCounts:
     @pytest.mark.parametrize(
--- a/trefoilhinge/dispatch/targets.py
+++ b/trefoilhinge/dispatch/targets.py
@@ -1,14 +1,27 @@
 """Directory of targets, from the platform's store and other instances."""
 
-from attrs import define, field, frozen
+from attrs import define, field, frozen, validators
 
 from trefoilhinge.dispatch.outages import StoreOutages
 
+# Numbers of records are sent in datagrams as signed integers of 64 bits.
+_is_number = validators.and_(
+    validators.instance_of(int), validators.ge(0), validators.lt(2**63)
+)
+# Names are sent in headers.
+_is_name = validators.and_(
+    validators.instance_of(str), validators.matches_re('[!-~]+')
+)
+
 
 @frozen
 class TargetRecord:
     """One incarnation of a target.
 
+    The constructor raises ``TypeError`` or ``ValueError`` for what names no
+    target.
+
+    :ivar name: visible ASCII characters.
     :ivar slots: number of calls that it runs concurrently.
     :ivar is_leaving: whether it accepts no new calls.
     :ivar started_ms: wall-clock milliseconds of its start; a restart has a
@@ -17,15 +30,15 @@
     :ivar revision: revision of the record in the store.
     """
 
-    name: str
-    service: str
-    address: str
-    failure_domain: str
-    slots: int
-    is_leaving: bool
-    started_ms: int
-    sequence: int
-    revision: int
+    name: str = field(validator=_is_name)
+    service: str = field(validator=validators.instance_of(str))
+    address: str = field(validator=validators.instance_of(str))
+    failure_domain: str = field(validator=validators.instance_of(str))
+    slots: int = field(validator=validators.and_(_is_number, validators.ge(1)))
+    is_leaving: bool = field(validator=validators.instance_of(bool))
+    started_ms: int = field(validator=_is_number)
+    sequence: int = field(validator=_is_number)
+    revision: int = field(validator=_is_number)
 
 
 @define
--- a/trefoilhinge/platform/store.py
+++ b/trefoilhinge/platform/store.py
@@ -137,8 +137,8 @@
         failure_domain=_require(fields, 'zone', str),
         slots=_require(fields, 'slots', int),
         is_leaving=state == 'draining',
-        started_ms=int(fields.get('born', 0)),
-        sequence=int(fields.get('seq', 0)),
+        started_ms=fields.get('born', 0),
+        sequence=fields.get('seq', 0),
         revision=item.revision,
     )
 
