--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -17,8 +17,8 @@
     MAXIMUM_PROMPT_PARTS,
     decode_prompt_parts,
     decode_request_head,
-    decode_response_head,
 )
+from trefoilhinge.platform.responses import decode_response_head
 from trefoilhinge.platform.settings import decode_settings
 
 SETTINGS = {
--- a/tests/platform/test_rests.py
+++ b/tests/platform/test_rests.py
@@ -3,7 +3,7 @@
 import pytest
 
 from trefoilhinge.dispatch.rests import MAXIMUM_REST_S
-from trefoilhinge.platform.headers import decode_response_head
+from trefoilhinge.platform.responses import decode_response_head
 
 DATE = (b'Date', b'Fri, 04 Dec 2026 15:00:00 GMT')
 
--- a/trefoilhinge/gateway/target_connections.py
+++ b/trefoilhinge/gateway/target_connections.py
@@ -10,10 +10,8 @@
 from trefoilhinge.dispatch.settings import Address, parse_address
 from trefoilhinge.exceptions import TrefoilhingeError
 from trefoilhinge.gateway.tcp import READ_BYTES, open_tcp_connection
-from trefoilhinge.platform.headers import (
-    decode_response_head,
-    encode_request_headers,
-)
+from trefoilhinge.platform.headers import encode_request_headers
+from trefoilhinge.platform.responses import decode_response_head
 
 MINIMUM_PROGRESS_BYTES = 1_024  # of an event or a body that is not complete
 MAXIMUM_BODY_BYTES = 8_388_608  # of an answer that is kept until it is whole
--- a/trefoilhinge/platform/headers.py
+++ b/trefoilhinge/platform/headers.py
@@ -1,4 +1,4 @@
-"""Codecs of the platform's request and response headers."""
+"""Codecs of the headers of requests, and of refusals."""
 
 import math
 import re
@@ -7,27 +7,21 @@
 import xxhash
 
 from trefoilhinge.dispatch.calls import (
-    AnswerHead,
     Attempt,
     Call,
     CallHead,
     PromptSize,
     RawHeaders,
 )
-from trefoilhinge.dispatch.rate_limits import MINIMUM_REQUESTS_PER_S, RATE_UNITS
-from trefoilhinge.dispatch.rests import parse_rest
 
 MS_PER_S = 1000
-_RATE_HEADER = b'server-limit'
-_RATE_PATTERN = re.compile(rb'\d{1,12}(\.\d{0,12})?|\.\d{1,12}')
 _TOKENS_PATTERN = re.compile(rb'\d{1,12}')
-MAXIMUM_REQUESTS_PER_S = 100_000  # more than any target serves
 _PROMPT_HEADER = b'x-prompt-prefix'
 MAXIMUM_PROMPT_PARTS = 64  # shared parts that are kept of a prompt
 MAXIMUM_PART_BYTES = 32  # of an identifier; a longer one is hashed
 
 # Headers that apply to a single connection and are never forwarded.
-_HOP_BY_HOP_HEADERS = frozenset(
+HOP_BY_HOP_HEADERS = frozenset(
     (
         b'connection',
         b'content-length',
@@ -40,7 +34,6 @@
         b'upgrade',
     )
 )
-_LENGTH_HEADERS = frozenset((b'content-length', b'transfer-encoding'))
 # Headers that an instance evaluates or sets itself instead of forwarding them.
 _REPLACED_HEADERS = frozenset(
     (
@@ -152,64 +145,6 @@
     return headers
 
 
-def decode_response_head(
-    status: int,
-    headers: Iterable[tuple[bytes, bytes]],
-) -> AnswerHead:
-    """Decode the status and headers of a target's response."""
-    raw_headers = tuple(headers)
-    by_name = {name.lower(): value for name, value in raw_headers}
-    requests_per_s, rate_problem = decode_rate(raw_headers)
-    rest_s: float = 0
-    rest_problem = ''
-    if status == 503 and b'retry-after' in by_name:
-        rest_s, rest_problem = parse_rest(
-            by_name[b'retry-after'], by_name.get(b'date', b'')
-        )
-    return AnswerHead(
-        status=status,
-        request_id=by_name.get(b'x-request-id', b'').decode('latin-1'),
-        is_signed=b'x-server-seal' in by_name,
-        # 421 Misdirected Request: the target did not accept the request.
-        not_run=b'x-not-run' in by_name or status == 421,
-        at_fault=by_name.get(b'at-server', b'').decode('latin-1'),
-        forwarded_headers=tuple(
-            (name, value)
-            for name, value in raw_headers
-            if name.lower() not in _HOP_BY_HOP_HEADERS
-        ),
-        ends_with_connection=not _LENGTH_HEADERS & by_name.keys(),
-        requests_per_s=requests_per_s,
-        rate_problem=rate_problem,
-        rest_s=rest_s,
-        rest_problem=rest_problem,
-        is_leaving=by_name.get(b'server-leaving', b'').strip() == b'1',
-    )
-
-
-def decode_rate(
-    headers: Iterable[tuple[bytes, bytes]],
-) -> tuple[float | None, str]:
-    """Decode the rate that a target takes from all instances together.
-
-    :return: requests per second, not below ``MINIMUM_REQUESTS_PER_S``, and
-        an empty text; or none and why the header cannot be read, empty if
-        there is none.
-    """
-    values = [
-        value.strip() for name, value in headers if name.lower() == _RATE_HEADER
-    ]
-    if not values:
-        return None, ''
-    text = b', '.join(values)
-    if len(values) > 1 or not _RATE_PATTERN.fullmatch(text):
-        return None, f'{text[:40]!r} is not one decimal number'
-    rate = round(float(text) * RATE_UNITS) / RATE_UNITS
-    if rate > MAXIMUM_REQUESTS_PER_S:
-        return None, f'{rate} is over {MAXIMUM_REQUESTS_PER_S} a second'
-    return max(rate, MINIMUM_REQUESTS_PER_S), ''
-
-
 def encode_refusal_headers(
     request_id: str,
     retry_after_s: float | None,
@@ -252,7 +187,7 @@
     }
     excluded = (
         (connection_options - _END_TO_END_HEADERS)
-        | _HOP_BY_HOP_HEADERS
+        | HOP_BY_HOP_HEADERS
         | _REPLACED_HEADERS
     )
     return tuple(
--- a/trefoilhinge/platform/reservations.py
+++ b/trefoilhinge/platform/reservations.py
@@ -4,7 +4,7 @@
 from collections.abc import Mapping
 
 from trefoilhinge.dispatch.calls import AnswerHead
-from trefoilhinge.platform.headers import decode_response_head
+from trefoilhinge.platform.responses import decode_response_head
 
 ORDER_PATH = '/order'
 RESERVED_STATUS = 200
