Ended a resumed stream whose next answer does not go on with it.

Reported by operators of systems like this one: a stream broke off, and the next target's error came in the middle of it, or it ended as if complete. Statuses of 400 and more, refusals and answers without a seal never reached callers here. A 204, an event without a number, and a repetition of a stream without numbers did, the first two with a complete end.

Cause: the relay took each success for a continuation. Now a resumed answer needs the status of the first one and a number for each event.

--- a/trefoilhinge/gateway/answer_relay.py
+++ b/trefoilhinge/gateway/answer_relay.py
@@ -46,8 +46,12 @@
         :param on_event: called before new events are sent.
         :raises AnswerBroken: the stream ended early, an event is missing, or
             one is longer than ``MAXIMUM_EVENT_BYTES``. Without a length, one
-            that ends before its first event has ended early.
+            that ends before its first event has ended early. An answer that
+            does not go on with a stream that has begun is broken as well.
         """
+        is_resumed = self._progress.has_started
+        if is_resumed and head.status != self._progress.status:
+            raise AnswerBroken(f'status {head.status} of a resumed stream')
         splitter = EventSplitter()
         has_events = False
         async for chunk in connection.read_content():
@@ -55,7 +59,7 @@
             if events:
                 has_events = True
                 connection.record_progress()
-            content = self._select_new_events(events)
+            content = self._select_new_events(events, is_resumed=is_resumed)
             if content:
                 self._start_answer(head)
                 on_event()
@@ -80,16 +84,28 @@
             self._progress.status = head.status
             self._caller.start_answer(head.status, list(head.forwarded_headers))
 
-    def _select_new_events(self, events: list[StreamEvent]) -> bytes:
+    def _select_new_events(
+        self, events: list[StreamEvent], *, is_resumed: bool
+    ) -> bytes:
         new_events = []
         for event in events:
-            last = self._progress.last_event
-            if event.number is not None and last is not None:
-                if event.number <= last:
-                    continue
-                if event.number > last + 1:
-                    raise AnswerBroken('stream skipped an event number')
-            if event.number is not None:
-                self._progress.last_event = event.number
-            new_events.append(event.content)
+            if self._is_new(event.number, is_resumed=is_resumed):
+                new_events.append(event.content)
+                if event.number is not None:
+                    self._progress.last_event = event.number
         return b''.join(new_events)
+
+    def _is_new(self, number: int | None, *, is_resumed: bool) -> bool:
+        """Return whether the caller does not have an event yet.
+
+        :param number: number of the event, if it has one.
+        :raises AnswerBroken: it does not follow what the caller has.
+        """
+        last = self._progress.last_event
+        if is_resumed and (number is None or last is None):
+            raise AnswerBroken('resumed stream has no event numbers')
+        if number is None or last is None:
+            return True
+        if number > last + 1:
+            raise AnswerBroken('stream skipped an event number')
+        return number > last
