Used a target again whose entry is written again.

Cause: one mark for two states. An incarnation whose entry was removed was marked like one that had said that it leaves, and nothing took the mark back. Evidence: records of such targets in the directory, with their incarnation in departed. Related: a peer's report and a peer's list left the same mark.

Change: dispatch/departures.py tells a departure that the target announced, which is final, from an entry that is not there, which an entry written later takes back. A report of a peer that is older than a record is ignored; what a peer's list says counts as its report. Revisions are compared within one history of the store only, since a restored copy has entries of before; there the target's own sequence decides.

--- a/tests/dispatch/test_outages.py
+++ b/tests/dispatch/test_outages.py
@@ -7,6 +7,7 @@
 )
 from trefoilhinge.dispatch.targets import TargetDirectory
 
+REMOVED_AT = 5  # revision
 INTERVAL_S = 1.0
 EXPIRY_S = 2 * INTERVAL_S
 
@@ -29,7 +30,10 @@
         """Guards against a removed target that is used after a lost read."""
         directory = make_directory()
         lose_store(directory, 10, 10 + EXPIRY_S / 2)
-        assert directory.mark_removed('t01', 10 + EXPIRY_S / 2) is not None
+        assert (
+            directory.mark_removed('t01', 10 + EXPIRY_S / 2, REMOVED_AT)
+            is not None
+        )
 
     def test_cut_watch_is_no_outage(self):
         """Guards against a removed target that is used while watches are cut.
@@ -38,19 +42,22 @@
         """
         directory = make_directory()
         directory.outages.mark_silent(10, 10 + EXPIRY_S / 2)
-        assert directory.mark_removed('t01', 10 + EXPIRY_S / 2) is not None
+        assert (
+            directory.mark_removed('t01', 10 + EXPIRY_S / 2, REMOVED_AT)
+            is not None
+        )
 
     def test_entry_may_expire_while_a_cut_watch_was_silent_for_long(self):
         directory = make_directory()
         directory.outages.mark_silent(10, 10 + EXPIRY_S)
-        assert directory.mark_removed('t01', 10 + EXPIRY_S) is None
+        assert directory.mark_removed('t01', 10 + EXPIRY_S, REMOVED_AT) is None
         assert 't01' in directory.missing
 
     def test_cut_watch_proves_nothing_if_the_interval_is_unknown(self):
         directory = TargetDirectory()
         directory.apply_record(make_record('t01'))
         directory.outages.mark_silent(10, 20)
-        assert directory.mark_removed('t01', 20) is not None
+        assert directory.mark_removed('t01', 20, REMOVED_AT) is not None
 
 
 class TestGrace:
@@ -58,7 +65,7 @@
         directory = make_directory()
         lose_store(directory, 10, 15)
         late_s = 15 + REREGISTRATION_GRACE_S * 0.9
-        assert directory.mark_removed('t01', late_s) is None
+        assert directory.mark_removed('t01', late_s, REMOVED_AT) is None
         end_s = 15 + REREGISTRATION_GRACE_S
         assert not directory.expire_missing(end_s)
         assert directory.expire_missing(end_s + 0.01)
@@ -67,7 +74,7 @@
         """Guards against a removed target that is used without end."""
         directory = make_directory()
         lose_store(directory, 10, 15)
-        directory.mark_removed('t01', 15)
+        directory.mark_removed('t01', 15, REMOVED_AT)
         for began_s in range(16, 30, 2):
             lose_store(directory, began_s, began_s + 1)
         assert directory.expire_missing(30)
@@ -75,9 +82,9 @@
     def test_further_outages_do_not_prolong_it(self):
         directory = make_directory()
         lose_store(directory, 10, 15)
-        directory.mark_removed('t01', 15)
+        directory.mark_removed('t01', 15, REMOVED_AT)
         lose_store(directory, 16, 21)
-        assert directory.mark_removed('t01', 21) is None
+        assert directory.mark_removed('t01', 21, REMOVED_AT) is None
         assert not directory.expire_missing(21.9)
         assert directory.expire_missing(22.1)
 
@@ -85,14 +92,14 @@
         """Guards against a target that had no time to register again."""
         directory = make_directory()
         lose_store(directory, 10, 15)
-        directory.mark_removed('t01', 15)
+        directory.mark_removed('t01', 15, REMOVED_AT)
         directory.outages.mark_unreachable(16)
         assert not directory.expire_missing(100)
 
     def test_peer_removes_an_entry_during_an_outage(self):
         directory = make_directory()
         directory.outages.mark_unreachable(10)
-        assert directory.mark_removed('t01', 10 + EXPIRY_S) is None
+        assert directory.mark_removed('t01', 10 + EXPIRY_S, REMOVED_AT) is None
         directory.outages.mark_reachable(30)
         assert not directory.expire_missing(30 + REREGISTRATION_GRACE_S)
         assert directory.expire_missing(30.1 + REREGISTRATION_GRACE_S)
@@ -100,4 +107,4 @@
     def test_it_begins_when_the_store_was_restored(self):
         directory = make_directory()
         directory.outages.mark_restored(10)
-        assert directory.mark_removed('t01', 10) is None
+        assert directory.mark_removed('t01', 10, REMOVED_AT) is None
--- a/tests/dispatch/test_targets.py
+++ b/tests/dispatch/test_targets.py
@@ -4,6 +4,8 @@
 from trefoilhinge.dispatch.outages import REREGISTRATION_GRACE_S
 from trefoilhinge.dispatch.targets import TargetDirectory
 
+REMOVED_AT = 5  # revision
+
 
 def list_names(directory):
     """Return the names of the targets that may receive calls."""
@@ -46,7 +48,7 @@
     def test_removed_target_departs_at_once(self):
         directory = TargetDirectory()
         directory.apply_record(make_record('t01'))
-        assert directory.mark_removed('t01', 10) is not None
+        assert directory.mark_removed('t01', 10, REMOVED_AT) is not None
         assert not list_names(directory)
 
     def test_entry_that_expired_with_the_store_may_return(self):
@@ -54,7 +56,7 @@
         directory.apply_record(make_record('t01'))
         directory.outages.mark_unreachable(10)
         directory.outages.mark_reachable(15)
-        assert directory.mark_removed('t01', 15) is None
+        assert directory.mark_removed('t01', 15, REMOVED_AT) is None
         assert list_names(directory) == ['t01']
         assert not directory.expire_missing(15 + REREGISTRATION_GRACE_S / 2)
         gone = directory.expire_missing(15 + REREGISTRATION_GRACE_S + 0.1)
@@ -66,7 +68,7 @@
         directory.apply_record(make_record('t01'))
         directory.outages.mark_unreachable(10)
         directory.outages.mark_reachable(15)
-        directory.mark_removed('t01', 15)
+        directory.mark_removed('t01', 15, REMOVED_AT)
         directory.apply_record(make_record('t01', revision=9))
         assert not directory.expire_missing(20)
         assert list_names(directory) == ['t01']
--- a/tests/gateway/test_outages.py
+++ b/tests/gateway/test_outages.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from tests.gateway.fleets import run_fleet
+from tests.gateway.fleets import run_fleet, run_peers
 from tests.gateway.targets import stream
 from trefoilhinge.gateway.store_watcher import WATCH_WAIT_S
 
@@ -10,6 +10,12 @@
 CUT_AFTER_S = 0.5  # of a waiting watch
 
 
+def list_serving(fleet):
+    """Return the names of the targets that an instance uses."""
+    directory = fleet.state.directory
+    return [one.name for one in directory.list_serving('model')]
+
+
 async def run_through_outage(fleet):
     """Take the store away and wait until the instance reads it again."""
     directory = fleet.state.directory
@@ -107,3 +113,33 @@
                 )
 
         asyncio.run(run())
+
+
+class TestLostTargets:
+    def test_target_that_registers_again_is_used_by_each_instance(self):
+        """Guards against RECOVER: a target that lost the store for a time.
+
+        Its entry expired while the store was sound, so that it departed; it
+        lives, is reachable and registers again.
+        """
+
+        async def run():
+            async with (
+                run_fleet(m1=stream(), m2=stream()) as fleet,
+                run_peers(fleet, 2) as others,
+            ):
+                fleets = (fleet, *others)
+                fleet.store.remove('servers/m1')
+                for one in fleets:
+                    await fleet.wait_for(
+                        lambda one=one: list_serving(one) == ['m2']
+                    )
+                address = fleet.targets['m1'].address
+                fleet.store.put_target('m1', address, seq=9)
+                for one in fleets:
+                    await fleet.wait_for(
+                        lambda one=one: list_serving(one) == ['m1', 'm2'],
+                        fleet.settings.bounds.apply_s,
+                    )
+
+        asyncio.run(run())
--- a/trefoilhinge/dispatch/targets.py
+++ b/trefoilhinge/dispatch/targets.py
@@ -2,6 +2,11 @@
 
 from attrs import define, field, frozen, validators
 
+from trefoilhinge.dispatch.departures import (
+    Departure,
+    DepartureTable,
+    Incarnation,
+)
 from trefoilhinge.dispatch.outages import StoreOutages
 
 # Numbers of records are sent in datagrams as signed integers of 64 bits.
@@ -40,18 +45,22 @@
     sequence: int = field(validator=_is_number)
     revision: int = field(validator=_is_number)
 
+    @property
+    def incarnation(self) -> Incarnation:
+        """Return the name and the start."""
+        return self.name, self.started_ms
+
 
 @define
 class TargetDirectory:
     """Targets that may receive calls.
 
-    An incarnation of a target that was seen leaving stays departed. So does
-    one whose entry was removed, unless it may have expired in an outage of the
-    store: then the target has a grace period to register again.
+    An incarnation that said that it leaves stays departed. One whose entry was
+    removed departs until it is written again. If the entry may have expired in
+    an outage of the store, the target has a grace period first.
 
     :ivar records: latest records, by target name.
-    :ivar departed: revisions at which incarnations departed, by target name
-        and start.
+    :ivar departures: incarnations that take no new calls.
     :ivar missing: targets whose entries may have expired in an outage, and
         the ends of their grace periods, in reachable seconds of the store.
     :ivar revision: latest revision of the store that was read; it is larger
@@ -60,7 +69,7 @@
     """
 
     records: dict[str, TargetRecord] = field(factory=dict)
-    departed: dict[tuple[str, int], int] = field(factory=dict)
+    departures: DepartureTable = field(factory=DepartureTable)
     missing: dict[str, float] = field(factory=dict)
     revision: int = 0
     outages: StoreOutages = field(factory=StoreOutages)
@@ -70,6 +79,11 @@
         """Return whether the store does not answer, or never did."""
         return self.outages.unreachable_since_s is not None or not self.revision
 
+    @property
+    def departed(self) -> dict[Incarnation, Departure]:
+        """Return the departures by target name and start."""
+        return self.departures.departures
+
     def apply_record(self, record: TargetRecord) -> bool:
         """Apply a record unless it is outdated.
 
@@ -80,37 +94,57 @@
             return False
         self.records[record.name] = record
         self.missing.pop(record.name, None)
-        return record.is_leaving and self.mark_departed(record)
+        if record.is_leaving:
+            return self.mark_departed(record)
+        self.departures.apply_entry(
+            record.incarnation, record.revision, record.sequence
+        )
+        return False
 
     def mark_departed(self, record: TargetRecord) -> bool:
-        """Mark an incarnation as departed; return whether it was not yet."""
-        return self.mark_incarnation_departed(
-            record.name, record.started_ms, record.revision
+        """Mark an incarnation that said that it leaves.
+
+        :return: whether it was not departed yet.
+        """
+        return self.departures.record(
+            record.incarnation,
+            Departure(is_final=True, revision=record.revision),
         )
 
-    def mark_incarnation_departed(
-        self, name: str, started_ms: int, revision: int
-    ) -> bool:
-        """Mark an incarnation as departed, also one without a record.
+    def mark_reported(self, incarnation: Incarnation, revision: int) -> bool:
+        """Mark an incarnation that departed as another instance says.
 
-        :return: whether it was not departed yet.
+        A record that is later than the report overrules it.
+
+        :param revision: revision of the store that the other instance read.
+        :return: whether it is newly departed.
         """
-        incarnation = (name, started_ms)
-        is_new = incarnation not in self.departed
-        self.departed[incarnation] = revision
-        return is_new
+        known = self.records.get(incarnation[0])
+        if (
+            known is not None
+            and known.incarnation == incarnation
+            and self.departures.is_later(known.revision, revision)
+        ):
+            return False
+        sequence = known.sequence if known is not None else None
+        return self.departures.record(
+            incarnation, Departure(False, revision, sequence)
+        )
 
-    def list_departed(self) -> list[TargetRecord]:
-        """Return the records of departed incarnations."""
+    def list_departed(self) -> list[tuple[TargetRecord, Departure]]:
+        """Return the records of departed incarnations, and why they are."""
         return [
-            record
+            (record, self.departed[record.incarnation])
             for record in self.records.values()
-            if (record.name, record.started_ms) in self.departed
+            if record.incarnation in self.departed
         ]
 
-    def mark_removed(self, name: str, now_s: float) -> TargetRecord | None:
+    def mark_removed(
+        self, name: str, now_s: float, revision: int
+    ) -> TargetRecord | None:
         """Record that a target's entry was removed from the store.
 
+        :param revision: revision of the store that lacks the entry.
         :return: the record if the target is newly departed, else none.
         """
         known = self.records.get(name)
@@ -122,8 +156,7 @@
         if grace_end is not None and not known.is_leaving:
             self.missing[name] = grace_end
             return None
-        self.records.pop(name)
-        return known if self.mark_departed(known) else None
+        return known if self._remove(known, revision) else None
 
     def expire_missing(self, now_s: float) -> list[TargetRecord]:
         """Remove targets that did not register again after the store's return.
@@ -135,9 +168,9 @@
         for name, grace_end in tuple(self.missing.items()):
             if reachable_s > grace_end:
                 self.missing.pop(name)
-                record = self.records.pop(name, None)
+                record = self.records.get(name)
                 if record is not None:
-                    self.mark_departed(record)
+                    self._remove(record, max(record.revision, self.revision))
                     removed.append(record)
         return removed
 
@@ -148,7 +181,7 @@
         """
         by_address: dict[str, TargetRecord] = {}
         for record in self.records.values():
-            if (record.name, record.started_ms) in self.departed:
+            if record.incarnation in self.departed:
                 continue
             other = by_address.get(record.address)
             if other is None or other.started_ms < record.started_ms:
@@ -162,6 +195,12 @@
             key=lambda record: record.name,
         )
 
+    def _remove(self, record: TargetRecord, revision: int) -> bool:
+        self.records.pop(record.name)
+        return self.departures.record(
+            record.incarnation, Departure(False, revision, record.sequence)
+        )
+
 
 def _is_older(record: TargetRecord, known: TargetRecord) -> bool:
     if record.started_ms != known.started_ms:
--- a/trefoilhinge/gateway/peer_exchange.py
+++ b/trefoilhinge/gateway/peer_exchange.py
@@ -129,12 +129,18 @@
         for ip in self._state.peers.list_live(self._state.get_now_s()):
             self._send(data, ip)
 
-    def broadcast_target_leaving(self, record: TargetRecord) -> None:
+    def broadcast_target_leaving(
+        self, record: TargetRecord, revision: int
+    ) -> None:
         """Announce that a target is leaving.
 
         The message is rare and must not be lost.
+
+        :param revision: revision of the store that shows it.
         """
-        self.send_to_each(_make_target_leaving(record))
+        self.send_to_each(
+            TargetLeaving(record.name, record.started_ms, revision)
+        )
 
     def announce_named_rate(self, named: NamedRate, *, is_new: bool) -> None:
         """Announce the limit of a target; a new one goes to each peer."""
@@ -255,8 +261,8 @@
                 self._apply_target_leaving(message)
 
     def _apply_target_leaving(self, message: TargetLeaving) -> None:
-        if self._state.directory.mark_incarnation_departed(
-            message.name, message.started_ms, message.revision
+        if self._state.directory.mark_reported(
+            (message.name, message.started_ms), message.revision
         ):
             self._state.log.write(
                 'target_left',
@@ -273,8 +279,11 @@
             announcement = RunStarted(run, REANNOUNCED_RUN_S)
             self._send(encode_message(announcement), ip)
         # A store restored from a copy may list a departed target as ready.
-        for record in state.directory.list_departed():
-            self.send(_make_target_leaving(record), ip)
+        for record, departure in state.directory.list_departed():
+            message = TargetLeaving(
+                record.name, record.started_ms, departure.revision
+            )
+            self.send(message, ip)
         for named in state.rate_limits.list_limits():
             self.send(TargetRateNamed(named, now_s), ip)
         for entry in self.quarantine.list_announcements():
@@ -294,7 +303,3 @@
             self._introduce(heartbeat.ip, now_s)
         self._document_fetcher.start()
         self._targets_fetcher.start()
-
-
-def _make_target_leaving(record: TargetRecord) -> TargetLeaving:
-    return TargetLeaving(record.name, record.started_ms, record.revision)
--- a/trefoilhinge/gateway/replication.py
+++ b/trefoilhinge/gateway/replication.py
@@ -2,6 +2,7 @@
 
 import json
 
+from attrs import evolve
 from expression import Error, Ok, Result
 
 from trefoilhinge.dispatch.targets import TargetRecord
@@ -49,7 +50,7 @@
             record.address,
             record.failure_domain,
             record.slots,
-            (record.name, record.started_ms) in directory.departed,
+            record.incarnation in directory.departed,
             record.started_ms,
             record.sequence,
             record.revision,
@@ -61,6 +62,16 @@
     ).encode()
 
 
+def _apply_reported(state: GatewayState, record: TargetRecord) -> None:
+    """Apply a record of a peer, which also says whether the target departed.
+
+    Only the store and the target itself say for good that it leaves.
+    """
+    state.apply_target(evolve(record, is_leaving=False))
+    if record.is_leaving:
+        state.directory.mark_reported(record.incarnation, record.revision)
+
+
 def apply_targets(state: GatewayState, content: bytes) -> Result[int, str]:
     """Apply the targets that another instance sent.
 
@@ -82,9 +93,9 @@
     now_s = state.get_now_s()
     named = {record.name for record in records}
     for name in set(directory.records) - named:
-        directory.mark_removed(name, now_s)
+        directory.mark_removed(name, now_s, revision)
     for record in records:
-        state.apply_target(record)
+        _apply_reported(state, record)
     state.record_targets_read(revision)
     state.log.write(
         'targets_taken', source='peer', revision=revision, count=len(records)
--- a/trefoilhinge/gateway/store_watcher.py
+++ b/trefoilhinge/gateway/store_watcher.py
@@ -113,7 +113,7 @@
             if not page.is_truncated or not page.items:
                 break
             after = page.items[-1].key
-        self._entries.apply_list(records)
+        self._entries.apply_list(records, revision)
         self._set_revision(revision)
         self._has_listed = True
         self._needs_catch_up = False
@@ -233,6 +233,8 @@
         if known is not None and decoded.ok < known:
             raise StoreUnanswered(f'response of era {decoded.ok} after {known}')
         self._era = decoded.ok
+        departures = self._state.directory.departures
+        departures.history_began = store.find_history_begin(decoded.ok)
         if known is not None and decoded.ok > known:
             raise StoreRestored
 
--- a/trefoilhinge/gateway/target_entries.py
+++ b/trefoilhinge/gateway/target_entries.py
@@ -17,23 +17,26 @@
     _state: GatewayState
     _peers: PeerExchange
 
-    def apply_list(self, items: Mapping[str, store.StoreItem]) -> None:
+    def apply_list(
+        self, items: Mapping[str, store.StoreItem], revision: int
+    ) -> None:
         """Apply a complete list; targets that it lacks were removed.
 
         :param items: entries by key.
+        :param revision: revision of the store before the list was read.
         """
         for item in items.values():
             self.apply_item(item)
         for name in tuple(self._state.directory.records):
             if f'{store.TARGET_PREFIX}{name}' not in items:
-                self._apply_removal(name)
+                self._apply_removal(name, revision)
         self._state.log.write('targets_listed', count=len(items))
 
     def apply_item(self, item: store.StoreItem) -> None:
         """Apply an entry or its removal; log one that cannot be decoded."""
         name = item.key.removeprefix(store.TARGET_PREFIX)
         if item.content is None:
-            self._apply_removal(name)
+            self._apply_removal(name, item.revision)
             return
         decoded = store.decode_target(item)
         if decoded.is_error():
@@ -49,9 +52,14 @@
     def _apply_record(self, record: TargetRecord) -> None:
         directory = self._state.directory
         is_first = record.name not in directory.records
-        was_missing = record.name in directory.missing
+        was_gone = (
+            record.name in directory.missing
+            or record.incarnation in directory.departed
+        )
         if self._state.apply_target(record):
-            self._report_leaving(record, 'draining')
+            self._report_leaving(record, record.revision, 'draining')
+        elif was_gone:
+            self._log_return(record)
         elif is_first:
             self._state.log.write(
                 'target_seen',
@@ -60,20 +68,22 @@
                 address=record.address,
                 revision=record.revision,
             )
-        elif was_missing and record.name not in directory.missing:
+
+    def _log_return(self, record: TargetRecord) -> None:
+        if record.incarnation not in self._state.directory.departed:
             self._state.log.write(
                 'target_registered_again',
                 target=record.name,
                 revision=record.revision,
             )
 
-    def _apply_removal(self, name: str) -> None:
+    def _apply_removal(self, name: str, revision: int) -> None:
         directory = self._state.directory
         now_s = self._state.get_now_s()
         was_missing = name in directory.missing
-        record = directory.mark_removed(name, now_s)
+        record = directory.mark_removed(name, now_s, revision)
         if record is not None:
-            self._report_leaving(record, 'gone')
+            self._report_leaving(record, revision, 'gone')
         elif name in directory.missing and not was_missing:
             self._state.log.write(
                 'target_missing',
@@ -81,12 +91,14 @@
                 store_back_s=now_s - directory.outages.reachable_since_s,
             )
 
-    def _report_leaving(self, record: TargetRecord, reason: str) -> None:
-        self._peers.broadcast_target_leaving(record)
+    def _report_leaving(
+        self, record: TargetRecord, revision: int, reason: str
+    ) -> None:
+        self._peers.broadcast_target_leaving(record, revision)
         self._state.log.write(
             'target_left',
             target=record.name,
             source='store',
             reason=reason,
-            revision=record.revision,
+            revision=revision,
         )
--- a/trefoilhinge/platform/store.py
+++ b/trefoilhinge/platform/store.py
@@ -96,6 +96,11 @@
     return Error(f'the era {text!r} is not a number')
 
 
+def find_history_begin(era: int) -> int:
+    """Return the smallest revision of an era."""
+    return _order_revision(era, 0)
+
+
 def decode_item(content: bytes, era: int) -> Result[StorePage, str]:
     """Decode the response to a read of an item.
 
