Took no targets for gone that an instance has not seen expire.

Cause: the instance that starts has the targets from a peer within milliseconds, does not find them in the store, where they are about to register again, and told all peers that they had left. It had not seen the outage and so gave no time of grace.

Change: an instance knows nothing of outages before the store's first answer, so that entries which it misses then may have expired; the time to register again begins with that answer, and nothing is reported.

Three tests failed before: TestRestartAfterAnOutage (tests/gateway/test_outages.py) and the two of TestStart (tests/dispatch/test_outages.py). Test directories whose store has answered say so now; their assertions are unchanged.

--- a/tests/dispatch/test_departures.py
+++ b/tests/dispatch/test_departures.py
@@ -15,6 +15,7 @@
 def make_directory():
     """Return a directory with a target, whose store answers."""
     directory = TargetDirectory()
+    directory.outages.mark_reachable(0)
     directory.apply_record(make_record('t01', revision=WRITTEN_AT))
     return directory
 
--- a/tests/dispatch/test_outages.py
+++ b/tests/dispatch/test_outages.py
@@ -15,6 +15,7 @@
 def make_directory():
     """Return a directory with a target, whose store answers."""
     directory = TargetDirectory(outages=StoreOutages(INTERVAL_S))
+    directory.outages.mark_reachable(0)
     directory.apply_record(make_record('t01'))
     return directory
 
@@ -55,6 +56,7 @@
 
     def test_cut_watch_proves_nothing_if_the_interval_is_unknown(self):
         directory = TargetDirectory()
+        directory.outages.mark_reachable(0)
         directory.apply_record(make_record('t01'))
         directory.outages.mark_silent(10, 20)
         assert directory.mark_removed('t01', 20, REMOVED_AT) is not None
@@ -108,3 +110,24 @@
         directory = make_directory()
         directory.outages.mark_restored(10)
         assert directory.mark_removed('t01', 10, REMOVED_AT) is None
+
+
+class TestStart:
+    def test_entry_may_have_expired_before_the_start(self):
+        """Guards against RECOVER: a start that empties the whole fleet.
+
+        The instance takes targets from a peer, and does not find those in the
+        store that register again after an outage which it has not seen.
+        """
+        directory = TargetDirectory(outages=StoreOutages(INTERVAL_S))
+        directory.apply_record(make_record('t01'))
+        directory.outages.mark_reachable(10)
+        assert directory.mark_removed('t01', 10, REMOVED_AT) is None
+        assert directory.list_serving('model')
+        assert directory.expire_missing(10.1 + REREGISTRATION_GRACE_S)
+
+    def test_peer_removes_an_entry_before_the_first_answer(self):
+        directory = TargetDirectory(outages=StoreOutages(INTERVAL_S))
+        directory.apply_record(make_record('t01'))
+        assert directory.mark_removed('t01', 10, REMOVED_AT) is None
+        assert not directory.expire_missing(100)
--- a/tests/dispatch/test_targets.py
+++ b/tests/dispatch/test_targets.py
@@ -47,6 +47,7 @@
 
     def test_removed_target_departs_at_once(self):
         directory = TargetDirectory()
+        directory.outages.mark_reachable(0)
         directory.apply_record(make_record('t01'))
         assert directory.mark_removed('t01', 10, REMOVED_AT) is not None
         assert not list_names(directory)
--- a/tests/gateway/test_outages.py
+++ b/tests/gateway/test_outages.py
@@ -4,10 +4,13 @@
 
 from tests.gateway.fleets import run_fleet, run_peers
 from tests.gateway.targets import stream
+from trefoilhinge.dispatch.outages import REREGISTRATION_GRACE_S
 from trefoilhinge.gateway.store_watcher import WATCH_WAIT_S
 
 OUTAGE_S = 1.0
 CUT_AFTER_S = 0.5  # of a waiting watch
+SLOW_BYTES_PER_S = 1_000  # lets an instance hear its peers first
+REGISTRATION_DELAY_S = 0.3
 
 
 def list_serving(fleet):
@@ -143,3 +146,35 @@
                     )
 
         asyncio.run(run())
+
+
+class TestRestartAfterAnOutage:
+    def test_start_takes_no_targets_from_the_other_instances(self):
+        """Guards against RECOVER: one restart that empties the whole fleet.
+
+        The instance that starts has the targets from a peer before it reads
+        the store, where they have not registered again yet.
+        """
+
+        async def run():
+            async with run_fleet(m1=stream(), m2=stream()) as fleet:
+                await run_through_outage(fleet)
+                for name in ('m1', 'm2'):
+                    fleet.store.remove(f'servers/{name}')
+                fleet.store.bytes_per_s = SLOW_BYTES_PER_S
+                async with run_peers(fleet, 1) as (other,):
+                    records = other.state.directory.records
+                    assert {'m1', 'm2'} <= records.keys()
+                    await fleet.wait_for(lambda: other.state.directory.missing)
+                    fleet.store.bytes_per_s = None
+                    await asyncio.sleep(REGISTRATION_DELAY_S)
+                    for one in (fleet, other):
+                        assert list_serving(one) == ['m1', 'm2']
+                    for name in ('m1', 'm2'):
+                        address = fleet.targets[name].address
+                        fleet.store.put_target(name, address, seq=9)
+                    await asyncio.sleep(2 * REREGISTRATION_GRACE_S)
+                    for one in (fleet, other):
+                        assert list_serving(one) == ['m1', 'm2']
+
+        asyncio.run(run())
--- a/trefoilhinge/dispatch/outages.py
+++ b/trefoilhinge/dispatch/outages.py
@@ -17,6 +17,8 @@
     A target whose entry expired is still alive, and registers again while the
     store answers. Time in which the store does not answer is not counted, but
     no entry gets more than the grace period, however often the store fails.
+    An instance does not know of outages before the store's first answer, so
+    that entries may have expired until then.
 
     :ivar registration_interval_s: seconds between two registrations of a
         target. Zero if unknown: entries may expire in each outage.
@@ -28,6 +30,7 @@
     registration_interval_s: float = 0
     unreachable_since_s: float | None = None
     reachable_since_s: float = 0
+    _has_answered: bool = field(default=False, init=False)
     _reachable_s: float = field(default=0, init=False)
     _grace_ends_at: float = field(default=float('-inf'), init=False)
 
@@ -47,11 +50,10 @@
 
     def mark_reachable(self, now_s: float) -> None:
         """Record that the store answered."""
-        if self.unreachable_since_s is None:
+        if self._is_reachable:
             return
-        is_expiry_possible = self._is_long(now_s)
-        self.unreachable_since_s = None
-        self.reachable_since_s = now_s
+        is_expiry_possible = self._is_expiry_possible(now_s)
+        self._record_return(now_s)
         if is_expiry_possible:
             self._begin_grace()
 
@@ -68,13 +70,12 @@
     def mark_restored(self, now_s: float) -> None:
         """Record that the store lost entries that are registered again."""
         self.mark_unreachable(now_s)
-        self.unreachable_since_s = None
-        self.reachable_since_s = now_s
+        self._record_return(now_s)
         self._begin_grace()
 
     def count_reachable_s(self, now_s: float) -> float:
         """Return for how many seconds the store has answered, all in all."""
-        if self.unreachable_since_s is not None:
+        if not self._is_reachable:
             return self._reachable_s
         return self._reachable_s + max(0, now_s - self.reachable_since_s)
 
@@ -91,14 +92,29 @@
             have expired.
         """
         reachable_s = self.count_reachable_s(now_s)
-        if self.unreachable_since_s is not None and self._is_long(now_s):
+        if self._is_expiry_possible(now_s):
             return reachable_s + REREGISTRATION_GRACE_S
         if reachable_s <= self._grace_ends_at:
             return self._grace_ends_at
         return None
 
+    @property
+    def _is_reachable(self) -> bool:
+        return self._has_answered and self.unreachable_since_s is None
+
+    def _record_return(self, now_s: float) -> None:
+        self._has_answered = True
+        self.unreachable_since_s = None
+        self.reachable_since_s = now_s
+
     def _begin_grace(self) -> None:
         self._grace_ends_at = self._reachable_s + REREGISTRATION_GRACE_S
 
-    def _is_long(self, now_s: float) -> bool:
-        return self.count_unreachable_s(now_s) >= self.minimum_expiry_s
+    def _is_expiry_possible(self, now_s: float) -> bool:
+        """Return whether entries may have expired while it does not answer."""
+        if not self._has_answered:
+            return True
+        return (
+            self.unreachable_since_s is not None
+            and self.count_unreachable_s(now_s) >= self.minimum_expiry_s
+        )
