Let only a later record end the time of a target to register again.

What callers would see: calls at a target that has left, for as long as the instance runs.

Cause: each record counted as a registration. An instance that misses a target's entry after an outage, loses the store itself and takes the list of a peer, which has the target in it, no longer missed it, and never took it out.

Change: the record has to be at a later revision than the one known; and a removal that is older than the record is passed over, since the record may have come from a peer.

--- a/tests/dispatch/test_outages.py
+++ b/tests/dispatch/test_outages.py
@@ -106,6 +106,30 @@
         assert not directory.expire_missing(30 + REREGISTRATION_GRACE_S)
         assert directory.expire_missing(30.1 + REREGISTRATION_GRACE_S)
 
+    def test_list_of_a_peer_does_not_end_it(self):
+        """Guards against DRAIN: a removed target that is used for good.
+
+        Another instance lists a target whose entry it misses itself, with the
+        record of before; that it repeats it is no registration.
+        """
+        directory = make_directory()
+        lose_store(directory, 10, 15)
+        directory.mark_removed('t01', 15, REMOVED_AT)
+        directory.apply_record(make_record('t01'))
+        assert directory.expire_missing(15.1 + REREGISTRATION_GRACE_S)
+
+    def test_removal_that_is_older_than_the_record_is_ignored(self):
+        """Guards against a target that registered again and departs.
+
+        The instance has the later record from another one, and reads the
+        removal when it reads the store again.
+        """
+        directory = make_directory()
+        directory.apply_record(make_record('t01', revision=REMOVED_AT + 1))
+        assert directory.mark_removed('t01', 100, REMOVED_AT) is None
+        assert not directory.missing
+        assert directory.list_serving('model')
+
     def test_it_begins_when_the_store_was_restored(self):
         directory = make_directory()
         directory.outages.mark_restored(10)
--- a/trefoilhinge/dispatch/targets.py
+++ b/trefoilhinge/dispatch/targets.py
@@ -93,7 +93,8 @@
         if known is not None and _is_older(record, known):
             return False
         self.records[record.name] = record
-        self.missing.pop(record.name, None)
+        if known is None or record.revision > known.revision:
+            self.missing.pop(record.name, None)
         if record.is_leaving:
             return self.mark_departed(record)
         self.departures.apply_entry(
@@ -144,13 +145,13 @@
     ) -> TargetRecord | None:
         """Record that a target's entry was removed from the store.
 
+        A removal that is older than the record is ignored.
+
         :param revision: revision of the store that lacks the entry.
         :return: the record if the target is newly departed, else none.
         """
         known = self.records.get(name)
-        if known is None:
-            return None
-        if name in self.missing:
+        if known is None or revision < known.revision or name in self.missing:
             return None
         grace_end = self.outages.find_grace_end(now_s)
         if grace_end is not None and not known.is_leaving:
