Named reservations after the instance instead of the caller's identifier.

Cause: the name was made of 16 characters of the caller's identifier and a number that counts from 1 at each instance. Now it is made of the instance's address, its incarnation and the number. An identifier with a comma or a slash no longer breaks the list in which the name is sent.

--- a/tests/gateway/test_reservations.py
+++ b/tests/gateway/test_reservations.py
@@ -2,13 +2,15 @@
 
 import asyncio
 
+import pytest
+
 from tests.gateway.documents import (
     HOST,
     make_document,
     make_route,
     make_settings,
 )
-from tests.gateway.fleets import run_fleet
+from tests.gateway.fleets import run_fleet, run_peers
 from tests.gateway.partitions import CutKind, partition
 from tests.gateway.targets import (
     SEAL_HEADER,
@@ -116,6 +118,54 @@
         asyncio.run(run())
 
 
+class TestNames:
+    """Guards against LIMIT: two requests that use one reservation.
+
+    The end of one releases the memory of the other.
+    """
+
+    @pytest.mark.parametrize(
+        'request_ids',
+        [
+            ('claxton-tenders-000017', 'claxton-tenders-000018'),
+            ('same', 'same'),
+            ('a,b/c', 'a,b/c'),
+            ('', ''),
+        ],
+    )
+    def test_calls_at_two_instances_share_no_reservation(self, request_ids):
+        async def run():
+            handlers = {f'm{number}': stream() for number in range(1, 4)}
+            async with (
+                run_fleet(**handlers) as fleet,
+                run_peers(fleet, 1) as (other,),
+            ):
+                for one, request_id in zip(
+                    (fleet, other), request_ids, strict=True
+                ):
+                    await one.call(
+                        X_Token_Count='300000,700', X_Request_Id=request_id
+                    )
+                names = [
+                    entry.partition('/')[2]
+                    for target in fleet.targets.values()
+                    for exchange in target.requests
+                    for entry in exchange.headers['x-helpers'].split(',')
+                    if '/' in entry
+                ]
+                assert set(names) <= sort_orders(fleet)[0].keys()
+                assert len(set(names)) == len(names) >= 4
+
+        asyncio.run(run())
+
+    def test_restarted_instance_shares_no_reservation_with_its_past(self):
+        settings = make_settings(1)
+        names = {
+            make_state(settings).make_reservation_name() for _ in range(100)
+        }
+        assert len(names) == 100
+
+
 class TestDarkTargets:
     def test_memory_elsewhere_is_released_though_the_call_goes_on(self):
         """Guards against memory that stays reserved for a prompt that is lost.
--- a/trefoilhinge/gateway/reservations.py
+++ b/trefoilhinge/gateway/reservations.py
@@ -30,8 +30,6 @@
 # Before each further release after an order went unanswered: a reservation that
 # was delayed on the network may take effect that late.
 LATE_RELEASE_DELAYS_S = (4.0, 4.0, 4.0)
-# Characters of the request identifier in the identifier of a reservation.
-REQUEST_ID_PREFIX_LENGTH = 16
 
 
 @define
@@ -238,10 +236,11 @@
 ) -> Reservations | None:
     """Reserve memory at each address, all of it or none.
 
+    :param request_id: identifier that the caller chose, for the log.
     :param requested: address and tokens of each reservation.
     :return: the reservations, or ``None`` if any was not granted.
     """
-    name = f'{request_id[:REQUEST_ID_PREFIX_LENGTH]}-{state.make_run_number()}'
+    name = state.make_reservation_name()
     helpers = tuple(
         PrefillHelper(address, f'{name}-{position}')
         for position, (address, _) in enumerate(requested)
--- a/trefoilhinge/gateway/state.py
+++ b/trefoilhinge/gateway/state.py
@@ -160,6 +160,14 @@
         self._last_run_number += 1
         return self._last_run_number
 
+    def make_reservation_name(self) -> str:
+        """Return a name that no other reservation of the fleet has.
+
+        Callers' identifiers may be equal, or begin alike.
+        """
+        incarnation = self.origin.replace('/', '-')
+        return f'{incarnation}-{self.make_run_number()}'
+
     def record_run(self, run: Run, latest_end_s: float) -> None:
         """Record a run that this instance or another one placed.
 
