Played removed targets and cut watches in the soak.

The soak had neither, and looked at targets that leave only until they were replaced: their time was dropped, so that most calls at a target that was leaving were not checked. Now the time is kept, which is stricter.

A broken variant that counts each cut watch as an outage, with a grace that begins anew, is found (LEAVING); the gateway violates nothing on the same plan. The new events have random numbers of their own, so that the others of a seed are as before.

--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -5,6 +5,7 @@
 from trefoilhinge.soak.commands import SoakRequest, run_soak
 from trefoilhinge.soak.plans import (
     CrashKind,
+    EntryKind,
     FaultKind,
     MaintenanceKind,
     NeedKind,
@@ -91,6 +92,17 @@
         assert 'CRASH' in violated
         assert soak(tmp_path, seed + 1, plan, seconds=13) == set()
 
+    def test_cut_watch_that_counts_as_an_outage(self, tmp_path):
+        plan = (
+            PlannedEvent(0.5, 11, EntryKind.cut_watches, 0),
+            *make_plan(EntryKind.remove_target, count=1, first_s=3),
+        )
+        violated = soak(
+            tmp_path, 113, plan, 'take_cuts_for_outages', seconds=12
+        )
+        assert 'LEAVING' in violated
+        assert soak(tmp_path, 114, plan, seconds=12) == set()
+
     def test_stop_that_aborts_calls(self, tmp_path):
         plan = make_plan(MaintenanceKind.stop, count=4)
         assert 'CUT_AT_STOP' in soak(tmp_path, 106, plan, 'stop_at_once')
--- a/tests/soak/variants.py
+++ b/tests/soak/variants.py
@@ -4,6 +4,8 @@
 import sys
 
 from trefoilhinge.dispatch import permit_buckets
+from trefoilhinge.dispatch.outages import StoreOutages
+from trefoilhinge.dispatch.targets import TargetDirectory
 from trefoilhinge.gateway import (
     answer_relay,
     attempts,
@@ -72,6 +74,23 @@
     quarantine.Quarantine.apply_message = lambda self, message, ip: None
 
 
+def take_cuts_for_outages():
+    """Let each cut watch begin an outage, and each outage a time of grace."""
+    StoreOutages.minimum_expiry_s = 0
+    expire_missing = TargetDirectory.expire_missing
+
+    def mark_silent(self, since_s, now_s):
+        self.mark_unreachable(since_s)
+        self.mark_reachable(now_s)
+
+    def expire(self, now_s):
+        is_grace = self.outages.find_grace_end(now_s) is not None
+        return [] if is_grace else expire_missing(self, now_s)
+
+    StoreOutages.mark_silent = mark_silent
+    TargetDirectory.expire_missing = expire
+
+
 def stop_at_once():
     """Exit at the order to stop, without draining."""
 
--- a/trefoilhinge/soak/plan_execution.py
+++ b/trefoilhinge/soak/plan_execution.py
@@ -17,6 +17,7 @@
 )
 from trefoilhinge.soak.plans import (
     CrashKind,
+    EntryKind,
     FaultKind,
     MaintenanceKind,
     NeedKind,
@@ -28,6 +29,7 @@
 STOP_TIMEOUT_S = 9.0  # for a process to exit after SIGTERM
 DRAIN_TIME_S = 6.0  # before a drained target returns as a new incarnation
 MAXIMUM_LOST_REVISIONS = 12  # by a restoration of the store
+CUT_AFTER_S = 0.8  # of waiting watches
 REPLAY_DELAY_S = 1.0  # until operator and targets make lost changes again
 # Requests per second that a target in need names.
 LOWEST_LIMIT = 0.4
@@ -55,6 +57,9 @@
     if isinstance(event.kind, CrashKind):
         await _crash_targets(fleet, event, event.kind)
         return
+    if isinstance(event.kind, EntryKind):
+        await _execute_entry_event(fleet, event)
+        return
     begin_s = time.monotonic()
     # Until its end is known, the fault exempts all later observations.
     fleet.observations.faults.append((begin_s, float('inf')))
@@ -107,6 +112,15 @@
     fleet.crash_source = None
 
 
+async def _execute_entry_event(fleet: SoakFleet, event: PlannedEvent) -> None:
+    if event.kind is EntryKind.cut_watches:
+        fleet.store.cut_after_s = CUT_AFTER_S
+        await asyncio.sleep(event.duration_s)
+        fleet.store.cut_after_s = None
+    else:
+        await _remove(fleet, _choose_target(fleet, event))
+
+
 async def _inject_fault(fleet: SoakFleet, event: PlannedEvent) -> None:
     kind = event.kind
     proxies = [*fleet.proxies, fleet.store_proxy]
@@ -193,13 +207,26 @@
         instance.start()
 
 
+async def _remove(fleet: SoakFleet, target: SoakTarget) -> None:
+    """Remove the entry of a target that serves on, and then return it."""
+    if target.name in fleet.observations.leaving_since_s:
+        return
+    fleet.store.remove(f'{TARGET_PREFIX}{target.name}')
+    fleet.observations.leaving_since_s[target.name] = time.monotonic()
+    await _replace(fleet, target)
+
+
 async def _drain(fleet: SoakFleet, target: SoakTarget) -> None:
-    """Drain a target, then return it as a new incarnation with another name."""
+    """Drain a target, and then return it."""
     if target.name in fleet.observations.leaving_since_s:
         return
     fleet.put_target(target, is_leaving=True)
+    await _replace(fleet, target)
+
+
+async def _replace(fleet: SoakFleet, target: SoakTarget) -> None:
+    """Return a target that leaves as a new incarnation with another name."""
     await asyncio.sleep(DRAIN_TIME_S)
-    fleet.observations.leaving_since_s.pop(target.name, None)
     fleet.store.remove(f'{TARGET_PREFIX}{target.name}')
     target.name = f'{target.name}x'
     fleet.put_target(target, is_leaving=False)
--- a/trefoilhinge/soak/plans.py
+++ b/trefoilhinge/soak/plans.py
@@ -17,6 +17,8 @@
 # Of requests that crash targets: longer than these may reach any.
 CRASH_DURATIONS_S = (9.0, 12.0)
 CRASH_PAUSES_S = (3.0, 9.0)  # between the end of one kind and the next
+ENTRY_DURATIONS_S = (4.0, 10.0)  # of cuts of waiting watches
+ENTRY_INTERVALS_S = (2.0, 5.0)
 
 
 class FaultKind(enum.Enum):
@@ -66,7 +68,14 @@
     request = 'request'
 
 
-EventKind = FaultKind | MaintenanceKind | NeedKind | CrashKind
+class EntryKind(enum.Enum):
+    """What the store does that is no fault, and shows what entries prove."""
+
+    cut_watches = 'cut_watches'
+    remove_target = 'remove_target'
+
+
+EventKind = FaultKind | MaintenanceKind | NeedKind | CrashKind | EntryKind
 
 
 @frozen
@@ -110,6 +119,7 @@
             at_s += ROUND_PAUSE_S
     events.extend(_generate_limits(seed, seconds))
     events.extend(_generate_crashes(seed, seconds))
+    events.extend(_generate_entry_events(seed, seconds))
     return sorted(events, key=lambda one: one.at_s)
 
 
@@ -152,3 +162,22 @@
         )
         at_s += duration_s + float(generator.uniform(*CRASH_PAUSES_S))
     return events
+
+
+def _generate_entry_events(seed: int, seconds: float) -> list[PlannedEvent]:
+    """Return cuts of watches, and targets that leave without a word.
+
+    They have random numbers of their own, as limits do.
+    """
+    generator = np.random.default_rng((seed, 3))
+    kinds = list(EntryKind)
+    events: list[PlannedEvent] = []
+    at_s = float(generator.uniform(*ENTRY_INTERVALS_S))
+    while at_s < seconds:
+        kind = kinds[int(generator.integers(len(kinds)))]
+        duration_s = float(generator.uniform(*ENTRY_DURATIONS_S))
+        events.append(
+            PlannedEvent(at_s, duration_s, kind, float(generator.uniform()))
+        )
+        at_s += float(generator.uniform(*ENTRY_INTERVALS_S))
+    return events
