--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -98,10 +98,10 @@
             *make_plan(EntryKind.remove_target, count=1, first_s=3),
         )
         violated = soak(
-            tmp_path, 113, plan, 'take_cuts_for_outages', seconds=12
+            tmp_path, 117, plan, 'take_cuts_for_outages', seconds=12
         )
         assert 'LEAVING' in violated
-        assert soak(tmp_path, 114, plan, seconds=12) == set()
+        assert soak(tmp_path, 118, plan, seconds=12) == set()
 
     def test_stop_that_aborts_calls(self, tmp_path):
         plan = make_plan(MaintenanceKind.stop, count=4)
--- a/trefoilhinge/dispatch/calls.py
+++ b/trefoilhinge/dispatch/calls.py
@@ -149,3 +149,11 @@
     def is_success(self) -> bool:
         """Return whether the status is in the 2xx range."""
         return 200 <= self.status < 300
+
+
+def can_refuse(status: int) -> bool:
+    """Return whether an answer with a status can be that of no run.
+
+    A success, and any other failure of the target, are what a run ends with.
+    """
+    return 400 <= status < 500 or status == 503
--- a/trefoilhinge/platform/responses.py
+++ b/trefoilhinge/platform/responses.py
@@ -3,7 +3,7 @@
 import re
 from collections.abc import Iterable
 
-from trefoilhinge.dispatch.calls import AnswerHead, RawHeaders
+from trefoilhinge.dispatch.calls import AnswerHead, RawHeaders, can_refuse
 from trefoilhinge.dispatch.rate_limits import MINIMUM_REQUESTS_PER_S, RATE_UNITS
 from trefoilhinge.dispatch.rests import parse_rest
 from trefoilhinge.platform.headers import HOP_BY_HOP_HEADERS
@@ -32,7 +32,9 @@
         status=status,
         request_id=_join_values(raw_headers, b'x-request-id'),
         is_signed=b'x-server-seal' in by_name,
-        not_run=_states_not_run(status, has_header=b'x-not-run' in by_name),
+        # 421 Misdirected Request: the target did not accept the request.
+        not_run=status == 421
+        or (b'x-not-run' in by_name and can_refuse(status)),
         at_fault=by_name.get(b'at-server', b'').decode('latin-1'),
         forwarded_headers=tuple(
             (name, value)
@@ -48,18 +50,6 @@
     )
 
 
-def _states_not_run(status: int, *, has_header: bool) -> bool:
-    """Return whether a response states that the request was not run.
-
-    The header says nothing beside a status with which a run ends.
-
-    :param has_header: whether the response has the header that states it.
-    """
-    if status == 421:  # Misdirected Request: the target did not accept it.
-        return True
-    return has_header and (400 <= status < 500 or status == 503)
-
-
 def _join_values(raw_headers: RawHeaders, name: bytes) -> str:
     """Return the value of a header, or its different values."""
     values = dict.fromkeys(
