Kept calls active until their callers have read the answer.

Cause: an attempt lasted until the caller had taken most of its complete answer. The monitor of silent targets took that for silence, a second target ran the call, and the call ended as failed. The stop waits for active calls only, and the bytes left in the process belonged to none.

Change: complete answers, refusals and ends of streams are written without waiting; the call is active until the kernel has taken all bytes, also past its deadline.

--- a/trefoilhinge/gateway/call_service.py
+++ b/trefoilhinge/gateway/call_service.py
@@ -29,7 +29,8 @@
 class CallService:
     """Serves calls according to the instance's state.
 
-    :ivar active: number of calls in progress.
+    :ivar active: number of calls in progress, up to the time at which their
+        callers have taken the whole answer.
     """
 
     _state: GatewayState
@@ -59,6 +60,7 @@
         self.active += 1
         try:
             await self._serve(caller, head, body)
+            await caller.flush()
         finally:
             self.active -= 1
 
@@ -72,6 +74,7 @@
         self.active += 1
         try:
             await self._serve(caller, relayed.head, relayed.body, relayed, ip)
+            await caller.flush()
         finally:
             self.active -= 1
 
--- a/trefoilhinge/gateway/caller_connections.py
+++ b/trefoilhinge/gateway/caller_connections.py
@@ -31,6 +31,8 @@
 # Before a connection is closed by a stop; requests arrive sooner.
 MINIMUM_IDLE_S = 0.2
 MAXIMUM_PIPELINED_BYTES = 65_536  # read ahead while a call is served
+# A caller that takes nothing of its answer for this long is given up.
+UNREAD_TIMEOUT_S = CALLER_USER_TIMEOUT_MS / 1000
 
 _VERSIONS_WITHOUT_CHUNKS = frozenset((b'1.0', b'0.9'))
 
@@ -84,12 +86,15 @@
     async def send_complete(
         self, status: int, headers: RawHeaderList, content: bytes
     ) -> None:
-        """Send an answer whose content is complete."""
+        """Send an answer whose content is complete.
+
+        It is not awaited that the caller reads it: its target is done, and its
+        deadline no longer matters. ``flush`` awaits that.
+        """
         length = (b'Content-Length', b'%d' % len(content))
         self._send_head(status, [*headers, length])
         self._write(h11.Data(data=content))
         self._write(h11.EndOfMessage())
-        await self._writer.drain()
 
     async def refuse(self, refusal: Refusal, request_id: str) -> None:
         """Send a refusal as an answer with a JSON body."""
@@ -117,9 +122,37 @@
         await self._writer.drain()
 
     async def finish(self) -> None:
-        """End an answer that is complete."""
+        """End an answer that is complete, as ``send_complete`` does."""
         self._write(h11.EndOfMessage())
-        await self._writer.drain()
+
+    async def flush(self) -> None:
+        """Wait until the kernel has taken all that was sent.
+
+        An exit of the process would discard the rest.
+
+        :raises CallerGone: the caller took nothing for ``UNREAD_TIMEOUT_S``.
+        """
+        transport = self._writer.transport
+        transport.set_write_buffer_limits(high=0)
+        try:
+            while not transport.is_closing():
+                unsent_bytes = transport.get_write_buffer_size()
+                if await self._drain(UNREAD_TIMEOUT_S):
+                    return
+                if transport.get_write_buffer_size() >= unsent_bytes:
+                    transport.abort()
+                    raise CallerGone
+        finally:
+            transport.set_write_buffer_limits()
+
+    async def _drain(self, timeout_s: float) -> bool:
+        """Return whether the write buffer fell below its limit in time."""
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._writer.drain()
+        except TimeoutError:
+            return False
+        return True
 
     def abort(self) -> None:
         """Close the connection so that the caller sees a truncated answer.
