Decoded what deployments say of scarce room and of cold targets.

The new deployments say that callers compete for room (contracts), for how long targets are cold and which rate they take meanwhile, within which time an evacuation is in force, and how far failure domains are apart. Nothing read any of it.

Change: fields of the settings, the document, entries and answers, all zero or false where a deployment does not set them, so that nothing changes there.

--- a/trefoilhinge/dispatch/calls.py
+++ b/trefoilhinge/dispatch/calls.py
@@ -130,6 +130,8 @@
         instance, zero if it did not say.
     :ivar rest_problem: why a rest cannot be read, else empty.
     :ivar is_leaving: whether the target says that it takes no new calls.
+    :ivar cold_s: seconds for which the target says that it stays cold; none if
+        it does not say.
     """
 
     status: int
@@ -144,6 +146,7 @@
     rest_s: float = 0
     rest_problem: str = ''
     is_leaving: bool = False
+    cold_s: float | None = None
 
     @property
     def is_success(self) -> bool:
--- a/trefoilhinge/dispatch/documents.py
+++ b/trefoilhinge/dispatch/documents.py
@@ -6,6 +6,7 @@
 from attrs import field, frozen
 
 REQUEST_HASH_VALUES = 2**32  # number of values of a 32-bit hash
+DISTANT_DOMAIN_DELAY_S = 0.002  # one way
 
 
 class CallKind(enum.Enum):
@@ -92,6 +93,9 @@
     :ivar pairs_ms_per_m: milliseconds of attention per million pairs of a
         prompt token and an earlier one.
     :ivar chunk_tokens: maximum number of prompt tokens prefilled in one step.
+    :ivar usual_output_tokens: mean number of generated tokens, zero if unknown.
+    :ivar domain_delays_s: one-way delay between two failure domains, seconds,
+        by the unordered pair of their names.
     """
 
     slots: int
@@ -103,6 +107,15 @@
     prefill_tokens_per_ms: float
     pairs_ms_per_m: float
     chunk_tokens: int
+    usual_output_tokens: float = 0
+    domain_delays_s: Mapping[frozenset[str], float] = field(factory=dict)
+
+    def find_delay_s(self, domain: str, other: str) -> float:
+        """Return the one-way delay between two failure domains, seconds.
+
+        It is zero within a domain and where none is published.
+        """
+        return self.domain_delays_s.get(frozenset((domain, other)), 0)
 
 
 @frozen
@@ -110,11 +123,16 @@
     """A set of interchangeable targets.
 
     :ivar engine: profile of the engines; none for a plain service.
+    :ivar cold_s: seconds for which a target is cold after its start.
+    :ivar cold_requests_per_s: rate that a cold target takes from all instances
+        together, zero if its targets have no cold phase.
     """
 
     name: str
     maximum_connections: int
     engine: EngineProfile | None
+    cold_s: float = 0
+    cold_requests_per_s: float = 0
 
 
 @frozen
@@ -154,6 +172,20 @@
     limits: CallerLimits
     organisations: Mapping[str, Organisation] | None = field(repr=False)
 
+    @property
+    def has_distant_domains(self) -> bool:
+        """Return whether a call between failure domains costs noticeable time.
+
+        A round trip is then as long as an iteration of an engine, or a tenth
+        of the shortest objectives.
+        """
+        return any(
+            delay_s >= DISTANT_DOMAIN_DELAY_S
+            for service in self.services.values()
+            if service.engine is not None
+            for delay_s in service.engine.domain_delays_s.values()
+        )
+
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route with the longest matching prefix, if any."""
         for route in self.routes.get(host.lower(), ()):
--- a/trefoilhinge/dispatch/settings.py
+++ b/trefoilhinge/dispatch/settings.py
@@ -18,6 +18,11 @@
     :ivar apply_s: seconds within which a change in the store must take
         effect: the smaller of the limits for a new document and for a target
         that leaves.
+    :ivar cold_ratio: multiple of the published rate of cold targets that one
+        may get in any second, zero if there is no limit.
+    :ivar cold_slack: requests on top of that.
+    :ivar evacuate_s: seconds within which nothing new is sent to an evacuated
+        failure domain, zero if the operator evacuates none.
     """
 
     grace_s: float
@@ -27,6 +32,9 @@
     free_s: float
     hold_maximum_s: float
     apply_s: float
+    cold_ratio: float = 0
+    cold_slack: float = 0
+    evacuate_s: float = 0
 
 
 @frozen
@@ -43,6 +51,10 @@
     :ivar store: address of the platform's store.
     :ivar registration_interval_s: seconds between two registrations of a
         target in the store, zero if unknown.
+    :ivar has_scarce_room: whether callers may compete for too little room at
+        the targets.
+    :ivar memory_bytes: memory that the process may use, zero if unknown.
+    :ivar descriptors: file descriptors that it may use, zero if unknown.
     """
 
     instance: str
@@ -57,6 +69,9 @@
     store: Address
     bounds: Bounds
     registration_interval_s: float = 0
+    has_scarce_room: bool = False
+    memory_bytes: int = 0
+    descriptors: int = 0
 
     @property
     def relay_port(self) -> int:
--- a/trefoilhinge/dispatch/targets.py
+++ b/trefoilhinge/dispatch/targets.py
@@ -1,6 +1,8 @@
 """Directory of targets, from the platform's store and other instances."""
 
-from attrs import define, field, frozen, validators
+import ipaddress
+
+from attrs import Attribute, define, field, frozen, validators
 
 from trefoilhinge.dispatch.departures import (
     Departure,
@@ -9,14 +11,33 @@
 )
 from trefoilhinge.dispatch.outages import StoreOutages
 
-# Numbers of records are sent in datagrams as signed integers of 64 bits.
-_is_number = validators.and_(
-    validators.instance_of(int), validators.ge(0), validators.lt(2**63)
-)
+MAXIMUM_NUMBER = 2**63 - 1  # datagrams carry signed integers of 64 bits
 # Names are sent in headers.
 _is_name = validators.and_(
     validators.instance_of(str), validators.matches_re('[!-~]+')
 )
+MAXIMUM_PORT = 65_535
+
+
+def _check_number(
+    record: object, attribute: 'Attribute[int]', number: object
+) -> None:
+    """Raise unless a number is one that datagrams can carry."""
+    if isinstance(number, bool) or not isinstance(number, int):
+        raise TypeError(f'the {attribute.name} is no integer: {number!r}')
+    if not 0 <= number <= MAXIMUM_NUMBER:
+        raise ValueError(f'the {attribute.name} is out of range: {number}')
+
+
+def _check_address(
+    record: object, attribute: 'Attribute[str]', address: str
+) -> None:
+    """Raise unless a connection can be opened to an address."""
+    host, _, port = address.rpartition(':')
+    is_port = port.isascii() and port.isdigit()
+    if not is_port or not 0 < int(port) <= MAXIMUM_PORT:
+        raise ValueError(f'the {attribute.name} has no port: {address!r}')
+    ipaddress.ip_address(host)
 
 
 @frozen
@@ -33,17 +54,24 @@
         later one.
     :ivar sequence: number that grows with each report of the target.
     :ivar revision: revision of the record in the store.
+    :ivar cold_s: seconds for which it stays cold, from the writing of the
+        entry.
     """
 
     name: str = field(validator=_is_name)
     service: str = field(validator=validators.instance_of(str))
-    address: str = field(validator=validators.instance_of(str))
+    address: str = field(
+        validator=validators.and_(validators.instance_of(str), _check_address)
+    )
     failure_domain: str = field(validator=validators.instance_of(str))
-    slots: int = field(validator=validators.and_(_is_number, validators.ge(1)))
+    slots: int = field(
+        validator=validators.and_(_check_number, validators.ge(1))
+    )
     is_leaving: bool = field(validator=validators.instance_of(bool))
-    started_ms: int = field(validator=_is_number)
-    sequence: int = field(validator=_is_number)
-    revision: int = field(validator=_is_number)
+    started_ms: int = field(validator=_check_number)
+    sequence: int = field(validator=_check_number)
+    revision: int = field(validator=_check_number)
+    cold_s: float = 0
 
     @property
     def incarnation(self) -> Incarnation:
--- /dev/null
+++ b/trefoilhinge/dispatch/warmup/__init__.py
@@ -0,0 +1,1 @@
+"""Targets that are cold after their start."""
--- a/trefoilhinge/platform/documents.py
+++ b/trefoilhinge/platform/documents.py
@@ -84,6 +84,8 @@
         name=fields['name'],
         maximum_connections=int(fields.get('maxConns', 0)),
         engine=_decode_engine(engine) if engine else None,
+        cold_s=float(fields.get('coldS') or 0),
+        cold_requests_per_s=float(fields.get('coldPerS') or 0),
     )
 
 
@@ -98,6 +100,12 @@
         prefill_tokens_per_ms=float(fields['read_per_s']) / MS_PER_S,
         pairs_ms_per_m=float(fields.get('pairs_per_m', 0)),
         chunk_tokens=int(fields['chunk']),
+        usual_output_tokens=float((fields.get('usual') or {}).get('answer', 0)),
+        domain_delays_s={
+            frozenset((entry['from'], entry['target'])): entry['delay_ms']
+            / MS_PER_S
+            for entry in fields.get('delays') or ()
+        },
     )
 
 
--- a/trefoilhinge/platform/responses.py
+++ b/trefoilhinge/platform/responses.py
@@ -6,6 +6,7 @@
 from trefoilhinge.dispatch.calls import AnswerHead, RawHeaders, can_refuse
 from trefoilhinge.dispatch.rate_limits import MINIMUM_REQUESTS_PER_S, RATE_UNITS
 from trefoilhinge.dispatch.rests import parse_rest
+from trefoilhinge.dispatch.warmup.durations import parse_cold_s
 from trefoilhinge.platform.headers import HOP_BY_HOP_HEADERS
 
 _RATE_HEADER = b'server-limit'
@@ -47,6 +48,7 @@
         rest_s=rest_s,
         rest_problem=rest_problem,
         is_leaving=by_name.get(b'server-leaving', b'').strip() == b'1',
+        cold_s=parse_cold_s(by_name.get(b'x-cold-ms')),
     )
 
 
--- a/trefoilhinge/platform/settings.py
+++ b/trefoilhinge/platform/settings.py
@@ -16,6 +16,8 @@
 SETTINGS_PATH_VARIABLE = 'TREFOILHINGE_CONFIG'
 METRICS_PORT = 9464  # must match deploy/system.toml
 MS_PER_S = 1000
+BYTES_PER_MB = 1_048_576
+SCARCE_ROOM_CONTRACT = 'pressure'
 # Setting -> the field or fields of the platform's file that it is read from.
 SETTING_SOURCES = {
     'instance': 'nodeName',
@@ -29,6 +31,9 @@
     'seeds': 'seeds',
     'store': 'platform.address',
     'registration_interval_s': 'heartbeatMs, zero if missing',
+    'has_scarce_room': 'contracts, if pressure is among them',
+    'memory_bytes': 'limits.memoryMb, zero if missing',
+    'descriptors': 'limits.maxFds, zero if missing',
     'bounds.grace_s': 'bounds.graceS',
     'bounds.repeat_ratio': 'bounds.retryRatio',
     'bounds.repeat_slack': 'bounds.retrySlack',
@@ -36,6 +41,9 @@
     'bounds.free_s': 'bounds.freeMs',
     'bounds.hold_maximum_s': 'bounds.holdMaxMs',
     'bounds.apply_s': 'the smaller of bounds.drainMs and bounds.configApplyMs',
+    'bounds.cold_ratio': 'bounds.coldOver, zero if missing',
+    'bounds.cold_slack': 'bounds.coldSlack, zero if missing',
+    'bounds.evacuate_s': 'bounds.evacuateMs, zero if missing',
 }
 
 
@@ -62,6 +70,7 @@
 def _decode_fields(fields: dict[str, Any]) -> GatewaySettings:
     listen = fields['listen']
     control = listen.get('control')
+    limits = fields.get('limits') or {}
     return GatewaySettings(
         instance=str(fields['nodeName']),
         ip=str(fields['ip']),
@@ -78,6 +87,9 @@
         bounds=_decode_bounds(fields['bounds']),
         registration_interval_s=float(fields.get('heartbeatMs') or 0)
         / MS_PER_S,
+        has_scarce_room=SCARCE_ROOM_CONTRACT in (fields.get('contracts') or ()),
+        memory_bytes=int(limits.get('memoryMb') or 0) * BYTES_PER_MB,
+        descriptors=int(limits.get('maxFds') or 0),
     )
 
 
@@ -90,4 +102,7 @@
         free_s=float(fields['freeMs']) / MS_PER_S,
         hold_maximum_s=float(fields['holdMaxMs']) / MS_PER_S,
         apply_s=min(fields['drainMs'], fields['configApplyMs']) / MS_PER_S,
+        cold_ratio=float(fields.get('coldOver') or 0),
+        cold_slack=float(fields.get('coldSlack') or 0),
+        evacuate_s=float(fields.get('evacuateMs') or 0) / MS_PER_S,
     )
--- a/trefoilhinge/platform/store.py
+++ b/trefoilhinge/platform/store.py
@@ -1,7 +1,6 @@
 """Request paths and response formats of the platform's key-value store."""
 
 import base64
-import ipaddress
 import json
 from collections.abc import Mapping
 from functools import partial
@@ -12,6 +11,7 @@
 from expression import Error, Ok, Result
 
 from trefoilhinge.dispatch.targets import TargetRecord
+from trefoilhinge.dispatch.warmup.durations import parse_cold_s
 from trefoilhinge.exceptions import MALFORMED_CONTENT_ERRORS
 
 DOCUMENT_KEY = 'op/config'
@@ -26,7 +26,6 @@
 # A store that was restored from a copy gives revisions out again, in its next
 # era. Revisions here include the era, so that they can be compared.
 REVISIONS_PER_ERA = 10**15
-MAXIMUM_PORT = 65_535
 
 
 @frozen
@@ -137,40 +136,18 @@
         raise ValueError(f'unknown target state {state!r}')
     return TargetRecord(
         name=item.key.removeprefix(TARGET_PREFIX),
-        service=_require(fields, 'service', str),
-        address=_check_address(_require(fields, 'address', str)),
-        failure_domain=_require(fields, 'zone', str),
-        slots=_require(fields, 'slots', int),
+        service=fields['service'],
+        address=fields['address'],
+        failure_domain=fields['zone'],
+        slots=fields['slots'],
         is_leaving=state == 'draining',
         started_ms=fields.get('born', 0),
         sequence=fields.get('seq', 0),
         revision=item.revision,
+        cold_s=parse_cold_s(fields.get('coldLeftMs')) or 0,
     )
 
 
-def _require(fields: dict[str, Any], name: str, kind: type) -> Any:
-    value = fields[name]
-    if not isinstance(value, kind) or isinstance(value, bool):
-        raise TypeError(
-            f'the field {name!r} has the type {type(value).__name__},'
-            f' expected {kind.__name__}'
-        )
-    return value
-
-
-def _check_address(text: str) -> str:
-    """Return an address that a connection can be opened to.
-
-    :raises ValueError: it is no IP address and port.
-    """
-    host, _, port = text.rpartition(':')
-    is_port = port.isascii() and port.isdigit()
-    if not is_port or not 0 < int(port) <= MAXIMUM_PORT:
-        raise ValueError(f'the field address has no port: {text!r}')
-    ipaddress.ip_address(host)
-    return text
-
-
 def _decode_json(content: bytes, decode: Any) -> Result[StorePage, str]:
     try:
         return Ok(decode(json.loads(content)))
