Computed the timeout of peers once for a list of them.

Cause: a profile of one instance of 86 (scratch copy, 18 s) had 39 % of the time outside its waits in list_live, which computed the timeout anew for each peer. Each heartbeat called it, as fetchers asked for newer documents and targets. Another 13 % checked the addresses that heartbeats name.

Change: the timeout is computed once for a list; fetchers look for newer versions first and then whether their owners live; addresses that were checked are remembered (2,048 of them).

The new test failed before with 120 computations in place of 2.

--- a/tests/dispatch/test_peers.py
+++ b/tests/dispatch/test_peers.py
@@ -82,3 +82,22 @@
         for number in range(2, 62):
             table.record_heartbeat(make_heartbeat(f'10.0.0.{number}'), 0)
         assert table.compute_heartbeat_interval_s() > 3 * small_s
+
+    def test_timeout_is_computed_once_for_all_instances(self, monkeypatch):
+        """Guards against processor time that grows with the fleet's square.
+
+        Each heartbeat lists the live instances, and each of these had the
+        timeout computed anew.
+        """
+        computed = []
+        table = PeerTable('10.0.0.1')
+        for number in range(2, 62):
+            table.record_heartbeat(make_heartbeat(f'10.0.0.{number}'), 0)
+        monkeypatch.setattr(
+            PeerTable,
+            'compute_peer_timeout_s',
+            lambda _: computed.append(None) or PEER_TIMEOUT_S,
+        )
+        assert len(table.list_live(0)) == 60
+        assert not table.expire_silent(0)
+        assert len(computed) == 2
--- a/trefoilhinge/dispatch/message_checks.py
+++ b/trefoilhinge/dispatch/message_checks.py
@@ -1,5 +1,6 @@
 """Checks of numbers and addresses in messages between instances."""
 
+import functools
 import ipaddress
 
 # Longest duration that a message may state, and the largest factor.
@@ -23,6 +24,8 @@
     return number
 
 
+# Heartbeats name the same instances again and again.
+@functools.lru_cache(maxsize=2048)
 def check_ip(text: str) -> str:
     """Return an IP address if it is one.
 
--- a/trefoilhinge/dispatch/peers.py
+++ b/trefoilhinge/dispatch/peers.py
@@ -103,10 +103,11 @@
 
     def list_live(self, now_s: float) -> list[str]:
         """Return the IP addresses of the instances within their timeout."""
+        oldest_s = now_s - self.compute_peer_timeout_s()
         return [
             peer.ip
             for peer in self.peers.values()
-            if now_s - peer.last_heartbeat_s <= self.compute_peer_timeout_s()
+            if peer.last_heartbeat_s >= oldest_s
         ]
 
     def list_live_by_domain(self, now_s: float) -> dict[str, list[str]]:
@@ -175,11 +176,11 @@
 
     def expire_silent(self, now_s: float) -> list[str]:
         """Return incarnations whose timeout has passed since the last call."""
+        oldest_s = now_s - self.compute_peer_timeout_s()
         silent = [
             peer
             for peer in self.peers.values()
-            if peer.origin
-            and now_s - peer.last_heartbeat_s > self.compute_peer_timeout_s()
+            if peer.origin and peer.last_heartbeat_s < oldest_s
         ]
         ended = [peer.origin for peer in silent]
         for peer in silent:
--- a/trefoilhinge/gateway/peer_fetcher.py
+++ b/trefoilhinge/gateway/peer_fetcher.py
@@ -124,27 +124,30 @@
 
 def _list_document_offers(state: GatewayState) -> dict[str, int]:
     version = state.document.version if state.document else 0
-    return {
-        peer.ip: peer.version
-        for peer in _list_live_peers(state)
-        if peer.version > version
-    }
+    newer = [
+        peer for peer in state.peers.peers.values() if peer.version > version
+    ]
+    return {peer.ip: peer.version for peer in _select_live(state, newer)}
 
 
 def _list_target_offers(state: GatewayState) -> dict[str, int]:
     directory = state.directory
     if not directory.is_cut_off:
         return {}
-    return {
-        peer.ip: peer.revision
-        for peer in _list_live_peers(state)
+    newer = [
+        peer
+        for peer in state.peers.peers.values()
         if peer.revision > directory.revision
-    }
+    ]
+    return {peer.ip: peer.revision for peer in _select_live(state, newer)}
 
 
-def _list_live_peers(state: GatewayState) -> list[Peer]:
-    live = state.peers.list_live(state.get_now_s())
-    return [state.peers.peers[ip] for ip in live]
+def _select_live(state: GatewayState, peers: list[Peer]) -> list[Peer]:
+    """Return the live ones; each heartbeat asks, and mostly with none."""
+    if not peers:
+        return []
+    live = set(state.peers.list_live(state.get_now_s()))
+    return [peer for peer in peers if peer.ip in live]
 
 
 def _accept_document(state: GatewayState, content: bytes, ip: str) -> bool:
