Sent nothing new to failure domains that the operator evacuated.

Marks and removals are kept by revision and announced to peers, repeated while they stand, and are part of the list of targets that peers fetch. The full list and the catch-up read op/ in place of the document, which is no further read; without bounds.evacuateMs the document is read as before. Calls whose targets all are evacuated get domains_evacuated at once.

--- a/tests/dispatch/test_messages.py
+++ b/tests/dispatch/test_messages.py
@@ -9,6 +9,10 @@
 
 from tests.dispatch.samples import make_short
 from trefoilhinge.dispatch.crash_evidence import CrashReport
+from trefoilhinge.dispatch.evacuations import (
+    MAXIMUM_DOMAIN_LENGTH,
+    DomainMark,
+)
 from trefoilhinge.dispatch.loads import Run, RunPart
 from trefoilhinge.dispatch.message_codec import (
     MAXIMUM_DATAGRAM_BYTES,
@@ -57,6 +61,8 @@
     TargetRateNamed(NamedRate('t01', 1000, None, 0, 0), 5),
     TargetOrdered('t01'),
     InstanceLeft('10.0.0.1/ab12cd'),
+    DomainMark('d' * MAXIMUM_DOMAIN_LENGTH, True, 2**63 - 1),
+    DomainMark('pointe-a', False, 10**15),
     PermitRequest('10.0.0.1/ab12cd', 5, 't01', 1000, 1, 2.5),
     PermitDecision('me', 5, 't01', PermitVerdict.granted, 0),
     TargetCrashed(CrashReport('t01', 1000, 'mill', ('part/a',), 1, 2), 5),
--- a/trefoilhinge/dispatch/messages.py
+++ b/trefoilhinge/dispatch/messages.py
@@ -3,6 +3,7 @@
 from attrs import frozen
 
 from trefoilhinge.dispatch.crash_evidence import CrashReport
+from trefoilhinge.dispatch.evacuations import DomainMark
 from trefoilhinge.dispatch.loads import Run
 from trefoilhinge.dispatch.peers import Heartbeat
 from trefoilhinge.dispatch.permits import PermitDecision, PermitRequest
@@ -161,4 +162,4 @@
 )
 PermitMessage = TargetRateNamed | TargetOrdered | PermitRequest | PermitDecision
 QuarantineMessage = TargetCrashed | TraitQuarantined | TraitsCleared
-Message = RunMessage | PermitMessage | QuarantineMessage
+Message = RunMessage | PermitMessage | QuarantineMessage | DomainMark
--- a/trefoilhinge/dispatch/targets.py
+++ b/trefoilhinge/dispatch/targets.py
@@ -9,6 +9,7 @@
     DepartureTable,
     Incarnation,
 )
+from trefoilhinge.dispatch.evacuations import EvacuationTable
 from trefoilhinge.dispatch.outages import StoreOutages
 
 MAXIMUM_NUMBER = 2**63 - 1  # datagrams carry signed integers of 64 bits
@@ -94,6 +95,7 @@
     :ivar revision: latest revision of the store that was read; it is larger
         after the store was restored from a copy.
     :ivar outages: outages of the store as this instance sees them.
+    :ivar evacuations: failure domains that get nothing new.
     """
 
     records: dict[str, TargetRecord] = field(factory=dict)
@@ -101,6 +103,7 @@
     missing: dict[str, float] = field(factory=dict)
     revision: int = 0
     outages: StoreOutages = field(factory=StoreOutages)
+    evacuations: EvacuationTable = field(factory=EvacuationTable)
 
     @property
     def is_cut_off(self) -> bool:
@@ -206,6 +209,19 @@
     def list_serving(self, service: str) -> list[TargetRecord]:
         """Return the targets of a service that may receive calls, by name.
 
+        Those of evacuated failure domains may not.
+
+        :return: records, in the order of their names.
+        """
+        return [
+            record
+            for record in self.list_ready(service)
+            if not self.evacuations.is_evacuated(record.failure_domain)
+        ]
+
+    def list_ready(self, service: str) -> list[TargetRecord]:
+        """Return the targets that take calls, evacuated or not, by name.
+
         If two records have the same address, the later incarnation is used.
         """
         by_address: dict[str, TargetRecord] = {}
--- a/trefoilhinge/gateway/attempt_sender.py
+++ b/trefoilhinge/gateway/attempt_sender.py
@@ -8,6 +8,7 @@
 from trefoilhinge.dispatch.group_placement import Placement
 from trefoilhinge.dispatch.targets import TargetRecord
 from trefoilhinge.gateway.attempt_recorder import AttemptRecorder
+from trefoilhinge.gateway.evacuations import has_evacuated_target
 from trefoilhinge.gateway.peer_exchange import PeerExchange
 from trefoilhinge.gateway.placement import has_resting_target
 from trefoilhinge.gateway.progress import CallProgress
@@ -67,7 +68,8 @@
     ) -> TargetConnection | None:
         """Send the call on a new connection.
 
-        :return: the connection, ``None`` if a target asked for rest meanwhile.
+        :return: the connection, ``None`` if a target asked for rest or was
+            evacuated meanwhile.
         :raises CallFailed: the call is kept from targets.
         :raises TargetUnreachable: the connection could not be opened.
         """
@@ -83,7 +85,9 @@
             self._find_backlog_s, record.name
         )
         await self._gate.enter()
-        if has_resting_target(self._state, placement):
+        if has_resting_target(self._state, placement) or has_evacuated_target(
+            self._state, placement
+        ):
             return None
         attempt = self._make_attempt(record.name, helpers)
         self._recorder.record_sent(placement, attempt)
--- a/trefoilhinge/gateway/attempts.py
+++ b/trefoilhinge/gateway/attempts.py
@@ -15,6 +15,10 @@
 from trefoilhinge.gateway.attempt_sender import AttemptSender
 from trefoilhinge.gateway.caller_connections import CallerConnection
 from trefoilhinge.gateway.crash_detection import CrashDetector
+from trefoilhinge.gateway.evacuations import (
+    is_address_evacuated,
+    is_service_evacuated,
+)
 from trefoilhinge.gateway.liveness import await_answer
 from trefoilhinge.gateway.peer_exchange import PeerExchange
 from trefoilhinge.gateway.peer_relay import PeerRelay
@@ -90,7 +94,8 @@
         self._gate.check()
         await self._peers.reach.settle(self._call.service)
         is_unreachable = self._state.reach.is_unreachable(self._call.service)
-        if is_unreachable and await self._relay_to_peer():
+        is_evacuated = is_service_evacuated(self._state, self._call.service)
+        if is_unreachable and not is_evacuated and await self._relay_to_peer():
             return True
         if self.progress.attempts and not self._has_retry_budget():
             await self._end_call('repeats are used up')
@@ -201,11 +206,20 @@
         answer = self._handle_answer(record, connection)
         if not self._may_retry():
             return await answer
-        probe = functools.partial(
-            probe_suspect, record.address, self._peers.reach, record.service
-        )
+        probe = functools.partial(self._probe, record)
         return await await_answer(answer, connection, probe)
 
+    async def _probe(self, record: TargetRecord) -> None:
+        """Probe a silent target, unless its failure domain is evacuated.
+
+        A target that is not probed is left after as many silences as one that
+        accepts probes.
+        """
+        if not is_address_evacuated(self._state, record.address):
+            await probe_suspect(
+                record.address, self._peers.reach, record.service
+            )
+
     async def _handle_answer(
         self, record: TargetRecord, connection: TargetConnection
     ) -> bool:
--- a/trefoilhinge/gateway/crash_detection.py
+++ b/trefoilhinge/gateway/crash_detection.py
@@ -9,6 +9,7 @@
 from trefoilhinge.dispatch.settings import parse_address
 from trefoilhinge.dispatch.targets import TargetRecord
 from trefoilhinge.dispatch.traits import list_traits
+from trefoilhinge.gateway.evacuations import is_address_evacuated
 from trefoilhinge.gateway.progress import CallProgress
 from trefoilhinge.gateway.quarantine import Quarantine
 from trefoilhinge.gateway.reach import ReachMonitor
@@ -41,11 +42,14 @@
     ) -> None:
         """Find out whether a target ended under a call, and report that.
 
-        A target that was leaving has ended as planned. The caller waits
+        A target that was leaving has ended as planned, and one of an evacuated
+        failure domain may not be probed. The caller waits
         ``MAXIMUM_WAIT_S`` at most, so that a retry knows of the crash.
         """
         departed = self._state.directory.departed
-        if (record.name, record.started_ms) in departed:
+        if (record.name, record.started_ms) in departed or (
+            is_address_evacuated(self._state, record.address)
+        ):
             return
         check = self._checks.get(record.name)
         if check is None:
--- a/trefoilhinge/gateway/daemon.py
+++ b/trefoilhinge/gateway/daemon.py
@@ -93,6 +93,7 @@
         for run in (
             self._peers.run_heartbeats,
             self._peers.reach.run,
+            self._peers.evacuations.run,
             self._store_watcher.run,
             self._sweep,
         ):
@@ -276,7 +277,7 @@
         state,
         peers,
         service,
-        StoreWatcher(state, TargetEntries(state, peers)),
+        StoreWatcher(state, TargetEntries(state, peers), peers.evacuations),
         RelayServer(state, service),
     )
 
--- a/trefoilhinge/gateway/peer_exchange.py
+++ b/trefoilhinge/gateway/peer_exchange.py
@@ -5,6 +5,7 @@
 
 from attrs import define, field
 
+from trefoilhinge.dispatch.evacuations import DomainMark
 from trefoilhinge.dispatch.fanout import list_hops
 from trefoilhinge.dispatch.message_codec import (
     decode_message,
@@ -30,6 +31,7 @@
 from trefoilhinge.dispatch.peers import Heartbeat
 from trefoilhinge.dispatch.rate_limits import NamedRate
 from trefoilhinge.dispatch.targets import TargetRecord
+from trefoilhinge.gateway.evacuations import EvacuationNews
 from trefoilhinge.gateway.peer_fetcher import (
     PeerFetcher,
     make_document_fetcher,
@@ -56,6 +58,7 @@
     :ivar permits: permits for requests to limited targets.
     :ivar quarantine: requests that are kept from all targets.
     :ivar reach: checks of whether this instance reaches targets.
+    :ivar evacuations: news of evacuated failure domains.
     """
 
     _state: GatewayState
@@ -65,12 +68,16 @@
     permits: Permits = field(init=False)
     quarantine: Quarantine = field(init=False)
     reach: ReachMonitor = field(init=False)
+    evacuations: EvacuationNews = field(init=False)
     _document_fetcher: PeerFetcher = field(init=False)
     _targets_fetcher: PeerFetcher = field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Create the parts that send messages of their own."""
         self.reach = ReachMonitor(self._state, self.broadcast)
+        self.evacuations = EvacuationNews(
+            self._state, self.broadcast, self.send_to_each
+        )
         self.quarantine = Quarantine(
             self._state, self.broadcast, self.send_to_each
         )
@@ -102,6 +109,8 @@
             self.permits.apply_message(decoded.ok, address[0])
         elif isinstance(decoded.ok, QuarantineMessage):
             self.quarantine.apply_message(decoded.ok, address[0])
+        elif isinstance(decoded.ok, DomainMark):
+            self.evacuations.apply_message(decoded.ok, address[0])
         else:
             self._apply_message(decoded.ok, now_s)
 
@@ -284,6 +293,8 @@
                 record.name, record.started_ms, departure.revision
             )
             self.send(message, ip)
+        for mark in state.directory.evacuations.list_known():
+            self.send(mark, ip)
         for named in state.rate_limits.list_limits():
             self.send(TargetRateNamed(named, now_s), ip)
         for entry in self.quarantine.list_announcements():
--- a/trefoilhinge/gateway/refusals.py
+++ b/trefoilhinge/gateway/refusals.py
@@ -10,6 +10,8 @@
 BUSY_RETRY_AFTER_S = 0.7  # a short stream ends and frees a slot by then
 UNREACHABLE_RETRY_AFTER_S = 0.5  # the end of a cut is noticed by then
 NO_TARGET_RETRY_AFTER_S = 1.0  # a target that starts is in the store by then
+# How long an evacuation lasts is not known; its end is in force in a second.
+EVACUATED_RETRY_AFTER_S = 2.0
 PROBE_DURATION_S = 0.5  # until a probe shows whether a quarantine was wrong
 QUARANTINED_RETRY_AFTER_S = 60.0  # nothing is expected to change sooner
 MINIMUM_LIMITED_RETRY_AFTER_S = 0.2  # a limited target changes no sooner
@@ -102,6 +104,20 @@
     )
 
 
+def make_evacuated_refusal(progress: CallProgress, spread: float) -> Refusal:
+    """Return the refusal of a call whose targets all are evacuated.
+
+    :param spread: number in [0, 1) that spreads the returns of callers.
+    """
+    return Refusal(
+        502 if progress.possible_runs else 503,
+        'domains_evacuated',
+        'may_have_run' if progress.possible_runs else 'not_run',
+        'all failure domains with targets of the service are evacuated',
+        EVACUATED_RETRY_AFTER_S * (1 + spread),
+    )
+
+
 def make_limited_refusal(
     progress: CallProgress, wait_s: float, spread: float
 ) -> Refusal:
--- a/trefoilhinge/gateway/replication.py
+++ b/trefoilhinge/gateway/replication.py
@@ -1,12 +1,18 @@
 """Replication of the document and the targets between instances."""
 
 import json
+from typing import Any
 
 from attrs import evolve
 from expression import Error, Ok, Result
 
+from trefoilhinge.dispatch.evacuation_codec import describe_evacuations
 from trefoilhinge.dispatch.targets import TargetRecord
 from trefoilhinge.exceptions import MALFORMED_CONTENT_ERRORS
+from trefoilhinge.gateway.evacuations import (
+    apply_reported_evacuations,
+    has_evacuations,
+)
 from trefoilhinge.gateway.http_server import HttpResponse
 from trefoilhinge.gateway.state import GatewayState
 
@@ -57,9 +63,10 @@
         ]
         for record in directory.records.values()
     ]
-    return json.dumps(
-        {'revision': directory.revision, 'targets': targets}
-    ).encode()
+    fields = {'revision': directory.revision, 'targets': targets}
+    if has_evacuations(state):
+        fields['evacuations'] = describe_evacuations(directory.evacuations)
+    return json.dumps(fields).encode()
 
 
 def _apply_reported(state: GatewayState, record: TargetRecord) -> None:
@@ -72,17 +79,24 @@
         state.directory.mark_reported(record.incarnation, record.revision)
 
 
+def _parse_targets(fields: Any) -> tuple[list[TargetRecord], int]:
+    records = [TargetRecord(*entry) for entry in fields['targets']]
+    return records, int(fields['revision'])
+
+
 def apply_targets(state: GatewayState, content: bytes) -> Result[int, str]:
     """Apply the targets that another instance sent.
 
-    Targets at a store revision that is not newer are ignored.
+    Targets at a store revision that is not newer are ignored. Marks of
+    evacuated failure domains are compared one by one, and are applied before
+    the instance may begin to serve.
 
     :return: number of targets applied, or why they cannot be read.
     """
     try:
         fields = json.loads(content)
-        records = [TargetRecord(*entry) for entry in fields['targets']]
-        revision = int(fields['revision'])
+        apply_reported_evacuations(state, fields.get('evacuations'))
+        records, revision = _parse_targets(fields)
     except KeyError as missing:
         return Error(f'the field {missing} is missing')
     except MALFORMED_CONTENT_ERRORS as problem:
--- a/trefoilhinge/gateway/reservations.py
+++ b/trefoilhinge/gateway/reservations.py
@@ -12,6 +12,7 @@
 from trefoilhinge.dispatch.calls import PrefillHelper
 from trefoilhinge.dispatch.settings import parse_address
 from trefoilhinge.dispatch.targets import TargetRecord
+from trefoilhinge.gateway.evacuations import is_address_evacuated
 from trefoilhinge.gateway.http_client import FetchFailed, fetch
 from trefoilhinge.gateway.liveness import probe_target
 from trefoilhinge.gateway.peer_exchange import PeerExchange
@@ -120,9 +121,13 @@
         The prompt cannot be served without it, so that the memory elsewhere is
         of no use any more, whatever becomes of the call.
 
+        Targets of evacuated failure domains are not probed.
+
         :param silent: targets that did not answer a renewal.
         """
         for helper in silent:
+            if is_address_evacuated(self._state, helper.address):
+                continue
             try:
                 await probe_target(helper.address)
             except AnswerBroken as problem:
--- a/trefoilhinge/gateway/snapshots.py
+++ b/trefoilhinge/gateway/snapshots.py
@@ -122,7 +122,11 @@
                 service=record.service,
                 address=record.address,
                 leaving=leaving,
-                usable=name in usable and not leaving,
+                usable=name in usable
+                and not leaving
+                and not directory.evacuations.is_evacuated(
+                    record.failure_domain
+                ),
                 running=load.running,
                 reading_s=load.estimate_backlog_s(now_s),
                 memory_tokens=load.memory_tokens,
--- a/trefoilhinge/gateway/store_watcher.py
+++ b/trefoilhinge/gateway/store_watcher.py
@@ -5,6 +5,8 @@
 from attrs import define
 
 from trefoilhinge.exceptions import TrefoilhingeError
+from trefoilhinge.dispatch.evacuations import DomainMark
+from trefoilhinge.gateway.evacuations import EvacuationNews
 from trefoilhinge.gateway.http_client import (
     ConnectionCut,
     FetchedResponse,
@@ -63,6 +65,7 @@
 
     _state: GatewayState
     _entries: TargetEntries
+    _evacuations: EvacuationNews
     _revision: int = 0
     _era: int | None = None
     _has_listed: bool = False
@@ -100,19 +103,8 @@
             await self._watch()
 
     async def _list_all(self) -> None:
-        page = await self._read_document()
-        revision = page.revision
-        records: dict[str, store.StoreItem] = {}
-        after = ''
-        for _ in range(MAXIMUM_LIST_PAGES):
-            page = await self._fetch_page(
-                store.make_list_path(store.TARGET_PREFIX, after)
-            )
-            for item in page.items:
-                records[item.key] = item
-            if not page.is_truncated or not page.items:
-                break
-            after = page.items[-1].key
+        revision = await self._read_operator_items()
+        records, _ = await self._list_items(store.TARGET_PREFIX)
         self._entries.apply_list(records, revision)
         self._set_revision(revision)
         self._has_listed = True
@@ -123,7 +115,7 @@
 
         A watch would first send each document written during the outage.
         """
-        document_revision = (await self._read_document()).revision
+        document_revision = await self._read_operator_items()
         revision = self._revision
         while revision < document_revision:
             page = await self._fetch_page(
@@ -139,6 +131,46 @@
         self._set_revision(document_revision)
         self._needs_catch_up = False
 
+    async def _list_items(
+        self, prefix: str
+    ) -> tuple[dict[str, store.StoreItem], int]:
+        """Return items by key, and the revision before they were read."""
+        found: dict[str, store.StoreItem] = {}
+        revision: int | None = None
+        after = ''
+        for _ in range(MAXIMUM_LIST_PAGES):
+            page = await self._fetch_page(store.make_list_path(prefix, after))
+            revision = page.revision if revision is None else revision
+            for item in page.items:
+                found[item.key] = item
+            if not page.is_truncated or not page.items:
+                break
+            after = page.items[-1].key
+        return found, revision or 0
+
+    async def _read_operator_items(self) -> int:
+        """Read the document, and the marks of evacuated domains if any may be.
+
+        Both are in one list, so that no additional read is needed.
+
+        :return: revision of the store before they were read.
+        """
+        if not self._evacuations.reads_marks:
+            return (await self._read_document()).revision
+        items, revision = await self._list_items(store.OPERATOR_PREFIX)
+        self._evacuations.apply_list(
+            [
+                _make_mark(item)
+                for item in items.values()
+                if item.key.startswith(store.EVACUATION_PREFIX)
+            ],
+            revision,
+        )
+        if store.DOCUMENT_KEY not in items:
+            raise StoreUnanswered('store has no document yet')
+        self._apply_item(items[store.DOCUMENT_KEY])
+        return revision
+
     async def _read_document(self) -> store.StorePage:
         fetched = await self._fetch(
             store.make_item_path(store.DOCUMENT_KEY), READ_TIMEOUT_S
@@ -156,6 +188,7 @@
         if page is None:
             return
         self._apply_items(page)
+        self._evacuations.record_read(page.revision)
         self._set_revision(max(self._revision, page.revision))
         instances = self._state.peers.count_instances(self._state.get_now_s())
         apply_s = self._state.settings.bounds.apply_s
@@ -253,6 +286,8 @@
             )
         elif item.key.startswith(store.TARGET_PREFIX):
             self._entries.apply_item(item)
+        elif item.key.startswith(store.EVACUATION_PREFIX):
+            self._evacuations.apply_item(_make_mark(item))
 
     def _record_cut(self, problem: str) -> None:
         self._cut_since_s = self._read_began_s
@@ -287,6 +322,14 @@
             self._cut_since_s = None
 
 
+def _make_mark(item: store.StoreItem) -> DomainMark:
+    return DomainMark(
+        item.key.removeprefix(store.EVACUATION_PREFIX),
+        is_evacuated=item.content is not None,
+        revision=item.revision,
+    )
+
+
 def find_watch_interval_s(apply_s: float, instances: int) -> float:
     """Return seconds between two watches.
 
--- a/trefoilhinge/gateway/target_choice.py
+++ b/trefoilhinge/gateway/target_choice.py
@@ -8,6 +8,7 @@
 from trefoilhinge.dispatch.group_placement import Placement
 from trefoilhinge.dispatch.permits import PermitDecision, PermitVerdict
 from trefoilhinge.dispatch.targets import TargetRecord
+from trefoilhinge.gateway.evacuations import is_service_evacuated
 from trefoilhinge.gateway.permits import Permits, make_permit_request
 from trefoilhinge.gateway.placement import (
     find_placement,
@@ -17,6 +18,8 @@
 from trefoilhinge.gateway.progress import CallProgress
 from trefoilhinge.gateway.refusals import (
     CallFailed,
+    Refusal,
+    make_evacuated_refusal,
     make_limited_refusal,
     make_no_target_refusal,
     make_resting_refusal,
@@ -105,7 +108,7 @@
         """
         wait_s = self._rest_queue.estimate_wait_s(self._call)
         if wait_s is None:
-            raise CallFailed(make_no_target_refusal(progress))
+            raise CallFailed(self._make_no_target_refusal(progress))
         if wait_s > min(MAXIMUM_WAIT_S, self._compute_patience_s()):
             self._state.metrics.increment('calls_resting')
             raise CallFailed(make_resting_refusal(progress, wait_s))
@@ -114,6 +117,13 @@
         )
         await self._rest_queue.wait(self._call, wait_s)
 
+    def _make_no_target_refusal(self, progress: CallProgress) -> Refusal:
+        if is_service_evacuated(self._state, self._call.service):
+            self._state.metrics.increment('calls_evacuated')
+            spread = self._call.head.request_hash / REQUEST_HASH_VALUES
+            return make_evacuated_refusal(progress, spread)
+        return make_no_target_refusal(progress)
+
     async def _ask(
         self,
         record: TargetRecord,
--- a/trefoilhinge/platform/store.py
+++ b/trefoilhinge/platform/store.py
@@ -16,6 +16,8 @@
 
 DOCUMENT_KEY = 'op/config'
 TARGET_PREFIX = 'servers/'
+OPERATOR_PREFIX = 'op/'  # of the document and of evacuated domains
+EVACUATION_PREFIX = 'op/evacuate/'
 TARGET_STATES = frozenset(('ready', 'draining'))
 HISTORY_GONE_STATUS = 410  # the store no longer has the watched revision
 NOT_FOUND_STATUS = 404
