Handled signals from the first moment of the start.

SIGHUP before the end of the start ended the process: its handler, and that of SIGTERM, were added after the listeners. A SIGHUP of that time reads the settings again; after SIGTERM the process ends with code 0 without listening.

--- a/trefoilhinge/gateway/daemon.py
+++ b/trefoilhinge/gateway/daemon.py
@@ -15,6 +15,7 @@
     DEFAULT_LIMITS,
     CallerConnection,
 )
+from trefoilhinge.gateway.early_signals import record_signals, take_signals
 from trefoilhinge.gateway.http_server import (
     HttpResponse,
     RequestHandler,
@@ -80,6 +81,8 @@
         loop = asyncio.get_running_loop()
         self._state.started_s = loop.time()
         loop.set_exception_handler(self._log_loop_exception)
+        if not self._handle_signals(loop):
+            return
         await loop.create_datagram_endpoint(
             lambda: self._peers,
             local_addr=(settings.ip, settings.first_port),
@@ -88,8 +91,6 @@
         self._relay_server.start()
         self._entry = listen(settings.entry, self._handle_caller)
         self._entry.start()
-        loop.add_signal_handler(signal.SIGTERM, self._begin_stop)
-        loop.add_signal_handler(signal.SIGHUP, self._reload)
         for run in (
             self._peers.run_heartbeats,
             self._peers.reach.run,
@@ -99,6 +100,22 @@
             self._tasks.append(asyncio.ensure_future(self._keep_running(run)))
         await self._stopped.wait()
 
+    def _handle_signals(self, loop: asyncio.AbstractEventLoop) -> bool:
+        """Handle signals from now on, and those that came before.
+
+        :return: whether to start; a process that was ordered to stop before it
+            listened has no calls to wait for.
+        """
+        loop.add_signal_handler(signal.SIGTERM, self._begin_stop)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        received = take_signals()
+        if signal.SIGTERM in received:
+            self._state.log.write('stopped', active=0)
+            return False
+        if signal.SIGHUP in received:
+            self._reload()
+        return True
+
     async def _keep_running(
         self, run: Callable[[], Coroutine[object, object, None]]
     ) -> None:
@@ -283,6 +300,7 @@
 
 def run_gateway() -> None:
     """Run an instance with the settings that the environment names."""
+    record_signals()
 
     async def run() -> None:  # noqa: WPS430
         await make_gateway(load_settings()).run()
