Believed evidence instead of the later start where entries share an address.

An entry with a living target's address, another service's name and a later start kept all calls from that target: the only target of a service was answered for with no_target. An earlier entry now counts as outdated only until its target writes it again or answers a call, and an entry whose name the target refuses with 421 is not used for 2 s, doubling up to 60 s.

--- a/tests/dispatch/test_targets.py
+++ b/tests/dispatch/test_targets.py
@@ -95,3 +95,74 @@
         directory.outages.mark_unreachable(10)
         assert directory.mark_departed(record)
         assert not list_names(directory)
+
+
+class TestSharedAddresses:
+    """Guards against an entry that hides a living target."""
+
+    ADDRESS = '10.0.0.9:80'
+
+    def make_directory(self):
+        """Return a living target and a foreign entry with a later start."""
+        directory = TargetDirectory()
+        directory.apply_record(make_record('t02'))
+        directory.apply_record(make_record('t01', address=self.ADDRESS))
+        self.foreign = make_record(
+            'x01',
+            address=self.ADDRESS,
+            service='desk',
+            started_ms=5000,
+            revision=2,
+        )
+        directory.apply_record(self.foreign)
+        return directory
+
+    def test_entry_that_is_written_again_is_kept(self):
+        directory = self.make_directory()
+        assert list_names(directory) == ['t02']
+        directory.apply_record(
+            make_record('t01', address=self.ADDRESS, revision=3)
+        )
+        assert list_names(directory) == ['t01', 't02']
+
+    def test_target_that_answers_is_kept(self):
+        directory = self.make_directory()
+        directory.claims.record_answer(directory.records['t01'])
+        assert list_names(directory) == ['t01', 't02']
+
+    def test_refuted_entry_hides_nothing(self):
+        directory = self.make_directory()
+        assert directory.refute(self.foreign, 0)
+        assert list_names(directory) == ['t01', 't02']
+        assert not directory.list_serving('desk')
+
+    def test_refuted_entry_is_tried_ever_less(self):
+        """A stale entry costs calls a refusal each time that it is tried."""
+        directory = self.make_directory()
+        tried_s = []
+        for now_s in range(100):
+            directory.expire_claims(now_s)
+            if directory.list_serving('desk'):
+                tried_s.append(now_s)
+                directory.refute(self.foreign, now_s)
+        assert tried_s == [0, 2, 6, 14, 30, 62]
+
+    def test_target_whose_every_entry_is_refuted_is_used(self):
+        """A target that is the likeliest one at its address is kept."""
+        directory = self.make_directory()
+        directory.refute(self.foreign, 0)
+        directory.expire_claims(2)
+        directory.refute(self.foreign, 2)
+        directory.refute(directory.records['t01'], 2)
+        assert list_names(directory) == ['t01', 't02']
+
+    def test_only_entry_of_an_address_is_not_refuted(self):
+        directory = TargetDirectory()
+        record = make_record('t01')
+        directory.apply_record(record)
+        assert not directory.refute(record, 0)
+
+    def test_outdated_entry_is_better_than_none(self):
+        directory = self.make_directory()
+        directory.mark_departed(directory.records['t02'])
+        assert list_names(directory) == ['t01']
--- a/trefoilhinge/dispatch/targets.py
+++ b/trefoilhinge/dispatch/targets.py
@@ -4,6 +4,7 @@
 
 from attrs import Attribute, define, field, frozen, validators
 
+from trefoilhinge.dispatch.address_claims import AddressClaims
 from trefoilhinge.dispatch.departures import (
     Departure,
     DepartureTable,
@@ -94,6 +95,7 @@
     :ivar revision: latest revision of the store that was read; it is larger
         after the store was restored from a copy.
     :ivar outages: outages of the store as this instance sees them.
+    :ivar claims: which of several records with one address is to be believed.
     """
 
     records: dict[str, TargetRecord] = field(factory=dict)
@@ -101,6 +103,7 @@
     missing: dict[str, float] = field(factory=dict)
     revision: int = 0
     outages: StoreOutages = field(factory=StoreOutages)
+    claims: AddressClaims = field(factory=AddressClaims)
 
     @property
     def is_cut_off(self) -> bool:
@@ -121,6 +124,7 @@
         if known is not None and _is_older(record, known):
             return False
         self.records[record.name] = record
+        self.claims.record_entry(record)
         if known is None or record.revision > known.revision:
             self.missing.pop(record.name, None)
         if record.is_leaving:
@@ -206,23 +210,44 @@
     def list_serving(self, service: str) -> list[TargetRecord]:
         """Return the targets of a service that may receive calls, by name.
 
-        If two records have the same address, the later incarnation is used.
+        Records that share an address are chosen by ``AddressClaims``; outdated
+        ones are used only if the service has no others.
         """
-        by_address: dict[str, TargetRecord] = {}
+        by_address: dict[str, list[TargetRecord]] = {}
         for record in self.records.values():
-            if record.incarnation in self.departed:
-                continue
-            other = by_address.get(record.address)
-            if other is None or other.started_ms < record.started_ms:
-                by_address[record.address] = record
-        return sorted(
-            (
+            if record.incarnation not in self.departed:
+                by_address.setdefault(record.address, []).append(record)
+        for has_outdated in (False, True):
+            serving = [
                 found
-                for found in by_address.values()
+                for claims in by_address.values()
+                for found in self.claims.select(
+                    claims, has_outdated=has_outdated
+                )
                 if found.service == service
-            ),
-            key=lambda record: record.name,
+            ]
+            if serving:
+                break
+        return sorted(serving, key=lambda record: record.name)
+
+    def refute(self, record: TargetRecord, now_s: float) -> bool:
+        """Record that the target at an address has another name.
+
+        A record that is the only one with its address stays in use.
+
+        :return: whether the record is newly kept from use.
+        """
+        is_shared = any(
+            other.address == record.address and other.name != record.name
+            for other in self.records.values()
+            if other.incarnation not in self.departed
         )
+        return is_shared and self.claims.refute(record, now_s)
+
+    def expire_claims(self, now_s: float) -> None:
+        """Use refuted records again whose time is over."""
+        incarnations = [record.incarnation for record in self.records.values()]
+        self.claims.expire(incarnations, now_s)
 
     def _remove(self, record: TargetRecord, revision: int) -> bool:
         self.records.pop(record.name)
--- a/trefoilhinge/gateway/attempts.py
+++ b/trefoilhinge/gateway/attempts.py
@@ -37,7 +37,7 @@
 )
 from trefoilhinge.gateway.state import GatewayState
 from trefoilhinge.gateway.target_choice import TargetChoice
-from trefoilhinge.gateway.target_needs import record_needs
+from trefoilhinge.gateway.target_needs import record_claim, record_needs
 from trefoilhinge.gateway.target_connections import (
     AnswerBroken,
     TargetConnection,
@@ -215,6 +215,7 @@
             self._state, self._peers, record, head, connection.sent_s
         )
         record_needs(self._state, self._peers, record, head)
+        record_claim(self._state, record, head, self._call.head.request_id)
         if head.not_run:
             self._recorder.record_rejected(target, head)
             if self._is_helper_fault(target, head):
--- a/trefoilhinge/gateway/daemon.py
+++ b/trefoilhinge/gateway/daemon.py
@@ -208,6 +208,7 @@
                 state.log.write(
                     'target_left', target=record.name, reason='lapsed'
                 )
+            state.directory.expire_claims(now_s)
             state.remove_departed_limits()
             state.rests.remove_ended(now_s)
             state.reach.forget_departed(
--- a/trefoilhinge/gateway/target_needs.py
+++ b/trefoilhinge/gateway/target_needs.py
@@ -1,5 +1,7 @@
 """Learning what targets ask of this instance in their answers."""
 
+from http import HTTPStatus
+
 from trefoilhinge.dispatch.calls import AnswerHead
 from trefoilhinge.dispatch.targets import TargetRecord
 from trefoilhinge.gateway.peer_exchange import PeerExchange
@@ -24,6 +26,26 @@
         _record_rest(state, record, head)
 
 
+def record_claim(
+    state: GatewayState, record: TargetRecord, head: AnswerHead, request: str
+) -> None:
+    """Record whether the target at an address took a call under its name.
+
+    :param request: identifier of the call.
+    """
+    directory = state.directory
+    if head.status != HTTPStatus.MISDIRECTED_REQUEST:
+        directory.claims.record_answer(record)
+    elif directory.refute(record, state.get_now_s()):
+        state.log.write(
+            'target_misdirected',
+            request=request,
+            target=record.name,
+            address=record.address,
+            revision=record.revision,
+        )
+
+
 def _record_rest(
     state: GatewayState, record: TargetRecord, head: AnswerHead
 ) -> None:
@@ -49,13 +71,16 @@
 
 
 def find_record(state: GatewayState, address: str) -> TargetRecord | None:
-    """Return the latest incarnation at an address, if any is known."""
+    """Return the latest believed incarnation at an address, if any is known."""
     found = [
         record
         for record in state.directory.records.values()
         if record.address == address
     ]
-    return max(found, key=lambda record: record.started_ms, default=None)
+    if not found:
+        return None
+    usable = state.directory.claims.select(found)
+    return max(usable, key=lambda record: record.started_ms)
 
 
 def _list_blamed(state: GatewayState, at_fault: str) -> list[TargetRecord]:
