Replaced a target's own 503 where it would promise that a call has not run.

Callers of a call that may not be repeated take 408, 421, 429 and 503 for the promise that it has not run. A target's answer with such a status, without the mark that it did not run the call, was passed on and made them send it again. They get 502 with the verdict may_have_run instead, also through a peer.

--- a/tests/gateway/test_odd_refusals.py
+++ b/tests/gateway/test_odd_refusals.py
@@ -98,6 +98,35 @@
         asyncio.run(run())
 
 
+class TestUnmarkedRefusals:
+    """Guards against a promise that a call has not run, made by its run."""
+
+    @pytest.mark.parametrize('status', sorted(PROMISES - {421}))
+    @pytest.mark.parametrize('run_any', [run_fleet, run_cut_fleet])
+    def test_promise_of_a_run_is_replaced(self, status, run_any):
+        async def run():
+            handle = reply(status, b'of the run')
+            async with run_any(d1=handle) as running:
+                is_cut = isinstance(running, tuple)
+                fleet = running[0] if is_cut else running
+                answer = await fleet.call('/book/1')
+                assert answer.status == 502
+                assert b'"may_have_run"' in answer.content
+                assert b'of the run' not in answer.content
+                assert 'x-server-seal' not in answer.headers
+                assert count_requests(fleet) == 1
+
+        asyncio.run(run())
+
+    def test_caller_of_a_repeatable_call_gets_it(self):
+        async def run():
+            async with run_fleet(d1=reply(503, b'of the run')) as fleet:
+                answer = await fleet.call('/look/1', 'GET')
+                assert (answer.status, answer.content) == (503, b'of the run')
+
+        asyncio.run(run())
+
+
 class TestRefusals:
     @pytest.mark.parametrize('name', REFUSALS)
     def test_call_is_sent_to_another_target(self, name):
--- a/trefoilhinge/gateway/answer_relay.py
+++ b/trefoilhinge/gateway/answer_relay.py
@@ -8,6 +8,12 @@
 from trefoilhinge.dispatch.events import EventSplitter, StreamEvent
 from trefoilhinge.gateway.caller_connections import CallerConnection
 from trefoilhinge.gateway.progress import CallProgress
+from trefoilhinge.gateway.refusals import (
+    NOT_RUN_STATUSES,
+    CallFailed,
+    Refusal,
+    make_unmarked_refusal,
+)
 from trefoilhinge.gateway.target_connections import (
     AnswerBroken,
     TargetConnection,
@@ -25,8 +31,21 @@
     _caller: CallerConnection
     _progress: CallProgress
 
-    async def send_complete(self, head: AnswerHead, content: bytes) -> None:
-        """Send an answer whose content is complete."""
+    async def send_complete(
+        self, head: AnswerHead, content: bytes, *, is_repeatable: bool
+    ) -> None:
+        """Send an answer whose content is complete.
+
+        :param is_repeatable: whether the call may run more than once.
+        :raises CallFailed: another answer was already started, or the status
+            would tell the caller that a call has not run which may have.
+        """
+        if self._progress.has_started:
+            raise CallFailed(
+                Refusal(502, 'stream_lost', 'may_have_run', 'no answer')
+            )
+        if head.status in NOT_RUN_STATUSES and not is_repeatable:
+            raise CallFailed(make_unmarked_refusal(head.status))
         self._progress.status = head.status
         self._progress.has_started = True
         await self._caller.send_complete(
--- a/trefoilhinge/gateway/attempts.py
+++ b/trefoilhinge/gateway/attempts.py
@@ -271,11 +271,9 @@
         return True
 
     async def _send_answer(self, head: AnswerHead, content: bytes) -> None:
-        if self.progress.has_started:
-            raise CallFailed(
-                Refusal(502, 'stream_lost', 'may_have_run', 'no answer')
-            )
-        await self._relay.send_complete(head, content)
+        await self._relay.send_complete(
+            head, content, is_repeatable=self._call.route.is_repeatable
+        )
 
     async def _handle_rejection(self, reason: str) -> None:
         """Delay the next attempt after a rejection, or end the call.
--- a/trefoilhinge/gateway/peer_relay.py
+++ b/trefoilhinge/gateway/peer_relay.py
@@ -197,11 +197,9 @@
             await self._relay.relay_stream(connection, head, self._record_event)
             return
         content = await connection.read_body()
-        if self._progress.has_started:
-            raise CallFailed(
-                Refusal(502, 'stream_lost', 'may_have_run', 'no answer')
-            )
-        await self._relay.send_complete(head, content)
+        await self._relay.send_complete(
+            head, content, is_repeatable=self._call.route.is_repeatable
+        )
 
     def _handle_refusal(
         self,
--- a/trefoilhinge/gateway/refusals.py
+++ b/trefoilhinge/gateway/refusals.py
@@ -1,5 +1,7 @@
 """Refusals of calls that no target answered."""
 
+from http import HTTPStatus
+
 from attrs import frozen
 
 from trefoilhinge.dispatch.quarantine import QuarantinedTrait
@@ -39,6 +41,17 @@
     was_sent: bool = False
 
 
+# To a caller, these say that the call has not run and never will.
+NOT_RUN_STATUSES = frozenset(
+    (
+        HTTPStatus.REQUEST_TIMEOUT,
+        HTTPStatus.MISDIRECTED_REQUEST,
+        HTTPStatus.TOO_MANY_REQUESTS,
+        HTTPStatus.SERVICE_UNAVAILABLE,
+    )
+)
+
+
 class CallFailed(TrefoilhingeError):
     """A call cannot be answered.
 
@@ -164,3 +177,17 @@
     if progress.possible_runs:
         return Refusal(502, 'answer_lost', 'may_have_run', reason)
     return Refusal(503, 'targets_full', 'not_run', reason, BUSY_RETRY_AFTER_S)
+
+
+def make_unmarked_refusal(status: int) -> Refusal:
+    """Return the refusal in place of a target's answer that says too much.
+
+    :param status: status with which the target answered; its body and headers
+        belong to that status, and are not passed on with another one.
+    """
+    return Refusal(
+        502,
+        'refusal_unmarked',
+        'may_have_run',
+        f'the target answered {status}, but not that it did not run the call',
+    )
