Awaited the first answer of a slow plain call beside its second run.

An idempotent call of a plain service that took over 0.75 s was run at a second target, and the first run was cut off: the call could end in 502 although its first target was alive. A call whose last failure had been sent at the limit on rejections is not attempted again.

--- a/trefoilhinge/gateway/attempt_sender.py
+++ b/trefoilhinge/gateway/attempt_sender.py
@@ -77,7 +77,9 @@
             self._call.service, self._state.get_now_s()
         )
         connection.silence_timeout_s = find_answer_timeout_s(
-            self._call, placement
+            self._call,
+            placement,
+            self._call.deadline_s - self._state.get_now_s(),
         )
         connection.find_backlog_s = functools.partial(
             self._find_backlog_s, record.name
@@ -96,6 +98,10 @@
             self._connection.close()
             self._connection = None
 
+    def detach(self) -> None:
+        """Leave the connection open at the end of the attempt."""
+        self._connection = None
+
     def release(self) -> None:
         """Release reserved memory."""
         if self._reservations is not None:
--- a/trefoilhinge/gateway/attempts.py
+++ b/trefoilhinge/gateway/attempts.py
@@ -15,7 +15,8 @@
 from trefoilhinge.gateway.attempt_sender import AttemptSender
 from trefoilhinge.gateway.caller_connections import CallerConnection
 from trefoilhinge.gateway.crash_detection import CrashDetector
-from trefoilhinge.gateway.liveness import await_answer
+from trefoilhinge.gateway.late_answers import LateAnswers
+from trefoilhinge.gateway.liveness import TargetSilent, await_answer
 from trefoilhinge.gateway.peer_exchange import PeerExchange
 from trefoilhinge.gateway.peer_relay import PeerRelay
 from trefoilhinge.gateway.placement import is_placement_current
@@ -71,6 +72,8 @@
     progress: CallProgress
     _excluded: set[str] = field(factory=set)
     _last_failure: tuple[AnswerHead, bytes] | None = None
+    _late_answers: LateAnswers = field(factory=LateAnswers)
+    _is_ended: bool = False
 
     async def run(self) -> None:
         """Attempt the call until it is answered.
@@ -78,9 +81,9 @@
         :raises CallFailed: no target can take the call, or a limit on its
             attempts is reached.
         """
-        is_answered = False
-        while not is_answered:
-            is_answered = await self._attempt()
+        while not self._is_ended:
+            is_answered = await self._late_answers.run_beside(self._attempt)
+            self._is_ended = self._is_ended or is_answered
 
     async def _attempt(self) -> bool:
         """Attempt the call once.
@@ -109,7 +112,7 @@
         except AnswerBroken as problem:
             return not await self._recover(placement, str(problem))
         finally:
-            self.close()
+            self._end_attempt()
 
     async def _relay_to_peer(self) -> bool:
         """Let a peer serve the call, as this instance reaches no target.
@@ -134,6 +137,11 @@
         return make_timeout_refusal(self.progress)
 
     def close(self) -> None:
+        """End the attempt, and give up what may still come of earlier ones."""
+        self._end_attempt()
+        self._late_answers.close()
+
+    def _end_attempt(self) -> None:
         """Close the connection, end the run and release reserved memory."""
         self._sender.close()
         self._peer_relay.close()
@@ -196,15 +204,29 @@
     ) -> bool:
         """Return whether the call was answered.
 
-        A call that may not run again is not given up for silence.
+        A call that may not run again is not given up for silence. The answer
+        to an idempotent call is still awaited beside the next attempt.
         """
-        answer = self._handle_answer(record, connection)
         if not self._may_retry():
-            return await answer
+            return await self._handle_answer(record, connection)
+        answer = asyncio.ensure_future(self._handle_answer(record, connection))
         probe = functools.partial(
             probe_suspect, record.address, self._peers.reach, record.service
         )
-        return await await_answer(answer, connection, probe)
+        try:
+            return await await_answer(answer, connection, probe)
+        except TargetSilent:
+            if self._call.route.kind is CallKind.idempotent:
+                self._state.log.write(
+                    'answer_awaited',
+                    request=self._call.head.request_id,
+                    target=record.name,
+                )
+                self._sender.detach()
+                self._late_answers.add(answer, connection, probe)
+            else:
+                answer.cancel()
+            raise
 
     async def _handle_answer(
         self, record: TargetRecord, connection: TargetConnection
@@ -263,11 +285,12 @@
             self._gate.record_answer()
         outcome = Outcome.served if served else Outcome.failed
         self._recorder.record_outcome(target, outcome)
-        if not served and self._may_retry():
+        if not served and (self._may_retry() or self._late_answers.is_current):
             self._last_failure = (head, content)
             self._excluded.add(target)
             return False
-        await self._send_answer(head, content)
+        if served or not await self._late_answers.wait():
+            await self._send_answer(head, content)
         return True
 
     async def _send_answer(self, head: AnswerHead, content: bytes) -> None:
@@ -281,6 +304,8 @@
         :raises CallFailed: the limit on rejections is exceeded.
         """
         self.progress.rejections += 1
+        if self._late_answers.is_current:
+            return
         if self.progress.rejections > MAXIMUM_REJECTIONS:
             await self._end_call(reason)
         await asyncio.sleep(RETRY_DELAY_S)
@@ -314,13 +339,17 @@
         self._gate.record_event()
 
     async def _end_call(self, reason: str) -> None:
-        """Send the last failure that a target answered, or fail the call.
+        """Await late answers, send the last failure, or fail the call.
 
         :raises CallFailed: there is no such answer, or another answer was
             already started.
         """
+        if await self._late_answers.wait():
+            self._is_ended = True
+            return
         if self._last_failure is not None and not self.progress.has_started:
             await self._send_answer(*self._last_failure)
+            self._is_ended = True
             return
         raise CallFailed(make_exhausted_refusal(self.progress, reason))
 
--- a/trefoilhinge/gateway/liveness.py
+++ b/trefoilhinge/gateway/liveness.py
@@ -25,6 +25,10 @@
 Probe = Callable[[], Awaitable[None]]
 
 
+class TargetSilent(AnswerBroken):
+    """A target that is alive has sent nothing for too long."""
+
+
 class MonitoredConnection(Protocol):
     """A connection that is checked for silence."""
 
@@ -49,13 +53,15 @@
 
 
 async def await_answer(
-    answer: Coroutine[object, object, Answer],
+    answer: Coroutine[object, object, Answer] | asyncio.Task[Answer],
     connection: MonitoredConnection,
     probe: Probe | None = None,
     maximum_silent_probes: float = MAXIMUM_SILENT_PROBES,
 ) -> Answer:
     """Await an answer while its target is alive.
 
+    A task is left running if its target is silent for too long.
+
     Silence alone proves nothing, since a target sends nothing while it
     prefills a long prompt. It is probed with a new connection first.
 
@@ -63,8 +69,9 @@
         one, a connection to it is opened.
     :param maximum_silent_probes: successive probes that succeed while no data
         arrives.
-    :raises AnswerBroken: the target does not accept a connection, or accepts
-        them but sends no data for too long.
+    :raises TargetSilent: the target accepts connections but sends no data for
+        too long.
+    :raises AnswerBroken: the target does not accept a connection.
     """
     task = asyncio.ensure_future(answer)
     try:
@@ -75,8 +82,13 @@
             maximum_silent_probes,
         )
         return await task
-    finally:
+    except TargetSilent:
+        if task is not answer:
+            task.cancel()
+        raise
+    except BaseException:
         task.cancel()
+        raise
 
 
 async def _monitor(
@@ -104,7 +116,7 @@
         is_overdue = wait_s <= 0
         probes += int(is_overdue)
         if probes > maximum_silent_probes:
-            raise AnswerBroken('target accepts connections but sends no data')
+            raise TargetSilent('target accepts connections but sends no data')
         await probe()
         alive_s = loop.time()
         if is_overdue:
