Limited the requests of all instances to targets that have just started.

A target that had just started got as many requests as a warm one, from each instance by its own choice, where the deployment publishes a lower rate.

Cold targets (entry, answer, start or a peer's word) are used only if warm ones have no room. Announced runs keep the rate below the published one; quotas that rendezvous hashing divides among known instances bound it without messages.

--- a/tests/dispatch/test_messages.py
+++ b/tests/dispatch/test_messages.py
@@ -45,6 +45,7 @@
     MAXIMUM_TRAITS,
 )
 from trefoilhinge.dispatch.rate_limits import NamedRate
+from trefoilhinge.dispatch.warmup.codec import TargetCold
 
 SAMPLES = (
     Heartbeat(
@@ -61,6 +62,7 @@
     TargetRateNamed(NamedRate('t01', 1000, None, 0, 0), 5),
     TargetOrdered('t01'),
     InstanceLeft('10.0.0.1/ab12cd'),
+    TargetCold('t01', 1000, 2.5),
     DomainMark('d' * MAXIMUM_DOMAIN_LENGTH, True, 2**63 - 1),
     DomainMark('pointe-a', False, 10**15),
     PermitRequest('10.0.0.1/ab12cd', 5, 't01', 1000, 1, 2.5),
--- a/tests/gateway/fleets.py
+++ b/tests/gateway/fleets.py
@@ -119,7 +119,7 @@
 
 
 @contextlib.asynccontextmanager
-async def run_fleet(document=None, has_document=True, evacuate_s=0, **handlers):
+async def run_fleet(document=None, has_document=True, bounds=None, **handlers):
     """Run an instance with a target for each handler, named by its keyword.
 
     Targets whose name begins with ``d`` belong to the plain service.
@@ -135,7 +135,7 @@
         store.put_target(name, target.address, service)
     if has_document:
         store.put('op/config', document or make_document())
-    settings = make_settings(store.port, evacuate_s=evacuate_s)
+    settings = make_settings(store.port, **(bounds or {}))
     gateway = make_gateway(settings)
     fleet = Fleet(store, targets, gateway, settings)
     task = start_gateway(gateway)
--- a/tests/gateway/test_evacuations.py
+++ b/tests/gateway/test_evacuations.py
@@ -42,7 +42,7 @@
 async def run_domains():
     """Run an instance with target ``m1`` of domain a and ``m2`` of b."""
     async with run_fleet(
-        m1=stream(), m2=stream(), evacuate_s=EVACUATE_S
+        m1=stream(), m2=stream(), bounds={'evacuate_s': EVACUATE_S}
     ) as fleet:
         address = fleet.targets['m2'].address
         fleet.store.put_target('m2', address, zone='b')
--- a/trefoilhinge/client/request_timeline.py
+++ b/trefoilhinge/client/request_timeline.py
@@ -23,6 +23,7 @@
     'targets_limited': 'no target had room within the limit that it named',
     'answer_lost': 'the answer was lost after a target may have run the call',
     'domains_evacuated': 'all targets were in evacuated failure domains',
+    'targets_cold': 'all targets had just started and took no more calls',
     'no_target': 'no target of the service was known or had capacity',
     'stream_lost': 'a stream broke and could not be resumed on another target',
     'document_unknown': 'the instance had just started and had no document',
--- a/trefoilhinge/dispatch/message_codec.py
+++ b/trefoilhinge/dispatch/message_codec.py
@@ -46,6 +46,12 @@
     decode_quarantine_message,
     list_quarantine_fields,
 )
+from trefoilhinge.dispatch.warmup.codec import (
+    COLD_KIND,
+    TargetCold,
+    decode_cold_message,
+    list_cold_fields,
+)
 from trefoilhinge.exceptions import MALFORMED_CONTENT_ERRORS
 
 MAXIMUM_DATAGRAM_BYTES = 1_400  # fits one packet
@@ -66,6 +72,8 @@
         fields = list_quarantine_fields(message)
     elif isinstance(message, DomainMark):
         fields = list_mark_fields(message)
+    elif isinstance(message, TargetCold):
+        fields = list_cold_fields(message)
     else:
         fields = _list_fields(message)
     return bytes(msgpack.packb(fields, use_single_float=True))
@@ -92,6 +100,8 @@
             return decode_quarantine_message(fields, now_s)
         if fields[0] == EVACUATION_KIND:
             return decode_mark(fields)
+        if fields[0] == COLD_KIND:
+            return decode_cold_message(fields)
     return _decode(fields, now_s)
 
 
--- a/trefoilhinge/dispatch/messages.py
+++ b/trefoilhinge/dispatch/messages.py
@@ -8,6 +8,7 @@
 from trefoilhinge.dispatch.peers import Heartbeat
 from trefoilhinge.dispatch.permits import PermitDecision, PermitRequest
 from trefoilhinge.dispatch.rate_limits import NamedRate
+from trefoilhinge.dispatch.warmup.codec import TargetCold
 
 
 @frozen
@@ -162,4 +163,5 @@
 )
 PermitMessage = TargetRateNamed | TargetOrdered | PermitRequest | PermitDecision
 QuarantineMessage = TargetCrashed | TraitQuarantined | TraitsCleared
-Message = RunMessage | PermitMessage | QuarantineMessage | DomainMark
+TargetMessage = DomainMark | TargetCold
+Message = RunMessage | PermitMessage | QuarantineMessage | TargetMessage
--- a/trefoilhinge/gateway/attempt_recorder.py
+++ b/trefoilhinge/gateway/attempt_recorder.py
@@ -6,6 +6,7 @@
 from trefoilhinge.dispatch.group_placement import Placement
 from trefoilhinge.dispatch.health import Outcome
 from trefoilhinge.dispatch.messages import TargetEjected, TargetSlowdown
+from trefoilhinge.gateway.cold_targets import is_cold
 from trefoilhinge.gateway.peer_exchange import PeerExchange
 from trefoilhinge.gateway.placement import find_engine_profile
 from trefoilhinge.gateway.progress import CallProgress
@@ -58,6 +59,7 @@
             expected_s=placement.first_event_s,
             cost=placement.cost,
             running=load.running,
+            cold=self._is_cold(attempt.target) or None,
             last_event=attempt.last_event,
             remaining_s=attempt.remaining_s,
         )
@@ -143,6 +145,10 @@
         """
         self._write('repeat_refused', instances=instances)
 
+    def _is_cold(self, target: str) -> bool:
+        record = self._state.directory.records.get(target)
+        return record is not None and is_cold(self._state, record)
+
     def _eject_failed_helper(self, at_fault: str) -> None:
         if not at_fault:
             return
--- a/trefoilhinge/gateway/attempt_sender.py
+++ b/trefoilhinge/gateway/attempt_sender.py
@@ -8,6 +8,7 @@
 from trefoilhinge.dispatch.group_placement import Placement
 from trefoilhinge.dispatch.targets import TargetRecord
 from trefoilhinge.gateway.attempt_recorder import AttemptRecorder
+from trefoilhinge.gateway.cold_targets import take_cold_request
 from trefoilhinge.gateway.evacuations import has_evacuated_target
 from trefoilhinge.gateway.peer_exchange import PeerExchange
 from trefoilhinge.gateway.placement import has_resting_target
@@ -68,8 +69,8 @@
     ) -> TargetConnection | None:
         """Send the call on a new connection.
 
-        :return: the connection, ``None`` if a target asked for rest or was
-            evacuated meanwhile.
+        :return: the connection, ``None`` if a target asked for rest, was
+            evacuated or takes no more while cold.
         :raises CallFailed: the call is kept from targets.
         :raises TargetUnreachable: the connection could not be opened.
         """
@@ -89,6 +90,8 @@
             self._state, placement
         ):
             return None
+        if not take_cold_request(self._state, record):
+            return None
         attempt = self._make_attempt(record.name, helpers)
         self._recorder.record_sent(placement, attempt)
         connection.send(self._call, attempt)
--- a/trefoilhinge/gateway/daemon.py
+++ b/trefoilhinge/gateway/daemon.py
@@ -194,6 +194,7 @@
                 )
             state.remove_departed_limits()
             state.rests.remove_ended(now_s)
+            state.cold.remove_ended(now_s)
             state.reach.forget_departed(
                 state.directory.departed,
                 state.document.services if state.document else (),
--- a/trefoilhinge/gateway/peer_exchange.py
+++ b/trefoilhinge/gateway/peer_exchange.py
@@ -31,6 +31,8 @@
 from trefoilhinge.dispatch.peers import Heartbeat
 from trefoilhinge.dispatch.rate_limits import NamedRate
 from trefoilhinge.dispatch.targets import TargetRecord
+from trefoilhinge.dispatch.warmup.codec import TargetCold
+from trefoilhinge.gateway.cold_targets import ColdNews
 from trefoilhinge.gateway.evacuations import EvacuationNews
 from trefoilhinge.gateway.peer_fetcher import (
     PeerFetcher,
@@ -59,6 +61,7 @@
     :ivar quarantine: requests that are kept from all targets.
     :ivar reach: checks of whether this instance reaches targets.
     :ivar evacuations: news of evacuated failure domains.
+    :ivar cold_targets: news of cold targets.
     """
 
     _state: GatewayState
@@ -69,6 +72,7 @@
     quarantine: Quarantine = field(init=False)
     reach: ReachMonitor = field(init=False)
     evacuations: EvacuationNews = field(init=False)
+    cold_targets: ColdNews = field(init=False)
     _document_fetcher: PeerFetcher = field(init=False)
     _targets_fetcher: PeerFetcher = field(init=False)
 
@@ -78,6 +82,7 @@
         self.evacuations = EvacuationNews(
             self._state, self.broadcast, self.send_to_each
         )
+        self.cold_targets = ColdNews(self._state, self.send_to_each)
         self.quarantine = Quarantine(
             self._state, self.broadcast, self.send_to_each
         )
@@ -109,6 +114,8 @@
             self.permits.apply_message(decoded.ok, address[0])
         elif isinstance(decoded.ok, QuarantineMessage):
             self.quarantine.apply_message(decoded.ok, address[0])
+        elif isinstance(decoded.ok, TargetCold):
+            self.cold_targets.apply_message(decoded.ok, address[0])
         elif isinstance(decoded.ok, DomainMark):
             self.evacuations.apply_message(decoded.ok, address[0])
         else:
@@ -247,6 +254,7 @@
             case Heartbeat():
                 self._apply_heartbeat(message, now_s)
             case InstanceLeft(origin):
+                self._state.instances.remove(origin.partition('/')[0])
                 if self._state.peers.remove(origin):
                     loads.remove_origin(origin, now_s)
                     self._state.log.write('peer_left', origin=origin)
@@ -295,6 +303,8 @@
             self.send(message, ip)
         for mark in state.directory.evacuations.list_known():
             self.send(mark, ip)
+        for cold in self.cold_targets.list_announcements():
+            self.send(cold, ip)
         for named in state.rate_limits.list_limits():
             self.send(TargetRateNamed(named, now_s), ip)
         for entry in self.quarantine.list_announcements():
@@ -304,6 +314,8 @@
         state = self._state
         if heartbeat.ip == state.settings.ip:
             return
+        for ip in (heartbeat.ip, *heartbeat.known_peers):
+            state.instances.record(ip, now_s)
         result = state.peers.record_heartbeat(heartbeat, now_s)
         if result.replaced_origin:
             state.loads.remove_origin(result.replaced_origin, now_s)
--- a/trefoilhinge/gateway/placement.py
+++ b/trefoilhinge/gateway/placement.py
@@ -14,6 +14,12 @@
 )
 from trefoilhinge.dispatch.placement_requests import PlacementRequest
 from trefoilhinge.dispatch.targets import TargetRecord
+from trefoilhinge.gateway.cold_targets import (
+    compute_cold_wait_s,
+    has_cold_group,
+    is_cold,
+    is_late,
+)
 from trefoilhinge.gateway.state import GatewayState
 
 
@@ -41,7 +47,20 @@
         and state.permits.has_room(record.name, record.started_ms, now_s)
         and (allows_limited or not _is_limited(state, record))
     ]
-    return place_call(state, call, records)
+    if state.cold.is_empty:
+        return place_call(state, call, records)
+    return _place_beside_cold(state, call, records)
+
+
+def _place_beside_cold(
+    state: GatewayState, call: Call, records: Sequence[TargetRecord]
+) -> Placement | None:
+    """Prefer warm targets while they have room."""
+    warm = [record for record in records if not is_cold(state, record)]
+    placement = place_call(state, call, warm)
+    if placement is not None and not is_late(state, call, placement):
+        return placement
+    return place_call(state, call, records) or placement
 
 
 def list_limited(
@@ -70,12 +89,13 @@
     if not state.check_settled():
         records = rotate_targets(records, state.origin)
     limited = {record.name for record in records if _is_limited(state, record)}
+    cold = {record.name for record in records if is_cold(state, record)}
     if call.head.prompt_size is not None and engine is not None:
         for record in records:
             slowdown = state.slowdowns.get(record.name, now_s)
             state.loads.get(record.name).slowdown = slowdown
         return place_prompt(
-            list_candidates(records, state.loads, limited),
+            list_candidates(records, state.loads, limited | cold),
             PlacementRequest(
                 engine,
                 call.route,
@@ -106,7 +126,7 @@
     }
     if any(part.target not in serving for part in placement.parts):
         return False
-    if has_resting_target(state, placement):
+    if has_resting_target(state, placement) or has_cold_group(state, placement):
         return False
     return len(placement.parts) == 1 or not any(
         _is_limited(state, serving[part.target]) for part in placement.parts
@@ -145,6 +165,7 @@
         for record in state.directory.list_serving(call.service)
         if state.loads.get(record.name).running < maximum
         and not state.rests.is_resting(record, now_s)
+        and not compute_cold_wait_s(state, record)
     }
     usable = state.health.list_usable(list(records), now_s)
     untried = [name for name in usable if name not in excluded]
--- a/trefoilhinge/gateway/refusals.py
+++ b/trefoilhinge/gateway/refusals.py
@@ -118,6 +118,23 @@
     )
 
 
+def make_cold_refusal(
+    progress: CallProgress, wait_s: float, spread: float
+) -> Refusal:
+    """Return the refusal of a call whose targets all are cold.
+
+    :param wait_s: seconds until one of them is expected to take the call.
+    :param spread: number in [0, 1) that spreads the returns of callers.
+    """
+    return Refusal(
+        502 if progress.possible_runs else 503,
+        'targets_cold',
+        'may_have_run' if progress.possible_runs else 'not_run',
+        'all targets that could take the call have just started',
+        max(wait_s, MINIMUM_LIMITED_RETRY_AFTER_S) * (1 + spread),
+    )
+
+
 def make_limited_refusal(
     progress: CallProgress, wait_s: float, spread: float
 ) -> Refusal:
--- a/trefoilhinge/gateway/state.py
+++ b/trefoilhinge/gateway/state.py
@@ -21,6 +21,8 @@
 from trefoilhinge.dispatch.settings import GatewaySettings
 from trefoilhinge.dispatch.slowdowns import SlowdownTable
 from trefoilhinge.dispatch.targets import TargetDirectory, TargetRecord
+from trefoilhinge.dispatch.warmup.cold_targets import ColdTable
+from trefoilhinge.dispatch.warmup.instances import KnownInstances
 from trefoilhinge.gateway.logs import EventLog
 from trefoilhinge.gateway.metrics import MetricsRegistry
 from trefoilhinge.gateway.prefill_waiters import PrefillWaiters
@@ -53,6 +55,8 @@
     :ivar permits: permits for requests to these targets.
     :ivar crash_evidence: traits of calls under which targets crashed.
     :ivar quarantine: traits of calls that are kept from all targets.
+    :ivar cold: targets that take few requests after their start.
+    :ivar instances: instances that may send requests to them.
     :ivar started_s: monotonic seconds at which the process started to serve.
     :ivar startup: keeps calls until document and targets are known.
     :ivar transfers: documents and lists of targets that are being sent to
@@ -81,6 +85,8 @@
     permits: PermitTable = field(factory=PermitTable)
     crash_evidence: CrashEvidence = field(factory=CrashEvidence)
     quarantine: QuarantineTable = field(factory=QuarantineTable)
+    cold: ColdTable = field(init=False)
+    instances: KnownInstances = field(factory=KnownInstances)
     started_s: float = 0
     startup: StartupGate = field(factory=StartupGate)
     transfers: int = 0
@@ -92,8 +98,9 @@
     _is_settled: bool = False
 
     def __attrs_post_init__(self) -> None:
-        """Create the waiters over the shared loads."""
+        """Create the parts that depend on others."""
         self.prefill_waiters = PrefillWaiters(self.loads)
+        self.cold = ColdTable(self.settings.ip)
 
     @property
     def is_ready(self) -> bool:
@@ -175,7 +182,10 @@
 
         :param latest_end_s: monotonic seconds at which it has ended.
         """
-        is_new = self.loads.record_start(run, latest_end_s, self.get_now_s())
+        now_s = self.get_now_s()
+        is_new = self.loads.record_start(run, latest_end_s, now_s)
+        if is_new and not self.cold.is_empty:
+            self._record_cold_run(run, now_s)
         if is_new and not run.send_delay_s:
             self._charge_run(run)
 
@@ -278,6 +288,13 @@
         if self.document is not None and self.directory.revision > 0:
             self.startup.open()
 
+    def _record_cold_run(self, run: Run, now_s: float) -> None:
+        records = self.directory.records
+        for part in run.parts:
+            record = records.get(part.target)
+            if record is not None:
+                self.cold.record_run(record.incarnation, now_s)
+
     def _charge_run(self, run: Run) -> None:
         """Count the requests of a run at targets that named limits."""
         now_s = self.get_now_s()
--- a/trefoilhinge/gateway/target_choice.py
+++ b/trefoilhinge/gateway/target_choice.py
@@ -1,5 +1,7 @@
 """Choice of a call's targets, with permits where these named limits."""
 
+import asyncio
+
 from attrs import define
 
 from trefoilhinge.dispatch.calls import Call
@@ -8,6 +10,7 @@
 from trefoilhinge.dispatch.group_placement import Placement
 from trefoilhinge.dispatch.permits import PermitDecision, PermitVerdict
 from trefoilhinge.dispatch.targets import TargetRecord
+from trefoilhinge.gateway.cold_targets import compute_cold_wait_s, is_cold
 from trefoilhinge.gateway.evacuations import is_service_evacuated
 from trefoilhinge.gateway.permits import Permits, make_permit_request
 from trefoilhinge.gateway.placement import (
@@ -19,6 +22,7 @@
 from trefoilhinge.gateway.refusals import (
     CallFailed,
     Refusal,
+    make_cold_refusal,
     make_evacuated_refusal,
     make_limited_refusal,
     make_no_target_refusal,
@@ -29,6 +33,8 @@
 
 # Limited targets that a call without other targets waits for in succession.
 MAXIMUM_ASKED_TARGETS = 3
+MINIMUM_COLD_WAIT_S = 0.02  # lets announcements of other instances arrive
+COLD_SPREAD_S = 0.05  # between calls that wait for the same cold target
 PLAIN_DURATION_S = 0.25  # several times the duration of a plain call
 
 
@@ -107,6 +113,8 @@
         :raises CallFailed: no target rests, or it rests for too long.
         """
         wait_s = self._rest_queue.estimate_wait_s(self._call)
+        if wait_s is None and await self._wait_for_cold(progress):
+            return
         if wait_s is None:
             raise CallFailed(self._make_no_target_refusal(progress))
         if wait_s > min(MAXIMUM_WAIT_S, self._compute_patience_s()):
@@ -117,6 +125,30 @@
         )
         await self._rest_queue.wait(self._call, wait_s)
 
+    async def _wait_for_cold(self, progress: CallProgress) -> bool:
+        """Wait until a cold target takes another request.
+
+        :return: whether the call waited, as only cold targets are left.
+        :raises CallFailed: none takes the call in time.
+        """
+        state = self._state
+        waits_s = [
+            compute_cold_wait_s(state, record)
+            for record in state.directory.list_serving(self._call.service)
+            if is_cold(state, record)
+        ]
+        wait_s = min((one for one in waits_s if one), default=None)
+        if wait_s is None:
+            return False
+        spread = self._call.head.request_hash / REQUEST_HASH_VALUES
+        if wait_s > min(MAXIMUM_WAIT_S, self._compute_patience_s()):
+            state.metrics.increment('calls_cold')
+            raise CallFailed(make_cold_refusal(progress, wait_s, spread))
+        await asyncio.sleep(
+            max(MINIMUM_COLD_WAIT_S, wait_s) + spread * COLD_SPREAD_S
+        )
+        return True
+
     def _make_no_target_refusal(self, progress: CallProgress) -> Refusal:
         if is_service_evacuated(self._state, self._call.service):
             self._state.metrics.increment('calls_evacuated')
--- a/trefoilhinge/gateway/target_entries.py
+++ b/trefoilhinge/gateway/target_entries.py
@@ -52,6 +52,7 @@
     def _apply_record(self, record: TargetRecord) -> None:
         directory = self._state.directory
         is_first = record.name not in directory.records
+        is_new = self._is_new(record)
         was_gone = (
             record.name in directory.missing
             or record.incarnation in directory.departed
@@ -69,6 +70,22 @@
                 revision=record.revision,
             )
 
+        if not record.is_leaving:
+            self._peers.cold_targets.apply_entry(record, is_new=is_new)
+
+    def _is_new(self, record: TargetRecord) -> bool:
+        """Return whether an incarnation starts after this instance.
+
+        One that was known before only registers again.
+        """
+        directory = self._state.directory
+        known = directory.records.get(record.name)
+        return (
+            directory.revision > 0
+            and record.incarnation not in directory.departed
+            and (known is None or known.started_ms < record.started_ms)
+        )
+
     def _log_return(self, record: TargetRecord) -> None:
         if record.incarnation not in self._state.directory.departed:
             self._state.log.write(
--- a/trefoilhinge/gateway/target_needs.py
+++ b/trefoilhinge/gateway/target_needs.py
@@ -20,6 +20,7 @@
     if head.is_leaving and state.directory.mark_departed(record):
         state.log.write('target_left', target=record.name, source='answer')
         peers.broadcast_target_leaving(record, record.revision)
+    peers.cold_targets.apply_answer(record, head.cold_s)
     if head.rest_s or head.rest_problem:
         _record_rest(state, record, head)
 
