Bounded what an instance holds for its callers.

Callers that send much or read nothing made an instance hold their bytes without a bound; it is killed for lack of memory then, with all its calls. Bytes of requests, answers and unread streams are counted by connection and organisation. Beyond a quarter of the memory of the process the largest connection of the organisation that holds most is shed: a call that was not sent gets 503 with not_run, one that may have run 502, an answer in progress is reset. Where callers compete for room, organisations and connections are bounded as well. Long bodies are sent to targets as these take them. Without a known memory nothing is counted.

--- a/tests/gateway/fleets.py
+++ b/tests/gateway/fleets.py
@@ -4,7 +4,7 @@
 import contextlib
 
 import h11
-from attrs import define, field
+from attrs import define, evolve, field
 
 from tests.gateway.documents import (
     HOST,
@@ -119,9 +119,14 @@
 
 
 @contextlib.asynccontextmanager
-async def run_fleet(document=None, has_document=True, **handlers):
+async def run_fleet(
+    document=None, has_document=True, settings_fields=None, **handlers
+):
     """Run an instance with a target for each handler, named by its keyword.
 
+    :param settings_fields: fields of the settings to replace.
+
+
     Targets whose name begins with ``d`` belong to the plain service.
     """
     store = StoreStandIn()
@@ -135,7 +140,7 @@
         store.put_target(name, target.address, service)
     if has_document:
         store.put('op/config', document or make_document())
-    settings = make_settings(store.port)
+    settings = evolve(make_settings(store.port), **(settings_fields or {}))
     gateway = make_gateway(settings)
     fleet = Fleet(store, targets, gateway, settings)
     task = start_gateway(gateway)
--- a/trefoilhinge/gateway/answer_relay.py
+++ b/trefoilhinge/gateway/answer_relay.py
@@ -52,6 +52,10 @@
             head.status, list(head.forwarded_headers), content
         )
 
+    def hold(self, count: int) -> None:
+        """Count bytes of an answer that are held for the caller."""
+        self._caller.hold(count)
+
     async def relay_stream(
         self,
         connection: TargetConnection,
--- a/trefoilhinge/gateway/attempt_sender.py
+++ b/trefoilhinge/gateway/attempt_sender.py
@@ -81,6 +81,7 @@
             placement,
             self._call.deadline_s - self._state.get_now_s(),
         )
+        connection.is_paced = self._state.held_memory.is_bounded
         connection.find_backlog_s = functools.partial(
             self._find_backlog_s, record.name
         )
--- a/trefoilhinge/gateway/attempts.py
+++ b/trefoilhinge/gateway/attempts.py
@@ -256,6 +256,7 @@
             self._recorder.record_outcome(target, Outcome.served)
             self._gate.record_answer()
             return True
+        connection.hold = self._relay.hold
         return await self._handle_complete_answer(
             target, head, await connection.read_body()
         )
--- a/trefoilhinge/gateway/call_service.py
+++ b/trefoilhinge/gateway/call_service.py
@@ -1,6 +1,7 @@
 """Admission of calls, and the end of each: answered, refused or failed."""
 
 import asyncio
+import functools
 
 import h11
 from attrs import define, evolve, field
@@ -10,13 +11,14 @@
 from trefoilhinge.dispatch.durations import estimate_duration_s
 from trefoilhinge.dispatch.relay_codec import RelayedCall
 from trefoilhinge.gateway.attempts import Attempts, make_attempts
-from trefoilhinge.gateway.caller_connections import CallerConnection
+from trefoilhinge.gateway.caller_connections import CallerConnection, expire
 from trefoilhinge.gateway.crash_detection import CrashDetector
 from trefoilhinge.gateway.peer_exchange import PeerExchange
 from trefoilhinge.gateway.refusals import (
     CallFailed,
     Refusal,
     make_internal_refusal,
+    make_memory_refusal,
 )
 from trefoilhinge.gateway.rest_queue import RestQueue
 from trefoilhinge.gateway.startup import find_startup_retry_after_s
@@ -93,6 +95,8 @@
             await caller.refuse(accepted, head.request_id)
             return
         call = accepted
+        if call.organisation is not None:
+            caller.set_organisation(call.organisation.name)
         attempts = make_attempts(
             self._state,
             self._peers,
@@ -106,11 +110,13 @@
             attempts.progress.possible_runs = relayed.possible_runs
             attempts.progress.earlier_runs = relayed.possible_runs
         try:
-            await self._run(call, attempts)
+            await self._run(caller, call, attempts)
         except CallFailed as failure:
             await self._fail(caller, call, attempts, failure.refusal)
         except TimeoutError:
             refusal = attempts.make_timeout_refusal()
+            if caller.is_shed:
+                refusal = make_memory_refusal(attempts.progress.possible_runs)
             await self._fail(caller, call, attempts, refusal)
         except asyncio.CancelledError:
             self._record_end(call, attempts, 'caller_gone', None)
@@ -133,13 +139,18 @@
             ready=state.startup.is_open,
         )
 
-    async def _run(self, call: Call, attempts: Attempts) -> None:
-        """Run the attempts until the call's deadline.
+    async def _run(
+        self, caller: CallerConnection, call: Call, attempts: Attempts
+    ) -> None:
+        """Run the attempts until the call's deadline, or its caller is shed.
 
         :raises CallFailed: the attempts failed, also with an unexpected error.
         """
         try:
-            async with asyncio.timeout_at(call.deadline_s):
+            async with asyncio.timeout_at(call.deadline_s) as deadline:
+                caller.end_call = functools.partial(expire, deadline)
+                if caller.is_shed:
+                    caller.end_call()
                 await attempts.run()
         except (CallFailed, OSError, h11.LocalProtocolError):
             # The last two are of the caller's connection, or the timeout.
@@ -152,6 +163,8 @@
             )
             refusal = make_internal_refusal(attempts.progress)
             raise CallFailed(refusal) from problem
+        finally:
+            caller.end_call = None
 
     def _accept(
         self,
--- a/trefoilhinge/gateway/caller_connections.py
+++ b/trefoilhinge/gateway/caller_connections.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 connections of callers, with strict parsing of requests."""
 
 import asyncio
+import contextlib
 import json
 from collections.abc import Awaitable, Callable
 
@@ -10,7 +11,8 @@
 from trefoilhinge.dispatch.calls import CallHead
 from trefoilhinge.dispatch.documents import CallerLimits
 from trefoilhinge.exceptions import TrefoilhingeError
-from trefoilhinge.gateway.refusals import Refusal
+from trefoilhinge.gateway.held_memory import HeldMemory, ShedHolder
+from trefoilhinge.gateway.refusals import Refusal, make_memory_refusal
 from trefoilhinge.gateway.request_checks import (
     check_request_head,
     find_receipt_deadline_s,
@@ -31,6 +33,9 @@
 # Before a connection is closed by a stop; requests arrive sooner.
 MINIMUM_IDLE_S = 0.2
 MAXIMUM_PIPELINED_BYTES = 65_536  # read ahead while a call is served
+# Of a stream reader, whose limit is half of it.
+READ_AHEAD_BYTES = 131_072
+DISCARD_S = 1.0  # for what a caller still sends after a refusal
 # A caller that takes nothing of its answer for this long is given up.
 UNREAD_TIMEOUT_S = CALLER_USER_TIMEOUT_MS / 1000
 
@@ -39,6 +44,10 @@
 RawHeaderList = list[tuple[bytes, bytes]]
 
 
+class CallerShed(TrefoilhingeError):
+    """Too much is held for the caller, whose request is not complete."""
+
+
 class CallerGone(TrefoilhingeError):
     """The caller closed its connection."""
 
@@ -50,20 +59,27 @@
     :ivar is_serving: whether a call is in progress.
     :ivar received_s: monotonic seconds at which the current request began to
         arrive.
+    :ivar end_call: ends the call in progress before its deadline; none if
+        there is none that can be ended.
     """
 
     _reader: asyncio.StreamReader
     _writer: asyncio.StreamWriter
     _limits: Callable[[], CallerLimits]
     _is_stopping: Callable[[], bool]
+    _memory: HeldMemory = field(factory=HeldMemory)
     _parser: h11.Connection = field(init=False)
     _received_bytes: int = 0
     _idle_since_s: float = field(init=False)
     is_serving: bool = False
     received_s: float = 0
+    end_call: Callable[[], None] | None = None
+    _holder: ShedHolder = field(init=False)
+    _receipt: asyncio.Timeout | None = None
 
     def __attrs_post_init__(self) -> None:
         """Create the parser with the limits in force and set TCP timeouts."""
+        self._holder = ShedHolder(shed=self._shed)
         self._parser = h11.Connection(
             h11.SERVER,
             max_incomplete_event_size=self._limits().header_bytes,
@@ -81,8 +97,38 @@
         except (CallerGone, OSError, h11.LocalProtocolError):
             return
         finally:
+            self._memory.release(self._holder)
             self._writer.close()
 
+    @property
+    def is_shed(self) -> bool:
+        """Return whether the caller has to release what is held for it."""
+        return self._holder.is_shed
+
+    def hold(self, count: int) -> None:
+        """Count bytes that are held for the call until it ends.
+
+        :param count: bytes; negative if they were released.
+        """
+        self._memory.add(self._holder, count)
+
+    def set_organisation(self, name: str) -> None:
+        """Count what is held for an organisation."""
+        self._memory.set_organisation(self._holder, name)
+
+    def _shed(self) -> None:
+        """Release what is held: refuse the call, or cut its answer off.
+
+        A reset shows that an answer is incomplete, and discards what the
+        caller has not read.
+        """
+        if self._parser.our_state not in {h11.IDLE, h11.SEND_RESPONSE}:
+            reset_tcp_connection(self._writer.transport)
+        elif self.end_call is not None:
+            self.end_call()
+        elif self._receipt is not None:
+            expire(self._receipt)
+
     async def send_complete(
         self, status: int, headers: RawHeaderList, content: bytes
     ) -> None:
@@ -119,7 +165,14 @@
     async def send(self, content: bytes) -> None:
         """Send a chunk of the content."""
         self._write(h11.Data(data=content))
+        unread_bytes = self._writer.transport.get_write_buffer_size()
+        if not unread_bytes:
+            return
+        # What the target sends meanwhile is read ahead up to a limit.
+        unread_bytes += READ_AHEAD_BYTES
+        self.hold(unread_bytes)
         await self._writer.drain()
+        self.hold(-unread_bytes)
 
     async def finish(self) -> None:
         """End an answer that is complete, as ``send_complete`` does."""
@@ -188,15 +241,24 @@
                     request.target,
                     request.headers.raw_items(),
                 )
+            except CallerShed:
+                # Its traceback refers to the body, which ends with this block.
+                request = None
             except h11.RemoteProtocolError as problem:
                 await self._refuse_malformed(problem.error_status_hint, problem)
                 return
             except ValueError as problem:
                 await self._refuse_malformed(400, problem)
                 return
+            if request is None:
+                await self._refuse_shed()
+                return
+            self._holder.request_id = head.request_id
             await self._serve_until_disconnect(serve, head, body)
-            if not self._is_open():
+            del body
+            if not self._is_open() or self.is_shed:
                 return
+            self._memory.release(self._holder)
             self._parser.start_next_cycle()
             self._received_bytes = len(self._parser.trailing_data[0])
             self.received_s = asyncio.get_running_loop().time()
@@ -246,6 +308,8 @@
                 return
             pipelined_bytes += len(data)
             self._parser.receive_data(data)
+            self.hold(len(data))
+        self.hold(READ_AHEAD_BYTES)
         await asyncio.Event().wait()
 
     async def _read_request(self) -> tuple[h11.Request, bytes]:
@@ -292,18 +356,42 @@
                     None if is_idle else self.received_s,
                     self._received_bytes if has_head else 0,
                 )
-            ):
+            ) as receipt:
+                self._receipt = receipt
                 data = await self._reader.read(READ_BYTES)
         except TimeoutError:
+            if self.is_shed:
+                raise CallerShed from None
             if is_idle:
                 raise CallerGone from None
             raise h11.RemoteProtocolError(
                 'the request took too long', error_status_hint=408
             ) from None
+        finally:
+            self._receipt = None
         if is_idle:
             self.received_s = asyncio.get_running_loop().time()
         self._received_bytes += len(data)
         self._parser.receive_data(data)
+        self.hold(len(data))
+        if self.is_shed:
+            raise CallerShed
+
+    async def _refuse_shed(self) -> None:
+        """Refuse a request that is not complete.
+
+        The rest of it is read and discarded for a moment: the kernel resets a
+        connection that is closed with bytes to read, and the caller might not
+        get the refusal.
+        """
+        await self.refuse(make_memory_refusal(), '')
+        self._memory.release(self._holder)
+        self._parser = h11.Connection(h11.SERVER)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(DISCARD_S):
+                data = await self._reader.read(READ_BYTES)
+                while data:
+                    data = await self._reader.read(READ_BYTES)
 
     async def _refuse_malformed(self, status: int, problem: Exception) -> None:
         if self._parser.our_state not in {h11.IDLE, h11.SEND_RESPONSE}:
@@ -337,3 +425,9 @@
         'detail': refusal.detail,
     }
     return json.dumps({'error': fields}).encode()
+
+
+def expire(timeout: asyncio.Timeout) -> None:
+    """Let a timeout that is awaited end now."""
+    if not timeout.expired():
+        timeout.reschedule(asyncio.get_running_loop().time())
--- a/trefoilhinge/gateway/daemon.py
+++ b/trefoilhinge/gateway/daemon.py
@@ -152,6 +152,7 @@
             writer,
             self._get_limits,
             lambda: self._state.is_stopping,
+            self._state.held_memory,
         )
         self._callers.add(caller)
         try:
--- a/trefoilhinge/gateway/peer_relay.py
+++ b/trefoilhinge/gateway/peer_relay.py
@@ -136,6 +136,7 @@
         self._log('call_relayed', peer=ip, last_event=self._progress.last_event)
         self._progress.record_attempt(self._state.get_now_s())
         connection.silence_timeout_s = SILENCE_TIMEOUT_S
+        connection.is_paced = self._state.held_memory.is_bounded
         connection.send_body(content)
         await await_answer(
             self._handle_answer(ip, connection),
@@ -196,6 +197,7 @@
         if head.is_success and is_stream:
             await self._relay.relay_stream(connection, head, self._record_event)
             return
+        connection.hold = self._relay.hold
         content = await connection.read_body()
         await self._relay.send_complete(
             head, content, is_repeatable=self._call.route.is_repeatable
--- a/trefoilhinge/gateway/refusals.py
+++ b/trefoilhinge/gateway/refusals.py
@@ -10,6 +10,7 @@
 
 INTERNAL_RETRY_AFTER_S = 0.3  # another attempt may not be affected
 BUSY_RETRY_AFTER_S = 0.7  # a short stream ends and frees a slot by then
+MEMORY_RETRY_AFTER_S = 0.5  # what was shed is released by then
 UNREACHABLE_RETRY_AFTER_S = 0.5  # the end of a cut is noticed by then
 NO_TARGET_RETRY_AFTER_S = 1.0  # a target that starts is in the store by then
 PROBE_DURATION_S = 0.5  # until a probe shows whether a quarantine was wrong
@@ -191,3 +192,18 @@
         'may_have_run',
         f'the target answered {status}, but not that it did not run the call',
     )
+
+
+def make_memory_refusal(possible_runs: int = 0) -> Refusal:
+    """Return the refusal of a call for which too much memory is held.
+
+    :param possible_runs: attempts that may have run.
+    """
+    return Refusal(
+        502 if possible_runs else 503,
+        'memory_short',
+        'may_have_run' if possible_runs else 'not_run',
+        'this instance holds too much for its callers',
+        None if possible_runs else MEMORY_RETRY_AFTER_S,
+        is_local=True,
+    )
--- a/trefoilhinge/gateway/relay_server.py
+++ b/trefoilhinge/gateway/relay_server.py
@@ -101,7 +101,11 @@
             writer.transport.abort()
             return
         connection = RelayingConnection(
-            reader, writer, self._get_limits, lambda: True
+            reader,
+            writer,
+            self._get_limits,
+            lambda: True,
+            self._state.held_memory,
         )
         self.connections.add(connection)
         try:
--- a/trefoilhinge/gateway/state.py
+++ b/trefoilhinge/gateway/state.py
@@ -21,6 +21,7 @@
 from trefoilhinge.dispatch.settings import GatewaySettings
 from trefoilhinge.dispatch.slowdowns import SlowdownTable
 from trefoilhinge.dispatch.targets import TargetDirectory, TargetRecord
+from trefoilhinge.gateway.held_memory import HeldMemory, make_held_memory
 from trefoilhinge.gateway.logs import EventLog
 from trefoilhinge.gateway.metrics import MetricsRegistry
 from trefoilhinge.gateway.prefill_waiters import PrefillWaiters
@@ -53,6 +54,8 @@
     :ivar permits: permits for requests to these targets.
     :ivar crash_evidence: traits of calls under which targets crashed.
     :ivar quarantine: traits of calls that are kept from all targets.
+    :ivar held_memory: what is held for callers, within the memory of the
+        process.
     :ivar started_s: monotonic seconds at which the process started to serve.
     :ivar startup: keeps calls until document and targets are known.
     :ivar transfers: documents and lists of targets that are being sent to
@@ -81,6 +84,7 @@
     permits: PermitTable = field(factory=PermitTable)
     crash_evidence: CrashEvidence = field(factory=CrashEvidence)
     quarantine: QuarantineTable = field(factory=QuarantineTable)
+    held_memory: HeldMemory = field(factory=HeldMemory)
     started_s: float = 0
     startup: StartupGate = field(factory=StartupGate)
     transfers: int = 0
@@ -288,13 +292,16 @@
 def make_state(settings: GatewaySettings) -> GatewayState:
     """Return the empty state of an instance that starts."""
     incarnation = secrets.token_hex(INCARNATION_BYTES)
+    log = EventLog(settings.instance)
+    metrics = MetricsRegistry()
     return GatewayState(
         settings=settings,
-        log=EventLog(settings.instance),
-        metrics=MetricsRegistry(),
+        log=log,
+        metrics=metrics,
         origin=f'{settings.ip}/{incarnation}',
         peers=PeerTable(settings.ip),
         directory=TargetDirectory(
             outages=StoreOutages(settings.registration_interval_s)
         ),
+        held_memory=make_held_memory(settings, log, metrics),
     )
--- a/trefoilhinge/gateway/target_connections.py
+++ b/trefoilhinge/gateway/target_connections.py
@@ -1,6 +1,7 @@
 """HTTP connections to targets, one for each attempt of a call."""
 
 import asyncio
+import contextlib
 from collections.abc import AsyncIterator, Callable
 
 import h11
@@ -16,6 +17,7 @@
 MINIMUM_PROGRESS_BYTES = 1_024  # of an event or a body that is not complete
 MAXIMUM_BODY_BYTES = 8_388_608  # of an answer that is kept until it is whole
 MAXIMUM_INTERIM_RESPONSES = 16  # before the head of an answer
+MAXIMUM_WRITE_BYTES = 65_536  # of a request, at once
 CONNECT_TIMEOUT_S = 0.3  # a reachable target accepts in a few milliseconds
 
 
@@ -27,6 +29,10 @@
     """The answer is incomplete or invalid; the call may have run."""
 
 
+def _ignore(count: int) -> None:
+    """Count nothing."""
+
+
 @define
 class TargetConnection:
     """A connection that carries a single call.
@@ -45,6 +51,8 @@
         taken what was read before.
     :ivar find_backlog_s: returns seconds in which the target prefills earlier
         prompts and sends nothing.
+    :ivar is_paced: whether a long body is sent only as the target takes it.
+    :ivar hold: called with the number of bytes of a content that are kept.
     """
 
     address: str
@@ -55,8 +63,11 @@
     last_progress_s: float = 0
     waits_for_caller: bool = False
     find_backlog_s: Callable[[], float] = float
+    hold: Callable[[int], None] = _ignore
+    is_paced: bool = False
     _parser: h11.Connection = field(factory=lambda: h11.Connection(h11.CLIENT))
     _pending_bytes: int = 0
+    _feeding: asyncio.Task[None] | None = None
 
     def send(self, call: Call, attempt: Attempt) -> None:
         """Send the request, head and body."""
@@ -90,12 +101,16 @@
 
         :param head: bytes that are sent before it.
         """
+        self.sent_s = asyncio.get_running_loop().time()
+        self.last_progress_s = self.sent_s
+        if self.is_paced and len(body) > MAXIMUM_WRITE_BYTES:
+            self._writer.write(head)
+            self._feeding = asyncio.ensure_future(self._feed(body))
+            return
         parts = [head]
         if body:
             parts.append(self._parser.send(h11.Data(data=body)) or b'')
         parts.append(self._parser.send(h11.EndOfMessage()) or b'')
-        self.sent_s = asyncio.get_running_loop().time()
-        self.last_progress_s = self.sent_s
         self._writer.write(b''.join(parts))
 
     def record_progress(self) -> None:
@@ -155,14 +170,33 @@
         content = bytearray()
         async for chunk in self.read_content():
             content += chunk
+            self.hold(len(chunk))
             if len(content) > MAXIMUM_BODY_BYTES:
                 raise AnswerBroken(
                     f'content is longer than {MAXIMUM_BODY_BYTES} bytes'
                 )
         return bytes(content)
 
+    async def _feed(self, body: bytes) -> None:
+        """Send a long body in parts, as the target takes them.
+
+        All of it in the buffer of the connection would be a second copy. The
+        loss of the connection is noticed where the answer is read.
+        """
+        parts = memoryview(body)
+        with contextlib.suppress(OSError, h11.LocalProtocolError):
+            for begin in range(0, len(body), MAXIMUM_WRITE_BYTES):
+                part = bytes(parts[begin : begin + MAXIMUM_WRITE_BYTES])
+                self._writer.write(
+                    self._parser.send(h11.Data(data=part)) or b''
+                )
+                await self._writer.drain()
+            self._writer.write(self._parser.send(h11.EndOfMessage()) or b'')
+
     def close(self) -> None:
         """Abort the connection, so that the target drops the call."""
+        if self._feeding is not None:
+            self._feeding.cancel()
         self._writer.transport.abort()
 
     async def _read_event(self) -> object:
