Bounded the kernel's buffers of callers, and told how memory is bounded.

All that the kernel holds of a connection may be read at once, before any of it is handled. Where the memory is known these buffers have 64 KB, what may be read ahead is counted, and the bound is a fifth of the memory instead of a quarter.

--- a/tests/dispatch/test_held_bytes.py
+++ b/tests/dispatch/test_held_bytes.py
@@ -61,5 +61,5 @@
     def test_single_call_of_the_largest_size_fits(self):
         """The largest answer and the usual limit of bodies, 12 MB together."""
         limits = find_held_limits(200_000_000, has_scarce_room=True)
-        assert limits.instance_bytes == 50_000_000
+        assert limits.instance_bytes == 40_000_000
         assert limits.connection_bytes > 4_194_304 + 8_388_608
--- a/tests/gateway/test_held_memory.py
+++ b/tests/gateway/test_held_memory.py
@@ -15,17 +15,15 @@
     open_slow_connection,
 )
 
-MEMORY_BYTES = 16_000_000
-BOUND_BYTES = MEMORY_BYTES // 4
+MEMORY_BYTES = 20_000_000
+BOUND_BYTES = MEMORY_BYTES // 5
 LONG_BYTES = 3_000_000
 CALLERS = 4
 LIMITS = {**make_document()['limits'], 'maxBodyBytes': 4_000_000}
 BODY = b'.' * LONG_BYTES
 
 
-def run_bounded(
-    has_scarce_room=False, memory_bytes=MEMORY_BYTES, **handlers
-):
+def run_bounded(has_scarce_room=False, memory_bytes=MEMORY_BYTES, **handlers):
     """Run an instance whose memory is known."""
     return run_fleet(
         make_document(limits=LIMITS),
--- a/trefoilhinge/dispatch/held_bytes.py
+++ b/trefoilhinge/dispatch/held_bytes.py
@@ -9,8 +9,9 @@
 from attrs import define, field, frozen
 
 # Held bytes may exist twice for a moment: on the way into a buffer, or while
-# parts are joined. A process that holds nothing takes about 40 MB.
-INSTANCE_SHARE = 0.25  # of the memory of the process
+# parts are joined. Buffers of each connection come on top. A process that holds
+# nothing takes about 40 MB.
+INSTANCE_SHARE = 0.2  # of the memory of the process
 ORGANISATION_SHARE = 0.5  # of what the instance may hold
 # Of what the instance may hold: the largest answer and its request fit.
 CONNECTION_SHARE = 1 / 3
--- a/trefoilhinge/gateway/caller_connections.py
+++ b/trefoilhinge/gateway/caller_connections.py
@@ -371,9 +371,11 @@
             self._receipt = None
         if is_idle:
             self.received_s = asyncio.get_running_loop().time()
+        # As much again may be read ahead already.
+        ahead_bytes = min(len(data), max(0, READ_BYTES - self._received_bytes))
         self._received_bytes += len(data)
         self._parser.receive_data(data)
-        self.hold(len(data))
+        self.hold(len(data) + ahead_bytes)
         if self.is_shed:
             raise CallerShed
 
--- a/trefoilhinge/gateway/daemon.py
+++ b/trefoilhinge/gateway/daemon.py
@@ -42,6 +42,9 @@
 # For calls on connections that were open when the listener closed.
 EXIT_LINGER_S = 0.3
 EXIT_POLL_INTERVAL_S = 0.02
+# The kernel doubles it. All that is there is read at once, from each connection
+# before any of it is handled, so it adds to what is held.
+CALLER_RECEIVE_BYTES = 32_768
 
 
 @define
@@ -89,7 +92,12 @@
         )
         await self._start_http_servers(settings)
         self._relay_server.start()
-        self._entry = listen(settings.entry, self._handle_caller)
+        is_bounded = self._state.held_memory.is_bounded
+        self._entry = listen(
+            settings.entry,
+            self._handle_caller,
+            CALLER_RECEIVE_BYTES if is_bounded else 0,
+        )
         self._entry.start()
         for run in (
             self._peers.run_heartbeats,
--- a/trefoilhinge/gateway/listeners.py
+++ b/trefoilhinge/gateway/listeners.py
@@ -83,12 +83,18 @@
         await loop.connect_accepted_socket(lambda: protocol, accepted)
 
 
-def listen(address: Address, handle: ConnectionHandler) -> CallerListener:
+def listen(
+    address: Address, handle: ConnectionHandler, receive_bytes: int = 0
+) -> CallerListener:
     """Return a listener at an address that accepts nothing yet.
 
     :param handle: coroutine function that serves one connection.
+    :param receive_bytes: size of the kernel's buffer for what a connection
+        receives; zero for its default.
     :raises OSError: the address is in use.
     """
     listening = socket.create_server(address, backlog=BACKLOG)
     listening.setblocking(False)
+    if receive_bytes:
+        listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_bytes)
     return CallerListener(handle, listening)
