--- a/trefoilhinge/client/request_timeline.py
+++ b/trefoilhinge/client/request_timeline.py
@@ -22,6 +22,8 @@
     'targets_resting': 'all targets had asked this instance for rest',
     'targets_limited': 'no target had room within the limit that it named',
     'answer_lost': 'the answer was lost after a target may have run the call',
+    'refusal_unmarked': 'a target refused, but did not say that it had not run',
+    'memory_short': 'the instance held too much for its callers',
     'no_target': 'no target of the service was known or had capacity',
     'stream_lost': 'a stream broke and could not be resumed on another target',
     'document_unknown': 'the instance had just started and had no document',
--- a/trefoilhinge/gateway/caller_connections.py
+++ b/trefoilhinge/gateway/caller_connections.py
@@ -261,6 +261,7 @@
             self._memory.release(self._holder)
             self._parser.start_next_cycle()
             self._received_bytes = len(self._parser.trailing_data[0])
+            self.hold(self._received_bytes)
             self.received_s = asyncio.get_running_loop().time()
             self._idle_since_s = self.received_s
 
