--- a/trefoilhinge/dispatch/settings.py
+++ b/trefoilhinge/dispatch/settings.py
@@ -55,6 +55,8 @@
         the targets.
     :ivar memory_bytes: memory that the process may use, zero if unknown.
     :ivar descriptors: file descriptors that it may use, zero if unknown.
+    :ivar allows_learned_costs: whether calls may be placed by learned costs;
+        an operator disables it to compare the same build without them.
     """
 
     instance: str
@@ -72,6 +74,7 @@
     has_scarce_room: bool = False
     memory_bytes: int = 0
     descriptors: int = 0
+    allows_learned_costs: bool = True
 
     @property
     def relay_port(self) -> int:
