Placed calls by learned costs where room is scarce or domains are distant.

Callers' hints were used for load and memory alike, plain targets were compared by their number of running calls, and distance did not count. Behind one predicate, runs are now announced with the learned mean of their output, memory is taken up with the upper bound, the remaining work of a run follows from how long it has run, plain calls go where the least service time is ahead, a retry avoids targets that failed lately, and the round trip between failure domains adds to the time to the first event. A new peer gets one datagram of what was learned. TREFOILHINGE_LEARNED_COSTS=off disables all of it.

--- a/tests/dispatch/estimation/test_cost_table.py
+++ b/tests/dispatch/estimation/test_cost_table.py
@@ -115,7 +115,7 @@
         """Guards against a stuck target whose calls look almost done."""
         table = CostTable()
         remaining = [
-            table.estimate_remaining_service_s('t1', elapsed_s)
+            table.estimate_outstanding_s('t1', [elapsed_s])
             for elapsed_s in (0.2, 1, 5, 1000)
         ]
         assert remaining == sorted(remaining)
--- a/trefoilhinge/dispatch/costs.py
+++ b/trefoilhinge/dispatch/costs.py
@@ -1,5 +1,7 @@
 """Cost model of placements, in units of a short call's weight."""
 
+from collections.abc import Iterable
+
 from attrs import frozen
 
 from trefoilhinge.dispatch.documents import EngineProfile
@@ -35,12 +37,15 @@
     :ivar rank: position in the order that all instances share, from 0 for the
         first target to almost 1 for the last.
     :ivar is_limited: whether it named a limit on its requests.
+    :ivar delay_s: one-way delay between this instance's failure domain and
+        that of the target, seconds; zero if it does not count.
     """
 
     record: TargetRecord
     load: TargetLoad
     rank: float
     is_limited: bool = False
+    delay_s: float = 0
 
 
 @frozen
@@ -49,7 +54,7 @@
 
     :ivar iteration_s: seconds between two events while nothing is prefilled.
     :ivar backlog_s: seconds of prefill that are queued ahead of a new prompt.
-    :ivar slowdown: factor by which the target is slower than its profile.
+    :ivar slowdown: factor by which its prefills are slower than published.
     :ivar stream_weights: pairs of a gap SLO in seconds and the weight of the
         decoding streams that have it.
     """
@@ -68,6 +73,15 @@
     return 1 + size_tokens / TOKENS_PER_WEIGHT
 
 
+def compute_round_trip_s(candidates: Iterable[Candidate]) -> float:
+    """Return the seconds that distance adds to the first event of a call.
+
+    This is how the published delay between failure domains counts: as time
+    that the caller waits. The farthest target of a group determines it.
+    """
+    return 2 * max(candidate.delay_s for candidate in candidates)
+
+
 def estimate_lateness_loss(expected_s: float, slo_s: float) -> float:
     """Return the share of a call's weight that lateness is expected to cost.
 
@@ -93,7 +107,7 @@
     route = request.route
     patience_s = compute_patience_s(route.slo_s, route.gap_slo_s)
     step_s = iteration_s / request.engine.steps_per_iteration
-    end_s = first_event_s + request.size.expected_output_tokens * step_s
+    end_s = first_event_s + request.mean_output_tokens * step_s
     ratio = max(
         first_event_s / patience_s, end_s / max(request.remaining_s, 0.001)
     )
@@ -123,7 +137,7 @@
     return DecodeState(
         iteration_s,
         load.estimate_backlog_s(now_s),
-        load.slowdown,
+        load.prefill_slowdown,
         tuple(weights.items()),
     )
 
--- a/trefoilhinge/dispatch/documents.py
+++ b/trefoilhinge/dispatch/documents.py
@@ -186,6 +186,20 @@
             for delay_s in service.engine.domain_delays_s.values()
         )
 
+    def find_delay_s(self, domain: str, other: str) -> float:
+        """Return the one-way delay between two failure domains, seconds.
+
+        It is published with engines, but holds for all targets.
+        """
+        return max(
+            (
+                service.engine.find_delay_s(domain, other)
+                for service in self.services.values()
+                if service.engine is not None
+            ),
+            default=0,
+        )
+
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route with the longest matching prefix, if any."""
         for route in self.routes.get(host.lower(), ()):
--- a/trefoilhinge/dispatch/estimation/cost_table.py
+++ b/trefoilhinge/dispatch/estimation/cost_table.py
@@ -1,7 +1,7 @@
 """Learned costs of calls: output tokens, prefill and service times."""
 
 import math
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 
 from attrs import define, field
 
@@ -111,17 +111,23 @@
         service = self._estimate_service(features.route, target)
         return make_estimate(service.mean, service.variance, service.samples)
 
-    def estimate_remaining_service_s(
-        self, target: str, elapsed_s: float
+    def estimate_outstanding_s(
+        self, target: str, elapsed_s: Iterable[float]
     ) -> float:
-        """Return the expected remaining seconds of a plain call of any route.
+        """Return the seconds of service that a plain target has still to do.
 
         The longer a call has been running beyond the usual time, the longer it
         is expected to take still.
+
+        :param elapsed_s: for how long each of its calls, of any route, has
+            been running.
         """
         service = self._estimate_service('', target)
-        return estimate_remaining(
-            math.exp(service.mean), math.sqrt(service.variance), elapsed_s
+        median_s = math.exp(service.mean)
+        deviation = math.sqrt(service.variance)
+        return sum(
+            estimate_remaining(median_s, deviation, one_s)
+            for one_s in elapsed_s
         )
 
     def summarise(self) -> tuple[GroupSummary, ...]:
--- a/trefoilhinge/dispatch/group_placement.py
+++ b/trefoilhinge/dispatch/group_placement.py
@@ -14,6 +14,7 @@
     DecodeState,
     compute_call_weight,
     compute_occupancy_cost,
+    compute_round_trip_s,
     estimate_abandonment_loss,
     estimate_interference_loss,
     estimate_lateness_loss,
@@ -170,7 +171,8 @@
     )
     load = members[0].candidate.load
     wait_s = load.estimate_slot_wait_s(request.engine, request.now_s)
-    return slowest_s + wait_s
+    distance_s = compute_round_trip_s(one.candidate for one in members)
+    return slowest_s + wait_s + distance_s
 
 
 def _compute_own_cost(
--- a/trefoilhinge/dispatch/health.py
+++ b/trefoilhinge/dispatch/health.py
@@ -12,6 +12,9 @@
 # If a smaller share of the reachable targets is healthy, failing targets are
 # used as well.
 MINIMUM_HEALTHY_SHARE = 0.5
+# A target that failed within this time is not the first choice for a call that
+# failed elsewhere: targets that fail together do so for seconds.
+RECENT_FAILURE_S = 2.0
 
 
 class Outcome(enum.Enum):
@@ -33,6 +36,7 @@
     ejection_s: float = INITIAL_EJECTION_S
     failing_until_s: float = float('-inf')
     unreachable_until_s: float = float('-inf')
+    failed_s: float = float('-inf')
 
 
 @define
@@ -56,6 +60,7 @@
             return False
         if outcome is Outcome.rejected:
             return False
+        health.failed_s = now_s
         health.failure_rate += FAILURE_EWMA_WEIGHT * (1 - health.failure_rate)
         until_s = now_s + health.ejection_s
         if outcome is Outcome.unreachable:
@@ -84,6 +89,20 @@
         """Forget what is known of a target that has started again."""
         self._targets.pop(target, None)
 
+    def list_unfailed(self, targets: list[str], now_s: float) -> list[str]:
+        """Return the targets that neither failed lately nor are ejected."""
+        known = self._targets
+        return [
+            name
+            for name in targets
+            if name not in known
+            or (
+                known[name].failed_s + RECENT_FAILURE_S <= now_s
+                and known[name].failing_until_s <= now_s
+                and known[name].unreachable_until_s <= now_s
+            )
+        ]
+
     def list_usable(self, targets: list[str], now_s: float) -> list[str]:
         """Return the targets that may be used.
 
--- a/trefoilhinge/dispatch/loads.py
+++ b/trefoilhinge/dispatch/loads.py
@@ -5,6 +5,9 @@
 from attrs import define, field, frozen
 
 from trefoilhinge.dispatch.documents import EngineProfile
+from trefoilhinge.dispatch.estimation.remaining import (
+    estimate_remaining_of_mean,
+)
 from trefoilhinge.dispatch.latency_model import (
     estimate_iteration_s,
     estimate_step_s,
@@ -72,12 +75,17 @@
 
     :ivar prefills: pending prefills.
     :ivar slowdown: factor by which it is slower than its published profile.
+    :ivar prefill_factor: learned factor of its prefills, zero if not learned.
+    :ivar output_deviation: standard deviation of the logarithm of the outputs
+        of its runs, zero if not learned.
     :ivar runs: runs that have a slot, by key.
     :ivar memory_tokens: KV memory in use, in tokens.
     """
 
     prefills: PrefillQueue = field(factory=PrefillQueue)
     slowdown: float = 1.0
+    prefill_factor: float = 0
+    output_deviation: float = 0
     runs: dict[tuple[str, int], Run] = field(factory=dict)
     memory_tokens: int = 0
 
@@ -86,6 +94,14 @@
         """Return the number of runs that have a slot."""
         return len(self.runs)
 
+    @property
+    def prefill_slowdown(self) -> float:
+        """Return the factor by which its prefills are slower than published.
+
+        A learned factor contains what slows decoding down as well.
+        """
+        return max(self.slowdown, self.prefill_factor)
+
     def count_context_tokens(self) -> int:
         """Return the total context of the runs that have a slot."""
         return sum(run.context_tokens for run in self.runs.values())
@@ -118,7 +134,7 @@
             engine, self.running, self.count_context_tokens()
         )
         remaining_s = [
-            _estimate_remaining_s(run, step_s, now_s)
+            _estimate_remaining_s(run, step_s, now_s, self.output_deviation)
             for run in self.runs.values()
         ]
         mean_s = sum(remaining_s) / len(remaining_s)
@@ -157,7 +173,7 @@
         self._runs[run.key] = (run, latest_end_s)
         for part in run.parts:
             load = self.get(part.target)
-            prefill_s = part.prefill_s * load.slowdown
+            prefill_s = part.prefill_s * load.prefill_slowdown
             prefill = Prefill(
                 now_s + run.send_delay_s,
                 prefill_s,
@@ -247,10 +263,19 @@
     return run.started_s + run.send_delay_s + prefill_s + decode_s
 
 
-def _estimate_remaining_s(run: Run, step_s: float, now_s: float) -> float:
+def _estimate_remaining_s(
+    run: Run, step_s: float, now_s: float, output_deviation: float
+) -> float:
     """Return the expected seconds until a run ends.
 
     :param step_s: seconds of a step at its target.
+    :param output_deviation: as of ``TargetLoad``.
     """
+    if output_deviation:
+        decode_s = run.output_tokens * step_s
+        begin_s = estimate_run_end_s(run, step_s) - decode_s
+        return max(0, begin_s - now_s) + estimate_remaining_of_mean(
+            decode_s, output_deviation, now_s - begin_s
+        )
     overdue_s = OVERDUE_REMAINING_SHARE * run.output_tokens * step_s
     return max(estimate_run_end_s(run, step_s) - now_s, overdue_s)
--- a/trefoilhinge/dispatch/messages.py
+++ b/trefoilhinge/dispatch/messages.py
@@ -3,6 +3,7 @@
 from attrs import frozen
 
 from trefoilhinge.dispatch.crash_evidence import CrashReport
+from trefoilhinge.dispatch.estimation.group_table import GroupSummary
 from trefoilhinge.dispatch.loads import Run
 from trefoilhinge.dispatch.peers import Heartbeat
 from trefoilhinge.dispatch.permits import PermitDecision, PermitRequest
@@ -147,6 +148,13 @@
     age_s: float
 
 
+@frozen
+class CostsSummarised:
+    """What an instance has learned of the costs of calls."""
+
+    groups: tuple[GroupSummary, ...]
+
+
 RunMessage = (
     Heartbeat
     | InstanceLeft
@@ -161,4 +169,4 @@
 )
 PermitMessage = TargetRateNamed | TargetOrdered | PermitRequest | PermitDecision
 QuarantineMessage = TargetCrashed | TraitQuarantined | TraitsCleared
-Message = RunMessage | PermitMessage | QuarantineMessage
+Message = RunMessage | PermitMessage | QuarantineMessage | CostsSummarised
--- a/trefoilhinge/dispatch/placement.py
+++ b/trefoilhinge/dispatch/placement.py
@@ -1,6 +1,7 @@
 """Choice of the targets of a call, by the work that it would delay."""
 
-from collections.abc import Collection, Sequence
+from collections.abc import Collection, Mapping, Sequence
+from types import MappingProxyType
 
 import xxhash
 
@@ -9,6 +10,7 @@
     Candidate,
     compute_call_weight,
     compute_occupancy_cost,
+    compute_round_trip_s,
     estimate_abandonment_loss,
     estimate_interference_loss,
     estimate_lateness_loss,
@@ -22,6 +24,7 @@
 
 # Shorter prompts are prefilled within one iteration anyway.
 MINIMUM_GROUP_TOKENS = 14_000
+EMPTY: Mapping[str, float] = MappingProxyType({})
 RANK_COST = 0.004  # packs short streams onto the first targets by name
 
 
@@ -29,10 +32,12 @@
     records: Sequence[TargetRecord],
     loads: LoadTable,
     limited: Collection[str] = (),
+    delays_s: Mapping[str, float] = EMPTY,
 ) -> list[Candidate]:
     """Return the candidates, ranked in the order that all instances share.
 
     :param limited: names of targets that named a limit.
+    :param delays_s: one-way delays to failure domains, where they count.
     """
     count = max(1, len(records))
     return [
@@ -41,6 +46,7 @@
             loads.get(record.name),
             position / count,
             is_limited=record.name in limited,
+            delay_s=delays_s.get(record.failure_domain, 0),
         )
         for position, record in enumerate(records)
     ]
@@ -119,8 +125,9 @@
     first_event_s = (
         load.estimate_slot_wait_s(engine, request.now_s)
         + load.estimate_backlog_s(request.now_s)
-        + prefill_s * load.slowdown
+        + prefill_s * load.prefill_slowdown
         + iteration_s
+        + compute_round_trip_s((candidate,))
     )
     # A single target is occupied equally long wherever the prompt is placed, so
     # that its wait counts past the SLO as well, unlike that of a group.
--- a/trefoilhinge/gateway/attempt_recorder.py
+++ b/trefoilhinge/gateway/attempt_recorder.py
@@ -1,11 +1,12 @@
 """Record the outcome of each attempt: health, retry budget and log."""
 
-from attrs import define
+from attrs import define, field
 
 from trefoilhinge.dispatch.calls import AnswerHead, Attempt, Call
 from trefoilhinge.dispatch.group_placement import Placement
 from trefoilhinge.dispatch.health import Outcome
 from trefoilhinge.dispatch.messages import TargetEjected, TargetSlowdown
+from trefoilhinge.gateway.learned_costs import CostRecorder, estimate_output
 from trefoilhinge.gateway.peer_exchange import PeerExchange
 from trefoilhinge.gateway.placement import find_engine_profile
 from trefoilhinge.gateway.progress import CallProgress
@@ -24,6 +25,11 @@
     _peers: PeerExchange
     _call: Call
     _progress: CallProgress
+    _costs: CostRecorder = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Create the recorder of costs."""
+        self._costs = CostRecorder(self._state, self._call, self._progress)
 
     def record_send_delay(self, placement: Placement) -> None:
         """Log that the call waits until earlier prompts were prefilled."""
@@ -45,6 +51,8 @@
         else:
             budget.record_first_attempt(now_s)
         self._progress.record_attempt(now_s)
+        self._costs.record_sent(attempt.target)
+        learned = estimate_output(self._state, self._call)
         load = self._state.loads.get(attempt.target)
         helpers = [part.target for part in placement.parts[1:]]
         self._write(
@@ -58,17 +66,25 @@
             expected_s=placement.first_event_s,
             cost=placement.cost,
             running=load.running,
+            output=learned and learned.mean,
+            output_upper=learned and learned.upper,
+            output_samples=learned and learned.samples,
             last_event=attempt.last_event,
             remaining_s=attempt.remaining_s,
         )
 
     def record_outcome(self, target: str, outcome: Outcome) -> None:
         """Record the outcome of an attempt in the target's health."""
+        self._costs.record_outcome(outcome)
         now_s = self._state.get_now_s()
         if self._state.health.record_outcome(target, outcome, now_s):
             self._state.metrics.increment('targets_avoided')
             self._write('target_avoided', target=target, outcome=outcome.value)
 
+    def record_closed(self) -> None:
+        """Record that no attempt is in progress any more."""
+        self._costs.close()
+
     def record_event_gap(self, target: str, gap_s: float) -> None:
         """Record a gap between two events, to detect a slow target.
 
--- a/trefoilhinge/gateway/attempts.py
+++ b/trefoilhinge/gateway/attempts.py
@@ -135,6 +135,7 @@
 
     def close(self) -> None:
         """Close the connection, end the run and release reserved memory."""
+        self._recorder.record_closed()
         self._sender.close()
         self._peer_relay.close()
         self._run_tracker.end()
--- a/trefoilhinge/gateway/peer_exchange.py
+++ b/trefoilhinge/gateway/peer_exchange.py
@@ -11,6 +11,7 @@
     encode_message,
 )
 from trefoilhinge.dispatch.messages import (
+    CostsSummarised,
     InstanceLeft,
     Message,
     PermitMessage,
@@ -30,6 +31,7 @@
 from trefoilhinge.dispatch.peers import Heartbeat
 from trefoilhinge.dispatch.rate_limits import NamedRate
 from trefoilhinge.dispatch.targets import TargetRecord
+from trefoilhinge.gateway.cost_exchange import list_summaries, take_summary
 from trefoilhinge.gateway.peer_fetcher import (
     PeerFetcher,
     make_document_fetcher,
@@ -102,6 +104,8 @@
             self.permits.apply_message(decoded.ok, address[0])
         elif isinstance(decoded.ok, QuarantineMessage):
             self.quarantine.apply_message(decoded.ok, address[0])
+        elif isinstance(decoded.ok, CostsSummarised):
+            take_summary(self._state, decoded.ok, address[0])
         else:
             self._apply_message(decoded.ok, now_s)
 
@@ -288,6 +292,8 @@
             self.send(TargetRateNamed(named, now_s), ip)
         for entry in self.quarantine.list_announcements():
             self.send(entry, ip)
+        for summary in list_summaries(state):
+            self.send(summary, ip)
 
     def _apply_heartbeat(self, heartbeat: Heartbeat, now_s: float) -> None:
         state = self._state
--- a/trefoilhinge/gateway/placement.py
+++ b/trefoilhinge/gateway/placement.py
@@ -14,6 +14,13 @@
 )
 from trefoilhinge.dispatch.placement_requests import PlacementRequest
 from trefoilhinge.dispatch.targets import TargetRecord
+from trefoilhinge.gateway.learned_costs import (
+    apply_to_loads,
+    estimate_output,
+    find_delays_s,
+    has_learned_costs,
+    place_plain_by_costs,
+)
 from trefoilhinge.gateway.state import GatewayState
 
 
@@ -74,18 +81,26 @@
         for record in records:
             slowdown = state.slowdowns.get(record.name, now_s)
             state.loads.get(record.name).slowdown = slowdown
+        apply_to_loads(state, call, records)
         return place_prompt(
-            list_candidates(records, state.loads, limited),
+            list_candidates(
+                records, state.loads, limited, find_delays_s(state, records)
+            ),
             PlacementRequest(
                 engine,
                 call.route,
                 call.head.prompt_size,
                 now_s,
                 call.deadline_s - now_s,
+                estimate_output(state, call),
             ),
         )
-    chosen = place_plain_call(
-        records, state.loads, state.settings.failure_domain, limited
+    chosen = (
+        place_plain_by_costs(state, call, records, limited)
+        if has_learned_costs(state)
+        else place_plain_call(
+            records, state.loads, state.settings.failure_domain, limited
+        )
     )
     if chosen is None:
         return None
@@ -147,6 +162,11 @@
         and not state.rests.is_resting(record, now_s)
     }
     usable = state.health.list_usable(list(records), now_s)
+    if excluded and has_learned_costs(state):
+        # Targets that fail together stay usable while half of them do.
+        unfailed = state.health.list_unfailed(list(records), now_s)
+        healthy = [name for name in unfailed if name not in excluded]
+        usable = healthy or usable
     untried = [name for name in usable if name not in excluded]
     return [records[name] for name in untried or usable]
 
--- a/trefoilhinge/gateway/run_tracker.py
+++ b/trefoilhinge/gateway/run_tracker.py
@@ -12,6 +12,11 @@
     RunSent,
     RunStarted,
 )
+from trefoilhinge.gateway.learned_costs import (
+    PrefillObserver,
+    estimate_output,
+    observe_prefill,
+)
 from trefoilhinge.gateway.peer_exchange import PeerExchange
 from trefoilhinge.gateway.state import GatewayState
 
@@ -28,6 +33,7 @@
     _peers: PeerExchange
     _call: Call
     _run: Run | None = None
+    _prefill: PrefillObserver | None = None
     has_first_event: bool = False
 
     def start(self, placement: Placement, number: int) -> None:
@@ -43,14 +49,19 @@
             number=number,
             parts=placement.parts,
             context_tokens=size.prompt_tokens if size else 0,
-            output_tokens=size.expected_output_tokens if size else 0,
+            output_tokens=self._estimate_output_tokens(),
             gap_slo_s=self._call.route.gap_slo_s if is_stream else 0,
             started_s=now_s,
             send_delay_s=placement.send_delay_s,
         )
         self.has_first_event = False
+        load = self._state.loads.get(placement.parts[0].target)
+        backlog_s = load.estimate_backlog_s(now_s)
         maximum_duration_s = max(0, self._call.deadline_s - now_s)
         self._state.record_run(self._run, now_s + maximum_duration_s)
+        self._prefill = observe_prefill(
+            self._state, self._call, self._run, backlog_s
+        )
         self._peers.broadcast(RunStarted(self._run, maximum_duration_s))
 
     async def wait_for_send_time(self) -> None:
@@ -70,6 +81,8 @@
         if self._run is None or self.has_first_event:
             return
         self.has_first_event = True
+        if self._prefill is not None:
+            self._prefill.record_first_event(self._state, now_s)
         self._state.loads.record_first_event(self._run.key, now_s)
         if len(self._run.parts) > 1:
             self._peers.broadcast(RunFirstEvent(*self._run.key))
@@ -83,3 +96,10 @@
         self._peers.broadcast(RunEnded(*self._run.key))
         self._state.prefill_waiters.notify_all()
         self._run = None
+
+    def _estimate_output_tokens(self) -> int:
+        learned = estimate_output(self._state, self._call)
+        if learned is not None:
+            return round(learned.mean)
+        size = self._call.head.prompt_size
+        return size.expected_output_tokens if size else 0
--- a/trefoilhinge/gateway/settings_files.py
+++ b/trefoilhinge/gateway/settings_files.py
@@ -3,6 +3,8 @@
 import os
 import pathlib
 
+from attrs import evolve
+
 from trefoilhinge.dispatch.settings import GatewaySettings
 from trefoilhinge.exceptions import ImproperlyConfigured
 from trefoilhinge.platform.settings import (
@@ -10,19 +12,30 @@
     decode_settings,
 )
 
+# Set to 'off' to place calls as without learned costs, for a comparison.
+LEARNED_COSTS_VARIABLE = 'TREFOILHINGE_LEARNED_COSTS'
+LEARNED_COSTS_VALUES = ('on', 'off')
+
 
 def load_settings() -> GatewaySettings:
     """Read the settings file that the environment names.
 
-    :raises ImproperlyConfigured: the variable is not set, or the file cannot
-        be read.
+    :raises ImproperlyConfigured: the variable is not set, the file cannot be
+        read, or ``TREFOILHINGE_LEARNED_COSTS`` is neither ``on`` nor ``off``.
     """
     path = os.environ.get(SETTINGS_PATH_VARIABLE)
     if not path:
         raise ImproperlyConfigured(
             f'set {SETTINGS_PATH_VARIABLE} to the path of the settings file',
         )
-    return read_settings(path)
+    learned_costs = os.environ.get(LEARNED_COSTS_VARIABLE) or 'on'
+    if learned_costs not in LEARNED_COSTS_VALUES:
+        raise ImproperlyConfigured(
+            f'{LEARNED_COSTS_VARIABLE} is {learned_costs!r}, not on or off',
+        )
+    return evolve(
+        read_settings(path), allows_learned_costs=learned_costs == 'on'
+    )
 
 
 def read_settings(path: str) -> GatewaySettings:
--- a/trefoilhinge/gateway/state.py
+++ b/trefoilhinge/gateway/state.py
@@ -8,6 +8,7 @@
 from trefoilhinge.dispatch.budgets import RetryBudget
 from trefoilhinge.dispatch.crash_evidence import CrashEvidence
 from trefoilhinge.dispatch.documents import FleetDocument
+from trefoilhinge.dispatch.estimation.cost_table import CostTable
 from trefoilhinge.dispatch.health import HealthTable
 from trefoilhinge.dispatch.loads import LoadTable, Run
 from trefoilhinge.dispatch.outages import StoreOutages
@@ -49,6 +50,7 @@
     :ivar rests: targets that asked this instance for rest.
     :ivar relay_peers: peers that may serve calls for this instance.
     :ivar slowdowns: observed slowdown of each target.
+    :ivar costs: what calls cost, learned from those that ended.
     :ivar rate_limits: rates that targets named as their limits.
     :ivar permits: permits for requests to these targets.
     :ivar crash_evidence: traits of calls under which targets crashed.
@@ -77,6 +79,7 @@
     rests: RestTable = field(factory=RestTable)
     relay_peers: RelayPeers = field(factory=RelayPeers)
     slowdowns: SlowdownTable = field(factory=SlowdownTable)
+    costs: CostTable = field(factory=CostTable)
     rate_limits: RateLimitTable = field(factory=RateLimitTable)
     permits: PermitTable = field(factory=PermitTable)
     crash_evidence: CrashEvidence = field(factory=CrashEvidence)
