--- a/tests/dispatch/estimation/test_cost_table.py
+++ b/tests/dispatch/estimation/test_cost_table.py
@@ -155,4 +155,4 @@
         for number in range(2 * MAXIMUM_GROUPS):
             features = CallFeatures('notices', f'o{number}', 5_000, 400, 4_000)
             table.record(OutputSample(features, 400), number)
-        assert len(table._table) <= MAXIMUM_GROUPS
+        assert len(table) <= MAXIMUM_GROUPS
--- a/trefoilhinge/dispatch/estimation/cost_table.py
+++ b/trefoilhinge/dispatch/estimation/cost_table.py
@@ -48,6 +48,10 @@
 
     _table: GroupTable = field(factory=GroupTable)
 
+    def __len__(self) -> int:
+        """Return the number of groups of calls that are known."""
+        return len(self._table)
+
     def advance(self, now_s: float) -> None:
         """Let the samples lose weight up to a time, in monotonic seconds."""
         self._table.now_s = max(self._table.now_s, now_s)
--- a/trefoilhinge/gateway/cost_exchange.py
+++ b/trefoilhinge/gateway/cost_exchange.py
@@ -17,8 +17,12 @@
 def take_summary(
     state: GatewayState, message: CostsSummarised, peer: str
 ) -> None:
-    """Learn from what a peer has learned; ignored where costs do not count."""
-    if not has_learned_costs(state):
+    """Learn from what a peer has learned; ignore it where costs do not count.
+
+    A peer sends it when it hears this instance first, which is before this one
+    has read its document and can know whether they do.
+    """
+    if state.document is not None and not has_learned_costs(state):
         return
     state.costs.merge(message.groups, state.get_now_s())
     state.log.write('costs_taken', peer=peer, groups=len(message.groups))
