--- a/trefoilhinge/dispatch/estimation/cost_table.py
+++ b/trefoilhinge/dispatch/estimation/cost_table.py
@@ -32,6 +32,8 @@
 SERVICE_DEVIATION = 0.7
 UNKNOWN_SERVICE_S = 0.05  # of a plain call, before any has been answered
 MAXIMUM_PREFILL_FACTOR = 20.0  # a slower target is as good as unresponsive
+# A smaller median is noise: samples contain a wait of up to one iteration.
+MINIMUM_PREFILL_FACTOR = 1.2
 MINIMUM_QUANTITY = 1e-6  # has a logarithm
 _OUTPUT_PRIOR = Distribution(0, OUTPUT_DEVIATION**2)
 _PREFILL_PRIOR = Distribution(0, PREFILL_DEVIATION**2)
@@ -98,13 +100,13 @@
     def estimate_prefill_factor(self, target: str) -> Estimate:
         """Return a target's prefill time over that of its published profile.
 
-        It is at least 1, and exactly 1 without samples.
+        It is at least 1, and exactly 1 for a target that is not clearly slow.
         """
         factor = self._table.estimate(
             _PREFILL_PRIOR, [make_key('prefill', target)]
         )
-        if not factor.samples:
-            return Estimate(1, 1, 0)
+        if math.exp(factor.mean) < MINIMUM_PREFILL_FACTOR:
+            return Estimate(1, 1, factor.samples)
         estimate = make_estimate(factor.mean, factor.variance, factor.samples)
         return estimate.limit(1, MAXIMUM_PREFILL_FACTOR)
 
--- a/trefoilhinge/dispatch/estimation/group_table.py
+++ b/trefoilhinge/dispatch/estimation/group_table.py
@@ -1,5 +1,6 @@
 """Statistics of all groups of calls, bounded in number."""
 
+import functools
 from collections.abc import Sequence
 
 import xxhash
@@ -31,6 +32,7 @@
     distribution: Distribution
 
 
+@functools.lru_cache(maxsize=MAXIMUM_GROUPS)
 def make_key(*names: object) -> GroupKey:
     """Return the key of a group, which is the same at all instances."""
     text = '\n'.join(str(name) for name in names)
