--- a/trefoilhinge/dispatch/message_codec.py
+++ b/trefoilhinge/dispatch/message_codec.py
@@ -14,6 +14,11 @@
     list_mark_fields,
 )
 from trefoilhinge.dispatch.evacuations import DomainMark
+from trefoilhinge.dispatch.estimation.summary_codec import (
+    SUMMARY_KIND,
+    decode_summary,
+    list_summary_fields,
+)
 from trefoilhinge.dispatch.loads import Run, RunPart
 from trefoilhinge.dispatch.message_checks import (
     check_ip,
@@ -21,6 +26,7 @@
     check_range,
 )
 from trefoilhinge.dispatch.messages import (
+    CostsSummarised,
     InstanceLeft,
     Message,
     PermitMessage,
@@ -74,6 +80,8 @@
         fields = list_mark_fields(message)
     elif isinstance(message, TargetCold):
         fields = list_cold_fields(message)
+    elif isinstance(message, CostsSummarised):
+        fields = list_summary_fields(message)
     else:
         fields = _list_fields(message)
     return bytes(msgpack.packb(fields, use_single_float=True))
@@ -102,6 +110,8 @@
             return decode_mark(fields)
         if fields[0] == COLD_KIND:
             return decode_cold_message(fields)
+        if fields[0] == SUMMARY_KIND:
+            return decode_summary(fields)
     return _decode(fields, now_s)
 
 
--- a/trefoilhinge/dispatch/messages.py
+++ b/trefoilhinge/dispatch/messages.py
@@ -4,6 +4,7 @@
 
 from trefoilhinge.dispatch.crash_evidence import CrashReport
 from trefoilhinge.dispatch.evacuations import DomainMark
+from trefoilhinge.dispatch.estimation.group_table import GroupSummary
 from trefoilhinge.dispatch.loads import Run
 from trefoilhinge.dispatch.peers import Heartbeat
 from trefoilhinge.dispatch.permits import PermitDecision, PermitRequest
@@ -149,6 +150,13 @@
     age_s: float
 
 
+@frozen
+class CostsSummarised:
+    """What an instance has learned of the costs of calls."""
+
+    groups: tuple[GroupSummary, ...]
+
+
 RunMessage = (
     Heartbeat
     | InstanceLeft
@@ -163,5 +171,5 @@
 )
 PermitMessage = TargetRateNamed | TargetOrdered | PermitRequest | PermitDecision
 QuarantineMessage = TargetCrashed | TraitQuarantined | TraitsCleared
-TargetMessage = DomainMark | TargetCold
+TargetMessage = DomainMark | TargetCold | CostsSummarised
 Message = RunMessage | PermitMessage | QuarantineMessage | TargetMessage
--- a/trefoilhinge/dispatch/warmup/codec.py
+++ b/trefoilhinge/dispatch/warmup/codec.py
@@ -4,7 +4,7 @@
 
 from trefoilhinge.dispatch.message_checks import check_range
 
-COLD_KIND = 'k'
+COLD_KIND = 'h'
 
 
 @frozen
--- a/trefoilhinge/gateway/peer_exchange.py
+++ b/trefoilhinge/gateway/peer_exchange.py
@@ -12,6 +12,7 @@
     encode_message,
 )
 from trefoilhinge.dispatch.messages import (
+    CostsSummarised,
     InstanceLeft,
     Message,
     PermitMessage,
@@ -34,6 +35,7 @@
 from trefoilhinge.dispatch.warmup.codec import TargetCold
 from trefoilhinge.gateway.cold_targets import ColdNews
 from trefoilhinge.gateway.evacuations import EvacuationNews
+from trefoilhinge.gateway.cost_exchange import list_summaries, take_summary
 from trefoilhinge.gateway.peer_fetcher import (
     PeerFetcher,
     make_document_fetcher,
@@ -118,6 +120,8 @@
             self.cold_targets.apply_message(decoded.ok, address[0])
         elif isinstance(decoded.ok, DomainMark):
             self.evacuations.apply_message(decoded.ok, address[0])
+        elif isinstance(decoded.ok, CostsSummarised):
+            take_summary(self._state, decoded.ok, address[0])
         else:
             self._apply_message(decoded.ok, now_s)
 
@@ -309,6 +313,8 @@
             self.send(TargetRateNamed(named, now_s), ip)
         for entry in self.quarantine.list_announcements():
             self.send(entry, ip)
+        for summary in list_summaries(state):
+            self.send(summary, ip)
 
     def _apply_heartbeat(self, heartbeat: Heartbeat, now_s: float) -> None:
         state = self._state
--- a/trefoilhinge/gateway/placement.py
+++ b/trefoilhinge/gateway/placement.py
@@ -20,6 +20,13 @@
     is_cold,
     is_late,
 )
+from trefoilhinge.gateway.learned_costs import (
+    apply_to_loads,
+    estimate_output,
+    find_delays_s,
+    has_learned_costs,
+    place_plain_by_costs,
+)
 from trefoilhinge.gateway.state import GatewayState
 
 
@@ -94,18 +101,29 @@
         for record in records:
             slowdown = state.slowdowns.get(record.name, now_s)
             state.loads.get(record.name).slowdown = slowdown
+        apply_to_loads(state, call, records)
         return place_prompt(
-            list_candidates(records, state.loads, limited | cold),
+            list_candidates(
+                records,
+                state.loads,
+                limited | cold,
+                find_delays_s(state, records),
+            ),
             PlacementRequest(
                 engine,
                 call.route,
                 call.head.prompt_size,
                 now_s,
                 call.deadline_s - now_s,
+                estimate_output(state, call),
             ),
         )
-    chosen = place_plain_call(
-        records, state.loads, state.settings.failure_domain, limited
+    chosen = (
+        place_plain_by_costs(state, call, records, limited)
+        if has_learned_costs(state)
+        else place_plain_call(
+            records, state.loads, state.settings.failure_domain, limited
+        )
     )
     if chosen is None:
         return None
@@ -168,6 +186,11 @@
         and not compute_cold_wait_s(state, record)
     }
     usable = state.health.list_usable(list(records), now_s)
+    if excluded and has_learned_costs(state):
+        # Targets that fail together stay usable while half of them do.
+        unfailed = state.health.list_unfailed(list(records), now_s)
+        healthy = [name for name in unfailed if name not in excluded]
+        usable = healthy or usable
     untried = [name for name in usable if name not in excluded]
     return [records[name] for name in untried or usable]
 
