Moved the load of held memory beside the fleets that it uses.

The type checker follows the imports of benchmarks, and so checked test modules that have no annotations. The script is a tool of the tests now.

--- a/benchmarks/held_memory.py
+++ b/tests/gateway/held_memory_loads.py
@@ -1,6 +1,6 @@
 """Peak memory of a gateway process whose callers send much or read nothing.
 
-``python -m benchmarks.held_memory 200 send 60``: memory in MB (0: unknown),
+``python -m tests.gateway.held_memory_loads 200 send 60``: memory in MB (0: unknown),
 ``send`` (all but the last byte of a request), ``read`` (nothing of an answer)
 or ``idle`` (20 bytes of a request), and the number of callers.
 """
