Numbered the soak's networks by process.

Two test runs at a time on one machine bound the same loopback addresses, as the networks were numbered by seed (seen: OSError 98 at 127.77.3.1:21000).

The network is made of the process id, as in tests/gateway/documents.py, from 127.127 upward, where the tests of the gateway use 127.1 to 127.126. Soaks of one process follow each other on the same addresses, so the end of a soak now closes its stand-ins and proxies.

--- a/tests/soak/test_instances.py
+++ b/tests/soak/test_instances.py
@@ -4,7 +4,7 @@
 import os
 
 from tests.soak.test_soak import make_plan
-from trefoilhinge.soak.fleets import make_fleet
+from trefoilhinge.soak.fleets import NETWORKS, SUBNETS, make_fleet, make_network
 from trefoilhinge.soak.plan_execution import execute_event
 from trefoilhinge.soak.plans import FaultKind
 
@@ -29,7 +29,7 @@
         Two overlapping kills of one instance both started it again; only the
         second process was known.
         """
-        fleet = make_fleet(tmp_path, 200, WAITING_PROGRAM, 1)
+        fleet = make_fleet(tmp_path, WAITING_PROGRAM, 1)
         (instance,) = fleet.instances
         started = []
         start = type(instance).start
@@ -51,3 +51,13 @@
         fleet.close()
         assert len(started) == 3
         assert not any(map(is_alive, started))
+
+
+class TestNetworks:
+    def test_processes_share_no_address(self):
+        """Guards against two test runs at a time that bind one address.
+
+        Networks were numbered by seed, which both runs have in common.
+        """
+        networks = {make_network(1 + one) for one in range(NETWORKS * SUBNETS)}
+        assert len(networks) == NETWORKS * SUBNETS
--- a/tests/soak/test_plan_execution.py
+++ b/tests/soak/test_plan_execution.py
@@ -19,7 +19,7 @@
         A limit that was named before the target crashed ended one that it
         named after its start.
         """
-        fleet = make_fleet(tmp_path, 201)
+        fleet = make_fleet(tmp_path)
         target = fleet.targets[0]
         source = CrashSource(CrashKind.part, CrashingTrait('bad', 5), 'key-0')
         (event,) = make_plan(NeedKind.name_limit, count=1, duration_s=0.2)
--- a/trefoilhinge/soak/commands.py
+++ b/trefoilhinge/soak/commands.py
@@ -26,7 +26,6 @@
 MAXIMUM_INSTANCES = 240  # loopback addresses of one network
 READY_POLL_INTERVAL_S = 0.2
 SECONDS_PER_MINUTE = 60
-NETWORKS = 254  # loopback networks that isolate concurrent fleets
 MAXIMUM_PRINTED_VIOLATIONS = 20  # of one seed
 
 
@@ -123,12 +122,7 @@
 
 async def _run(request: SoakRequest) -> SoakResult:
     request.folder.mkdir(parents=True, exist_ok=True)
-    fleet = make_fleet(
-        request.folder,
-        1 + request.seed % NETWORKS,
-        request.program,
-        request.instances,
-    )
+    fleet = make_fleet(request.folder, request.program, request.instances)
     plan: Sequence[PlannedEvent] | None = request.plan
     if plan is None:
         plan = generate_plan(request.seed, request.seconds)
--- a/trefoilhinge/soak/fleets.py
+++ b/trefoilhinge/soak/fleets.py
@@ -1,6 +1,7 @@
 """Instances, stand-ins and proxies of one soak."""
 
 import asyncio
+import os
 import pathlib
 import time
 
@@ -22,7 +23,11 @@
 REVOCABLE_KEYS = 2  # may be revoked in a soak, each with a caller of its own
 FIRST_PORT = 21_000
 RESTART_S = 1.5  # of a target that has crashed
-PORTS_EACH = 30
+# Networks of processes whose numbers differ by less than 127 * 256 differ; the
+# tests of the gateway use 127.1 to 127.126 in the same way.
+FIRST_NETWORK = 127
+NETWORKS = 127
+SUBNETS = 256
 
 
 @define
@@ -116,28 +121,40 @@
             self.revoked_keys[key] = time.monotonic()
 
     def close(self) -> None:
-        """Kill all instances, and leave crashed targets down."""
+        """Kill all instances and close all sockets."""
         for restart in self._restarts.values():
             restart.cancel()
         for instance in self.instances:
             instance.kill()
+        for proxy in self.proxies:
+            proxy.stop()
+        for target in self.targets:
+            target.stop()
+        self.store_proxy.stop()
+        self.store.stop()
+
+
+def make_network(process_id: int) -> str:
+    """Return the loopback network of a process that runs soaks."""
+    high, low = divmod(process_id, SUBNETS)
+    return f'127.{FIRST_NETWORK + high % NETWORKS}.{low}'
 
 
 def make_fleet(
     folder: pathlib.Path,
-    network: int,
     program: tuple[str, ...] = PROGRAM,
     instances: int = INSTANCES,
 ) -> SoakFleet:
     """Return a fleet that is not started.
 
+    A process runs one fleet at a time: all have the same addresses.
+
     :param folder: directory of settings and logs.
-    :param network: number of the loopback network, 1 to 254; fleets of
-        different networks share no address.
     :param instances: number of instances, at most 240, the addresses of a
         network.
     """
-    host = f'127.77.{network}.1'
+    network = make_network(os.getpid())
+    host = f'{network}.1'
     observations = ObservationLog()
     store_port = FIRST_PORT
     proxy_port = FIRST_PORT + 1
@@ -150,7 +167,7 @@
         SoakTarget(f'{service}-{port}', service, (host, port), observations)
         for service, port in zip(services, ports, strict=True)
     ]
-    ips = [f'127.77.{network}.{10 + number}' for number in range(instances)]
+    ips = [f'{network}.{10 + number}' for number in range(instances)]
     keys = {
         f'key-{number}': f'organisation-{number}'
         for number in range(CALLER_KEYS + REVOCABLE_KEYS)
--- a/trefoilhinge/soak/stores.py
+++ b/trefoilhinge/soak/stores.py
@@ -53,6 +53,11 @@
             self.host, self.port, self._handle_request
         )
 
+    def stop(self) -> None:
+        """Stop listening."""
+        if self._server is not None:
+            self._server.close()
+
     def put(self, key: str, fields: dict[str, Any] | bytes) -> None:
         """Write an item."""
         self.revision += 1
--- a/trefoilhinge/soak/targets.py
+++ b/trefoilhinge/soak/targets.py
@@ -76,6 +76,11 @@
         """Start listening."""
         self._server = await serve_http(*self.address, self._handle_request)
 
+    def stop(self) -> None:
+        """Stop listening."""
+        if self._server is not None:
+            self._server.close()
+
     def list_leaked_reservations(
         self, now_s: float, quiet_since_s: float
     ) -> list[str]:
