Played slow readers during a planned stop in the soak.

The promise is CUT_AT_STOP. The events have random numbers of their own, so that the others of a seed stay the same.

--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -10,6 +10,7 @@
     MaintenanceKind,
     NeedKind,
     PlannedEvent,
+    ReaderKind,
 )
 
 # Seeds that have failed before, with the violation that was observed.
@@ -106,3 +107,9 @@
     def test_stop_that_aborts_calls(self, tmp_path):
         plan = make_plan(MaintenanceKind.stop, count=4)
         assert 'CUT_AT_STOP' in soak(tmp_path, 106, plan, 'stop_at_once')
+
+    def test_stop_that_ends_before_slow_readers(self, tmp_path):
+        plan = make_plan(ReaderKind.stop, count=2, interval_s=0.1)
+        violated = soak(tmp_path, 119, plan, 'exit_before_read')
+        assert 'CUT_AT_STOP' in violated
+        assert soak(tmp_path, 120, plan) == set()
--- a/tests/soak/variants.py
+++ b/tests/soak/variants.py
@@ -14,6 +14,7 @@
     quarantine,
     state,
 )
+from trefoilhinge.gateway.caller_connections import CallerConnection
 from trefoilhinge.gateway.refusals import Refusal
 from trefoilhinge.gateway.reservations import Reservations
 from trefoilhinge.gateway.target_connections import AnswerBroken
@@ -96,6 +97,15 @@
     TargetDirectory.expire_missing = expire
 
 
+def exit_before_read():
+    """Stop without waiting for callers that still read their answers."""
+
+    async def flush(self):
+        await asyncio.sleep(0)
+
+    CallerConnection.flush = flush
+
+
 def stop_at_once():
     """Exit at the order to stop, without draining."""
 
--- a/trefoilhinge/soak/callers.py
+++ b/trefoilhinge/soak/callers.py
@@ -174,7 +174,7 @@
                 continue
             if isinstance(event, h11.ConnectionClosed):
                 return
-            _apply_event(call, event)
+            apply_event(call, event)
 
     def _close_connection(self, name: str) -> None:
         existing = self._connections.pop(name, None)
@@ -182,7 +182,8 @@
             existing[1].close()
 
 
-def _apply_event(call: ObservedCall, event: object) -> None:
+def apply_event(call: ObservedCall, event: object) -> None:
+    """Record an event of the answer to a call."""
     if isinstance(event, h11.Response):
         call.status = event.status_code
     elif isinstance(event, h11.Data):
--- a/trefoilhinge/soak/observations.py
+++ b/trefoilhinge/soak/observations.py
@@ -22,6 +22,8 @@
 REQUEST_CRASHES = 3
 CRASH_STABLE_S = 3.0
 CRASH_ALLOWED = 3
+LONG_NAME = 'long'  # last segment of the path of calls with a long answer
+LONG_REPEATS = 240_000  # more than the kernel and a proxy hold of an answer
 SUCCESS_STATUSES = range(200, 300)
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 
@@ -89,6 +91,7 @@
     :ivar content: bytes of the body that were received.
     :ivar is_complete: whether the whole response was received.
     :ivar is_stopping: whether its instance had been asked to stop by its end.
+    :ivar is_long: whether its answer is long.
     """
 
     request_id: str
@@ -102,6 +105,7 @@
     content: bytes = b''
     is_complete: bool = False
     is_stopping: bool = False
+    is_long: bool = False
 
 
 @frozen
@@ -263,7 +267,7 @@
     def _has_wrong_answer(self, call: ObservedCall) -> bool:
         if call.status not in SUCCESS_STATUSES:
             return False
-        expected = make_content(call.kind, call.request_id)
+        expected = make_content(call.kind, call.request_id, call.is_long)
         if call.is_complete:
             return call.content != expected
         return not expected.startswith(call.content)
@@ -312,10 +316,13 @@
     return b'id: %d\ndata: %s\n\n' % (number, request_id.encode())
 
 
-def make_content(kind: CallKind, request_id: str, events: int = 12) -> bytes:
+def make_content(
+    kind: CallKind, request_id: str, is_long: bool = False, events: int = 12
+) -> bytes:
     """Return the body of the only correct answer to a call."""
     if kind is not CallKind.stream:
-        return f'{kind.value} of {request_id}'.encode()
+        content = f'{kind.value} of {request_id}'.encode()
+        return content * (LONG_REPEATS if is_long else 1)
     return b''.join(
         make_event(request_id, number) for number in range(1, events + 1)
     )
--- a/trefoilhinge/soak/plan_execution.py
+++ b/trefoilhinge/soak/plan_execution.py
@@ -22,8 +22,10 @@
     MaintenanceKind,
     NeedKind,
     PlannedEvent,
+    ReaderKind,
 )
 from trefoilhinge.soak.proxies import ConnectionFault, Proxy
+from trefoilhinge.soak.readers import ANSWER_TIME_S, READERS, read_slowly
 from trefoilhinge.soak.targets import SoakTarget, TargetBehaviour
 
 STOP_TIMEOUT_S = 9.0  # for a process to exit after SIGTERM
@@ -60,6 +62,9 @@
     if isinstance(event.kind, EntryKind):
         await _execute_entry_event(fleet, event)
         return
+    if isinstance(event.kind, ReaderKind):
+        await _stop_while_read(fleet, _choose_instance(fleet, event))
+        return
     begin_s = time.monotonic()
     # Until its end is known, the fault exempts all later observations.
     fleet.observations.faults.append((begin_s, float('inf')))
@@ -207,6 +212,18 @@
         instance.start()
 
 
+async def _stop_while_read(fleet: SoakFleet, instance: Instance) -> None:
+    """Stop an instance while callers read answers slowly."""
+    if not instance.is_running or instance.is_stopping:
+        return
+    keys = sorted(fleet.keys)[:READERS]
+    calls = [read_slowly(instance, key, fleet.observations) for key in keys]
+    reading = asyncio.gather(*calls)
+    await asyncio.sleep(ANSWER_TIME_S)
+    await _restart_gracefully(instance)
+    await reading
+
+
 async def _remove(fleet: SoakFleet, target: SoakTarget) -> None:
     """Remove the entry of a target that serves on, and then return it."""
     if target.name in fleet.observations.leaving_since_s:
--- a/trefoilhinge/soak/plans.py
+++ b/trefoilhinge/soak/plans.py
@@ -19,6 +19,7 @@
 CRASH_PAUSES_S = (3.0, 9.0)  # between the end of one kind and the next
 ENTRY_DURATIONS_S = (4.0, 10.0)  # of cuts of waiting watches
 ENTRY_INTERVALS_S = (2.0, 5.0)
+READER_INTERVALS_S = (6.0, 18.0)
 
 
 class FaultKind(enum.Enum):
@@ -75,7 +76,15 @@
     remove_target = 'remove_target'
 
 
-EventKind = FaultKind | MaintenanceKind | NeedKind | CrashKind | EntryKind
+class ReaderKind(enum.Enum):
+    """What callers that read slowly meet."""
+
+    stop = 'stop'
+
+
+EventKind = (
+    FaultKind | MaintenanceKind | NeedKind | CrashKind | EntryKind | ReaderKind
+)
 
 
 @frozen
@@ -120,6 +129,9 @@
     events.extend(_generate_limits(seed, seconds))
     events.extend(_generate_crashes(seed, seconds))
     events.extend(_generate_entry_events(seed, seconds))
+    events.extend(
+        _generate_series(seed, 4, seconds, ReaderKind.stop, READER_INTERVALS_S)
+    )
     return sorted(events, key=lambda one: one.at_s)
 
 
@@ -181,3 +193,26 @@
         )
         at_s += float(generator.uniform(*ENTRY_INTERVALS_S))
     return events
+
+
+def _generate_series(
+    seed: int,
+    series: int,
+    seconds: float,
+    kind: EventKind,
+    intervals_s: tuple[float, float],
+) -> list[PlannedEvent]:
+    """Return events of one kind, with random numbers of their own.
+
+    :param series: number of the series of random numbers.
+    """
+    generator = np.random.default_rng((seed, series))
+    events: list[PlannedEvent] = []
+    at_s = float(generator.uniform(*intervals_s))
+    while at_s < seconds:
+        duration_s = float(generator.uniform(*DURATIONS_S))
+        events.append(
+            PlannedEvent(at_s, duration_s, kind, float(generator.uniform()))
+        )
+        at_s += float(generator.uniform(*intervals_s))
+    return events
--- a/trefoilhinge/soak/targets.py
+++ b/trefoilhinge/soak/targets.py
@@ -12,6 +12,7 @@
 from trefoilhinge.platform.standins import formats
 from trefoilhinge.soak.crashes import CrashSource
 from trefoilhinge.soak.observations import (
+    LONG_NAME,
     RELEASE_TIMEOUT_S,
     CallKind,
     ObservationLog,
@@ -160,7 +161,8 @@
         if self.behaviour is TargetBehaviour.losing:
             request.writer.transport.abort()
             return
-        content = make_content(kind, received.request_id)
+        is_long = request.path.endswith(f'/{LONG_NAME}')
+        content = make_content(kind, received.request_id, is_long)
         await request.respond(
             200, content, self._list_headers(formats.SEAL_HEADER)
         )
