Ended soaks of broken variants with the violation that they wait for.

A soak of a variant lasted to the end of its plan and of the check of memory, though most violations are seen in the first seconds. The plan ends when the awaited invariant is violated; a variant that is missed runs as long as before.

--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -31,16 +31,22 @@
     )
 
 
-def soak(folder, seed, plan, *program, seconds=9):
+def soak(folder, seed, plan, seconds=9):
     """Run a soak of a plan and return the invariants that it violated."""
     request = SoakRequest(seed, seconds, folder, plan=plan)
-    if program:
-        request = SoakRequest(
-            seed, seconds, folder, ('-m', 'tests.soak.variants', *program), plan
-        )
     return {one.invariant for one in run_soak(request).violations}
 
 
+def is_found(invariant, folder, seed, plan, variant, seconds=9, **options):
+    """Return whether a soak finds that a variant violates an invariant."""
+    program = ('-m', 'tests.soak.variants', variant)
+    request = SoakRequest(
+        seed, seconds, folder, program, plan, awaited=invariant, **options
+    )
+    found = run_soak(request).violations
+    return invariant in {one.invariant for one in found}
+
+
 class TestGateway:
     @pytest.mark.parametrize('seed', [1, 2, *REGRESSIONS])
     def test_violates_no_invariant(self, tmp_path, seed):
@@ -54,29 +60,27 @@
 
     def test_call_sent_twice(self, tmp_path):
         plan = make_plan(FaultKind.lose_answers, count=7, interval_s=1)
-        assert 'TWICE' in soak(tmp_path, 101, plan, 'send_twice')
+        assert is_found('TWICE', tmp_path, 101, plan, 'send_twice')
 
     def test_false_refusal(self, tmp_path):
         plan = make_plan(FaultKind.lose_answers, count=7, interval_s=1)
-        violated = soak(tmp_path, 102, plan, 'refuse_falsely')
-        assert 'FALSE_REFUSAL' in violated
+        assert is_found('FALSE_REFUSAL', tmp_path, 102, plan, 'refuse_falsely')
 
     def test_truncated_stream_ended_as_complete(self, tmp_path):
         plan = make_plan(FaultKind.tear_streams, count=7, interval_s=1)
-        assert 'WRONG_ANSWER' in soak(tmp_path, 103, plan, 'join_torn')
+        assert is_found('WRONG_ANSWER', tmp_path, 103, plan, 'join_torn')
 
     def test_unreleased_memory(self, tmp_path):
-        assert 'MEMORY' in soak(tmp_path, 104, (), 'keep_memory')
+        assert is_found('MEMORY', tmp_path, 104, (), 'keep_memory')
 
     def test_ignored_change(self, tmp_path):
         plan = make_plan(MaintenanceKind.revoke_key, count=1)
-        assert 'REVOKED' in soak(tmp_path, 105, plan, 'ignore_changes')
+        assert is_found('REVOKED', tmp_path, 105, plan, 'ignore_changes')
 
     def test_rate_that_each_instance_applies_alone(self, tmp_path):
         # The selector chooses the fifth target, with 2.3 requests a second.
         plan = (PlannedEvent(0.5, 11, NeedKind.name_limit, 4.73 / 7),)
-        violated = soak(tmp_path, 107, plan, 'apply_whole_rate', seconds=12)
-        assert 'LIMIT' in violated
+        assert is_found('LIMIT', tmp_path, 107, plan, 'apply_whole_rate', 12)
         assert soak(tmp_path, 108, plan, seconds=12) == set()
 
     @pytest.mark.parametrize(
@@ -86,11 +90,16 @@
         self, tmp_path, kind, seed
     ):
         plan = (PlannedEvent(0.5, 12, kind, 0.1),)
-        program = ('-m', 'tests.soak.variants', 'count_crashes_alone')
         # Each instance learns from crashes of its own, so many learn late.
-        request = SoakRequest(seed, 13, tmp_path, program, plan, instances=10)
-        violated = {one.invariant for one in run_soak(request).violations}
-        assert 'CRASH' in violated
+        assert is_found(
+            'CRASH',
+            tmp_path,
+            seed,
+            plan,
+            'count_crashes_alone',
+            13,
+            instances=10,
+        )
         assert soak(tmp_path, seed + 1, plan, seconds=13) == set()
 
     def test_cut_watch_that_counts_as_an_outage(self, tmp_path):
@@ -98,18 +107,16 @@
             PlannedEvent(0.5, 11, EntryKind.cut_watches, 0),
             *make_plan(EntryKind.remove_target, count=1, first_s=3),
         )
-        violated = soak(
-            tmp_path, 117, plan, 'take_cuts_for_outages', seconds=12
+        assert is_found(
+            'LEAVING', tmp_path, 117, plan, 'take_cuts_for_outages', 12
         )
-        assert 'LEAVING' in violated
         assert soak(tmp_path, 118, plan, seconds=12) == set()
 
     def test_stop_that_aborts_calls(self, tmp_path):
         plan = make_plan(MaintenanceKind.stop, count=4)
-        assert 'CUT_AT_STOP' in soak(tmp_path, 106, plan, 'stop_at_once')
+        assert is_found('CUT_AT_STOP', tmp_path, 106, plan, 'stop_at_once')
 
     def test_stop_that_ends_before_slow_readers(self, tmp_path):
         plan = make_plan(ReaderKind.stop, count=2, interval_s=0.1)
-        violated = soak(tmp_path, 119, plan, 'exit_before_read')
-        assert 'CUT_AT_STOP' in violated
+        assert is_found('CUT_AT_STOP', tmp_path, 119, plan, 'exit_before_read')
         assert soak(tmp_path, 120, plan) == set()
--- a/trefoilhinge/soak/commands.py
+++ b/trefoilhinge/soak/commands.py
@@ -26,6 +26,7 @@
 MAXIMUM_INSTANCES = 240  # loopback addresses of one network
 READY_POLL_INTERVAL_S = 0.2
 SECONDS_PER_MINUTE = 60
+AWAITED_INTERVAL_S = 0.5  # between two looks for an awaited violation
 MAXIMUM_PRINTED_VIOLATIONS = 20  # of one seed
 
 
@@ -42,6 +43,8 @@
     :ivar program: arguments of the interpreter that runs an instance.
     :ivar plan: events to execute; none generates them from the seed.
     :ivar instances: number of gateway processes.
+    :ivar awaited: invariant whose violation ends the soak; none lets it run
+        to its end.
     """
 
     seed: int
@@ -50,6 +53,7 @@
     program: tuple[str, ...] = PROGRAM
     plan: tuple[PlannedEvent, ...] | None = None
     instances: int = INSTANCES
+    awaited: str | None = None
 
 
 @frozen
@@ -131,7 +135,8 @@
         await _wait_ready(fleet)
         callers = list(_make_callers(fleet, request.seed))
         tasks = [asyncio.ensure_future(caller.run()) for caller in callers]
-        await _execute_plan(fleet, plan, request.seconds)
+        if await _execute_until(fleet, plan, request):
+            return _make_result(request, plan, fleet)
         for caller in callers:
             caller.stop_requested = True
         await asyncio.wait(tasks, timeout=DEADLINE_S + RESPONSE_GRACE_S + 1)
@@ -143,6 +148,12 @@
                     time.monotonic(), traffic_ended_s
                 )
             )
+    return _make_result(request, plan, fleet)
+
+
+def _make_result(
+    request: SoakRequest, plan: Sequence[PlannedEvent], fleet: SoakFleet
+) -> SoakResult:
     calls = Counter(
         'whole' if call.is_complete and call.status == 200 else str(call.status)
         for call in fleet.observations.calls
@@ -152,6 +163,26 @@
     )
 
 
+async def _execute_until(
+    fleet: SoakFleet, plan: Sequence[PlannedEvent], request: SoakRequest
+) -> bool:
+    """Execute a plan to its end or to the violation that is awaited.
+
+    :return: whether the violation was found.
+    """
+    execution = asyncio.ensure_future(
+        _execute_plan(fleet, plan, request.seconds)
+    )
+    while request.awaited and not execution.done():
+        await asyncio.wait((execution,), timeout=AWAITED_INTERVAL_S)
+        found = fleet.observations.find_violations()
+        if request.awaited in {one.invariant for one in found}:
+            execution.cancel()
+            return True
+    await execution
+    return False
+
+
 async def _execute_plan(
     fleet: SoakFleet, plan: Sequence[PlannedEvent], seconds: float
 ) -> None:
