Let entries of targets that serve on expire in the soak, and return.

No soak showed whether a target that was cut off from the store for some seconds is used again afterwards.

The entry of one target is removed as it expires, and written again with the same start after 3.5 to 6 s. New promise UNUSED: from 3 s after that, when all other targets of the service refuse calls, each instance that gets four calls has one of them run there. Nothing is checked if a fault, a limit or a crash of the target disturbs it. LEAVING holds while the entry is gone.

Records of observations have a module of their own.

--- a/tests/soak/test_plan_execution.py
+++ b/tests/soak/test_plan_execution.py
@@ -7,9 +7,9 @@
 from tests.soak.test_soak import make_plan
 from trefoilhinge.soak.crashes import CrashSource
 from trefoilhinge.soak.fleets import make_fleet
-from trefoilhinge.soak.observations import CrashingTrait
 from trefoilhinge.soak.plan_execution import execute_event
 from trefoilhinge.soak.plans import CrashKind, NeedKind
+from trefoilhinge.soak.records import CrashingTrait
 
 
 class TestLimits:
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -6,6 +6,7 @@
 from trefoilhinge.soak.plans import (
     CrashKind,
     EntryKind,
+    ExpiryKind,
     FaultKind,
     MaintenanceKind,
     NeedKind,
@@ -120,3 +121,9 @@
         plan = make_plan(ReaderKind.stop, count=2, interval_s=0.1)
         assert is_found('CUT_AT_STOP', tmp_path, 119, plan, 'exit_before_read')
         assert soak(tmp_path, 120, plan) == set()
+
+    @pytest.mark.parametrize(('target', 'seed'), [(1, 121), (5, 123)])
+    def test_expired_target_that_never_returns(self, tmp_path, target, seed):
+        plan = (PlannedEvent(0.5, 1, ExpiryKind.target, (target + 0.5) / 7),)
+        assert is_found('UNUSED', tmp_path, seed, plan, 'forget_for_good', 11)
+        assert soak(tmp_path, seed + 1, plan, seconds=11) == set()
--- a/tests/soak/variants.py
+++ b/tests/soak/variants.py
@@ -4,6 +4,7 @@
 import sys
 
 from trefoilhinge.dispatch import outages, permit_buckets
+from trefoilhinge.dispatch.departures import DepartureTable
 from trefoilhinge.dispatch.outages import StoreOutages
 from trefoilhinge.dispatch.targets import TargetDirectory
 from trefoilhinge.gateway import (
@@ -97,6 +98,11 @@
     TargetDirectory.expire_missing = expire
 
 
+def forget_for_good():
+    """Never use a target again whose entry was removed."""
+    DepartureTable.apply_entry = lambda self, *arguments: None
+
+
 def exit_before_read():
     """Stop without waiting for callers that still read their answers."""
 
--- a/trefoilhinge/soak/callers.py
+++ b/trefoilhinge/soak/callers.py
@@ -12,11 +12,8 @@
 from trefoilhinge.platform.standins import formats
 from trefoilhinge.soak.crashes import CrashSource
 from trefoilhinge.soak.instances import Instance
-from trefoilhinge.soak.observations import (
-    CallKind,
-    ObservationLog,
-    ObservedCall,
-)
+from trefoilhinge.soak.observations import ObservationLog
+from trefoilhinge.soak.records import CallKind, ObservedCall
 
 DEADLINE_S = 4.0
 CONNECT_TIMEOUT_S = 0.5
--- a/trefoilhinge/soak/crashes.py
+++ b/trefoilhinge/soak/crashes.py
@@ -5,8 +5,8 @@
 from attrs import define
 
 from trefoilhinge.platform.standins.formats import ReceivedRequest
-from trefoilhinge.soak.observations import CallKind, CrashingTrait
 from trefoilhinge.soak.plans import CrashKind
+from trefoilhinge.soak.records import CallKind, CrashingTrait
 
 # Of the calls of all callers, or of the one that has the request.
 PART_SHARE = 0.2
--- a/trefoilhinge/soak/fleets.py
+++ b/trefoilhinge/soak/fleets.py
@@ -85,10 +85,19 @@
             target.service,
             is_leaving=is_leaving,
             born=target.started_ms,
+            seq=target.sequence,
         )
         if is_leaving:
             self.observations.leaving_since_s[target.name] = time.monotonic()
 
+    def choose_instance(self, selector: float) -> Instance:
+        """Return the instance that a number in [0, 1) selects."""
+        return self.instances[int(selector * len(self.instances))]
+
+    def choose_target(self, selector: float) -> SoakTarget:
+        """Return the target that a number in [0, 1) selects."""
+        return self.targets[int(selector * len(self.targets))]
+
     def find_crash_source(self) -> CrashSource | None:
         """Return what crashes targets at present, if anything does."""
         return self.crash_source
--- a/trefoilhinge/soak/observations.py
+++ b/trefoilhinge/soak/observations.py
@@ -3,10 +3,18 @@
 The module reads no clock: all times are passed in, in seconds of one clock.
 """
 
-import enum
-
 from attrs import define, field, frozen
 
+from trefoilhinge.soak.records import (
+    CallKind,
+    CrashingTrait,
+    ObservedCall,
+    ObservedLimit,
+    ObservedRun,
+    make_content,
+)
+from trefoilhinge.soak.returns import ObservedReturn, find_unused
+
 DEADLINE_TOLERANCE_S = 1.0  # for an answer to arrive after the deadline
 RECOVERY_S = 4.0  # fault-free time after which time limits apply again
 CHANGE_PROPAGATION_S = 2.5  # of a store change, including polling intervals
@@ -22,92 +30,10 @@
 REQUEST_CRASHES = 3
 CRASH_STABLE_S = 3.0
 CRASH_ALLOWED = 3
-LONG_NAME = 'long'  # last segment of the path of calls with a long answer
-LONG_REPEATS = 350_000  # 7 MB; the kernel holds 4 MB of an answer
 SUCCESS_STATUSES = range(200, 300)
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 
 
-class CallKind(enum.Enum):
-    """Kind of a call; the value is the first segment of its path."""
-
-    non_idempotent = 'book'
-    idempotent = 'look'
-    stream = 'stream'
-
-
-@frozen
-class ObservedRun:
-    """Start of the work of a target on a call.
-
-    :ivar at_s: time of the start.
-    """
-
-    request_id: str
-    target: str
-    at_s: float
-
-
-@frozen
-class ObservedLimit:
-    """Limit on its requests that a target named for a time.
-
-    :ivar port: port of the target, which keeps it over its incarnations.
-    :ivar requests_per_s: rate for all instances together.
-    """
-
-    port: int
-    requests_per_s: float
-    begin_s: float
-    end_s: float
-
-
-@define
-class CrashingTrait:
-    """What requests have in common that crash targets.
-
-    :ivar name: part of prompts, or path of a request.
-    :ivar free_crashes: crashes after which such requests are to be kept from
-        targets.
-    :ivar crashes_s: times of the crashes.
-    :ivar arrivals_s: times at which such requests reached targets.
-    """
-
-    name: str
-    free_crashes: int
-    crashes_s: list[float] = field(factory=list)
-    arrivals_s: list[float] = field(factory=list)
-
-
-@define
-class ObservedCall:
-    """One call as observed by its caller.
-
-    :ivar deadline_s: seconds from the sending to the deadline.
-    :ivar key_revoked_s: time at which its API key was revoked, none if the
-        key was valid.
-    :ivar ended_s: time at which the caller finished, none before.
-    :ivar status: HTTP status, zero if none was received.
-    :ivar content: bytes of the body that were received.
-    :ivar is_complete: whether the whole response was received.
-    :ivar is_stopping: whether its instance had been asked to stop by its end.
-    :ivar is_long: whether its answer is long.
-    """
-
-    request_id: str
-    kind: CallKind
-    instance: str
-    sent_s: float
-    deadline_s: float
-    key_revoked_s: float | None = None
-    ended_s: float | None = None
-    status: int = 0
-    content: bytes = b''
-    is_complete: bool = False
-    is_stopping: bool = False
-    is_long: bool = False
-
-
 @frozen
 class Violation:
     """Violation of an invariant by one call or reservation.
@@ -133,6 +59,10 @@
       ``CRASH_ALLOWED`` of them, later than ``CRASH_STABLE_S`` after they had
       crashed ``PART_CRASHES`` or ``REQUEST_CRASHES``. Those do not count that
       arrived while an instance was killed or paused, or shortly after.
+    - ``UNUSED``: an instance did not use a live, reachable target from
+      ``RETURN_S`` after its entry, which had expired, was written again,
+      although all others of the service refused its calls. Returns are recorded
+      only where no fault or event disturbs them.
 
     ``LATE``, ``CUT_AT_STOP``, ``REVOKED`` and ``LEAVING`` are not checked for
     periods that a fault overlaps or that begin within ``RECOVERY_S`` after one.
@@ -153,6 +83,9 @@
         not count as faults.
     :ivar leaving_since_s: time at which the store acknowledged that a target
         is leaving, by target.
+    :ivar expiries: target, and the begin and end of the time in which it had
+        no entry, as it had expired.
+    :ivar returns: returns of targets whose entries had expired.
     :ivar leaked_reservations: reservations that were held after their calls.
     :ivar arrivals: port of the target and time of each request that reached
         it.
@@ -165,6 +98,8 @@
     runs: list[ObservedRun] = field(factory=list)
     faults: list[tuple[float, float]] = field(factory=list)
     leaving_since_s: dict[str, float] = field(factory=dict)
+    expiries: list[tuple[str, float, float]] = field(factory=list)
+    returns: list[ObservedReturn] = field(factory=list)
     leaked_reservations: list[str] = field(factory=list)
     arrivals: list[tuple[int, float]] = field(factory=list)
     limits: list[ObservedLimit] = field(factory=list)
@@ -202,6 +137,11 @@
             for trait in self.crashing_traits
             if (count := self._count_late(trait)) > CRASH_ALLOWED
         )
+        violations.extend(
+            Violation('UNUSED', returned.target, f'by {instance}')
+            for returned in self.returns
+            for instance in find_unused(returned, self.runs, self.calls)
+        )
         return violations
 
     def _count_late(self, trait: CrashingTrait) -> int:
@@ -298,10 +238,18 @@
         return self._is_fault_free(revoked_s, call.sent_s)
 
     def _ran_after_leaving(self, run: ObservedRun) -> bool:
-        leaving_s = self.leaving_since_s.get(run.target)
-        if leaving_s is None or run.at_s < leaving_s + CHANGE_PROPAGATION_S:
-            return False
-        return self._is_fault_free(leaving_s, run.at_s)
+        absences = [
+            (begin_s, end_s)
+            for target, begin_s, end_s in self.expiries
+            if target == run.target
+        ]
+        if run.target in self.leaving_since_s:
+            absences.append((self.leaving_since_s[run.target], float('inf')))
+        return any(
+            begin_s + CHANGE_PROPAGATION_S <= run.at_s < end_s
+            and self._is_fault_free(begin_s, run.at_s)
+            for begin_s, end_s in absences
+        )
 
     def _is_fault_free(self, begin_s: float, end_s: float) -> bool:
         """Return whether no fault overlaps a period or ended shortly before."""
@@ -309,20 +257,3 @@
             end_s < fault_begin_s or begin_s - RECOVERY_S > fault_end_s
             for fault_begin_s, fault_end_s in self.faults
         )
-
-
-def make_event(request_id: str, number: int) -> bytes:
-    """Return one server-sent event of the stream of a call."""
-    return b'id: %d\ndata: %s\n\n' % (number, request_id.encode())
-
-
-def make_content(
-    kind: CallKind, request_id: str, is_long: bool = False, events: int = 12
-) -> bytes:
-    """Return the body of the only correct answer to a call."""
-    if kind is not CallKind.stream:
-        content = f'{kind.value} of {request_id}'.encode()
-        return content * (LONG_REPEATS if is_long else 1)
-    return b''.join(
-        make_event(request_id, number) for number in range(1, events + 1)
-    )
--- a/trefoilhinge/soak/plan_execution.py
+++ b/trefoilhinge/soak/plan_execution.py
@@ -4,20 +4,19 @@
 import math
 import signal
 import time
+from collections.abc import Awaitable, Callable
 
 from trefoilhinge.platform.store import TARGET_PREFIX
 from trefoilhinge.soak.crashes import CrashSource
+from trefoilhinge.soak.expiries import expire_entry
 from trefoilhinge.soak.fleets import CALLER_KEYS, SoakFleet
 from trefoilhinge.soak.instances import Instance
-from trefoilhinge.soak.observations import (
-    PART_CRASHES,
-    REQUEST_CRASHES,
-    CrashingTrait,
-    ObservedLimit,
-)
+from trefoilhinge.soak.observations import PART_CRASHES, REQUEST_CRASHES
 from trefoilhinge.soak.plans import (
     CrashKind,
     EntryKind,
+    EventKind,
+    ExpiryKind,
     FaultKind,
     MaintenanceKind,
     NeedKind,
@@ -26,6 +25,7 @@
 )
 from trefoilhinge.soak.proxies import ConnectionFault, Proxy
 from trefoilhinge.soak.readers import ANSWER_TIME_S, READERS, read_slowly
+from trefoilhinge.soak.records import CrashingTrait, ObservedLimit
 from trefoilhinge.soak.targets import SoakTarget, TargetBehaviour
 
 STOP_TIMEOUT_S = 9.0  # for a process to exit after SIGTERM
@@ -48,23 +48,16 @@
 }
 
 
+Execution = Callable[[SoakFleet, PlannedEvent], Awaitable[None]]
+
+
 async def execute_event(fleet: SoakFleet, event: PlannedEvent) -> None:
     """Execute an event and wait until its effect has ended."""
-    if isinstance(event.kind, MaintenanceKind):
-        await _execute_maintenance(fleet, event)
-        return
-    if isinstance(event.kind, NeedKind):
-        await _name_limit(fleet, event)
-        return
-    if isinstance(event.kind, CrashKind):
-        await _crash_targets(fleet, event, event.kind)
-        return
-    if isinstance(event.kind, EntryKind):
-        await _execute_entry_event(fleet, event)
-        return
-    if isinstance(event.kind, ReaderKind):
-        await _stop_while_read(fleet, _choose_instance(fleet, event))
-        return
+    execute = EXECUTIONS.get(type(event.kind), _execute_fault)
+    await execute(fleet, event)
+
+
+async def _execute_fault(fleet: SoakFleet, event: PlannedEvent) -> None:
     begin_s = time.monotonic()
     # Until its end is known, the fault exempts all later observations.
     fleet.observations.faults.append((begin_s, float('inf')))
@@ -80,7 +73,7 @@
 
 async def _name_limit(fleet: SoakFleet, event: PlannedEvent) -> None:
     """Let a target name a limit for a time."""
-    target = _choose_target(fleet, event)
+    target = fleet.choose_target(event.selector)
     if target.requests_per_s is not None:
         return
     # The selector's digits after those that chose the target.
@@ -100,11 +93,10 @@
     )
 
 
-async def _crash_targets(
-    fleet: SoakFleet, event: PlannedEvent, kind: CrashKind
-) -> None:
+async def _crash_targets(fleet: SoakFleet, event: PlannedEvent) -> None:
     """Let some requests crash targets for a time."""
     traits = fleet.observations.crashing_traits
+    kind = CrashKind(event.kind)
     is_part = kind is CrashKind.part
     trait = CrashingTrait(
         f'bad{len(traits)}', PART_CRASHES if is_part else REQUEST_CRASHES
@@ -123,14 +115,14 @@
         await asyncio.sleep(event.duration_s)
         fleet.store.cut_after_s = None
     else:
-        await _remove(fleet, _choose_target(fleet, event))
+        await _remove(fleet, fleet.choose_target(event.selector))
 
 
 async def _inject_fault(fleet: SoakFleet, event: PlannedEvent) -> None:
     kind = event.kind
     proxies = [*fleet.proxies, fleet.store_proxy]
     if kind in TARGET_BEHAVIOURS:
-        target = _choose_target(fleet, event)
+        target = fleet.choose_target(event.selector)
         target.behaviour = TARGET_BEHAVIOURS[kind]
         await asyncio.sleep(event.duration_s)
         target.behaviour = TargetBehaviour.sound
@@ -141,7 +133,9 @@
     elif kind is FaultKind.restore_store:
         await _restore_store(fleet, event)
     elif kind in {FaultKind.kill, FaultKind.pause}:
-        await _inject_instance_fault(_choose_instance(fleet, event), event)
+        await _inject_instance_fault(
+            fleet.choose_instance(event.selector), event
+        )
     else:
         proxy = proxies[int(event.selector * len(proxies))]
         await _inject_connection_fault(proxy, event)
@@ -188,9 +182,9 @@
 async def _execute_maintenance(fleet: SoakFleet, event: PlannedEvent) -> None:
     match event.kind:
         case MaintenanceKind.stop:
-            await _restart_gracefully(_choose_instance(fleet, event))
+            await _restart_gracefully(fleet.choose_instance(event.selector))
         case MaintenanceKind.reload:
-            _choose_instance(fleet, event).send_signal(signal.SIGHUP)
+            fleet.choose_instance(event.selector).send_signal(signal.SIGHUP)
         case MaintenanceKind.change_document:
             fleet.put_document()
         case MaintenanceKind.revoke_key:
@@ -198,7 +192,7 @@
             if revocable_keys:
                 fleet.revoke_key(revocable_keys[-1])
         case MaintenanceKind.drain_target:
-            await _drain(fleet, _choose_target(fleet, event))
+            await _drain(fleet, fleet.choose_target(event.selector))
 
 
 async def _restart_gracefully(instance: Instance) -> None:
@@ -212,8 +206,9 @@
         instance.start()
 
 
-async def _stop_while_read(fleet: SoakFleet, instance: Instance) -> None:
+async def _stop_while_read(fleet: SoakFleet, event: PlannedEvent) -> None:
     """Stop an instance while callers read answers slowly."""
+    instance = fleet.choose_instance(event.selector)
     if not instance.is_running or instance.is_stopping:
         return
     keys = sorted(fleet.keys)[:READERS]
@@ -249,9 +244,11 @@
     fleet.put_target(target, is_leaving=False)
 
 
-def _choose_instance(fleet: SoakFleet, event: PlannedEvent) -> Instance:
-    return fleet.instances[int(event.selector * len(fleet.instances))]
-
-
-def _choose_target(fleet: SoakFleet, event: PlannedEvent) -> SoakTarget:
-    return fleet.targets[int(event.selector * len(fleet.targets))]
+EXECUTIONS: dict[type[EventKind], Execution] = {
+    MaintenanceKind: _execute_maintenance,
+    NeedKind: _name_limit,
+    CrashKind: _crash_targets,
+    EntryKind: _execute_entry_event,
+    ReaderKind: _stop_while_read,
+    ExpiryKind: expire_entry,
+}
--- a/trefoilhinge/soak/plans.py
+++ b/trefoilhinge/soak/plans.py
@@ -20,6 +20,7 @@
 ENTRY_DURATIONS_S = (4.0, 10.0)  # of cuts of waiting watches
 ENTRY_INTERVALS_S = (2.0, 5.0)
 READER_INTERVALS_S = (6.0, 18.0)
+EXPIRY_INTERVALS_S = (4.0, 12.0)
 
 
 class FaultKind(enum.Enum):
@@ -82,11 +83,30 @@
     stop = 'stop'
 
 
+class ExpiryKind(enum.Enum):
+    """What the store is cut off from while entries expire."""
+
+    target = 'target'
+
+
 EventKind = (
-    FaultKind | MaintenanceKind | NeedKind | CrashKind | EntryKind | ReaderKind
+    FaultKind
+    | MaintenanceKind
+    | NeedKind
+    | CrashKind
+    | EntryKind
+    | ReaderKind
+    | ExpiryKind
 )
 
 
+# Events with random numbers of their own, by the number of their series.
+SERIES: dict[int, tuple[EventKind, tuple[float, float]]] = {
+    4: (ReaderKind.stop, READER_INTERVALS_S),
+    5: (ExpiryKind.target, EXPIRY_INTERVALS_S),
+}
+
+
 @frozen
 class PlannedEvent:
     """One event of a plan.
@@ -129,9 +149,10 @@
     events.extend(_generate_limits(seed, seconds))
     events.extend(_generate_crashes(seed, seconds))
     events.extend(_generate_entry_events(seed, seconds))
-    events.extend(
-        _generate_series(seed, 4, seconds, ReaderKind.stop, READER_INTERVALS_S)
-    )
+    for series, (kind, intervals_s) in SERIES.items():
+        events.extend(
+            _generate_series(seed, series, seconds, kind, intervals_s)
+        )
     return sorted(events, key=lambda one: one.at_s)
 
 
--- a/trefoilhinge/soak/readers.py
+++ b/trefoilhinge/soak/readers.py
@@ -10,12 +10,8 @@
 from trefoilhinge.platform.standins import formats
 from trefoilhinge.soak.callers import READ_BYTES, apply_event
 from trefoilhinge.soak.instances import Instance
-from trefoilhinge.soak.observations import (
-    LONG_NAME,
-    CallKind,
-    ObservationLog,
-    ObservedCall,
-)
+from trefoilhinge.soak.observations import ObservationLog
+from trefoilhinge.soak.records import LONG_NAME, CallKind, ObservedCall
 
 READERS = 2
 DEADLINE_S = 7.8  # shorter than the time that a stop leaves to running calls
--- a/trefoilhinge/soak/targets.py
+++ b/trefoilhinge/soak/targets.py
@@ -11,11 +11,10 @@
 from trefoilhinge.platform.reservations import ORDER_PATH
 from trefoilhinge.platform.standins import formats
 from trefoilhinge.soak.crashes import CrashSource
-from trefoilhinge.soak.observations import (
+from trefoilhinge.soak.observations import RELEASE_TIMEOUT_S, ObservationLog
+from trefoilhinge.soak.records import (
     LONG_NAME,
-    RELEASE_TIMEOUT_S,
     CallKind,
-    ObservationLog,
     ObservedRun,
     make_content,
     make_event,
@@ -52,6 +51,7 @@
     :ivar service: service that its entry in the store names.
     :ivar requests_per_s: limit that its answers name, none if it has none.
     :ivar started_ms: wall-clock milliseconds of its start.
+    :ivar sequence: number of its registration, in its entry.
     :ivar crashed_s: time of its last crash.
     :ivar get_crash_source: returns what crashes targets at present, if
         anything does.
@@ -67,6 +67,7 @@
     behaviour: TargetBehaviour = TargetBehaviour.sound
     requests_per_s: float | None = None
     started_ms: int = 1000
+    sequence: int = 1
     crashed_s: float = float('-inf')
     get_crash_source: Callable[[], CrashSource | None] = lambda: None
     on_crash: Callable[['SoakTarget', CrashSource], None] | None = None
