--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -127,3 +127,6 @@
         plan = (PlannedEvent(0.5, 1, ExpiryKind.target, (target + 0.5) / 7),)
         assert is_found('UNUSED', tmp_path, seed, plan, 'forget_for_good', 11)
         assert soak(tmp_path, seed + 1, plan, seconds=11) == set()
+
+    def test_reservations_named_after_calls(self, tmp_path):
+        assert is_found('SHARED', tmp_path, 125, (), 'name_by_prefix')
--- a/tests/soak/variants.py
+++ b/tests/soak/variants.py
@@ -19,6 +19,7 @@
 from trefoilhinge.gateway.refusals import Refusal
 from trefoilhinge.gateway.reservations import Reservations
 from trefoilhinge.gateway.target_connections import AnswerBroken
+from trefoilhinge.soak.callers import COMMON_PREFIX
 
 
 def send_twice():
@@ -54,6 +55,15 @@
     Reservations.release = lambda self: None
 
 
+def name_by_prefix():
+    """Name reservations after the first characters of callers' identifiers."""
+
+    def make_name(self):
+        return f'{COMMON_PREFIX[:16]}-{self.make_run_number()}'
+
+    state.GatewayState.make_reservation_name = make_name
+
+
 def ignore_changes():
     """Keep the first document and reject all later ones."""
     accept_document = state.GatewayState.accept_document
--- a/trefoilhinge/platform/standins/formats.py
+++ b/trefoilhinge/platform/standins/formats.py
@@ -25,11 +25,13 @@
     :ivar last_event: number of the last event that the caller received, zero
         if none.
     :ivar prompt_parts: identifiers of all parts of the prompt.
+    :ivar reservations: identifiers of the reservations that it uses.
     """
 
     request_id: str
     last_event: int
     prompt_parts: tuple[str, ...] = ()
+    reservations: tuple[str, ...] = ()
 
 
 @frozen
@@ -216,10 +218,13 @@
 def decode_request_headers(headers: Mapping[str, str]) -> ReceivedRequest:
     """Decode the request headers that a target evaluates."""
     entries = headers.get('x-prompt-prefix', '').split(',')
+    helpers = headers.get('x-helpers', '').split(',')
+    reservations = [helper.partition('/')[2] for helper in helpers]
     return ReceivedRequest(
         headers.get('x-request-id', ''),
         int(headers.get('last-event-id', 0)),
         tuple(entry.partition(':')[0] for entry in entries),
+        tuple(filter(None, reservations)),
     )
 
 
--- a/trefoilhinge/soak/callers.py
+++ b/trefoilhinge/soak/callers.py
@@ -27,6 +27,8 @@
     '300000,1300',
 )
 READ_BYTES = 65_536
+# All identifiers of calls begin with it, as those of one batch do.
+COMMON_PREFIX = 'claxton-tenders-000'
 SHARED_TOKENS = 40  # of each part that a prompt names
 SERVED_STATUS = 200
 
@@ -82,7 +84,7 @@
         if source is not None:
             kind = source.call_kind
         call = ObservedCall(
-            request_id=f'{self.key}-{next(_numbers)}',
+            request_id=f'{COMMON_PREFIX}{next(_numbers)}-{self.key}',
             kind=kind,
             instance=instance.name,
             sent_s=time.monotonic(),
--- a/trefoilhinge/soak/observations.py
+++ b/trefoilhinge/soak/observations.py
@@ -52,6 +52,8 @@
     - ``LEAVING``: a target started to work on a call later than
       ``CHANGE_PROPAGATION_S`` after it was leaving.
     - ``MEMORY``: a reservation was held after its call.
+    - ``SHARED``: two calls used one reservation, so that the end of the one
+      releases the memory of the other.
     - ``LIMIT``: a target got more requests than the limit that it had named
       allows, from all instances together, with no instance killed or paused
       meanwhile or shortly before.
@@ -87,6 +89,7 @@
         no entry, as it had expired.
     :ivar returns: returns of targets whose entries had expired.
     :ivar leaked_reservations: reservations that were held after their calls.
+    :ivar users: identifiers of the calls that used each reservation.
     :ivar arrivals: port of the target and time of each request that reached
         it.
     :ivar limits: limits that targets named.
@@ -101,6 +104,7 @@
     expiries: list[tuple[str, float, float]] = field(factory=list)
     returns: list[ObservedReturn] = field(factory=list)
     leaked_reservations: list[str] = field(factory=list)
+    users: dict[str, set[str]] = field(factory=dict)
     arrivals: list[tuple[int, float]] = field(factory=list)
     limits: list[ObservedLimit] = field(factory=list)
     instance_faults: list[tuple[float, float]] = field(factory=list)
@@ -127,6 +131,11 @@
             Violation('MEMORY', reservation, 'was held after its call')
             for reservation in self.leaked_reservations
         )
+        violations.extend(
+            Violation('SHARED', reservation, f'used by {sorted(calls)}')
+            for reservation, calls in self.users.items()
+            if len(calls) > 1
+        )
         violations.extend(
             Violation('LIMIT', f'port {limit.port}', detail)
             for limit in self.limits
--- a/trefoilhinge/soak/readers.py
+++ b/trefoilhinge/soak/readers.py
@@ -8,7 +8,11 @@
 import h11
 
 from trefoilhinge.platform.standins import formats
-from trefoilhinge.soak.callers import READ_BYTES, apply_event
+from trefoilhinge.soak.callers import (
+    COMMON_PREFIX,
+    READ_BYTES,
+    apply_event,
+)
 from trefoilhinge.soak.instances import Instance
 from trefoilhinge.soak.observations import ObservationLog
 from trefoilhinge.soak.records import LONG_NAME, CallKind, ObservedCall
@@ -32,7 +36,7 @@
 ) -> None:
     """Make a call, and read its answer slowly until the pause is over."""
     call = ObservedCall(
-        request_id=f'{key}-slow-{next(_numbers)}',
+        request_id=f'{COMMON_PREFIX}slow-{next(_numbers)}-{key}',
         kind=CallKind.idempotent,
         instance=instance.name,
         sent_s=time.monotonic(),
--- a/trefoilhinge/soak/targets.py
+++ b/trefoilhinge/soak/targets.py
@@ -172,6 +172,10 @@
         self.observations.runs.append(
             ObservedRun(received.request_id, self.name, time.monotonic())
         )
+        for name in received.reservations:
+            self.observations.users.setdefault(name, set()).add(
+                received.request_id
+            )
 
     async def _serve_stream(
         self, request: HttpExchange, received: formats.ReceivedRequest
