Restarted instances during an outage of the store in the soak.

Instances were killed and the store was down only by chance at a time, and no promise said that an instance which starts meanwhile takes document and targets from its peers.

New promise START: it is ready within 6 s, unless another fault or a stop disturbs it. The variant ask_only_the_store is found; the daemon has no violation in the same plan (one run each).

--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -10,6 +10,7 @@
     FaultKind,
     MaintenanceKind,
     NeedKind,
+    OutageKind,
     PlannedEvent,
     ReaderKind,
 )
@@ -130,3 +131,8 @@
 
     def test_reservations_named_after_calls(self, tmp_path):
         assert is_found('SHARED', tmp_path, 125, (), 'name_by_prefix')
+
+    def test_start_that_needs_the_store(self, tmp_path):
+        plan = make_plan(OutageKind.restart, count=1)
+        assert is_found('START', tmp_path, 126, plan, 'ask_only_the_store')
+        assert soak(tmp_path, 127, plan) == set()
--- a/tests/soak/variants.py
+++ b/tests/soak/variants.py
@@ -16,6 +16,7 @@
     state,
 )
 from trefoilhinge.gateway.caller_connections import CallerConnection
+from trefoilhinge.gateway.peer_fetcher import PeerFetcher
 from trefoilhinge.gateway.refusals import Refusal
 from trefoilhinge.gateway.reservations import Reservations
 from trefoilhinge.gateway.target_connections import AnswerBroken
@@ -108,6 +109,11 @@
     TargetDirectory.expire_missing = expire
 
 
+def ask_only_the_store():
+    """Take neither document nor targets from peers."""
+    PeerFetcher.start = lambda self: None
+
+
 def forget_for_good():
     """Never use a target again whose entry was removed."""
     DepartureTable.apply_entry = lambda self, *arguments: None
--- a/trefoilhinge/soak/commands.py
+++ b/trefoilhinge/soak/commands.py
@@ -13,7 +13,6 @@
 from attrs import evolve, frozen
 
 from trefoilhinge.exceptions import ImproperlyConfigured, TrefoilhingeError
-from trefoilhinge.gateway.http_client import FetchFailed, fetch
 from trefoilhinge.soak.callers import DEADLINE_S, RESPONSE_GRACE_S, SoakCaller
 from trefoilhinge.soak.fleets import INSTANCES, SoakFleet, make_fleet
 from trefoilhinge.soak.instances import PROGRAM
@@ -199,7 +198,7 @@
     timeout_s = READY_TIMEOUT_S + READY_PER_INSTANCE_S * len(fleet.instances)
     latest_s = time.monotonic() + timeout_s
     for instance in fleet.instances:
-        while not await _is_ready(instance.readiness):
+        while not await instance.check_ready():
             if time.monotonic() > latest_s:
                 raise SoakFailed(
                     f'{instance.name} was not ready within {timeout_s} s'
@@ -207,14 +206,6 @@
             await asyncio.sleep(READY_POLL_INTERVAL_S)
 
 
-async def _is_ready(address: tuple[str, int]) -> bool:
-    try:
-        fetched = await fetch(address, '/ready', 1)
-    except FetchFailed:
-        return False
-    return fetched.status == 200
-
-
 def _make_callers(fleet: SoakFleet, seed: int) -> Iterator[SoakCaller]:
     for number, key in enumerate(sorted(fleet.keys)):
         yield SoakCaller(
--- a/trefoilhinge/soak/instances.py
+++ b/trefoilhinge/soak/instances.py
@@ -9,10 +9,12 @@
 from attrs import define
 
 from trefoilhinge.dispatch.settings import Address
+from trefoilhinge.gateway.http_client import FetchFailed, fetch
 from trefoilhinge.platform.settings import SETTINGS_PATH_VARIABLE
 from trefoilhinge.platform.standins import formats
 
 PROGRAM = ('-m', 'trefoilhinge.gateway')
+READY_STATUS = 200
 KILL_TIMEOUT_S = 10.0  # for a process to exit, longer than its grace period
 
 
@@ -78,6 +80,14 @@
                 stderr=log,
             )
 
+    async def check_ready(self) -> bool:
+        """Return whether the process says that it is ready."""
+        try:
+            fetched = await fetch(self.readiness, '/ready', 1)
+        except FetchFailed:
+            return False
+        return fetched.status == READY_STATUS
+
     def send_signal(self, signal_number: signal.Signals) -> None:
         """Send a signal to the process, if it is running."""
         if self._process is not None and self.is_running:
--- a/trefoilhinge/soak/observations.py
+++ b/trefoilhinge/soak/observations.py
@@ -52,6 +52,8 @@
     - ``LEAVING``: a target started to work on a call later than
       ``CHANGE_PROPAGATION_S`` after it was leaving.
     - ``MEMORY``: a reservation was held after its call.
+    - ``START``: an instance that started during an outage of the store, beside
+      others that were ready, was not ready within six seconds.
     - ``SHARED``: two calls used one reservation, so that the end of the one
       releases the memory of the other.
     - ``LIMIT``: a target got more requests than the limit that it had named
@@ -89,6 +91,8 @@
         no entry, as it had expired.
     :ivar returns: returns of targets whose entries had expired.
     :ivar leaked_reservations: reservations that were held after their calls.
+    :ivar late_starts: names of instances that were not ready in time after a
+        start during an outage of the store.
     :ivar users: identifiers of the calls that used each reservation.
     :ivar arrivals: port of the target and time of each request that reached
         it.
@@ -104,6 +108,7 @@
     expiries: list[tuple[str, float, float]] = field(factory=list)
     returns: list[ObservedReturn] = field(factory=list)
     leaked_reservations: list[str] = field(factory=list)
+    late_starts: list[str] = field(factory=list)
     users: dict[str, set[str]] = field(factory=dict)
     arrivals: list[tuple[int, float]] = field(factory=list)
     limits: list[ObservedLimit] = field(factory=list)
@@ -131,6 +136,10 @@
             Violation('MEMORY', reservation, 'was held after its call')
             for reservation in self.leaked_reservations
         )
+        violations.extend(
+            Violation('START', name, 'was not ready in time')
+            for name in self.late_starts
+        )
         violations.extend(
             Violation('SHARED', reservation, f'used by {sorted(calls)}')
             for reservation, calls in self.users.items()
--- a/trefoilhinge/soak/plan_execution.py
+++ b/trefoilhinge/soak/plan_execution.py
@@ -20,12 +20,14 @@
     FaultKind,
     MaintenanceKind,
     NeedKind,
+    OutageKind,
     PlannedEvent,
     ReaderKind,
 )
 from trefoilhinge.soak.proxies import ConnectionFault, Proxy
 from trefoilhinge.soak.readers import ANSWER_TIME_S, READERS, read_slowly
 from trefoilhinge.soak.records import CrashingTrait, ObservedLimit
+from trefoilhinge.soak.restarts import restart_in_outage
 from trefoilhinge.soak.targets import SoakTarget, TargetBehaviour
 
 STOP_TIMEOUT_S = 9.0  # for a process to exit after SIGTERM
@@ -251,4 +253,5 @@
     EntryKind: _execute_entry_event,
     ReaderKind: _stop_while_read,
     ExpiryKind: expire_entry,
+    OutageKind: restart_in_outage,
 }
--- a/trefoilhinge/soak/plans.py
+++ b/trefoilhinge/soak/plans.py
@@ -21,6 +21,7 @@
 ENTRY_INTERVALS_S = (2.0, 5.0)
 READER_INTERVALS_S = (6.0, 18.0)
 EXPIRY_INTERVALS_S = (4.0, 12.0)
+OUTAGE_INTERVALS_S = (8.0, 30.0)
 
 
 class FaultKind(enum.Enum):
@@ -89,6 +90,12 @@
     target = 'target'
 
 
+class OutageKind(enum.Enum):
+    """What happens during an outage of the store."""
+
+    restart = 'restart'
+
+
 EventKind = (
     FaultKind
     | MaintenanceKind
@@ -97,6 +104,7 @@
     | EntryKind
     | ReaderKind
     | ExpiryKind
+    | OutageKind
 )
 
 
@@ -104,6 +112,7 @@
 SERIES: dict[int, tuple[EventKind, tuple[float, float]]] = {
     4: (ReaderKind.stop, READER_INTERVALS_S),
     5: (ExpiryKind.target, EXPIRY_INTERVALS_S),
+    6: (OutageKind.restart, OUTAGE_INTERVALS_S),
 }
 
 
