--- a/tests/soak/test_plan_execution.py
+++ b/tests/soak/test_plan_execution.py
@@ -7,9 +7,9 @@
 from tests.soak.test_soak import make_plan
 from trefoilhinge.soak.crashes import CrashSource
 from trefoilhinge.soak.fleets import make_fleet
-from trefoilhinge.soak.observations import CrashingTrait
 from trefoilhinge.soak.plan_execution import execute_event
 from trefoilhinge.soak.plans import CrashKind, NeedKind
+from trefoilhinge.soak.records import CrashingTrait
 
 
 class TestLimits:
@@ -19,7 +19,7 @@
         A limit that was named before the target crashed ended one that it
         named after its start.
         """
-        fleet = make_fleet(tmp_path, 201)
+        fleet = make_fleet(tmp_path)
         target = fleet.targets[0]
         source = CrashSource(CrashKind.part, CrashingTrait('bad', 5), 'key-0')
         (event,) = make_plan(NeedKind.name_limit, count=1, duration_s=0.2)
--- a/tests/soak/variants.py
+++ b/tests/soak/variants.py
@@ -4,6 +4,7 @@
 import sys
 
 from trefoilhinge.dispatch import outages, permit_buckets
+from trefoilhinge.dispatch.departures import DepartureTable
 from trefoilhinge.dispatch.outages import StoreOutages
 from trefoilhinge.dispatch.targets import TargetDirectory
 from trefoilhinge.gateway import (
@@ -14,9 +15,12 @@
     quarantine,
     state,
 )
+from trefoilhinge.gateway.caller_connections import CallerConnection
+from trefoilhinge.gateway.peer_fetcher import PeerFetcher
 from trefoilhinge.gateway.refusals import Refusal
 from trefoilhinge.gateway.reservations import Reservations
 from trefoilhinge.gateway.target_connections import AnswerBroken
+from trefoilhinge.soak.callers import COMMON_PREFIX
 
 
 def send_twice():
@@ -52,6 +56,15 @@
     Reservations.release = lambda self: None
 
 
+def name_by_prefix():
+    """Name reservations after the first characters of callers' identifiers."""
+
+    def make_name(self):
+        return f'{COMMON_PREFIX[:16]}-{self.make_run_number()}'
+
+    state.GatewayState.make_reservation_name = make_name
+
+
 def ignore_changes():
     """Keep the first document and reject all later ones."""
     accept_document = state.GatewayState.accept_document
@@ -96,6 +109,25 @@
     TargetDirectory.expire_missing = expire
 
 
+def ask_only_the_store():
+    """Take neither document nor targets from peers."""
+    PeerFetcher.start = lambda self: None
+
+
+def forget_for_good():
+    """Never use a target again whose entry was removed."""
+    DepartureTable.apply_entry = lambda self, *arguments: None
+
+
+def exit_before_read():
+    """Stop without waiting for callers that still read their answers."""
+
+    async def flush(self):
+        await asyncio.sleep(0)
+
+    CallerConnection.flush = flush
+
+
 def stop_at_once():
     """Exit at the order to stop, without draining."""
 
--- a/trefoilhinge/soak/callers.py
+++ b/trefoilhinge/soak/callers.py
@@ -12,11 +12,8 @@
 from trefoilhinge.platform.standins import formats
 from trefoilhinge.soak.crashes import CrashSource
 from trefoilhinge.soak.instances import Instance
-from trefoilhinge.soak.observations import (
-    CallKind,
-    ObservationLog,
-    ObservedCall,
-)
+from trefoilhinge.soak.observations import ObservationLog
+from trefoilhinge.soak.records import CallKind, ObservedCall
 
 DEADLINE_S = 4.0
 CONNECT_TIMEOUT_S = 0.5
@@ -30,6 +27,8 @@
     '300000,1300',
 )
 READ_BYTES = 65_536
+# All identifiers of calls begin with it, as those of one batch do.
+COMMON_PREFIX = 'claxton-tenders-000'
 SHARED_TOKENS = 40  # of each part that a prompt names
 SERVED_STATUS = 200
 
@@ -85,7 +84,7 @@
         if source is not None:
             kind = source.call_kind
         call = ObservedCall(
-            request_id=f'{self.key}-{next(_numbers)}',
+            request_id=f'{COMMON_PREFIX}{next(_numbers)}-{self.key}',
             kind=kind,
             instance=instance.name,
             sent_s=time.monotonic(),
@@ -174,7 +173,7 @@
                 continue
             if isinstance(event, h11.ConnectionClosed):
                 return
-            _apply_event(call, event)
+            apply_event(call, event)
 
     def _close_connection(self, name: str) -> None:
         existing = self._connections.pop(name, None)
@@ -182,7 +181,8 @@
             existing[1].close()
 
 
-def _apply_event(call: ObservedCall, event: object) -> None:
+def apply_event(call: ObservedCall, event: object) -> None:
+    """Record an event of the answer to a call."""
     if isinstance(event, h11.Response):
         call.status = event.status_code
     elif isinstance(event, h11.Data):
--- a/trefoilhinge/soak/commands.py
+++ b/trefoilhinge/soak/commands.py
@@ -13,7 +13,6 @@
 from attrs import evolve, frozen
 
 from trefoilhinge.exceptions import ImproperlyConfigured, TrefoilhingeError
-from trefoilhinge.gateway.http_client import FetchFailed, fetch
 from trefoilhinge.soak.callers import DEADLINE_S, RESPONSE_GRACE_S, SoakCaller
 from trefoilhinge.soak.fleets import INSTANCES, SoakFleet, make_fleet
 from trefoilhinge.soak.instances import PROGRAM
@@ -26,7 +25,7 @@
 MAXIMUM_INSTANCES = 240  # loopback addresses of one network
 READY_POLL_INTERVAL_S = 0.2
 SECONDS_PER_MINUTE = 60
-NETWORKS = 254  # loopback networks that isolate concurrent fleets
+AWAITED_INTERVAL_S = 0.5  # between two looks for an awaited violation
 MAXIMUM_PRINTED_VIOLATIONS = 20  # of one seed
 
 
@@ -43,6 +42,8 @@
     :ivar program: arguments of the interpreter that runs an instance.
     :ivar plan: events to execute; none generates them from the seed.
     :ivar instances: number of gateway processes.
+    :ivar awaited: invariant whose violation ends the soak; none lets it run
+        to its end.
     """
 
     seed: int
@@ -51,6 +52,7 @@
     program: tuple[str, ...] = PROGRAM
     plan: tuple[PlannedEvent, ...] | None = None
     instances: int = INSTANCES
+    awaited: str | None = None
 
 
 @frozen
@@ -123,12 +125,7 @@
 
 async def _run(request: SoakRequest) -> SoakResult:
     request.folder.mkdir(parents=True, exist_ok=True)
-    fleet = make_fleet(
-        request.folder,
-        1 + request.seed % NETWORKS,
-        request.program,
-        request.instances,
-    )
+    fleet = make_fleet(request.folder, request.program, request.instances)
     plan: Sequence[PlannedEvent] | None = request.plan
     if plan is None:
         plan = generate_plan(request.seed, request.seconds)
@@ -137,7 +134,8 @@
         await _wait_ready(fleet)
         callers = list(_make_callers(fleet, request.seed))
         tasks = [asyncio.ensure_future(caller.run()) for caller in callers]
-        await _execute_plan(fleet, plan, request.seconds)
+        if await _execute_until(fleet, plan, request):
+            return _make_result(request, plan, fleet)
         for caller in callers:
             caller.stop_requested = True
         await asyncio.wait(tasks, timeout=DEADLINE_S + RESPONSE_GRACE_S + 1)
@@ -149,6 +147,12 @@
                     time.monotonic(), traffic_ended_s
                 )
             )
+    return _make_result(request, plan, fleet)
+
+
+def _make_result(
+    request: SoakRequest, plan: Sequence[PlannedEvent], fleet: SoakFleet
+) -> SoakResult:
     calls = Counter(
         'whole' if call.is_complete and call.status == 200 else str(call.status)
         for call in fleet.observations.calls
@@ -158,6 +162,26 @@
     )
 
 
+async def _execute_until(
+    fleet: SoakFleet, plan: Sequence[PlannedEvent], request: SoakRequest
+) -> bool:
+    """Execute a plan to its end or to the violation that is awaited.
+
+    :return: whether the violation was found.
+    """
+    execution = asyncio.ensure_future(
+        _execute_plan(fleet, plan, request.seconds)
+    )
+    while request.awaited and not execution.done():
+        await asyncio.wait((execution,), timeout=AWAITED_INTERVAL_S)
+        found = fleet.observations.find_violations()
+        if request.awaited in {one.invariant for one in found}:
+            execution.cancel()
+            return True
+    await execution
+    return False
+
+
 async def _execute_plan(
     fleet: SoakFleet, plan: Sequence[PlannedEvent], seconds: float
 ) -> None:
@@ -174,7 +198,7 @@
     timeout_s = READY_TIMEOUT_S + READY_PER_INSTANCE_S * len(fleet.instances)
     latest_s = time.monotonic() + timeout_s
     for instance in fleet.instances:
-        while not await _is_ready(instance.readiness):
+        while not await instance.check_ready():
             if time.monotonic() > latest_s:
                 raise SoakFailed(
                     f'{instance.name} was not ready within {timeout_s} s'
@@ -182,14 +206,6 @@
             await asyncio.sleep(READY_POLL_INTERVAL_S)
 
 
-async def _is_ready(address: tuple[str, int]) -> bool:
-    try:
-        fetched = await fetch(address, '/ready', 1)
-    except FetchFailed:
-        return False
-    return fetched.status == 200
-
-
 def _make_callers(fleet: SoakFleet, seed: int) -> Iterator[SoakCaller]:
     for number, key in enumerate(sorted(fleet.keys)):
         yield SoakCaller(
--- a/trefoilhinge/soak/plans.py
+++ b/trefoilhinge/soak/plans.py
@@ -19,6 +19,9 @@
 CRASH_PAUSES_S = (3.0, 9.0)  # between the end of one kind and the next
 ENTRY_DURATIONS_S = (4.0, 10.0)  # of cuts of waiting watches
 ENTRY_INTERVALS_S = (2.0, 5.0)
+READER_INTERVALS_S = (6.0, 18.0)
+EXPIRY_INTERVALS_S = (4.0, 12.0)
+OUTAGE_INTERVALS_S = (8.0, 30.0)
 
 
 class FaultKind(enum.Enum):
@@ -75,7 +78,42 @@
     remove_target = 'remove_target'
 
 
-EventKind = FaultKind | MaintenanceKind | NeedKind | CrashKind | EntryKind
+class ReaderKind(enum.Enum):
+    """What callers that read slowly meet."""
+
+    stop = 'stop'
+
+
+class ExpiryKind(enum.Enum):
+    """What the store is cut off from while entries expire."""
+
+    target = 'target'
+
+
+class OutageKind(enum.Enum):
+    """What happens during an outage of the store."""
+
+    restart = 'restart'
+
+
+EventKind = (
+    FaultKind
+    | MaintenanceKind
+    | NeedKind
+    | CrashKind
+    | EntryKind
+    | ReaderKind
+    | ExpiryKind
+    | OutageKind
+)
+
+
+# Events with random numbers of their own, by the number of their series.
+SERIES: dict[int, tuple[EventKind, tuple[float, float]]] = {
+    4: (ReaderKind.stop, READER_INTERVALS_S),
+    5: (ExpiryKind.target, EXPIRY_INTERVALS_S),
+    6: (OutageKind.restart, OUTAGE_INTERVALS_S),
+}
 
 
 @frozen
@@ -120,6 +158,10 @@
     events.extend(_generate_limits(seed, seconds))
     events.extend(_generate_crashes(seed, seconds))
     events.extend(_generate_entry_events(seed, seconds))
+    for series, (kind, intervals_s) in SERIES.items():
+        events.extend(
+            _generate_series(seed, series, seconds, kind, intervals_s)
+        )
     return sorted(events, key=lambda one: one.at_s)
 
 
@@ -181,3 +223,26 @@
         )
         at_s += float(generator.uniform(*ENTRY_INTERVALS_S))
     return events
+
+
+def _generate_series(
+    seed: int,
+    series: int,
+    seconds: float,
+    kind: EventKind,
+    intervals_s: tuple[float, float],
+) -> list[PlannedEvent]:
+    """Return events of one kind, with random numbers of their own.
+
+    :param series: number of the series of random numbers.
+    """
+    generator = np.random.default_rng((seed, series))
+    events: list[PlannedEvent] = []
+    at_s = float(generator.uniform(*intervals_s))
+    while at_s < seconds:
+        duration_s = float(generator.uniform(*DURATIONS_S))
+        events.append(
+            PlannedEvent(at_s, duration_s, kind, float(generator.uniform()))
+        )
+        at_s += float(generator.uniform(*intervals_s))
+    return events
--- a/trefoilhinge/soak/targets.py
+++ b/trefoilhinge/soak/targets.py
@@ -11,10 +11,10 @@
 from trefoilhinge.platform.reservations import ORDER_PATH
 from trefoilhinge.platform.standins import formats
 from trefoilhinge.soak.crashes import CrashSource
-from trefoilhinge.soak.observations import (
-    RELEASE_TIMEOUT_S,
+from trefoilhinge.soak.observations import RELEASE_TIMEOUT_S, ObservationLog
+from trefoilhinge.soak.records import (
+    LONG_NAME,
     CallKind,
-    ObservationLog,
     ObservedRun,
     make_content,
     make_event,
@@ -51,6 +51,7 @@
     :ivar service: service that its entry in the store names.
     :ivar requests_per_s: limit that its answers name, none if it has none.
     :ivar started_ms: wall-clock milliseconds of its start.
+    :ivar sequence: number of its registration, in its entry.
     :ivar crashed_s: time of its last crash.
     :ivar get_crash_source: returns what crashes targets at present, if
         anything does.
@@ -66,6 +67,7 @@
     behaviour: TargetBehaviour = TargetBehaviour.sound
     requests_per_s: float | None = None
     started_ms: int = 1000
+    sequence: int = 1
     crashed_s: float = float('-inf')
     get_crash_source: Callable[[], CrashSource | None] = lambda: None
     on_crash: Callable[['SoakTarget', CrashSource], None] | None = None
@@ -76,6 +78,11 @@
         """Start listening."""
         self._server = await serve_http(*self.address, self._handle_request)
 
+    def stop(self) -> None:
+        """Stop listening."""
+        if self._server is not None:
+            self._server.close()
+
     def list_leaked_reservations(
         self, now_s: float, quiet_since_s: float
     ) -> list[str]:
@@ -155,7 +162,8 @@
         if self.behaviour is TargetBehaviour.losing:
             request.writer.transport.abort()
             return
-        content = make_content(kind, received.request_id)
+        is_long = request.path.endswith(f'/{LONG_NAME}')
+        content = make_content(kind, received.request_id, is_long)
         await request.respond(
             200, content, self._list_headers(formats.SEAL_HEADER)
         )
@@ -164,6 +172,10 @@
         self.observations.runs.append(
             ObservedRun(received.request_id, self.name, time.monotonic())
         )
+        for name in received.reservations:
+            self.observations.users.setdefault(name, set()).add(
+                received.request_id
+            )
 
     async def _serve_stream(
         self, request: HttpExchange, received: formats.ReceivedRequest
