Kept connections to targets where failure domains are distant.

Each attempt opened its own connection, which costs calls between distant domains a round trip of their objective.

Idempotent and resumable calls share connections there. Elsewhere, and for calls that may run once, each attempt has its own with 'Connection: close', as before; that header moved from the adapter to the connection. What was kept is trusted less: an answer must name its call, anything that arrives while idle closes it, and one that had ended costs its call a retry but not its service.

Two tests patch the functions at their new places: partitions replace tcp.open_connection, as asyncio's own is no longer called there, and the unexpected error is raised in the pool. What they assert is unchanged.

--- a/tests/gateway/partitions.py
+++ b/tests/gateway/partitions.py
@@ -8,6 +8,8 @@
 
 from attrs import define, field
 
+from trefoilhinge.gateway import tcp
+
 # Address of the instance whose task runs; tasks inherit it.
 INSTANCE = contextvars.ContextVar('INSTANCE', default='')
 POLL_S = 0.02
@@ -101,6 +103,6 @@
         (target.address.partition(':')[0], target.port)
         for target in fleet.targets.values()
     }
-    cut = Partition(targets, asyncio.open_connection)
-    with mock.patch.object(asyncio, 'open_connection', cut.open):
+    cut = Partition(targets, tcp.open_connection)
+    with mock.patch.object(tcp, 'open_connection', cut.open):
         yield cut
--- a/tests/gateway/test_unexpected_errors.py
+++ b/tests/gateway/test_unexpected_errors.py
@@ -10,11 +10,11 @@
 from tests.gateway.fleets import run_fleet
 from tests.gateway.targets import reply, stream
 from trefoilhinge.gateway import (
-    attempt_sender,
     attempts,
     peer_exchange,
     store_watcher,
 )
+from trefoilhinge.gateway.connections import pool
 
 
 def fail_once(monkeypatch, module, name):
@@ -69,7 +69,7 @@
 
         async def run():
             async with run_fleet(d1=reply(200, b'yes')) as fleet:
-                fail_once(monkeypatch, attempt_sender, 'open_target_connection')
+                fail_once(monkeypatch, pool, 'open_target_connection')
                 answer = await fleet.call('/book/1')
                 assert answer.status == 503
                 assert b'"internal_error"' in answer.content
--- a/trefoilhinge/gateway/attempt_recorder.py
+++ b/trefoilhinge/gateway/attempt_recorder.py
@@ -10,6 +10,7 @@
 from trefoilhinge.gateway.placement import find_engine_profile
 from trefoilhinge.gateway.progress import CallProgress
 from trefoilhinge.gateway.state import GatewayState
+from trefoilhinge.gateway.target_connections import ConnectionStale
 
 # Ejection of a helper that a target reports as unreachable or leaving. By its
 # end, the store shows whether the helper is still gone.
@@ -136,6 +137,23 @@
             parts=','.join(self._call.head.prompt_parts) or None,
         )
 
+    def record_stale(
+        self, placement: Placement, stale: ConnectionStale, idle_s: float
+    ) -> None:
+        """Record that the call was sent on a connection that had ended.
+
+        The target is not to blame, unless its machine did not respond.
+
+        :param idle_s: seconds for which the connection was idle before.
+        """
+        target = placement.parts[0].target
+        if stale.is_unacknowledged:
+            self.record_outcome(target, Outcome.unreachable)
+        self._state.metrics.increment('connections_stale')
+        self._write(
+            'connection_stale', target=target, problem=stale, idle_s=idle_s
+        )
+
     def record_retry_refused(self, instances: int) -> None:
         """Log that a retry would exceed this instance's share of the budget.
 
--- a/trefoilhinge/gateway/attempt_sender.py
+++ b/trefoilhinge/gateway/attempt_sender.py
@@ -8,6 +8,10 @@
 from trefoilhinge.dispatch.group_placement import Placement
 from trefoilhinge.dispatch.targets import TargetRecord
 from trefoilhinge.gateway.attempt_recorder import AttemptRecorder
+from trefoilhinge.gateway.connections.pool import (
+    ConnectionPool,
+    PooledConnection,
+)
 from trefoilhinge.gateway.peer_exchange import PeerExchange
 from trefoilhinge.gateway.placement import has_resting_target
 from trefoilhinge.gateway.progress import CallProgress
@@ -15,10 +19,7 @@
 from trefoilhinge.gateway.reservations import Reservations, reserve
 from trefoilhinge.gateway.silence_timeouts import find_answer_timeout_s
 from trefoilhinge.gateway.state import GatewayState
-from trefoilhinge.gateway.target_connections import (
-    TargetConnection,
-    open_target_connection,
-)
+from trefoilhinge.gateway.target_connections import TargetConnection
 
 LOWEST_PRIORITY = 9  # the platform's priorities are 0 to 9
 
@@ -33,7 +34,8 @@
     _progress: CallProgress
     _recorder: AttemptRecorder
     _gate: QuarantineGate
-    _connection: TargetConnection | None = None
+    _pool: ConnectionPool
+    _pooled: PooledConnection | None = None
     _reservations: Reservations | None = None
 
     async def prepare_helpers(
@@ -65,17 +67,13 @@
         record: TargetRecord,
         helpers: tuple[PrefillHelper, ...],
     ) -> TargetConnection | None:
-        """Send the call on a new connection.
+        """Send the call on a connection that was kept, or on a new one.
 
         :return: the connection, ``None`` if a target asked for rest meanwhile.
         :raises CallFailed: the call is kept from targets.
         :raises TargetUnreachable: the connection could not be opened.
         """
-        connection = await open_target_connection(record.address)
-        self._connection = connection
-        self._state.reach.record_reached(
-            self._call.service, self._state.get_now_s()
-        )
+        connection = await self._connect(record, len(placement.parts))
         connection.silence_timeout_s = find_answer_timeout_s(
             self._call, placement
         )
@@ -92,9 +90,34 @@
 
     def close(self) -> None:
         """Close the connection, so that the target drops the call."""
-        if self._connection is not None:
-            self._connection.close()
-            self._connection = None
+        if self._pooled is not None:
+            self._pool.discard(self._pooled)
+            self._pooled = None
+
+    def keep_connection(self) -> None:
+        """Keep the connection, whose answer is complete, for later calls."""
+        if self._pooled is not None:
+            self._pool.put(self._pooled)
+            self._pooled = None
+
+    def suspend_reuse(self) -> float:
+        """Keep no connection to the target for a time.
+
+        :return: seconds for which the connection of this attempt was idle.
+        """
+        if self._pooled is None:
+            return 0
+        self._pool.suspend(self._pooled)
+        return self._pooled.idle_s
+
+    def record_reached(self) -> None:
+        """Record that the service was reached.
+
+        A connection that was kept proves this with its answer only.
+        """
+        self._state.reach.record_reached(
+            self._call.service, self._state.get_now_s()
+        )
 
     def release(self) -> None:
         """Release reserved memory."""
@@ -102,6 +125,17 @@
             self._reservations.release()
             self._reservations = None
 
+    async def _connect(
+        self, record: TargetRecord, targets: int
+    ) -> TargetConnection:
+        self._pooled = self._pool.take(
+            record, self._call, self._progress.attempts, targets
+        )
+        if self._pooled is None:
+            self._pooled = await self._pool.open(record, self._call)
+            self.record_reached()
+        return self._pooled.connection
+
     def _make_attempt(
         self, target: str, helpers: tuple[PrefillHelper, ...]
     ) -> Attempt:
--- a/trefoilhinge/gateway/attempts.py
+++ b/trefoilhinge/gateway/attempts.py
@@ -14,6 +14,7 @@
 from trefoilhinge.gateway.attempt_recorder import AttemptRecorder
 from trefoilhinge.gateway.attempt_sender import AttemptSender
 from trefoilhinge.gateway.caller_connections import CallerConnection
+from trefoilhinge.gateway.connections.pool import ConnectionPool
 from trefoilhinge.gateway.crash_detection import CrashDetector
 from trefoilhinge.gateway.liveness import await_answer
 from trefoilhinge.gateway.peer_exchange import PeerExchange
@@ -40,6 +41,7 @@
 from trefoilhinge.gateway.target_needs import record_needs
 from trefoilhinge.gateway.target_connections import (
     AnswerBroken,
+    ConnectionStale,
     TargetConnection,
     TargetUnreachable,
 )
@@ -70,6 +72,7 @@
     _peer_relay: PeerRelay
     progress: CallProgress
     _excluded: set[str] = field(factory=set)
+    _is_stale: bool = False  # the last attempt's connection had ended before
     _last_failure: tuple[AnswerHead, bytes] | None = None
 
     async def run(self) -> None:
@@ -92,7 +95,10 @@
         is_unreachable = self._state.reach.is_unreachable(self._call.service)
         if is_unreachable and await self._relay_to_peer():
             return True
-        if self.progress.attempts and not self._has_retry_budget():
+        # A connection was reused only as the budget had room for this.
+        is_retry = self.progress.attempts and not self._is_stale
+        self._is_stale = False
+        if is_retry and not self._has_retry_budget():
             await self._end_call('repeats are used up')
             return True
         return await self._attempt_directly()
@@ -106,6 +112,9 @@
         except TargetUnreachable as problem:
             await self._handle_unreachable(placement, str(problem))
             return False
+        except ConnectionStale as stale:
+            await self._handle_stale(placement, stale)
+            return False
         except AnswerBroken as problem:
             return not await self._recover(placement, str(problem))
         finally:
@@ -145,18 +154,37 @@
 
         :return: whether the call may be attempted again.
         """
-        name = placement.parts[0].target
-        self._excluded.add(name)
+        self._excluded.add(placement.parts[0].target)
         self._recorder.record_broken(placement, problem)
         self._peers.reach.suspect(self._call.service)
-        record = self._state.directory.records.get(name)
-        if record is not None:
-            await self._crash_detector.check(record, self._call, self.progress)
+        await self._check_crash(placement)
         if self._may_retry():
             return True
         await self._end_call('the answer was lost')
         return False
 
+    async def _handle_stale(
+        self, placement: Placement, stale: ConnectionStale
+    ) -> None:
+        """Let the call be sent again, as its connection had ended before.
+
+        The target may have ended under this call all the same.
+        """
+        self._is_stale = True
+        self._excluded.add(placement.parts[0].target)
+        self._recorder.record_stale(
+            placement, stale, self._sender.suspend_reuse()
+        )
+        if stale.is_unacknowledged:
+            self._peers.reach.suspect(self._call.service)
+        await self._check_crash(placement)
+
+    async def _check_crash(self, placement: Placement) -> None:
+        name = placement.parts[0].target
+        record = self._state.directory.records.get(name)
+        if record is not None:
+            await self._crash_detector.check(record, self._call, self.progress)
+
     def _has_retry_budget(self) -> bool:
         if self._state.allows_retry(self._call.service):
             return True
@@ -189,7 +217,10 @@
         connection = await self._sender.send(placement, record, helpers)
         if connection is None:
             return False
-        return await self._await_answer(record, connection)
+        is_answered = await self._await_answer(record, connection)
+        if is_answered:
+            self._sender.keep_connection()
+        return is_answered
 
     async def _await_answer(
         self, record: TargetRecord, connection: TargetConnection
@@ -211,6 +242,8 @@
     ) -> bool:
         target = record.name
         head = await connection.read_head(self._call.head.request_id)
+        if connection.exchanges:
+            self._sender.record_reached()
         record_named_rate(
             self._state, self._peers, record, head, connection.sent_s
         )
@@ -333,6 +366,7 @@
     caller: CallerConnection,
     crash_detector: CrashDetector,
     rest_queue: RestQueue,
+    pool: ConnectionPool,
 ) -> Attempts:
     """Return the attempts of a call, before the first one."""
     progress = CallProgress(call.received_s, call.head.last_event)
@@ -346,7 +380,7 @@
         relay,
         RunTracker(state, peers, call),
         recorder,
-        AttemptSender(state, peers, call, progress, recorder, gate),
+        AttemptSender(state, peers, call, progress, recorder, gate, pool),
         TargetChoice(state, peers.permits, rest_queue, call),
         crash_detector,
         gate,
--- a/trefoilhinge/gateway/call_service.py
+++ b/trefoilhinge/gateway/call_service.py
@@ -11,6 +11,7 @@
 from trefoilhinge.dispatch.relay_codec import RelayedCall
 from trefoilhinge.gateway.attempts import Attempts, make_attempts
 from trefoilhinge.gateway.caller_connections import CallerConnection
+from trefoilhinge.gateway.connections.pool import ConnectionPool
 from trefoilhinge.gateway.crash_detection import CrashDetector
 from trefoilhinge.gateway.peer_exchange import PeerExchange
 from trefoilhinge.gateway.refusals import (
@@ -31,16 +32,19 @@
 
     :ivar active: number of calls in progress, up to the time at which their
         callers have taken the whole answer.
+    :ivar connections: connections to targets.
     """
 
     _state: GatewayState
     _peers: PeerExchange
     active: int = 0
+    connections: ConnectionPool = field(init=False)
     _crash_detector: CrashDetector = field(init=False)
     _rest_queue: RestQueue = field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Create what all calls share."""
+        self.connections = ConnectionPool(self._state)
         self._rest_queue = RestQueue(self._state)
         self._crash_detector = CrashDetector(
             self._state, self._peers.quarantine, self._peers.reach
@@ -49,6 +53,7 @@
     def close(self) -> None:
         """Cancel what goes on in the background."""
         self._crash_detector.close()
+        self.connections.close()
 
     async def serve(
         self,
@@ -100,6 +105,7 @@
             caller,
             self._crash_detector,
             self._rest_queue,
+            self.connections,
         )
         if relayed is not None:
             attempts.progress.attempts = relayed.attempts
--- /dev/null
+++ b/trefoilhinge/gateway/connections/__init__.py
@@ -0,0 +1,1 @@
+"""The pool of connections to targets."""
--- a/trefoilhinge/platform/headers.py
+++ b/trefoilhinge/platform/headers.py
@@ -141,7 +141,6 @@
         headers.append((b'Last-Event-Id', b'%d' % attempt.last_event))
     if call.body or call.head.method != b'GET':
         headers.append((b'Content-Length', b'%d' % len(call.body)))
-    headers.append((b'Connection', b'close'))
     return headers
 
 
