--- a/tests/dispatch/test_connections.py
+++ b/tests/dispatch/test_connections.py
@@ -1,6 +1,7 @@
 """Tests of the rules for connections that are kept."""
 
 import pytest
+from attrs import evolve
 
 from trefoilhinge.dispatch.calls import AnswerHead
 from trefoilhinge.dispatch.connections.bounds import (
@@ -38,24 +39,8 @@
     )
 
 
-def make_exchange(head=(), **fields):
-    defaults = {
-        'is_whole': True,
-        'has_interim': False,
-        'unread_bytes': 0,
-        'is_ended': False,
-        'number': 1,
-    }
-    whole = {
-        'status': 200,
-        'request_id': 'r-1',
-        'is_signed': True,
-        'not_run': False,
-        'at_fault': '',
-        'forwarded_headers': (),
-    }
-    made = AnswerHead(**{**whole, **dict(head)})
-    return Exchange(head=made, **{**defaults, **fields})
+HEAD = AnswerHead(200, 'r-1', True, False, '', ())
+EXCHANGE = Exchange(HEAD, True, False, 0, False, 1)  # nothing irregular
 
 
 class TestFitness:
@@ -79,7 +64,8 @@
         ],
     )
     def test_anything_irregular_makes_it_unfit(self, head, fields, reason):
-        assert find_unfitness(make_exchange(head, **fields)) is reason
+        exchange = evolve(EXCHANGE, head=evolve(HEAD, **head), **fields)
+        assert find_unfitness(exchange) is reason
 
 
 class TestIdleTimes:
