Let calls wait for capacity in one order over all instances.

Callers competed for too little capacity: a call was sent to a target without slots or memory with a penalty in its cost only. Where the deployment says so (has_scarce_room), a call is placed only if its target has a free slot and memory for it. Otherwise it waits, is announced to all instances, and all of them allot free capacity in the same order: priority, then who can be on time, then the organisation that was given the least work. A call that cannot be served in time is refused with the expected wait. Elsewhere nothing changes.

--- a/trefoilhinge/client/request_timeline.py
+++ b/trefoilhinge/client/request_timeline.py
@@ -21,6 +21,7 @@
     'request_quarantined': 'targets crashed under requests like this one',
     'targets_resting': 'all targets had asked this instance for rest',
     'targets_limited': 'no target had room within the limit that it named',
+    'no_capacity': 'other calls took the capacity until it was too late',
     'answer_lost': 'the answer was lost after a target may have run the call',
     'no_target': 'no target of the service was known or had capacity',
     'stream_lost': 'a stream broke and could not be resumed on another target',
--- a/trefoilhinge/dispatch/loads.py
+++ b/trefoilhinge/dispatch/loads.py
@@ -190,17 +190,18 @@
             for part in run.parts
         )
 
-    def record_end(self, key: tuple[str, int], now_s: float) -> None:
-        """Record that a run ended; an unknown run is ignored."""
+    def record_end(self, key: tuple[str, int], now_s: float) -> Run | None:
+        """Record that a run ended; return it if it was known."""
         found = self._runs.pop(key, None)
         if found is None:
-            return
+            return None
         run = found[0]
         for part in run.parts:
             load = self.get(part.target)
             load.memory_tokens -= part.memory_tokens
             load.runs.pop(key, None)
             load.prefills.remove(key, now_s)
+        return run
 
     def record_first_event(self, key: tuple[str, int], now_s: float) -> None:
         """Record a run's first event, which shows that its prefill is done."""
--- a/trefoilhinge/dispatch/message_codec.py
+++ b/trefoilhinge/dispatch/message_codec.py
@@ -8,6 +8,12 @@
 from expression import Error, Ok, Result
 from msgpack.exceptions import UnpackException
 
+from trefoilhinge.dispatch.admission.codec import (
+    ADMISSION_KINDS,
+    AdmissionMessage,
+    decode_admission_message,
+    list_admission_fields,
+)
 from trefoilhinge.dispatch.loads import Run, RunPart
 from trefoilhinge.dispatch.message_checks import (
     check_ip,
@@ -58,6 +64,8 @@
         fields = list_permit_fields(message)
     elif isinstance(message, QuarantineMessage):
         fields = list_quarantine_fields(message)
+    elif isinstance(message, AdmissionMessage):
+        fields = list_admission_fields(message)
     else:
         fields = _list_fields(message)
     return bytes(msgpack.packb(fields, use_single_float=True))
@@ -82,6 +90,8 @@
             return decode_permit_message(fields, now_s)
         if fields[0] in QUARANTINE_KINDS:
             return decode_quarantine_message(fields, now_s)
+        if fields[0] in ADMISSION_KINDS:
+            return decode_admission_message(fields, now_s)
     return _decode(fields, now_s)
 
 
--- a/trefoilhinge/dispatch/messages.py
+++ b/trefoilhinge/dispatch/messages.py
@@ -2,6 +2,7 @@
 
 from attrs import frozen
 
+from trefoilhinge.dispatch.admission.codec import AdmissionMessage
 from trefoilhinge.dispatch.crash_evidence import CrashReport
 from trefoilhinge.dispatch.loads import Run
 from trefoilhinge.dispatch.peers import Heartbeat
@@ -161,4 +162,4 @@
 )
 PermitMessage = TargetRateNamed | TargetOrdered | PermitRequest | PermitDecision
 QuarantineMessage = TargetCrashed | TraitQuarantined | TraitsCleared
-Message = RunMessage | PermitMessage | QuarantineMessage
+Message = RunMessage | PermitMessage | QuarantineMessage | AdmissionMessage
--- /dev/null
+++ b/trefoilhinge/gateway/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Waiting of calls for capacity, over the cores of ``dispatch.admission``."""
--- /dev/null
+++ b/trefoilhinge/gateway/admission/record.py
@@ -0,0 +1,59 @@
+"""What an instance knows of waiting calls and of released capacity."""
+
+from collections.abc import Callable
+
+from attrs import define, field
+
+from trefoilhinge.dispatch.admission.absences import AbsenceWatch
+from trefoilhinge.dispatch.admission.capacity import CapacityTable
+from trefoilhinge.dispatch.admission.needs import HintedOutput, OutputEstimator
+from trefoilhinge.dispatch.admission.waiting import WaitingTable
+from trefoilhinge.dispatch.loads import Run
+
+
+def _ignore_change() -> None:
+    """Do nothing; no call waits yet."""
+
+
+@define
+class AdmissionRecord:
+    """Record of waiting calls; it stays empty where admission is off.
+
+    :ivar is_enabled: whether callers may compete for too little capacity.
+    :ivar waiting: the waiting calls of all instances.
+    :ivar capacity: what was learned of the targets' capacity.
+    :ivar absences: waiting calls that do not take what they are allotted.
+    :ivar output_estimator: estimates the output of calls.
+    :ivar notify_change: called when capacity may have become free.
+    """
+
+    is_enabled: bool = False
+    waiting: WaitingTable = field(factory=WaitingTable)
+    capacity: CapacityTable = field(factory=CapacityTable)
+    absences: AbsenceWatch = field(factory=AbsenceWatch)
+    output_estimator: OutputEstimator = field(factory=HintedOutput)
+    notify_change: Callable[[], None] = _ignore_change
+
+    def record_start(self, run: Run, now_s: float) -> None:
+        """Record that a run was placed, perhaps of a call that waited."""
+        if self.is_enabled and self.waiting.record_start(run.key, now_s):
+            self.notify_change()
+
+    def record_end(self, run: Run, service: str, now_s: float) -> None:
+        """Record that a run ended."""
+        if not self.is_enabled:
+            return
+        targets = [part.target for part in run.parts if part.has_slot]
+        self.capacity.record_end(service, targets, now_s)
+        self.notify_change()
+
+    def record_full(self, target: str, now_s: float) -> None:
+        """Record that a target refused a call as full."""
+        if self.is_enabled:
+            self.capacity.record_full(target, now_s)
+
+    def remove_origin(self, origin: str) -> None:
+        """Remove what waits at an instance that has ended."""
+        if self.is_enabled:
+            self.waiting.remove_origin(origin)
+            self.notify_change()
--- a/trefoilhinge/gateway/attempt_recorder.py
+++ b/trefoilhinge/gateway/attempt_recorder.py
@@ -114,6 +114,9 @@
         self._progress.possible_runs -= 1
         self.record_outcome(target, Outcome.rejected)
         self._eject_failed_helper(head.at_fault)
+        if not head.at_fault:
+            now_s = self._state.get_now_s()
+            self._state.admission.record_full(target, now_s)
         self._write(
             'offer_rejected',
             target=target,
--- a/trefoilhinge/gateway/attempts.py
+++ b/trefoilhinge/gateway/attempts.py
@@ -45,6 +45,8 @@
 )
 
 MAXIMUM_REJECTIONS = 3  # attempts that targets state they did not run
+# Where capacity is scarce, a call that a target refuses goes back to waiting.
+MAXIMUM_SCARCE_REJECTIONS = 10
 MAXIMUM_FAILED_CONNECTIONS = 8
 MAXIMUM_HELPER_REJECTIONS = 10  # rejections that blame another target
 RETRY_DELAY_S = 0.03  # lets load updates arrive before the next attempt
@@ -282,7 +284,10 @@
         :raises CallFailed: the limit on rejections is exceeded.
         """
         self.progress.rejections += 1
-        if self.progress.rejections > MAXIMUM_REJECTIONS:
+        maximum = MAXIMUM_REJECTIONS
+        if self._state.admission.is_enabled:
+            maximum = MAXIMUM_SCARCE_REJECTIONS
+        if self.progress.rejections > maximum:
             await self._end_call(reason)
         await asyncio.sleep(RETRY_DELAY_S)
 
@@ -347,7 +352,7 @@
         RunTracker(state, peers, call),
         recorder,
         AttemptSender(state, peers, call, progress, recorder, gate),
-        TargetChoice(state, peers.permits, rest_queue, call),
+        TargetChoice(state, peers.permits, rest_queue, peers.admission, call),
         crash_detector,
         gate,
         PeerRelay(state, call, relay, progress),
--- a/trefoilhinge/gateway/daemon.py
+++ b/trefoilhinge/gateway/daemon.py
@@ -198,6 +198,7 @@
                 state.document.services if state.document else (),
             )
             self._peers.quarantine.remove_expired()
+            self._peers.admission.sweep()
             overdue = state.loads.remove_overdue(now_s)
             if overdue:
                 state.log.write('runs_forgotten', count=overdue)
--- a/trefoilhinge/gateway/peer_exchange.py
+++ b/trefoilhinge/gateway/peer_exchange.py
@@ -5,6 +5,7 @@
 
 from attrs import define, field
 
+from trefoilhinge.dispatch.admission.codec import AdmissionMessage
 from trefoilhinge.dispatch.fanout import list_hops
 from trefoilhinge.dispatch.message_codec import (
     decode_message,
@@ -30,6 +31,7 @@
 from trefoilhinge.dispatch.peers import Heartbeat
 from trefoilhinge.dispatch.rate_limits import NamedRate
 from trefoilhinge.dispatch.targets import TargetRecord
+from trefoilhinge.gateway.admission.waiters import Admission
 from trefoilhinge.gateway.peer_fetcher import (
     PeerFetcher,
     make_document_fetcher,
@@ -38,6 +40,7 @@
 from trefoilhinge.gateway.permits import Permits
 from trefoilhinge.gateway.quarantine import Quarantine
 from trefoilhinge.gateway.reach import ReachMonitor
+from trefoilhinge.gateway.run_records import end_run, remove_runs
 from trefoilhinge.gateway.state import GatewayState
 
 INITIAL_HEARTBEAT_INTERVAL_S = 0.1  # until the first peer answers
@@ -56,6 +59,7 @@
     :ivar permits: permits for requests to limited targets.
     :ivar quarantine: requests that are kept from all targets.
     :ivar reach: checks of whether this instance reaches targets.
+    :ivar admission: calls that wait here for capacity.
     """
 
     _state: GatewayState
@@ -65,6 +69,7 @@
     permits: Permits = field(init=False)
     quarantine: Quarantine = field(init=False)
     reach: ReachMonitor = field(init=False)
+    admission: Admission = field(init=False)
     _document_fetcher: PeerFetcher = field(init=False)
     _targets_fetcher: PeerFetcher = field(init=False)
 
@@ -77,6 +82,7 @@
         self.permits = Permits(
             self._state, self.send, self.quarantine.grant_probe
         )
+        self.admission = Admission(self._state, self.broadcast)
         self._document_fetcher = make_document_fetcher(self._state)
         self._targets_fetcher = make_targets_fetcher(self._state)
 
@@ -102,6 +108,8 @@
             self.permits.apply_message(decoded.ok, address[0])
         elif isinstance(decoded.ok, QuarantineMessage):
             self.quarantine.apply_message(decoded.ok, address[0])
+        elif isinstance(decoded.ok, AdmissionMessage):
+            self.admission.apply_message(decoded.ok)
         else:
             self._apply_message(decoded.ok, now_s)
 
@@ -170,6 +178,7 @@
         self.permits.close()
         self.quarantine.close()
         self.reach.close()
+        self.admission.close()
         if self._transport is not None:
             self._transport.close()
 
@@ -204,7 +213,7 @@
             if ip not in live_ips:
                 self._send(encode_message(heartbeat), ip)
         for origin in state.peers.expire_silent(now_s):
-            dropped = state.loads.remove_origin(origin, now_s)
+            dropped = remove_runs(state, origin)
             state.log.write('peer_silent', origin=origin, runs=dropped)
 
     def _make_heartbeat(self, now_s: float) -> Heartbeat:
@@ -239,7 +248,7 @@
                 self._apply_heartbeat(message, now_s)
             case InstanceLeft(origin):
                 if self._state.peers.remove(origin):
-                    loads.remove_origin(origin, now_s)
+                    remove_runs(self._state, origin)
                     self._state.log.write('peer_left', origin=origin)
             case RunStarted(run, maximum_duration_s):
                 self._state.record_run(run, now_s + maximum_duration_s)
@@ -249,8 +258,7 @@
                 loads.record_first_event((origin, number), now_s)
                 self._state.prefill_waiters.notify_all()
             case RunEnded(origin, number):
-                loads.record_end((origin, number), now_s)
-                self._state.prefill_waiters.notify_all()
+                end_run(self._state, (origin, number))
             case TargetEjected(name, duration_s):
                 self._state.health.eject(name, duration_s, now_s)
             case TargetSlowdown(name, slowdown):
@@ -288,6 +296,7 @@
             self.send(TargetRateNamed(named, now_s), ip)
         for entry in self.quarantine.list_announcements():
             self.send(entry, ip)
+        self.admission.announce_to(lambda message: self.send(message, ip))
 
     def _apply_heartbeat(self, heartbeat: Heartbeat, now_s: float) -> None:
         state = self._state
@@ -295,7 +304,7 @@
             return
         result = state.peers.record_heartbeat(heartbeat, now_s)
         if result.replaced_origin:
-            state.loads.remove_origin(result.replaced_origin, now_s)
+            remove_runs(state, result.replaced_origin)
         if result.is_new:
             state.log.write(
                 'peer_heard', peer=heartbeat.ip, origin=heartbeat.origin
--- a/trefoilhinge/gateway/placement.py
+++ b/trefoilhinge/gateway/placement.py
@@ -36,7 +36,7 @@
     now_s = state.get_now_s()
     records = [
         record
-        for record in _list_usable(state, call, excluded)
+        for record in list_usable(state, call, excluded)
         if record.name not in refused
         and state.permits.has_room(record.name, record.started_ms, now_s)
         and (allows_limited or not _is_limited(state, record))
@@ -54,13 +54,34 @@
     """
     now_s = state.get_now_s()
     found = []
-    for record in _list_usable(state, call, excluded):
+    for record in list_usable(state, call, excluded):
         bucket = state.permits.get(record.name, record.started_ms)
         if bucket is not None and place_call(state, call, [record]) is not None:
             found.append((bucket.estimate_wait_s(now_s), record.name, record))
     return [record for _, _, record in sorted(found)]
 
 
+def list_usable(
+    state: GatewayState, call: Call, excluded: set[str]
+) -> list[TargetRecord]:
+    """Return the targets that may be sent a call.
+
+    :param excluded: targets that failed the call; used only if no other one
+        is left.
+    """
+    maximum = _find_maximum_connections(state, call.service)
+    now_s = state.get_now_s()
+    records = {
+        record.name: record
+        for record in state.directory.list_serving(call.service)
+        if state.loads.get(record.name).running < maximum
+        and not state.rests.is_resting(record, now_s)
+    }
+    usable = state.health.list_usable(list(records), now_s)
+    untried = [name for name in usable if name not in excluded]
+    return [records[name] for name in untried or usable]
+
+
 def place_call(
     state: GatewayState, call: Call, records: Sequence[TargetRecord]
 ) -> Placement | None:
@@ -135,22 +156,6 @@
     return found.engine if found else None
 
 
-def _list_usable(
-    state: GatewayState, call: Call, excluded: set[str]
-) -> list[TargetRecord]:
-    maximum = _find_maximum_connections(state, call.service)
-    now_s = state.get_now_s()
-    records = {
-        record.name: record
-        for record in state.directory.list_serving(call.service)
-        if state.loads.get(record.name).running < maximum
-        and not state.rests.is_resting(record, now_s)
-    }
-    usable = state.health.list_usable(list(records), now_s)
-    untried = [name for name in usable if name not in excluded]
-    return [records[name] for name in untried or usable]
-
-
 def _find_maximum_connections(state: GatewayState, service: str) -> float:
     """Return the connections that a target accepts from all instances."""
     document = state.document
--- a/trefoilhinge/gateway/refusals.py
+++ b/trefoilhinge/gateway/refusals.py
@@ -159,6 +159,23 @@
     )
 
 
+def make_no_capacity_refusal(
+    progress: CallProgress, wait_s: float, spread: float
+) -> Refusal:
+    """Return the refusal of a call for which no capacity is free in time.
+
+    :param wait_s: seconds until capacity for it is expected.
+    :param spread: number in [0, 1) that spreads the returns of callers.
+    """
+    return Refusal(
+        502 if progress.possible_runs else 503,
+        'no_capacity',
+        'may_have_run' if progress.possible_runs else 'not_run',
+        'other calls take the capacity of the service until it is too late',
+        max(wait_s, MINIMUM_LIMITED_RETRY_AFTER_S) * (1 + spread),
+    )
+
+
 def make_exhausted_refusal(progress: CallProgress, reason: str) -> Refusal:
     """Return the refusal of a call whose attempts are exhausted."""
     if progress.possible_runs:
--- a/trefoilhinge/gateway/run_tracker.py
+++ b/trefoilhinge/gateway/run_tracker.py
@@ -13,6 +13,7 @@
     RunStarted,
 )
 from trefoilhinge.gateway.peer_exchange import PeerExchange
+from trefoilhinge.gateway.run_records import end_run
 from trefoilhinge.gateway.state import GatewayState
 
 
@@ -79,7 +80,6 @@
         """Remove the run from the load of its targets and announce its end."""
         if self._run is None:
             return
-        self._state.loads.record_end(self._run.key, self._state.get_now_s())
+        end_run(self._state, self._run.key)
         self._peers.broadcast(RunEnded(*self._run.key))
-        self._state.prefill_waiters.notify_all()
         self._run = None
--- a/trefoilhinge/gateway/state.py
+++ b/trefoilhinge/gateway/state.py
@@ -21,6 +21,7 @@
 from trefoilhinge.dispatch.settings import GatewaySettings
 from trefoilhinge.dispatch.slowdowns import SlowdownTable
 from trefoilhinge.dispatch.targets import TargetDirectory, TargetRecord
+from trefoilhinge.gateway.admission.record import AdmissionRecord
 from trefoilhinge.gateway.logs import EventLog
 from trefoilhinge.gateway.metrics import MetricsRegistry
 from trefoilhinge.gateway.prefill_waiters import PrefillWaiters
@@ -53,6 +54,7 @@
     :ivar permits: permits for requests to these targets.
     :ivar crash_evidence: traits of calls under which targets crashed.
     :ivar quarantine: traits of calls that are kept from all targets.
+    :ivar admission: calls that wait for capacity, at all instances.
     :ivar started_s: monotonic seconds at which the process started to serve.
     :ivar startup: keeps calls until document and targets are known.
     :ivar transfers: documents and lists of targets that are being sent to
@@ -81,6 +83,7 @@
     permits: PermitTable = field(factory=PermitTable)
     crash_evidence: CrashEvidence = field(factory=CrashEvidence)
     quarantine: QuarantineTable = field(factory=QuarantineTable)
+    admission: AdmissionRecord = field(init=False)
     started_s: float = 0
     startup: StartupGate = field(factory=StartupGate)
     transfers: int = 0
@@ -92,8 +95,9 @@
     _is_settled: bool = False
 
     def __attrs_post_init__(self) -> None:
-        """Create the waiters over the shared loads."""
+        """Create what depends on other parts."""
         self.prefill_waiters = PrefillWaiters(self.loads)
+        self.admission = AdmissionRecord(self.settings.has_scarce_room)
 
     @property
     def is_ready(self) -> bool:
@@ -176,6 +180,7 @@
         :param latest_end_s: monotonic seconds at which it has ended.
         """
         is_new = self.loads.record_start(run, latest_end_s, self.get_now_s())
+        self.admission.record_start(run, self.get_now_s())
         if is_new and not run.send_delay_s:
             self._charge_run(run)
 
@@ -197,6 +202,7 @@
         if known is not None and known.started_ms < record.started_ms:
             self.health.forget(record.name)
             self.slowdowns.forget(record.name)
+        self.admission.notify_change()
         return self.directory.apply_record(record)
 
     def record_targets_read(self, revision: int) -> None:
--- a/trefoilhinge/gateway/target_choice.py
+++ b/trefoilhinge/gateway/target_choice.py
@@ -8,6 +8,7 @@
 from trefoilhinge.dispatch.group_placement import Placement
 from trefoilhinge.dispatch.permits import PermitDecision, PermitVerdict
 from trefoilhinge.dispatch.targets import TargetRecord
+from trefoilhinge.gateway.admission.waiters import Admission
 from trefoilhinge.gateway.permits import Permits, make_permit_request
 from trefoilhinge.gateway.placement import (
     find_placement,
@@ -36,6 +37,7 @@
     _state: GatewayState
     _permits: Permits
     _rest_queue: RestQueue
+    _admission: Admission
     _call: Call
 
     async def choose(
@@ -50,8 +52,8 @@
         """
         refused: set[str] = set()
         while True:
-            placement = find_placement(
-                self._state, self._call, excluded, refused
+            placement, number = await self._find_placement(
+                progress, excluded, refused
             )
             if placement is None:
                 placement, number = await self._wait_for_limited(
@@ -61,7 +63,6 @@
                     return placement, number
                 refused.clear()
                 continue
-            number = self._state.make_run_number()
             record = self._find_limited_record(placement)
             if record is None:
                 return placement, number
@@ -69,6 +70,30 @@
             if decision.verdict is PermitVerdict.granted:
                 return placement, number
             refused.add(record.name)
+            self._admission.withdraw(number)
+
+    async def _find_placement(
+        self, progress: CallProgress, excluded: set[str], refused: set[str]
+    ) -> tuple[Placement | None, int]:
+        """Return a placement and the number of its run, if there is one now.
+
+        Where capacity is scarce, the call waits for its turn.
+
+        :raises CallFailed: its turn does not come in time.
+        """
+        state = self._state
+        if not state.admission.is_enabled:
+            placement = find_placement(state, self._call, excluded, refused)
+            number = 0 if placement is None else state.make_run_number()
+            return placement, number
+        return await self._admission.admit(
+            self._call,
+            progress,
+            excluded,
+            lambda blocked: find_placement(
+                state, self._call, excluded, refused | set(blocked)
+            ),
+        )
 
     async def _wait_for_limited(
         self, progress: CallProgress, excluded: set[str]
