--- a/trefoilhinge/dispatch/admission/capacity.py
+++ b/trefoilhinge/dispatch/admission/capacity.py
@@ -16,6 +16,8 @@
 HANDOVER_S = 0.01
 RATE_HALF_LIFE_S = 5.0
 MINIMUM_RATE_SAMPLES = 8.0
+# Runs that were sent together end together, which is no rate.
+MINIMUM_RATE_AGE_S = 1.0
 # A target that refused a call as full gets none for this long, unless one of
 # its runs ends before.
 FULL_S = 0.1
@@ -63,8 +65,9 @@
         self._advance(now_s)
         if self._ends < MINIMUM_RATE_SAMPLES:
             return None
-        span = 1 - 2 ** (-(now_s - self._began_s) / RATE_HALF_LIFE_S)
-        mean_s = RATE_HALF_LIFE_S / math.log(2) * max(span, 0.01)
+        age_s = max(MINIMUM_RATE_AGE_S, now_s - self._began_s)
+        span = 1 - 2 ** (-age_s / RATE_HALF_LIFE_S)
+        mean_s = RATE_HALF_LIFE_S / math.log(2) * span
         return self._ends / mean_s
 
     def _advance(self, now_s: float) -> None:
--- a/trefoilhinge/dispatch/admission/needs.py
+++ b/trefoilhinge/dispatch/admission/needs.py
@@ -60,6 +60,7 @@
     engine: EngineProfile | None,
     output: OutputBounds,
     asked_s: float,
+    stamp: int,
 ) -> WaitingCall:
     """Return a call as it waits for capacity.
 
@@ -67,6 +68,7 @@
     :param engine: profile of its targets; none for a plain service.
     :param asked_s: monotonic seconds since which its caller has heard nothing:
         of its arrival, or of the last event of a stream that goes on.
+    :param stamp: logical time at which it begins to wait.
     """
     size = call.head.prompt_size
     name = call.organisation.name if call.organisation else ''
@@ -96,6 +98,7 @@
         memory_tokens=memory_tokens,
         backlog_s=max(MINIMUM_BACKLOG_S, BACKLOG_SHARE * call.route.slo_s),
         weight=compute_call_weight(size.prompt_tokens if size else 0),
+        stamp=stamp,
         since_s=call.received_s,
         on_time_s=asked_s + call.route.slo_s - first_s,
         latest_s=latest_s,
--- a/trefoilhinge/dispatch/admission/order.py
+++ b/trefoilhinge/dispatch/admission/order.py
@@ -20,6 +20,7 @@
 CLAIM_AFTER_S = 0.25
 # Part of the targets that such calls may keep, so that they do not block all.
 MAXIMUM_CLAIMED_SHARE = 0.25
+USAGE_UNIT = 0.5  # half of a short call
 # Calls that fit nowhere and are compared with those behind them, which then
 # need not be compared with all targets.
 MAXIMUM_FAILURES = 8
@@ -148,8 +149,13 @@
     )
 
 
-def _find_age(call: WaitingCall) -> tuple[float, str, int]:
-    return call.since_s, call.origin, call.number
+def _find_age(call: WaitingCall) -> tuple[int, str, int]:
+    return call.stamp, call.origin, call.number
+
+
+def _round_usage(used: float) -> float:
+    """Round away the differences of a few milliseconds between instances."""
+    return round(used / USAGE_UNIT) * USAGE_UNIT
 
 
 def _take_turns(
@@ -159,7 +165,7 @@
     for call in calls:
         queues.setdefault(call.organisation, []).append(call)
     heap = [
-        (usage.get(organisation, now_s), organisation, 0)
+        (_round_usage(usage.get(organisation, now_s)), organisation, 0)
         for organisation in queues
     ]
     heapq.heapify(heap)
--- a/trefoilhinge/dispatch/admission/waiting.py
+++ b/trefoilhinge/dispatch/admission/waiting.py
@@ -10,6 +10,9 @@
 # Bounds the memory of the table, at about 600 bytes a call.
 MAXIMUM_WAITING = 4_096
 MAXIMUM_WAITING_PER_ORIGIN = 256
+# A stamp that is later by more is taken for an error and not adopted. Calls
+# that an instance did not hear of are no more.
+MAXIMUM_STAMP_STEP = 10_000_000
 USAGE_HALF_LIFE_S = 10.0
 MAXIMUM_ORGANISATIONS = 1_024
 
@@ -27,6 +30,10 @@
         exceeds; zero for a plain call.
     :ivar backlog_s: prefill at a target that may precede it, seconds.
     :ivar weight: its work, as it counts for its organisation's share.
+    :ivar stamp: logical time at which it began to wait: one more than the
+        latest that its instance had heard of. Monotonic times of instances
+        differ by the time that messages take, which would put each one's own
+        calls first.
     :ivar since_s: monotonic seconds since which it waits.
     :ivar on_time_s: monotonic seconds until which it must be placed to meet
         its objective.
@@ -41,6 +48,7 @@
     memory_tokens: int
     backlog_s: float
     weight: float
+    stamp: int
     since_s: float
     on_time_s: float
     latest_s: float
@@ -76,9 +84,14 @@
     """The waiting calls of all instances, as known at one of them."""
 
     usage: UsageTable = field(factory=UsageTable)
+    _latest_stamp: int = 0
     _calls: dict[WaitingKey, tuple[WaitingCall, float]] = field(factory=dict)
     _counts: dict[str, int] = field(factory=dict)
 
+    def make_stamp(self) -> int:
+        """Return the logical time of a call that begins to wait."""
+        return self._latest_stamp + 1
+
     def add(self, call: WaitingCall, now_s: float) -> bool:
         """Add a call, or record that it still waits.
 
@@ -87,6 +100,8 @@
 
         :return: whether there was room for it in the table.
         """
+        if call.stamp <= self._latest_stamp + MAXIMUM_STAMP_STEP:
+            self._latest_stamp = max(self._latest_stamp, call.stamp)
         known = self._calls.get(call.key)
         if known is not None:
             self._calls[call.key] = (known[0], now_s)
--- a/trefoilhinge/gateway/admission/waiters.py
+++ b/trefoilhinge/gateway/admission/waiters.py
@@ -1,6 +1,7 @@
 """Calls of this instance that wait for capacity."""
 
 import asyncio
+import collections
 from collections.abc import Callable
 
 from attrs import define, field
@@ -64,6 +65,7 @@
     _timer: asyncio.TimerHandle | None = None
     _due_s: float = float('inf')
     _renewed_s: float = float('-inf')
+    _taken: dict[str, 'collections.deque[float]'] = field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
         """Be told when capacity may be free."""
@@ -87,8 +89,7 @@
         """
         waiting = self._make_waiting(call, progress)
         turn = take_turn(self._state, call, waiting, excluded, find)
-        has_others = self._has_others(waiting)
-        if turn.placement is not None and not has_others:
+        if turn.placement is not None and self._may_place_now(waiting, turn):
             return turn.placement, waiting.number
         if turn.placement is None and not turn.can_wait:
             return None, waiting.number
@@ -174,10 +175,29 @@
             find_engine_profile(state, call.service),
             output,
             asked_s,
+            state.admission.waiting.make_stamp(),
         )
 
-    def _has_others(self, waiting: WaitingCall) -> bool:
-        return bool(self._state.admission.waiting.list_calls(waiting.service))
+    def _may_place_now(self, waiting: WaitingCall, turn: Turn) -> bool:
+        """Return whether a call may be placed before others know of it.
+
+        Within the time of an announcement, an instance takes no more than its
+        part of the free slots. Otherwise a burst of calls at all instances
+        would fill the same slots many times over.
+        """
+        state = self._state
+        now_s = state.get_now_s()
+        if state.admission.waiting.list_calls(waiting.service):
+            return False
+        taken = self._taken.setdefault(waiting.service, collections.deque())
+        while taken and now_s - taken[0] > 2 * ANNOUNCEMENT_S:
+            taken.popleft()
+        instances = state.peers.count_instances(now_s)
+        # Its own calls of this time are not among the free slots any more.
+        if (len(taken) + 1) * instances > turn.free_slots + len(taken):
+            return False
+        taken.append(now_s)
+        return True
 
     def _decide(self, waiting: WaitingCall, turn: Turn) -> Decision:
         now_s = self._state.get_now_s()
