Spaced passes over waiting calls by their number.

A pass over 500 waiting calls took 2.3 ms of processor time and was repeated every 7 ms at most, a third of a processor where an instance has half of one. It is now repeated every 17 ms.

--- a/trefoilhinge/gateway/admission/waiters.py
+++ b/trefoilhinge/gateway/admission/waiters.py
@@ -44,7 +44,8 @@
 
 # Ends and starts of runs that arrive within this time are handled together.
 MINIMUM_PASS_INTERVAL_S = 0.002
-PASS_INTERVAL_PER_CALL_S = 0.00001
+# A pass takes about 5 microseconds of processor time for each waiting call.
+PASS_INTERVAL_PER_CALL_S = 0.00003
 # Also without news, for instance as a backlog shrinks or a health check ends.
 MAXIMUM_PASS_INTERVAL_S = 0.05
 RENEWAL_INTERVAL_S = 0.5
