--- a/trefoilhinge/dispatch/message_codec.py
+++ b/trefoilhinge/dispatch/message_codec.py
@@ -19,6 +19,12 @@
     decode_summary,
     list_summary_fields,
 )
+from trefoilhinge.dispatch.admission.codec import (
+    ADMISSION_KINDS,
+    AdmissionMessage,
+    decode_admission_message,
+    list_admission_fields,
+)
 from trefoilhinge.dispatch.loads import Run, RunPart
 from trefoilhinge.dispatch.message_checks import (
     check_ip,
@@ -82,6 +88,8 @@
         fields = list_cold_fields(message)
     elif isinstance(message, CostsSummarised):
         fields = list_summary_fields(message)
+    elif isinstance(message, AdmissionMessage):
+        fields = list_admission_fields(message)
     else:
         fields = _list_fields(message)
     return bytes(msgpack.packb(fields, use_single_float=True))
@@ -112,6 +120,8 @@
             return decode_cold_message(fields)
         if fields[0] == SUMMARY_KIND:
             return decode_summary(fields)
+        if fields[0] in ADMISSION_KINDS:
+            return decode_admission_message(fields, now_s)
     return _decode(fields, now_s)
 
 
--- a/trefoilhinge/dispatch/messages.py
+++ b/trefoilhinge/dispatch/messages.py
@@ -2,6 +2,7 @@
 
 from attrs import frozen
 
+from trefoilhinge.dispatch.admission.codec import AdmissionMessage
 from trefoilhinge.dispatch.crash_evidence import CrashReport
 from trefoilhinge.dispatch.evacuations import DomainMark
 from trefoilhinge.dispatch.estimation.group_table import GroupSummary
@@ -172,4 +173,10 @@
 PermitMessage = TargetRateNamed | TargetOrdered | PermitRequest | PermitDecision
 QuarantineMessage = TargetCrashed | TraitQuarantined | TraitsCleared
 TargetMessage = DomainMark | TargetCold | CostsSummarised
-Message = RunMessage | PermitMessage | QuarantineMessage | TargetMessage
+Message = (
+    RunMessage
+    | PermitMessage
+    | QuarantineMessage
+    | TargetMessage
+    | AdmissionMessage
+)
--- a/trefoilhinge/gateway/daemon.py
+++ b/trefoilhinge/gateway/daemon.py
@@ -228,6 +228,7 @@
             )
             self._peers.quarantine.remove_expired()
             self._service.connections.sweep()
+            self._peers.admission.sweep()
             overdue = state.loads.remove_overdue(now_s)
             if overdue:
                 state.log.write('runs_forgotten', count=overdue)
--- a/trefoilhinge/gateway/peer_exchange.py
+++ b/trefoilhinge/gateway/peer_exchange.py
@@ -6,6 +6,7 @@
 from attrs import define, field
 
 from trefoilhinge.dispatch.evacuations import DomainMark
+from trefoilhinge.dispatch.admission.codec import AdmissionMessage
 from trefoilhinge.dispatch.fanout import list_hops
 from trefoilhinge.dispatch.message_codec import (
     decode_message,
@@ -36,6 +37,7 @@
 from trefoilhinge.gateway.cold_targets import ColdNews
 from trefoilhinge.gateway.evacuations import EvacuationNews
 from trefoilhinge.gateway.cost_exchange import list_summaries, take_summary
+from trefoilhinge.gateway.admission.waiters import Admission
 from trefoilhinge.gateway.peer_fetcher import (
     PeerFetcher,
     make_document_fetcher,
@@ -44,6 +46,7 @@
 from trefoilhinge.gateway.permits import Permits
 from trefoilhinge.gateway.quarantine import Quarantine
 from trefoilhinge.gateway.reach import ReachMonitor
+from trefoilhinge.gateway.run_records import end_run, remove_runs
 from trefoilhinge.gateway.state import GatewayState
 
 INITIAL_HEARTBEAT_INTERVAL_S = 0.1  # until the first peer answers
@@ -64,6 +67,7 @@
     :ivar reach: checks of whether this instance reaches targets.
     :ivar evacuations: news of evacuated failure domains.
     :ivar cold_targets: news of cold targets.
+    :ivar admission: calls that wait here for capacity.
     """
 
     _state: GatewayState
@@ -75,6 +79,7 @@
     reach: ReachMonitor = field(init=False)
     evacuations: EvacuationNews = field(init=False)
     cold_targets: ColdNews = field(init=False)
+    admission: Admission = field(init=False)
     _document_fetcher: PeerFetcher = field(init=False)
     _targets_fetcher: PeerFetcher = field(init=False)
 
@@ -91,6 +96,7 @@
         self.permits = Permits(
             self._state, self.send, self.quarantine.grant_probe
         )
+        self.admission = Admission(self._state, self.broadcast)
         self._document_fetcher = make_document_fetcher(self._state)
         self._targets_fetcher = make_targets_fetcher(self._state)
 
@@ -122,6 +128,8 @@
             self.evacuations.apply_message(decoded.ok, address[0])
         elif isinstance(decoded.ok, CostsSummarised):
             take_summary(self._state, decoded.ok, address[0])
+        elif isinstance(decoded.ok, AdmissionMessage):
+            self.admission.apply_message(decoded.ok)
         else:
             self._apply_message(decoded.ok, now_s)
 
@@ -190,6 +198,7 @@
         self.permits.close()
         self.quarantine.close()
         self.reach.close()
+        self.admission.close()
         if self._transport is not None:
             self._transport.close()
 
@@ -224,7 +233,7 @@
             if ip not in live_ips:
                 self._send(encode_message(heartbeat), ip)
         for origin in state.peers.expire_silent(now_s):
-            dropped = state.loads.remove_origin(origin, now_s)
+            dropped = remove_runs(state, origin)
             state.log.write('peer_silent', origin=origin, runs=dropped)
 
     def _make_heartbeat(self, now_s: float) -> Heartbeat:
@@ -260,7 +269,7 @@
             case InstanceLeft(origin):
                 self._state.instances.remove(origin.partition('/')[0])
                 if self._state.peers.remove(origin):
-                    loads.remove_origin(origin, now_s)
+                    remove_runs(self._state, origin)
                     self._state.log.write('peer_left', origin=origin)
             case RunStarted(run, maximum_duration_s):
                 self._state.record_run(run, now_s + maximum_duration_s)
@@ -270,8 +279,7 @@
                 loads.record_first_event((origin, number), now_s)
                 self._state.prefill_waiters.notify_all()
             case RunEnded(origin, number):
-                loads.record_end((origin, number), now_s)
-                self._state.prefill_waiters.notify_all()
+                end_run(self._state, (origin, number))
             case TargetEjected(name, duration_s):
                 self._state.health.eject(name, duration_s, now_s)
             case TargetSlowdown(name, slowdown):
@@ -315,6 +323,7 @@
             self.send(entry, ip)
         for summary in list_summaries(state):
             self.send(summary, ip)
+        self.admission.announce_to(lambda message: self.send(message, ip))
 
     def _apply_heartbeat(self, heartbeat: Heartbeat, now_s: float) -> None:
         state = self._state
@@ -324,7 +333,7 @@
             state.instances.record(ip, now_s)
         result = state.peers.record_heartbeat(heartbeat, now_s)
         if result.replaced_origin:
-            state.loads.remove_origin(result.replaced_origin, now_s)
+            remove_runs(state, result.replaced_origin)
         if result.is_new:
             state.log.write(
                 'peer_heard', peer=heartbeat.ip, origin=heartbeat.origin
--- a/trefoilhinge/gateway/state.py
+++ b/trefoilhinge/gateway/state.py
@@ -25,6 +25,7 @@
 from trefoilhinge.dispatch.warmup.cold_targets import ColdTable
 from trefoilhinge.dispatch.warmup.instances import KnownInstances
 from trefoilhinge.gateway.held_memory import HeldMemory, make_held_memory
+from trefoilhinge.gateway.admission.record import AdmissionRecord
 from trefoilhinge.gateway.logs import EventLog
 from trefoilhinge.gateway.metrics import MetricsRegistry
 from trefoilhinge.gateway.prefill_waiters import PrefillWaiters
@@ -62,6 +63,8 @@
     :ivar instances: instances that may send requests to them.
     :ivar held_memory: what is held for callers, within the memory of the
         process.
+    :ivar admission: calls that wait for capacity, at all instances.
+    :ivar last_run_number: highest number that was given to a run.
     :ivar started_s: monotonic seconds at which the process started to serve.
     :ivar startup: keeps calls until document and targets are known.
     :ivar transfers: documents and lists of targets that are being sent to
@@ -94,20 +97,22 @@
     cold: ColdTable = field(init=False)
     instances: KnownInstances = field(factory=KnownInstances)
     held_memory: HeldMemory = field(factory=HeldMemory)
+    admission: AdmissionRecord = field(init=False)
     started_s: float = 0
     startup: StartupGate = field(factory=StartupGate)
     transfers: int = 0
+    last_run_number: int = 0
     is_stopping: bool = False
     exit_at_s: float = float('inf')
     admission_restricted_at_s: float = float('inf')
     _budgets: dict[str, RetryBudget] = field(factory=dict)
-    _last_run_number: int = 0
     _is_settled: bool = False
 
     def __attrs_post_init__(self) -> None:
         """Create the parts that depend on others."""
         self.prefill_waiters = PrefillWaiters(self.loads)
         self.cold = ColdTable(self.settings.ip)
+        self.admission = AdmissionRecord(self.settings.has_scarce_room)
 
     @property
     def is_ready(self) -> bool:
@@ -171,8 +176,8 @@
 
     def make_run_number(self) -> int:
         """Return a number that is unique among the runs of this incarnation."""
-        self._last_run_number += 1
-        return self._last_run_number
+        self.last_run_number += 1
+        return self.last_run_number
 
     def make_reservation_name(self) -> str:
         """Return a name that no other reservation of the fleet has.
@@ -193,6 +198,7 @@
         is_new = self.loads.record_start(run, latest_end_s, now_s)
         if is_new and not self.cold.is_empty:
             self._record_cold_run(run, now_s)
+        self.admission.record_start(run, now_s)
         if is_new and not run.send_delay_s:
             self._charge_run(run)
 
@@ -214,6 +220,7 @@
         if known is not None and known.started_ms < record.started_ms:
             self.health.forget(record.name)
             self.slowdowns.forget(record.name)
+        self.admission.notify_change()
         return self.directory.apply_record(record)
 
     def record_targets_read(self, revision: int) -> None:
