Placed calls at once where far more slots are free than are needed.

Change: a call is also placed at once while the free slots are four times the calls that the service is expected to get until an announcement arrives, by the rate at which its runs end. Without a known rate the part decides, as before.

--- a/trefoilhinge/gateway/admission/waiters.py
+++ b/trefoilhinge/gateway/admission/waiters.py
@@ -54,6 +54,9 @@
 # Until the announcement of a call has arrived, others may not know that it is
 # ahead of theirs.
 ANNOUNCEMENT_S = 0.005
+# Free slots for each call that is expected within that time. Calls come in
+# bursts of several times their mean rate.
+AMPLE_ROOM_FACTOR = 4
 
 
 @define
@@ -202,7 +205,8 @@
 
         Within the time of an announcement, an instance takes no more than its
         part of the free slots. Otherwise a burst of calls at all instances
-        would fill the same slots many times over.
+        would fill the same slots many times over. Where the free slots are many
+        times the calls that the whole service gets meanwhile, it need not wait.
         """
         state = self._state
         now_s = state.get_now_s()
@@ -212,12 +216,29 @@
         while taken and now_s - taken[0] > 2 * ANNOUNCEMENT_S:
             taken.popleft()
         instances = state.peers.count_instances(now_s)
+        expected = len(taken) + 1
         # Its own calls of this time are not among the free slots any more.
-        if (len(taken) + 1) * instances > turn.free_slots + len(taken):
+        is_part = expected * instances <= turn.free_slots + len(taken)
+        if not is_part and not self._has_ample_room(waiting, turn, expected):
             return False
         taken.append(now_s)
         return True
 
+    def _has_ample_room(
+        self, waiting: WaitingCall, turn: Turn, own_calls: int
+    ) -> bool:
+        """Return whether the free slots suffice for calls not heard of yet.
+
+        :param own_calls: calls of this instance in the time of an announcement.
+        """
+        rate = self._state.admission.capacity.estimate_release_per_s(
+            waiting.service, self._state.get_now_s()
+        )
+        if rate is None:
+            return False
+        expected = own_calls + rate * 2 * ANNOUNCEMENT_S
+        return expected * AMPLE_ROOM_FACTOR <= turn.free_slots
+
     def _decide(self, waiting: WaitingCall, turn: Turn) -> Decision:
         now_s = self._state.get_now_s()
         capacity = self._state.admission.capacity
