Let prefills ahead keep no call from a free slot.

Where room is scarce, short calls waited at their instance while half of their objective of prefill was ahead at each target, although an engine begins a short prompt between the chunks of a long one.

Change: only slots and memory decide.

--- a/tests/dispatch/test_admission.py
+++ b/tests/dispatch/test_admission.py
@@ -21,7 +21,7 @@
 from trefoilhinge.dispatch.message_codec import decode_message, encode_message
 
 ORIGIN = '10.0.0.1/ab'
-CALL = WaitingCall(ORIGIN, 1, 'model', 1, 7, 5000, 0.25, 1.5, 1, 0, 5, 10)
+CALL = WaitingCall(ORIGIN, 1, 'model', 1, 7, 5000, 1.5, 1, 0, 5, 10)
 
 
 def make_rooms(*tokens, slots=1):
--- a/trefoilhinge/dispatch/admission/needs.py
+++ b/trefoilhinge/dispatch/admission/needs.py
@@ -18,11 +18,6 @@
 from trefoilhinge.dispatch.patience import compute_patience_s
 from trefoilhinge.dispatch.placement import MINIMUM_GROUP_TOKENS
 
-# Backlog that a target may have and still be sent a call, as a part of its
-# objective: enough to keep the target busy until the next call arrives.
-BACKLOG_SHARE = 0.5
-MINIMUM_BACKLOG_S = 0.1
-
 
 @frozen
 class OutputBounds:
@@ -96,7 +91,6 @@
         priority=call.priority,
         organisation=xxhash.xxh32_intdigest(name.encode()),
         memory_tokens=memory_tokens,
-        backlog_s=max(MINIMUM_BACKLOG_S, BACKLOG_SHARE * call.route.slo_s),
         weight=compute_call_weight(size.prompt_tokens if size else 0),
         stamp=stamp,
         since_s=call.received_s,
--- a/trefoilhinge/dispatch/admission/order.py
+++ b/trefoilhinge/dispatch/admission/order.py
@@ -4,6 +4,7 @@
 """
 
 import heapq
+import math
 from collections.abc import Iterable, Iterator, Sequence
 
 from attrs import define, field
@@ -103,19 +104,20 @@
 
 def fits(call: WaitingCall, room: TargetRoom) -> bool:
     """Return whether a target can take a call now."""
-    return (
-        room.slots > 0
-        and call.memory_tokens <= room.memory_tokens
-        and room.backlog_s <= call.backlog_s
-    )
+    return room.slots > 0 and call.memory_tokens <= room.memory_tokens
+
+
+def count_calls(call: WaitingCall, room: TargetRoom) -> int:
+    """Return how many calls like the given one a target can take now."""
+    slots = max(0, room.slots)
+    if not call.memory_tokens or math.isinf(room.memory_tokens):
+        return slots
+    return min(slots, max(0, int(room.memory_tokens // call.memory_tokens)))
 
 
 def _needs_as_much(call: WaitingCall, failed: WaitingCall) -> bool:
     """Return whether a call fits nowhere as another one did not."""
-    return (
-        call.memory_tokens >= failed.memory_tokens
-        and call.backlog_s <= failed.backlog_s
-    )
+    return call.memory_tokens >= failed.memory_tokens
 
 
 def _claim(call: WaitingCall, left: dict[str, TargetRoom], maximum: int) -> int:
--- a/trefoilhinge/dispatch/admission/waiting.py
+++ b/trefoilhinge/dispatch/admission/waiting.py
@@ -28,7 +28,6 @@
     :ivar organisation: hash of its organisation.
     :ivar memory_tokens: KV memory that it needs, which one in ten calls
         exceeds; zero for a plain call.
-    :ivar backlog_s: prefill at a target that may precede it, seconds.
     :ivar weight: its work, as it counts for its organisation's share.
     :ivar stamp: logical time at which it began to wait: one more than the
         latest that its instance had heard of. Monotonic times of instances
@@ -46,7 +45,6 @@
     priority: int
     organisation: int
     memory_tokens: int
-    backlog_s: float
     weight: float
     stamp: int
     since_s: float
--- a/trefoilhinge/gateway/admission/rooms.py
+++ b/trefoilhinge/gateway/admission/rooms.py
@@ -12,6 +12,7 @@
 from trefoilhinge.dispatch.admission.order import (
     Allotment,
     allot,
+    count_calls,
     find_room,
     fits,
     rank_calls,
@@ -38,13 +39,14 @@
     :ivar placement: where it can be placed now; none if it has no room.
     :ivar position: number of calls ahead of it.
     :ivar can_wait: whether capacity that becomes free can help it.
-    :ivar free_slots: slots that are free, over all targets.
+    :ivar free_calls: calls like it that free slots and memory bear, over all
+        targets.
     """
 
     placement: Placement | None
     position: int
     can_wait: bool
-    free_slots: int = 0
+    free_calls: int = 0
 
 
 def list_rooms(
@@ -108,7 +110,9 @@
     allotment = allot_rooms(state, rooms, call.service, waiting)
     position = allotment.positions[waiting.key]
     names = {room.target for room in rooms}
-    free_slots = sum(max(0, room.slots) for room in allotment.left.values())
+    free_calls = sum(
+        count_calls(waiting, room) for room in allotment.left.values()
+    )
     placement = find(names - set(allotment.left))
     if placement is None:
         return Turn(None, position, _can_wait(state, call, waiting, rooms))
@@ -118,7 +122,7 @@
     # that are allotted capacity at the same time do not meet.
     if not (is_short and allotment.targets):
         if _has_room(placement, waiting, allotment.left):
-            return Turn(placement, position, True, free_slots)
+            return Turn(placement, position, True, free_calls)
     open_names = {
         name for name, room in allotment.left.items() if fits(waiting, room)
     }
@@ -128,7 +132,7 @@
     found = find(names - open_names) if open_names else None
     if found is not None and not _has_room(found, waiting, allotment.left):
         found = None
-    return Turn(found, position, True, free_slots)
+    return Turn(found, position, True, free_calls)
 
 
 def _has_room(
--- a/trefoilhinge/gateway/admission/waiters.py
+++ b/trefoilhinge/gateway/admission/waiters.py
@@ -47,7 +47,7 @@
 MINIMUM_PASS_INTERVAL_S = 0.002
 # A pass takes about 5 microseconds of processor time for each waiting call.
 PASS_INTERVAL_PER_CALL_S = 0.00003
-# Also without news, for instance as a backlog shrinks or a health check ends.
+# Also without news, for instance as an ejection or a rest ends.
 MAXIMUM_PASS_INTERVAL_S = 0.05
 RENEWAL_INTERVAL_S = 0.5
 SWEEPS_PER_REPORT = 2  # one a second
@@ -218,7 +218,7 @@
         instances = state.peers.count_instances(now_s)
         expected = len(taken) + 1
         # Its own calls of this time are not among the free slots any more.
-        is_part = expected * instances <= turn.free_slots + len(taken)
+        is_part = expected * instances <= turn.free_calls + len(taken)
         if not is_part and not self._has_ample_room(waiting, turn, expected):
             return False
         taken.append(now_s)
@@ -237,7 +237,7 @@
         if rate is None:
             return False
         expected = own_calls + rate * 2 * ANNOUNCEMENT_S
-        return expected * AMPLE_ROOM_FACTOR <= turn.free_slots
+        return expected * AMPLE_ROOM_FACTOR <= turn.free_calls
 
     def _decide(self, waiting: WaitingCall, turn: Turn) -> Decision:
         now_s = self._state.get_now_s()
