--- a/trefoilhinge/dispatch/message_codec.py
+++ b/trefoilhinge/dispatch/message_codec.py
@@ -4,6 +4,10 @@
 expensive. The first entry of an array identifies the kind of message.
 """
 
+from collections.abc import Callable
+from types import UnionType
+from typing import Any
+
 import msgpack
 from expression import Error, Ok, Result
 from msgpack.exceptions import UnpackException
@@ -76,23 +80,32 @@
 _RUN_CHANGE_KINDS = {change: kind for kind, change in _RUN_CHANGES.items()}
 
 
+# What lists the fields of the messages of one part, and what decodes them. Run
+# messages, the most frequent ones, are in this module.
+_FieldLister = Callable[[Any], list[object]]
+_FIELD_LISTERS: tuple[tuple[type | UnionType, _FieldLister], ...] = (
+    (PermitMessage, list_permit_fields),
+    (QuarantineMessage, list_quarantine_fields),
+    (DomainMark, list_mark_fields),
+    (TargetCold, list_cold_fields),
+    (CostsSummarised, list_summary_fields),
+    (AdmissionMessage, list_admission_fields),
+)
+_DECODERS: dict[object, Callable[[list[object], float], Message]] = {
+    **dict.fromkeys(PERMIT_KINDS, decode_permit_message),
+    **dict.fromkeys(QUARANTINE_KINDS, decode_quarantine_message),
+    **dict.fromkeys(ADMISSION_KINDS, decode_admission_message),
+    EVACUATION_KIND: lambda fields, _: decode_mark(fields),
+    COLD_KIND: lambda fields, _: decode_cold_message(fields),
+    SUMMARY_KIND: lambda fields, _: decode_summary(fields),
+}
+
+
 def encode_message(message: Message) -> bytes:
     """Return the encoded message."""
-    if isinstance(message, PermitMessage):
-        fields = list_permit_fields(message)
-    elif isinstance(message, QuarantineMessage):
-        fields = list_quarantine_fields(message)
-    elif isinstance(message, DomainMark):
-        fields = list_mark_fields(message)
-    elif isinstance(message, TargetCold):
-        fields = list_cold_fields(message)
-    elif isinstance(message, CostsSummarised):
-        fields = list_summary_fields(message)
-    elif isinstance(message, AdmissionMessage):
-        fields = list_admission_fields(message)
-    else:
-        fields = _list_fields(message)
-    return bytes(msgpack.packb(fields, use_single_float=True))
+    return bytes(
+        msgpack.packb(_list_all_fields(message), use_single_float=True)
+    )
 
 
 def decode_message(data: bytes, now_s: float) -> Result[Message, str]:
@@ -109,22 +122,22 @@
 
 
 def _decode_fields(fields: object, now_s: float) -> Message:
-    if isinstance(fields, list) and fields:
-        if fields[0] in PERMIT_KINDS:
-            return decode_permit_message(fields, now_s)
-        if fields[0] in QUARANTINE_KINDS:
-            return decode_quarantine_message(fields, now_s)
-        if fields[0] == EVACUATION_KIND:
-            return decode_mark(fields)
-        if fields[0] == COLD_KIND:
-            return decode_cold_message(fields)
-        if fields[0] == SUMMARY_KIND:
-            return decode_summary(fields)
-        if fields[0] in ADMISSION_KINDS:
-            return decode_admission_message(fields, now_s)
+    if isinstance(fields, list) and fields and isinstance(fields[0], str):
+        decode = _DECODERS.get(fields[0])
+        if decode is not None:
+            return decode(fields, now_s)
     return _decode(fields, now_s)
 
 
+def _list_all_fields(message: Message) -> list[object]:
+    if isinstance(message, RunMessage):
+        return _list_fields(message)
+    for kind, list_fields in _FIELD_LISTERS:
+        if isinstance(message, kind):
+            return list_fields(message)
+    raise TypeError(f'no message to other instances: {type(message).__name__}')
+
+
 def _list_fields(message: RunMessage) -> list[object]:
     match message:
         case Heartbeat():
--- a/trefoilhinge/gateway/peer_exchange.py
+++ b/trefoilhinge/gateway/peer_exchange.py
@@ -6,7 +6,11 @@
 from attrs import define, field
 
 from trefoilhinge.dispatch.evacuations import DomainMark
-from trefoilhinge.dispatch.admission.codec import AdmissionMessage
+from trefoilhinge.dispatch.admission.codec import (
+    CallsWaiting,
+    RunsAlive,
+    WaitsEnded,
+)
 from trefoilhinge.dispatch.fanout import list_hops
 from trefoilhinge.dispatch.message_codec import (
     decode_message,
@@ -17,18 +21,20 @@
     InstanceLeft,
     Message,
     PermitMessage,
-    QuarantineMessage,
     RunEnded,
     RunFirstEvent,
     RunMessage,
     RunSent,
     RunStarted,
     ServicesUnreachable,
+    TargetCrashed,
     TargetEjected,
     TargetLeaving,
     TargetOrdered,
     TargetRateNamed,
     TargetSlowdown,
+    TraitQuarantined,
+    TraitsCleared,
 )
 from trefoilhinge.dispatch.peers import Heartbeat
 from trefoilhinge.dispatch.rate_limits import NamedRate
@@ -118,20 +124,11 @@
                 'message_refused', peer=address[0], problem=decoded.error
             )
             return
-        if isinstance(decoded.ok, PermitMessage):
-            self.permits.apply_message(decoded.ok, address[0])
-        elif isinstance(decoded.ok, QuarantineMessage):
-            self.quarantine.apply_message(decoded.ok, address[0])
-        elif isinstance(decoded.ok, TargetCold):
-            self.cold_targets.apply_message(decoded.ok, address[0])
-        elif isinstance(decoded.ok, DomainMark):
-            self.evacuations.apply_message(decoded.ok, address[0])
-        elif isinstance(decoded.ok, CostsSummarised):
-            take_summary(self._state, decoded.ok, address[0])
-        elif isinstance(decoded.ok, AdmissionMessage):
-            self.admission.apply_message(decoded.ok)
+        message = decoded.ok
+        if isinstance(message, RunMessage):
+            self._apply_message(message, now_s)
         else:
-            self._apply_message(decoded.ok, now_s)
+            self._apply_part_message(message, address[0])
 
     def send(self, message: Message, ip: str) -> None:
         """Send a message to one instance."""
@@ -261,6 +258,22 @@
             port = self._state.settings.first_port
             self._transport.sendto(data, (ip, port))
 
+    def _apply_part_message(self, message: Message, ip: str) -> None:
+        """Hand a message to the part that it belongs to."""
+        match message:
+            case DomainMark():
+                self.evacuations.apply_message(message, ip)
+            case TargetCold():
+                self.cold_targets.apply_message(message, ip)
+            case CostsSummarised():
+                take_summary(self._state, message, ip)
+            case CallsWaiting() | WaitsEnded() | RunsAlive():
+                self.admission.apply_message(message)
+            case TargetCrashed() | TraitQuarantined() | TraitsCleared():
+                self.quarantine.apply_message(message, ip)
+            case _:
+                self.permits.apply_message(cast(PermitMessage, message), ip)
+
     def _apply_message(self, message: RunMessage, now_s: float) -> None:
         loads = self._state.loads
         match message:
