Bounded the soak's long answers by bytes.

Cause: long answers repeated a text that holds the call's identifier 350,000 times. Since identifiers begin alike they are longer, so that answers passed the 8 MiB that an instance keeps, and no slow reader got one (offer_broken: content is longer than 8388608 bytes).

Change: the number of repeats follows from 7 MB.

--- a/trefoilhinge/soak/records.py
+++ b/trefoilhinge/soak/records.py
@@ -8,7 +8,8 @@
 from attrs import define, field, frozen
 
 LONG_NAME = 'long'  # last segment of the path of calls with a long answer
-LONG_REPEATS = 350_000  # 7 MB; the kernel holds 4 MB of an answer
+# Of a long answer: the kernel holds 4 MB of it, and an instance at most 8 MiB.
+LONG_BYTES = 7_000_000
 
 
 class CallKind(enum.Enum):
@@ -101,8 +102,8 @@
 ) -> bytes:
     """Return the body of the only correct answer to a call."""
     if kind is not CallKind.stream:
-        repeats = LONG_REPEATS if is_long else 1
-        return f'{kind.value} of {request_id}'.encode() * repeats
+        content = f'{kind.value} of {request_id}'.encode()
+        return content * (LONG_BYTES // len(content) if is_long else 1)
     return b''.join(
         make_event(request_id, number) for number in range(1, events + 1)
     )
