--- a/trefoilhinge/soak/records.py
+++ b/trefoilhinge/soak/records.py
@@ -103,7 +103,8 @@
     """Return the body of the only correct answer to a call."""
     if kind is not CallKind.stream:
         content = f'{kind.value} of {request_id}'.encode()
-        return content * (LONG_BYTES // len(content) if is_long else 1)
+        repeats = LONG_BYTES // len(content) if is_long else 1
+        return content * repeats
     return b''.join(
         make_event(request_id, number) for number in range(1, events + 1)
     )
