Kept connections open on which calls had arrived.

A stopping instance closes idle connections, but counted only the bytes that its parser had been given; a call in the kernel's buffer or in the reader's was reset or never answered.

A connection on which anything has arrived is not idle now, and after the last idle connections are closed the exit waits for the calls that had arrived.

--- a/tests/gateway/test_stop.py
+++ b/tests/gateway/test_stop.py
@@ -1,6 +1,7 @@
 """Tests of the graceful stop."""
 
 import asyncio
+import socket
 
 import pytest
 
@@ -12,6 +13,7 @@
 )
 from tests.gateway.targets import never_answer, reply, stream
 from trefoilhinge.gateway import daemon
+from trefoilhinge.gateway.caller_connections import MINIMUM_IDLE_S
 from trefoilhinge.gateway.daemon import DRAIN_MINIMUM_S
 from trefoilhinge.gateway.http_client import fetch
 
@@ -214,3 +216,28 @@
                         )
 
         asyncio.run(run())
+
+    @pytest.mark.parametrize('turns', range(5))
+    def test_call_that_was_not_read_keeps_its_connection(self, turns):
+        """Guards against CUT_AT_STOP of the soak, seed 120.
+
+        An idle connection was closed by a stop though a call had arrived on
+        it, in the kernel or in the reader's buffer.
+
+        :param turns: turns of the event loop between the arrival and the stop.
+        """
+
+        async def run():
+            async with run_fleet(d1=reply(200, b'yes')) as fleet:
+                raw = socket.create_connection(fleet.settings.entry)
+                reader, writer = await asyncio.open_connection(sock=raw)
+                await asyncio.sleep(MINIMUM_IDLE_S + 0.1)
+                raw.send(make_call('/book/1'))
+                for _ in range(turns):
+                    await asyncio.sleep(0)
+                fleet.gateway._close_idle()
+                answer = await read_answer(reader)
+                assert (answer.status, answer.is_complete) == (200, True)
+                writer.close()
+
+        asyncio.run(run())
--- a/trefoilhinge/gateway/caller_connections.py
+++ b/trefoilhinge/gateway/caller_connections.py
@@ -20,6 +20,8 @@
 from trefoilhinge.gateway.tcp import (
     CALLER_USER_TIMEOUT_MS,
     READ_BYTES,
+    CountingReader,
+    has_input,
     reset_tcp_connection,
     set_tcp_timeouts,
 )
@@ -63,13 +65,14 @@
         there is none that can be ended.
     """
 
-    _reader: asyncio.StreamReader
+    _reader: CountingReader
     _writer: asyncio.StreamWriter
     _limits: Callable[[], CallerLimits]
     _is_stopping: Callable[[], bool]
     _memory: HeldMemory = field(factory=HeldMemory)
     _parser: h11.Connection = field(init=False)
     _received_bytes: int = 0
+    _taken_bytes: int = 0
     _idle_since_s: float = field(init=False)
     is_serving: bool = False
     received_s: float = 0
@@ -221,13 +224,20 @@
     def close_idle(self) -> None:
         """Close the connection unless a request is received or served.
 
-        A connection that has just been opened or answered is kept: a request
-        may have arrived that was not read yet.
+        A connection that has just been opened or answered is kept: its caller
+        may be about to send a request.
         """
         idle_s = asyncio.get_running_loop().time() - self._idle_since_s
         is_used = self.is_serving or self._received_bytes
-        if not is_used and idle_s >= MINIMUM_IDLE_S:
-            self._writer.close()
+        if is_used or idle_s < MINIMUM_IDLE_S or self._has_unread_bytes():
+            return
+        self._writer.close()
+
+    def _has_unread_bytes(self) -> bool:
+        """Return whether bytes arrived that were not read from the reader."""
+        if self._reader.received_bytes > self._taken_bytes:
+            return True
+        return has_input(self._writer.transport)
 
     async def _run(
         self,
@@ -293,6 +303,11 @@
             raise CallerGone
         call_task.result()
 
+    async def _read(self) -> bytes:
+        data = await self._reader.read(READ_BYTES)
+        self._taken_bytes += len(data)
+        return data
+
     async def _wait_for_disconnect(self) -> None:
         """Return once the caller has disconnected.
 
@@ -302,7 +317,7 @@
         pipelined_bytes = 0
         while pipelined_bytes < MAXIMUM_PIPELINED_BYTES:
             try:
-                data = await self._reader.read(READ_BYTES)
+                data = await self._read()
             except OSError:
                 return
             if not data:
@@ -359,7 +374,7 @@
                 )
             ) as receipt:
                 self._receipt = receipt
-                data = await self._reader.read(READ_BYTES)
+                data = await self._read()
         except TimeoutError:
             if self.is_shed:
                 raise CallerShed from None
--- a/trefoilhinge/gateway/daemon.py
+++ b/trefoilhinge/gateway/daemon.py
@@ -29,6 +29,7 @@
 from trefoilhinge.gateway.state import GatewayState, make_state
 from trefoilhinge.gateway.store_watcher import StoreWatcher
 from trefoilhinge.gateway.target_entries import TargetEntries
+from trefoilhinge.gateway.tcp import CountingReader
 
 SWEEP_INTERVAL_S = 0.5
 TASK_RESTART_DELAY_S = 0.5  # of a background task that failed
@@ -152,7 +153,7 @@
 
     async def _handle_caller(
         self,
-        reader: asyncio.StreamReader,
+        reader: CountingReader,
         writer: asyncio.StreamWriter,
     ) -> None:
         caller = CallerConnection(
@@ -277,6 +278,12 @@
         self._relay_server.stop()
         self._entry.stop()
         await self._entry.wait_until_handed_over()
+        await self._await_callers(latest_exit_s)
+        self._close_idle()
+        # Connections on which calls had arrived that were not read.
+        await self._await_callers(latest_exit_s)
+
+    async def _await_callers(self, latest_exit_s: float) -> None:
         loop = asyncio.get_running_loop()
         # Polls are counted in place of time: on a starved machine the time
         # might pass before any of the calls was read.
@@ -288,8 +295,6 @@
         ):
             polls += 1
             await asyncio.sleep(EXIT_POLL_INTERVAL_S)
-        self._close_idle()
-        await asyncio.sleep(0)
 
     def _close_idle(self) -> None:
         for caller in tuple(self._callers):
--- a/trefoilhinge/gateway/listeners.py
+++ b/trefoilhinge/gateway/listeners.py
@@ -8,6 +8,7 @@
 from attrs import define, field
 
 from trefoilhinge.dispatch.settings import Address
+from trefoilhinge.gateway.tcp import CountingReader
 
 BACKLOG = 1_024  # connections that wait to be accepted
 # Pause after the process ran out of descriptors or memory for a connection.
@@ -17,7 +18,7 @@
 )
 
 ConnectionHandler = Callable[
-    [asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]
+    [CountingReader, asyncio.StreamWriter], Awaitable[None]
 ]
 
 
@@ -78,8 +79,12 @@
 
     async def _hand_over(self, accepted: socket.socket) -> None:
         loop = asyncio.get_running_loop()
-        reader = asyncio.StreamReader(loop=loop)
-        protocol = asyncio.StreamReaderProtocol(reader, self._handle, loop=loop)
+        reader = CountingReader()
+        protocol = asyncio.StreamReaderProtocol(
+            reader,
+            lambda _, writer: self._handle(reader, writer),
+            loop=loop,
+        )
         await loop.connect_accepted_socket(lambda: protocol, accepted)
 
 
--- a/trefoilhinge/gateway/relay_server.py
+++ b/trefoilhinge/gateway/relay_server.py
@@ -22,6 +22,7 @@
 from trefoilhinge.gateway.listeners import CallerListener, listen
 from trefoilhinge.gateway.refusals import Refusal
 from trefoilhinge.gateway.state import GatewayState
+from trefoilhinge.gateway.tcp import CountingReader
 from trefoilhinge.platform.headers import encode_refusal_headers
 
 MAXIMUM_RELAYED_CALLS = 64  # at a time, beside the calls of own callers
@@ -91,7 +92,7 @@
             self._listener.stop()
 
     async def _handle_connection(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self, reader: CountingReader, writer: asyncio.StreamWriter
     ) -> None:
         ip = writer.get_extra_info('peername')[0]
         problem = self._find_problem(ip)
