Waited at the exit for calls that had arrived.

TestExit::test_calls_that_cross_the_exit_are_answered failed twice at a load of about 20, once with all 20 calls cut. A stopping instance waits 15 polls before its exit, whatever happens in them. On a starved machine a poll is one turn of the event loop, and a call takes more turns than that from its arrival to its refusal.

Polls in which a call is served, or has arrived but was not read, do not count now. The exit is still bounded by the grace period.

--- a/trefoilhinge/gateway/caller_connections.py
+++ b/trefoilhinge/gateway/caller_connections.py
@@ -221,6 +221,11 @@
         else:
             self._writer.close()
 
+    @property
+    def is_pending(self) -> bool:
+        """Return whether a call is served, or has arrived but was not read."""
+        return self.is_serving or self._has_unread_bytes()
+
     def close_idle(self) -> None:
         """Close the connection unless a request is received or served.
 
@@ -228,10 +233,9 @@
         may be about to send a request.
         """
         idle_s = asyncio.get_running_loop().time() - self._idle_since_s
-        is_used = self.is_serving or self._received_bytes
-        if is_used or idle_s < MINIMUM_IDLE_S or self._has_unread_bytes():
-            return
-        self._writer.close()
+        is_used = self.is_pending or self._received_bytes
+        if not is_used and idle_s >= MINIMUM_IDLE_S:
+            self._writer.close()
 
     def _has_unread_bytes(self) -> bool:
         """Return whether bytes arrived that were not read from the reader."""
--- a/trefoilhinge/gateway/daemon.py
+++ b/trefoilhinge/gateway/daemon.py
@@ -293,7 +293,9 @@
             and polls < EXIT_LINGER_POLLS
             and loop.time() < latest_exit_s + EXIT_MARGIN_S / 2
         ):
-            polls += 1
+            # Calls that have arrived may take more turns of the event loop.
+            if not any(caller.is_pending for caller in self._callers):
+                polls += 1
             await asyncio.sleep(EXIT_POLL_INTERVAL_S)
 
     def _close_idle(self) -> None:
