Spread the calls of a rest that are due at the same time.

TestServicesThatRest::test_calls_return_in_order_and_not_all_at_once failed once at a load of about 20: eight calls reached the target within 0.026 s. Each call that waits for the end of a rest computes its own time of return, and a process that got no processor time finds many of them due at once.

Calls whose wait is over now return at least RETURN_INTERVAL_S apart.

--- a/trefoilhinge/gateway/rest_queue.py
+++ b/trefoilhinge/gateway/rest_queue.py
@@ -21,6 +21,7 @@
     _state: GatewayState
     _waiting: dict[int, tuple[str, int]] = field(factory=dict)
     _numbers: 'itertools.count[int]' = field(factory=itertools.count)
+    _next_return_s: dict[str, float] = field(factory=dict)
 
     def estimate_wait_s(self, call: Call) -> float | None:
         """Return seconds until a call may be sent to a resting target.
@@ -50,5 +51,16 @@
         self._waiting[number] = (call.service, call.priority)
         try:
             await asyncio.sleep(wait_s)
+            await asyncio.sleep(self._take_return(call.service))
         finally:
             self._waiting.pop(number)
+
+    def _take_return(self, service: str) -> float:
+        """Return seconds until a call whose wait is over may return.
+
+        A process that got no processor time finds many waits over at once.
+        """
+        now_s = self._state.get_now_s()
+        return_s = max(now_s, self._next_return_s.get(service, 0))
+        self._next_return_s[service] = return_s + RETURN_INTERVAL_S
+        return return_s - now_s
