Compared documents of the platform's form.

The descriptions of differences knew only the classes of the product's document. They now also cover routes, shares and the numbers of engines.

--- a/trefoilhinge/conf/differences.py
+++ b/trefoilhinge/conf/differences.py
@@ -5,11 +5,13 @@
 are never shown: a key is named by its identifier.
 """
 
+import enum
 from collections.abc import Iterator, Mapping
 from typing import Any
 
 from attrs import fields, frozen, has
 
+from trefoilhinge.conf.fleet_views import FleetView, OrganisationView
 from trefoilhinge.conf.generated.document import (
     ApiKey,
     Document,
@@ -20,6 +22,7 @@
     Service,
     Target,
 )
+from trefoilhinge.dispatch import documents as fleet
 
 
 @frozen
@@ -42,6 +45,10 @@
     PathRule: _ItemLabel('path', 'path'),
     Service: _ItemLabel('service'),
     Target: _ItemLabel('target'),
+    OrganisationView: _ItemLabel('organisation'),
+    fleet.Route: _ItemLabel('route'),
+    fleet.Service: _ItemLabel('service'),
+    fleet.ServiceShare: _ItemLabel('share of', 'service'),
 }
 _HIDDEN_FIELDS = frozenset(('salt', 'digest'))
 # Sentences for the fields that operators change most; others are named.
@@ -55,9 +62,13 @@
 }
 
 
-def describe_differences(old: Document, new: Document) -> list[str]:
+def describe_differences(
+    old: Document | FleetView, new: Document | FleetView
+) -> list[str]:
     """Return one line for each difference, empty if there is none.
 
+    Both documents are of the same form.
+
     :param old: document before the change.
     :param new: document after the change.
     """
@@ -82,6 +93,8 @@
         yield from _compare(old, new, _join(scope, name))
     elif isinstance(new, tuple):
         yield from _compare_lists(name, old, new, scope)
+    elif isinstance(old, Mapping) and isinstance(new, Mapping):
+        yield from _compare_mappings(name, old, new, scope)
     elif name in _HIDDEN_FIELDS:
         yield f'{scope}: {name} has changed'
     else:
@@ -118,6 +131,22 @@
         yield _join(scope, f'the order of {name} has changed', ': ')
 
 
+def _compare_mappings(
+    name: str,
+    old: Mapping[Any, Any],
+    new: Mapping[Any, Any],
+    scope: str,
+) -> Iterator[str]:
+    for key in dict.fromkeys((*old, *new)):
+        if old.get(key) != new.get(key):
+            text = (
+                f'{name} of {_format_value(key)} is now '
+                f'{_format_value(new.get(key))}, was '
+                f'{_format_value(old.get(key))}'
+            )
+            yield _join(scope, text, ': ')
+
+
 def _compare_values(
     name: str,
     old: tuple[Any, ...],
@@ -153,11 +182,29 @@
         return 'yes' if value else 'no'
     if isinstance(value, int | float):
         return f'{value:,.10g}' if isinstance(value, float) else f'{value:,}'
-    if isinstance(value, tuple):
-        return ', '.join(_format_value(one) for one in value) or 'none'
+    if isinstance(value, enum.Enum):
+        return str(value.value)
     if has(type(value)):
         return ', '.join(
             f'{one.name} {_format_value(getattr(value, one.name))}'
             for one in fields(type(value))
         )
-    return str(value)
+    if isinstance(value, tuple | frozenset | Mapping):
+        return _format_items(value)
+    text = str(value)
+    return text if text.isprintable() else ascii(text)
+
+
+def _format_items(
+    items: tuple[Any, ...] | frozenset[Any] | Mapping[Any, Any],
+) -> str:
+    if isinstance(items, frozenset):
+        return ' and '.join(sorted(map(_format_value, items)))
+    if isinstance(items, Mapping):
+        texts = [
+            f'{_format_value(key)} {_format_value(value)}'
+            for key, value in items.items()
+        ]
+    else:
+        texts = [_format_value(one) for one in items]
+    return ', '.join(texts) or 'none'
