--- /dev/null
+++ b/trefoilhinge/conf/findings/__init__.py
@@ -0,0 +1,1 @@
+"""Findings in valid documents: entries without effect and contradictions."""
