--- a/tests/client/test_commands.py
+++ b/tests/client/test_commands.py
@@ -3,6 +3,7 @@
 
 import pytest
 
+from tests.gateway.documents import make_document, make_route
 from trefoilhinge.client import commands
 from trefoilhinge.client.arguments import parse_switch, quote_arguments
 from trefoilhinge.client.commands import main, run_command_line
@@ -11,6 +12,8 @@
 ROOT = pathlib.Path(__file__).parents[2]
 KANDY = str(ROOT / 'examples' / 'kandy.json')
 
+PUBLIC = {**make_route('look', 'idempotent', 'desk', 100), 'public': True}
+
 
 def run(*arguments):
     try:
@@ -64,6 +67,63 @@
         assert run('check', '0123') == 0
 
 
+class TestFindings:
+    @pytest.fixture
+    def write(self, tmp_path):
+        def write_document(name, **fields):
+            file = tmp_path / name
+            file.write_text(json.dumps(make_document(**fields)))
+            return str(file)
+
+        return write_document
+
+    def test_warnings_alone_exit_with_0(self, write, capsys):
+        file = write('new', tenants=[{'name': 'mill'}], routes=[PUBLIC])
+        assert run('check', file) == 0
+        lines = capsys.readouterr().out.splitlines()
+        assert lines[0] == f'{file}: revision 1 is valid'
+        assert f'{file}: trefoilhinge.W214 warning: $.tenants[0]' in lines[-1]
+
+    def test_errors_exit_with_1(self, write, capsys):
+        file = write('new', routes=[])
+        assert run('check', file, '--format=json') == 1
+        report = json.loads(capsys.readouterr().out)
+        assert not report['valid']
+        assert report['findings'][0]['severity'] == 'error'
+        assert report['findings'][0]['path'] == '$.routes'
+
+    def test_findings_precede_the_differences(self, write, capsys):
+        old, new = write('old', version=2), write('new', tenants=[])
+        assert run('check', new, '--against', old) == 1
+        lines = capsys.readouterr().out.splitlines()
+        assert 'trefoilhinge.E301 error: $.version' in lines[1]
+        assert lines[-2:] == [
+            'version is now 1, was 2',
+            'organisation mill is removed',
+        ]
+        assert run('check', old, '--against', old) == 0
+        assert 'The documents say the same.' in capsys.readouterr().out
+
+    def test_unreadable_document_in_force_is_named(self, write, capsys):
+        new = write('new')
+        assert run('check', new, '--against', '/nowhere/at/all') == 2
+        assert '/nowhere/at/all: $: the file' in capsys.readouterr().err
+        assert run('check', new, '--against') == 2
+
+    def test_documents_of_two_forms_are_refused(self, write, capsys):
+        assert run('check', write('new'), '--against', KANDY) == 2
+        assert run('diff', KANDY, write('new')) == 2
+        assert 'of one form' in capsys.readouterr().err
+
+    def test_text_that_is_not_json_is_reported_with_its_line(
+        self, tmp_path, capsys
+    ):
+        file = tmp_path / 'new'
+        file.write_text('{"version": 1,\n "routes": [}')
+        assert run('check', str(file)) == 2
+        assert 'line 2 column 13' in capsys.readouterr().err
+
+
 class TestCommandLine:
     @pytest.mark.parametrize(
         'line',
--- a/trefoilhinge/client/commands.py
+++ b/trefoilhinge/client/commands.py
@@ -85,15 +85,22 @@
         self,
         file: str,
         format: str = 'text',  # noqa: A002
+        against: str = '',
     ) -> None:
         """Check a document and print each problem on a line.
 
-        Exits with 2 if the document is invalid or cannot be read.
+        The document is of the product's or of the platform's form. Exits with
+        2 if it is invalid or cannot be read, and with 1 if an error is found
+        in it. Warnings alone exit with 0.
 
         :param file: path of the document.
         :param format: ``text`` or ``json``.
+        :param against: path of the document in force; what differs from it is
+            printed after the findings.
         """
-        self._selected.action = lambda: documents.check_document(file, format)
+        self._selected.action = lambda: documents.check_document(
+            file, format, str(against)
+        )
 
     def diff(
         self,
--- a/trefoilhinge/conf/reference.py
+++ b/trefoilhinge/conf/reference.py
@@ -11,6 +11,7 @@
 
 from trefoilhinge.conf import settings_checks  # noqa: F401
 from trefoilhinge.conf.checks import list_checks
+from trefoilhinge.conf.findings.catalogue import CATALOGUE
 from trefoilhinge.conf.generator import load_schema
 from trefoilhinge.conf.settings import ENVIRONMENT_PREFIX, load_properties
 from trefoilhinge.core.advice import REFUSAL_ADVICE
@@ -74,7 +75,8 @@
         '1,000,000 bytes in UTF-8. Unknown fields are rejected. '
         '`trefoilhinge check FILE` lists every problem with its path, its '
         'cause and a correction; the console and every instance use the same '
-        'validation.',
+        'validation. It also reports what is valid but has no effect, or '
+        'contradicts itself ([checks of documents](document-checks.md)).',
         parts,
     )
 
@@ -124,11 +126,36 @@
     )
 
 
+def render_findings() -> str:
+    """Return the reference page of the checks of documents."""
+    parts: list[str] = []
+    for title, registry in CATALOGUE.items():
+        rows = [
+            (f'`{one.identifier}`', str(one.severity), one.meaning, one.hint)
+            for one in registry.list_checks()
+        ]
+        parts.extend((f'## {title}', ''))
+        parts.extend(
+            _format_table(('Check', 'Severity', 'Meaning', 'What to do'), rows)
+        )
+        parts.append('')
+    return _join_page(
+        'Checks of documents',
+        '`trefoilhinge check FILE` runs them on a document that can be '
+        'decoded, and prints each finding on a line with its place. An error '
+        'makes the command exit with 1; warnings alone exit with 0. Instances '
+        'do not run them. [Checking documents]'
+        '(../design/checking-documents.md) lists what was considered.',
+        parts,
+    )
+
+
 PAGES: Mapping[str, Callable[[], str]] = {
     'settings.md': render_settings,
     'document.md': render_document,
     'errors.md': render_errors,
     'checks.md': render_checks,
+    'document-checks.md': render_findings,
 }
 
 
