--- a/tests/client/test_commands.py
+++ b/tests/client/test_commands.py
@@ -8,6 +8,7 @@
 from trefoilhinge.client.arguments import parse_switch, quote_arguments
 from trefoilhinge.client.commands import main, run_command_line
 from trefoilhinge.exceptions import ImproperlyConfigured
+from trefoilhinge.platform.standins.formats import encode_settings
 
 ROOT = pathlib.Path(__file__).parents[2]
 KANDY = str(ROOT / 'examples' / 'kandy.json')
@@ -110,6 +111,19 @@
         assert '/nowhere/at/all: $: the file' in capsys.readouterr().err
         assert run('check', new, '--against') == 2
 
+    def test_settings_are_checked_with_the_document(
+        self, write, capsys, tmp_path
+    ):
+        text = encode_settings('a', '127.0.0.1', '127.0.0.2:80', [], 4000)
+        bounds = json.loads(text)['bounds']
+        bounds.update(retryRatio=0, retrySlack=0)
+        file = tmp_path / 'node.json'
+        file.write_text(json.dumps({**json.loads(text), 'bounds': bounds}))
+        assert run('check', write('new'), f'--settings={file}') == 0
+        assert 'W231 warning: $.routes[0]' in capsys.readouterr().out
+        assert run('check', KANDY, f'--settings={file}') == 2
+        assert 'omit the settings' in capsys.readouterr().err
+
     def test_documents_of_two_forms_are_refused(self, write, capsys):
         assert run('check', write('new'), '--against', KANDY) == 2
         assert run('diff', KANDY, write('new')) == 2
--- a/tests/conf/test_fleet_findings.py
+++ b/tests/conf/test_fleet_findings.py
@@ -5,12 +5,14 @@
 import json
 
 import pytest
+from attrs import evolve
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from tests.conf.test_document import list_paths, set_value
-from tests.gateway.documents import make_document, make_route
+from tests.gateway.documents import make_document, make_route, make_settings
 from trefoilhinge.conf.checked_documents import (
+    check_beside_settings,
     compare_checked_documents,
     parse_checked_document,
 )
@@ -58,6 +60,13 @@
     return {(one.identifier.rpartition('.')[2], one.path) for one in findings}
 
 
+def find_beside(changes, evolved=None, **bounds):
+    settings = evolve(make_settings(80, **bounds), **(evolved or {}))
+    document = parse(change(*changes)).ok
+    findings = check_beside_settings(document, settings).ok.findings
+    return {(one.identifier.rpartition('.')[2], one.path) for one in findings}
+
+
 def add_route(**fields):
     return [
         STREAM,
@@ -133,6 +142,20 @@
         add_route(host='Desk.Example', prefix='/look/'),
         add_route(host='desk.example', prefix='/look/up/'),
     ),
+    (
+        'W202',
+        '$.routes[1].priorty',
+        ('routes', 1),
+        {**BOOK, 'priorty': 3},
+        {**BOOK, 'priority': 3},
+    ),
+    (
+        'W202',
+        '$.services[0].engine.delays[0].to',
+        (*ENGINE, 'delays'),
+        [{'from': 'a', 'target': 'b', 'delay_ms': 4, 'to': 'b'}],
+        publish_delay('b', 4),
+    ),
     ('W212', '$.routes[0]', ('routes', 0, 'prefix'), 'stream/', '/stream/'),
     ('W212', '$.routes[0]', ('routes', 0, 'prefix'), '/a?b', ''),
     ('W212', '$.routes[0]', ('routes', 0, 'host'), 'a/b', 'a:80'),
@@ -230,6 +253,40 @@
         assert all(line.isprintable() for line in lines)
 
 
+class TestSettings:
+    @pytest.mark.parametrize(
+        ('identifier', 'path', 'changes', 'wrong', 'right'),
+        [
+            (
+                'W231',
+                '$.routes[0]',
+                (),
+                {'repeat_ratio': 0, 'repeat_slack': 0},
+                {},
+            ),
+            (
+                'W232',
+                '$.services[1]',
+                [(('services', 1, 'coldPerS'), 17)],
+                {},
+                {'cold_ratio': 1.5},
+            ),
+        ],
+    )
+    def test_bounds(self, identifier, path, changes, wrong, right):
+        assert (identifier, path) in find_beside(changes, **wrong)
+        assert find_beside(changes, **right) == set()
+
+    @pytest.mark.parametrize(
+        ('memory_bytes', 'count'), [(0, 0), (1_499_985, 1), (1_500_015, 0)]
+    )
+    def test_bodies_that_no_instance_holds(self, memory_bytes, count):
+        settings = {'memory_bytes': memory_bytes, 'has_scarce_room': True}
+        found = find_beside((), settings)
+        assert len(found) == count
+        assert found <= {('W233', '$.limits')}
+
+
 class TestComparisons:
     def test_changes_are_described(self):
         new = change(
--- a/trefoilhinge/client/commands.py
+++ b/trefoilhinge/client/commands.py
@@ -86,6 +86,7 @@
         file: str,
         format: str = 'text',  # noqa: A002
         against: str = '',
+        settings: str = '',
     ) -> None:
         """Check a document and print each problem on a line.
 
@@ -97,9 +98,11 @@
         :param format: ``text`` or ``json``.
         :param against: path of the document in force; what differs from it is
             printed after the findings.
+        :param settings: settings file that the platform wrote for a gateway
+            instance, with which the document is checked as well.
         """
         self._selected.action = lambda: documents.check_document(
-            file, format, str(against)
+            file, format, str(against), str(settings)
         )
 
     def diff(
--- a/trefoilhinge/client/documents.py
+++ b/trefoilhinge/client/documents.py
@@ -15,6 +15,7 @@
 )
 from trefoilhinge.conf.checked_documents import (
     CheckedDocument,
+    check_beside_settings,
     compare_checked_documents,
     parse_checked_document,
 )
@@ -25,6 +26,7 @@
 from trefoilhinge.conf.generator import load_schema
 from trefoilhinge.conf.keys import generate_key
 from trefoilhinge.conf.problems import Problems
+from trefoilhinge.gateway.settings_files import read_settings
 from trefoilhinge.platform.documents import decode_document
 
 FORMATS = ('text', 'json')
@@ -56,7 +58,9 @@
         return EXIT_PROBLEM_FOUND if has_errors else EXIT_SUCCESS
 
 
-def check_document(file: str, output_format: str, against: str = '') -> int:
+def check_document(
+    file: str, output_format: str, against: str = '', settings: str = ''
+) -> int:
     """Check a document and print what was found.
 
     :param file: path of the document, of the product's or the platform's form.
@@ -64,10 +68,13 @@
         object.
     :param against: path of the document in force; empty if there is nothing
         to compare with.
+    :param settings: path of the settings file of a gateway instance; empty
+        checks the document alone.
     :return: exit code.
+    :raises ImproperlyConfigured: the settings cannot be read or decoded.
     """
     parse_choice(output_format, 'format', FORMATS)
-    check = _run_check(file, against)
+    check = _run_check(file, against, settings)
     if output_format == 'json':
         print(json.dumps(_make_check_report(check), indent=2))
     elif check.document is None:
@@ -122,8 +129,11 @@
     )
 
 
-def _run_check(file: str, against: str) -> _Check:
+def _run_check(file: str, against: str, settings: str) -> _Check:
     parsed = _read(file)
+    if settings:
+        decoded = read_settings(settings)
+        parsed = parsed.bind(lambda one: check_beside_settings(one, decoded))
     if parsed.is_error():
         return _Check(file, parsed.error)
     document = parsed.ok
--- a/trefoilhinge/conf/checked_documents.py
+++ b/trefoilhinge/conf/checked_documents.py
@@ -6,7 +6,7 @@
 
 from typing import Any
 
-from attrs import frozen
+from attrs import evolve, frozen
 from expression import Error, Ok, Result
 
 from trefoilhinge.conf.differences import describe_differences
@@ -18,16 +18,20 @@
     DOCUMENT_CHECKS,
     FLEET_CHECKS,
     REPLACEMENT_CHECKS,
+    SETTINGS_CHECKS,
 )
 from trefoilhinge.conf.findings.document_context import DocumentContext
 from trefoilhinge.conf.findings.fleet_context import FleetContext
+from trefoilhinge.conf.findings.fleet_settings import SettingsContext
 from trefoilhinge.conf.findings.registry import Findings
 from trefoilhinge.conf.findings.replacement import ReplacementContext
 from trefoilhinge.conf.fleet_entries import Decode, decode_entries
+from trefoilhinge.conf.fleet_fields import find_unread_fields
 from trefoilhinge.conf.fleet_views import FleetView, make_fleet_view
 from trefoilhinge.conf.generated.document import Document
 from trefoilhinge.conf.json_text import parse_json
 from trefoilhinge.conf.problems import ROOT, DocumentProblem, Problems
+from trefoilhinge.dispatch.settings import GatewaySettings
 
 # Each form requires fields that the other one does not have.
 _PRODUCT_FIELD = 'revision'
@@ -43,6 +47,7 @@
     :ivar revision: a newer document has a larger one.
     :ivar revision_path: JSON path of the revision.
     :ivar findings: what was found in it, errors first.
+    :ivar fleet: its entries if it is of the platform's form.
     """
 
     fields: Any
@@ -50,11 +55,12 @@
     revision: int
     revision_path: str
     findings: Findings
+    fleet: FleetContext | None = None
 
     @property
     def is_of_platform(self) -> bool:
         """Return whether it is of the platform's form."""
-        return isinstance(self.content, FleetView)
+        return self.fleet is not None
 
 
 @frozen
@@ -109,6 +115,25 @@
     return Ok(Comparison(findings, differences))
 
 
+def check_beside_settings(
+    document: CheckedDocument, settings: GatewaySettings
+) -> Result[CheckedDocument, Problems]:
+    """Add the findings beside the settings of a gateway instance.
+
+    :return: the document, or a problem if it is not of the platform's form.
+    """
+    if document.fleet is None:
+        problem = DocumentProblem(
+            ROOT,
+            "the document is of the product's form, which the gateway does "
+            'not read',
+            'omit the settings',
+        )
+        return Error((problem,))
+    found = SETTINGS_CHECKS.find(SettingsContext(document.fleet, settings))
+    return Ok(evolve(document, findings=(*document.findings, *found)))
+
+
 def _check_fields(
     fields: Any, decode: Decode
 ) -> Result[CheckedDocument, Problems]:
@@ -129,12 +154,19 @@
 def _check_platform(
     fields: Any, decode: Decode
 ) -> Result[CheckedDocument, Problems]:
-    return decode_entries(fields, decode).map(
-        lambda decoded: CheckedDocument(
+    decoded = decode_entries(fields, decode)
+    if decoded.is_error():
+        return Error(decoded.error)
+    document, entries = decoded.ok
+    unread = find_unread_fields(fields, decode)
+    fleet = FleetContext(document, entries, tuple(unread.values()))
+    return Ok(
+        CheckedDocument(
             fields,
-            make_fleet_view(*decoded),
-            decoded[0].version,
+            make_fleet_view(document, entries),
+            document.version,
             f'{ROOT}.version',
-            FLEET_CHECKS.find(FleetContext(*decoded)),
+            FLEET_CHECKS.find(fleet),
+            fleet,
         )
     )
--- a/trefoilhinge/conf/findings/catalogue.py
+++ b/trefoilhinge/conf/findings/catalogue.py
@@ -11,6 +11,7 @@
 )
 from trefoilhinge.conf.findings.document_context import DOCUMENT_CHECKS
 from trefoilhinge.conf.findings.fleet_context import FLEET_CHECKS
+from trefoilhinge.conf.findings.fleet_settings import SETTINGS_CHECKS
 from trefoilhinge.conf.findings.registry import Registry
 from trefoilhinge.conf.findings.replacement import REPLACEMENT_CHECKS
 
@@ -18,5 +19,6 @@
 CATALOGUE: dict[str, Registry[Any]] = {
     "The product's document": DOCUMENT_CHECKS,
     "The platform's document": FLEET_CHECKS,
+    "The platform's document beside the settings": SETTINGS_CHECKS,
     'Either, against the one in force': REPLACEMENT_CHECKS,
 }
--- a/trefoilhinge/conf/findings/fleet_context.py
+++ b/trefoilhinge/conf/findings/fleet_context.py
@@ -23,10 +23,12 @@
     The decoder converts most values but does not check names.
 
     :ivar entries: its entries in the order of the text, by their paths.
+    :ivar unread_paths: paths of fields that the decoder does not read.
     """
 
     document: FleetDocument
     entries: FleetEntries
+    unread_paths: tuple[str, ...] = ()
 
     def list_routes(self) -> Iterator[tuple[str, Route]]:
         """Yield the routes that calls can match, each with its path."""
--- a/trefoilhinge/conf/findings/fleet_names.py
+++ b/trefoilhinge/conf/findings/fleet_names.py
@@ -105,6 +105,16 @@
     )
 
 
+@FLEET_CHECKS.register(
+    'trefoilhinge.W202',
+    'correct its name if it is misspelt; else it may stay',
+)
+def _find_unread_fields(context: FleetContext) -> Iterator[Place]:
+    """The gateway does not read a field; the first entry with it is named."""
+    for path in context.unread_paths:
+        yield Place(path, 'the gateway does not read this field')
+
+
 def _list_texts(
     context: FleetContext,
 ) -> Iterator[tuple[str, str, object]]:
--- a/trefoilhinge/conf/fleet_entries.py
+++ b/trefoilhinge/conf/fleet_entries.py
@@ -69,7 +69,7 @@
     services: dict[str, Service] = {}
     organisations: dict[str, OrganisationEntry] = {}
     organisation_list = _find_organisation_list(fields, decode, document)
-    for member, index, alone in _isolate_entries(fields):
+    for member, index, alone in isolate_entries(fields):
         path = join_path(join_path(ROOT, member), index)
         decoded = _decode(alone, decode)
         if decoded.is_error():
@@ -109,7 +109,7 @@
     instead = 'write what the platform documents for this field'
     explained = False
     if _decode(_empty_lists(fields), decode).is_ok():
-        for member, index, alone in _isolate_entries(fields):
+        for member, index, alone in isolate_entries(fields):
             decoded = _decode(alone, decode)
             if decoded.is_error():
                 path = join_path(join_path(ROOT, member), index)
@@ -119,7 +119,11 @@
         yield DocumentProblem(ROOT, wrong, instead)
 
 
-def _isolate_entries(fields: Fields) -> Iterator[tuple[str, int, Fields]]:
+def isolate_entries(fields: Fields) -> Iterator[tuple[str, int, Fields]]:
+    """Yield the list and the index of each entry, and a document with it alone.
+
+    The document is the whole one with all other entries removed.
+    """
     empty = _empty_lists(fields)
     for member, value in fields.items():
         if isinstance(value, list):
