Documented the checks of documents and what was considered.

The design note lists each field of both forms with the findings that cover it or the reason why there is none; a test compares the list with the schema.

--- a/tests/docs/test_pages.py
+++ b/tests/docs/test_pages.py
@@ -6,6 +6,7 @@
 
 from trefoilhinge.client.commands import Commands
 from trefoilhinge.conf.document import parse_document
+from trefoilhinge.conf.generator import load_schema
 
 ROOT = pathlib.Path(__file__).parents[2]
 DOCS_ROOT = ROOT / 'docs'
@@ -48,6 +49,15 @@
         assert len(codes) == 11
         assert [code for code in codes if f'`{code}`' not in page] == []
 
+    def test_every_field_was_considered_for_findings(self):
+        """A new field of the document may contradict one that is there."""
+        schema = load_schema('document')
+        objects = (schema, *schema['$defs'].values())
+        names = {name for one in objects for name in one.get('properties', ())}
+        page = (DOCS_ROOT / 'design' / 'checking-documents.md').read_text()
+        assert {'revision', 'burst_s'} <= names
+        assert {name for name in names if f'`{name}`' not in page} == set()
+
     def test_every_log_event_is_documented(self):
         text = read_sources(
             'conf', 'node', 'orders', 'entry', 'calls', 'groups'
