--- a/tests/conf/test_fleet_findings.py
+++ b/tests/conf/test_fleet_findings.py
@@ -251,6 +251,8 @@
         compared = compare_checked_documents(parse(CLEAN).ok, parsed.ok)
         lines = compared.ok.differences
         assert all(line.isprintable() for line in lines)
+        enabled = make_settings(80, repeat_ratio=0, repeat_slack=0)
+        assert check_beside_settings(parsed.ok, enabled).is_ok()
 
 
 class TestSettings:
