Ran calls of resumable routes once if they are not idempotent.

A route of a kind whose calls must run once was repeatable if its document also called it resumable, so that an attempt with an unknown outcome was followed by another one. Found by the check of configurations (E213), by reading. Only streams can be resumed now.

--- a/trefoilhinge/conf/findings/fleet_reachability.py
+++ b/trefoilhinge/conf/findings/fleet_reachability.py
@@ -45,10 +45,10 @@
     'make it not resumable, or change its kind to idempotent or stream',
 )
 def _find_unsafe_routes(context: FleetContext) -> Iterator[Place]:
-    """A non-idempotent route is resumable, so that its calls may run twice."""
+    """A non-idempotent route is resumable, which only a stream can be."""
     for path, route in context.entries.routes.items():
         if route.kind is CallKind.once and route.is_resumable:
-            yield Place(path, 'calls that are not idempotent may be resumed')
+            yield Place(path, 'it is ignored, as its calls run once at most')
 
 
 @FLEET_CHECKS.register(
--- a/trefoilhinge/dispatch/documents.py
+++ b/trefoilhinge/dispatch/documents.py
@@ -56,8 +56,14 @@
 
     @property
     def is_repeatable(self) -> bool:
-        """Return whether a call may run more than once."""
-        return self.kind is CallKind.idempotent or self.is_resumable
+        """Return whether a call may run more than once.
+
+        Only a stream can be resumed: the kind of a call counts for more than
+        a document that calls its route resumable.
+        """
+        if self.kind is CallKind.stream:
+            return self.is_resumable
+        return self.kind is CallKind.idempotent
 
     def choose_service(self, request_hash: int) -> str:
         """Return the service of one call.
