Weighed only clear evidence in learned costs.

- A learned factor of prefills needs two samples (decayed).
Single prefills look slow as prompts of other instances come between that are not known yet; the target is avoided then, and the others get its calls.

The new test of single samples failed before.

--- a/tests/dispatch/estimation/test_cost_table.py
+++ b/tests/dispatch/estimation/test_cost_table.py
@@ -81,6 +81,14 @@
         assert table.estimate_prefill_factor('t1').mean > 2.2
         assert table.estimate_prefill_factor('t2') == Estimate(1, 1, 0)
 
+    @pytest.mark.parametrize(('count', 'is_slow'), [(1, False), (5, True)])
+    def test_single_slow_prefill_is_not_believed(self, count, is_slow):
+        """Guards against targets avoided for prompts that came between."""
+        table = CostTable()
+        for number in range(count):
+            table.record(PrefillSample('t1', 4), number * 0.1)
+        assert (table.estimate_prefill_factor('t1').mean > 1) == is_slow
+
     def test_target_is_never_taken_for_faster_than_published(self):
         """Guards against a forged sample that attracts all prompts."""
         table = CostTable()
--- a/trefoilhinge/dispatch/estimation/cost_table.py
+++ b/trefoilhinge/dispatch/estimation/cost_table.py
@@ -34,6 +34,9 @@
 MAXIMUM_PREFILL_FACTOR = 20.0  # a slower target is as good as unresponsive
 # A smaller median is noise: samples contain a wait of up to one iteration.
 MINIMUM_PREFILL_FACTOR = 1.2
+# Prompts of other instances that are not known here yet make single prefills
+# look slow; a target that is avoided for them leaves its calls to the others.
+MINIMUM_PREFILL_SAMPLES = 2.0
 MINIMUM_QUANTITY = 1e-6  # has a logarithm
 _OUTPUT_PRIOR = Distribution(0, OUTPUT_DEVIATION**2)
 _PREFILL_PRIOR = Distribution(0, PREFILL_DEVIATION**2)
@@ -105,7 +108,8 @@
         factor = self._table.estimate(
             _PREFILL_PRIOR, [make_key('prefill', target)]
         )
-        if math.exp(factor.mean) < MINIMUM_PREFILL_FACTOR:
+        is_known = factor.samples >= MINIMUM_PREFILL_SAMPLES
+        if not is_known or math.exp(factor.mean) < MINIMUM_PREFILL_FACTOR:
             return Estimate(1, 1, factor.samples)
         estimate = make_estimate(factor.mean, factor.variance, factor.samples)
         return estimate.limit(1, MAXIMUM_PREFILL_FACTOR)
--- a/trefoilhinge/gateway/learned_costs.py
+++ b/trefoilhinge/gateway/learned_costs.py
@@ -64,14 +64,19 @@
 def find_delays_s(
     state: GatewayState, records: Sequence[TargetRecord]
 ) -> dict[str, float]:
-    """Return the delays to the failure domains of targets, where they count."""
-    if state.document is None or not has_learned_costs(state):
+    """Return the delays to the failure domains of targets, where they count.
+
+    Shorter delays than those of distant domains would only decide between
+    targets that are alike, and leave the ones in other domains unused.
+    """
+    document = state.document
+    if document is None or not document.has_distant_domains:
+        return {}
+    if not has_learned_costs(state):
         return {}
     own = state.settings.failure_domain
     domains = {record.failure_domain for record in records}
-    return {
-        domain: state.document.find_delay_s(own, domain) for domain in domains
-    }
+    return {domain: document.find_delay_s(own, domain) for domain in domains}
 
 
 def apply_to_loads(
