--- a/tests/gateway/test_slow_readers.py
+++ b/tests/gateway/test_slow_readers.py
@@ -6,7 +6,7 @@
 
 from tests.gateway.fleets import make_call, read_answer, run_fleet
 from tests.gateway.targets import reply
-from trefoilhinge.gateway import caller_connections, daemon
+from trefoilhinge.gateway import answering_connections, daemon
 
 LONG_ANSWER = b'.' * 6_000_000  # more than the kernel's buffers hold
 RECEIVE_BUFFER_BYTES = 16_384
@@ -92,7 +92,7 @@
 
     def test_caller_that_never_reads_is_given_up(self, monkeypatch):
         """Guards against an instance that waits for such a caller for ever."""
-        monkeypatch.setattr(caller_connections, 'UNREAD_TIMEOUT_S', 0.3)
+        monkeypatch.setattr(answering_connections, 'UNREAD_TIMEOUT_S', 0.3)
 
         async def run():
             async with run_fleet(d1=reply(200, LONG_ANSWER)) as fleet:
--- a/trefoilhinge/gateway/daemon.py
+++ b/trefoilhinge/gateway/daemon.py
@@ -11,10 +11,7 @@
 from trefoilhinge.dispatch.settings import Address, GatewaySettings
 from trefoilhinge.exceptions import ImproperlyConfigured
 from trefoilhinge.gateway.call_service import CallService
-from trefoilhinge.gateway.caller_connections import (
-    DEFAULT_LIMITS,
-    CallerConnection,
-)
+from trefoilhinge.gateway.caller_connections import CallerConnection
 from trefoilhinge.gateway.early_signals import record_signals, take_signals
 from trefoilhinge.gateway.http_server import (
     HttpResponse,
@@ -25,6 +22,7 @@
 from trefoilhinge.gateway.peer_exchange import PeerExchange
 from trefoilhinge.gateway.relay_server import RelayServer
 from trefoilhinge.gateway.replication import handle_peer_request
+from trefoilhinge.gateway.request_checks import DEFAULT_LIMITS
 from trefoilhinge.gateway.settings_files import load_settings
 from trefoilhinge.gateway.state import GatewayState, make_state
 from trefoilhinge.gateway.store_watcher import StoreWatcher
--- a/trefoilhinge/gateway/relay_server.py
+++ b/trefoilhinge/gateway/relay_server.py
@@ -12,15 +12,15 @@
     encode_refusal,
     remove_refusal,
 )
-from trefoilhinge.gateway.call_service import CallService
-from trefoilhinge.gateway.caller_connections import (
-    DEFAULT_LIMITS,
-    CallerConnection,
+from trefoilhinge.gateway.answering_connections import (
     RawHeaderList,
     encode_refusal_body,
 )
+from trefoilhinge.gateway.call_service import CallService
+from trefoilhinge.gateway.caller_connections import CallerConnection
 from trefoilhinge.gateway.listeners import CallerListener, listen
 from trefoilhinge.gateway.refusals import Refusal
+from trefoilhinge.gateway.request_checks import DEFAULT_LIMITS
 from trefoilhinge.gateway.state import GatewayState
 from trefoilhinge.gateway.tcp import CountingReader
 from trefoilhinge.platform.headers import encode_refusal_headers
--- a/trefoilhinge/gateway/request_checks.py
+++ b/trefoilhinge/gateway/request_checks.py
@@ -4,6 +4,8 @@
 
 from trefoilhinge.dispatch.documents import CallerLimits
 
+# The platform's defaults, used until a document is known.
+DEFAULT_LIMITS = CallerLimits(16_384, 4_194_304, 3.0, 15.0)
 # Margin over the timeouts of the document: callers reuse a connection up to
 # four fifths of its limit, and must not find it closed.
 TIMEOUT_FACTOR = 1.2
