Placed each waiting call once for capacity that appeared.

A call that need not wait is placed once, among the targets that have room; the others may still help. A pass takes the rooms of the targets that changed, ranks only as many calls as there are free slots, and grants a short call its target. Prompts for groups are allotted memory in their order like others, and are placed when a group's memory is free. Passes are bounded at 50 a second. Whether a call would wait too long is computed four times a second, and only if it might be so.

A pass allots by the order of 91 instances as before; a call is passed over as absent after 80 ms rather than 50 ms, since passes may be 25 ms apart. Calls still waiting are renewed each second rather than each half, and only those that have waited for half a second; reports of runs are one in 4.6 s among 91 instances rather than one a second.

--- a/benchmarks/admission_cost.py
+++ b/benchmarks/admission_cost.py
@@ -145,13 +145,11 @@
         self,
         call: Call,
         blocked: Collection[str],
-        *arguments: Collection[str],
+        full: Collection[str],
     ) -> Placement | None:
         """Search for the targets of a call; count the search."""
         started_s = time.process_time()
-        found = find_placement(
-            self.state, call, set(), set(blocked), *arguments
-        )
+        found = find_placement(self.state, call, set(), blocked, full=full)
         self.placement_s += time.process_time() - started_s
         self.placements += 1
         return found
--- a/tests/dispatch/test_admission.py
+++ b/tests/dispatch/test_admission.py
@@ -4,6 +4,7 @@
 from attrs import evolve
 
 from trefoilhinge.dispatch.admission.absences import AbsenceWatch
+from trefoilhinge.dispatch.admission.allotment import allot
 from trefoilhinge.dispatch.admission.capacity import (
     CapacityTable,
     TargetRoom,
@@ -11,13 +12,13 @@
 )
 from trefoilhinge.dispatch.admission.codec import CallsWaiting, WaitsEnded
 from trefoilhinge.dispatch.admission.decisions import Verdict, decide
-from trefoilhinge.dispatch.admission.order import allot, rank_calls
+from trefoilhinge.dispatch.admission.order import rank_calls
 from trefoilhinge.dispatch.admission.waiting import (
     MAXIMUM_WAITING_PER_ORIGIN,
     UsageTable,
-    WaitingCall,
     WaitingTable,
 )
+from trefoilhinge.dispatch.admission.waiting_calls import WaitingCall
 from trefoilhinge.dispatch.message_codec import decode_message, encode_message
 
 ORIGIN = '10.0.0.1/ab'
@@ -88,9 +89,9 @@
         watch = AbsenceWatch()
         for now_s in (0, 0.04, 0.08):
             watch.record({CALL.key}, now_s)
-        assert not watch.select_present([CALL], 0.08)
+        assert watch.list_absent(0.1) == {CALL.key}
         watch.record(set(), 1.1)
-        assert watch.select_present([CALL], 1.1)
+        assert not watch.list_absent(1.1)
 
 
 class TestMessages:
--- a/trefoilhinge/dispatch/admission/absences.py
+++ b/trefoilhinge/dispatch/admission/absences.py
@@ -1,14 +1,15 @@
 """Waiting calls that do not take the capacity that they are allotted."""
 
-from collections.abc import Collection, Iterable
+from collections.abc import Collection
 
 from attrs import define, field
 
-from trefoilhinge.dispatch.admission.waiting import WaitingCall, WaitingKey
+from trefoilhinge.dispatch.admission.waiting_calls import WaitingKey
 
-# An instance takes what its call is allotted within a few messages. After this
-# time it has failed, or it cannot reach the target, and others take it.
-TAKE_LIMIT_S = 0.05
+# An instance takes what its call is allotted within a pass and a message, or
+# later if it has little processor time. After this time it has failed, or it
+# cannot reach the target, and others take it.
+TAKE_LIMIT_S = 0.08
 # Calls are taken for absent for this long before they are given another chance.
 ABSENCE_S = 1.0
 
@@ -19,15 +20,18 @@
 
     _since_s: dict[WaitingKey, float] = field(factory=dict)
 
-    def select_present(
-        self, calls: Iterable[WaitingCall], now_s: float
-    ) -> list[WaitingCall]:
-        """Return the calls that may be expected to take what they get."""
-        return [
-            call
-            for call in calls
-            if now_s - self._since_s.get(call.key, now_s) <= TAKE_LIMIT_S
-        ]
+    @property
+    def is_watching(self) -> bool:
+        """Return whether calls were allotted capacity that they may take."""
+        return bool(self._since_s)
+
+    def list_absent(self, now_s: float) -> set[WaitingKey]:
+        """Return the calls that are not expected to take what they get."""
+        return {
+            key
+            for key, since_s in self._since_s.items()
+            if now_s - since_s > TAKE_LIMIT_S
+        }
 
     def record(self, allotted: Collection[WaitingKey], now_s: float) -> None:
         """Record which calls can be placed now."""
--- a/trefoilhinge/dispatch/admission/capacity.py
+++ b/trefoilhinge/dispatch/admission/capacity.py
@@ -31,16 +31,17 @@
         than it can run.
     :ivar memory_tokens: free KV memory; infinite for a plain target.
     :ivar total_tokens: KV memory that placements may fill.
-    :ivar backlog_s: seconds of prefill that are pending.
-    :ivar age_s: seconds since the last change that is known of its load.
+    :ivar idle_s: monotonic seconds at which its pending prefills are done.
+    :ivar updated_s: monotonic seconds of the last change that is known of its
+        load.
     """
 
     target: str
     slots: int
     memory_tokens: float
     total_tokens: float
-    backlog_s: float
-    age_s: float
+    idle_s: float
+    updated_s: float
 
 
 @define
@@ -100,9 +101,13 @@
                 self._full_until_s.pop(name)
         self._full_until_s[target] = now_s + FULL_S
 
-    def is_full(self, target: str, now_s: float) -> bool:
-        """Return whether a target refused a call as full just now."""
-        return self._full_until_s.get(target, 0) > now_s
+    def list_full(self, now_s: float) -> set[str]:
+        """Return the targets that refused a call as full just now."""
+        return {
+            target
+            for target, until_s in self._full_until_s.items()
+            if until_s > now_s
+        }
 
     def estimate_release_per_s(
         self, service: str, now_s: float
@@ -117,7 +122,6 @@
     load: TargetLoad,
     engine: EngineProfile | None,
     ahead: int,
-    now_s: float,
 ) -> TargetRoom:
     """Return the free capacity of a target.
 
@@ -128,13 +132,14 @@
     usable = float('inf')
     if engine is not None:
         usable = int(engine.memory_tokens * USABLE_MEMORY_SHARE)
+    updated_s = load.prefills.updated_s
     return TargetRoom(
         record.name,
         max(1, slots) + ahead - load.running,
         usable - load.memory_tokens,
         usable,
-        load.estimate_backlog_s(now_s),
-        max(0, now_s - load.prefills.updated_s),
+        updated_s + load.estimate_backlog_s(updated_s),
+        updated_s,
     )
 
 
--- a/trefoilhinge/dispatch/admission/codec.py
+++ b/trefoilhinge/dispatch/admission/codec.py
@@ -4,7 +4,7 @@
 
 from attrs import frozen
 
-from trefoilhinge.dispatch.admission.waiting import WaitingCall
+from trefoilhinge.dispatch.admission.waiting_calls import WaitingCall
 from trefoilhinge.dispatch.message_checks import (
     MAXIMUM_DURATION_S,
     check_origin,
--- a/trefoilhinge/dispatch/admission/decisions.py
+++ b/trefoilhinge/dispatch/admission/decisions.py
@@ -4,7 +4,7 @@
 
 from attrs import frozen
 
-from trefoilhinge.dispatch.admission.waiting import WaitingCall
+from trefoilhinge.dispatch.admission.waiting_calls import WaitingCall
 
 # A call is refused ahead of its time only if even this part of the expected
 # wait is too long: the rate at which runs end varies, and calls ahead of it
@@ -50,7 +50,7 @@
     :param release_per_s: ended runs per second of its service; none if too
         few are known, in which case nothing is concluded from its position.
     """
-    if now_s > call.latest_s:
+    if now_s >= call.latest_s:
         wait_s = estimate_wait_s(position, release_per_s)
         return Decision(Verdict.refuse, wait_s, 'too_late')
     if has_room:
--- a/trefoilhinge/dispatch/admission/needs.py
+++ b/trefoilhinge/dispatch/admission/needs.py
@@ -5,8 +5,11 @@
 import xxhash
 from attrs import frozen
 
-from trefoilhinge.dispatch.admission.waiting import WaitingCall, WaitingKey
-from trefoilhinge.dispatch.calls import Call
+from trefoilhinge.dispatch.admission.waiting_calls import (
+    WaitingCall,
+    WaitingKey,
+)
+from trefoilhinge.dispatch.calls import Call, PromptSize
 from trefoilhinge.dispatch.costs import compute_call_weight
 from trefoilhinge.dispatch.documents import CallKind, EngineProfile
 from trefoilhinge.dispatch.group_placement import MAXIMUM_HELPERS
@@ -17,6 +20,7 @@
 )
 from trefoilhinge.dispatch.patience import compute_patience_s
 from trefoilhinge.dispatch.placement import MINIMUM_GROUP_TOKENS
+from trefoilhinge.dispatch.placement_requests import USABLE_MEMORY_SHARE
 
 
 @frozen
@@ -77,9 +81,7 @@
         # takes longer is not known beforehand to be too late.
         step_s = estimate_step_s(engine, 1, size.prompt_tokens)
         service_s = first_s + output.mean / 2 * step_s
-        memory_tokens = size.prompt_tokens + int(
-            min(output.upper, size.maximum_output_tokens)
-        )
+        memory_tokens = _count_needed_tokens(engine, size, output)
     latest_s = call.deadline_s - service_s
     if call.route.kind is CallKind.stream:
         patience_s = compute_patience_s(call.route.slo_s, call.route.gap_slo_s)
@@ -99,6 +101,21 @@
     )
 
 
+def _count_needed_tokens(
+    engine: EngineProfile, size: PromptSize, output: OutputBounds
+) -> int:
+    """Return the KV memory that a call takes.
+
+    A group reserves it for the longest output.
+    """
+    longest = size.prompt_tokens + size.maximum_output_tokens
+    if longest > int(engine.memory_tokens * USABLE_MEMORY_SHARE):
+        return longest
+    return size.prompt_tokens + int(
+        min(output.upper, size.maximum_output_tokens)
+    )
+
+
 def _estimate_least_prefill_s(
     engine: EngineProfile, prompt_tokens: int
 ) -> float:
--- a/trefoilhinge/dispatch/admission/waiting.py
+++ b/trefoilhinge/dispatch/admission/waiting.py
@@ -2,7 +2,13 @@
 
 from collections.abc import Iterable
 
-from attrs import define, field, frozen
+from attrs import define, field
+
+from trefoilhinge.dispatch.admission.queues import EMPTY_QUEUE, ServiceQueue
+from trefoilhinge.dispatch.admission.waiting_calls import (
+    WaitingCall,
+    WaitingKey,
+)
 
 # An announcement is repeated more often than this; the waiting calls of an
 # instance that has failed are forgotten after it.
@@ -16,46 +22,6 @@
 USAGE_HALF_LIFE_S = 10.0
 MAXIMUM_ORGANISATIONS = 1_024
 
-WaitingKey = tuple[str, int]
-
-
-@frozen
-class WaitingCall:
-    """A call that waits for capacity.
-
-    :ivar origin: incarnation of the instance that holds it.
-    :ivar number: number that its run will have.
-    :ivar organisation: hash of its organisation.
-    :ivar memory_tokens: KV memory that it needs, which one in ten calls
-        exceeds; zero for a plain call.
-    :ivar weight: its work, as it counts for its organisation's share.
-    :ivar stamp: logical time at which it began to wait: one more than the
-        latest that its instance had heard of. Monotonic times of instances
-        differ by the time that messages take, which would put each one's own
-        calls first.
-    :ivar since_s: monotonic seconds since which it waits.
-    :ivar on_time_s: monotonic seconds until which it must be placed to meet
-        its objective.
-    :ivar latest_s: monotonic seconds until which it can be served at all.
-    """
-
-    origin: str
-    number: int
-    service: str
-    priority: int
-    organisation: int
-    memory_tokens: int
-    weight: float
-    stamp: int
-    since_s: float
-    on_time_s: float
-    latest_s: float
-
-    @property
-    def key(self) -> WaitingKey:
-        """Return the key that its run will have."""
-        return self.origin, self.number
-
 
 @define
 class UsageTable:
@@ -85,6 +51,7 @@
     _latest_stamp: int = 0
     _calls: dict[WaitingKey, tuple[WaitingCall, float]] = field(factory=dict)
     _counts: dict[str, int] = field(factory=dict)
+    _queues: dict[str, ServiceQueue] = field(factory=dict)
 
     def make_stamp(self) -> int:
         """Return the logical time of a call that begins to wait."""
@@ -112,6 +79,7 @@
             return False
         self._calls[call.key] = (call, now_s)
         self._counts[call.origin] = count + 1
+        self._queues.setdefault(call.service, ServiceQueue()).add(call)
         return True
 
     def get(self, key: WaitingKey) -> WaitingCall | None:
@@ -129,6 +97,10 @@
             self._counts[key[0]] = count
         else:
             self._counts.pop(key[0])
+        queue = self._queues[known[0].service]
+        queue.remove(known[0])
+        if not queue.count:
+            self._queues.pop(known[0].service)
         return known[0]
 
     def record_start(self, key: WaitingKey, now_s: float) -> bool:
@@ -154,11 +126,9 @@
             if now_s - heard_s > WAITING_EXPIRY_S
         )
 
-    def list_calls(self, service: str) -> list[WaitingCall]:
-        """Return the calls that wait for a service."""
-        return [
-            call for call, _ in self._calls.values() if call.service == service
-        ]
+    def get_queue(self, service: str) -> ServiceQueue:
+        """Return the calls that wait for a service; it is not to be changed."""
+        return self._queues.get(service, EMPTY_QUEUE)
 
     def list_by_origin(self, origin: str) -> list[WaitingCall]:
         """Return the waiting calls of one instance."""
--- a/trefoilhinge/dispatch/costs.py
+++ b/trefoilhinge/dispatch/costs.py
@@ -39,6 +39,8 @@
     :ivar is_limited: whether it named a limit on its requests.
     :ivar delay_s: one-way delay between this instance's failure domain and
         that of the target, seconds; zero if it does not count.
+    :ivar may_answer: whether it may be the target that answers; if not, it may
+        still help.
     """
 
     record: TargetRecord
@@ -46,6 +48,7 @@
     rank: float
     is_limited: bool = False
     delay_s: float = 0
+    may_answer: bool = True
 
 
 @frozen
--- a/trefoilhinge/dispatch/group_placement.py
+++ b/trefoilhinge/dispatch/group_placement.py
@@ -125,12 +125,15 @@
     members = sorted(
         chosen,
         key=lambda member: (
+            not member.candidate.may_answer,
             member.candidate.load.running >= request.engine.slots,
             member.candidate.load.memory_tokens,
             member.candidate.load.running,
         ),
     )
     ordered = [member.candidate for member in members]
+    if not ordered[0].may_answer:
+        return None
     reserved_tokens = _split_memory(ordered, request)
     if reserved_tokens is None:
         return None
--- a/trefoilhinge/dispatch/loads.py
+++ b/trefoilhinge/dispatch/loads.py
@@ -80,6 +80,8 @@
         of its runs, zero if not learned.
     :ivar runs: runs that have a slot, by key.
     :ivar memory_tokens: KV memory in use, in tokens.
+    :ivar changes: number of changes of its runs and prefills, by which what
+        was computed from them is known to be valid still.
     """
 
     prefills: PrefillQueue = field(factory=PrefillQueue)
@@ -88,6 +90,7 @@
     output_deviation: float = 0
     runs: dict[tuple[str, int], Run] = field(factory=dict)
     memory_tokens: int = 0
+    changes: int = 0
 
     @property
     def running(self) -> int:
@@ -182,6 +185,7 @@
             )
             load.prefills.add(run.key, prefill, now_s)
             load.memory_tokens += part.memory_tokens
+            load.changes += 1
             if part.has_slot:
                 load.runs[run.key] = run
         return True
@@ -190,7 +194,9 @@
         """Record that a delayed run was sent; return it if it is known."""
         found = self._runs.get(key)
         for part in found[0].parts if found else ():
-            self.get(part.target).prefills.record_sent(key, now_s)
+            load = self.get(part.target)
+            load.prefills.record_sent(key, now_s)
+            load.changes += 1
         return found[0] if found else None
 
     def find_send_time_s(self, run: Run, now_s: float) -> float:
@@ -215,6 +221,7 @@
         for part in run.parts:
             load = self.get(part.target)
             load.memory_tokens -= part.memory_tokens
+            load.changes += 1
             load.runs.pop(key, None)
             load.prefills.remove(key, now_s)
         return run
@@ -225,7 +232,9 @@
         if found is None:
             return
         for part in found[0].parts:
-            self.get(part.target).prefills.remove(key, now_s)
+            load = self.get(part.target)
+            load.prefills.remove(key, now_s)
+            load.changes += 1
 
     def remove_origin(self, origin: str, now_s: float) -> int:
         """Remove the runs of an instance that has failed; return how many."""
--- a/trefoilhinge/dispatch/placement.py
+++ b/trefoilhinge/dispatch/placement.py
@@ -33,11 +33,13 @@
     loads: LoadTable,
     limited: Collection[str] = (),
     delays_s: Mapping[str, float] = EMPTY,
+    full: Collection[str] = (),
 ) -> list[Candidate]:
     """Return the candidates, ranked in the order that all instances share.
 
     :param limited: names of targets that named a limit.
     :param delays_s: one-way delays to failure domains, where they count.
+    :param full: names of targets that may help, but not answer.
     """
     count = max(1, len(records))
     return [
@@ -47,6 +49,7 @@
             position / count,
             is_limited=record.name in limited,
             delay_s=delays_s.get(record.failure_domain, 0),
+            may_answer=record.name not in full,
         )
         for position, record in enumerate(records)
     ]
@@ -99,14 +102,18 @@
 ) -> Placement | None:
     """Return the placement of lowest cost.
 
-    :return: none if there are no targets or they cannot hold the prompt.
+    :return: none if no target may answer or they cannot hold the prompt.
     """
-    if not candidates:
+    if not any(candidate.may_answer for candidate in candidates):
         return None
     if request.required_tokens > request.usable_tokens:
         return place_group(candidates, request)
     single = min(
-        (_place_single(candidate, request) for candidate in candidates),
+        (
+            _place_single(candidate, request)
+            for candidate in candidates
+            if candidate.may_answer
+        ),
         key=lambda placement: placement.cost,
     )
     if request.size.prompt_tokens < MINIMUM_GROUP_TOKENS:
--- a/trefoilhinge/gateway/admission/waiters.py
+++ b/trefoilhinge/gateway/admission/waiters.py
@@ -1,14 +1,12 @@
 """Calls of this instance that wait for capacity."""
 
 import asyncio
-import collections
 from collections.abc import Callable
 
 from attrs import define, field
 
 from trefoilhinge.dispatch.admission.codec import (
     MAXIMUM_NUMBERS,
-    MAXIMUM_ALIVE_NUMBERS,
     AdmissionMessage,
     CallsWaiting,
     RunsAlive,
@@ -21,51 +19,35 @@
     decide,
 )
 from trefoilhinge.dispatch.admission.needs import make_waiting_call
-from trefoilhinge.dispatch.admission.waiting import WaitingCall, WaitingKey
+from trefoilhinge.dispatch.admission.waiting_calls import (
+    WaitingCall,
+    WaitingKey,
+)
 from trefoilhinge.dispatch.calls import Call
-from trefoilhinge.dispatch.documents import REQUEST_HASH_VALUES
 from trefoilhinge.dispatch.group_placement import Placement
 from trefoilhinge.dispatch.messages import Message
+from trefoilhinge.gateway.admission.announcements import Announcements
 from trefoilhinge.gateway.admission.learned_output import LearnedOutput
+from trefoilhinge.gateway.admission.outcomes import (
+    make_refusal,
+    record_found,
+    record_wait,
+)
+from trefoilhinge.gateway.admission.passes import Passes
 from trefoilhinge.gateway.admission.rooms import (
     Find,
     Turn,
-    allot_rooms,
-    list_rooms,
-    take_turn,
+    can_wait,
+    compute_turn,
+    find_rooms,
 )
+from trefoilhinge.gateway.admission.searches import PlacementSearch
+from trefoilhinge.gateway.admission.waiter import Waiter
 from trefoilhinge.gateway.placement import find_engine_profile
 from trefoilhinge.gateway.progress import CallProgress
-from trefoilhinge.gateway.refusals import CallFailed, make_no_capacity_refusal
-from trefoilhinge.gateway.run_records import (
-    end_missed_runs,
-    make_alive_message,
-)
+from trefoilhinge.gateway.run_records import end_missed_runs
 from trefoilhinge.gateway.state import GatewayState
 
-# Ends and starts of runs that arrive within this time are handled together.
-MINIMUM_PASS_INTERVAL_S = 0.002
-# A pass takes about 5 microseconds of processor time for each waiting call.
-PASS_INTERVAL_PER_CALL_S = 0.00003
-# Also without news, for instance as an ejection or a rest ends.
-MAXIMUM_PASS_INTERVAL_S = 0.05
-RENEWAL_INTERVAL_S = 0.5
-SWEEPS_PER_REPORT = 2  # one a second
-# Until the announcement of a call has arrived, others may not know that it is
-# ahead of theirs.
-ANNOUNCEMENT_S = 0.005
-# Free slots for each call that is expected within that time. Calls come in
-# bursts of several times their mean rate.
-AMPLE_ROOM_FACTOR = 4
-
-
-@define
-class _Waiter:
-    call: Call
-    waiting: WaitingCall
-    announced_s: float
-    changed: asyncio.Event = field(factory=asyncio.Event)
-
 
 @define
 class Admission:
@@ -73,18 +55,18 @@
 
     _state: GatewayState
     _broadcast: Callable[[Message], None]
-    _waiters: dict[WaitingKey, _Waiter] = field(factory=dict)
-    _timer: asyncio.TimerHandle | None = None
-    _due_s: float = float('inf')
-    _renewed_s: float = float('-inf')
-    _sweeps: int = 0
-    _taken: dict[str, 'collections.deque[float]'] = field(factory=dict)
+    _passes: Passes = field(init=False)
+    _announcements: Announcements = field(init=False)
+    _search: PlacementSearch = field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Be told when capacity may be free."""
+        self._passes = Passes(self._state)
+        self._search = PlacementSearch(self._state)
+        self._announcements = Announcements(self._state, self._broadcast)
         record = self._state.admission
         record.output_estimator = LearnedOutput(self._state)
-        self._state.admission.notify_change = self.notify
+        record.notify_change = self._passes.notify
 
     async def admit(
         self,
@@ -103,31 +85,26 @@
         :raises CallFailed: no capacity is free for it in time.
         """
         waiting = self._make_waiting(call, progress)
-        turn = take_turn(self._state, call, waiting, excluded, find)
-        if turn.placement is not None and self._may_place_now(waiting, turn):
-            return turn.placement, waiting.number
-        if turn.placement is None and not turn.can_wait:
-            return None, waiting.number
-        decision = self._decide(waiting, turn)
-        if decision.verdict is Verdict.refuse:
-            raise self._make_refusal(call, progress, decision, turn)
-        waiter = _Waiter(call, waiting, self._state.get_now_s())
-        self._enter(waiter, decision, turn)
+        table = self._state.admission.waiting
+        if table.get_queue(call.service).count:
+            # Ranked among the others, which are not told of it yet.
+            table.add(waiting, self._state.get_now_s())
+        waiter = None
         try:
-            placement = await self._wait(waiter, progress, excluded, find)
-        except BaseException:
-            self.withdraw(waiting.number)
-            raise
+            placement, waiter = self._place_or_enter(
+                Waiter(call, waiting, excluded), progress, find
+            )
         finally:
-            self._waiters.pop(waiting.key, None)
+            if waiter is None:
+                table.remove(waiting.key)
+        if waiter is not None:
+            placement = await self._wait_withdrawably(waiter, progress, find)
         return placement, waiting.number
 
     def withdraw(self, number: int) -> None:
         """Tell the others that a call is not placed after all."""
-        key = (self._state.origin, number)
-        if self._state.admission.waiting.remove(key) is not None:
-            self._broadcast(WaitsEnded(self._state.origin, (number,)))
-            self.notify()
+        if self._record_withdrawn((self._state.origin, number)):
+            self._announcements.withdraw(number)
 
     def apply_message(self, message: AdmissionMessage) -> None:
         """Apply what another instance says of its waiting calls."""
@@ -142,50 +119,35 @@
                     table.add(call, now_s)
             case WaitsEnded(origin, numbers):
                 for number in numbers[:MAXIMUM_NUMBERS]:
-                    table.remove((origin, number))
-                self.notify()
+                    self._record_withdrawn((origin, number))
             case RunsAlive():
                 end_missed_runs(self._state, message)
 
-    def notify(self) -> None:
-        """Consider the waiting calls again soon."""
-        if self._waiters:
-            known = self._state.admission.waiting.count()
-            self._schedule(
-                MINIMUM_PASS_INTERVAL_S + known * PASS_INTERVAL_PER_CALL_S
-            )
-
     def sweep(self) -> None:
-        """Forget calls of which nothing is heard; repeat which runs go on."""
+        """Forget calls of which nothing is heard; repeat what may be lost."""
         admission = self._state.admission
         if not admission.is_enabled:
             return
-        self._sweeps += 1
-        # A run whose end was lost matters only while calls wait for its slot,
-        # and each instance takes such a report from each other one.
-        if admission.waiting.count() and not self._sweeps % SWEEPS_PER_REPORT:
-            alive = make_alive_message(self._state)
-            if len(alive.numbers) <= MAXIMUM_ALIVE_NUMBERS:
-                self._broadcast(alive)
+        waiters = self._passes.waiters
+        self._announcements.renew(waiter.waiting for waiter in waiters.values())
+        self._announcements.report_runs()
         forgotten = admission.waiting.remove_expired(self._state.get_now_s())
         if forgotten:
             self._state.log.write('waits_forgotten', count=forgotten)
-            self.notify()
+            self._passes.notify_all()
         metrics = self._state.metrics
-        metrics.set_gauge('calls_awaiting_capacity', len(self._waiters))
+        metrics.set_gauge('calls_awaiting_capacity', len(waiters))
         metrics.set_gauge('known_waiting_calls', admission.waiting.count())
 
     def announce_to(self, send: Callable[[Message], None]) -> None:
         """Tell a new peer which calls wait here."""
-        own = [waiter.waiting for waiter in self._waiters.values()]
+        own = [waiter.waiting for waiter in self._passes.waiters.values()]
         for message in split_calls(own, self._state.get_now_s()):
             send(message)
 
     def close(self) -> None:
         """Cancel the timer."""
-        if self._timer is not None:
-            self._timer.cancel()
-            self._timer = None
+        self._passes.close()
 
     def _make_waiting(self, call: Call, progress: CallProgress) -> WaitingCall:
         state = self._state
@@ -202,51 +164,44 @@
             state.admission.waiting.make_stamp(),
         )
 
-    def _may_place_now(self, waiting: WaitingCall, turn: Turn) -> bool:
-        """Return whether a call may be placed before others know of it.
+    def _place_or_enter(
+        self, waiter: Waiter, progress: CallProgress, find: Find
+    ) -> tuple[Placement | None, Waiter | None]:
+        """Place a call that arrives, or let it begin to wait.
 
-        Within the time of an announcement, an instance takes no more than its
-        part of the free slots. Otherwise a burst of calls at all instances
-        would fill the same slots many times over. Where the free slots are many
-        times the calls that the whole service gets meanwhile, it need not wait.
+        :return: the placement, if there is one; the call, if it waits.
+        :raises CallFailed: it cannot be served in time.
         """
         state = self._state
-        now_s = state.get_now_s()
-        if state.admission.waiting.list_calls(waiting.service):
-            return False
-        taken = self._taken.setdefault(waiting.service, collections.deque())
-        while taken and now_s - taken[0] > 2 * ANNOUNCEMENT_S:
-            taken.popleft()
-        instances = state.peers.count_instances(now_s)
-        expected = len(taken) + 1
-        # Its own calls of this time are not among the free slots any more.
-        is_part = expected * instances <= turn.free_calls + len(taken)
-        if not is_part and not self._has_ample_room(waiting, turn, expected):
-            return False
-        taken.append(now_s)
-        return True
-
-    def _has_ample_room(
-        self, waiting: WaitingCall, turn: Turn, own_calls: int
-    ) -> bool:
-        """Return whether the free slots suffice for calls not heard of yet.
-
-        :param own_calls: calls of this instance in the time of an announcement.
-        """
-        rate = self._state.admission.capacity.estimate_release_per_s(
-            waiting.service, self._state.get_now_s()
-        )
-        if rate is None:
-            return False
-        expected = own_calls + rate * 2 * ANNOUNCEMENT_S
-        return expected * AMPLE_ROOM_FACTOR <= turn.free_calls
+        waiting = waiter.waiting
+        rooms = find_rooms(state, waiter.call, waiter.excluded)
+        turn = compute_turn(state, waiting, rooms)
+        is_hopeless = not can_wait(state, waiter.call, waiting, rooms)
+        if self._search.may_place_now(waiting, turn):
+            placement = self._search.find_at_once(waiter, rooms, turn, find)
+            if placement is not None:
+                return placement, None
+            is_hopeless = self._search.is_hopeless(waiter, find)
+        if is_hopeless:
+            return None, None
+        decision = self._decide(waiting, turn)
+        if decision.verdict is Verdict.refuse and not turn.is_exact:
+            turn = compute_turn(state, waiting, rooms, is_exact=True)
+            decision = self._decide(waiting, turn)
+        waiter.position = turn.position
+        if decision.verdict is Verdict.refuse:
+            raise make_refusal(state, waiter, progress, decision)
+        self._enter(waiter)
+        if decision.verdict is Verdict.wait:
+            record_wait(state, waiter, decision.wait_s)
+        return None, waiter
 
     def _decide(self, waiting: WaitingCall, turn: Turn) -> Decision:
         now_s = self._state.get_now_s()
         capacity = self._state.admission.capacity
         return decide(
             waiting,
-            has_room=turn.placement is not None,
+            has_room=turn.is_exact and turn.has_room(waiting),
             position=turn.position,
             release_per_s=capacity.estimate_release_per_s(
                 waiting.service, now_s
@@ -254,146 +209,56 @@
             now_s=now_s,
         )
 
-    def _enter(self, waiter: _Waiter, decision: Decision, turn: Turn) -> None:
+    def _enter(self, waiter: Waiter) -> None:
         """Announce a call that begins to wait."""
-        state = self._state
-        now_s = state.get_now_s()
-        self._waiters[waiter.waiting.key] = waiter
-        state.admission.waiting.add(waiter.waiting, now_s)
-        self._broadcast(CallsWaiting((waiter.waiting,), now_s))
-        self._schedule(ANNOUNCEMENT_S)
-        if turn.placement is not None:
-            return
-        state.metrics.increment('calls_waited')
-        state.log.write(
-            'capacity_awaited',
-            request=waiter.call.head.request_id,
-            service=waiter.waiting.service,
-            priority=waiter.waiting.priority,
-            ahead=turn.position,
-            waits_s=decision.wait_s,
-            remaining_s=waiter.waiting.latest_s - now_s,
-        )
+        now_s = self._state.get_now_s()
+        waiter.announced_s = now_s
+        self._state.admission.waiting.add(waiter.waiting, now_s)
+        self._announcements.announce(waiter.waiting, now_s)
+        self._passes.add(waiter)
+
+    async def _wait_withdrawably(
+        self, waiter: Waiter, progress: CallProgress, find: Find
+    ) -> Placement | None:
+        """Wait for a placement; withdraw the call if there is none."""
+        placement = None
+        try:
+            placement = await self._wait(waiter, progress, find)
+        finally:
+            self._passes.waiters.pop(waiter.waiting.key, None)
+            if placement is None:
+                self.withdraw(waiter.waiting.number)
+        return placement
 
     async def _wait(
-        self,
-        waiter: _Waiter,
-        progress: CallProgress,
-        excluded: set[str],
-        find: Find,
+        self, waiter: Waiter, progress: CallProgress, find: Find
     ) -> Placement | None:
         state = self._state
         while True:
             await _wait_until(waiter.changed, waiter.waiting.latest_s)
             waiter.changed.clear()
-            turn = take_turn(state, waiter.call, waiter.waiting, excluded, find)
-            if turn.placement is None and not turn.can_wait:
-                self.withdraw(waiter.waiting.number)
+            decision = waiter.refusal
+            if state.get_now_s() >= waiter.waiting.latest_s:
+                decision = self._decide(
+                    waiter.waiting, Turn(waiter.position, {})
+                )
+            if decision is not None:
+                raise make_refusal(state, waiter, progress, decision)
+            if waiter.is_hopeless:
+                return None
+            placement = self._search.find_granted(waiter, find)
+            if placement is not None:
+                record_found(state, waiter, placement)
+                return placement
+            if self._search.is_hopeless(waiter, find):
                 return None
-            decision = self._decide(waiter.waiting, turn)
-            if decision.verdict is Verdict.refuse:
-                raise self._make_refusal(waiter.call, progress, decision, turn)
-            if decision.verdict is Verdict.place and turn.placement:
-                self._record_found(waiter, turn.placement)
-                return turn.placement
-
-    def _record_found(self, waiter: _Waiter, placement: Placement) -> None:
-        took_s = self._state.get_now_s() - waiter.announced_s
-        self._state.metrics.observe('capacity_wait', took_s)
-        self._state.log.write(
-            'capacity_found',
-            request=waiter.call.head.request_id,
-            target=placement.parts[0].target,
-            took_s=took_s,
-        )
-
-    def _make_refusal(
-        self,
-        call: Call,
-        progress: CallProgress,
-        decision: Decision,
-        turn: Turn,
-    ) -> CallFailed:
-        state = self._state
-        state.metrics.increment('calls_without_capacity')
-        state.log.write(
-            'capacity_refused',
-            request=call.head.request_id,
-            service=call.service,
-            priority=call.priority,
-            reason=decision.reason,
-            ahead=turn.position,
-            waits_s=decision.wait_s,
-            known=state.peers.count_known(),
-        )
-        spread = call.head.request_hash / REQUEST_HASH_VALUES
-        return CallFailed(
-            make_no_capacity_refusal(progress, decision.wait_s, spread)
-        )
-
-    def _schedule(self, delay_s: float) -> None:
-        loop = asyncio.get_running_loop()
-        due_s = loop.time() + delay_s
-        if self._timer is not None:
-            if self._due_s <= due_s:
-                return
-            self._timer.cancel()
-        self._due_s = due_s
-        self._timer = loop.call_at(due_s, self._reconsider)
-
-    def _reconsider(self) -> None:
-        """Wake the calls that are allotted capacity."""
-        self._timer = None
-        if not self._waiters:
-            return
-        now_s = self._state.get_now_s()
-        self._renew(now_s)
-        by_service: dict[str, list[_Waiter]] = {}
-        for waiter in self._waiters.values():
-            by_service.setdefault(waiter.call.service, []).append(waiter)
-        allotted: set[WaitingKey] = set()
-        for service, waiters in by_service.items():
-            allotted |= self._wake(service, waiters, now_s)
-        self._state.admission.absences.record(allotted, now_s)
-        self._schedule(MAXIMUM_PASS_INTERVAL_S)
-
-    def _wake(
-        self, service: str, waiters: list[_Waiter], now_s: float
-    ) -> set[WaitingKey]:
-        state = self._state
-        rooms = list_rooms(state, waiters[0].call, set())
-        allotment = allot_rooms(state, rooms, service)
-        largest = max((room.total_tokens for room in rooms), default=0)
-        release_per_s = state.admission.capacity.estimate_release_per_s(
-            service, now_s
-        )
-        for waiter in waiters:
-            if now_s < waiter.announced_s + ANNOUNCEMENT_S:
-                self._schedule(ANNOUNCEMENT_S)
-                continue
-            # A prompt that only a group holds is not allotted a target.
-            is_large = waiter.waiting.memory_tokens > largest
-            decision = decide(
-                waiter.waiting,
-                has_room=waiter.waiting.key in allotment.targets or is_large,
-                position=allotment.positions.get(waiter.waiting.key, 0),
-                release_per_s=release_per_s,
-                now_s=now_s,
-            )
-            if not rooms or decision.verdict is not Verdict.wait:
-                waiter.changed.set()
-        return set(allotment.targets)
 
-    def _renew(self, now_s: float) -> None:
-        """Repeat the announcements, of which some may be lost."""
-        if now_s - self._renewed_s < RENEWAL_INTERVAL_S:
-            return
-        self._renewed_s = now_s
-        own = [waiter.waiting for waiter in self._waiters.values()]
-        for waiting in own:
-            self._state.admission.waiting.add(waiting, now_s)
-        for message in split_calls(own, now_s):
-            self._broadcast(message)
+    def _record_withdrawn(self, key: WaitingKey) -> bool:
+        """Remove a call that no longer waits; return whether it was known."""
+        waiting = self._state.admission.waiting.remove(key)
+        if waiting is not None:
+            self._passes.notify(waiting.service)
+        return waiting is not None
 
 
 async def _wait_until(changed: asyncio.Event, latest_s: float) -> None:
--- a/trefoilhinge/gateway/placement.py
+++ b/trefoilhinge/gateway/placement.py
@@ -37,6 +37,7 @@
     refused: Collection[str] = (),
     *,
     allows_limited: bool = True,
+    full: Collection[str] = (),
 ) -> Placement | None:
     """Choose the targets of a call among those that have room.
 
@@ -44,6 +45,7 @@
         is left.
     :param refused: limited targets that refused the call a permit.
     :param allows_limited: whether a target that named a limit may be chosen.
+    :param full: targets that may help, but not answer.
     :return: the placement, ``None`` if no target can take the call now.
     """
     now_s = state.get_now_s()
@@ -55,19 +57,22 @@
         and (allows_limited or not _is_limited(state, record))
     ]
     if state.cold.is_empty:
-        return place_call(state, call, records)
-    return _place_beside_cold(state, call, records)
+        return place_call(state, call, records, full)
+    return _place_beside_cold(state, call, records, full)
 
 
 def _place_beside_cold(
-    state: GatewayState, call: Call, records: Sequence[TargetRecord]
+    state: GatewayState,
+    call: Call,
+    records: Sequence[TargetRecord],
+    full: Collection[str],
 ) -> Placement | None:
     """Prefer warm targets while they have room."""
     warm = [record for record in records if not is_cold(state, record)]
-    placement = place_call(state, call, warm)
+    placement = place_call(state, call, warm, full)
     if placement is not None and not is_late(state, call, placement):
         return placement
-    return place_call(state, call, records) or placement
+    return place_call(state, call, records, full) or placement
 
 
 def list_limited(
@@ -115,9 +120,15 @@
 
 
 def place_call(
-    state: GatewayState, call: Call, records: Sequence[TargetRecord]
+    state: GatewayState,
+    call: Call,
+    records: Sequence[TargetRecord],
+    full: Collection[str] = (),
 ) -> Placement | None:
-    """Choose among the given targets; ``None`` if they cannot take the call."""
+    """Choose among the given targets; ``None`` if they cannot take the call.
+
+    :param full: targets that may help, but not answer.
+    """
     now_s = state.get_now_s()
     engine = find_engine_profile(state, call.service)
     if not state.check_settled():
@@ -135,6 +146,7 @@
                 state.loads,
                 limited | cold,
                 find_delays_s(state, records),
+                full,
             ),
             PlacementRequest(
                 engine,
@@ -145,6 +157,7 @@
                 estimate_output(state, call),
             ),
         )
+    records = [record for record in records if record.name not in full]
     chosen = (
         place_plain_by_costs(state, call, records, limited)
         if has_learned_costs(state)
--- a/trefoilhinge/gateway/state.py
+++ b/trefoilhinge/gateway/state.py
@@ -223,7 +223,7 @@
         if known is not None and known.started_ms < record.started_ms:
             self.health.forget(record.name)
             self.slowdowns.forget(record.name)
-        self.admission.notify_change()
+        self.admission.record_target(record.service)
         return self.directory.apply_record(record)
 
     def record_targets_read(self, revision: int) -> None:
--- a/trefoilhinge/gateway/target_choice.py
+++ b/trefoilhinge/gateway/target_choice.py
@@ -99,8 +99,8 @@
             self._call,
             progress,
             excluded,
-            lambda blocked: find_placement(
-                state, self._call, excluded, refused | set(blocked)
+            lambda blocked, full: find_placement(
+                state, self._call, excluded, refused | blocked, full=full
             ),
         )
 
