Made admission cheap for calls that need not wait.

Each such call listed the usable targets once more than its placement does, and counted the room of all of them.

--- a/benchmarks/admission_cost.py
+++ b/benchmarks/admission_cost.py
@@ -49,6 +49,7 @@
 RUN_S = 4.0
 DURATION_S = 2.0
 ARRIVALS = 200
+CALL_INTERVAL_S = 0.5
 ORGANISATIONS = 8
 TIMEOUT_S = 600.0
 LOCAL = ('127.0.0.1', 0)
@@ -154,17 +155,21 @@
         self.placements += 1
         return found
 
-    async def admit(self, call: Call) -> Placement | None:
+    async def admit(self, call: Call) -> tuple[Placement | None, int]:
         """Wait until a call is to be placed."""
-        placement, number = await self.admission.admit(
+        return await self.admission.admit(
             call,
             CallProgress(call.received_s),
             set(),
             lambda *arguments: self.find(call, *arguments),
         )
+
+    async def run(self, call: Call) -> bool:
+        """Start the run of a call; return whether it was placed."""
+        placement, number = await self.admit(call)
         if placement is not None:
             self.start_run(placement, (self.state.origin, number))
-        return placement
+        return placement is not None
 
     def begin_wait(self) -> None:
         """Let a call begin to wait, at the instances in turn."""
@@ -230,7 +235,7 @@
     def wait_for_group(self) -> None:
         """Let a prompt that only a group holds wait at this instance."""
         call = self.make_call(next(self._numbers), GROUP_SIZE)
-        self._tasks.add(asyncio.ensure_future(self.admit(call)))
+        self._tasks.add(asyncio.ensure_future(self.run(call)))
 
     def make_call(self, number: int, size: PromptSize = SIZE) -> Call:
         """Return a prompt that arrives now."""
@@ -256,7 +261,7 @@
         self.admission.close()
 
     async def _wait(self) -> None:
-        if await self.admit(self.make_call(next(self._numbers))) is not None:
+        if await self.run(self.make_call(next(self._numbers))):
             self.begin_wait()
 
     def _start_other_run(
@@ -276,10 +281,12 @@
     spent_s: float = 0
     for call in calls:
         started_s = time.process_time()
-        await instance.admit(call)
+        placement, number = await instance.admit(call)
         spent_s += time.process_time() - started_s
-        end_run(state, (state.origin, state.last_run_number))
-        await asyncio.sleep(1)  # nothing that was computed is still valid
+        if placement is not None:
+            instance.start_run(placement, (state.origin, number))
+            end_run(state, (state.origin, number))
+        await asyncio.sleep(CALL_INTERVAL_S)
     added_us = (spent_s - instance.placement_s) / ARRIVALS * 1e6
     placement_us = instance.placement_s / instance.placements * 1e6
     print(
--- a/tests/gateway/admission_networks.py
+++ b/tests/gateway/admission_networks.py
@@ -9,6 +9,7 @@
 
 from tests.dispatch.samples import ENGINE_PROFILE, make_record, make_route
 from tests.gateway.documents import make_host, make_settings
+from tests.gateway.virtual_time import run_virtually
 from trefoilhinge.dispatch.calls import Call, CallHead, PromptSize
 from trefoilhinge.dispatch.documents import (
     CallerLimits,
@@ -244,3 +245,16 @@
     for name, value in fields.items():
         setattr(network, name, value)
     return network
+
+
+def run_with(instances, targets, scenario, **fields):
+    """Run a scenario on a new network."""
+
+    async def run():
+        network = await make_network(instances, targets, **fields)
+        try:
+            return await scenario(network)
+        finally:
+            network.close()
+
+    return run_virtually(run())
--- a/tests/gateway/test_admission.py
+++ b/tests/gateway/test_admission.py
@@ -7,8 +7,7 @@
 import pytest
 
 from tests.dispatch.samples import ENGINE_PROFILE
-from tests.gateway.admission_networks import make_network
-from tests.gateway.virtual_time import run_virtually
+from tests.gateway.admission_networks import run_with
 from tests.platform.test_decoding import SETTINGS
 from trefoilhinge.dispatch.documents import CallKind
 from trefoilhinge.gateway.settings_files import (
@@ -29,19 +28,6 @@
         network.call(ips[number % len(ips)], **fields)
 
 
-def run_with(instances, targets, scenario, **fields):
-    """Run a scenario on a new network."""
-
-    async def run():
-        network = await make_network(instances, targets, **fields)
-        try:
-            return await scenario(network)
-        finally:
-            network.close()
-
-    return run_virtually(run())
-
-
 class TestOvercommitment:
     """Guards against calls that all instances send to the same free slot."""
 
--- a/trefoilhinge/dispatch/admission/allotment.py
+++ b/trefoilhinge/dispatch/admission/allotment.py
@@ -210,13 +210,21 @@
     return room.slots > 0 and call.memory_tokens <= room.memory_tokens
 
 
-def count_calls(call: WaitingCall, rooms: Iterable[TargetRoom]) -> int:
-    """Return how many calls like the given one targets can take now."""
-    needed = call.memory_tokens
-    count = 0
+def can_take(
+    call: WaitingCall, rooms: Iterable[TargetRoom], calls: float
+) -> bool:
+    """Return whether targets can take as many calls like the given one now.
+
+    :param calls: number of calls, at least one.
+    """
+    missing = calls
     for room in rooms:
-        slots = room.slots
-        if slots > 0 and needed and not math.isinf(room.memory_tokens):
-            slots = min(slots, int(room.memory_tokens // needed))
-        count += max(0, slots)
-    return count
+        if not fits(call, room):
+            continue
+        slots = float(room.slots)
+        if call.memory_tokens:
+            slots = min(slots, room.memory_tokens // call.memory_tokens)
+        missing -= slots
+        if missing <= 0:
+            return True
+    return False
--- a/trefoilhinge/dispatch/admission/bursts.py
+++ b/trefoilhinge/dispatch/admission/bursts.py
@@ -1,6 +1,7 @@
 """Calls that an instance may place before the others know of them."""
 
 import collections
+import math
 
 from attrs import define, field
 
@@ -28,34 +29,27 @@
         """Record a call that is placed before the others know of it."""
         self._find_taken(service, now_s).append(now_s)
 
-    def is_within_part(
-        self, service: str, free_calls: int, instances: int, now_s: float
-    ) -> bool:
-        """Return whether another call is within this instance's part.
+    def count_part(self, service: str, instances: int, now_s: float) -> float:
+        """Return the free calls of which another one is this instance's part.
 
-        :param free_calls: calls that can be placed now.
+        A free call is room for one call like the one that is to be placed.
         """
         taken = len(self._find_taken(service, now_s))
-        # Its own calls of this time are not among the free slots any more.
-        return (taken + 1) * instances <= free_calls + taken
+        # Its own calls of this time are not among the free ones any more.
+        return (taken + 1) * instances - taken
 
-    def is_ample(
-        self,
-        service: str,
-        free_calls: int,
-        release_per_s: float | None,
-        now_s: float,
-    ) -> bool:
-        """Return whether the free slots suffice for calls not heard of yet.
+    def count_ample(
+        self, service: str, release_per_s: float | None, now_s: float
+    ) -> float:
+        """Return the free calls that suffice for calls not heard of yet.
 
-        :param free_calls: calls that can be placed now.
         :param release_per_s: ended runs per second; none if too few are known.
         """
         if release_per_s is None:
-            return False
+            return math.inf
         own = len(self._find_taken(service, now_s)) + 1
         expected = own + release_per_s * 2 * ANNOUNCEMENT_S
-        return expected * AMPLE_ROOM_FACTOR <= free_calls
+        return expected * AMPLE_ROOM_FACTOR
 
     def _find_taken(
         self, service: str, now_s: float
--- a/trefoilhinge/dispatch/admission/rooms.py
+++ b/trefoilhinge/dispatch/admission/rooms.py
@@ -16,6 +16,9 @@
 # Which targets are usable changes as ejections and rests end, and is then seen
 # late by this time at most.
 LISTING_INTERVAL_S = 0.25
+# While no call waits, the list only shows whether capacity is ample. The search
+# for the targets of a call finds out by itself which ones are usable.
+IDLE_LISTING_INTERVAL_S = 2.0
 
 
 @define
@@ -35,9 +38,13 @@
     _ahead: int = 0
     _full: set[str] = field(factory=set)
 
-    def is_listed(self, now_s: float) -> bool:
-        """Return whether the usable targets were listed recently."""
-        return now_s < self._listed_s + LISTING_INTERVAL_S
+    def is_listed(self, now_s: float, *, is_idle: bool) -> bool:
+        """Return whether the usable targets were listed recently.
+
+        :param is_idle: whether no call waits for the service.
+        """
+        interval_s = IDLE_LISTING_INTERVAL_S if is_idle else LISTING_INTERVAL_S
+        return bool(self._records) and now_s < self._listed_s + interval_s
 
     def expire(self) -> None:
         """Let the usable targets be listed again."""
@@ -49,13 +56,15 @@
         """Take over which targets are usable."""
         self._listed_s = now_s
         listed = {record.name: record for record in records}
-        for name in self._records.keys() - listed.keys():
+        before = self._records
+        self._records = listed
+        for name in before.keys() - listed.keys():
             self.rooms.pop(name, None)
             self._changes.pop(name, None)
         for name, record in listed.items():
-            if self._records.get(name) != record:
+            # A record is replaced rather than changed.
+            if before.get(name) is not record:
                 self._changes.pop(name, None)
-        self._records = listed
 
     def refresh(
         self,
--- a/trefoilhinge/gateway/admission/rooms.py
+++ b/trefoilhinge/gateway/admission/rooms.py
@@ -60,7 +60,8 @@
     now_s = state.get_now_s()
     capacity = state.admission.capacity
     found = state.admission.select_rooms(call.service)
-    if not found.is_listed(now_s):
+    is_idle = not state.admission.waiting.get_queue(call.service).count
+    if not found.is_listed(now_s, is_idle=is_idle):
         records = [
             record
             for record in list_usable(state, call, set())
@@ -158,7 +159,7 @@
         full = {name for name in members if left[name].slots <= 0}
     else:
         members = set(left)
-        full = {name for name in members if not fits(waiting, left[name])}
+        full = {name for name, room in left.items() if not fits(waiting, room)}
     if len(full) == len(members):
         return None
     return find(rooms.keys() - members, full)
--- a/trefoilhinge/gateway/admission/searches.py
+++ b/trefoilhinge/gateway/admission/searches.py
@@ -2,7 +2,7 @@
 
 from attrs import define, field
 
-from trefoilhinge.dispatch.admission.allotment import count_calls
+from trefoilhinge.dispatch.admission.allotment import can_take
 from trefoilhinge.dispatch.admission.bursts import BurstTable
 from trefoilhinge.dispatch.admission.waiting_calls import WaitingCall
 from trefoilhinge.dispatch.group_placement import Placement
@@ -36,16 +36,13 @@
         admission = self._state.admission
         now_s = self._state.get_now_s()
         service = waiting.service
-        free_calls = count_calls(waiting, turn.left.values())
         rate = admission.capacity.estimate_release_per_s(service, now_s)
-        if self._bursts.is_ample(service, free_calls, rate, now_s):
-            return True
-        if admission.waiting.get_queue(service).count:
-            return False
-        instances = self._state.peers.count_instances(now_s)
-        return self._bursts.is_within_part(
-            service, free_calls, instances, now_s
-        )
+        enough = self._bursts.count_ample(service, rate, now_s)
+        if not admission.waiting.get_queue(service).count:
+            instances = self._state.peers.count_instances(now_s)
+            part = self._bursts.count_part(service, instances, now_s)
+            enough = min(enough, part)
+        return can_take(waiting, turn.left.values(), enough)
 
     def find_at_once(
         self, waiter: Waiter, rooms: Rooms, turn: Turn, find: Find
