--- a/trefoilhinge/dispatch/admission/allotment.py
+++ b/trefoilhinge/dispatch/admission/allotment.py
@@ -195,8 +195,7 @@
 
 def can_hold(call: WaitingCall, rooms: Mapping[str, TargetRoom]) -> bool:
     """Return whether targets hold a call once they are idle."""
-    largest = max((room.total_tokens for room in rooms.values()), default=0)
-    if call.memory_tokens <= largest:
+    if not needs_group(call, rooms):
         return True
     idle = [
         evolve(room, slots=1, memory_tokens=room.total_tokens)
@@ -205,6 +204,12 @@
     return bool(find_group(call, idle))
 
 
+def needs_group(call: WaitingCall, rooms: Mapping[str, TargetRoom]) -> bool:
+    """Return whether no target alone holds a call, even an idle one."""
+    needed = call.memory_tokens
+    return not any(needed <= room.total_tokens for room in rooms.values())
+
+
 def fits(call: WaitingCall, room: TargetRoom) -> bool:
     """Return whether a target can take a call now."""
     return room.slots > 0 and call.memory_tokens <= room.memory_tokens
--- a/trefoilhinge/dispatch/admission/rooms.py
+++ b/trefoilhinge/dispatch/admission/rooms.py
@@ -10,7 +10,7 @@
     make_room,
 )
 from trefoilhinge.dispatch.documents import EngineProfile
-from trefoilhinge.dispatch.loads import LoadTable
+from trefoilhinge.dispatch.loads import LoadTable, TargetLoad
 from trefoilhinge.dispatch.targets import TargetRecord
 
 # Which targets are usable changes as ejections and rests end, and is then seen
@@ -32,6 +32,7 @@
     rooms: dict[str, TargetRoom] = field(factory=dict)
     version: int = 0
     _records: dict[str, TargetRecord] = field(factory=dict)
+    _loads: dict[str, TargetLoad] = field(factory=dict)
     _changes: dict[str, int] = field(factory=dict)
     _listed_s: float = float('-inf')
     _engine: EngineProfile | None = None
@@ -51,13 +52,14 @@
         self._listed_s = float('-inf')
 
     def list_targets(
-        self, records: Sequence[TargetRecord], now_s: float
+        self, records: Sequence[TargetRecord], loads: LoadTable, now_s: float
     ) -> None:
         """Take over which targets are usable."""
         self._listed_s = now_s
         listed = {record.name: record for record in records}
         before = self._records
         self._records = listed
+        self._loads = {name: loads.get(name) for name in listed}
         for name in before.keys() - listed.keys():
             self.rooms.pop(name, None)
             self._changes.pop(name, None)
@@ -68,7 +70,6 @@
 
     def refresh(
         self,
-        loads: LoadTable,
         engine: EngineProfile | None,
         release_per_s: float | None,
         full: set[str],
@@ -87,11 +88,10 @@
             self._changes.pop(name, None)
         self._full = full
         known = self._changes
-        for name, record in self._records.items():
-            load = loads.get(name)
+        for name, load in self._loads.items():
             if known.get(name) != load.changes:
                 known[name] = load.changes
-                room = make_room(record, load, engine, ahead)
+                room = make_room(self._records[name], load, engine, ahead)
                 if name in full:
                     room = evolve(room, slots=min(0, room.slots))
                 self._put(room)
--- a/trefoilhinge/dispatch/admission/waiting.py
+++ b/trefoilhinge/dispatch/admission/waiting.py
@@ -10,9 +10,10 @@
     WaitingKey,
 )
 
-# An announcement is repeated more often than this; the waiting calls of an
-# instance that has failed are forgotten after it.
-WAITING_EXPIRY_S = 1.5
+# The waiting calls of an instance that has failed are forgotten after this
+# time. An announcement is repeated first after up to 1.5 s, then each second,
+# and one of these may be lost.
+WAITING_EXPIRY_S = 3.5
 # Bounds the memory of the table, at about 600 bytes a call.
 MAXIMUM_WAITING = 4_096
 MAXIMUM_WAITING_PER_ORIGIN = 256
--- a/trefoilhinge/dispatch/loads.py
+++ b/trefoilhinge/dispatch/loads.py
@@ -153,6 +153,7 @@
 
     targets: dict[str, TargetLoad] = field(factory=dict)
     _runs: dict[tuple[str, int], tuple[Run, float]] = field(factory=dict)
+    _by_origin: dict[str, dict[int, Run]] = field(factory=dict)
 
     def get(self, target: str) -> TargetLoad:
         """Return the load of a target; an unknown target has an empty one."""
@@ -174,6 +175,7 @@
         if run.key in self._runs:
             return False
         self._runs[run.key] = (run, latest_end_s)
+        self._by_origin.setdefault(run.origin, {})[run.number] = run
         for part in run.parts:
             load = self.get(part.target)
             prefill_s = part.prefill_s * load.prefill_slowdown
@@ -218,6 +220,10 @@
         if found is None:
             return None
         run = found[0]
+        own = self._by_origin[run.origin]
+        own.pop(run.number)
+        if not own:
+            self._by_origin.pop(run.origin)
         for part in run.parts:
             load = self.get(part.target)
             load.memory_tokens -= part.memory_tokens
@@ -239,8 +245,7 @@
     def remove_origin(self, origin: str, now_s: float) -> int:
         """Remove the runs of an instance that has failed; return how many."""
         return self._remove(
-            [key for key in self._runs if key[0] == origin],
-            now_s,
+            [run.key for run in self.list_by_origin(origin)], now_s
         )
 
     def remove_overdue(self, now_s: float) -> int:
@@ -254,7 +259,7 @@
 
     def list_by_origin(self, origin: str) -> list[Run]:
         """Return the runs of one origin."""
-        return [run for key, (run, _) in self._runs.items() if key[0] == origin]
+        return list(self._by_origin.get(origin, {}).values())
 
     def _remove(self, keys: Iterable[tuple[str, int]], now_s: float) -> int:
         removed = list(keys)
--- a/trefoilhinge/gateway/admission/announcements.py
+++ b/trefoilhinge/gateway/admission/announcements.py
@@ -19,6 +19,8 @@
 # A call whose announcement was lost is known this much later; the others
 # forget calls that are not renewed in ``WAITING_EXPIRY_S``.
 RENEWAL_INTERVAL_S = 1.0
+# Sweeps are 0.5 s apart and may be a little early.
+SWEEP_TOLERANCE_S = 0.1
 
 
 @define
@@ -44,7 +46,7 @@
         :param own: the waiting calls of this instance.
         """
         now_s = self._state.get_now_s()
-        if now_s < self._renewed_s + RENEWAL_INTERVAL_S:
+        if now_s < self._renewed_s + RENEWAL_INTERVAL_S - SWEEP_TOLERANCE_S:
             return
         self._renewed_s = now_s
         renewed = [
@@ -69,7 +71,7 @@
         )
         if not state.admission.waiting.count():
             return
-        if now_s < self._reported_s + interval_s:
+        if now_s < self._reported_s + interval_s - SWEEP_TOLERANCE_S:
             return
         self._reported_s = now_s
         alive = make_alive_message(state)
--- a/trefoilhinge/gateway/admission/rooms.py
+++ b/trefoilhinge/gateway/admission/rooms.py
@@ -11,6 +11,7 @@
     can_hold,
     find_group,
     fits,
+    needs_group,
 )
 from trefoilhinge.dispatch.admission.capacity import TargetRoom
 from trefoilhinge.dispatch.admission.order import rank_queue
@@ -67,10 +68,9 @@
             for record in list_usable(state, call, set())
             if state.permits.has_room(record.name, record.started_ms, now_s)
         ]
-        found.list_targets(records, now_s)
+        found.list_targets(records, state.loads, now_s)
     release_per_s = capacity.estimate_release_per_s(call.service, now_s)
     found.refresh(
-        state.loads,
         find_engine_profile(state, call.service),
         release_per_s,
         capacity.list_full(now_s),
@@ -159,7 +159,12 @@
         full = {name for name in members if left[name].slots <= 0}
     else:
         members = set(left)
-        full = {name for name, room in left.items() if not fits(waiting, room)}
+        needed = waiting.memory_tokens
+        full = {
+            name
+            for name, room in left.items()
+            if room.slots <= 0 or needed > room.memory_tokens
+        }
     if len(full) == len(members):
         return None
     return find(rooms.keys() - members, full)
@@ -182,9 +187,3 @@
         and state.loads.get(record.name).running
         for record in state.directory.list_serving(call.service)
     )
-
-
-def needs_group(waiting: WaitingCall, rooms: Rooms) -> bool:
-    """Return whether no target alone holds a call."""
-    largest = max((room.total_tokens for room in rooms.values()), default=0)
-    return waiting.memory_tokens > largest
--- a/trefoilhinge/gateway/admission/searches.py
+++ b/trefoilhinge/gateway/admission/searches.py
@@ -2,7 +2,7 @@
 
 from attrs import define, field
 
-from trefoilhinge.dispatch.admission.allotment import can_take
+from trefoilhinge.dispatch.admission.allotment import can_take, needs_group
 from trefoilhinge.dispatch.admission.bursts import BurstTable
 from trefoilhinge.dispatch.admission.waiting_calls import WaitingCall
 from trefoilhinge.dispatch.group_placement import Placement
@@ -15,7 +15,6 @@
     compute_turn,
     find_in_turn,
     find_rooms,
-    needs_group,
     refresh_rooms,
 )
 from trefoilhinge.gateway.admission.waiter import Waiter
@@ -37,12 +36,15 @@
         now_s = self._state.get_now_s()
         service = waiting.service
         rate = admission.capacity.estimate_release_per_s(service, now_s)
-        enough = self._bursts.count_ample(service, rate, now_s)
-        if not admission.waiting.get_queue(service).count:
-            instances = self._state.peers.count_instances(now_s)
-            part = self._bursts.count_part(service, instances, now_s)
-            enough = min(enough, part)
-        return can_take(waiting, turn.left.values(), enough)
+        left = turn.left.values()
+        ample = self._bursts.count_ample(service, rate, now_s)
+        if can_take(waiting, left, ample):
+            return True
+        if admission.waiting.get_queue(service).count:
+            return False
+        instances = self._state.peers.count_instances(now_s)
+        part = self._bursts.count_part(service, instances, now_s)
+        return can_take(waiting, left, part)
 
     def find_at_once(
         self, waiter: Waiter, rooms: Rooms, turn: Turn, find: Find
--- a/trefoilhinge/gateway/admission/waiters.py
+++ b/trefoilhinge/gateway/admission/waiters.py
@@ -176,12 +176,13 @@
         waiting = waiter.waiting
         rooms = find_rooms(state, waiter.call, waiter.excluded)
         turn = compute_turn(state, waiting, rooms)
-        is_hopeless = not can_wait(state, waiter.call, waiting, rooms)
         if self._search.may_place_now(waiting, turn):
             placement = self._search.find_at_once(waiter, rooms, turn, find)
             if placement is not None:
                 return placement, None
             is_hopeless = self._search.is_hopeless(waiter, find)
+        else:
+            is_hopeless = not can_wait(state, waiter.call, waiting, rooms)
         if is_hopeless:
             return None, None
         decision = self._decide(waiting, turn)
