Reconsidered calls behind a large one once it is placed.

A call that keeps targets from those behind it gives them up when it is placed, which no longer led to a pass; and a call whose placement failed at one target was held back though it was allotted another one. Both are considered in the next pass.

--- a/trefoilhinge/dispatch/admission/waiting.py
+++ b/trefoilhinge/dispatch/admission/waiting.py
@@ -104,16 +104,12 @@
             self._queues.pop(known[0].service)
         return known[0]
 
-    def record_start(self, key: WaitingKey, now_s: float) -> bool:
-        """Record that a waiting call was placed.
-
-        :return: whether the call was known to wait.
-        """
+    def record_start(self, key: WaitingKey, now_s: float) -> WaitingCall | None:
+        """Record that a waiting call was placed; return it if it was known."""
         call = self.remove(key)
-        if call is None:
-            return False
-        self.usage.add(call.organisation, call.weight, now_s)
-        return True
+        if call is not None:
+            self.usage.add(call.organisation, call.weight, now_s)
+        return call
 
     def remove_origin(self, origin: str) -> int:
         """Remove the calls of an instance that has ended; return how many."""
--- a/trefoilhinge/gateway/admission/passes.py
+++ b/trefoilhinge/gateway/admission/passes.py
@@ -6,7 +6,6 @@
 from attrs import define, field
 
 from trefoilhinge.dispatch.admission.absences import TAKE_LIMIT_S
-from trefoilhinge.dispatch.admission.allotment import can_hold
 from trefoilhinge.dispatch.admission.bursts import ANNOUNCEMENT_S
 from trefoilhinge.dispatch.admission.decisions import Verdict, decide
 from trefoilhinge.dispatch.admission.order import rank_queue
@@ -51,6 +50,11 @@
             self._changed.add(service)
             self._schedule(GATHERING_S)
 
+    def mark(self, service: str) -> None:
+        """Consider the calls that wait for a service in the next pass."""
+        if self.waiters:
+            self._changed.add(service)
+
     def notify_all(self) -> None:
         """Consider all waiting calls again soon."""
         for waiter in self.waiters.values():
@@ -127,7 +131,7 @@
             if remaining_s > 0:
                 self._changed.add(waiter.call.service)
                 self._schedule(remaining_s)
-            elif target is not None and waiter.may_try(version, now_s):
+            elif target is not None and waiter.may_try(target, version, now_s):
                 waiter.grant(target)
 
     def _check(
@@ -135,8 +139,7 @@
     ) -> None:
         """End the wait of calls that cannot be served in time."""
         for waiter in waiters:
-            holds = can_hold(waiter.waiting, found.rooms)
-            if not holds and not can_wait(
+            if not can_wait(
                 self._state, waiter.call, waiter.waiting, found.rooms
             ):
                 waiter.give_up()
--- a/trefoilhinge/gateway/admission/record.py
+++ b/trefoilhinge/gateway/admission/record.py
@@ -26,6 +26,8 @@
     :ivar output_estimator: estimates the output of calls.
     :ivar notify_change: called with a service of which capacity may have
         become free.
+    :ivar mark_change: called with a service for which a call that waited was
+        placed, and no longer keeps targets from those behind it.
     """
 
     is_enabled: bool = False
@@ -33,6 +35,7 @@
     capacity: CapacityTable = field(factory=CapacityTable)
     output_estimator: OutputEstimator = field(factory=HintedOutput)
     notify_change: Callable[[str], None] = _ignore_change
+    mark_change: Callable[[str], None] = _ignore_change
     _rooms: dict[str, ServiceRooms] = field(factory=dict)
     _absences: dict[str, AbsenceWatch] = field(factory=dict)
 
@@ -46,8 +49,11 @@
 
     def record_start(self, run: Run, now_s: float) -> None:
         """Record that a run was placed, perhaps of a call that waited."""
-        if self.is_enabled:
-            self.waiting.record_start(run.key, now_s)
+        if not self.is_enabled:
+            return
+        started = self.waiting.record_start(run.key, now_s)
+        if started is not None:
+            self.mark_change(started.service)
 
     def record_end(self, run: Run, service: str, now_s: float) -> None:
         """Record that a run ended."""
--- a/trefoilhinge/gateway/admission/waiter.py
+++ b/trefoilhinge/gateway/admission/waiter.py
@@ -36,6 +36,7 @@
     granted: str = ''
     refusal: Decision | None = None
     is_hopeless: bool = False
+    _failed_target: str = ''
     _failed_version: int = -1
     _failed_s: float = float('-inf')
 
@@ -50,17 +51,20 @@
         is_short = size is None or size.prompt_tokens < MINIMUM_GROUP_TOKENS
         return is_short and not self.excluded
 
-    def may_try(self, version: int, now_s: float) -> bool:
+    def may_try(self, target: str, version: int, now_s: float) -> bool:
         """Return whether a placement may succeed now.
 
+        :param target: target that the call is allotted.
         :param version: number of times that capacity appeared.
         """
-        if version != self._failed_version:
+        failed = (self._failed_target, self._failed_version)
+        if (target, version) != failed:
             return True
         return now_s >= self._failed_s + RETRY_INTERVAL_S
 
     def record_failed(self, version: int, now_s: float) -> None:
         """Record that no placement was found."""
+        self._failed_target = self.granted
         self._failed_version = version
         self._failed_s = now_s
 
--- a/trefoilhinge/gateway/admission/waiters.py
+++ b/trefoilhinge/gateway/admission/waiters.py
@@ -67,6 +67,7 @@
         record = self._state.admission
         record.output_estimator = LearnedOutput(self._state)
         record.notify_change = self._passes.notify
+        record.mark_change = self._passes.mark
 
     async def admit(
         self,
