Kept long prompts of several instances off the same memory.

Instances that placed long prompts at the same moment, with room that is ample, chose the same target by its cost, and a waiting long prompt was answered by another target than the one it was allotted.

--- a/tests/gateway/test_admission_groups.py
+++ b/tests/gateway/test_admission_groups.py
@@ -104,6 +104,22 @@
         assert len(small) > 30
 
 
+class TestLongPrompts:
+    """Guards against prompts that instances send to the same free memory."""
+
+    def test_prompts_that_come_together_take_different_targets(self):
+        async def scenario(network):
+            for _ in range(2):
+                for ip in network.peers:
+                    network.call(ip, tokens=100_000, duration_s=9, slo_s=4)
+                await asyncio.sleep(0.1)
+            return network, max(list_memory(network))
+
+        network, most = run_with(3, ENGINES, scenario)
+        assert len(network.served) == 6
+        assert most <= ENGINE_PROFILE.memory_tokens
+
+
 class TestCost:
     """Guards against searches for targets that cannot succeed."""
 
--- a/trefoilhinge/gateway/admission/searches.py
+++ b/trefoilhinge/gateway/admission/searches.py
@@ -4,7 +4,6 @@
 
 from trefoilhinge.dispatch.admission.allotment import can_take, needs_group
 from trefoilhinge.dispatch.admission.bursts import BurstTable
-from trefoilhinge.dispatch.admission.waiting_calls import WaitingCall
 from trefoilhinge.dispatch.group_placement import Placement
 from trefoilhinge.gateway.admission.rooms import (
     NONE,
@@ -28,21 +27,28 @@
     _state: GatewayState
     _bursts: BurstTable = field(factory=BurstTable)
 
-    def may_place_now(self, waiting: WaitingCall, turn: Turn) -> bool:
-        """Return whether a call may be placed before others know of it."""
+    def may_place_now(self, waiter: Waiter, turn: Turn) -> bool:
+        """Return whether a call may be placed before others know of it.
+
+        Few prompts that may be placed on groups fill the memory of a target,
+        and their objectives are long: they are announced even if room is ample.
+        """
         if not turn.is_exact:
             return False
+        waiting = waiter.waiting
         admission = self._state.admission
         now_s = self._state.get_now_s()
         service = waiting.service
         rate = admission.capacity.estimate_release_per_s(service, now_s)
         left = turn.left.values()
         ample = self._bursts.count_ample(service, rate, now_s)
-        if can_take(waiting, left, ample):
+        if waiter.is_short and can_take(waiting, left, ample):
             return True
         if admission.waiting.get_queue(service).count:
             return False
         instances = self._state.peers.count_instances(now_s)
+        if instances > 1 and not waiter.is_short:
+            return False
         part = self._bursts.count_part(service, instances, now_s)
         return can_take(waiting, left, part)
 
@@ -60,8 +66,15 @@
         """Search for the targets of a call that is allotted capacity."""
         state = self._state
         known = refresh_rooms(state, waiter.call)
-        if waiter.takes_granted:
-            placement = find(known.rooms.keys() - {waiter.granted}, NONE)
+        # Calls that two instances place at the same moment do not meet, as both
+        # take the very targets that they are allotted.
+        others = known.rooms.keys() - {waiter.granted}
+        if not waiter.excluded and waiter.is_short:
+            placement = find(others, NONE)
+        elif not waiter.excluded and not needs_group(
+            waiter.waiting, known.rooms
+        ):
+            placement = find(NONE, others)
         else:
             rooms = find_rooms(state, waiter.call, waiter.excluded)
             turn = compute_turn(state, waiter.waiting, rooms)
--- a/trefoilhinge/gateway/admission/waiter.py
+++ b/trefoilhinge/gateway/admission/waiter.py
@@ -41,15 +41,10 @@
     _failed_s: float = float('-inf')
 
     @property
-    def takes_granted(self) -> bool:
-        """Return whether it takes the very target that it is allotted.
-
-        So two instances that place short calls at the same moment do not meet.
-        Long prompts may be placed on groups.
-        """
+    def is_short(self) -> bool:
+        """Return whether it is never placed on a group."""
         size = self.call.head.prompt_size
-        is_short = size is None or size.prompt_tokens < MINIMUM_GROUP_TOKENS
-        return is_short and not self.excluded
+        return size is None or size.prompt_tokens < MINIMUM_GROUP_TOKENS
 
     def may_try(self, target: str, version: int, now_s: float) -> bool:
         """Return whether a placement may succeed now.
--- a/trefoilhinge/gateway/admission/waiters.py
+++ b/trefoilhinge/gateway/admission/waiters.py
@@ -177,7 +177,7 @@
         waiting = waiter.waiting
         rooms = find_rooms(state, waiter.call, waiter.excluded)
         turn = compute_turn(state, waiting, rooms)
-        if self._search.may_place_now(waiting, turn):
+        if self._search.may_place_now(waiter, turn):
             placement = self._search.find_at_once(waiter, rooms, turn, find)
             if placement is not None:
                 return placement, None
