--- a/trefoilhinge/dispatch/loads.py
+++ b/trefoilhinge/dispatch/loads.py
@@ -80,6 +80,8 @@
         of its runs, zero if not learned.
     :ivar runs: runs that have a slot, by key.
     :ivar memory_tokens: KV memory in use, in tokens.
+    :ivar changes: number of changes of its runs and prefills, by which what
+        was computed from them is known to be valid still.
     """
 
     prefills: PrefillQueue = field(factory=PrefillQueue)
@@ -88,6 +90,7 @@
     output_deviation: float = 0
     runs: dict[tuple[str, int], Run] = field(factory=dict)
     memory_tokens: int = 0
+    changes: int = 0
 
     @property
     def running(self) -> int:
@@ -150,6 +153,7 @@
 
     targets: dict[str, TargetLoad] = field(factory=dict)
     _runs: dict[tuple[str, int], tuple[Run, float]] = field(factory=dict)
+    _by_origin: dict[str, dict[int, Run]] = field(factory=dict)
 
     def get(self, target: str) -> TargetLoad:
         """Return the load of a target; an unknown target has an empty one."""
@@ -171,6 +175,7 @@
         if run.key in self._runs:
             return False
         self._runs[run.key] = (run, latest_end_s)
+        self._by_origin.setdefault(run.origin, {})[run.number] = run
         for part in run.parts:
             load = self.get(part.target)
             prefill_s = part.prefill_s * load.prefill_slowdown
@@ -182,6 +187,7 @@
             )
             load.prefills.add(run.key, prefill, now_s)
             load.memory_tokens += part.memory_tokens
+            load.changes += 1
             if part.has_slot:
                 load.runs[run.key] = run
         return True
@@ -190,7 +196,9 @@
         """Record that a delayed run was sent; return it if it is known."""
         found = self._runs.get(key)
         for part in found[0].parts if found else ():
-            self.get(part.target).prefills.record_sent(key, now_s)
+            load = self.get(part.target)
+            load.prefills.record_sent(key, now_s)
+            load.changes += 1
         return found[0] if found else None
 
     def find_send_time_s(self, run: Run, now_s: float) -> float:
@@ -212,9 +220,14 @@
         if found is None:
             return None
         run = found[0]
+        own = self._by_origin[run.origin]
+        own.pop(run.number)
+        if not own:
+            self._by_origin.pop(run.origin)
         for part in run.parts:
             load = self.get(part.target)
             load.memory_tokens -= part.memory_tokens
+            load.changes += 1
             load.runs.pop(key, None)
             load.prefills.remove(key, now_s)
         return run
@@ -225,13 +238,14 @@
         if found is None:
             return
         for part in found[0].parts:
-            self.get(part.target).prefills.remove(key, now_s)
+            load = self.get(part.target)
+            load.prefills.remove(key, now_s)
+            load.changes += 1
 
     def remove_origin(self, origin: str, now_s: float) -> int:
         """Remove the runs of an instance that has failed; return how many."""
         return self._remove(
-            [key for key in self._runs if key[0] == origin],
-            now_s,
+            [run.key for run in self.list_by_origin(origin)], now_s
         )
 
     def remove_overdue(self, now_s: float) -> int:
@@ -245,7 +259,7 @@
 
     def list_by_origin(self, origin: str) -> list[Run]:
         """Return the runs of one origin."""
-        return [run for key, (run, _) in self._runs.items() if key[0] == origin]
+        return list(self._by_origin.get(origin, {}).values())
 
     def _remove(self, keys: Iterable[tuple[str, int]], now_s: float) -> int:
         removed = list(keys)
