Spread short calls over targets while starts elsewhere are unknown.

Instances that see the same load chose the same target for short calls that arrived before each other's announcements.

A demand core estimates the rate of short calls from the starts of all instances.

--- /dev/null
+++ b/tests/dispatch/demand/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the demand of short calls."""
--- a/trefoilhinge/dispatch/placement.py
+++ b/trefoilhinge/dispatch/placement.py
@@ -6,6 +6,7 @@
 import xxhash
 
 from trefoilhinge.dispatch.costs import (
+    LAST_SLOT_COST,
     WAIT_COST_PER_S,
     Candidate,
     compute_call_weight,
@@ -16,6 +17,11 @@
     estimate_lateness_loss,
     make_decode_state,
 )
+from trefoilhinge.dispatch.demand.spreading import (
+    OVERFLOW_LOSS_SHARE,
+    choose_among_equal,
+    estimate_overflow_share,
+)
 from trefoilhinge.dispatch.group_placement import Placement, place_group
 from trefoilhinge.dispatch.latency_model import estimate_prefill_s
 from trefoilhinge.dispatch.loads import LoadTable, RunPart
@@ -105,12 +111,10 @@
         return None
     if request.required_tokens > request.usable_tokens:
         return place_group(candidates, request)
-    single = min(
-        (_place_single(candidate, request) for candidate in candidates),
-        key=lambda placement: placement.cost,
-    )
+    singles = [_place_single(candidate, request) for candidate in candidates]
     if request.size.prompt_tokens < MINIMUM_GROUP_TOKENS:
-        return single
+        return _choose_short(singles, request)
+    single = min(singles, key=_get_cost)
     group = place_group(candidates, request)
     if group is None or single.cost < group.cost:
         return single
@@ -155,6 +159,8 @@
     is_short = request.size.prompt_tokens < MINIMUM_GROUP_TOKENS
     if is_short and not candidate.is_limited:
         cost += RANK_COST * candidate.rank
+    if is_short:
+        cost += _estimate_overflow_cost(candidate, request, weight)
     part = RunPart(
         candidate.record.name,
         prefill_s,
@@ -162,3 +168,30 @@
         has_slot=True,
     )
     return Placement((part,), (), first_event_s, cost)
+
+
+def _choose_short(
+    placements: Sequence[Placement], request: PlacementRequest
+) -> Placement:
+    if request.unseen is None:
+        return min(placements, key=_get_cost)
+    return choose_among_equal(placements, request.unseen)
+
+
+def _get_cost(placement: Placement) -> float:
+    return placement.cost
+
+
+def _estimate_overflow_cost(
+    candidate: Candidate, request: PlacementRequest, weight: float
+) -> float:
+    """Return the cost of calls elsewhere that may take the free slots first.
+
+    It replaces the fixed cost of the last slot where it is higher.
+    """
+    free = request.engine.slots - candidate.load.running
+    if request.unseen is None or free <= 0:
+        return 0
+    share = estimate_overflow_share(request.unseen, free)
+    known_cost = LAST_SLOT_COST if free == 1 else 0
+    return max(0, weight * OVERFLOW_LOSS_SHARE * share - known_cost)
--- a/trefoilhinge/dispatch/placement_requests.py
+++ b/trefoilhinge/dispatch/placement_requests.py
@@ -5,6 +5,7 @@
 from attrs import frozen
 
 from trefoilhinge.dispatch.calls import PromptSize
+from trefoilhinge.dispatch.demand.spreading import UnseenStarts
 from trefoilhinge.dispatch.documents import EngineProfile, Route
 from trefoilhinge.dispatch.estimation.estimates import Estimate
 
@@ -22,6 +23,8 @@
     :ivar remaining_s: seconds until the deadline of the call.
     :ivar learned_output: learned number of output tokens; none to use the
         caller's estimate.
+    :ivar unseen: short calls that other instances are placing; none if they
+        are not considered.
     """
 
     engine: EngineProfile
@@ -30,6 +33,7 @@
     now_s: float
     remaining_s: float
     learned_output: Estimate | None = None
+    unseen: UnseenStarts | None = None
 
     @property
     def required_tokens(self) -> int:
--- a/trefoilhinge/measure/placement_simulation.py
+++ b/trefoilhinge/measure/placement_simulation.py
@@ -10,7 +10,15 @@
 
 from attrs import define, field, frozen
 
-from trefoilhinge.dispatch.documents import EngineProfile
+from trefoilhinge.dispatch.demand.rates import DemandTable
+from trefoilhinge.dispatch.demand.spreading import (
+    UnseenStarts,
+    estimate_unseen_starts,
+)
+from trefoilhinge.dispatch.documents import (
+    REQUEST_HASH_VALUES,
+    EngineProfile,
+)
 from trefoilhinge.dispatch.group_placement import Placement
 from trefoilhinge.dispatch.loads import LoadTable, Run
 from trefoilhinge.dispatch.patience import compute_patience_s
@@ -29,6 +37,7 @@
 # Delay until all instances know that the prefill of a prompt is complete.
 REPORT_DELAY_S = 0.004
 ORIGIN = 'measure'
+HASH_FACTOR = 1_664_525  # of a linear congruential generator
 
 
 @frozen
@@ -93,6 +102,14 @@
     next_check_s: float = 0
 
 
+@frozen
+class _StartReport:
+    """Report of a run's start that reaches the other instances."""
+
+    run: Run
+    latest_end_s: float
+
+
 @define
 class PlacementSimulation:
     """Discrete-event simulation of engines, the load table and arriving calls.
@@ -100,12 +117,17 @@
     :ivar engine_profile: profile of every engine.
     :ivar records: targets, one for each engine.
     :ivar loads: load table that all instances share.
+    :ivar start_delay_s: seconds until the instances know of a run.
+    :ivar demand: short calls that the instances hear of; none if they place
+        them without.
     :ivar outcomes: outcomes of the calls that ended or were refused.
     """
 
     engine_profile: EngineProfile
     records: list[TargetRecord]
     loads: LoadTable = field(factory=LoadTable)
+    start_delay_s: float = 0
+    demand: DemandTable | None = None
     outcomes: list[Outcome] = field(factory=list)
     _engines: dict[str, IterationEngine] = field(factory=dict)
     _events: list[tuple[float, int, object]] = field(factory=list)
@@ -125,15 +147,19 @@
                 self._place(event, now_s)
             elif isinstance(event, str):
                 self._end_iteration(event, now_s)
+            elif isinstance(event, _StartReport):
+                self._record_start(event, now_s)
             else:
                 self._send_due(now_s)
         return self.outcomes
 
-    def _schedule(self, at_s: float, event: Arrival | str | None) -> None:
+    def _schedule(
+        self, at_s: float, event: 'Arrival | str | _StartReport | None'
+    ) -> None:
         """Schedule an event.
 
         :param event: an arrival, the name of the target whose iteration ends,
-            or none to check the delayed calls.
+            the report of a start, or none to check the delayed calls.
         """
         heapq.heappush(self._events, (at_s, next(self._sequence), event))
 
@@ -146,6 +172,7 @@
                 arrival.size,
                 now_s,
                 arrival.call_class.route.timeout_s,
+                unseen=self._estimate_unseen(now_s),
             ),
         )
         if placement is None:
@@ -161,9 +188,7 @@
             started_s=now_s,
             send_delay_s=placement.send_delay_s,
         )
-        self.loads.record_start(
-            run, now_s + arrival.call_class.route.timeout_s, now_s
-        )
+        self._report_start(run, now_s + arrival.call_class.route.timeout_s)
         context = max(
             placement.reserved_tokens, default=arrival.size.prompt_tokens
         )
@@ -173,6 +198,26 @@
         self._delayed.append(_PlacedCall(arrival, run, placement, engine_call))
         self._send_due(now_s)
 
+    def _report_start(self, run: Run, latest_end_s: float) -> None:
+        """Tell the other instances of a run; a delayed one is known at once."""
+        report = _StartReport(run, latest_end_s)
+        if run.send_delay_s or not self.start_delay_s:
+            self._record_start(report, run.started_s)
+        else:
+            self._schedule(run.started_s + self.start_delay_s, report)
+
+    def _record_start(self, report: _StartReport, now_s: float) -> None:
+        self.loads.record_start(report.run, report.latest_end_s, now_s)
+        if self.demand is not None:
+            self.demand.record_start(ORIGIN, report.run, now_s)
+
+    def _estimate_unseen(self, now_s: float) -> UnseenStarts | None:
+        if self.demand is None:
+            return None
+        rate = self.demand.estimate(ORIGIN, now_s).calls_per_s
+        request_hash = next(self._sequence) * HASH_FACTOR % REQUEST_HASH_VALUES
+        return estimate_unseen_starts(rate, 0, len(self.records), request_hash)
+
     def _send_due(self, now_s: float) -> None:
         for call in tuple(self._delayed):
             send_s = now_s
