Followed the demand of short calls in the gateway.

An instance records the starts of short calls that it makes or hears of, and places its own with them, where costs are learned. Elsewhere placement is unchanged, which the tests of the switch show with demand recorded. The number of choices is logged when it changes by a factor of two.

--- a/tests/gateway/test_learned_costs.py
+++ b/tests/gateway/test_learned_costs.py
@@ -28,6 +28,10 @@
 )
 from trefoilhinge.dispatch.placement_requests import PlacementRequest
 from trefoilhinge.exceptions import ImproperlyConfigured
+from trefoilhinge.gateway.demand.short_calls import (
+    DemandReport,
+    estimate_unseen,
+)
 from trefoilhinge.gateway.placement import find_placement, place_call
 from trefoilhinge.gateway.settings_files import (
     LEARNED_COSTS_VARIABLE,
@@ -44,6 +48,8 @@
 def make_placing_state(seed=1, size=SIZE, delay_ms=0.5, **fields):
     """Return a state that has learned a lot, its targets and a call.
 
+    It also heard of many short calls that started just now.
+
     :param size: that of the call, none for a plain one.
     """
     document = make_document()
@@ -64,6 +70,7 @@
             run_number = state.make_run_number()
             run = make_short(run_number, record.name, NOW_S - draws.random())
             state.loads.record_start(run, NOW_S + 10, NOW_S)
+            state.demand.record_start(service, run, NOW_S)
         state.costs.record(PrefillSample(record.name, 15), NOW_S)
         lookup = CallFeatures('look', 'mill')
         state.costs.record(ServiceSample(lookup, record.name, 0.5), NOW_S)
@@ -113,6 +120,32 @@
 
 @pytest.mark.usefixtures('_fixed_time')
 class TestSwitchedOn:
+    @pytest.mark.parametrize(
+        'fields', [{'has_scarce_room': True}, {'delay_ms': 3.9}]
+    )
+    def test_demand_of_all_instances_is_followed(self, fields):
+        """Guards against short calls that all go to the same target."""
+        state, _, call = make_placing_state(1, **fields)
+        before = estimate_unseen(state, call, 6)
+        run = make_short(state.make_run_number(), 't00', NOW_S)
+        state.record_run(run, NOW_S + 10)
+        state.record_run(run, NOW_S + 10)
+        after = estimate_unseen(state, call, 6)
+        assert after.count > before.count > 0
+        assert after.choices == 2
+
+    def test_demand_is_logged_when_it_changes_notably(self, monkeypatch):
+        lines = []
+        state, _, _ = make_placing_state(1, has_scarce_room=True)
+        monkeypatch.setattr(
+            type(state.log), 'write', lambda _, event, **__: lines.append(event)
+        )
+        report = DemandReport(state)
+        report.update()
+        report.update()
+        assert lines == ['short_calls_spread']
+        assert state.metrics.gauges['short_calls_per_second'] > 50
+
     @pytest.mark.parametrize(
         'fields', [{'has_scarce_room': True}, {'delay_ms': 3.9}]
     )
--- a/trefoilhinge/gateway/daemon.py
+++ b/trefoilhinge/gateway/daemon.py
@@ -15,6 +15,7 @@
     DEFAULT_LIMITS,
     CallerConnection,
 )
+from trefoilhinge.gateway.demand.short_calls import DemandReport
 from trefoilhinge.gateway.early_signals import record_signals, take_signals
 from trefoilhinge.gateway.http_server import (
     HttpResponse,
@@ -213,6 +214,7 @@
 
     async def _sweep(self) -> None:
         state = self._state
+        demand = DemandReport(state)
         while True:
             await asyncio.sleep(SWEEP_INTERVAL_S)
             now_s = state.get_now_s()
@@ -234,6 +236,7 @@
             overdue = state.loads.remove_overdue(now_s)
             if overdue:
                 state.log.write('runs_forgotten', count=overdue)
+            demand.update()
             state.metrics.set_gauge('calls_active', self._service.active)
             state.log.flush()
 
--- /dev/null
+++ b/trefoilhinge/gateway/demand/__init__.py
@@ -0,0 +1,1 @@
+"""Short calls of the fleet, as this instance hears of them."""
--- a/trefoilhinge/gateway/placement.py
+++ b/trefoilhinge/gateway/placement.py
@@ -20,6 +20,7 @@
     is_cold,
     is_late,
 )
+from trefoilhinge.gateway.demand.short_calls import estimate_unseen
 from trefoilhinge.gateway.learned_costs import (
     apply_to_loads,
     estimate_output,
@@ -143,6 +144,7 @@
                 now_s,
                 call.deadline_s - now_s,
                 estimate_output(state, call),
+                estimate_unseen(state, call, len(records)),
             ),
         )
     chosen = (
--- a/trefoilhinge/gateway/state.py
+++ b/trefoilhinge/gateway/state.py
@@ -7,8 +7,10 @@
 
 from trefoilhinge.dispatch.budgets import RetryBudget
 from trefoilhinge.dispatch.crash_evidence import CrashEvidence
+from trefoilhinge.dispatch.demand.rates import DemandTable
 from trefoilhinge.dispatch.documents import FleetDocument
 from trefoilhinge.dispatch.estimation.cost_table import CostTable
+from trefoilhinge.dispatch.estimation.switch import uses_learned_costs
 from trefoilhinge.dispatch.health import HealthTable
 from trefoilhinge.dispatch.loads import LoadTable, Run
 from trefoilhinge.dispatch.outages import StoreOutages
@@ -55,6 +57,7 @@
     :ivar relay_peers: peers that may serve calls for this instance.
     :ivar slowdowns: observed slowdown of each target.
     :ivar costs: what calls cost, learned from those that ended.
+    :ivar demand: short calls that all instances start.
     :ivar rate_limits: rates that targets named as their limits.
     :ivar permits: permits for requests to these targets.
     :ivar crash_evidence: traits of calls under which targets crashed.
@@ -90,6 +93,7 @@
     relay_peers: RelayPeers = field(factory=RelayPeers)
     slowdowns: SlowdownTable = field(factory=SlowdownTable)
     costs: CostTable = field(factory=CostTable)
+    demand: DemandTable = field(factory=DemandTable)
     rate_limits: RateLimitTable = field(factory=RateLimitTable)
     permits: PermitTable = field(factory=PermitTable)
     crash_evidence: CrashEvidence = field(factory=CrashEvidence)
@@ -201,6 +205,12 @@
         is_new = self.loads.record_start(run, latest_end_s, now_s)
         if is_new and not self.cold.is_empty:
             self._record_cold_run(run, now_s)
+        if (
+            is_new
+            and run.parts
+            and uses_learned_costs(self.settings, self.document)
+        ):
+            self._record_demand(run, now_s)
         self.admission.record_start(run, now_s)
         if is_new and not run.send_delay_s:
             self._charge_run(run)
@@ -312,6 +322,11 @@
             if record is not None:
                 self.cold.record_run(record.incarnation, now_s)
 
+    def _record_demand(self, run: Run, now_s: float) -> None:
+        record = self.directory.records.get(run.parts[0].target)
+        if record is not None:
+            self.demand.record_start(record.service, run, now_s)
+
     def _charge_run(self, run: Run) -> None:
         """Count the requests of a run at targets that named limits."""
         now_s = self.get_now_s()
