--- a/trefoilhinge/gateway/daemon.py
+++ b/trefoilhinge/gateway/daemon.py
@@ -12,6 +12,7 @@
 from trefoilhinge.exceptions import ImproperlyConfigured
 from trefoilhinge.gateway.call_service import CallService
 from trefoilhinge.gateway.caller_connections import CallerConnection
+from trefoilhinge.gateway.demand.short_calls import DemandReport
 from trefoilhinge.gateway.early_signals import record_signals, take_signals
 from trefoilhinge.gateway.http_server import (
     HttpResponse,
@@ -212,6 +213,7 @@
 
     async def _sweep(self) -> None:
         state = self._state
+        demand = DemandReport(state)
         while True:
             await asyncio.sleep(SWEEP_INTERVAL_S)
             now_s = state.get_now_s()
@@ -233,6 +235,7 @@
             overdue = state.loads.remove_overdue(now_s)
             if overdue:
                 state.log.write('runs_forgotten', count=overdue)
+            demand.update()
             state.metrics.set_gauge('calls_active', self._service.active)
             state.log.flush()
 
