--- a/trefoilhinge/dispatch/message_codec.py
+++ b/trefoilhinge/dispatch/message_codec.py
@@ -62,6 +62,12 @@
     decode_quarantine_message,
     list_quarantine_fields,
 )
+from trefoilhinge.dispatch.store_read_codec import (
+    STORE_READ_KIND,
+    StoreRead,
+    decode_store_read,
+    list_store_read_fields,
+)
 from trefoilhinge.dispatch.warmup.codec import (
     COLD_KIND,
     TargetCold,
@@ -90,6 +96,7 @@
     (TargetCold, list_cold_fields),
     (CostsSummarised, list_summary_fields),
     (AdmissionMessage, list_admission_fields),
+    (StoreRead, list_store_read_fields),
 )
 _DECODERS: dict[object, Callable[[list[object], float], Message]] = {
     **dict.fromkeys(PERMIT_KINDS, decode_permit_message),
@@ -98,6 +105,7 @@
     EVACUATION_KIND: lambda fields, _: decode_mark(fields),
     COLD_KIND: lambda fields, _: decode_cold_message(fields),
     SUMMARY_KIND: lambda fields, _: decode_summary(fields),
+    STORE_READ_KIND: lambda fields, _: decode_store_read(fields),
 }
 
 
--- a/trefoilhinge/dispatch/messages.py
+++ b/trefoilhinge/dispatch/messages.py
@@ -10,6 +10,7 @@
 from trefoilhinge.dispatch.peers import Heartbeat
 from trefoilhinge.dispatch.permits import PermitDecision, PermitRequest
 from trefoilhinge.dispatch.rate_limits import NamedRate
+from trefoilhinge.dispatch.store_read_codec import StoreRead
 from trefoilhinge.dispatch.warmup.codec import TargetCold
 
 
@@ -172,7 +173,7 @@
 )
 PermitMessage = TargetRateNamed | TargetOrdered | PermitRequest | PermitDecision
 QuarantineMessage = TargetCrashed | TraitQuarantined | TraitsCleared
-TargetMessage = DomainMark | TargetCold | CostsSummarised
+TargetMessage = DomainMark | TargetCold | CostsSummarised | StoreRead
 Message = (
     RunMessage
     | PermitMessage
--- a/trefoilhinge/dispatch/settings.py
+++ b/trefoilhinge/dispatch/settings.py
@@ -59,6 +59,8 @@
         an operator disables it to compare the same build without them.
     :ivar allows_admission: whether calls may wait in one order over all
         instances where callers compete for room.
+    :ivar allows_store_readers: whether few instances may read the store for
+        all; an operator disables it to compare the same build without them.
     """
 
     instance: str
@@ -78,6 +80,7 @@
     descriptors: int = 0
     allows_learned_costs: bool = True
     allows_admission: bool = False
+    allows_store_readers: bool = True
 
     @property
     def relay_port(self) -> int:
--- a/trefoilhinge/dispatch/targets.py
+++ b/trefoilhinge/dispatch/targets.py
@@ -194,6 +194,21 @@
             return None
         return known if self._remove(known, revision) else None
 
+    def remove_reported(self, name: str, revision: int) -> bool:
+        """Remove a target whose entry another instance saw removed.
+
+        As a departure that it reports, it counts at once. A removal that is
+        older than the record is ignored.
+
+        :param revision: revision of the removal.
+        :return: whether the target is newly departed.
+        """
+        known = self.records.get(name)
+        if known is None or revision < known.revision:
+            return False
+        self.missing.pop(name, None)
+        return self._remove(known, revision)
+
     def expire_missing(self, now_s: float) -> list[TargetRecord]:
         """Remove targets that did not register again after the store's return.
 
--- a/trefoilhinge/gateway/settings_files.py
+++ b/trefoilhinge/gateway/settings_files.py
@@ -17,6 +17,8 @@
 # Set to 'on' to let calls wait in one order where callers compete for room. It
 # is off by default, as its processor time in a fleet of 91 is too high.
 ADMISSION_VARIABLE = 'TREFOILHINGE_ADMISSION'
+# Set to 'off' to let each instance read the store, for a comparison.
+STORE_READERS_VARIABLE = 'TREFOILHINGE_STORE_READERS'
 SWITCH_VALUES = ('on', 'off')
 
 
@@ -24,8 +26,8 @@
     """Read the settings file that the environment names.
 
     :raises ImproperlyConfigured: the variable is not set, the file cannot be
-        read, or ``TREFOILHINGE_LEARNED_COSTS`` or ``TREFOILHINGE_ADMISSION``
-        is neither ``on`` nor ``off``.
+        read, or ``TREFOILHINGE_LEARNED_COSTS``, ``TREFOILHINGE_ADMISSION`` or
+        ``TREFOILHINGE_STORE_READERS`` is neither ``on`` nor ``off``.
     """
     path = os.environ.get(SETTINGS_PATH_VARIABLE)
     if not path:
@@ -34,10 +36,12 @@
         )
     allows_learned_costs = _read_switch(LEARNED_COSTS_VARIABLE, 'on')
     allows_admission = _read_switch(ADMISSION_VARIABLE, 'off')
+    allows_store_readers = _read_switch(STORE_READERS_VARIABLE, 'on')
     return evolve(
         read_settings(path),
         allows_learned_costs=allows_learned_costs,
         allows_admission=allows_admission,
+        allows_store_readers=allows_store_readers,
     )
 
 
--- a/trefoilhinge/platform/settings.py
+++ b/trefoilhinge/platform/settings.py
@@ -36,6 +36,7 @@
     'descriptors': 'limits.maxFds, zero if missing',
     'allows_learned_costs': 'TREFOILHINGE_LEARNED_COSTS of the environment',
     'allows_admission': 'TREFOILHINGE_ADMISSION of the environment',
+    'allows_store_readers': 'TREFOILHINGE_STORE_READERS of the environment',
     'bounds.grace_s': 'bounds.graceS',
     'bounds.repeat_ratio': 'bounds.retryRatio',
     'bounds.repeat_slack': 'bounds.retrySlack',
