Let few instances of each failure domain read the store for all.

Readers watch as before, with a shorter wait, and tell each peer what they read. Followers apply it, and read the store themselves if a gap stays open, if nothing fresh was heard for two seconds, if peers do not deliver a document within 0.8 s, after a pause of the process, and every 8 s. What a peer read says nothing about whether the store answers this instance. A reader tells nothing while a missing entry may only have expired.

--- a/trefoilhinge/gateway/daemon.py
+++ b/trefoilhinge/gateway/daemon.py
@@ -27,6 +27,7 @@
 from trefoilhinge.gateway.replication import handle_peer_request
 from trefoilhinge.gateway.settings_files import load_settings
 from trefoilhinge.gateway.state import GatewayState, make_state
+from trefoilhinge.gateway.store_changes import StoreChanges
 from trefoilhinge.gateway.store_watcher import StoreWatcher
 from trefoilhinge.gateway.target_entries import TargetEntries
 from trefoilhinge.gateway.tcp import CountingReader
@@ -321,7 +322,11 @@
         state,
         peers,
         service,
-        StoreWatcher(state, TargetEntries(state, peers), peers.evacuations),
+        StoreWatcher(
+            state,
+            StoreChanges(state, TargetEntries(state, peers), peers.evacuations),
+            peers.store_reads,
+        ),
         RelayServer(state, service),
     )
 
--- a/trefoilhinge/gateway/peer_exchange.py
+++ b/trefoilhinge/gateway/peer_exchange.py
@@ -38,6 +38,7 @@
 )
 from trefoilhinge.dispatch.peers import Heartbeat
 from trefoilhinge.dispatch.rate_limits import NamedRate
+from trefoilhinge.dispatch.store_read_codec import StoreRead
 from trefoilhinge.dispatch.targets import TargetRecord
 from trefoilhinge.dispatch.warmup.codec import TargetCold
 from trefoilhinge.gateway.cold_targets import ColdNews
@@ -54,6 +55,7 @@
 from trefoilhinge.gateway.reach import ReachMonitor
 from trefoilhinge.gateway.run_records import end_run, remove_runs
 from trefoilhinge.gateway.state import GatewayState
+from trefoilhinge.gateway.store_reads import StoreReads
 
 INITIAL_HEARTBEAT_INTERVAL_S = 0.1  # until the first peer answers
 MAXIMUM_INITIAL_HEARTBEATS = 30
@@ -74,6 +76,7 @@
     :ivar evacuations: news of evacuated failure domains.
     :ivar cold_targets: news of cold targets.
     :ivar admission: calls that wait here for capacity.
+    :ivar store_reads: reads of the store that instances tell each other.
     """
 
     _state: GatewayState
@@ -86,6 +89,7 @@
     evacuations: EvacuationNews = field(init=False)
     cold_targets: ColdNews = field(init=False)
     admission: Admission = field(init=False)
+    store_reads: StoreReads = field(init=False)
     _document_fetcher: PeerFetcher = field(init=False)
     _targets_fetcher: PeerFetcher = field(init=False)
 
@@ -105,6 +109,9 @@
         self.admission = Admission(self._state, self.broadcast)
         self._document_fetcher = make_document_fetcher(self._state)
         self._targets_fetcher = make_targets_fetcher(self._state)
+        self.store_reads = StoreReads(
+            self._state, self.send_to_each, self._document_fetcher.start
+        )
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the socket."""
@@ -265,6 +272,8 @@
                 self.evacuations.apply_message(message, ip)
             case TargetCold():
                 self.cold_targets.apply_message(message, ip)
+            case StoreRead():
+                self.store_reads.apply_message(message, ip)
             case CostsSummarised():
                 take_summary(self._state, message, ip)
             case CallsWaiting() | WaitsEnded() | RunsAlive():
--- a/trefoilhinge/gateway/peer_fetcher.py
+++ b/trefoilhinge/gateway/peer_fetcher.py
@@ -51,11 +51,15 @@
         """Create the table of sources."""
         self._sources = SourceTable(self._state.settings.ip)
 
-    def start(self) -> None:
-        """Fetch if a peer has a newer state and no fetch is pending."""
+    def start(self, delay_s: float | None = None) -> None:
+        """Fetch if a peer has a newer state and no fetch is pending.
+
+        :param delay_s: seconds to wait before it; by default as long as an
+            instance that reads the store itself needs.
+        """
         is_pending = self._task is not None and not self._task.done()
         if not is_pending and self.list_offers():
-            self._task = asyncio.ensure_future(self._run())
+            self._task = asyncio.ensure_future(self._run(delay_s))
             self._task.add_done_callback(self._state.log.write_task_end)
 
     def close(self) -> None:
@@ -63,10 +67,12 @@
         if self._task is not None:
             self._task.cancel()
 
-    async def _run(self) -> None:
+    async def _run(self, delay_s: float | None) -> None:
         state = self._state
+        if delay_s is None:
+            delay_s = DELAY_FRACTION * state.settings.bounds.apply_s
         if state.document is not None and not state.directory.is_cut_off:
-            await asyncio.sleep(DELAY_FRACTION * state.settings.bounds.apply_s)
+            await asyncio.sleep(delay_s)
         while offers := self.list_offers():
             ip = self._sources.choose(offers, self._state.get_now_s())
             if ip is None:
--- a/trefoilhinge/gateway/store_watcher.py
+++ b/trefoilhinge/gateway/store_watcher.py
@@ -1,12 +1,18 @@
 """List the platform's store and watch it for changes."""
 
 import asyncio
+from collections.abc import Sequence
 
 from attrs import define, field
 
-from trefoilhinge.dispatch.evacuations import DomainMark
-from trefoilhinge.gateway.evacuations import EvacuationNews
+from trefoilhinge.dispatch.store_read_codec import StoreChange
+from trefoilhinge.dispatch.store_readers import (
+    READER_WAIT_S,
+    ReadReason,
+    Role,
+)
 from trefoilhinge.gateway.state import GatewayState
+from trefoilhinge.gateway.store_changes import StoreChanges, list_changes
 from trefoilhinge.gateway.store_client import (
     HistoryGone,
     StoreClient,
@@ -14,7 +20,7 @@
     StoreRestored,
     StoreUnanswered,
 )
-from trefoilhinge.gateway.target_entries import TargetEntries
+from trefoilhinge.gateway.store_reads import StoreReads
 from trefoilhinge.platform import store
 
 WATCH_WAIT_S = 2.0  # bounds how late an outage of the store is noticed
@@ -41,8 +47,8 @@
     """Keeps the document and the targets in step with the store."""
 
     _state: GatewayState
-    _entries: TargetEntries
-    _evacuations: EvacuationNews
+    _changes: StoreChanges
+    _reads: StoreReads
     _client: StoreClient = field(init=False)
     _revision: int = 0
     _has_listed: bool = False
@@ -50,8 +56,24 @@
     _cut_since_s: float | None = None
 
     def __attrs_post_init__(self) -> None:
-        """Create the client."""
+        """Create the client, and receive what peers read."""
         self._client = StoreClient(self._state, self._record_answer)
+        self._reads.receiver = self
+
+    @property
+    def told_revision(self) -> int | None:
+        """Return up to which revision all changes are known, if any are."""
+        return self._revision if self._has_listed else None
+
+    def apply_told(
+        self, changes: Sequence[StoreChange], revision: int, ip: str
+    ) -> None:
+        """Apply all changes up to a revision that a peer has read.
+
+        They say nothing about whether the store answers this instance.
+        """
+        self._changes.apply_told(changes, revision, ip)
+        self._set_revision(revision)
 
     async def run(self) -> None:
         """List and watch the store until cancelled."""
@@ -85,8 +107,9 @@
     async def _list_all(self) -> None:
         revision = await self._read_operator_items()
         records, _ = await self._client.list_items(store.TARGET_PREFIX)
-        self._entries.apply_list(records, revision)
+        self._changes.entries.apply_list(records, revision)
         self._set_revision(revision)
+        self._reads.record_own(revision)
         self._has_listed = True
         self._needs_catch_up = False
 
@@ -103,12 +126,13 @@
                     store.TARGET_PREFIX, revision, SHORT_WAIT_S
                 )
             )
-            self._apply_items(page)
+            self._changes.apply_read(page.items, self._revision)
             if page.revision <= revision:
                 raise StoreUnanswered(f'watch stays at revision {revision}')
             revision = page.revision
         # A document written after it was read is left to the next watch.
-        self._set_revision(document_revision)
+        self._set_revision(max(self._revision, document_revision))
+        self._reads.record_own(self._revision)
         self._needs_catch_up = False
 
     async def _read_operator_items(self) -> int:
@@ -118,52 +142,96 @@
 
         :return: revision of the store before they were read.
         """
-        if not self._evacuations.reads_marks:
+        if not self._changes.evacuations.reads_marks:
             page = await self._client.read_document()
-            self._apply_item(page.items[0])
+            self._changes.apply_item(page.items[0])
+            self._reads.record_document()
             return page.revision
         items, revision = await self._client.list_items(store.OPERATOR_PREFIX)
-        self._evacuations.apply_list(
-            [
-                _make_mark(item)
-                for item in items.values()
-                if item.key.startswith(store.EVACUATION_PREFIX)
-            ],
-            revision,
-        )
+        self._changes.apply_operator_list(items.values(), revision)
         if store.DOCUMENT_KEY not in items:
             raise StoreUnanswered('store has no document yet')
-        self._apply_item(items[store.DOCUMENT_KEY])
+        self._changes.apply_item(items[store.DOCUMENT_KEY])
+        self._reads.record_document()
         return revision
 
     async def _watch(self) -> None:
-        page = await self._read_watch()
+        state = self._state
+        instances = state.peers.count_instances(state.get_now_s())
+        interval_s = find_watch_interval_s(
+            state.settings.bounds.apply_s, instances
+        )
+        reason = await self._reads.wait_for_turn(
+            interval_s, is_uncertain=self._is_uncertain()
+        )
+        if reason is ReadReason.document:
+            await self._read_operator_items()
+            return
+        wait_s = self._find_wait_s(reason)
+        before = self._revision
+        page = await self._read_watch(wait_s)
         if page is None:
             return
-        self._apply_items(page)
-        self._evacuations.record_read(page.revision)
+        self._changes.apply_read(page.items, self._revision)
+        self._changes.evacuations.record_read(page.revision)
         self._set_revision(max(self._revision, page.revision))
-        instances = self._state.peers.count_instances(self._state.get_now_s())
-        apply_s = self._state.settings.bounds.apply_s
-        await asyncio.sleep(find_watch_interval_s(apply_s, instances))
+        self._reads.record_own(self._revision)
+        self._tell(before, page, wait_s)
+        if reason in {ReadReason.watch, ReadReason.stale}:
+            await asyncio.sleep(interval_s)
 
-    async def _read_watch(self) -> store.StorePage | None:
-        """Wait for changes, for a short time if the store may be away.
+    def _is_uncertain(self) -> bool:
+        """Return whether only own reads tell what a missing entry means."""
+        outages = self._state.directory.outages
+        return (
+            self._may_be_away
+            or outages.find_grace_end(self._state.get_now_s()) is not None
+        )
 
-        :return: ``None`` if the watch was cut, which the store may do at any
-            time; the next read shows whether it is away.
-        """
+    @property
+    def _may_be_away(self) -> bool:
         outages = self._state.directory.outages
-        is_check = (
+        return (
             self._cut_since_s is not None
             or outages.unreachable_since_s is not None
         )
-        wait_s = SHORT_WAIT_S if is_check else WATCH_WAIT_S
+
+    def _find_wait_s(self, reason: ReadReason) -> float:
+        """Return for how long a watch waits for changes.
+
+        It waits for a short time if the store may be away, and if peers tell
+        what this instance only checks.
+        """
+        if self._may_be_away or reason not in {
+            ReadReason.watch,
+            ReadReason.stale,
+        }:
+            return SHORT_WAIT_S
+        is_reader = self._reads.role is Role.reader
+        return READER_WAIT_S if is_reader else WATCH_WAIT_S
+
+    def _tell(self, before: int, page: store.StorePage, wait_s: float) -> None:
+        """Tell the peers a read, unless its removals may mean nothing.
+
+        Without it, they read the store themselves.
+        """
+        if self._is_uncertain():
+            return
+        now_s = self._state.get_now_s()
+        age_s = max(0, now_s - self._client.read_began_s - wait_s)
+        self._reads.tell((before, page.revision), age_s, list_changes(page))
+
+    async def _read_watch(self, wait_s: float) -> store.StorePage | None:
+        """Wait for changes.
+
+        :return: ``None`` if the watch was cut, which the store may do at any
+            time; the next read shows whether it is away.
+        """
         path = store.make_watch_path('', self._revision, wait_s)
         try:
             return await self._client.fetch_page(path, wait_s + WATCH_MARGIN_S)
         except StoreRefused as problem:
-            if is_check:
+            if self._may_be_away:
                 raise
             self._record_cut(str(problem))
             return None
@@ -175,20 +243,6 @@
         self._revision = revision
         self._state.record_targets_read(revision)
 
-    def _apply_items(self, page: store.StorePage) -> None:
-        for item in page.items:
-            self._apply_item(item)
-
-    def _apply_item(self, item: store.StoreItem) -> None:
-        if item.key == store.DOCUMENT_KEY and item.content is not None:
-            self._state.accept_document(
-                item.content, f'store revision {item.revision}'
-            )
-        elif item.key.startswith(store.TARGET_PREFIX):
-            self._entries.apply_item(item)
-        elif item.key.startswith(store.EVACUATION_PREFIX):
-            self._evacuations.apply_item(_make_mark(item))
-
     def _record_cut(self, problem: str) -> None:
         self._cut_since_s = self._client.read_began_s
         self._state.metrics.increment('watches_cut')
@@ -203,7 +257,9 @@
         if outages.unreachable_since_s is None and self._has_listed:
             self._state.log.write('store_lost', problem=problem)
         self._state.metrics.increment('store_failures')
-        since_s = self._cut_since_s or self._client.read_began_s
+        since_s = self._reads.find_silence_begin(
+            self._cut_since_s or self._client.read_began_s
+        )
         self._cut_since_s = None
         outages.mark_unreachable(since_s)
         unreachable_s = outages.count_unreachable_s(self._state.get_now_s())
@@ -222,14 +278,6 @@
             self._cut_since_s = None
 
 
-def _make_mark(item: store.StoreItem) -> DomainMark:
-    return DomainMark(
-        item.key.removeprefix(store.EVACUATION_PREFIX),
-        is_evacuated=item.content is not None,
-        revision=item.revision,
-    )
-
-
 def find_watch_interval_s(apply_s: float, instances: int) -> float:
     """Return seconds between two watches.
 
--- a/trefoilhinge/gateway/target_entries.py
+++ b/trefoilhinge/gateway/target_entries.py
@@ -4,6 +4,7 @@
 
 from attrs import define
 
+from trefoilhinge.dispatch.store_read_codec import TargetRemoved
 from trefoilhinge.dispatch.targets import TargetRecord
 from trefoilhinge.gateway.peer_exchange import PeerExchange
 from trefoilhinge.gateway.state import GatewayState
@@ -47,9 +48,27 @@
                 problem=decoded.error,
             )
             return
-        self._apply_record(decoded.ok)
+        if self._apply_record(decoded.ok):
+            self._report_leaving(decoded.ok, item.revision, 'draining')
+
+    def apply_told(self, change: TargetRecord | TargetRemoved, ip: str) -> None:
+        """Apply what another instance read, which has told all itself."""
+        if isinstance(change, TargetRecord):
+            has_left = self._apply_record(change)
+        else:
+            has_left = self._state.directory.remove_reported(
+                change.name, change.revision
+            )
+        if has_left:
+            self._state.log.write(
+                'target_left',
+                target=change.name,
+                source=f'peer {ip}',
+                revision=change.revision,
+            )
 
-    def _apply_record(self, record: TargetRecord) -> None:
+    def _apply_record(self, record: TargetRecord) -> bool:
+        """Apply a record; return whether the target is newly departed."""
         directory = self._state.directory
         is_first = record.name not in directory.records
         is_new = self._is_new(record)
@@ -57,11 +76,10 @@
             record.name in directory.missing
             or record.incarnation in directory.departed
         )
-        if self._state.apply_target(record):
-            self._report_leaving(record, record.revision, 'draining')
-        elif was_gone:
+        has_left = self._state.apply_target(record)
+        if was_gone and not has_left:
             self._log_return(record)
-        elif is_first:
+        elif is_first and not has_left:
             self._state.log.write(
                 'target_seen',
                 target=record.name,
@@ -72,6 +90,7 @@
 
         if not record.is_leaving:
             self._peers.cold_targets.apply_entry(record, is_new=is_new)
+        return has_left
 
     def _is_new(self, record: TargetRecord) -> bool:
         """Return whether an incarnation starts after this instance.
