--- a/trefoilhinge/dispatch/settings.py
+++ b/trefoilhinge/dispatch/settings.py
@@ -5,6 +5,14 @@
 Address = tuple[str, int]
 
 
+# Settings that are not in the platform's file, and where they are read from.
+ENVIRONMENT_SOURCES = {
+    'allows_learned_costs': 'TREFOILHINGE_LEARNED_COSTS of the environment',
+    'allows_admission': 'TREFOILHINGE_ADMISSION of the environment',
+    'allows_store_readers': 'TREFOILHINGE_STORE_READERS of the environment',
+}
+
+
 @frozen
 class Bounds:
     """Limits that the operator requires the fleet to meet.
--- a/trefoilhinge/gateway/store_reads.py
+++ b/trefoilhinge/gateway/store_reads.py
@@ -77,20 +77,22 @@
             which only its own reads can tell.
         """
         share = self._compute_share()
+        was_paused = False
         while True:
             now_s = self._state.get_now_s()
             self._update_role(now_s)
             reason = self._find_reason(
                 interval_s, share, is_uncertain=is_uncertain
             )
+            # A starved process must not read more often than before.
+            if was_paused and now_s >= self._read_s + interval_s:
+                reason = reason or ReadReason.pause
             if reason is not None:
                 self._record_reason(reason)
                 return reason
             await asyncio.sleep(POLL_INTERVAL_S)
             paused_s = self._state.get_now_s() - now_s - POLL_INTERVAL_S
-            if paused_s > PAUSE_S:
-                self._record_reason(ReadReason.pause)
-                return ReadReason.pause
+            was_paused = was_paused or paused_s > PAUSE_S
 
     def record_own(self, revision: int) -> None:
         """Record that this instance has read all changes up to a revision."""
--- a/trefoilhinge/platform/settings.py
+++ b/trefoilhinge/platform/settings.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from trefoilhinge.dispatch.settings import (
+    ENVIRONMENT_SOURCES,
     Bounds,
     GatewaySettings,
     parse_address,
@@ -34,9 +35,7 @@
     'has_scarce_room': 'contracts, if pressure is among them',
     'memory_bytes': 'limits.memoryMb, zero if missing',
     'descriptors': 'limits.maxFds, zero if missing',
-    'allows_learned_costs': 'TREFOILHINGE_LEARNED_COSTS of the environment',
-    'allows_admission': 'TREFOILHINGE_ADMISSION of the environment',
-    'allows_store_readers': 'TREFOILHINGE_STORE_READERS of the environment',
+    **ENVIRONMENT_SOURCES,
     'bounds.grace_s': 'bounds.graceS',
     'bounds.repeat_ratio': 'bounds.retryRatio',
     'bounds.repeat_slack': 'bounds.retrySlack',
