Tested a paused follower, and reads of a reader in a grace period.

The test of the grace period removed the entry during the outage, so that the catch-up read it and no watch could tell it: it passed without the check. It removes it after the outage now, and fails without the check. The new test of a pause fails if pauses are not noticed.

--- a/tests/gateway/test_store_reads.py
+++ b/tests/gateway/test_store_reads.py
@@ -1,11 +1,13 @@
 """Tests of an instance whose peers read the store for it, or for which it does."""
 
 import asyncio
+import time
 
 from tests.gateway.documents import make_document
 from tests.gateway.store_reader_peers import run_large_fleet, wait_for_role
 from trefoilhinge.dispatch.store_read_codec import TargetRemoved
 from trefoilhinge.dispatch.store_readers import Role
+from trefoilhinge.gateway.store_reads import PAUSE_S, POLL_INTERVAL_S
 
 LIMIT_S = 3.0
 
@@ -106,6 +108,20 @@
 
         asyncio.run(run())
 
+    def test_instance_that_was_frozen_reads_at_once(self):
+        """Guards against old messages that seem new after a pause."""
+
+        async def run():
+            async with run_large_fleet() as (fleet, peers):
+                await wait_for_role(fleet, Role.follower)
+                peers.tells = False
+                peers.tell(peers.revision, peers.revision)
+                fleet.store.remove('servers/m1')
+                time.sleep(PAUSE_S + 2 * POLL_INTERVAL_S)
+                await fleet.wait_for(lambda: list_serving(fleet) == ['m2'], 1.2)
+
+        asyncio.run(run())
+
     def test_restored_store_is_listed(self):
         """Guards against revisions of two eras that seem to be one history."""
 
@@ -156,8 +172,12 @@
                     lambda: outages.unreachable_since_s is not None
                 )
                 await asyncio.sleep(1)
-                fleet.store.remove('servers/m1')
                 fleet.store.is_down = False
+                await fleet.wait_for(
+                    lambda: outages.unreachable_since_s is None
+                )
+                await asyncio.sleep(0.2)
+                fleet.store.remove('servers/m1')
                 await fleet.wait_for(lambda: fleet.state.directory.missing)
                 await asyncio.sleep(1)
                 assert not any(one.changes for one in peers.list_reads())
