--- a/tests/dispatch/test_store_readers.py
+++ b/tests/dispatch/test_store_readers.py
@@ -189,7 +189,7 @@
         for number in range(500):
             read = StoreRead(20 + number, 30 + number, 0, 0)
             heard.record(read, 'a', 10, NOW_S)
-        assert len(heard._pending) <= 64
+        assert len(heard._pending) <= 32
 
 
 class TestCodec:
--- a/tests/gateway/test_store_reads.py
+++ b/tests/gateway/test_store_reads.py
@@ -1,13 +1,22 @@
 """Tests of an instance whose peers read the store for it, or for which it does."""
 
 import asyncio
+import json
 import time
 
+import pytest
+
 from tests.gateway.documents import make_document
 from tests.gateway.store_reader_peers import run_large_fleet, wait_for_role
+from tests.platform.test_decoding import SETTINGS
 from trefoilhinge.dispatch.store_read_codec import TargetRemoved
 from trefoilhinge.dispatch.store_readers import Role
+from trefoilhinge.gateway.settings_files import (
+    STORE_READERS_VARIABLE,
+    load_settings,
+)
 from trefoilhinge.gateway.store_reads import PAUSE_S, POLL_INTERVAL_S
+from trefoilhinge.platform.settings import SETTINGS_PATH_VARIABLE
 
 LIMIT_S = 3.0
 
@@ -200,6 +209,17 @@
 
 
 class TestSwitch:
+    @pytest.mark.parametrize(('text', 'expected'), [('', True), ('off', False)])
+    def test_environment_disables_readers(
+        self, monkeypatch, tmp_path, text, expected
+    ):
+        """Guards against a comparison of two builds that are the same."""
+        path = tmp_path / 'settings.json'
+        path.write_text(json.dumps(SETTINGS))
+        monkeypatch.setenv(SETTINGS_PATH_VARIABLE, str(path))
+        monkeypatch.setenv(STORE_READERS_VARIABLE, text)
+        assert load_settings().allows_store_readers is expected
+
     def test_nothing_changes_with_the_switch_off(self):
         """Guards against deployments that did not ask for it."""
 
--- a/trefoilhinge/dispatch/store_readers.py
+++ b/trefoilhinge/dispatch/store_readers.py
@@ -32,7 +32,7 @@
 # A reader that tells nothing for two of its reads and a margin is replaced.
 SILENT_READER_S = 4.0
 FORGOTTEN_READER_S = 60.0
-MAXIMUM_PENDING_READS = 64
+MAXIMUM_PENDING_READS = 32
 
 
 class Role(enum.Enum):
