--- a/trefoilhinge/dispatch/settings.py
+++ b/trefoilhinge/dispatch/settings.py
@@ -5,6 +5,14 @@
 Address = tuple[str, int]
 
 
+# Settings that are not in the platform's file, and where they are read from.
+ENVIRONMENT_SOURCES = {
+    'allows_learned_costs': 'TREFOILHINGE_LEARNED_COSTS of the environment',
+    'allows_admission': 'TREFOILHINGE_ADMISSION of the environment',
+    'allows_store_readers': 'TREFOILHINGE_STORE_READERS of the environment',
+}
+
+
 @frozen
 class Bounds:
     """Limits that the operator requires the fleet to meet.
@@ -59,6 +67,8 @@
         an operator disables it to compare the same build without them.
     :ivar allows_admission: whether calls may wait in one order over all
         instances where callers compete for room.
+    :ivar allows_store_readers: whether few instances may read the store for
+        all; an operator disables it to compare the same build without them.
     """
 
     instance: str
@@ -78,6 +88,7 @@
     descriptors: int = 0
     allows_learned_costs: bool = True
     allows_admission: bool = False
+    allows_store_readers: bool = True
 
     @property
     def relay_port(self) -> int:
