Left repeated releases at cold targets to the lease.

A release is sent again up to six times after an order that was not answered, with or without a cold phase in between. Each holds memory only until the end of its lease, so that repeats are left out while the target is cold.

The new test failed before with six orders in place of one.

--- a/tests/gateway/test_cold_targets.py
+++ b/tests/gateway/test_cold_targets.py
@@ -5,7 +5,10 @@
 
 from tests.gateway.documents import make_document
 from tests.gateway.fleets import run_fleet
-from tests.gateway.targets import stream
+from tests.gateway.targets import never_answer, stream
+from trefoilhinge.dispatch.calls import PrefillHelper
+from trefoilhinge.gateway import reservations
+from trefoilhinge.gateway.reservations import Reservations
 from trefoilhinge.platform.standins.formats import SEAL_HEADER
 
 BOUNDS = {'cold_ratio': 1.5, 'cold_slack': 5}
@@ -110,3 +113,31 @@
                 assert fleet.state.cold.is_empty
 
         asyncio.run(run())
+
+
+class TestOrders:
+    def test_release_is_not_repeated_at_a_cold_target(self, monkeypatch):
+        """Guards against FAILBACK: late releases beside the quota of calls.
+
+        A soak saw a cold target get six orders in a second where four
+        requests were allowed (seed 140).
+        """
+        monkeypatch.setattr(reservations, 'ORDER_TIMEOUT_S', 0.05)
+        monkeypatch.setattr(reservations, 'RELEASE_DELAYS_S', (0, 0.05, 0.05))
+        monkeypatch.setattr(reservations, 'LATE_RELEASE_DELAYS_S', (0.05,) * 3)
+
+        async def run():
+            async with run_cold(m1=stream()) as fleet:
+                fleet.targets['m1'].handle_order = never_answer
+                record = fleet.state.directory.records['m1']
+                now_s = fleet.state.get_now_s()
+                fleet.state.cold.mark(record.incarnation, 10, now_s)
+                helper = PrefillHelper(record.address, 'r-1')
+                held = Reservations(
+                    fleet.state, fleet.gateway._peers, (helper,), (1000,)
+                )
+                held.release()
+                await asyncio.sleep(0.6)
+                assert len(fleet.targets['m1'].orders) == 1
+
+        asyncio.run(run())
--- a/trefoilhinge/gateway/reservations.py
+++ b/trefoilhinge/gateway/reservations.py
@@ -13,6 +13,7 @@
 from trefoilhinge.dispatch.settings import parse_address
 from trefoilhinge.dispatch.targets import TargetRecord
 from trefoilhinge.gateway.evacuations import is_address_evacuated
+from trefoilhinge.gateway.cold_targets import is_cold
 from trefoilhinge.gateway.http_client import FetchFailed, fetch
 from trefoilhinge.gateway.liveness import probe_target
 from trefoilhinge.gateway.peer_exchange import PeerExchange
@@ -185,8 +186,12 @@
     def _is_left_to_lease(self, helper: PrefillHelper) -> bool:
         """Return whether a release is not repeated, but left to the lease.
 
-        Repetitions would take up the requests of a target that named a limit.
+        Repetitions would take up the requests of a target that named a limit,
+        or that is cold.
         """
+        record = find_record(self._state, helper.address)
+        if record is not None and is_cold(self._state, record):
+            return True
         return self._find_limited_target(helper.address) is not None
 
     async def _order(self, helper: PrefillHelper, body: bytes) -> int | None:
