Ended connections of the soak's proxy once only.

A transport that is closed while it still has bytes to write drops its event loop after the last of them, without counting the connection as lost. The proxy then aborted it, which raised AttributeError ('NoneType' object has no attribute 'call_soon') in a task that nobody awaits, and so 'Task exception was never retrieved' at the end of some soaks.

A connection is aborted only while it is open or has bytes to write.

--- a/trefoilhinge/soak/proxies.py
+++ b/trefoilhinge/soak/proxies.py
@@ -54,7 +54,7 @@
     def reset(self) -> None:
         """Reset all open connections."""
         for writer in tuple(self._writers):
-            writer.transport.abort()
+            abort_connection(writer)
 
     def silence(self) -> None:
         """Forward nothing more on the connections that are open now."""
@@ -80,8 +80,8 @@
             return
         finally:
             self._writers.difference_update((writer, upstream_writer))
-            writer.transport.abort()
-            upstream_writer.transport.abort()
+            abort_connection(writer)
+            abort_connection(upstream_writer)
 
     async def _forward(
         self,
@@ -104,3 +104,14 @@
             return
         finally:
             writer.close()
+
+
+def abort_connection(writer: asyncio.StreamWriter) -> None:
+    """Reset a connection, unless it has ended.
+
+    A transport that was closed before its last bytes were written drops its
+    event loop once they are, and ``abort`` fails from then on.
+    """
+    transport = writer.transport
+    if not transport.is_closing() or transport.get_write_buffer_size():
+        transport.abort()
