--- a/tests/soak/test_instances.py
+++ b/tests/soak/test_instances.py
@@ -4,9 +4,9 @@
 import os
 
 from tests.soak.test_soak import make_plan
+from trefoilhinge.soak.event_kinds import FaultKind
 from trefoilhinge.soak.fleets import NETWORKS, SUBNETS, make_fleet, make_network
 from trefoilhinge.soak.plan_execution import execute_event
-from trefoilhinge.soak.plans import FaultKind
 
 WAITING_PROGRAM = ('-c', 'import time; time.sleep(60)')
 
--- a/tests/soak/test_plan_execution.py
+++ b/tests/soak/test_plan_execution.py
@@ -6,9 +6,9 @@
 
 from tests.soak.test_soak import make_plan
 from trefoilhinge.soak.crashes import CrashSource
+from trefoilhinge.soak.event_kinds import CrashKind, NeedKind
 from trefoilhinge.soak.fleets import make_fleet
 from trefoilhinge.soak.plan_execution import execute_event
-from trefoilhinge.soak.plans import CrashKind, NeedKind
 from trefoilhinge.soak.records import CrashingTrait
 
 
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -3,7 +3,7 @@
 import pytest
 
 from trefoilhinge.soak.commands import SoakRequest, run_soak
-from trefoilhinge.soak.plans import (
+from trefoilhinge.soak.event_kinds import (
     CrashKind,
     EntryKind,
     ExpiryKind,
@@ -11,9 +11,9 @@
     MaintenanceKind,
     NeedKind,
     OutageKind,
-    PlannedEvent,
     ReaderKind,
 )
+from trefoilhinge.soak.plans import PlannedEvent
 
 # Seeds that have failed before, with the violation that was observed.
 # 2326: LIMIT; the end of a limit lifted that of the target's next incarnation.
--- a/trefoilhinge/soak/commands.py
+++ b/trefoilhinge/soak/commands.py
@@ -16,9 +16,10 @@
 from trefoilhinge.soak.callers import DEADLINE_S, RESPONSE_GRACE_S, SoakCaller
 from trefoilhinge.soak.fleets import INSTANCES, SoakFleet, make_fleet
 from trefoilhinge.soak.instances import PROGRAM
-from trefoilhinge.soak.observations import RELEASE_TIMEOUT_S, Violation
+from trefoilhinge.soak.observations import RELEASE_TIMEOUT_S
 from trefoilhinge.soak.plan_execution import execute_event
 from trefoilhinge.soak.plans import PlannedEvent, generate_plan
+from trefoilhinge.soak.violations import Violation
 
 READY_TIMEOUT_S = 15.0  # for a small fleet to become ready
 READY_PER_INSTANCE_S = 0.5  # added, for machines with few cores
--- a/trefoilhinge/soak/crashes.py
+++ b/trefoilhinge/soak/crashes.py
@@ -5,7 +5,7 @@
 from attrs import define
 
 from trefoilhinge.platform.standins.formats import ReceivedRequest
-from trefoilhinge.soak.plans import CrashKind
+from trefoilhinge.soak.event_kinds import CrashKind
 from trefoilhinge.soak.records import CallKind, CrashingTrait
 
 # Of the calls of all callers, or of the one that has the request.
--- /dev/null
+++ b/trefoilhinge/soak/event_kinds.py
@@ -0,0 +1,87 @@
+"""Kinds of the events of a soak."""
+
+import enum
+
+
+class FaultKind(enum.Enum):
+    """Fault of an instance, a target, the store or connections.
+
+    The links are the connections through one proxy, to a target or the store.
+    """
+
+    kill = 'kill'
+    pause = 'pause'
+    store_down = 'store_down'
+    restore_store = 'restore_store'
+    reset_links = 'reset_links'
+    silence_links = 'silence_links'
+    cut_one_way = 'cut_one_way'
+    delay_links = 'delay_links'
+    lose_answers = 'lose_answers'
+    tear_streams = 'tear_streams'
+    stay_mute = 'stay_mute'
+    refuse = 'refuse'
+
+
+class MaintenanceKind(enum.Enum):
+    """Planned maintenance by operators."""
+
+    stop = 'stop'
+    reload = 'reload'
+    change_document = 'change_document'
+    revoke_key = 'revoke_key'
+    drain_target = 'drain_target'
+
+
+class NeedKind(enum.Enum):
+    """What a target in need asks of all instances together."""
+
+    name_limit = 'name_limit'
+
+
+class CrashKind(enum.Enum):
+    """What the requests have in common that crash targets for a time.
+
+    The requests are new ones with one part in their prompts, or one request of
+    one caller that comes again.
+    """
+
+    part = 'part'
+    request = 'request'
+
+
+class EntryKind(enum.Enum):
+    """What the store does that is no fault, and shows what entries prove."""
+
+    cut_watches = 'cut_watches'
+    remove_target = 'remove_target'
+
+
+class ReaderKind(enum.Enum):
+    """What callers that read slowly meet."""
+
+    stop = 'stop'
+
+
+class ExpiryKind(enum.Enum):
+    """What the store is cut off from while entries expire."""
+
+    target = 'target'
+
+
+class OutageKind(enum.Enum):
+    """What happens during an outage of the store."""
+
+    restart = 'restart'
+
+
+EventKind = (
+    FaultKind
+    | MaintenanceKind
+    | NeedKind
+    | CrashKind
+    | EntryKind
+    | ReaderKind
+    | ExpiryKind
+    | OutageKind
+)
--- a/trefoilhinge/soak/plan_execution.py
+++ b/trefoilhinge/soak/plan_execution.py
@@ -8,11 +8,7 @@
 
 from trefoilhinge.platform.store import TARGET_PREFIX
 from trefoilhinge.soak.crashes import CrashSource
-from trefoilhinge.soak.expiries import expire_entry
-from trefoilhinge.soak.fleets import CALLER_KEYS, SoakFleet
-from trefoilhinge.soak.instances import Instance
-from trefoilhinge.soak.observations import PART_CRASHES, REQUEST_CRASHES
-from trefoilhinge.soak.plans import (
+from trefoilhinge.soak.event_kinds import (
     CrashKind,
     EntryKind,
     EventKind,
@@ -21,9 +17,13 @@
     MaintenanceKind,
     NeedKind,
     OutageKind,
-    PlannedEvent,
     ReaderKind,
 )
+from trefoilhinge.soak.expiries import expire_entry
+from trefoilhinge.soak.fleets import CALLER_KEYS, SoakFleet
+from trefoilhinge.soak.instances import Instance
+from trefoilhinge.soak.observations import PART_CRASHES, REQUEST_CRASHES
+from trefoilhinge.soak.plans import PlannedEvent
 from trefoilhinge.soak.proxies import ConnectionFault, Proxy
 from trefoilhinge.soak.readers import ANSWER_TIME_S, READERS, read_slowly
 from trefoilhinge.soak.records import CrashingTrait, ObservedLimit
--- a/trefoilhinge/soak/plans.py
+++ b/trefoilhinge/soak/plans.py
@@ -1,10 +1,20 @@
 """Random plans of faults and maintenance for a soak."""
 
-import enum
-
 import numpy as np
 from attrs import frozen
 
+from trefoilhinge.soak.event_kinds import (
+    CrashKind,
+    EntryKind,
+    EventKind,
+    ExpiryKind,
+    FaultKind,
+    MaintenanceKind,
+    NeedKind,
+    OutageKind,
+    ReaderKind,
+)
+
 WARM_UP_S = 3.0  # without events, until all instances are ready
 EVENT_INTERVALS_S = (0.3, 1.8)  # between two starts; events may overlap
 DURATIONS_S = (0.5, 3.0)  # of faults
@@ -23,91 +33,6 @@
 EXPIRY_INTERVALS_S = (4.0, 12.0)
 OUTAGE_INTERVALS_S = (8.0, 30.0)
 
-
-class FaultKind(enum.Enum):
-    """Fault of an instance, a target, the store or connections.
-
-    The links are the connections through one proxy, to a target or the store.
-    """
-
-    kill = 'kill'
-    pause = 'pause'
-    store_down = 'store_down'
-    restore_store = 'restore_store'
-    reset_links = 'reset_links'
-    silence_links = 'silence_links'
-    cut_one_way = 'cut_one_way'
-    delay_links = 'delay_links'
-    lose_answers = 'lose_answers'
-    tear_streams = 'tear_streams'
-    stay_mute = 'stay_mute'
-    refuse = 'refuse'
-
-
-class MaintenanceKind(enum.Enum):
-    """Planned maintenance by operators."""
-
-    stop = 'stop'
-    reload = 'reload'
-    change_document = 'change_document'
-    revoke_key = 'revoke_key'
-    drain_target = 'drain_target'
-
-
-class NeedKind(enum.Enum):
-    """What a target in need asks of all instances together."""
-
-    name_limit = 'name_limit'
-
-
-class CrashKind(enum.Enum):
-    """What the requests have in common that crash targets for a time.
-
-    The requests are new ones with one part in their prompts, or one request of
-    one caller that comes again.
-    """
-
-    part = 'part'
-    request = 'request'
-
-
-class EntryKind(enum.Enum):
-    """What the store does that is no fault, and shows what entries prove."""
-
-    cut_watches = 'cut_watches'
-    remove_target = 'remove_target'
-
-
-class ReaderKind(enum.Enum):
-    """What callers that read slowly meet."""
-
-    stop = 'stop'
-
-
-class ExpiryKind(enum.Enum):
-    """What the store is cut off from while entries expire."""
-
-    target = 'target'
-
-
-class OutageKind(enum.Enum):
-    """What happens during an outage of the store."""
-
-    restart = 'restart'
-
-
-EventKind = (
-    FaultKind
-    | MaintenanceKind
-    | NeedKind
-    | CrashKind
-    | EntryKind
-    | ReaderKind
-    | ExpiryKind
-    | OutageKind
-)
-
-
 # Events with random numbers of their own, by the number of their series.
 SERIES: dict[int, tuple[EventKind, tuple[float, float]]] = {
     4: (ReaderKind.stop, READER_INTERVALS_S),
