Let targets turn cold in the soak.

The soak had no cold phases, so that nothing in it held the sum over all instances to the published rate. One target, or all of a service, now say for a time that they are cold, in entry and answers, and refuse nothing.

--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -4,6 +4,7 @@
 
 from trefoilhinge.soak.commands import SoakRequest, run_soak
 from trefoilhinge.soak.event_kinds import (
+    ColdKind,
     CrashKind,
     EntryKind,
     ExpiryKind,
@@ -85,6 +86,11 @@
         assert is_found('LIMIT', tmp_path, 107, plan, 'apply_whole_rate', 12)
         assert soak(tmp_path, 108, plan, seconds=12) == set()
 
+    def test_cold_targets_that_each_instance_counts_alone(self, tmp_path):
+        plan = (PlannedEvent(0.5, 3, ColdKind.service, 5.5 / 7),)
+        assert is_found('COLD', tmp_path, 128, plan, 'count_cold_alone', 7)
+        assert soak(tmp_path, 129, plan, seconds=7) == set()
+
     @pytest.mark.parametrize(
         ('kind', 'seed'), [(CrashKind.part, 110), (CrashKind.request, 112)]
     )
--- a/tests/soak/variants.py
+++ b/tests/soak/variants.py
@@ -7,6 +7,7 @@
 from trefoilhinge.dispatch.departures import DepartureTable
 from trefoilhinge.dispatch.outages import StoreOutages
 from trefoilhinge.dispatch.targets import TargetDirectory
+from trefoilhinge.dispatch.warmup import cold_targets
 from trefoilhinge.gateway import (
     answer_relay,
     attempts,
@@ -82,6 +83,17 @@
     permit_buckets.PermitBucket.charge = lambda self, key, now_s: None
 
 
+def count_cold_alone():
+    """Let each instance send a cold target what all may send together."""
+    compute_quota = cold_targets.compute_quota
+
+    def compute_whole(incarnation, own_ip, others, requests):
+        return compute_quota(incarnation, own_ip, frozenset(), requests)
+
+    cold_targets.compute_quota = compute_whole
+    cold_targets.ColdTable.record_run = lambda self, *arguments: None
+
+
 def count_crashes_alone():
     """Let each instance count the crashes that it sees, and no others."""
     quarantine.Quarantine.apply_message = lambda self, message, ip: None
--- a/trefoilhinge/platform/standins/formats.py
+++ b/trefoilhinge/platform/standins/formats.py
@@ -63,6 +63,11 @@
     return 'Server-Limit', f'{requests_per_s:g}'
 
 
+def encode_cold_header(cold_s: float) -> tuple[str, str]:
+    """Encode the time for which a target stays cold."""
+    return 'X-Cold-Ms', str(int(cold_s * MS_PER_S))
+
+
 def encode_era_header(era: int) -> tuple[str, str]:
     """Encode the era of the store as a header of its responses."""
     return 'Store-Era', str(era)
@@ -94,12 +99,16 @@
     return {**defaults, **fields}
 
 
-def encode_document(version: int, keys: Mapping[str, str]) -> dict[str, Any]:
+def encode_document(
+    version: int, keys: Mapping[str, str], cold_requests_per_s: float = 0
+) -> dict[str, Any]:
     """Return a configuration with a stream route and two plain routes.
 
     One of the plain routes is idempotent, the other is not.
 
     :param keys: API key -> name of the organisation that owns it.
+    :param cold_requests_per_s: rate that a cold target takes, zero if targets
+        have no cold phase.
     """
     engine = {
         'slots': 8,
@@ -112,6 +121,7 @@
         'pairs_per_m': 0.138,
         'chunk': 2048,
     }
+    shared = {'maxConns': 100, 'coldPerS': cold_requests_per_s}
     return {
         'version': version,
         'routes': [
@@ -120,8 +130,8 @@
             encode_route('look', 'idempotent', 'desk', 100),
         ],
         'services': [
-            {'name': 'model', 'maxConns': 100, 'engine': engine},
-            {'name': 'desk', 'maxConns': 100},
+            {'name': 'model', 'engine': engine, **shared},
+            {'name': 'desk', **shared},
         ],
         'limits': {
             'maxHeaderBytes': 16384,
@@ -159,12 +169,18 @@
 
 
 def encode_settings(
-    name: str, ip: str, store: str, seeds: list[str], first_port: int
+    name: str,
+    ip: str,
+    store: str,
+    seeds: list[str],
+    first_port: int,
+    **bounds: float,
 ) -> str:
     """Encode the settings file of an instance.
 
     :param first_port: port for callers; the readiness, control and internal
         ports follow it.
+    :param bounds: additional bounds.
     """
     listen = ('front', 'ready', 'control')
     fields = {
@@ -188,6 +204,7 @@
             'holdMaxMs': 20000,
             'drainMs': 2000,
             'configApplyMs': 2000,
+            **bounds,
         },
     }
     return json.dumps(fields)
--- a/trefoilhinge/soak/commands.py
+++ b/trefoilhinge/soak/commands.py
@@ -16,7 +16,7 @@
 from trefoilhinge.soak.callers import DEADLINE_S, RESPONSE_GRACE_S, SoakCaller
 from trefoilhinge.soak.fleets import INSTANCES, SoakFleet, make_fleet
 from trefoilhinge.soak.instances import PROGRAM
-from trefoilhinge.soak.observations import RELEASE_TIMEOUT_S
+from trefoilhinge.soak.observations import RELEASE_TIMEOUT_S, ObservationLog
 from trefoilhinge.soak.plan_execution import execute_event
 from trefoilhinge.soak.plans import PlannedEvent, generate_plan
 from trefoilhinge.soak.violations import Violation
@@ -63,12 +63,14 @@
     :ivar event_count: number of events in the plan.
     :ivar calls: number of calls by status, ``whole`` for a complete answer
         with status 200.
+    :ivar observations: what the violations were found in.
     """
 
     seed: int
     event_count: int
     calls: Counter[str]
     violations: list[Violation]
+    observations: ObservationLog
 
 
 def make_request(
@@ -159,7 +161,11 @@
         for call in fleet.observations.calls
     )
     return SoakResult(
-        request.seed, len(plan), calls, fleet.observations.find_violations()
+        request.seed,
+        len(plan),
+        calls,
+        fleet.observations.find_violations(),
+        fleet.observations,
     )
 
 
--- a/trefoilhinge/soak/event_kinds.py
+++ b/trefoilhinge/soak/event_kinds.py
@@ -75,6 +75,13 @@
     restart = 'restart'
 
 
+class ColdKind(enum.Enum):
+    """What turns cold: one target, or all targets of its service."""
+
+    target = 'target'
+    service = 'service'
+
+
 EventKind = (
     FaultKind
     | MaintenanceKind
@@ -84,4 +91,5 @@
     | ReaderKind
     | ExpiryKind
     | OutageKind
+    | ColdKind
 )
--- a/trefoilhinge/soak/expiries.py
+++ b/trefoilhinge/soak/expiries.py
@@ -56,6 +56,7 @@
     for other in others:
         other.behaviour = TargetBehaviour.sound
     observations.faults[position] = (begin_s, end_s)
+    is_cold = target.cold_until_s > returned_s
     is_limited = target.requests_per_s is not None or any(
         limit.port == target.address[1] and limit.end_s > returned_s
         for limit in observations.limits
@@ -69,7 +70,7 @@
         if number != position
     )
     is_crashed = target.crashed_s > returned_s
-    if is_registered and not (is_limited or is_faulty or is_crashed):
+    if is_registered and not (is_limited or is_cold or is_faulty or is_crashed):
         observations.returns.append(
             ObservedReturn(name, target.service, begin_s, end_s)
         )
--- a/trefoilhinge/soak/fleets.py
+++ b/trefoilhinge/soak/fleets.py
@@ -11,6 +11,7 @@
 from trefoilhinge.platform.standins import formats
 from trefoilhinge.soak.crashes import CrashSource
 from trefoilhinge.soak.instances import PROGRAM, Instance
+from trefoilhinge.soak.cold_checks import COLD_REQUESTS_PER_S
 from trefoilhinge.soak.observations import ObservationLog
 from trefoilhinge.soak.proxies import Proxy
 from trefoilhinge.soak.stores import StoreStandIn
@@ -73,7 +74,9 @@
         self.version += 1
         self.store.put(
             store.DOCUMENT_KEY,
-            formats.encode_document(self.version, self.keys),
+            formats.encode_document(
+                self.version, self.keys, COLD_REQUESTS_PER_S
+            ),
         )
 
     def put_target(self, target: SoakTarget, *, is_leaving: bool) -> None:
@@ -86,6 +89,7 @@
             is_leaving=is_leaving,
             born=target.started_ms,
             seq=target.sequence,
+            coldLeftMs=int(target.compute_cold_s() * formats.MS_PER_S),
         )
         if is_leaving:
             self.observations.leaving_since_s[target.name] = time.monotonic()
@@ -109,6 +113,7 @@
             return
         target.crashed_s = time.monotonic()
         target.requests_per_s = None
+        target.cold_until_s = float('-inf')
         target.reservations.clear()
         source.trait.crashes_s.append(target.crashed_s)
         self.proxies[self.targets.index(target)].stop()
--- a/trefoilhinge/soak/instances.py
+++ b/trefoilhinge/soak/instances.py
@@ -12,6 +12,7 @@
 from trefoilhinge.gateway.http_client import FetchFailed, fetch
 from trefoilhinge.platform.settings import SETTINGS_PATH_VARIABLE
 from trefoilhinge.platform.standins import formats
+from trefoilhinge.soak.cold_checks import COLD_RATIO, COLD_SLACK
 
 PROGRAM = ('-m', 'trefoilhinge.gateway')
 READY_STATUS = 200
@@ -67,7 +68,13 @@
         path = self.folder / f'{self.name}.json'
         path.write_text(
             formats.encode_settings(
-                self.name, self.ip, self.store, self.seeds, self.first_port
+                self.name,
+                self.ip,
+                self.store,
+                self.seeds,
+                self.first_port,
+                coldOver=COLD_RATIO,
+                coldSlack=COLD_SLACK,
             )
         )
         self.is_stopping = False
--- a/trefoilhinge/soak/observations.py
+++ b/trefoilhinge/soak/observations.py
@@ -5,6 +5,7 @@
 
 from attrs import define, field
 
+from trefoilhinge.soak.cold_checks import ObservedCold, find_excess
 from trefoilhinge.soak.records import (
     CallKind,
     CrashingTrait,
@@ -53,6 +54,7 @@
     :ivar arrivals: port of the target and time of each request that reached
         it.
     :ivar limits: limits that targets named.
+    :ivar colds: times in which targets were cold.
     :ivar instance_faults: start and end of each kill and pause of an instance.
     :ivar crashing_traits: what crashed targets, each for a time.
     """
@@ -68,6 +70,7 @@
     users: dict[str, set[str]] = field(factory=dict)
     arrivals: list[tuple[int, float]] = field(factory=list)
     limits: list[ObservedLimit] = field(factory=list)
+    colds: list[ObservedCold] = field(factory=list)
     instance_faults: list[tuple[float, float]] = field(factory=list)
     crashing_traits: list[CrashingTrait] = field(factory=list)
 
@@ -106,6 +109,11 @@
             for limit in self.limits
             for detail in self._list_excesses(limit)
         )
+        violations.extend(
+            Violation('COLD', f'port {cold.port}', f'{count} in a second')
+            for cold in self.colds
+            if (count := find_excess(cold, self.arrivals))
+        )
         violations.extend(
             Violation('CRASH', trait.name, f'{count} requests came late')
             for trait in self.crashing_traits
--- a/trefoilhinge/soak/plan_execution.py
+++ b/trefoilhinge/soak/plan_execution.py
@@ -7,8 +7,10 @@
 from collections.abc import Awaitable, Callable
 
 from trefoilhinge.platform.store import TARGET_PREFIX
+from trefoilhinge.soak.cold_targets import turn_cold
 from trefoilhinge.soak.crashes import CrashSource
 from trefoilhinge.soak.event_kinds import (
+    ColdKind,
     CrashKind,
     EntryKind,
     EventKind,
@@ -254,4 +256,5 @@
     ReaderKind: _stop_while_read,
     ExpiryKind: expire_entry,
     OutageKind: restart_in_outage,
+    ColdKind: turn_cold,
 }
--- a/trefoilhinge/soak/plans.py
+++ b/trefoilhinge/soak/plans.py
@@ -4,6 +4,7 @@
 from attrs import frozen
 
 from trefoilhinge.soak.event_kinds import (
+    ColdKind,
     CrashKind,
     EntryKind,
     EventKind,
@@ -32,12 +33,16 @@
 READER_INTERVALS_S = (6.0, 18.0)
 EXPIRY_INTERVALS_S = (4.0, 12.0)
 OUTAGE_INTERVALS_S = (8.0, 30.0)
+COLD_INTERVALS_S = (4.0, 12.0)  # between two targets that turn cold
+COLD_SERVICE_INTERVALS_S = (8.0, 30.0)
 
 # Events with random numbers of their own, by the number of their series.
 SERIES: dict[int, tuple[EventKind, tuple[float, float]]] = {
     4: (ReaderKind.stop, READER_INTERVALS_S),
     5: (ExpiryKind.target, EXPIRY_INTERVALS_S),
     6: (OutageKind.restart, OUTAGE_INTERVALS_S),
+    7: (ColdKind.target, COLD_INTERVALS_S),
+    8: (ColdKind.service, COLD_SERVICE_INTERVALS_S),
 }
 
 
--- a/trefoilhinge/soak/targets.py
+++ b/trefoilhinge/soak/targets.py
@@ -50,6 +50,8 @@
 
     :ivar service: service that its entry in the store names.
     :ivar requests_per_s: limit that its answers name, none if it has none.
+    :ivar cold_until_s: end of the time for which its entry and its answers say
+        that it is cold.
     :ivar started_ms: wall-clock milliseconds of its start.
     :ivar sequence: number of its registration, in its entry.
     :ivar crashed_s: time of its last crash.
@@ -66,6 +68,7 @@
     observations: ObservationLog
     behaviour: TargetBehaviour = TargetBehaviour.sound
     requests_per_s: float | None = None
+    cold_until_s: float = float('-inf')
     started_ms: int = 1000
     sequence: int = 1
     crashed_s: float = float('-inf')
@@ -96,11 +99,19 @@
             if expires_s > now_s and now_s - quiet_since_s > RELEASE_TIMEOUT_S
         ]
 
+    def compute_cold_s(self) -> float:
+        """Return the seconds for which the target stays cold."""
+        return max(0, self.cold_until_s - time.monotonic())
+
     def _list_headers(self, *headers: Header) -> list[Header]:
-        """Return the headers of an answer, with the limit if there is one."""
-        if self.requests_per_s is None:
-            return list(headers)
-        return [*headers, formats.encode_rate_header(self.requests_per_s)]
+        """Return the headers of an answer, with what the target needs."""
+        needs: list[Header] = []
+        if self.requests_per_s is not None:
+            needs.append(formats.encode_rate_header(self.requests_per_s))
+        cold_s = self.compute_cold_s()
+        if cold_s:
+            needs.append(formats.encode_cold_header(cold_s))
+        return [*headers, *needs]
 
     async def _handle_request(self, request: HttpExchange) -> None:
         self.observations.arrivals.append((self.address[1], time.monotonic()))
--- a/trefoilhinge/soak/violations.py
+++ b/trefoilhinge/soak/violations.py
@@ -32,6 +32,8 @@
       ``CRASH_ALLOWED`` of them, later than ``CRASH_STABLE_S`` after they had
       crashed ``PART_CRASHES`` or ``REQUEST_CRASHES``. Those do not count that
       arrived while an instance was killed or paused, or shortly after.
+    - ``COLD``: a cold target got more requests in a second than all instances
+      together may send it.
     - ``UNUSED``: an instance did not use a live, reachable target from
       ``RETURN_S`` after its entry, which had expired, was written again,
       although all others of the service refused its calls. Returns are recorded
