Evacuated failure domains in the soak.

Nothing in the soak wrote op/evacuate/ZONE. Targets are now in two failure domains; one is evacuated for some seconds while one instance is cut off from the store, and killed and started again in half of the events. Each instance has a proxy of its own before that of the store for that.

New promise EVACUATED: no call and no reservation begins there after 2.5 s (evacuateMs), also from that instance.

Arrivals tell orders from calls, so that an excess at a cold target shows both. Other events of a seed are unchanged.

--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -7,6 +7,7 @@
     ColdKind,
     CrashKind,
     EntryKind,
+    EvacuationKind,
     ExpiryKind,
     FaultKind,
     MaintenanceKind,
@@ -91,6 +92,17 @@
         assert is_found('COLD', tmp_path, 128, plan, 'count_cold_alone', 7)
         assert soak(tmp_path, 129, plan, seconds=7) == set()
 
+    @pytest.mark.parametrize(
+        ('kind', 'seed'),
+        [(EvacuationKind.cut, 130), (EvacuationKind.restart, 132)],
+    )
+    def test_evacuation_that_only_the_store_tells(self, tmp_path, kind, seed):
+        plan = (PlannedEvent(0.5, 1, kind, 0.6),)
+        assert is_found(
+            'EVACUATED', tmp_path, seed, plan, 'hear_no_evacuations', 8
+        )
+        assert soak(tmp_path, seed + 1, plan, seconds=8) == set()
+
     @pytest.mark.parametrize(
         ('kind', 'seed'), [(CrashKind.part, 110), (CrashKind.request, 112)]
     )
--- a/tests/soak/variants.py
+++ b/tests/soak/variants.py
@@ -14,9 +14,11 @@
     daemon,
     permits,
     quarantine,
+    replication,
     state,
 )
 from trefoilhinge.gateway.caller_connections import CallerConnection
+from trefoilhinge.gateway.evacuations import EvacuationNews
 from trefoilhinge.gateway.peer_fetcher import PeerFetcher
 from trefoilhinge.gateway.refusals import Refusal
 from trefoilhinge.gateway.reservations import Reservations
@@ -99,6 +101,12 @@
     quarantine.Quarantine.apply_message = lambda self, message, ip: None
 
 
+def hear_no_evacuations():
+    """Let each instance hear of evacuations from the store alone."""
+    EvacuationNews.apply_message = lambda self, message, ip: None
+    replication.apply_reported_evacuations = lambda state, fields: None
+
+
 def take_cuts_for_outages():
     """Let each cut watch begin an outage, and each outage a time of grace.
 
--- a/trefoilhinge/soak/cold_checks.py
+++ b/trefoilhinge/soak/cold_checks.py
@@ -4,6 +4,8 @@
 
 from attrs import frozen
 
+from trefoilhinge.soak.records import ObservedArrival
+
 # The callers of a soak send a plain target about six requests a second. The
 # instances may send a cold one four: the rate, times the ratio, and the slack.
 COLD_REQUESTS_PER_S = 2.0
@@ -28,24 +30,28 @@
     end_s: float
 
 
-def find_excess(
-    cold: ObservedCold, arrivals: Iterable[tuple[int, float]]
-) -> int:
-    """Return the most requests in a second, zero if they are allowed.
-
-    :param arrivals: port of the target and time of each request.
-    """
-    checked_s = sorted(
-        at_s
-        for port, at_s in arrivals
-        if port == cold.port
-        and cold.begin_s + COLD_STABLE_S <= at_s < cold.end_s
-    )
-    most = max(
+def list_excesses(
+    cold: ObservedCold, arrivals: Iterable[ObservedArrival]
+) -> list[str]:
+    """Return the first second in which a cold target got too many requests."""
+    checked = sorted(
         (
-            sum(at_s < begin_s + COLD_WINDOW_S for at_s in checked_s[position:])
-            for position, begin_s in enumerate(checked_s)
+            arrival
+            for arrival in arrivals
+            if arrival.port == cold.port
+            and cold.begin_s + COLD_STABLE_S <= arrival.at_s < cold.end_s
         ),
-        default=0,
+        key=lambda arrival: arrival.at_s,
     )
-    return most if most > COLD_REQUESTS else 0
+    for position, first in enumerate(checked):
+        found = [
+            arrival
+            for arrival in checked[position:]
+            if arrival.at_s < first.at_s + COLD_WINDOW_S
+        ]
+        if len(found) > COLD_REQUESTS:
+            orders = sum(arrival.is_order for arrival in found)
+            return [
+                f'{len(found)} requests in a second, {orders} of them orders'
+            ]
+    return []
--- a/trefoilhinge/soak/event_kinds.py
+++ b/trefoilhinge/soak/event_kinds.py
@@ -82,6 +82,16 @@
     service = 'service'
 
 
+class EvacuationKind(enum.Enum):
+    """What happens to an instance that the store does not reach meanwhile.
+
+    A ``cut`` one runs on, and a ``restart`` one is killed and started again.
+    """
+
+    cut = 'cut'
+    restart = 'restart'
+
+
 EventKind = (
     FaultKind
     | MaintenanceKind
@@ -92,4 +102,5 @@
     | ExpiryKind
     | OutageKind
     | ColdKind
+    | EvacuationKind
 )
--- a/trefoilhinge/soak/expiries.py
+++ b/trefoilhinge/soak/expiries.py
@@ -70,7 +70,12 @@
         if number != position
     )
     is_crashed = target.crashed_s > returned_s
-    if is_registered and not (is_limited or is_cold or is_faulty or is_crashed):
+    is_evacuated = any(
+        one.end_s > returned_s - RECOVERY_S for one in observations.evacuations
+    )
+    if is_registered and not (
+        is_limited or is_cold or is_evacuated or is_faulty or is_crashed
+    ):
         observations.returns.append(
             ObservedReturn(name, target.service, begin_s, end_s)
         )
--- a/trefoilhinge/soak/fleets.py
+++ b/trefoilhinge/soak/fleets.py
@@ -1,6 +1,7 @@
 """Instances, stand-ins and proxies of one soak."""
 
 import asyncio
+import itertools
 import os
 import pathlib
 import time
@@ -23,6 +24,8 @@
 CALLER_KEYS = 6
 REVOCABLE_KEYS = 2  # may be revoked in a soak, each with a caller of its own
 FIRST_PORT = 21_000
+FIRST_LINK_PORT = 21_100
+FAILURE_DOMAINS = ('a', 'b')  # of the targets, by turns
 RESTART_S = 1.5  # of a target that has crashed
 # Networks of processes whose numbers differ by less than 127 * 256 differ; the
 # tests of the gateway use 127.1 to 127.126 in the same way.
@@ -35,7 +38,10 @@
 class SoakFleet:
     """Processes and servers of one soak.
 
+    :ivar store_links: proxy of each instance before that of the store.
     :ivar proxies: proxies of the targets, in their order.
+    :ivar restorations: restorations of the store whose lost changes are not
+        made again yet.
     :ivar keys: organisation of each valid API key.
     :ivar version: version of the latest document.
     :ivar crash_source: what crashes targets at present, if anything does.
@@ -46,6 +52,7 @@
     observations: ObservationLog
     store: StoreStandIn
     store_proxy: Proxy
+    store_links: list[Proxy]
     instances: list[Instance]
     targets: list[SoakTarget]
     proxies: list[Proxy]
@@ -54,11 +61,13 @@
     crash_source: CrashSource | None = None
     _restarts: dict[str, asyncio.Task[None]] = field(factory=dict)
     revoked_keys: dict[str, float] = field(factory=dict)
+    restorations: int = 0
 
     async def start(self) -> None:
         """Start stand-ins, proxies and instances."""
         await self.store.start()
-        await self.store_proxy.start()
+        for link in (self.store_proxy, *self.store_links):
+            await link.start()
         for proxy, target in zip(self.proxies, self.targets, strict=True):
             target.get_crash_source = self.find_crash_source
             target.on_crash = self.crash_target
@@ -89,6 +98,7 @@
             is_leaving=is_leaving,
             born=target.started_ms,
             seq=target.sequence,
+            zone=target.failure_domain,
             coldLeftMs=int(target.compute_cold_s() * formats.MS_PER_S),
         )
         if is_leaving:
@@ -144,7 +154,8 @@
             proxy.stop()
         for target in self.targets:
             target.stop()
-        self.store_proxy.stop()
+        for link in (self.store_proxy, *self.store_links):
+            link.stop()
         self.store.stop()
 
 
@@ -178,24 +189,33 @@
     ]
     ports = range(FIRST_PORT + 2, FIRST_PORT + 2 + 2 * len(services), 2)
     targets = [
-        SoakTarget(f'{service}-{port}', service, (host, port), observations)
-        for service, port in zip(services, ports, strict=True)
+        SoakTarget(
+            f'{service}-{port}', service, domain, (host, port), observations
+        )
+        for service, domain, port in zip(
+            services, itertools.cycle(FAILURE_DOMAINS), ports, strict=False
+        )
     ]
     ips = [f'{network}.{10 + number}' for number in range(instances)]
     keys = {
         f'key-{number}': f'organisation-{number}'
         for number in range(CALLER_KEYS + REVOCABLE_KEYS)
     }
+    store_links = [
+        Proxy((host, FIRST_LINK_PORT + number), (host, proxy_port))
+        for number in range(instances)
+    ]
     return SoakFleet(
         observations=observations,
         store=StoreStandIn(host, store_port),
         store_proxy=Proxy((host, proxy_port), (host, store_port)),
+        store_links=store_links,
         instances=[
             Instance(
                 f'instance-{number}',
                 ip,
                 FIRST_PORT,
-                f'{host}:{proxy_port}',
+                f'{host}:{FIRST_LINK_PORT + number}',
                 [f'{seed}:{FIRST_PORT}' for seed in ips[:3]],
                 folder,
                 program,
--- a/trefoilhinge/soak/instances.py
+++ b/trefoilhinge/soak/instances.py
@@ -13,6 +13,7 @@
 from trefoilhinge.platform.settings import SETTINGS_PATH_VARIABLE
 from trefoilhinge.platform.standins import formats
 from trefoilhinge.soak.cold_checks import COLD_RATIO, COLD_SLACK
+from trefoilhinge.soak.evacuation_checks import EVACUATE_S
 
 PROGRAM = ('-m', 'trefoilhinge.gateway')
 READY_STATUS = 200
@@ -73,6 +74,7 @@
                 self.store,
                 self.seeds,
                 self.first_port,
+                evacuateMs=EVACUATE_S * formats.MS_PER_S,
                 coldOver=COLD_RATIO,
                 coldSlack=COLD_SLACK,
             )
--- a/trefoilhinge/soak/observations.py
+++ b/trefoilhinge/soak/observations.py
@@ -5,10 +5,15 @@
 
 from attrs import define, field
 
-from trefoilhinge.soak.cold_checks import ObservedCold, find_excess
+from trefoilhinge.soak.cold_checks import ObservedCold, list_excesses
+from trefoilhinge.soak.evacuation_checks import (
+    ObservedEvacuation,
+    find_sends,
+)
 from trefoilhinge.soak.records import (
     CallKind,
     CrashingTrait,
+    ObservedArrival,
     ObservedCall,
     ObservedLimit,
     ObservedRun,
@@ -51,11 +56,15 @@
     :ivar late_starts: names of instances that were not ready in time after a
         start during an outage of the store.
     :ivar users: identifiers of the calls that used each reservation.
-    :ivar arrivals: port of the target and time of each request that reached
-        it.
+    :ivar arrivals: requests that reached targets, orders included.
     :ivar limits: limits that targets named.
     :ivar colds: times in which targets were cold.
     :ivar instance_faults: start and end of each kill and pause of an instance.
+    :ivar store_faults: start and end of each fault that kept all instances
+        from the store.
+    :ivar pauses: start and end of each pause of an instance.
+    :ivar evacuations: times in which failure domains were evacuated.
+    :ivar new_reservations: first order to make each reservation, by its name.
     :ivar crashing_traits: what crashed targets, each for a time.
     """
 
@@ -68,10 +77,14 @@
     leaked_reservations: list[str] = field(factory=list)
     late_starts: list[str] = field(factory=list)
     users: dict[str, set[str]] = field(factory=dict)
-    arrivals: list[tuple[int, float]] = field(factory=list)
+    arrivals: list[ObservedArrival] = field(factory=list)
     limits: list[ObservedLimit] = field(factory=list)
     colds: list[ObservedCold] = field(factory=list)
     instance_faults: list[tuple[float, float]] = field(factory=list)
+    store_faults: list[tuple[float, float]] = field(factory=list)
+    pauses: list[tuple[float, float]] = field(factory=list)
+    evacuations: list[ObservedEvacuation] = field(factory=list)
+    new_reservations: list[ObservedRun] = field(factory=list)
     crashing_traits: list[CrashingTrait] = field(factory=list)
 
     def find_violations(self) -> list[Violation]:
@@ -110,9 +123,19 @@
             for detail in self._list_excesses(limit)
         )
         violations.extend(
-            Violation('COLD', f'port {cold.port}', f'{count} in a second')
+            Violation('COLD', f'port {cold.port}', detail)
             for cold in self.colds
-            if (count := find_excess(cold, self.arrivals))
+            for detail in list_excesses(cold, self.arrivals)
+        )
+        violations.extend(
+            Violation('EVACUATED', run.request_id, f'sent to {run.target}')
+            for evacuation in self.evacuations
+            for run in find_sends(
+                evacuation,
+                (*self.runs, *self.new_reservations),
+                self.store_faults,
+                self.pauses,
+            )
         )
         violations.extend(
             Violation('CRASH', trait.name, f'{count} requests came late')
@@ -143,10 +166,10 @@
             LIMIT_FACTOR * limit.requests_per_s * LIMIT_WINDOW_S + LIMIT_SLACK
         )
         checked_s = sorted(
-            at_s
-            for port, at_s in self.arrivals
-            if port == limit.port
-            and limit.begin_s + LIMIT_STABLE_S <= at_s <= limit.end_s
+            arrival.at_s
+            for arrival in self.arrivals
+            if arrival.port == limit.port
+            and limit.begin_s + LIMIT_STABLE_S <= arrival.at_s <= limit.end_s
         )
         for position, begin_s in enumerate(checked_s):
             end_s = begin_s + LIMIT_WINDOW_S
--- a/trefoilhinge/soak/plan_execution.py
+++ b/trefoilhinge/soak/plan_execution.py
@@ -9,10 +9,16 @@
 from trefoilhinge.platform.store import TARGET_PREFIX
 from trefoilhinge.soak.cold_targets import turn_cold
 from trefoilhinge.soak.crashes import CrashSource
+from trefoilhinge.soak.evacuations import (
+    evacuate,
+    resume_evacuations,
+    suspend_evacuations,
+)
 from trefoilhinge.soak.event_kinds import (
     ColdKind,
     CrashKind,
     EntryKind,
+    EvacuationKind,
     EventKind,
     ExpiryKind,
     FaultKind,
@@ -50,6 +56,9 @@
     FaultKind.delay_links: ConnectionFault.delay,
     FaultKind.cut_one_way: ConnectionFault.one_way,
 }
+LINK_FAULTS = frozenset(
+    (*CONNECTION_FAULTS, FaultKind.reset_links, FaultKind.silence_links)
+)
 
 
 Execution = Callable[[SoakFleet, PlannedEvent], Awaitable[None]]
@@ -62,17 +71,45 @@
 
 
 async def _execute_fault(fleet: SoakFleet, event: PlannedEvent) -> None:
+    observations = fleet.observations
     begin_s = time.monotonic()
     # Until its end is known, the fault exempts all later observations.
-    fleet.observations.faults.append((begin_s, float('inf')))
-    position = len(fleet.observations.faults) - 1
+    observations.faults.append((begin_s, float('inf')))
+    position = len(observations.faults) - 1
     try:
         await _inject_fault(fleet, event)
     finally:
         fault = (begin_s, time.monotonic())
-        fleet.observations.faults[position] = fault
-        if event.kind in {FaultKind.kill, FaultKind.pause}:
-            fleet.observations.instance_faults.append(fault)
+        observations.faults[position] = fault
+        _record_effect(fleet, event, fault)
+
+
+def _record_effect(
+    fleet: SoakFleet, event: PlannedEvent, fault: tuple[float, float]
+) -> None:
+    """Record a fault among those of instances or of the store."""
+    observations = fleet.observations
+    if event.kind in {FaultKind.kill, FaultKind.pause}:
+        observations.instance_faults.append(fault)
+    if event.kind is FaultKind.pause:
+        observations.pauses.append(fault)
+    if _is_store_fault(fleet, event):
+        observations.store_faults.append(fault)
+
+
+def _is_store_fault(fleet: SoakFleet, event: PlannedEvent) -> bool:
+    """Return whether a fault keeps all instances from the store."""
+    if event.kind in {FaultKind.store_down, FaultKind.restore_store}:
+        return True
+    return (
+        event.kind in LINK_FAULTS
+        and _choose_proxy(fleet, event.selector) is fleet.store_proxy
+    )
+
+
+def _choose_proxy(fleet: SoakFleet, selector: float) -> Proxy:
+    proxies = [*fleet.proxies, fleet.store_proxy]
+    return proxies[int(selector * len(proxies))]
 
 
 async def _name_limit(fleet: SoakFleet, event: PlannedEvent) -> None:
@@ -124,7 +161,6 @@
 
 async def _inject_fault(fleet: SoakFleet, event: PlannedEvent) -> None:
     kind = event.kind
-    proxies = [*fleet.proxies, fleet.store_proxy]
     if kind in TARGET_BEHAVIOURS:
         target = fleet.choose_target(event.selector)
         target.behaviour = TARGET_BEHAVIOURS[kind]
@@ -141,13 +177,15 @@
             fleet.choose_instance(event.selector), event
         )
     else:
-        proxy = proxies[int(event.selector * len(proxies))]
-        await _inject_connection_fault(proxy, event)
+        await _inject_connection_fault(
+            _choose_proxy(fleet, event.selector), event
+        )
 
 
 async def _restore_store(fleet: SoakFleet, event: PlannedEvent) -> None:
     """Return the store from a copy after a moment away."""
     store = fleet.store
+    suspend_evacuations(fleet)
     store.is_down = True
     await asyncio.sleep(event.duration_s)
     lost_revisions = int(event.selector * MAXIMUM_LOST_REVISIONS)
@@ -155,6 +193,7 @@
     store.is_down = False
     await asyncio.sleep(REPLAY_DELAY_S)
     store.replay(lost)
+    resume_evacuations(fleet)
 
 
 async def _inject_instance_fault(
@@ -257,4 +296,5 @@
     ExpiryKind: expire_entry,
     OutageKind: restart_in_outage,
     ColdKind: turn_cold,
+    EvacuationKind: evacuate,
 }
--- a/trefoilhinge/soak/plans.py
+++ b/trefoilhinge/soak/plans.py
@@ -7,6 +7,7 @@
     ColdKind,
     CrashKind,
     EntryKind,
+    EvacuationKind,
     EventKind,
     ExpiryKind,
     FaultKind,
@@ -35,6 +36,7 @@
 OUTAGE_INTERVALS_S = (8.0, 30.0)
 COLD_INTERVALS_S = (4.0, 12.0)  # between two targets that turn cold
 COLD_SERVICE_INTERVALS_S = (8.0, 30.0)
+EVACUATION_INTERVALS_S = (10.0, 30.0)
 
 # Events with random numbers of their own, by the number of their series.
 SERIES: dict[int, tuple[EventKind, tuple[float, float]]] = {
@@ -43,6 +45,8 @@
     6: (OutageKind.restart, OUTAGE_INTERVALS_S),
     7: (ColdKind.target, COLD_INTERVALS_S),
     8: (ColdKind.service, COLD_SERVICE_INTERVALS_S),
+    9: (EvacuationKind.cut, EVACUATION_INTERVALS_S),
+    10: (EvacuationKind.restart, EVACUATION_INTERVALS_S),
 }
 
 
--- a/trefoilhinge/soak/records.py
+++ b/trefoilhinge/soak/records.py
@@ -25,11 +25,26 @@
     """Start of the work of a target on a call.
 
     :ivar at_s: time of the start.
+    :ivar failure_domain: failure domain of the target.
     """
 
     request_id: str
     target: str
     at_s: float
+    failure_domain: str
+
+
+@frozen
+class ObservedArrival:
+    """Request that reached a target.
+
+    :ivar port: port of the target, which keeps it over its incarnations.
+    :ivar is_order: whether it reserves, renews or releases memory.
+    """
+
+    port: int
+    at_s: float
+    is_order: bool
 
 
 @frozen
--- a/trefoilhinge/soak/restarts.py
+++ b/trefoilhinge/soak/restarts.py
@@ -40,6 +40,7 @@
     fault = (begin_s, time.monotonic())
     observations.faults[position] = fault
     observations.instance_faults.append(fault)
+    observations.store_faults.append(fault)
     is_disturbed = is_disturbed or any(
         end_s > begin_s - RECOVERY_S
         for number, (_, end_s) in enumerate(observations.faults)
--- a/trefoilhinge/soak/targets.py
+++ b/trefoilhinge/soak/targets.py
@@ -15,6 +15,7 @@
 from trefoilhinge.soak.records import (
     LONG_NAME,
     CallKind,
+    ObservedArrival,
     ObservedRun,
     make_content,
     make_event,
@@ -64,6 +65,7 @@
 
     name: str
     service: str
+    failure_domain: str
     address: Address
     observations: ObservationLog
     behaviour: TargetBehaviour = TargetBehaviour.sound
@@ -75,6 +77,7 @@
     get_crash_source: Callable[[], CrashSource | None] = lambda: None
     on_crash: Callable[['SoakTarget', CrashSource], None] | None = None
     reservations: dict[str, float] = field(factory=dict)
+    _known_reservations: set[str] = field(factory=set)
     _server: asyncio.Server | None = None
 
     async def start(self) -> None:
@@ -114,8 +117,11 @@
         return [*headers, *needs]
 
     async def _handle_request(self, request: HttpExchange) -> None:
-        self.observations.arrivals.append((self.address[1], time.monotonic()))
-        if request.path == ORDER_PATH:
+        is_order = request.path == ORDER_PATH
+        self.observations.arrivals.append(
+            ObservedArrival(self.address[1], time.monotonic(), is_order)
+        )
+        if is_order:
             await self._handle_order(request)
             return
         received = formats.decode_request_headers(request.headers)
@@ -180,14 +186,17 @@
         )
 
     def _record_run(self, received: formats.ReceivedRequest) -> None:
-        self.observations.runs.append(
-            ObservedRun(received.request_id, self.name, time.monotonic())
-        )
+        self.observations.runs.append(self._make_run(received.request_id))
         for name in received.reservations:
             self.observations.users.setdefault(name, set()).add(
                 received.request_id
             )
 
+    def _make_run(self, name: str) -> ObservedRun:
+        return ObservedRun(
+            name, self.name, time.monotonic(), self.failure_domain
+        )
+
     async def _serve_stream(
         self, request: HttpExchange, received: formats.ReceivedRequest
     ) -> None:
@@ -212,6 +221,11 @@
     async def _handle_order(self, request: HttpExchange) -> None:
         order = formats.decode_order(request.body)
         if order.is_reservation:
+            if order.reservation_id not in self._known_reservations:
+                self._known_reservations.add(order.reservation_id)
+                self.observations.new_reservations.append(
+                    self._make_run(order.reservation_id)
+                )
             self.reservations[order.reservation_id] = (
                 time.monotonic() + order.hold_s
             )
--- a/trefoilhinge/soak/violations.py
+++ b/trefoilhinge/soak/violations.py
@@ -34,6 +34,8 @@
       arrived while an instance was killed or paused, or shortly after.
     - ``COLD``: a cold target got more requests in a second than all instances
       together may send it.
+    - ``EVACUATED``: a call began to run at a target of an evacuated failure
+      domain, or memory was reserved there, later than the bound allows.
     - ``UNUSED``: an instance did not use a live, reachable target from
       ``RETURN_S`` after its entry, which had expired, was written again,
       although all others of the service refused its calls. Returns are recorded
