Switched the load between long and short prompts in the soak.

All callers of the soak drew their prompts alike at all times, and its model targets prefilled in no time. For some seconds two callers now send prompts of 300,000 tokens, then 24 callers send prompts of 5,000. Model targets prefill at the published rate meanwhile and have 8 slots.

New promise SWITCH: from 2 s after the switch to short prompts, at most a quarter of these have no first event within 1 s.

--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -6,6 +6,7 @@
 from trefoilhinge.soak.event_kinds import (
     ColdKind,
     CrashKind,
+    DemandKind,
     EntryKind,
     EvacuationKind,
     ExpiryKind,
@@ -103,6 +104,11 @@
         )
         assert soak(tmp_path, seed + 1, plan, seconds=8) == set()
 
+    def test_short_prompts_that_each_instance_places_alone(self, tmp_path):
+        plan = (PlannedEvent(0.5, 0.5, DemandKind.switch, 0),)
+        assert is_found('SWITCH', tmp_path, 134, plan, 'place_alone', 9.5)
+        assert soak(tmp_path, 135, plan, seconds=9.5) == set()
+
     @pytest.mark.parametrize(
         ('kind', 'seed'), [(CrashKind.part, 110), (CrashKind.request, 112)]
     )
--- a/tests/soak/variants.py
+++ b/tests/soak/variants.py
@@ -54,6 +54,17 @@
     answer_relay.AnswerRelay.relay_stream = relay_truncated
 
 
+def place_alone():
+    """Place calls without knowledge of the runs of other instances."""
+    record_run = state.GatewayState.record_run
+
+    def record_own(self, run, latest_end_s):
+        if run.origin == self.origin:
+            record_run(self, run, latest_end_s)
+
+    state.GatewayState.record_run = record_own
+
+
 def keep_memory():
     """Never release a reservation, but keep renewing it."""
     Reservations.release = lambda self: None
--- a/trefoilhinge/platform/standins/formats.py
+++ b/trefoilhinge/platform/standins/formats.py
@@ -26,12 +26,15 @@
         if none.
     :ivar prompt_parts: identifiers of all parts of the prompt.
     :ivar reservations: identifiers of the reservations that it uses.
+    :ivar helpers: addresses of the other targets that prefill its prompt.
     """
 
     request_id: str
     last_event: int
     prompt_parts: tuple[str, ...] = ()
     reservations: tuple[str, ...] = ()
+    helpers: tuple[str, ...] = ()
+    prompt_tokens: int = 0
 
 
 @frozen
@@ -237,11 +240,15 @@
     entries = headers.get('x-prompt-prefix', '').split(',')
     helpers = headers.get('x-helpers', '').split(',')
     reservations = [helper.partition('/')[2] for helper in helpers]
+    addresses = [helper.partition('/')[0] for helper in helpers]
+    prompt_tokens, _, _ = headers.get('x-token-count', '0').partition(',')
     return ReceivedRequest(
         headers.get('x-request-id', ''),
         int(headers.get('last-event-id', 0)),
         tuple(entry.partition(':')[0] for entry in entries),
         tuple(filter(None, reservations)),
+        tuple(filter(None, addresses)),
+        int(prompt_tokens),
     )
 
 
--- a/trefoilhinge/soak/callers.py
+++ b/trefoilhinge/soak/callers.py
@@ -11,6 +11,7 @@
 
 from trefoilhinge.platform.standins import formats
 from trefoilhinge.soak.crashes import CrashSource
+from trefoilhinge.soak.demands import Demand
 from trefoilhinge.soak.instances import Instance
 from trefoilhinge.soak.observations import ObservationLog
 from trefoilhinge.soak.records import CallKind, ObservedCall
@@ -44,6 +45,10 @@
         seconds of the monotonic clock, none if it is valid.
     :ivar get_crash_source: returns what crashes targets at present, if
         anything does.
+    :ivar get_demand: returns what all callers ask for at present, if each does
+        not draw.
+    :ivar number: number of the caller; those past ``usual_callers`` call only
+        while the demand asks for as many.
     :ivar stop_requested: whether to stop after the current call.
     """
 
@@ -53,6 +58,9 @@
     random_source: random.Random
     get_key_revoked_s: Callable[[], float | None]
     get_crash_source: Callable[[], CrashSource | None]
+    get_demand: Callable[[], Demand | None]
+    number: int
+    usual_callers: int
     stop_requested: bool = False
     _connections: dict[
         str, tuple[asyncio.StreamReader, asyncio.StreamWriter]
@@ -61,6 +69,9 @@
     async def run(self) -> None:
         """Make calls until a stop is requested."""
         while not self.stop_requested:
+            if self._is_idle():
+                await asyncio.sleep(CALL_INTERVAL_S)
+                continue
             served = await self._make_call()
             await asyncio.sleep(
                 CALL_INTERVAL_S if served else REFUSAL_BACKOFF_S
@@ -68,6 +79,11 @@
         for name in tuple(self._connections):
             self._close_connection(name)
 
+    def _is_idle(self) -> bool:
+        demand = self.get_demand()
+        callers = self.usual_callers if demand is None else demand.callers
+        return self.number >= callers
+
     async def _make_call(self) -> bool:
         """Make a call; return whether it succeeded."""
         running = [one for one in self.instances if one.is_running]
@@ -78,6 +94,9 @@
         if connection is None:
             return False
         kind = self.random_source.choice(list(CallKind))
+        demand = self.get_demand()
+        if demand is not None:
+            kind = CallKind.stream
         source = self.get_crash_source()
         if source is not None and not source.draw(self.key, self.random_source):
             source = None
@@ -90,11 +109,12 @@
             sent_s=time.monotonic(),
             deadline_s=DEADLINE_S,
             key_revoked_s=self.get_key_revoked_s(),
+            demand=demand.name if demand is not None else '',
         )
         self.observations.calls.append(call)
         try:
             async with asyncio.timeout(DEADLINE_S + RESPONSE_GRACE_S):
-                await self._exchange(connection, call, source)
+                await self._exchange(connection, call, source, demand)
         except (OSError, TimeoutError, h11.ProtocolError):
             call.is_complete = False
         call.ended_s = time.monotonic()
@@ -123,13 +143,15 @@
         connection: tuple[asyncio.StreamReader, asyncio.StreamWriter],
         call: ObservedCall,
         source: CrashSource | None,
+        demand: Demand | None,
     ) -> None:
         reader, writer = connection
         parser = h11.Connection(h11.CLIENT)
         sizes = {}
         if call.kind is CallKind.stream:
+            drawn = self.random_source.choice(TOKEN_COUNTS)
             sizes = {
-                'X_Token_Count': self.random_source.choice(TOKEN_COUNTS),
+                'X_Token_Count': demand.token_count if demand else drawn,
                 'X_Model': 'm',
                 'X_Prompt_Prefix': self._encode_prompt(call, source),
             }
@@ -186,6 +208,7 @@
     if isinstance(event, h11.Response):
         call.status = event.status_code
     elif isinstance(event, h11.Data):
+        call.first_s = call.first_s or time.monotonic()
         call.content += bytes(event.data)
     elif isinstance(event, h11.EndOfMessage):
         call.is_complete = True
--- a/trefoilhinge/soak/commands.py
+++ b/trefoilhinge/soak/commands.py
@@ -14,6 +14,7 @@
 
 from trefoilhinge.exceptions import ImproperlyConfigured, TrefoilhingeError
 from trefoilhinge.soak.callers import DEADLINE_S, RESPONSE_GRACE_S, SoakCaller
+from trefoilhinge.soak.demands import SHORT_DEMAND
 from trefoilhinge.soak.fleets import INSTANCES, SoakFleet, make_fleet
 from trefoilhinge.soak.instances import PROGRAM
 from trefoilhinge.soak.observations import RELEASE_TIMEOUT_S, ObservationLog
@@ -214,12 +215,17 @@
 
 
 def _make_callers(fleet: SoakFleet, seed: int) -> Iterator[SoakCaller]:
-    for number, key in enumerate(sorted(fleet.keys)):
+    keys = sorted(fleet.keys)
+    for number in range(max(len(keys), SHORT_DEMAND.callers)):
+        key = keys[number % len(keys)]
         yield SoakCaller(
             key,
             fleet.instances,
             fleet.observations,
-            random.Random(seed * len(fleet.keys) + number),
+            random.Random(seed * len(keys) + number),
             functools.partial(fleet.revoked_keys.get, key),
             fleet.find_crash_source,
+            fleet.find_demand,
+            number,
+            len(keys),
         )
--- /dev/null
+++ b/trefoilhinge/soak/demands.py
@@ -0,0 +1,89 @@
+"""Load that switches between few long and many short prompts in a soak."""
+
+import asyncio
+import time
+from collections.abc import Iterable
+
+from attrs import define, field, frozen
+
+from trefoilhinge.soak.records import ObservedCall
+
+SETTLE_S = 2.0  # from the switch to short prompts until they are on time
+FIRST_EVENT_S = 1.0  # of a short prompt; several times its objective
+MAXIMUM_LATE_SHARE = 0.25
+MINIMUM_CALLS = 20  # fewer show nothing
+# Of the engines, as the document of a soak publishes them.
+ENGINE_SLOTS = 8
+PREFILL_TOKENS_PER_S = 206_000.0
+
+
+@frozen
+class Demand:
+    """What the callers ask for while the load is one-sided.
+
+    :ivar callers: number of callers, each with one call at a time.
+    :ivar token_count: prompt tokens and maximum output tokens.
+    """
+
+    name: str
+    callers: int
+    token_count: str
+
+
+LONG_DEMAND = Demand('long', 2, '300000,1300')
+# Three quarters of the slots of all engines.
+SHORT_DEMAND = Demand('short', 24, '5000,1300')
+
+
+@frozen
+class ObservedSwitch:
+    """Time in which short prompts are to be on time after a switch."""
+
+    begin_s: float
+    end_s: float
+
+
+@define
+class EnginePrefills:
+    """Prefills of all engines, one after the other at each of them.
+
+    :ivar free_s: time at which an engine has prefilled what it got, by the
+        address in its entry.
+    """
+
+    free_s: dict[str, float] = field(factory=dict)
+
+    async def prefill(self, addresses: Iterable[str], tokens: int) -> None:
+        """Prefill a prompt, in equal parts at the given engines."""
+        engines = sorted(set(addresses))
+        part_s = tokens / PREFILL_TOKENS_PER_S / len(engines)
+        now_s = time.monotonic()
+        for engine in engines:
+            begin_s = max(now_s, self.free_s.get(engine, now_s))
+            self.free_s[engine] = begin_s + part_s
+        end_s = max(self.free_s[engine] for engine in engines)
+        await asyncio.sleep(end_s - now_s)
+
+
+def find_late_share(
+    switch: ObservedSwitch, calls: Iterable[ObservedCall]
+) -> float:
+    """Return the share of the short prompts that were late after a switch.
+
+    :return: zero if there were too few.
+    """
+    checked = [
+        call
+        for call in calls
+        if call.demand == SHORT_DEMAND.name
+        and call.key_revoked_s is None
+        and switch.begin_s <= call.sent_s
+        and call.sent_s + FIRST_EVENT_S < switch.end_s
+    ]
+    if len(checked) < MINIMUM_CALLS:
+        return 0
+    late = sum(
+        call.first_s is None or call.first_s > call.sent_s + FIRST_EVENT_S
+        for call in checked
+    )
+    return late / len(checked)
--- a/trefoilhinge/soak/event_kinds.py
+++ b/trefoilhinge/soak/event_kinds.py
@@ -92,6 +92,12 @@
     restart = 'restart'
 
 
+class DemandKind(enum.Enum):
+    """How the load changes."""
+
+    switch = 'switch'
+
+
 EventKind = (
     FaultKind
     | MaintenanceKind
@@ -103,4 +109,5 @@
     | OutageKind
     | ColdKind
     | EvacuationKind
+    | DemandKind
 )
--- a/trefoilhinge/soak/expiries.py
+++ b/trefoilhinge/soak/expiries.py
@@ -56,11 +56,6 @@
     for other in others:
         other.behaviour = TargetBehaviour.sound
     observations.faults[position] = (begin_s, end_s)
-    is_cold = target.cold_until_s > returned_s
-    is_limited = target.requests_per_s is not None or any(
-        limit.port == target.address[1] and limit.end_s > returned_s
-        for limit in observations.limits
-    )
     is_registered = (
         target.name == name and name not in observations.leaving_since_s
     )
@@ -69,13 +64,31 @@
         for number, (_, fault_end_s) in enumerate(observations.faults)
         if number != position
     )
-    is_crashed = target.crashed_s > returned_s
-    is_evacuated = any(
-        one.end_s > returned_s - RECOVERY_S for one in observations.evacuations
-    )
-    if is_registered and not (
-        is_limited or is_cold or is_evacuated or is_faulty or is_crashed
-    ):
+    is_kept = _is_kept_from_calls(fleet, target, returned_s)
+    if is_registered and not (is_faulty or is_kept):
         observations.returns.append(
             ObservedReturn(name, target.service, begin_s, end_s)
         )
+
+
+def _is_kept_from_calls(
+    fleet: SoakFleet, target: SoakTarget, since_s: float
+) -> bool:
+    """Return whether a target was to get few calls or none meanwhile."""
+    observations = fleet.observations
+    ends_s = [
+        target.crashed_s,
+        target.cold_until_s,
+        fleet.demand_ended_s,
+        *(
+            limit.end_s
+            for limit in observations.limits
+            if limit.port == target.address[1]
+        ),
+        *(one.end_s + RECOVERY_S for one in observations.evacuations),
+    ]
+    return (
+        target.requests_per_s is not None
+        or fleet.demand is not None
+        or max(ends_s) > since_s
+    )
--- a/trefoilhinge/soak/fleets.py
+++ b/trefoilhinge/soak/fleets.py
@@ -13,6 +13,7 @@
 from trefoilhinge.soak.crashes import CrashSource
 from trefoilhinge.soak.instances import PROGRAM, Instance
 from trefoilhinge.soak.cold_checks import COLD_REQUESTS_PER_S
+from trefoilhinge.soak.demands import Demand, EnginePrefills
 from trefoilhinge.soak.observations import ObservationLog
 from trefoilhinge.soak.proxies import Proxy
 from trefoilhinge.soak.stores import StoreStandIn
@@ -40,6 +41,8 @@
 
     :ivar store_links: proxy of each instance before that of the store.
     :ivar proxies: proxies of the targets, in their order.
+    :ivar demand: what all callers ask for at present, none if each draws.
+    :ivar demand_ended_s: time at which the last one ended.
     :ivar restorations: restorations of the store whose lost changes are not
         made again yet.
     :ivar keys: organisation of each valid API key.
@@ -62,14 +65,19 @@
     _restarts: dict[str, asyncio.Task[None]] = field(factory=dict)
     revoked_keys: dict[str, float] = field(factory=dict)
     restorations: int = 0
+    demand: Demand | None = None
+    demand_ended_s: float = float('-inf')
 
     async def start(self) -> None:
         """Start stand-ins, proxies and instances."""
         await self.store.start()
         for link in (self.store_proxy, *self.store_links):
             await link.start()
+        prefills = EnginePrefills()
         for proxy, target in zip(self.proxies, self.targets, strict=True):
             target.get_crash_source = self.find_crash_source
+            target.get_demand = self.find_demand
+            target.prefills = prefills
             target.on_crash = self.crash_target
             await target.start()
             await proxy.start()
@@ -116,6 +124,10 @@
         """Return what crashes targets at present, if anything does."""
         return self.crash_source
 
+    def find_demand(self) -> Demand | None:
+        """Return what all callers ask for at present, if each does not draw."""
+        return self.demand
+
     def crash_target(self, target: SoakTarget, source: CrashSource) -> None:
         """Let a target end with all its connections, and start again."""
         address = f'{target.address}'
--- a/trefoilhinge/soak/observations.py
+++ b/trefoilhinge/soak/observations.py
@@ -6,6 +6,11 @@
 from attrs import define, field
 
 from trefoilhinge.soak.cold_checks import ObservedCold, list_excesses
+from trefoilhinge.soak.demands import (
+    MAXIMUM_LATE_SHARE,
+    ObservedSwitch,
+    find_late_share,
+)
 from trefoilhinge.soak.evacuation_checks import (
     ObservedEvacuation,
     find_sends,
@@ -64,6 +69,7 @@
         from the store.
     :ivar pauses: start and end of each pause of an instance.
     :ivar evacuations: times in which failure domains were evacuated.
+    :ivar switches: switches of the load that nothing else disturbed.
     :ivar new_reservations: first order to make each reservation, by its name.
     :ivar crashing_traits: what crashed targets, each for a time.
     """
@@ -84,6 +90,7 @@
     store_faults: list[tuple[float, float]] = field(factory=list)
     pauses: list[tuple[float, float]] = field(factory=list)
     evacuations: list[ObservedEvacuation] = field(factory=list)
+    switches: list[ObservedSwitch] = field(factory=list)
     new_reservations: list[ObservedRun] = field(factory=list)
     crashing_traits: list[CrashingTrait] = field(factory=list)
 
@@ -137,6 +144,12 @@
                 self.pauses,
             )
         )
+        violations.extend(
+            Violation('SWITCH', 'short prompts', f'{share:.0%} were late')
+            for switch in self.switches
+            if (share := find_late_share(switch, self.calls))
+            > MAXIMUM_LATE_SHARE
+        )
         violations.extend(
             Violation('CRASH', trait.name, f'{count} requests came late')
             for trait in self.crashing_traits
--- a/trefoilhinge/soak/plan_execution.py
+++ b/trefoilhinge/soak/plan_execution.py
@@ -1,7 +1,6 @@
 """Executes the events of a plan."""
 
 import asyncio
-import math
 import signal
 import time
 from collections.abc import Awaitable, Callable
@@ -17,6 +16,7 @@
 from trefoilhinge.soak.event_kinds import (
     ColdKind,
     CrashKind,
+    DemandKind,
     EntryKind,
     EvacuationKind,
     EventKind,
@@ -31,11 +31,13 @@
 from trefoilhinge.soak.fleets import CALLER_KEYS, SoakFleet
 from trefoilhinge.soak.instances import Instance
 from trefoilhinge.soak.observations import PART_CRASHES, REQUEST_CRASHES
+from trefoilhinge.soak.limits import name_limit
 from trefoilhinge.soak.plans import PlannedEvent
 from trefoilhinge.soak.proxies import ConnectionFault, Proxy
 from trefoilhinge.soak.readers import ANSWER_TIME_S, READERS, read_slowly
-from trefoilhinge.soak.records import CrashingTrait, ObservedLimit
+from trefoilhinge.soak.records import CrashingTrait
 from trefoilhinge.soak.restarts import restart_in_outage
+from trefoilhinge.soak.switches import switch_load
 from trefoilhinge.soak.targets import SoakTarget, TargetBehaviour
 
 STOP_TIMEOUT_S = 9.0  # for a process to exit after SIGTERM
@@ -43,9 +45,6 @@
 MAXIMUM_LOST_REVISIONS = 12  # by a restoration of the store
 CUT_AFTER_S = 0.8  # of waiting watches
 REPLAY_DELAY_S = 1.0  # until operator and targets make lost changes again
-# Requests per second that a target in need names.
-LOWEST_LIMIT = 0.4
-HIGHEST_LIMIT = 3.0
 TARGET_BEHAVIOURS = {
     FaultKind.lose_answers: TargetBehaviour.losing,
     FaultKind.tear_streams: TargetBehaviour.tearing,
@@ -112,28 +111,6 @@
     return proxies[int(selector * len(proxies))]
 
 
-async def _name_limit(fleet: SoakFleet, event: PlannedEvent) -> None:
-    """Let a target name a limit for a time."""
-    target = fleet.choose_target(event.selector)
-    if target.requests_per_s is not None:
-        return
-    # The selector's digits after those that chose the target.
-    share, _ = math.modf(event.selector * len(fleet.targets))
-    rate = round(LOWEST_LIMIT + share * (HIGHEST_LIMIT - LOWEST_LIMIT), 1)
-    begin_s = time.monotonic()
-    target.requests_per_s = rate
-    await asyncio.sleep(event.duration_s)
-    end_s = time.monotonic()
-    if target.crashed_s > begin_s:
-        # Its next incarnation may name a limit of its own.
-        end_s = target.crashed_s
-    else:
-        target.requests_per_s = None
-    fleet.observations.limits.append(
-        ObservedLimit(target.address[1], rate, begin_s, end_s)
-    )
-
-
 async def _crash_targets(fleet: SoakFleet, event: PlannedEvent) -> None:
     """Let some requests crash targets for a time."""
     traits = fleet.observations.crashing_traits
@@ -289,7 +266,7 @@
 
 EXECUTIONS: dict[type[EventKind], Execution] = {
     MaintenanceKind: _execute_maintenance,
-    NeedKind: _name_limit,
+    NeedKind: name_limit,
     CrashKind: _crash_targets,
     EntryKind: _execute_entry_event,
     ReaderKind: _stop_while_read,
@@ -297,4 +274,5 @@
     OutageKind: restart_in_outage,
     ColdKind: turn_cold,
     EvacuationKind: evacuate,
+    DemandKind: switch_load,
 }
--- a/trefoilhinge/soak/plans.py
+++ b/trefoilhinge/soak/plans.py
@@ -6,6 +6,7 @@
 from trefoilhinge.soak.event_kinds import (
     ColdKind,
     CrashKind,
+    DemandKind,
     EntryKind,
     EvacuationKind,
     EventKind,
@@ -36,6 +37,7 @@
 OUTAGE_INTERVALS_S = (8.0, 30.0)
 COLD_INTERVALS_S = (4.0, 12.0)  # between two targets that turn cold
 COLD_SERVICE_INTERVALS_S = (8.0, 30.0)
+SWITCH_INTERVALS_S = (12.0, 40.0)
 EVACUATION_INTERVALS_S = (10.0, 30.0)
 
 # Events with random numbers of their own, by the number of their series.
@@ -47,6 +49,7 @@
     8: (ColdKind.service, COLD_SERVICE_INTERVALS_S),
     9: (EvacuationKind.cut, EVACUATION_INTERVALS_S),
     10: (EvacuationKind.restart, EVACUATION_INTERVALS_S),
+    11: (DemandKind.switch, SWITCH_INTERVALS_S),
 }
 
 
--- a/trefoilhinge/soak/records.py
+++ b/trefoilhinge/soak/records.py
@@ -86,6 +86,8 @@
     :ivar key_revoked_s: time at which its API key was revoked, none if the
         key was valid.
     :ivar ended_s: time at which the caller finished, none before.
+    :ivar first_s: time of the first bytes of the body, none before.
+    :ivar demand: name of the demand that it belongs to, if there is any.
     :ivar status: HTTP status, zero if none was received.
     :ivar content: bytes of the body that were received.
     :ivar is_complete: whether the whole response was received.
@@ -105,6 +107,8 @@
     is_complete: bool = False
     is_stopping: bool = False
     is_long: bool = False
+    first_s: float | None = None
+    demand: str = ''
 
 
 def make_event(request_id: str, number: int) -> bytes:
--- a/trefoilhinge/soak/targets.py
+++ b/trefoilhinge/soak/targets.py
@@ -11,6 +11,7 @@
 from trefoilhinge.platform.reservations import ORDER_PATH
 from trefoilhinge.platform.standins import formats
 from trefoilhinge.soak.crashes import CrashSource
+from trefoilhinge.soak.demands import ENGINE_SLOTS, Demand, EnginePrefills
 from trefoilhinge.soak.observations import RELEASE_TIMEOUT_S, ObservationLog
 from trefoilhinge.soak.records import (
     LONG_NAME,
@@ -58,6 +59,9 @@
     :ivar crashed_s: time of its last crash.
     :ivar get_crash_source: returns what crashes targets at present, if
         anything does.
+    :ivar get_demand: returns what all callers ask for at present; the target
+        takes time to prefill and has few slots then.
+    :ivar prefills: prefills of all engines.
     :ivar on_crash: called when a request crashes the target.
     :ivar reservations: expiry time of each reservation, in seconds of the
         monotonic clock.
@@ -75,8 +79,13 @@
     sequence: int = 1
     crashed_s: float = float('-inf')
     get_crash_source: Callable[[], CrashSource | None] = lambda: None
+    get_demand: Callable[[], Demand | None] = lambda: None
+    prefills: EnginePrefills = field(factory=EnginePrefills)
     on_crash: Callable[['SoakTarget', CrashSource], None] | None = None
     reservations: dict[str, float] = field(factory=dict)
+    _slots: asyncio.Semaphore = field(
+        factory=lambda: asyncio.Semaphore(ENGINE_SLOTS)
+    )
     _known_reservations: set[str] = field(factory=set)
     _server: asyncio.Server | None = None
 
@@ -142,7 +151,7 @@
             kind is CallKind.stream
             and self.behaviour is not TargetBehaviour.mute
         ):
-            await self._serve_stream(request, received)
+            await self._serve_from_slot(request, received)
         else:
             await self._serve_plain(request, received, kind)
 
@@ -197,6 +206,20 @@
             name, self.name, time.monotonic(), self.failure_domain
         )
 
+    async def _serve_from_slot(
+        self, request: HttpExchange, received: formats.ReceivedRequest
+    ) -> None:
+        """Serve a stream, in a slot and after its prefill if these count."""
+        if self.get_demand() is None:
+            await self._serve_stream(request, received)
+            return
+        own_address = f'{self.address[0]}:{self.address[1] + 1}'
+        async with self._slots:
+            await self.prefills.prefill(
+                (own_address, *received.helpers), received.prompt_tokens
+            )
+            await self._serve_stream(request, received)
+
     async def _serve_stream(
         self, request: HttpExchange, received: formats.ReceivedRequest
     ) -> None:
