Let callers of the soak retry at once after refusals.

Callers of the soak waited half a second after a refusal.

It is checked with admission switched on (SoakRequest.has_admission; it is off by default in the product), where 32 callers compete for 8 slots. A key that had long prompts served shortly before gets less, so the plan begins with the retries.

--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -15,6 +15,7 @@
     NeedKind,
     OutageKind,
     ReaderKind,
+    RetryKind,
 )
 from trefoilhinge.soak.plans import PlannedEvent
 
@@ -36,9 +37,9 @@
     )
 
 
-def soak(folder, seed, plan, seconds=9):
+def soak(folder, seed, plan, seconds=9, **options):
     """Run a soak of a plan and return the invariants that it violated."""
-    request = SoakRequest(seed, seconds, folder, plan=plan)
+    request = SoakRequest(seed, seconds, folder, plan=plan, **options)
     return {one.invariant for one in run_soak(request).violations}
 
 
@@ -109,6 +110,20 @@
         assert is_found('SWITCH', tmp_path, 134, plan, 'place_alone', 9.5)
         assert soak(tmp_path, 135, plan, seconds=9.5) == set()
 
+    def test_order_in_which_callers_that_retry_gain(self, tmp_path):
+        plan = (PlannedEvent(0, 4, RetryKind.at_once, 0.1),)
+        assert is_found(
+            'GAIN',
+            tmp_path,
+            136,
+            plan,
+            'place_latest_first',
+            10.5,
+            has_admission=True,
+        )
+        violated = soak(tmp_path, 137, plan, 10.5, has_admission=True)
+        assert violated == set()
+
     @pytest.mark.parametrize(
         ('kind', 'seed'), [(CrashKind.part, 110), (CrashKind.request, 112)]
     )
--- a/tests/soak/variants.py
+++ b/tests/soak/variants.py
@@ -4,6 +4,7 @@
 import sys
 
 from trefoilhinge.dispatch import outages, permit_buckets
+from trefoilhinge.dispatch.admission import order
 from trefoilhinge.dispatch.departures import DepartureTable
 from trefoilhinge.dispatch.outages import StoreOutages
 from trefoilhinge.dispatch.targets import TargetDirectory
@@ -54,6 +55,11 @@
     answer_relay.AnswerRelay.relay_stream = relay_truncated
 
 
+def place_latest_first():
+    """Place the latest call first, whatever its organisation was given."""
+    order._take_turns = lambda calls, usage, now_s: reversed(calls)
+
+
 def place_alone():
     """Place calls without knowledge of the runs of other instances."""
     record_run = state.GatewayState.record_run
--- a/trefoilhinge/platform/standins/formats.py
+++ b/trefoilhinge/platform/standins/formats.py
@@ -103,7 +103,10 @@
 
 
 def encode_document(
-    version: int, keys: Mapping[str, str], cold_requests_per_s: float = 0
+    version: int,
+    keys: Mapping[str, str],
+    cold_requests_per_s: float = 0,
+    slots: int = 8,
 ) -> dict[str, Any]:
     """Return a configuration with a stream route and two plain routes.
 
@@ -112,9 +115,10 @@
     :param keys: API key -> name of the organisation that owns it.
     :param cold_requests_per_s: rate that a cold target takes, zero if targets
         have no cold phase.
+    :param slots: slots of each engine.
     """
     engine = {
-        'slots': 8,
+        'slots': slots,
         'kvCapacity': 232000,
         'stride': 43,
         'step_ms': 1.02,
@@ -177,12 +181,15 @@
     store: str,
     seeds: list[str],
     first_port: int,
+    *,
+    has_scarce_room: bool = False,
     **bounds: float,
 ) -> str:
     """Encode the settings file of an instance.
 
     :param first_port: port for callers; the readiness, control and internal
         ports follow it.
+    :param has_scarce_room: whether callers compete for capacity.
     :param bounds: additional bounds.
     """
     listen = ('front', 'ready', 'control')
@@ -197,6 +204,7 @@
         'internalPorts': [first_port + len(listen), first_port + 20],
         'seeds': seeds,
         'heartbeatMs': 1200,
+        'contracts': ['pressure'] if has_scarce_room else [],
         'platform': {'address': store},
         'bounds': {
             'graceS': 8,
--- a/trefoilhinge/soak/callers.py
+++ b/trefoilhinge/soak/callers.py
@@ -7,18 +7,19 @@
 from collections.abc import Callable
 
 import h11
-from attrs import define, field
+from attrs import define, evolve, field
 
 from trefoilhinge.platform.standins import formats
 from trefoilhinge.soak.crashes import CrashSource
-from trefoilhinge.soak.demands import Demand
+from trefoilhinge.soak.demands import DEADLINE_S, Demand
 from trefoilhinge.soak.instances import Instance
 from trefoilhinge.soak.observations import ObservationLog
 from trefoilhinge.soak.records import CallKind, ObservedCall
 
-DEADLINE_S = 4.0
 CONNECT_TIMEOUT_S = 0.5
 CALL_INTERVAL_S = 0.05  # between calls of one caller
+RETRIES = 3  # at once, of a caller that does not wait after a refusal
+RETRY_BACKOFF_S = 0.2  # if these are refused as well
 REFUSAL_BACKOFF_S = 0.5  # after a call that failed or was refused
 RESPONSE_GRACE_S = 2.0  # after the deadline, before a caller gives up
 # Prompt tokens and maximum output tokens; the last requires reservations.
@@ -47,6 +48,7 @@
         anything does.
     :ivar get_demand: returns what all callers ask for at present, if each does
         not draw.
+    :ivar check_retrying: returns whether callers with a key retry at once.
     :ivar number: number of the caller; those past ``usual_callers`` call only
         while the demand asks for as many.
     :ivar stop_requested: whether to stop after the current call.
@@ -59,6 +61,7 @@
     get_key_revoked_s: Callable[[], float | None]
     get_crash_source: Callable[[], CrashSource | None]
     get_demand: Callable[[], Demand | None]
+    check_retrying: Callable[[str], bool]
     number: int
     usual_callers: int
     stop_requested: bool = False
@@ -73,12 +76,26 @@
                 await asyncio.sleep(CALL_INTERVAL_S)
                 continue
             served = await self._make_call()
-            await asyncio.sleep(
-                CALL_INTERVAL_S if served else REFUSAL_BACKOFF_S
-            )
+            backoff_s = REFUSAL_BACKOFF_S
+            if not served and self.check_retrying(self.key):
+                served = await self._retry_at_once()
+                backoff_s = RETRY_BACKOFF_S
+            await asyncio.sleep(CALL_INTERVAL_S if served else backoff_s)
+        self.close()
+
+    def close(self) -> None:
+        """Close all connections."""
         for name in tuple(self._connections):
             self._close_connection(name)
 
+    async def _retry_at_once(self) -> bool:
+        """Send three requests for one; return whether any was served."""
+        retries = [evolve(self, connections={}) for _ in range(RETRIES)]
+        served = await asyncio.gather(*(one._make_call() for one in retries))
+        for one in retries:
+            one.close()
+        return any(served)
+
     def _is_idle(self) -> bool:
         demand = self.get_demand()
         callers = self.usual_callers if demand is None else demand.callers
@@ -107,13 +124,14 @@
             kind=kind,
             instance=instance.name,
             sent_s=time.monotonic(),
-            deadline_s=DEADLINE_S,
+            deadline_s=demand.deadline_s if demand else DEADLINE_S,
             key_revoked_s=self.get_key_revoked_s(),
+            key=self.key,
             demand=demand.name if demand is not None else '',
         )
         self.observations.calls.append(call)
         try:
-            async with asyncio.timeout(DEADLINE_S + RESPONSE_GRACE_S):
+            async with asyncio.timeout(call.deadline_s + RESPONSE_GRACE_S):
                 await self._exchange(connection, call, source, demand)
         except (OSError, TimeoutError, h11.ProtocolError):
             call.is_complete = False
--- a/trefoilhinge/soak/commands.py
+++ b/trefoilhinge/soak/commands.py
@@ -13,8 +13,8 @@
 from attrs import evolve, frozen
 
 from trefoilhinge.exceptions import ImproperlyConfigured, TrefoilhingeError
-from trefoilhinge.soak.callers import DEADLINE_S, RESPONSE_GRACE_S, SoakCaller
-from trefoilhinge.soak.demands import SHORT_DEMAND
+from trefoilhinge.soak.callers import RESPONSE_GRACE_S, SoakCaller
+from trefoilhinge.soak.demands import DEADLINE_S, SCARCE_DEMAND
 from trefoilhinge.soak.fleets import INSTANCES, SoakFleet, make_fleet
 from trefoilhinge.soak.instances import PROGRAM
 from trefoilhinge.soak.observations import RELEASE_TIMEOUT_S, ObservationLog
@@ -44,6 +44,7 @@
     :ivar program: arguments of the interpreter that runs an instance.
     :ivar plan: events to execute; none generates them from the seed.
     :ivar instances: number of gateway processes.
+    :ivar has_admission: whether calls wait in one order over all instances.
     :ivar awaited: invariant whose violation ends the soak; none lets it run
         to its end.
     """
@@ -55,6 +56,7 @@
     plan: tuple[PlannedEvent, ...] | None = None
     instances: int = INSTANCES
     awaited: str | None = None
+    has_admission: bool = False
 
 
 @frozen
@@ -129,7 +131,12 @@
 
 async def _run(request: SoakRequest) -> SoakResult:
     request.folder.mkdir(parents=True, exist_ok=True)
-    fleet = make_fleet(request.folder, request.program, request.instances)
+    fleet = make_fleet(
+        request.folder,
+        request.program,
+        request.instances,
+        has_admission=request.has_admission,
+    )
     plan: Sequence[PlannedEvent] | None = request.plan
     if plan is None:
         plan = generate_plan(request.seed, request.seconds)
@@ -216,7 +223,7 @@
 
 def _make_callers(fleet: SoakFleet, seed: int) -> Iterator[SoakCaller]:
     keys = sorted(fleet.keys)
-    for number in range(max(len(keys), SHORT_DEMAND.callers)):
+    for number in range(max(len(keys), SCARCE_DEMAND.callers)):
         key = keys[number % len(keys)]
         yield SoakCaller(
             key,
@@ -226,6 +233,7 @@
             functools.partial(fleet.revoked_keys.get, key),
             fleet.find_crash_source,
             fleet.find_demand,
+            fleet.check_retrying,
             number,
             len(keys),
         )
--- a/trefoilhinge/soak/demands.py
+++ b/trefoilhinge/soak/demands.py
@@ -14,6 +14,8 @@
 MINIMUM_CALLS = 20  # fewer show nothing
 # Of the engines, as the document of a soak publishes them.
 ENGINE_SLOTS = 8
+SCARCE_SLOTS = 2
+DEADLINE_S = 4.0  # of calls, usually
 PREFILL_TOKENS_PER_S = 206_000.0
 
 
@@ -28,12 +30,17 @@
     name: str
     callers: int
     token_count: str
+    deadline_s: float = DEADLINE_S
 
 
 LONG_DEMAND = Demand('long', 2, '300000,1300')
 # Three quarters of the slots of all engines.
 SHORT_DEMAND = Demand('short', 24, '5000,1300')
 
+# Four times the slots of all engines where these are scarce. They take some 13
+# calls a second, so that about a third are refused.
+SCARCE_DEMAND = Demand('scarce', 32, '5000,1300', 2)
+
 
 @frozen
 class ObservedSwitch:
--- a/trefoilhinge/soak/event_kinds.py
+++ b/trefoilhinge/soak/event_kinds.py
@@ -98,6 +98,12 @@
     switch = 'switch'
 
 
+class RetryKind(enum.Enum):
+    """What some callers do after a refusal."""
+
+    at_once = 'at_once'
+
+
 EventKind = (
     FaultKind
     | MaintenanceKind
@@ -110,4 +116,5 @@
     | ColdKind
     | EvacuationKind
     | DemandKind
+    | RetryKind
 )
--- a/trefoilhinge/soak/fleets.py
+++ b/trefoilhinge/soak/fleets.py
@@ -13,7 +13,12 @@
 from trefoilhinge.soak.crashes import CrashSource
 from trefoilhinge.soak.instances import PROGRAM, Instance
 from trefoilhinge.soak.cold_checks import COLD_REQUESTS_PER_S
-from trefoilhinge.soak.demands import Demand, EnginePrefills
+from trefoilhinge.soak.demands import (
+    ENGINE_SLOTS,
+    SCARCE_SLOTS,
+    Demand,
+    EnginePrefills,
+)
 from trefoilhinge.soak.observations import ObservationLog
 from trefoilhinge.soak.proxies import Proxy
 from trefoilhinge.soak.stores import StoreStandIn
@@ -43,6 +48,8 @@
     :ivar proxies: proxies of the targets, in their order.
     :ivar demand: what all callers ask for at present, none if each draws.
     :ivar demand_ended_s: time at which the last one ended.
+    :ivar retrying_keys: API keys whose callers retry at once at present.
+    :ivar has_admission: whether calls wait in one order over all instances.
     :ivar restorations: restorations of the store whose lost changes are not
         made again yet.
     :ivar keys: organisation of each valid API key.
@@ -66,6 +73,8 @@
     revoked_keys: dict[str, float] = field(factory=dict)
     restorations: int = 0
     demand: Demand | None = None
+    retrying_keys: frozenset[str] = frozenset()
+    has_admission: bool = False
     demand_ended_s: float = float('-inf')
 
     async def start(self) -> None:
@@ -78,6 +87,8 @@
             target.get_crash_source = self.find_crash_source
             target.get_demand = self.find_demand
             target.prefills = prefills
+            if self.has_admission:
+                target.slots = asyncio.Semaphore(SCARCE_SLOTS)
             target.on_crash = self.crash_target
             await target.start()
             await proxy.start()
@@ -92,7 +103,10 @@
         self.store.put(
             store.DOCUMENT_KEY,
             formats.encode_document(
-                self.version, self.keys, COLD_REQUESTS_PER_S
+                self.version,
+                self.keys,
+                COLD_REQUESTS_PER_S,
+                SCARCE_SLOTS if self.has_admission else ENGINE_SLOTS,
             ),
         )
 
@@ -128,6 +142,10 @@
         """Return what all callers ask for at present, if each does not draw."""
         return self.demand
 
+    def check_retrying(self, key: str) -> bool:
+        """Return whether the callers with an API key retry at once."""
+        return key in self.retrying_keys
+
     def crash_target(self, target: SoakTarget, source: CrashSource) -> None:
         """Let a target end with all its connections, and start again."""
         address = f'{target.address}'
@@ -181,6 +199,8 @@
     folder: pathlib.Path,
     program: tuple[str, ...] = PROGRAM,
     instances: int = INSTANCES,
+    *,
+    has_admission: bool = False,
 ) -> SoakFleet:
     """Return a fleet that is not started.
 
@@ -189,6 +209,8 @@
     :param folder: directory of settings and logs.
     :param instances: number of instances, at most 240, the addresses of a
         network.
+    :param has_admission: whether calls wait in one order over all instances,
+        for engines with few slots.
     """
     network = make_network(os.getpid())
     host = f'{network}.1'
@@ -231,6 +253,7 @@
                 [f'{seed}:{FIRST_PORT}' for seed in ips[:3]],
                 folder,
                 program,
+                has_admission,
             )
             for number, ip in enumerate(ips)
         ],
@@ -240,4 +263,5 @@
             for target in targets
         ],
         keys=keys,
+        has_admission=has_admission,
     )
--- a/trefoilhinge/soak/instances.py
+++ b/trefoilhinge/soak/instances.py
@@ -10,6 +10,7 @@
 
 from trefoilhinge.dispatch.settings import Address
 from trefoilhinge.gateway.http_client import FetchFailed, fetch
+from trefoilhinge.gateway.settings_files import ADMISSION_VARIABLE
 from trefoilhinge.platform.settings import SETTINGS_PATH_VARIABLE
 from trefoilhinge.platform.standins import formats
 from trefoilhinge.soak.cold_checks import COLD_RATIO, COLD_SLACK
@@ -31,6 +32,7 @@
     :ivar folder: directory of its settings and log.
     :ivar program: arguments of the interpreter; tests pass a broken variant
         of the gateway.
+    :ivar has_admission: whether calls wait in one order over all instances.
     :ivar is_stopping: whether it was asked to stop.
     """
 
@@ -41,6 +43,7 @@
     seeds: list[str]
     folder: pathlib.Path
     program: tuple[str, ...] = PROGRAM
+    has_admission: bool = False
     is_stopping: bool = False
     _process: subprocess.Popen[bytes] | None = None
 
@@ -74,6 +77,7 @@
                 self.store,
                 self.seeds,
                 self.first_port,
+                has_scarce_room=self.has_admission,
                 evacuateMs=EVACUATE_S * formats.MS_PER_S,
                 coldOver=COLD_RATIO,
                 coldSlack=COLD_SLACK,
@@ -84,7 +88,11 @@
         with log_path.open('ab') as log:
             self._process = subprocess.Popen(
                 [sys.executable, *self.program],
-                env={**os.environ, SETTINGS_PATH_VARIABLE: str(path)},
+                env={
+                    **os.environ,
+                    SETTINGS_PATH_VARIABLE: str(path),
+                    ADMISSION_VARIABLE: 'on' if self.has_admission else 'off',
+                },
                 stdout=log,
                 stderr=log,
             )
--- a/trefoilhinge/soak/observations.py
+++ b/trefoilhinge/soak/observations.py
@@ -24,6 +24,7 @@
     ObservedRun,
     make_content,
 )
+from trefoilhinge.soak.retry_checks import ObservedRetries, list_gains
 from trefoilhinge.soak.returns import ObservedReturn, find_unused
 from trefoilhinge.soak.violations import Violation
 
@@ -70,6 +71,8 @@
     :ivar pauses: start and end of each pause of an instance.
     :ivar evacuations: times in which failure domains were evacuated.
     :ivar switches: switches of the load that nothing else disturbed.
+    :ivar retries: times in which some callers retried at once and calls
+        competed for too few slots.
     :ivar new_reservations: first order to make each reservation, by its name.
     :ivar crashing_traits: what crashed targets, each for a time.
     """
@@ -91,6 +94,7 @@
     pauses: list[tuple[float, float]] = field(factory=list)
     evacuations: list[ObservedEvacuation] = field(factory=list)
     switches: list[ObservedSwitch] = field(factory=list)
+    retries: list[ObservedRetries] = field(factory=list)
     new_reservations: list[ObservedRun] = field(factory=list)
     crashing_traits: list[CrashingTrait] = field(factory=list)
 
@@ -150,6 +154,11 @@
             if (share := find_late_share(switch, self.calls))
             > MAXIMUM_LATE_SHARE
         )
+        violations.extend(
+            Violation('GAIN', 'callers that retry', detail)
+            for retries in self.retries
+            for detail in list_gains(retries, self.calls)
+        )
         violations.extend(
             Violation('CRASH', trait.name, f'{count} requests came late')
             for trait in self.crashing_traits
--- a/trefoilhinge/soak/plan_execution.py
+++ b/trefoilhinge/soak/plan_execution.py
@@ -26,6 +26,7 @@
     NeedKind,
     OutageKind,
     ReaderKind,
+    RetryKind,
 )
 from trefoilhinge.soak.expiries import expire_entry
 from trefoilhinge.soak.fleets import CALLER_KEYS, SoakFleet
@@ -37,6 +38,7 @@
 from trefoilhinge.soak.readers import ANSWER_TIME_S, READERS, read_slowly
 from trefoilhinge.soak.records import CrashingTrait
 from trefoilhinge.soak.restarts import restart_in_outage
+from trefoilhinge.soak.retries import retry_at_once
 from trefoilhinge.soak.switches import switch_load
 from trefoilhinge.soak.targets import SoakTarget, TargetBehaviour
 
@@ -275,4 +277,5 @@
     ColdKind: turn_cold,
     EvacuationKind: evacuate,
     DemandKind: switch_load,
+    RetryKind: retry_at_once,
 }
--- a/trefoilhinge/soak/plans.py
+++ b/trefoilhinge/soak/plans.py
@@ -16,6 +16,7 @@
     NeedKind,
     OutageKind,
     ReaderKind,
+    RetryKind,
 )
 
 WARM_UP_S = 3.0  # without events, until all instances are ready
@@ -38,6 +39,7 @@
 COLD_INTERVALS_S = (4.0, 12.0)  # between two targets that turn cold
 COLD_SERVICE_INTERVALS_S = (8.0, 30.0)
 SWITCH_INTERVALS_S = (12.0, 40.0)
+RETRY_INTERVALS_S = (4.0, 16.0)
 EVACUATION_INTERVALS_S = (10.0, 30.0)
 
 # Events with random numbers of their own, by the number of their series.
@@ -50,6 +52,7 @@
     9: (EvacuationKind.cut, EVACUATION_INTERVALS_S),
     10: (EvacuationKind.restart, EVACUATION_INTERVALS_S),
     11: (DemandKind.switch, SWITCH_INTERVALS_S),
+    12: (RetryKind.at_once, RETRY_INTERVALS_S),
 }
 
 
--- a/trefoilhinge/soak/records.py
+++ b/trefoilhinge/soak/records.py
@@ -87,6 +87,7 @@
         key was valid.
     :ivar ended_s: time at which the caller finished, none before.
     :ivar first_s: time of the first bytes of the body, none before.
+    :ivar key: API key of its caller.
     :ivar demand: name of the demand that it belongs to, if there is any.
     :ivar status: HTTP status, zero if none was received.
     :ivar content: bytes of the body that were received.
@@ -108,6 +109,7 @@
     is_stopping: bool = False
     is_long: bool = False
     first_s: float | None = None
+    key: str = ''
     demand: str = ''
 
 
--- a/trefoilhinge/soak/targets.py
+++ b/trefoilhinge/soak/targets.py
@@ -63,6 +63,7 @@
         takes time to prefill and has few slots then.
     :ivar prefills: prefills of all engines.
     :ivar on_crash: called when a request crashes the target.
+    :ivar slots: free slots of its engine.
     :ivar reservations: expiry time of each reservation, in seconds of the
         monotonic clock.
     """
@@ -83,7 +84,7 @@
     prefills: EnginePrefills = field(factory=EnginePrefills)
     on_crash: Callable[['SoakTarget', CrashSource], None] | None = None
     reservations: dict[str, float] = field(factory=dict)
-    _slots: asyncio.Semaphore = field(
+    slots: asyncio.Semaphore = field(
         factory=lambda: asyncio.Semaphore(ENGINE_SLOTS)
     )
     _known_reservations: set[str] = field(factory=set)
@@ -214,7 +215,7 @@
             await self._serve_stream(request, received)
             return
         own_address = f'{self.address[0]}:{self.address[1] + 1}'
-        async with self._slots:
+        async with self.slots:
             await self.prefills.prefill(
                 (own_address, *received.helpers), received.prompt_tokens
             )
--- a/trefoilhinge/soak/violations.py
+++ b/trefoilhinge/soak/violations.py
@@ -38,6 +38,8 @@
       domain, or memory was reserved there, later than the bound allows.
     - ``SWITCH``: more than ``MAXIMUM_LATE_SHARE`` of the short prompts had no
       first event in time, from ``SETTLE_S`` after a switch of the load to them.
+    - ``GAIN``: callers that sent three requests at once after each refusal were
+      served more than ``MAXIMUM_GAIN`` times as often as others.
     - ``UNUSED``: an instance did not use a live, reachable target from
       ``RETURN_S`` after its entry, which had expired, was written again,
       although all others of the service refused its calls. Returns are recorded
