--- a/trefoilhinge/soak/evacuations.py
+++ b/trefoilhinge/soak/evacuations.py
@@ -22,8 +22,9 @@
     The instance learns of it, and of the end, from its peers only.
     """
     await _await_store(fleet)
-    if any(key.startswith(EVACUATION_PREFIX) for key in fleet.store.items):
-        return
+    while _has_evacuation(fleet):
+        await asyncio.sleep(POLL_INTERVAL_S)
+        await _await_store(fleet)
     # The selector's digits after those that choose the domain.
     share, chosen = math.modf(event.selector * len(FAILURE_DOMAINS))
     instance = fleet.choose_instance(share)
@@ -89,6 +90,10 @@
             evacuation.end_s = min(evacuation.end_s, time.monotonic())
 
 
+def _has_evacuation(fleet: SoakFleet) -> bool:
+    return any(key.startswith(EVACUATION_PREFIX) for key in fleet.store.items)
+
+
 async def _await_store(fleet: SoakFleet) -> None:
     """Wait until the store takes changes and has made lost ones again."""
     while fleet.store.is_down or fleet.restorations:
