--- a/tests/soak/variants.py
+++ b/tests/soak/variants.py
@@ -4,18 +4,22 @@
 import sys
 
 from trefoilhinge.dispatch import outages, permit_buckets
+from trefoilhinge.dispatch.admission import order
 from trefoilhinge.dispatch.departures import DepartureTable
 from trefoilhinge.dispatch.outages import StoreOutages
 from trefoilhinge.dispatch.targets import TargetDirectory
+from trefoilhinge.dispatch.warmup import cold_targets
 from trefoilhinge.gateway import (
     answer_relay,
     attempts,
     daemon,
     permits,
     quarantine,
+    replication,
     state,
 )
 from trefoilhinge.gateway.caller_connections import CallerConnection
+from trefoilhinge.gateway.evacuations import EvacuationNews
 from trefoilhinge.gateway.peer_fetcher import PeerFetcher
 from trefoilhinge.gateway.refusals import Refusal
 from trefoilhinge.gateway.reservations import Reservations
@@ -51,6 +55,22 @@
     answer_relay.AnswerRelay.relay_stream = relay_truncated
 
 
+def place_latest_first():
+    """Place the latest call first, whatever its organisation was given."""
+    order._take_turns = lambda calls, usage, now_s: reversed(calls)
+
+
+def place_alone():
+    """Place calls without knowledge of the runs of other instances."""
+    record_run = state.GatewayState.record_run
+
+    def record_own(self, run, latest_end_s):
+        if run.origin == self.origin:
+            record_run(self, run, latest_end_s)
+
+    state.GatewayState.record_run = record_own
+
+
 def keep_memory():
     """Never release a reservation, but keep renewing it."""
     Reservations.release = lambda self: None
@@ -82,11 +102,28 @@
     permit_buckets.PermitBucket.charge = lambda self, key, now_s: None
 
 
+def count_cold_alone():
+    """Let each instance send a cold target what all may send together."""
+    compute_quota = cold_targets.compute_quota
+
+    def compute_whole(incarnation, own_ip, others, requests):
+        return compute_quota(incarnation, own_ip, frozenset(), requests)
+
+    cold_targets.compute_quota = compute_whole
+    cold_targets.ColdTable.record_run = lambda self, *arguments: None
+
+
 def count_crashes_alone():
     """Let each instance count the crashes that it sees, and no others."""
     quarantine.Quarantine.apply_message = lambda self, message, ip: None
 
 
+def hear_no_evacuations():
+    """Let each instance hear of evacuations from the store alone."""
+    EvacuationNews.apply_message = lambda self, message, ip: None
+    replication.apply_reported_evacuations = lambda state, fields: None
+
+
 def take_cuts_for_outages():
     """Let each cut watch begin an outage, and each outage a time of grace.
 
--- a/trefoilhinge/platform/standins/formats.py
+++ b/trefoilhinge/platform/standins/formats.py
@@ -26,12 +26,15 @@
         if none.
     :ivar prompt_parts: identifiers of all parts of the prompt.
     :ivar reservations: identifiers of the reservations that it uses.
+    :ivar helpers: addresses of the other targets that prefill its prompt.
     """
 
     request_id: str
     last_event: int
     prompt_parts: tuple[str, ...] = ()
     reservations: tuple[str, ...] = ()
+    helpers: tuple[str, ...] = ()
+    prompt_tokens: int = 0
 
 
 @frozen
@@ -63,6 +66,11 @@
     return 'Server-Limit', f'{requests_per_s:g}'
 
 
+def encode_cold_header(cold_s: float) -> tuple[str, str]:
+    """Encode the time for which a target stays cold."""
+    return 'X-Cold-Ms', str(int(cold_s * MS_PER_S))
+
+
 def encode_era_header(era: int) -> tuple[str, str]:
     """Encode the era of the store as a header of its responses."""
     return 'Store-Era', str(era)
@@ -94,15 +102,23 @@
     return {**defaults, **fields}
 
 
-def encode_document(version: int, keys: Mapping[str, str]) -> dict[str, Any]:
+def encode_document(
+    version: int,
+    keys: Mapping[str, str],
+    cold_requests_per_s: float = 0,
+    slots: int = 8,
+) -> dict[str, Any]:
     """Return a configuration with a stream route and two plain routes.
 
     One of the plain routes is idempotent, the other is not.
 
     :param keys: API key -> name of the organisation that owns it.
+    :param cold_requests_per_s: rate that a cold target takes, zero if targets
+        have no cold phase.
+    :param slots: slots of each engine.
     """
     engine = {
-        'slots': 8,
+        'slots': slots,
         'kvCapacity': 232000,
         'stride': 43,
         'step_ms': 1.02,
@@ -112,6 +128,7 @@
         'pairs_per_m': 0.138,
         'chunk': 2048,
     }
+    shared = {'maxConns': 100, 'coldPerS': cold_requests_per_s}
     return {
         'version': version,
         'routes': [
@@ -120,8 +137,8 @@
             encode_route('look', 'idempotent', 'desk', 100),
         ],
         'services': [
-            {'name': 'model', 'maxConns': 100, 'engine': engine},
-            {'name': 'desk', 'maxConns': 100},
+            {'name': 'model', 'engine': engine, **shared},
+            {'name': 'desk', **shared},
         ],
         'limits': {
             'maxHeaderBytes': 16384,
@@ -159,12 +176,21 @@
 
 
 def encode_settings(
-    name: str, ip: str, store: str, seeds: list[str], first_port: int
+    name: str,
+    ip: str,
+    store: str,
+    seeds: list[str],
+    first_port: int,
+    *,
+    has_scarce_room: bool = False,
+    **bounds: float,
 ) -> str:
     """Encode the settings file of an instance.
 
     :param first_port: port for callers; the readiness, control and internal
         ports follow it.
+    :param has_scarce_room: whether callers compete for capacity.
+    :param bounds: additional bounds.
     """
     listen = ('front', 'ready', 'control')
     fields = {
@@ -178,6 +204,7 @@
         'internalPorts': [first_port + len(listen), first_port + 20],
         'seeds': seeds,
         'heartbeatMs': 1200,
+        'contracts': ['pressure'] if has_scarce_room else [],
         'platform': {'address': store},
         'bounds': {
             'graceS': 8,
@@ -188,6 +215,7 @@
             'holdMaxMs': 20000,
             'drainMs': 2000,
             'configApplyMs': 2000,
+            **bounds,
         },
     }
     return json.dumps(fields)
@@ -220,11 +248,15 @@
     entries = headers.get('x-prompt-prefix', '').split(',')
     helpers = headers.get('x-helpers', '').split(',')
     reservations = [helper.partition('/')[2] for helper in helpers]
+    addresses = [helper.partition('/')[0] for helper in helpers]
+    prompt_tokens, _, _ = headers.get('x-token-count', '0').partition(',')
     return ReceivedRequest(
         headers.get('x-request-id', ''),
         int(headers.get('last-event-id', 0)),
         tuple(entry.partition(':')[0] for entry in entries),
         tuple(filter(None, reservations)),
+        tuple(filter(None, addresses)),
+        int(prompt_tokens),
     )
 
 
--- a/trefoilhinge/soak/commands.py
+++ b/trefoilhinge/soak/commands.py
@@ -13,12 +13,14 @@
 from attrs import evolve, frozen
 
 from trefoilhinge.exceptions import ImproperlyConfigured, TrefoilhingeError
-from trefoilhinge.soak.callers import DEADLINE_S, RESPONSE_GRACE_S, SoakCaller
+from trefoilhinge.soak.callers import RESPONSE_GRACE_S, SoakCaller
+from trefoilhinge.soak.demands import DEADLINE_S, SCARCE_DEMAND
 from trefoilhinge.soak.fleets import INSTANCES, SoakFleet, make_fleet
 from trefoilhinge.soak.instances import PROGRAM
-from trefoilhinge.soak.observations import RELEASE_TIMEOUT_S, Violation
+from trefoilhinge.soak.observations import RELEASE_TIMEOUT_S, ObservationLog
 from trefoilhinge.soak.plan_execution import execute_event
 from trefoilhinge.soak.plans import PlannedEvent, generate_plan
+from trefoilhinge.soak.violations import Violation
 
 READY_TIMEOUT_S = 15.0  # for a small fleet to become ready
 READY_PER_INSTANCE_S = 0.5  # added, for machines with few cores
@@ -42,6 +44,7 @@
     :ivar program: arguments of the interpreter that runs an instance.
     :ivar plan: events to execute; none generates them from the seed.
     :ivar instances: number of gateway processes.
+    :ivar has_admission: whether calls wait in one order over all instances.
     :ivar awaited: invariant whose violation ends the soak; none lets it run
         to its end.
     """
@@ -53,6 +56,7 @@
     plan: tuple[PlannedEvent, ...] | None = None
     instances: int = INSTANCES
     awaited: str | None = None
+    has_admission: bool = False
 
 
 @frozen
@@ -62,12 +66,14 @@
     :ivar event_count: number of events in the plan.
     :ivar calls: number of calls by status, ``whole`` for a complete answer
         with status 200.
+    :ivar observations: what the violations were found in.
     """
 
     seed: int
     event_count: int
     calls: Counter[str]
     violations: list[Violation]
+    observations: ObservationLog
 
 
 def make_request(
@@ -125,7 +131,12 @@
 
 async def _run(request: SoakRequest) -> SoakResult:
     request.folder.mkdir(parents=True, exist_ok=True)
-    fleet = make_fleet(request.folder, request.program, request.instances)
+    fleet = make_fleet(
+        request.folder,
+        request.program,
+        request.instances,
+        has_admission=request.has_admission,
+    )
     plan: Sequence[PlannedEvent] | None = request.plan
     if plan is None:
         plan = generate_plan(request.seed, request.seconds)
@@ -158,7 +169,11 @@
         for call in fleet.observations.calls
     )
     return SoakResult(
-        request.seed, len(plan), calls, fleet.observations.find_violations()
+        request.seed,
+        len(plan),
+        calls,
+        fleet.observations.find_violations(),
+        fleet.observations,
     )
 
 
@@ -207,12 +222,18 @@
 
 
 def _make_callers(fleet: SoakFleet, seed: int) -> Iterator[SoakCaller]:
-    for number, key in enumerate(sorted(fleet.keys)):
+    keys = sorted(fleet.keys)
+    for number in range(max(len(keys), SCARCE_DEMAND.callers)):
+        key = keys[number % len(keys)]
         yield SoakCaller(
             key,
             fleet.instances,
             fleet.observations,
-            random.Random(seed * len(fleet.keys) + number),
+            random.Random(seed * len(keys) + number),
             functools.partial(fleet.revoked_keys.get, key),
             fleet.find_crash_source,
+            fleet.find_demand,
+            fleet.check_retrying,
+            number,
+            len(keys),
         )
--- a/trefoilhinge/soak/fleets.py
+++ b/trefoilhinge/soak/fleets.py
@@ -1,6 +1,7 @@
 """Instances, stand-ins and proxies of one soak."""
 
 import asyncio
+import itertools
 import os
 import pathlib
 import time
@@ -11,6 +12,13 @@
 from trefoilhinge.platform.standins import formats
 from trefoilhinge.soak.crashes import CrashSource
 from trefoilhinge.soak.instances import PROGRAM, Instance
+from trefoilhinge.soak.cold_checks import COLD_REQUESTS_PER_S
+from trefoilhinge.soak.demands import (
+    ENGINE_SLOTS,
+    SCARCE_SLOTS,
+    Demand,
+    EnginePrefills,
+)
 from trefoilhinge.soak.observations import ObservationLog
 from trefoilhinge.soak.proxies import Proxy
 from trefoilhinge.soak.stores import StoreStandIn
@@ -22,6 +30,8 @@
 CALLER_KEYS = 6
 REVOCABLE_KEYS = 2  # may be revoked in a soak, each with a caller of its own
 FIRST_PORT = 21_000
+FIRST_LINK_PORT = 21_100
+FAILURE_DOMAINS = ('a', 'b')  # of the targets, by turns
 RESTART_S = 1.5  # of a target that has crashed
 # Networks of processes whose numbers differ by less than 127 * 256 differ; the
 # tests of the gateway use 127.1 to 127.126 in the same way.
@@ -34,7 +44,14 @@
 class SoakFleet:
     """Processes and servers of one soak.
 
+    :ivar store_links: proxy of each instance before that of the store.
     :ivar proxies: proxies of the targets, in their order.
+    :ivar demand: what all callers ask for at present, none if each draws.
+    :ivar demand_ended_s: time at which the last one ended.
+    :ivar retrying_keys: API keys whose callers retry at once at present.
+    :ivar has_admission: whether calls wait in one order over all instances.
+    :ivar restorations: restorations of the store whose lost changes are not
+        made again yet.
     :ivar keys: organisation of each valid API key.
     :ivar version: version of the latest document.
     :ivar crash_source: what crashes targets at present, if anything does.
@@ -45,6 +62,7 @@
     observations: ObservationLog
     store: StoreStandIn
     store_proxy: Proxy
+    store_links: list[Proxy]
     instances: list[Instance]
     targets: list[SoakTarget]
     proxies: list[Proxy]
@@ -53,13 +71,24 @@
     crash_source: CrashSource | None = None
     _restarts: dict[str, asyncio.Task[None]] = field(factory=dict)
     revoked_keys: dict[str, float] = field(factory=dict)
+    restorations: int = 0
+    demand: Demand | None = None
+    retrying_keys: frozenset[str] = frozenset()
+    has_admission: bool = False
+    demand_ended_s: float = float('-inf')
 
     async def start(self) -> None:
         """Start stand-ins, proxies and instances."""
         await self.store.start()
-        await self.store_proxy.start()
+        for link in (self.store_proxy, *self.store_links):
+            await link.start()
+        prefills = EnginePrefills()
         for proxy, target in zip(self.proxies, self.targets, strict=True):
             target.get_crash_source = self.find_crash_source
+            target.get_demand = self.find_demand
+            target.prefills = prefills
+            if self.has_admission:
+                target.slots = asyncio.Semaphore(SCARCE_SLOTS)
             target.on_crash = self.crash_target
             await target.start()
             await proxy.start()
@@ -73,7 +102,12 @@
         self.version += 1
         self.store.put(
             store.DOCUMENT_KEY,
-            formats.encode_document(self.version, self.keys),
+            formats.encode_document(
+                self.version,
+                self.keys,
+                COLD_REQUESTS_PER_S,
+                SCARCE_SLOTS if self.has_admission else ENGINE_SLOTS,
+            ),
         )
 
     def put_target(self, target: SoakTarget, *, is_leaving: bool) -> None:
@@ -86,6 +120,8 @@
             is_leaving=is_leaving,
             born=target.started_ms,
             seq=target.sequence,
+            zone=target.failure_domain,
+            coldLeftMs=int(target.compute_cold_s() * formats.MS_PER_S),
         )
         if is_leaving:
             self.observations.leaving_since_s[target.name] = time.monotonic()
@@ -102,6 +138,14 @@
         """Return what crashes targets at present, if anything does."""
         return self.crash_source
 
+    def find_demand(self) -> Demand | None:
+        """Return what all callers ask for at present, if each does not draw."""
+        return self.demand
+
+    def check_retrying(self, key: str) -> bool:
+        """Return whether the callers with an API key retry at once."""
+        return key in self.retrying_keys
+
     def crash_target(self, target: SoakTarget, source: CrashSource) -> None:
         """Let a target end with all its connections, and start again."""
         address = f'{target.address}'
@@ -109,6 +153,7 @@
             return
         target.crashed_s = time.monotonic()
         target.requests_per_s = None
+        target.cold_until_s = float('-inf')
         target.reservations.clear()
         source.trait.crashes_s.append(target.crashed_s)
         self.proxies[self.targets.index(target)].stop()
@@ -139,7 +184,8 @@
             proxy.stop()
         for target in self.targets:
             target.stop()
-        self.store_proxy.stop()
+        for link in (self.store_proxy, *self.store_links):
+            link.stop()
         self.store.stop()
 
 
@@ -153,6 +199,8 @@
     folder: pathlib.Path,
     program: tuple[str, ...] = PROGRAM,
     instances: int = INSTANCES,
+    *,
+    has_admission: bool = False,
 ) -> SoakFleet:
     """Return a fleet that is not started.
 
@@ -161,6 +209,8 @@
     :param folder: directory of settings and logs.
     :param instances: number of instances, at most 240, the addresses of a
         network.
+    :param has_admission: whether calls wait in one order over all instances,
+        for engines with few slots.
     """
     network = make_network(os.getpid())
     host = f'{network}.1'
@@ -173,27 +223,37 @@
     ]
     ports = range(FIRST_PORT + 2, FIRST_PORT + 2 + 2 * len(services), 2)
     targets = [
-        SoakTarget(f'{service}-{port}', service, (host, port), observations)
-        for service, port in zip(services, ports, strict=True)
+        SoakTarget(
+            f'{service}-{port}', service, domain, (host, port), observations
+        )
+        for service, domain, port in zip(
+            services, itertools.cycle(FAILURE_DOMAINS), ports, strict=False
+        )
     ]
     ips = [f'{network}.{10 + number}' for number in range(instances)]
     keys = {
         f'key-{number}': f'organisation-{number}'
         for number in range(CALLER_KEYS + REVOCABLE_KEYS)
     }
+    store_links = [
+        Proxy((host, FIRST_LINK_PORT + number), (host, proxy_port))
+        for number in range(instances)
+    ]
     return SoakFleet(
         observations=observations,
         store=StoreStandIn(host, store_port),
         store_proxy=Proxy((host, proxy_port), (host, store_port)),
+        store_links=store_links,
         instances=[
             Instance(
                 f'instance-{number}',
                 ip,
                 FIRST_PORT,
-                f'{host}:{proxy_port}',
+                f'{host}:{FIRST_LINK_PORT + number}',
                 [f'{seed}:{FIRST_PORT}' for seed in ips[:3]],
                 folder,
                 program,
+                has_admission,
             )
             for number, ip in enumerate(ips)
         ],
@@ -203,4 +263,5 @@
             for target in targets
         ],
         keys=keys,
+        has_admission=has_admission,
     )
--- a/trefoilhinge/soak/observations.py
+++ b/trefoilhinge/soak/observations.py
@@ -3,17 +3,30 @@
 The module reads no clock: all times are passed in, in seconds of one clock.
 """
 
-from attrs import define, field, frozen
+from attrs import define, field
 
+from trefoilhinge.soak.cold_checks import ObservedCold, list_excesses
+from trefoilhinge.soak.demands import (
+    MAXIMUM_LATE_SHARE,
+    ObservedSwitch,
+    find_late_share,
+)
+from trefoilhinge.soak.evacuation_checks import (
+    ObservedEvacuation,
+    find_sends,
+)
 from trefoilhinge.soak.records import (
     CallKind,
     CrashingTrait,
+    ObservedArrival,
     ObservedCall,
     ObservedLimit,
     ObservedRun,
     make_content,
 )
+from trefoilhinge.soak.retry_checks import ObservedRetries, list_gains
 from trefoilhinge.soak.returns import ObservedReturn, find_unused
+from trefoilhinge.soak.violations import Violation
 
 DEADLINE_TOLERANCE_S = 1.0  # for an answer to arrive after the deadline
 RECOVERY_S = 4.0  # fault-free time after which time limits apply again
@@ -34,51 +47,6 @@
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 
 
-@frozen
-class Violation:
-    """Violation of an invariant by one call or reservation.
-
-    The invariants are:
-
-    - ``TWICE``: a call that is not idempotent ran more than once.
-    - ``FALSE_REFUSAL``: a call ran, but its status says that it did not.
-    - ``WRONG_ANSWER``: a complete answer is not the correct one, or an
-      incomplete answer is not the beginning of the correct one.
-    - ``LATE``: the call ended later than ``DEADLINE_TOLERANCE_S`` after its
-      deadline.
-    - ``CUT_AT_STOP``: a planned stop truncated the answer.
-    - ``REVOKED``: a call ran that was sent later than ``CHANGE_PROPAGATION_S``
-      after its API key had been revoked.
-    - ``LEAVING``: a target started to work on a call later than
-      ``CHANGE_PROPAGATION_S`` after it was leaving.
-    - ``MEMORY``: a reservation was held after its call.
-    - ``START``: an instance that started during an outage of the store, beside
-      others that were ready, was not ready within six seconds.
-    - ``SHARED``: two calls used one reservation, so that the end of the one
-      releases the memory of the other.
-    - ``LIMIT``: a target got more requests than the limit that it had named
-      allows, from all instances together, with no instance killed or paused
-      meanwhile or shortly before.
-    - ``CRASH``: requests that crash targets reached more than
-      ``CRASH_ALLOWED`` of them, later than ``CRASH_STABLE_S`` after they had
-      crashed ``PART_CRASHES`` or ``REQUEST_CRASHES``. Those do not count that
-      arrived while an instance was killed or paused, or shortly after.
-    - ``UNUSED``: an instance did not use a live, reachable target from
-      ``RETURN_S`` after its entry, which had expired, was written again,
-      although all others of the service refused its calls. Returns are recorded
-      only where no fault or event disturbs them.
-
-    ``LATE``, ``CUT_AT_STOP``, ``REVOKED`` and ``LEAVING`` are not checked for
-    periods that a fault overlaps or that begin within ``RECOVERY_S`` after one.
-
-    :ivar request_id: ID of the call or of the reservation.
-    """
-
-    invariant: str
-    request_id: str
-    detail: str
-
-
 @define
 class ObservationLog:
     """All observations of one soak.
@@ -94,10 +62,18 @@
     :ivar late_starts: names of instances that were not ready in time after a
         start during an outage of the store.
     :ivar users: identifiers of the calls that used each reservation.
-    :ivar arrivals: port of the target and time of each request that reached
-        it.
+    :ivar arrivals: requests that reached targets, orders included.
     :ivar limits: limits that targets named.
+    :ivar colds: times in which targets were cold.
     :ivar instance_faults: start and end of each kill and pause of an instance.
+    :ivar store_faults: start and end of each fault that kept all instances
+        from the store.
+    :ivar pauses: start and end of each pause of an instance.
+    :ivar evacuations: times in which failure domains were evacuated.
+    :ivar switches: switches of the load that nothing else disturbed.
+    :ivar retries: times in which some callers retried at once and calls
+        competed for too few slots.
+    :ivar new_reservations: first order to make each reservation, by its name.
     :ivar crashing_traits: what crashed targets, each for a time.
     """
 
@@ -110,9 +86,16 @@
     leaked_reservations: list[str] = field(factory=list)
     late_starts: list[str] = field(factory=list)
     users: dict[str, set[str]] = field(factory=dict)
-    arrivals: list[tuple[int, float]] = field(factory=list)
+    arrivals: list[ObservedArrival] = field(factory=list)
     limits: list[ObservedLimit] = field(factory=list)
+    colds: list[ObservedCold] = field(factory=list)
     instance_faults: list[tuple[float, float]] = field(factory=list)
+    store_faults: list[tuple[float, float]] = field(factory=list)
+    pauses: list[tuple[float, float]] = field(factory=list)
+    evacuations: list[ObservedEvacuation] = field(factory=list)
+    switches: list[ObservedSwitch] = field(factory=list)
+    retries: list[ObservedRetries] = field(factory=list)
+    new_reservations: list[ObservedRun] = field(factory=list)
     crashing_traits: list[CrashingTrait] = field(factory=list)
 
     def find_violations(self) -> list[Violation]:
@@ -150,6 +133,32 @@
             for limit in self.limits
             for detail in self._list_excesses(limit)
         )
+        violations.extend(
+            Violation('COLD', f'port {cold.port}', detail)
+            for cold in self.colds
+            for detail in list_excesses(cold, self.arrivals)
+        )
+        violations.extend(
+            Violation('EVACUATED', run.request_id, f'sent to {run.target}')
+            for evacuation in self.evacuations
+            for run in find_sends(
+                evacuation,
+                (*self.runs, *self.new_reservations),
+                self.store_faults,
+                self.pauses,
+            )
+        )
+        violations.extend(
+            Violation('SWITCH', 'short prompts', f'{share:.0%} were late')
+            for switch in self.switches
+            if (share := find_late_share(switch, self.calls))
+            > MAXIMUM_LATE_SHARE
+        )
+        violations.extend(
+            Violation('GAIN', 'callers that retry', detail)
+            for retries in self.retries
+            for detail in list_gains(retries, self.calls)
+        )
         violations.extend(
             Violation('CRASH', trait.name, f'{count} requests came late')
             for trait in self.crashing_traits
@@ -179,10 +188,10 @@
             LIMIT_FACTOR * limit.requests_per_s * LIMIT_WINDOW_S + LIMIT_SLACK
         )
         checked_s = sorted(
-            at_s
-            for port, at_s in self.arrivals
-            if port == limit.port
-            and limit.begin_s + LIMIT_STABLE_S <= at_s <= limit.end_s
+            arrival.at_s
+            for arrival in self.arrivals
+            if arrival.port == limit.port
+            and limit.begin_s + LIMIT_STABLE_S <= arrival.at_s <= limit.end_s
         )
         for position, begin_s in enumerate(checked_s):
             end_s = begin_s + LIMIT_WINDOW_S
--- a/trefoilhinge/soak/plan_execution.py
+++ b/trefoilhinge/soak/plan_execution.py
@@ -1,33 +1,45 @@
 """Executes the events of a plan."""
 
 import asyncio
-import math
 import signal
 import time
 from collections.abc import Awaitable, Callable
 
 from trefoilhinge.platform.store import TARGET_PREFIX
+from trefoilhinge.soak.cold_targets import turn_cold
 from trefoilhinge.soak.crashes import CrashSource
-from trefoilhinge.soak.expiries import expire_entry
-from trefoilhinge.soak.fleets import CALLER_KEYS, SoakFleet
-from trefoilhinge.soak.instances import Instance
-from trefoilhinge.soak.observations import PART_CRASHES, REQUEST_CRASHES
-from trefoilhinge.soak.plans import (
+from trefoilhinge.soak.evacuations import (
+    evacuate,
+    resume_evacuations,
+    suspend_evacuations,
+)
+from trefoilhinge.soak.event_kinds import (
+    ColdKind,
     CrashKind,
+    DemandKind,
     EntryKind,
+    EvacuationKind,
     EventKind,
     ExpiryKind,
     FaultKind,
     MaintenanceKind,
     NeedKind,
     OutageKind,
-    PlannedEvent,
     ReaderKind,
+    RetryKind,
 )
+from trefoilhinge.soak.expiries import expire_entry
+from trefoilhinge.soak.fleets import CALLER_KEYS, SoakFleet
+from trefoilhinge.soak.instances import Instance
+from trefoilhinge.soak.observations import PART_CRASHES, REQUEST_CRASHES
+from trefoilhinge.soak.limits import name_limit
+from trefoilhinge.soak.plans import PlannedEvent
 from trefoilhinge.soak.proxies import ConnectionFault, Proxy
 from trefoilhinge.soak.readers import ANSWER_TIME_S, READERS, read_slowly
-from trefoilhinge.soak.records import CrashingTrait, ObservedLimit
+from trefoilhinge.soak.records import CrashingTrait
 from trefoilhinge.soak.restarts import restart_in_outage
+from trefoilhinge.soak.retries import retry_at_once
+from trefoilhinge.soak.switches import switch_load
 from trefoilhinge.soak.targets import SoakTarget, TargetBehaviour
 
 STOP_TIMEOUT_S = 9.0  # for a process to exit after SIGTERM
@@ -35,9 +47,6 @@
 MAXIMUM_LOST_REVISIONS = 12  # by a restoration of the store
 CUT_AFTER_S = 0.8  # of waiting watches
 REPLAY_DELAY_S = 1.0  # until operator and targets make lost changes again
-# Requests per second that a target in need names.
-LOWEST_LIMIT = 0.4
-HIGHEST_LIMIT = 3.0
 TARGET_BEHAVIOURS = {
     FaultKind.lose_answers: TargetBehaviour.losing,
     FaultKind.tear_streams: TargetBehaviour.tearing,
@@ -48,6 +57,9 @@
     FaultKind.delay_links: ConnectionFault.delay,
     FaultKind.cut_one_way: ConnectionFault.one_way,
 }
+LINK_FAULTS = frozenset(
+    (*CONNECTION_FAULTS, FaultKind.reset_links, FaultKind.silence_links)
+)
 
 
 Execution = Callable[[SoakFleet, PlannedEvent], Awaitable[None]]
@@ -60,41 +72,47 @@
 
 
 async def _execute_fault(fleet: SoakFleet, event: PlannedEvent) -> None:
+    observations = fleet.observations
     begin_s = time.monotonic()
     # Until its end is known, the fault exempts all later observations.
-    fleet.observations.faults.append((begin_s, float('inf')))
-    position = len(fleet.observations.faults) - 1
+    observations.faults.append((begin_s, float('inf')))
+    position = len(observations.faults) - 1
     try:
         await _inject_fault(fleet, event)
     finally:
         fault = (begin_s, time.monotonic())
-        fleet.observations.faults[position] = fault
-        if event.kind in {FaultKind.kill, FaultKind.pause}:
-            fleet.observations.instance_faults.append(fault)
+        observations.faults[position] = fault
+        _record_effect(fleet, event, fault)
 
 
-async def _name_limit(fleet: SoakFleet, event: PlannedEvent) -> None:
-    """Let a target name a limit for a time."""
-    target = fleet.choose_target(event.selector)
-    if target.requests_per_s is not None:
-        return
-    # The selector's digits after those that chose the target.
-    share, _ = math.modf(event.selector * len(fleet.targets))
-    rate = round(LOWEST_LIMIT + share * (HIGHEST_LIMIT - LOWEST_LIMIT), 1)
-    begin_s = time.monotonic()
-    target.requests_per_s = rate
-    await asyncio.sleep(event.duration_s)
-    end_s = time.monotonic()
-    if target.crashed_s > begin_s:
-        # Its next incarnation may name a limit of its own.
-        end_s = target.crashed_s
-    else:
-        target.requests_per_s = None
-    fleet.observations.limits.append(
-        ObservedLimit(target.address[1], rate, begin_s, end_s)
+def _record_effect(
+    fleet: SoakFleet, event: PlannedEvent, fault: tuple[float, float]
+) -> None:
+    """Record a fault among those of instances or of the store."""
+    observations = fleet.observations
+    if event.kind in {FaultKind.kill, FaultKind.pause}:
+        observations.instance_faults.append(fault)
+    if event.kind is FaultKind.pause:
+        observations.pauses.append(fault)
+    if _is_store_fault(fleet, event):
+        observations.store_faults.append(fault)
+
+
+def _is_store_fault(fleet: SoakFleet, event: PlannedEvent) -> bool:
+    """Return whether a fault keeps all instances from the store."""
+    if event.kind in {FaultKind.store_down, FaultKind.restore_store}:
+        return True
+    return (
+        event.kind in LINK_FAULTS
+        and _choose_proxy(fleet, event.selector) is fleet.store_proxy
     )
 
 
+def _choose_proxy(fleet: SoakFleet, selector: float) -> Proxy:
+    proxies = [*fleet.proxies, fleet.store_proxy]
+    return proxies[int(selector * len(proxies))]
+
+
 async def _crash_targets(fleet: SoakFleet, event: PlannedEvent) -> None:
     """Let some requests crash targets for a time."""
     traits = fleet.observations.crashing_traits
@@ -122,7 +140,6 @@
 
 async def _inject_fault(fleet: SoakFleet, event: PlannedEvent) -> None:
     kind = event.kind
-    proxies = [*fleet.proxies, fleet.store_proxy]
     if kind in TARGET_BEHAVIOURS:
         target = fleet.choose_target(event.selector)
         target.behaviour = TARGET_BEHAVIOURS[kind]
@@ -139,13 +156,15 @@
             fleet.choose_instance(event.selector), event
         )
     else:
-        proxy = proxies[int(event.selector * len(proxies))]
-        await _inject_connection_fault(proxy, event)
+        await _inject_connection_fault(
+            _choose_proxy(fleet, event.selector), event
+        )
 
 
 async def _restore_store(fleet: SoakFleet, event: PlannedEvent) -> None:
     """Return the store from a copy after a moment away."""
     store = fleet.store
+    suspend_evacuations(fleet)
     store.is_down = True
     await asyncio.sleep(event.duration_s)
     lost_revisions = int(event.selector * MAXIMUM_LOST_REVISIONS)
@@ -153,6 +172,7 @@
     store.is_down = False
     await asyncio.sleep(REPLAY_DELAY_S)
     store.replay(lost)
+    resume_evacuations(fleet)
 
 
 async def _inject_instance_fault(
@@ -248,10 +268,14 @@
 
 EXECUTIONS: dict[type[EventKind], Execution] = {
     MaintenanceKind: _execute_maintenance,
-    NeedKind: _name_limit,
+    NeedKind: name_limit,
     CrashKind: _crash_targets,
     EntryKind: _execute_entry_event,
     ReaderKind: _stop_while_read,
     ExpiryKind: expire_entry,
     OutageKind: restart_in_outage,
+    ColdKind: turn_cold,
+    EvacuationKind: evacuate,
+    DemandKind: switch_load,
+    RetryKind: retry_at_once,
 }
--- a/trefoilhinge/soak/records.py
+++ b/trefoilhinge/soak/records.py
@@ -25,11 +25,26 @@
     """Start of the work of a target on a call.
 
     :ivar at_s: time of the start.
+    :ivar failure_domain: failure domain of the target.
     """
 
     request_id: str
     target: str
     at_s: float
+    failure_domain: str
+
+
+@frozen
+class ObservedArrival:
+    """Request that reached a target.
+
+    :ivar port: port of the target, which keeps it over its incarnations.
+    :ivar is_order: whether it reserves, renews or releases memory.
+    """
+
+    port: int
+    at_s: float
+    is_order: bool
 
 
 @frozen
@@ -71,6 +86,9 @@
     :ivar key_revoked_s: time at which its API key was revoked, none if the
         key was valid.
     :ivar ended_s: time at which the caller finished, none before.
+    :ivar first_s: time of the first bytes of the body, none before.
+    :ivar key: API key of its caller.
+    :ivar demand: name of the demand that it belongs to, if there is any.
     :ivar status: HTTP status, zero if none was received.
     :ivar content: bytes of the body that were received.
     :ivar is_complete: whether the whole response was received.
@@ -90,6 +108,9 @@
     is_complete: bool = False
     is_stopping: bool = False
     is_long: bool = False
+    first_s: float | None = None
+    key: str = ''
+    demand: str = ''
 
 
 def make_event(request_id: str, number: int) -> bytes:
--- a/trefoilhinge/soak/targets.py
+++ b/trefoilhinge/soak/targets.py
@@ -11,10 +11,12 @@
 from trefoilhinge.platform.reservations import ORDER_PATH
 from trefoilhinge.platform.standins import formats
 from trefoilhinge.soak.crashes import CrashSource
+from trefoilhinge.soak.demands import ENGINE_SLOTS, Demand, EnginePrefills
 from trefoilhinge.soak.observations import RELEASE_TIMEOUT_S, ObservationLog
 from trefoilhinge.soak.records import (
     LONG_NAME,
     CallKind,
+    ObservedArrival,
     ObservedRun,
     make_content,
     make_event,
@@ -50,28 +52,42 @@
 
     :ivar service: service that its entry in the store names.
     :ivar requests_per_s: limit that its answers name, none if it has none.
+    :ivar cold_until_s: end of the time for which its entry and its answers say
+        that it is cold.
     :ivar started_ms: wall-clock milliseconds of its start.
     :ivar sequence: number of its registration, in its entry.
     :ivar crashed_s: time of its last crash.
     :ivar get_crash_source: returns what crashes targets at present, if
         anything does.
+    :ivar get_demand: returns what all callers ask for at present; the target
+        takes time to prefill and has few slots then.
+    :ivar prefills: prefills of all engines.
     :ivar on_crash: called when a request crashes the target.
+    :ivar slots: free slots of its engine.
     :ivar reservations: expiry time of each reservation, in seconds of the
         monotonic clock.
     """
 
     name: str
     service: str
+    failure_domain: str
     address: Address
     observations: ObservationLog
     behaviour: TargetBehaviour = TargetBehaviour.sound
     requests_per_s: float | None = None
+    cold_until_s: float = float('-inf')
     started_ms: int = 1000
     sequence: int = 1
     crashed_s: float = float('-inf')
     get_crash_source: Callable[[], CrashSource | None] = lambda: None
+    get_demand: Callable[[], Demand | None] = lambda: None
+    prefills: EnginePrefills = field(factory=EnginePrefills)
     on_crash: Callable[['SoakTarget', CrashSource], None] | None = None
     reservations: dict[str, float] = field(factory=dict)
+    slots: asyncio.Semaphore = field(
+        factory=lambda: asyncio.Semaphore(ENGINE_SLOTS)
+    )
+    _known_reservations: set[str] = field(factory=set)
     _server: asyncio.Server | None = None
 
     async def start(self) -> None:
@@ -96,15 +112,26 @@
             if expires_s > now_s and now_s - quiet_since_s > RELEASE_TIMEOUT_S
         ]
 
+    def compute_cold_s(self) -> float:
+        """Return the seconds for which the target stays cold."""
+        return max(0, self.cold_until_s - time.monotonic())
+
     def _list_headers(self, *headers: Header) -> list[Header]:
-        """Return the headers of an answer, with the limit if there is one."""
-        if self.requests_per_s is None:
-            return list(headers)
-        return [*headers, formats.encode_rate_header(self.requests_per_s)]
+        """Return the headers of an answer, with what the target needs."""
+        needs: list[Header] = []
+        if self.requests_per_s is not None:
+            needs.append(formats.encode_rate_header(self.requests_per_s))
+        cold_s = self.compute_cold_s()
+        if cold_s:
+            needs.append(formats.encode_cold_header(cold_s))
+        return [*headers, *needs]
 
     async def _handle_request(self, request: HttpExchange) -> None:
-        self.observations.arrivals.append((self.address[1], time.monotonic()))
-        if request.path == ORDER_PATH:
+        is_order = request.path == ORDER_PATH
+        self.observations.arrivals.append(
+            ObservedArrival(self.address[1], time.monotonic(), is_order)
+        )
+        if is_order:
             await self._handle_order(request)
             return
         received = formats.decode_request_headers(request.headers)
@@ -125,7 +152,7 @@
             kind is CallKind.stream
             and self.behaviour is not TargetBehaviour.mute
         ):
-            await self._serve_stream(request, received)
+            await self._serve_from_slot(request, received)
         else:
             await self._serve_plain(request, received, kind)
 
@@ -169,14 +196,31 @@
         )
 
     def _record_run(self, received: formats.ReceivedRequest) -> None:
-        self.observations.runs.append(
-            ObservedRun(received.request_id, self.name, time.monotonic())
-        )
+        self.observations.runs.append(self._make_run(received.request_id))
         for name in received.reservations:
             self.observations.users.setdefault(name, set()).add(
                 received.request_id
             )
 
+    def _make_run(self, name: str) -> ObservedRun:
+        return ObservedRun(
+            name, self.name, time.monotonic(), self.failure_domain
+        )
+
+    async def _serve_from_slot(
+        self, request: HttpExchange, received: formats.ReceivedRequest
+    ) -> None:
+        """Serve a stream, in a slot and after its prefill if these count."""
+        if self.get_demand() is None:
+            await self._serve_stream(request, received)
+            return
+        own_address = f'{self.address[0]}:{self.address[1] + 1}'
+        async with self.slots:
+            await self.prefills.prefill(
+                (own_address, *received.helpers), received.prompt_tokens
+            )
+            await self._serve_stream(request, received)
+
     async def _serve_stream(
         self, request: HttpExchange, received: formats.ReceivedRequest
     ) -> None:
@@ -201,6 +245,11 @@
     async def _handle_order(self, request: HttpExchange) -> None:
         order = formats.decode_order(request.body)
         if order.is_reservation:
+            if order.reservation_id not in self._known_reservations:
+                self._known_reservations.add(order.reservation_id)
+                self.observations.new_reservations.append(
+                    self._make_run(order.reservation_id)
+                )
             self.reservations[order.reservation_id] = (
                 time.monotonic() + order.hold_s
             )
