Waited in the tests of TLS also for an instance that has no state yet.

test_serves_callers failed once, in a full run at a load of about 20: KeyError 'ready'. An instance that listens but whose actor has not started answers /status with an empty object (Daemon.read_status), and the wait for readiness took it for a state. It waits on now.

--- a/tests/calls/test_tls.py
+++ b/tests/calls/test_tls.py
@@ -72,7 +72,9 @@
 
     def wait(self, deployment, pool):
         for entry in deployment.entries:
-            support.wait_until(lambda: read_status(pool, entry)['ready'])
+            support.wait_until(
+                lambda: read_status(pool, entry).get('ready', False)
+            )
 
     def test_serves_callers(self, deployment, pool):
         self.wait(deployment, pool)
