--- a/tests/gateway/test_early_signals.py
+++ b/tests/gateway/test_early_signals.py
@@ -39,8 +39,8 @@
     if stage == 'imports':
         sys.meta_path.insert(0, Finder())
     else:
-        from trefoilhinge.gateway import daemon
-        daemon.DRAIN_MINIMUM_S = 0.1
+        from trefoilhinge.gateway import daemon, planned_stop
+        planned_stop.DRAIN_MINIMUM_S = 0.1
         precede(daemon, {'settings': 'make_state', 'sockets': 'listen'}[stage])
     runpy.run_module('trefoilhinge.gateway', run_name='__main__')
 """)
--- a/tests/gateway/test_slow_readers.py
+++ b/tests/gateway/test_slow_readers.py
@@ -6,7 +6,7 @@
 
 from tests.gateway.fleets import make_call, read_answer, run_fleet
 from tests.gateway.targets import reply
-from trefoilhinge.gateway import answering_connections, daemon
+from trefoilhinge.gateway import answering_connections, planned_stop
 
 LONG_ANSWER = b'.' * 6_000_000  # more than the kernel's buffers hold
 RECEIVE_BUFFER_BYTES = 16_384
@@ -61,7 +61,7 @@
 
     def test_stop_waits_until_callers_have_read(self, monkeypatch):
         """Guards against review case 4: the exit cut answers in reading."""
-        monkeypatch.setattr(daemon, 'DRAIN_MINIMUM_S', 0.3)
+        monkeypatch.setattr(planned_stop, 'DRAIN_MINIMUM_S', 0.3)
 
         async def run():
             async with run_fleet(d1=reply(200, LONG_ANSWER)) as fleet:
--- a/tests/gateway/test_stop.py
+++ b/tests/gateway/test_stop.py
@@ -12,9 +12,9 @@
     run_peers,
 )
 from tests.gateway.targets import never_answer, reply, stream
-from trefoilhinge.gateway import daemon
+from trefoilhinge.gateway import planned_stop
 from trefoilhinge.gateway.caller_connections import MINIMUM_IDLE_S
-from trefoilhinge.gateway.daemon import DRAIN_MINIMUM_S
+from trefoilhinge.gateway.planned_stop import DRAIN_MINIMUM_S
 from trefoilhinge.gateway.http_client import fetch
 
 # Seconds after SIGTERM from which a call that was taken counts as lost if the
@@ -176,7 +176,7 @@
         Connections that the kernel had accepted, and the calls on them, were
         reset by the exit of a stopping instance that never read them.
         """
-        monkeypatch.setattr(daemon, 'DRAIN_MINIMUM_S', 0.3)
+        monkeypatch.setattr(planned_stop, 'DRAIN_MINIMUM_S', 0.3)
         cut = []
 
         async def run():
@@ -203,7 +203,7 @@
 
     def test_other_instances_know_of_the_exit_at_once(self, monkeypatch):
         """Guards against permits that are asked of an instance that ended."""
-        monkeypatch.setattr(daemon, 'DRAIN_MINIMUM_S', 0.3)
+        monkeypatch.setattr(planned_stop, 'DRAIN_MINIMUM_S', 0.3)
 
         async def run():
             async with run_fleet(m1=stream()) as fleet:
@@ -239,7 +239,8 @@
                 raw.send(make_call('/book/1'))
                 for _ in range(turns):
                     await asyncio.sleep(0)
-                fleet.gateway._close_idle()
+                for caller in tuple(fleet.gateway._callers):
+                    caller.close_idle()
                 answer = await read_answer(reader)
                 assert (answer.status, answer.is_complete) == (200, True)
                 writer.close()
--- a/trefoilhinge/gateway/daemon.py
+++ b/trefoilhinge/gateway/daemon.py
@@ -21,6 +21,7 @@
 )
 from trefoilhinge.gateway.listeners import CallerListener, listen
 from trefoilhinge.gateway.peer_exchange import PeerExchange
+from trefoilhinge.gateway.planned_stop import PlannedStop
 from trefoilhinge.gateway.relay_server import RelayServer
 from trefoilhinge.gateway.replication import handle_peer_request
 from trefoilhinge.gateway.request_checks import DEFAULT_LIMITS
@@ -33,15 +34,6 @@
 
 SWEEP_INTERVAL_S = 0.5
 TASK_RESTART_DELAY_S = 0.5  # of a background task that failed
-# The platform routes new calls elsewhere within 2 s of the order to stop.
-DRAIN_UNRESTRICTED_S = 2.5
-# Another second lets calls that were already in transit arrive.
-DRAIN_MINIMUM_S = 3.5
-EXIT_MARGIN_S = 0.5  # between the exit and the platform's kill
-DRAIN_POLL_INTERVAL_S = 0.1
-# For calls on connections that were open when the listener closed.
-EXIT_LINGER_POLLS = 15
-EXIT_POLL_INTERVAL_S = 0.02
 # The kernel doubles it. All that is there is read at once, from each connection
 # before any of it is handled, so it adds to what is held.
 CALLER_RECEIVE_BYTES = 32_768
@@ -248,61 +240,20 @@
         self._tasks.append(asyncio.ensure_future(self._stop()))
 
     async def _stop(self) -> None:
-        loop = asyncio.get_running_loop()
-        grace_s = self._state.settings.bounds.grace_s
-        self._state.admission_restricted_at_s = (
-            loop.time() + DRAIN_UNRESTRICTED_S
+        stop = PlannedStop(
+            self._state, self._service, self._callers, self._stop_listening
         )
-        self._state.exit_at_s = loop.time() + grace_s - EXIT_MARGIN_S
-        latest_exit_s = self._state.exit_at_s
-        await asyncio.sleep(DRAIN_MINIMUM_S)
-        while loop.time() < latest_exit_s:
-            self._close_idle()
-            if not self._service.active:
-                # Calls from now on are refused rather than cut off by the exit.
-                self._state.exit_at_s = loop.time()
-            await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
-            refuses_calls = self._state.exit_at_s < latest_exit_s
-            if refuses_calls and not self._service.active:
-                break
-        await self._close_entry(latest_exit_s)
+        await stop.run()
         self._peers.announce_end()
         self._state.log.write('stopped', active=self._service.active)
         self._stopped.set()
 
-    async def _close_entry(self, latest_exit_s: float) -> None:
-        """Refuse connections, and answer the calls on those that are open.
-
-        The exit resets a connection that has bytes to read.
-        """
-        if self._entry is None:
-            return
+    async def _stop_listening(self) -> None:
+        """Refuse connections once those that wait are accepted."""
         self._relay_server.stop()
-        self._entry.stop()
-        await self._entry.wait_until_handed_over()
-        await self._await_callers(latest_exit_s)
-        self._close_idle()
-        # Connections on which calls had arrived that were not read.
-        await self._await_callers(latest_exit_s)
-
-    async def _await_callers(self, latest_exit_s: float) -> None:
-        loop = asyncio.get_running_loop()
-        # Polls are counted in place of time: on a starved machine the time
-        # might pass before any of the calls was read.
-        polls = 0
-        while (
-            self._callers
-            and polls < EXIT_LINGER_POLLS
-            and loop.time() < latest_exit_s + EXIT_MARGIN_S / 2
-        ):
-            # Calls that have arrived may take more turns of the event loop.
-            if not any(caller.is_pending for caller in self._callers):
-                polls += 1
-            await asyncio.sleep(EXIT_POLL_INTERVAL_S)
-
-    def _close_idle(self) -> None:
-        for caller in tuple(self._callers):
-            caller.close_idle()
+        if self._entry is not None:
+            self._entry.stop()
+            await self._entry.wait_until_handed_over()
 
     def _reload(self) -> None:
         try:
