Told in the log and the metrics what a planned stop does with calls.

The log of a stop could not tell what became of a call: calls that the exit cut off ended as caller_gone, as did those of callers that had left; 'stopped' had one number; lines that the reader of the pipe had not taken were lost with the process; an error of the caller's connection ended a call without a line.

call_ended now has the outcome 'cut' with the stage of the call, stop_ordered and stopped count the calls by stage and by outcome, stop_calls_total does the same while the stop lasts, and the exit writes what is buffered for 50 ms at most.

tests/gateway/test_stop_log.py on the code before: 'caller_gone' == 'cut' failed, stop_ordered had no field 'begun', and flush took no time limit (2 tests); the two tests of callers that leave passed.

--- a/trefoilhinge/client/request_timeline.py
+++ b/trefoilhinge/client/request_timeline.py
@@ -15,6 +15,7 @@
 _CAUSE_TEXTS = {
     'answered': 'the complete answer was sent to the caller',
     'caller_gone': 'the caller disconnected before the answer was complete',
+    'cut': 'the instance ended before the answer was complete',
     'time_over': 'no answer within the time limit of the caller or the route',
     'targets_full': 'every target that was tried refused the call',
     'internal_error': 'an unexpected error ended the call',
--- a/trefoilhinge/gateway/call_service.py
+++ b/trefoilhinge/gateway/call_service.py
@@ -7,13 +7,14 @@
 from attrs import define, evolve, field
 
 from trefoilhinge.dispatch.calls import Call, CallHead
-from trefoilhinge.dispatch.documents import FleetDocument
 from trefoilhinge.dispatch.durations import estimate_duration_s
 from trefoilhinge.dispatch.relay_codec import RelayedCall
 from trefoilhinge.gateway.attempts import Attempts, make_attempts
+from trefoilhinge.gateway.call_recorder import CallRecorder
 from trefoilhinge.gateway.caller_connections import CallerConnection, expire
 from trefoilhinge.gateway.connections.pool import ConnectionPool
 from trefoilhinge.gateway.crash_detection import CrashDetector
+from trefoilhinge.gateway.open_calls import OpenCall, OpenCalls
 from trefoilhinge.gateway.peer_exchange import PeerExchange
 from trefoilhinge.gateway.refusals import (
     CallFailed,
@@ -32,26 +33,33 @@
 class CallService:
     """Serves calls according to the instance's state.
 
-    :ivar active: number of calls in progress, up to the time at which their
-        callers have taken the whole answer.
+    :ivar open_calls: calls in progress, up to the time at which their callers
+        have taken the whole answer.
     :ivar connections: connections to targets.
     """
 
     _state: GatewayState
     _peers: PeerExchange
-    active: int = 0
+    open_calls: OpenCalls = field(factory=OpenCalls)
     connections: ConnectionPool = field(init=False)
+    _recorder: CallRecorder = field(init=False)
     _crash_detector: CrashDetector = field(init=False)
     _rest_queue: RestQueue = field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Create what all calls share."""
         self.connections = ConnectionPool(self._state)
+        self._recorder = CallRecorder(self._state)
         self._rest_queue = RestQueue(self._state)
         self._crash_detector = CrashDetector(
             self._state, self._peers.quarantine, self._peers.reach
         )
 
+    @property
+    def active(self) -> int:
+        """Return the number of calls in progress."""
+        return len(self.open_calls)
+
     def close(self) -> None:
         """Cancel what goes on in the background."""
         self._crash_detector.close()
@@ -64,12 +72,7 @@
         body: bytes,
     ) -> None:
         """Serve one call until it is answered, refused or failed."""
-        self.active += 1
-        try:
-            await self._serve(caller, head, body)
-            await caller.flush()
-        finally:
-            self.active -= 1
+        await self._serve_whole(caller, head, body)
 
     async def serve_relayed(
         self, caller: CallerConnection, relayed: RelayedCall, ip: str
@@ -78,15 +81,30 @@
 
         :param ip: IP address of that instance.
         """
-        self.active += 1
+        await self._serve_whole(caller, relayed.head, relayed.body, relayed, ip)
+
+    async def _serve_whole(
+        self,
+        caller: CallerConnection,
+        head: CallHead,
+        body: bytes,
+        relayed: RelayedCall | None = None,
+        relayed_by: str = '',
+    ) -> None:
+        """Serve a call until its caller has taken the answer."""
+        open_call = self.open_calls.add()
         try:
-            await self._serve(caller, relayed.head, relayed.body, relayed, ip)
+            await self._serve(
+                open_call, caller, head, body, relayed, relayed_by
+            )
+            open_call.is_ended = True
             await caller.flush()
         finally:
-            self.active -= 1
+            self.open_calls.remove(open_call)
 
     async def _serve(
         self,
+        open_call: OpenCall,
         caller: CallerConnection,
         head: CallHead,
         body: bytes,
@@ -96,7 +114,7 @@
         await self._wait_for_start(head)
         accepted = self._accept(head, body, caller.received_s, relayed_by)
         if isinstance(accepted, Refusal):
-            self._record_refusal(head, accepted)
+            self._recorder.record_refusal(head, accepted)
             await caller.refuse(accepted, head.request_id)
             return
         call = accepted
@@ -111,24 +129,20 @@
             self._rest_queue,
             self.connections,
         )
+        open_call.progress = attempts.progress
         if relayed is not None:
             attempts.progress.attempts = relayed.attempts
             attempts.progress.possible_runs = relayed.possible_runs
             attempts.progress.earlier_runs = relayed.possible_runs
         try:
-            await self._run(caller, call, attempts)
-        except CallFailed as failure:
-            await self._fail(caller, call, attempts, failure.refusal)
-        except TimeoutError:
-            refusal = attempts.make_timeout_refusal()
-            if caller.is_shed:
-                refusal = make_memory_refusal(attempts.progress.possible_runs)
-            await self._fail(caller, call, attempts, refusal)
-        except asyncio.CancelledError:
-            self._record_end(call, attempts, 'caller_gone', None)
+            refusal = await self._find_refusal(caller, call, attempts)
+        except (asyncio.CancelledError, OSError, h11.LocalProtocolError):
+            self._recorder.record_interrupted(
+                call, attempts.progress, has_left=caller.has_left
+            )
             raise
         else:
-            self._record_end(call, attempts, 'answered', None)
+            await self._end(caller, call, attempts, refusal)
         finally:
             attempts.close()
 
@@ -145,6 +159,20 @@
             ready=state.startup.is_open,
         )
 
+    async def _find_refusal(
+        self, caller: CallerConnection, call: Call, attempts: Attempts
+    ) -> Refusal | None:
+        """Run the attempts; return why they failed, ``None`` if answered."""
+        try:
+            await self._run(caller, call, attempts)
+        except CallFailed as failure:
+            return failure.refusal
+        except TimeoutError:
+            if caller.is_shed:
+                return make_memory_refusal(attempts.progress.possible_runs)
+            return attempts.make_timeout_refusal()
+        return None
+
     async def _run(
         self, caller: CallerConnection, call: Call, attempts: Attempts
     ) -> None:
@@ -234,76 +262,25 @@
             caller_deadline_s=caller_deadline_s,
             relayed_by=relayed_by,
         )
-        self._log_accepted(call, document)
+        self._recorder.record_accepted(call, document)
         return call
 
-    async def _fail(
+    async def _end(
         self,
         caller: CallerConnection,
         call: Call,
         attempts: Attempts,
-        refusal: Refusal,
+        refusal: Refusal | None,
     ) -> None:
-        self._record_end(call, attempts, 'failed', refusal)
-        if attempts.progress.has_started:
+        progress = attempts.progress
+        if refusal is None:
+            self._recorder.record_end(call, progress, 'answered')
+            return
+        self._recorder.record_end(call, progress, 'failed', refusal)
+        if progress.has_started:
             caller.abort()
             return
-        progress = attempts.progress
         was_sent = progress.possible_runs > progress.earlier_runs
         await caller.refuse(
             evolve(refusal, was_sent=was_sent), call.head.request_id
         )
-
-    def _log_accepted(self, call: Call, document: FleetDocument) -> None:
-        size = call.head.prompt_size
-        self._state.log.write(
-            'call_accepted',
-            request=call.head.request_id,
-            route=call.route.name,
-            service=call.service,
-            organisation=call.organisation.name if call.organisation else None,
-            version=document.version,
-            prompt=size.prompt_tokens if size else None,
-            waits_s=call.deadline_s - self._state.get_now_s(),
-            last_event=call.head.last_event,
-            relayed_by=call.relayed_by or None,
-        )
-
-    def _record_refusal(self, head: CallHead, refusal: Refusal) -> None:
-        self._state.metrics.increment('calls_refused', code=refusal.code)
-        document = self._state.document
-        self._state.log.write(
-            'call_refused',
-            request=head.request_id,
-            code=refusal.code,
-            verdict=refusal.verdict,
-            version=document.version if document else 0,
-        )
-
-    def _record_end(
-        self,
-        call: Call,
-        attempts: Attempts,
-        outcome: str,
-        refusal: Refusal | None,
-    ) -> None:
-        progress = attempts.progress
-        kind = call.route.kind.value
-        metrics = self._state.metrics
-        metrics.increment('calls_ended', kind=kind, outcome=outcome)
-        took_s = self._state.get_now_s() - call.received_s
-        metrics.observe('call_duration', took_s, kind=kind)
-        self._state.log.write(
-            'call_ended',
-            request=call.head.request_id,
-            outcome=outcome,
-            status=refusal.status if refusal else progress.status,
-            code=refusal.code if refusal else None,
-            verdict=refusal.verdict if refusal else None,
-            offers=progress.attempts,
-            first_s=progress.first_event_s,
-            pause_s=progress.longest_gap_s or None,
-            last_event=progress.last_event,
-            took_s=took_s,
-            relayed_by=call.relayed_by or None,
-        )
--- a/trefoilhinge/gateway/caller_connections.py
+++ b/trefoilhinge/gateway/caller_connections.py
@@ -43,6 +43,7 @@
     """One connection of a caller, which carries calls one after another.
 
     :ivar is_serving: whether a call is in progress.
+    :ivar has_left: whether the caller closed its connection under a call.
     :ivar received_s: monotonic seconds at which the current request began to
         arrive.
     :ivar end_call: ends the call in progress before its deadline; none if
@@ -53,6 +54,7 @@
     _taken_bytes: int = 0
     _idle_since_s: float = field(init=False)
     is_serving: bool = False
+    has_left: bool = False
     received_s: float = 0
     end_call: Callable[[], None] | None = None
     _receipt: asyncio.Timeout | None = None
@@ -94,6 +96,12 @@
         """Return whether a call is served, or has arrived but was not read."""
         return self.is_serving or self._has_unread_bytes()
 
+    @property
+    def is_arriving(self) -> bool:
+        """Return whether a part of a request has arrived."""
+        has_bytes = self._received_bytes > 0 or self._has_unread_bytes()
+        return has_bytes and not self.is_serving
+
     def close_idle(self) -> None:
         """Close the connection unless a request is received or served.
 
@@ -167,6 +175,7 @@
             )
         finally:
             self.is_serving = False
+            self.has_left = disconnect_task.done()
             disconnect_task.cancel()
             if not call_task.done():
                 call_task.cancel()
--- a/trefoilhinge/gateway/daemon.py
+++ b/trefoilhinge/gateway/daemon.py
@@ -34,6 +34,8 @@
 
 SWEEP_INTERVAL_S = 0.5
 TASK_RESTART_DELAY_S = 0.5  # of a background task that failed
+# For lines that wait at the exit. A reader that has stopped delays it by that.
+EXIT_FLUSH_S = 0.05
 # The kernel doubles it. All that is there is read at once, from each connection
 # before any of it is handled, so it adds to what is held.
 CALLER_RECEIVE_BYTES = 32_768
@@ -66,6 +68,10 @@
         self._service.close()
         self._peers.close()
 
+    def flush_log(self) -> None:
+        """Write what is left of the log, as far as its reader takes it."""
+        self._state.log.flush(EXIT_FLUSH_S)
+
     async def run(self) -> None:
         """Serve until a stop by SIGTERM is complete.
 
@@ -236,7 +242,6 @@
         if self._state.is_stopping:
             return
         self._state.is_stopping = True
-        self._state.log.write('stop_ordered', active=self._service.active)
         self._tasks.append(asyncio.ensure_future(self._stop()))
 
     async def _stop(self) -> None:
@@ -245,7 +250,6 @@
         )
         await stop.run()
         self._peers.announce_end()
-        self._state.log.write('stopped', active=self._service.active)
         self._stopped.set()
 
     async def _stop_listening(self) -> None:
@@ -287,7 +291,8 @@
     """Run an instance with the settings that the environment names."""
     record_signals()
 
-    async def run() -> None:  # noqa: WPS430
-        await make_gateway(load_settings()).run()
-
-    asyncio.run(run())
+    gateway = make_gateway(load_settings())
+    try:
+        asyncio.run(gateway.run())
+    finally:
+        gateway.flush_log()
--- a/trefoilhinge/gateway/logs.py
+++ b/trefoilhinge/gateway/logs.py
@@ -21,6 +21,7 @@
 WRITE_BYTES = 4_096  # a pipe that polls writable takes PIPE_BUF bytes
 # Three lines for each call at the load expected in two years.
 MAXIMUM_ROUTINE_LINES_PER_S = 400
+MS_PER_S = 1_000
 ANSWERED = 'answered'
 ROUTINE_EVENTS = frozenset(
     (
@@ -60,9 +61,13 @@
         self.buffered.append(f'{record.message}\n'.encode('utf-8', 'replace'))
         self.flush()
 
-    def flush(self) -> None:
-        """Write what the pipe takes now."""
-        while self.buffered and self._poll.poll(0):
+    def flush(self, limit_s: float = 0) -> None:
+        """Write what the pipe takes now, or until a time has passed."""
+        end_s = time.monotonic() + limit_s
+        while self.buffered:
+            left_s = max(0, end_s - time.monotonic())
+            if not self._poll.poll(left_s * MS_PER_S):
+                return
             line = self.buffered.popleft()
             try:
                 os.write(self._descriptor, line[:WRITE_BYTES])
@@ -121,9 +126,12 @@
                 problem=f'{type(problem).__name__}: {problem}',
             )
 
-    def flush(self) -> None:
-        """Write what the pipe takes, and the number of dropped lines."""
-        self._handler.flush()
+    def flush(self, limit_s: float = 0) -> None:
+        """Write what the pipe takes, and the number of dropped lines.
+
+        :param limit_s: seconds to wait for a reader that is slow.
+        """
+        self._handler.flush(limit_s)
         dropped = self._handler.dropped
         if dropped and not self._handler.buffered:
             self._handler.dropped = 0
--- a/trefoilhinge/gateway/metrics.py
+++ b/trefoilhinge/gateway/metrics.py
@@ -49,6 +49,10 @@
         """Add an amount to a counter."""
         self.counts[name, tuple(sorted(labels.items()))] += amount
 
+    def get_count(self, name: str, **labels: str) -> int:
+        """Return the value of a counter, zero if it was never incremented."""
+        return self.counts[name, tuple(sorted(labels.items()))]
+
     def set_gauge(self, name: str, value: float) -> None:
         """Set a gauge."""
         self.gauges[name] = value
--- a/trefoilhinge/gateway/planned_stop.py
+++ b/trefoilhinge/gateway/planned_stop.py
@@ -18,6 +18,8 @@
 # For calls on connections that were open when the listener closed.
 EXIT_LINGER_POLLS = 15
 EXIT_POLL_INTERVAL_S = 0.02
+# Outcomes of calls, as they are counted from the order to the exit.
+OUTCOMES = ('answered', 'refused', 'failed', 'caller_gone', 'cut')
 
 
 @define
@@ -31,6 +33,25 @@
 
     async def run(self) -> None:
         """Return when the process may exit."""
+        loop = asyncio.get_running_loop()
+        ordered_s = loop.time()
+        self._state.log.write(
+            'stop_ordered',
+            active=self._service.active,
+            **self._service.open_calls.count_stages(),
+        )
+        await self._drain()
+        self._state.log.write(
+            'stopped',
+            active=self._service.active,
+            **self._service.open_calls.count_stages(),
+            arriving=sum(caller.is_arriving for caller in self._callers),
+            **self._count_outcomes(),
+            took_s=loop.time() - ordered_s,
+            grace_s=self._state.settings.bounds.grace_s,
+        )
+
+    async def _drain(self) -> None:
         loop = asyncio.get_running_loop()
         grace_s = self._state.settings.bounds.grace_s
         self._state.admission_restricted_at_s = (
@@ -55,6 +76,15 @@
         for caller in tuple(self._callers):
             caller.close_idle()
 
+    def _count_outcomes(self) -> dict[str, int]:
+        """Return how many calls ended since the order, by outcome."""
+        return {
+            f'{outcome}_calls': self._state.metrics.get_count(
+                'stop_calls', outcome=outcome
+            )
+            for outcome in OUTCOMES
+        }
+
     async def _close_connections(self, latest_exit_s: float) -> None:
         """Refuse connections, and answer the calls on those that are open.
 
