Refused calls that a stopping instance cannot finish, and answered the rest.

Callers got no answer to long prompts around the SIGTERM of an instance: it took and kept calls that waited for longer than it lived, and its exit cut them off, with those that targets had not begun to answer.

The cause: a call was judged once, when it came, and in the first 2.5 s after the order not at all; the estimate knew no queue, send time, rest, permit or second attempt, and nothing ended what was left at the exit but the end of the event loop.

A stop has a schedule now (dispatch/stops.py), and each call a plan: from when it can be sent, and how long it takes then. A call that cannot be sent and end in time is refused as soon as that is known, also if it waits already when the stop is ordered: 503, not run, to be repeated at once. The plan allows the last sixth of the grace, in which the platform excuses work that goes on, for calls that take longer than expected; a call that comes 2.5 s after the order or later is sent only if it ends before the exit at the most. At the exit, a call that was sent gets 504, and a stream that was begun ends incomplete. Calls that no other attempt could serve in time are not given up for silence of their targets. Releases of reserved memory are awaited for 0.1 s. The schedule is fixed at the order, so that a SIGHUP after it cannot move the exit past the kill. Calls at the startup gate are refused at the order.

The tests of test_stop.py that set the time of the exit set it on the schedule, with the same distances.

--- a/tests/gateway/admission_networks.py
+++ b/tests/gateway/admission_networks.py
@@ -24,6 +24,7 @@
 from trefoilhinge.gateway.rest_queue import RestQueue
 from trefoilhinge.gateway.run_tracker import RunTracker
 from trefoilhinge.gateway.state import make_state
+from trefoilhinge.gateway.stop_guard import StopGuard, make_plan
 from trefoilhinge.gateway.target_choice import TargetChoice
 
 LATENCY_S = 0.003
@@ -164,14 +165,15 @@
     ):
         state = self.peers[ip]._state
         call = make_call(next(self._numbers), state.get_now_s(), **fields)
+        progress = CallProgress(call.received_s)
         choice = TargetChoice(
             state,
             self.peers[ip].permits,
             RestQueue(state),
             self.peers[ip].admission,
             call,
+            StopGuard(state, call, progress, make_plan(state, call)),
         )
-        progress = CallProgress(call.received_s)
         try:
             async with asyncio.timeout(leaves_after_s):
                 placement, number = await choice.choose(progress, set())
--- a/tests/gateway/test_stop.py
+++ b/tests/gateway/test_stop.py
@@ -12,6 +12,7 @@
     run_peers,
 )
 from tests.gateway.targets import never_answer, reply, stream
+from trefoilhinge.dispatch.stops import MINIMUM_EXIT_S, UNRESTRICTED_S
 from trefoilhinge.gateway import planned_stop
 from trefoilhinge.gateway.caller_connections import MINIMUM_IDLE_S
 from trefoilhinge.gateway.planned_stop import DRAIN_MINIMUM_S
@@ -27,6 +28,16 @@
     return (await fetch(fleet.settings.readiness, '/ready', 1)).status
 
 
+def hasten_stop(fleet, exits_in_s):
+    """Let a stop be ordered so long ago that calls are taken at a risk no more.
+
+    :param exits_in_s: seconds from now until calls are ended for the exit.
+    """
+    stop = fleet.state.stop
+    stop.ordered_s -= UNRESTRICTED_S
+    stop.grace_s = UNRESTRICTED_S + exits_in_s + MINIMUM_EXIT_S
+
+
 class TestStop:
     def test_instance_is_ready_until_the_stop_order(self):
         async def run():
@@ -72,10 +83,8 @@
         async def run():
             async with run_fleet(m1=stream()) as fleet:
                 fleet.gateway._begin_stop()
-                now_s = fleet.state.get_now_s()
                 await asyncio.sleep(0.01)
-                fleet.state.admission_restricted_at_s = now_s
-                fleet.state.exit_at_s = now_s + 2
+                hasten_stop(fleet, exits_in_s=2)
                 answer = await fleet.call()
                 assert answer.status == 503
                 assert b'"not_run"' in answer.content
@@ -93,7 +102,8 @@
             async with run_fleet(m1=stream()) as fleet:
                 fleet.gateway._begin_stop()
                 await asyncio.sleep(LOSS_COUNTS_FROM_S)
-                fleet.state.exit_at_s = fleet.state.get_now_s() + 2
+                stop = fleet.state.stop
+                stop.grace_s -= stop.exit_s - fleet.state.get_now_s() - 2
                 answer = await fleet.call()
                 assert answer.status == 503
                 assert not fleet.targets['m1'].requests
@@ -111,9 +121,7 @@
             async with run_fleet(m1=stream()) as fleet:
                 fleet.gateway._begin_stop()
                 await asyncio.sleep(0.01)
-                now_s = fleet.state.get_now_s()
-                fleet.state.admission_restricted_at_s = now_s
-                fleet.state.exit_at_s = now_s + 3.5
+                hasten_stop(fleet, exits_in_s=3.5)
                 assert (await fleet.call()).status == 200
 
         asyncio.run(run())
@@ -126,7 +134,6 @@
 
         async def run():
             async with run_fleet(d1=never_answer) as fleet:
-                loop = asyncio.get_running_loop()
                 fleet.gateway._begin_stop()
                 await asyncio.sleep(DRAIN_MINIMUM_S - 0.1)
                 reader, writer = await asyncio.open_connection(
@@ -135,7 +142,7 @@
                 data = make_call('/look/1', 'GET')
                 writer.write(data[:-2])
                 async with asyncio.timeout(1):
-                    while fleet.state.exit_at_s > loop.time():
+                    while not fleet.state.stop.is_closing:
                         await asyncio.sleep(0.005)
                 writer.write(data[-2:])
                 answer = await read_answer(reader)
--- a/trefoilhinge/gateway/attempts.py
+++ b/trefoilhinge/gateway/attempts.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import functools
+import math
 
 from attrs import define, field
 
@@ -42,6 +43,7 @@
     find_event_timeout_s,
 )
 from trefoilhinge.gateway.state import GatewayState
+from trefoilhinge.gateway.stop_guard import StopGuard, make_plan
 from trefoilhinge.gateway.target_choice import TargetChoice
 from trefoilhinge.gateway.target_needs import record_claim, record_needs
 from trefoilhinge.gateway.target_connections import (
@@ -77,6 +79,7 @@
     _crash_detector: CrashDetector
     _gate: QuarantineGate
     _peer_relay: PeerRelay
+    _stop_guard: StopGuard
     progress: CallProgress
     _excluded: set[str] = field(factory=set)
     _is_stale: bool = False  # the last attempt's connection had ended before
@@ -99,6 +102,7 @@
 
         :return: whether it was answered.
         """
+        self._stop_guard.check()
         self._gate.check()
         await self._peers.reach.settle(self._call.service)
         is_unreachable = self._state.reach.is_unreachable(self._call.service)
@@ -148,6 +152,22 @@
             )
         return await self._peer_relay.run()
 
+    @property
+    def call(self) -> Call:
+        """Return the call."""
+        return self._call
+
+    @property
+    def is_hopeless(self) -> bool:
+        """Return whether the call ends only after this instance.
+
+        One that a target may still answer is not.
+        """
+        is_awaited = (
+            self.progress.is_outstanding or self._late_answers.are_awaited
+        )
+        return not is_awaited and not self._stop_guard.allows_sending
+
     def make_timeout_refusal(self) -> Refusal:
         """Return the refusal for a call that reached its deadline."""
         return make_timeout_refusal(self.progress)
@@ -160,6 +180,7 @@
 
     def _end_attempt(self) -> None:
         """Close the connection, end the run and release reserved memory."""
+        self.progress.is_outstanding = False
         self._recorder.record_closed()
         self._sender.close()
         self._peer_relay.close()
@@ -221,6 +242,7 @@
         :return: whether the call was answered.
         """
         target = placement.parts[0].target
+        self._stop_guard.plan_placement(placement)
         self._run_tracker.start(placement, number)
         self._recorder.record_send_delay(placement)
         await self._run_tracker.wait_for_send_time()
@@ -231,6 +253,7 @@
         if helpers is None:
             await self._handle_rejection('memory could not be reserved')
             return False
+        self._stop_guard.check()
         connection = await self._sender.send(placement, record, helpers)
         if connection is None:
             return False
@@ -254,6 +277,9 @@
         try:
             return await await_answer(answer, connection, probe)
         except TargetSilent:
+            if not self._stop_guard.allows_sending:
+                # No other attempt would end in time.
+                return await await_answer(answer, connection, probe, math.inf)
             if self._call.route.kind is CallKind.idempotent:
                 self._state.log.write(
                     'answer_awaited',
@@ -423,6 +449,7 @@
     relay = AnswerRelay(caller, progress)
     recorder = AttemptRecorder(state, peers, call, progress)
     gate = QuarantineGate(state, peers, call, progress)
+    stop_guard = StopGuard(state, call, progress, make_plan(state, call))
     return Attempts(
         state,
         peers,
@@ -431,9 +458,17 @@
         RunTracker(state, peers, call),
         recorder,
         AttemptSender(state, peers, call, progress, recorder, gate, pool),
-        TargetChoice(state, peers.permits, rest_queue, peers.admission, call),
+        TargetChoice(
+            state,
+            peers.permits,
+            rest_queue,
+            peers.admission,
+            call,
+            stop_guard,
+        ),
         crash_detector,
         gate,
         PeerRelay(state, call, relay, progress),
+        stop_guard,
         progress,
     )
--- a/trefoilhinge/gateway/call_recorder.py
+++ b/trefoilhinge/gateway/call_recorder.py
@@ -3,7 +3,6 @@
 from attrs import define
 
 from trefoilhinge.dispatch.calls import Call, CallHead
-from trefoilhinge.dispatch.documents import FleetDocument
 from trefoilhinge.gateway.open_calls import find_stage
 from trefoilhinge.gateway.progress import CallProgress
 from trefoilhinge.gateway.refusals import Refusal
@@ -18,16 +17,17 @@
 
     _state: GatewayState
 
-    def record_accepted(self, call: Call, document: FleetDocument) -> None:
+    def record_accepted(self, call: Call) -> None:
         """Record that a route and an organisation were found for a call."""
         size = call.head.prompt_size
+        document = self._state.document
         self._state.log.write(
             'call_accepted',
             request=call.head.request_id,
             route=call.route.name,
             service=call.service,
             organisation=call.organisation.name if call.organisation else None,
-            version=document.version,
+            version=document.version if document else 0,
             prompt=size.prompt_tokens if size else None,
             waits_s=call.deadline_s - self._state.get_now_s(),
             last_event=call.head.last_event,
--- a/trefoilhinge/gateway/call_service.py
+++ b/trefoilhinge/gateway/call_service.py
@@ -7,10 +7,10 @@
 from attrs import define, evolve, field
 
 from trefoilhinge.dispatch.calls import Call, CallHead
-from trefoilhinge.dispatch.durations import estimate_duration_s
 from trefoilhinge.dispatch.relay_codec import RelayedCall
+from trefoilhinge.gateway.acceptance import accept_call
 from trefoilhinge.gateway.attempts import Attempts, make_attempts
-from trefoilhinge.gateway.call_recorder import CallRecorder
+from trefoilhinge.gateway.call_recorder import CUT, CallRecorder
 from trefoilhinge.gateway.caller_connections import CallerConnection, expire
 from trefoilhinge.gateway.connections.pool import ConnectionPool
 from trefoilhinge.gateway.crash_detection import CrashDetector
@@ -21,13 +21,11 @@
     Refusal,
     make_internal_refusal,
     make_memory_refusal,
+    make_stopping_refusal,
 )
 from trefoilhinge.gateway.rest_queue import RestQueue
-from trefoilhinge.gateway.startup import find_startup_retry_after_s
 from trefoilhinge.gateway.state import GatewayState
 
-STOPPING_RETRY_AFTER_S = 0.1  # other instances can serve the call at once
-
 
 @define
 class CallService:
@@ -112,12 +110,15 @@
         relayed_by: str = '',
     ) -> None:
         await self._wait_for_start(head)
-        accepted = self._accept(head, body, caller.received_s, relayed_by)
+        accepted = accept_call(
+            self._state, head, body, caller.received_s, relayed_by
+        )
         if isinstance(accepted, Refusal):
             self._recorder.record_refusal(head, accepted)
             await caller.refuse(accepted, head.request_id)
             return
         call = accepted
+        self._recorder.record_accepted(call)
         if call.organisation is not None:
             caller.set_organisation(call.organisation.name)
         attempts = make_attempts(
@@ -129,26 +130,26 @@
             self._rest_queue,
             self.connections,
         )
-        open_call.progress = attempts.progress
+        open_call.attempts = attempts
         if relayed is not None:
             attempts.progress.attempts = relayed.attempts
             attempts.progress.possible_runs = relayed.possible_runs
             attempts.progress.earlier_runs = relayed.possible_runs
         try:
-            refusal = await self._find_refusal(caller, call, attempts)
+            refusal = await self._find_refusal(open_call, caller, attempts)
         except (asyncio.CancelledError, OSError, h11.LocalProtocolError):
             self._recorder.record_interrupted(
                 call, attempts.progress, has_left=caller.has_left
             )
             raise
         else:
-            await self._end(caller, call, attempts, refusal)
+            await self._end(open_call, caller, call, attempts, refusal)
         finally:
             attempts.close()
 
     async def _wait_for_start(self, head: CallHead) -> None:
         state = self._state
-        if state.startup.is_open:
+        if state.startup.is_open or state.is_stopping:
             return
         began_s = state.get_now_s()
         await state.startup.wait(state.started_s)
@@ -160,29 +161,39 @@
         )
 
     async def _find_refusal(
-        self, caller: CallerConnection, call: Call, attempts: Attempts
+        self,
+        open_call: OpenCall,
+        caller: CallerConnection,
+        attempts: Attempts,
     ) -> Refusal | None:
         """Run the attempts; return why they failed, ``None`` if answered."""
         try:
-            await self._run(caller, call, attempts)
+            await self._run(open_call, caller, attempts)
         except CallFailed as failure:
             return failure.refusal
         except TimeoutError:
             if caller.is_shed:
                 return make_memory_refusal(attempts.progress.possible_runs)
+            if open_call.is_given_up:
+                return make_stopping_refusal(attempts.progress)
             return attempts.make_timeout_refusal()
         return None
 
     async def _run(
-        self, caller: CallerConnection, call: Call, attempts: Attempts
+        self,
+        open_call: OpenCall,
+        caller: CallerConnection,
+        attempts: Attempts,
     ) -> None:
-        """Run the attempts until the call's deadline, or its caller is shed.
+        """Run the attempts until the call's deadline, or until it is ended.
 
         :raises CallFailed: the attempts failed, also with an unexpected error.
         """
+        call = attempts.call
         try:
             async with asyncio.timeout_at(call.deadline_s) as deadline:
-                caller.end_call = functools.partial(expire, deadline)
+                open_call.expire = functools.partial(expire, deadline)
+                caller.end_call = open_call.expire
                 if caller.is_shed:
                     caller.end_call()
                 await attempts.run()
@@ -199,74 +210,11 @@
             raise CallFailed(refusal) from problem
         finally:
             caller.end_call = None
-
-    def _accept(
-        self,
-        head: CallHead,
-        body: bytes,
-        received_s: float,
-        relayed_by: str,
-    ) -> Call | Refusal:
-        document = self._state.document
-        if document is None:
-            return Refusal(
-                503,
-                'document_unknown',
-                'not_run',
-                'this instance has just started',
-                find_startup_retry_after_s(
-                    head,
-                    is_store_unreachable=(
-                        self._state.directory.outages.unreachable_since_s
-                        is not None
-                    ),
-                ),
-                is_local=True,
-            )
-        route = document.find_route(head.host, head.path)
-        if route is None:
-            return Refusal(
-                404, 'route_unknown', 'not_run', 'no route has this path'
-            )
-        maximum_duration_s = estimate_duration_s(
-            document, route, head.prompt_size
-        )
-        if not self._state.can_finish_within(maximum_duration_s):
-            return Refusal(
-                503,
-                'stopping',
-                'not_run',
-                'this instance ends before the call could',
-                STOPPING_RETRY_AFTER_S,
-                is_local=True,
-            )
-        organisation = document.find_organisation(head.api_key)
-        needs_key = document.organisations is not None and not route.is_public
-        if needs_key and organisation is None:
-            return Refusal(
-                401, 'key_unknown', 'not_run', 'no organisation has this key'
-            )
-        timeout_s = route.timeout_s
-        caller_deadline_s = received_s + timeout_s
-        if head.timeout_s is not None:
-            caller_deadline_s = received_s + head.timeout_s
-            timeout_s = min(timeout_s, head.timeout_s)
-        call = Call(
-            head=head,
-            body=body,
-            route=route,
-            service=route.choose_service(head.request_hash),
-            organisation=organisation,
-            received_s=received_s,
-            deadline_s=received_s + timeout_s,
-            caller_deadline_s=caller_deadline_s,
-            relayed_by=relayed_by,
-        )
-        self._recorder.record_accepted(call, document)
-        return call
+            open_call.expire = None
 
     async def _end(
         self,
+        open_call: OpenCall,
         caller: CallerConnection,
         call: Call,
         attempts: Attempts,
@@ -276,10 +224,12 @@
         if refusal is None:
             self._recorder.record_end(call, progress, 'answered')
             return
-        self._recorder.record_end(call, progress, 'failed', refusal)
         if progress.has_started:
+            outcome = CUT if open_call.is_given_up else 'failed'
+            self._recorder.record_end(call, progress, outcome, refusal)
             caller.abort()
             return
+        self._recorder.record_end(call, progress, 'failed', refusal)
         was_sent = progress.possible_runs > progress.earlier_runs
         await caller.refuse(
             evolve(refusal, was_sent=was_sent), call.head.request_id
--- a/trefoilhinge/gateway/daemon.py
+++ b/trefoilhinge/gateway/daemon.py
@@ -9,6 +9,7 @@
 
 from trefoilhinge.dispatch.documents import CallerLimits
 from trefoilhinge.dispatch.settings import Address, GatewaySettings
+from trefoilhinge.dispatch.stops import StopSchedule
 from trefoilhinge.exceptions import ImproperlyConfigured
 from trefoilhinge.gateway.call_service import CallService
 from trefoilhinge.gateway.caller_connections import CallerConnection
@@ -239,15 +240,24 @@
             state.log.flush()
 
     def _begin_stop(self) -> None:
-        if self._state.is_stopping:
+        state = self._state
+        if state.stop is not None:
             return
-        self._state.is_stopping = True
-        self._tasks.append(asyncio.ensure_future(self._stop()))
-
-    async def _stop(self) -> None:
+        schedule = StopSchedule(
+            state.get_now_s(), state.settings.bounds.grace_s
+        )
+        state.stop = schedule
+        state.startup.release()
         stop = PlannedStop(
-            self._state, self._service, self._callers, self._stop_listening
+            state,
+            self._service,
+            self._callers,
+            self._stop_listening,
+            schedule,
         )
+        self._tasks.append(asyncio.ensure_future(self._stop(stop)))
+
+    async def _stop(self, stop: PlannedStop) -> None:
         await stop.run()
         self._peers.announce_end()
         self._stopped.set()
--- a/trefoilhinge/gateway/late_answers.py
+++ b/trefoilhinge/gateway/late_answers.py
@@ -34,6 +34,11 @@
         """Return whether the current task handles a late answer."""
         return asyncio.current_task() in self._answers
 
+    @property
+    def are_awaited(self) -> bool:
+        """Return whether an answer may still come."""
+        return bool(self._monitors)
+
     def add(
         self,
         answer: asyncio.Task[bool],
--- a/trefoilhinge/gateway/permits.py
+++ b/trefoilhinge/gateway/permits.py
@@ -38,6 +38,10 @@
 Inbox = asyncio.Queue[PermitDecision]
 
 
+def _ignore(wait_s: float) -> None:
+    """Note nothing."""
+
+
 @define
 class Permits:
     """Asks the owners of limited targets, and answers as an owner.
@@ -61,16 +65,21 @@
         self,
         request: PermitRequest,
         has_alternative: Callable[[], bool],
+        note_wait: Callable[[float], None] = _ignore,
     ) -> PermitDecision:
         """Ask for a permit until it is granted or refused.
 
         :param has_alternative: returns whether the call need not wait for
             this target any more; the request is then given up.
+        :param note_wait: called with the seconds until a permit is expected,
+            as often as the owner says so.
         """
         inbox: Inbox = asyncio.Queue()
         self._inboxes[request.key] = inbox
         try:
-            decision = await self._acquire(request, inbox, has_alternative)
+            decision = await self._acquire(
+                request, inbox, has_alternative, note_wait
+            )
         finally:
             self._inboxes.pop(request.key)
         if decision.verdict is not PermitVerdict.granted:
@@ -130,6 +139,7 @@
         request: PermitRequest,
         inbox: Inbox,
         has_alternative: Callable[[], bool],
+        note_wait: Callable[[float], None],
     ) -> PermitDecision:
         latest_s = self._state.get_now_s() + request.patience_s
         unanswered = 0
@@ -142,6 +152,7 @@
                 continue
             unanswered = 0
             if decision.verdict is PermitVerdict.waiting:
+                note_wait(decision.wait_s)
                 decision = await _receive(inbox, REPEAT_INTERVAL_S)
             if (
                 decision is not None
--- a/trefoilhinge/gateway/progress.py
+++ b/trefoilhinge/gateway/progress.py
@@ -21,6 +21,7 @@
     :ivar has_started: whether a part of an answer was sent to the caller.
     :ivar first_event_s: seconds from receipt of the call to the first event.
     :ivar longest_gap_s: longest gap between events, seconds.
+    :ivar is_outstanding: whether the last attempt may still be answered.
     """
 
     received_s: float
@@ -37,6 +38,7 @@
     has_started: bool = False
     first_event_s: float | None = None
     longest_gap_s: float = 0
+    is_outstanding: bool = False
     _last_event_at_s: float = 0
 
     def record_attempt(self, now_s: float) -> None:
@@ -45,6 +47,7 @@
         self.possible_runs += 1
         self.attempt_sent_s = now_s
         self.attempt_events = 0
+        self.is_outstanding = True
 
     def record_not_run(self) -> None:
         """Record that the last attempt was sent to no target."""
--- a/trefoilhinge/gateway/refusals.py
+++ b/trefoilhinge/gateway/refusals.py
@@ -11,6 +11,7 @@
 INTERNAL_RETRY_AFTER_S = 0.3  # another attempt may not be affected
 BUSY_RETRY_AFTER_S = 0.7  # a short stream ends and frees a slot by then
 MEMORY_RETRY_AFTER_S = 0.5  # what was shed is released by then
+STOPPING_RETRY_AFTER_S = 0.1  # other instances can serve the call at once
 UNREACHABLE_RETRY_AFTER_S = 0.5  # the end of a cut is noticed by then
 NO_TARGET_RETRY_AFTER_S = 1.0  # a target that starts is in the store by then
 # How long an evacuation lasts is not known; its end is in force in a second.
@@ -89,6 +90,29 @@
     )
 
 
+def make_stopping_refusal(progress: CallProgress | None) -> Refusal:
+    """Return the refusal of a call that this instance cannot finish.
+
+    :param progress: ``None`` before the call is accepted.
+    """
+    if progress is not None and progress.possible_runs:
+        return Refusal(
+            504,
+            'stopping',
+            'may_have_run',
+            'this instance ends, and no answer came before',
+            is_local=True,
+        )
+    return Refusal(
+        503,
+        'stopping',
+        'not_run',
+        'this instance ends before the call could',
+        STOPPING_RETRY_AFTER_S,
+        is_local=True,
+    )
+
+
 def make_unreachable_refusal(
     progress: CallProgress, spread: float, *, is_local: bool = False
 ) -> Refusal:
--- a/trefoilhinge/gateway/reservations.py
+++ b/trefoilhinge/gateway/reservations.py
@@ -274,3 +274,12 @@
         return reservations
     reservations.release()
     return None
+
+
+async def finish_releases(limit_s: float) -> None:
+    """Wait until targets have confirmed the releases that are under way.
+
+    :param limit_s: seconds after which the rest is left to the leases.
+    """
+    if _RELEASE_TASKS:
+        await asyncio.wait(_RELEASE_TASKS, timeout=limit_s)
--- a/trefoilhinge/gateway/startup.py
+++ b/trefoilhinge/gateway/startup.py
@@ -25,6 +25,7 @@
     """
 
     _opened: asyncio.Event = field(factory=asyncio.Event)
+    _released: asyncio.Event = field(factory=asyncio.Event)
 
     @property
     def is_open(self) -> bool:
@@ -34,6 +35,11 @@
     def open(self) -> None:
         """Let all calls pass from now on."""
         self._opened.set()
+        self.release()
+
+    def release(self) -> None:
+        """Let no call wait any more, though nothing may be known."""
+        self._released.set()
 
     async def wait(self, started_s: float) -> None:
         """Wait until the gate is open, or shortly after the start.
@@ -44,7 +50,7 @@
             return
         try:
             async with asyncio.timeout_at(started_s + STARTUP_WAIT_S):
-                await self._opened.wait()
+                await self._released.wait()
         except TimeoutError:
             # The call is refused with the reason that is known by now.
             return
--- a/trefoilhinge/gateway/state.py
+++ b/trefoilhinge/gateway/state.py
@@ -23,6 +23,7 @@
 from trefoilhinge.dispatch.rests import RestTable
 from trefoilhinge.dispatch.settings import GatewaySettings
 from trefoilhinge.dispatch.slowdowns import SlowdownTable
+from trefoilhinge.dispatch.stops import StopSchedule
 from trefoilhinge.dispatch.targets import TargetDirectory, TargetRecord
 from trefoilhinge.dispatch.warmup.cold_targets import ColdTable
 from trefoilhinge.dispatch.warmup.instances import KnownInstances
@@ -72,9 +73,7 @@
     :ivar startup: keeps calls until document and targets are known.
     :ivar transfers: documents and lists of targets that are being sent to
         peers.
-    :ivar exit_at_s: monotonic seconds at which the process exits.
-    :ivar admission_restricted_at_s: monotonic seconds from which a stopping
-        instance takes only calls whose maximum duration ends before it exits.
+    :ivar stop: times of the planned stop, ``None`` before it is ordered.
     """
 
     settings: GatewaySettings
@@ -106,9 +105,7 @@
     startup: StartupGate = field(factory=StartupGate)
     transfers: int = 0
     last_run_number: int = 0
-    is_stopping: bool = False
-    exit_at_s: float = float('inf')
-    admission_restricted_at_s: float = float('inf')
+    stop: StopSchedule | None = None
     _budgets: dict[str, RetryBudget] = field(factory=dict)
     _is_settled: bool = False
 
@@ -121,6 +118,11 @@
             settings.has_scarce_room and settings.allows_admission
         )
 
+    @property
+    def is_stopping(self) -> bool:
+        """Return whether a planned stop was ordered."""
+        return self.stop is not None
+
     @property
     def is_ready(self) -> bool:
         """Return whether the instance knows its fleet and is not stopping."""
@@ -143,17 +145,6 @@
             )
         return self._is_settled
 
-    def can_finish_within(self, duration_s: float) -> bool:
-        """Return whether a call may be taken now.
-
-        :param duration_s: estimated maximum duration of the call, seconds.
-        """
-        now_s = self.get_now_s()
-        return (
-            now_s < self.admission_restricted_at_s
-            or now_s + duration_s < self.exit_at_s
-        )
-
     def get_now_s(self) -> float:
         """Return monotonic seconds."""
         return asyncio.get_running_loop().time()
--- a/trefoilhinge/gateway/target_choice.py
+++ b/trefoilhinge/gateway/target_choice.py
@@ -6,7 +6,10 @@
 
 from trefoilhinge.dispatch.calls import Call
 from trefoilhinge.dispatch.documents import REQUEST_HASH_VALUES
-from trefoilhinge.dispatch.durations import estimate_duration_s
+from trefoilhinge.dispatch.durations import (
+    PLAIN_DURATION_S,
+    estimate_duration_s,
+)
 from trefoilhinge.dispatch.group_placement import Placement
 from trefoilhinge.dispatch.permits import PermitDecision, PermitVerdict
 from trefoilhinge.dispatch.targets import TargetRecord
@@ -31,12 +34,12 @@
 )
 from trefoilhinge.gateway.rest_queue import MAXIMUM_WAIT_S, RestQueue
 from trefoilhinge.gateway.state import GatewayState
+from trefoilhinge.gateway.stop_guard import StopGuard
 
 # Limited targets that a call without other targets waits for in succession.
 MAXIMUM_ASKED_TARGETS = 3
 MINIMUM_COLD_WAIT_S = 0.02  # lets announcements of other instances arrive
 COLD_SPREAD_S = 0.05  # between calls that wait for the same cold target
-PLAIN_DURATION_S = 0.25  # several times the duration of a plain call
 
 
 @define
@@ -48,6 +51,7 @@
     _rest_queue: RestQueue
     _admission: Admission
     _call: Call
+    _stop_guard: StopGuard
 
     async def choose(
         self, progress: CallProgress, excluded: set[str]
@@ -148,6 +152,7 @@
         self._state.log.write(
             'rest_awaited', request=self._call.head.request_id, waits_s=wait_s
         )
+        self._stop_guard.plan_wait(wait_s)
         await self._rest_queue.wait(self._call, wait_s)
 
     async def _wait_for_cold(self, progress: CallProgress) -> bool:
@@ -169,6 +174,7 @@
         if wait_s > min(MAXIMUM_WAIT_S, self._compute_patience_s()):
             state.metrics.increment('calls_cold')
             raise CallFailed(make_cold_refusal(progress, wait_s, spread))
+        self._stop_guard.plan_wait(wait_s)
         await asyncio.sleep(
             max(MINIMUM_COLD_WAIT_S, wait_s) + spread * COLD_SPREAD_S
         )
@@ -194,6 +200,7 @@
         decision = await self._permits.acquire(
             request,
             lambda: patience_s > 0 and self._has_unlimited(excluded),
+            self._stop_guard.plan_wait,
         )
         self._log(record, decision)
         return decision
