Refused requests that still arrive when a stopping instance exits.

The connection of a caller whose head or body was still arriving at the exit was closed without an answer. The caller could not tell that its request had not run, though nobody else could have run it.

The wait for the rest of a request ends at the exit, and the request is refused: 503, not run, to be repeated at once.

--- a/trefoilhinge/gateway/caller_connections.py
+++ b/trefoilhinge/gateway/caller_connections.py
@@ -14,7 +14,11 @@
     AnsweringConnection,
     CallerGone,
 )
-from trefoilhinge.gateway.refusals import Refusal, make_memory_refusal
+from trefoilhinge.gateway.refusals import (
+    Refusal,
+    make_memory_refusal,
+    make_stopping_refusal,
+)
 from trefoilhinge.gateway.request_checks import (
     check_request_head,
     find_receipt_deadline_s,
@@ -35,7 +39,10 @@
 
 
 class CallerShed(TrefoilhingeError):
-    """Too much is held for the caller, whose request is not complete."""
+    """A request is refused before it is complete.
+
+    Too much is held for its caller, or the instance ends.
+    """
 
 
 @define(eq=False)
@@ -58,6 +65,7 @@
     received_s: float = 0
     end_call: Callable[[], None] | None = None
     _receipt: asyncio.Timeout | None = None
+    _is_receipt_ended: bool = False
 
     def __attrs_post_init__(self) -> None:
         """Create the parser with the limits in force and set TCP timeouts."""
@@ -102,6 +110,12 @@
         has_bytes = self._received_bytes > 0 or self._has_unread_bytes()
         return has_bytes and not self.is_serving
 
+    def end_receipt(self) -> None:
+        """Refuse a request of which only a part has arrived."""
+        if self._receipt is not None and self._received_bytes:
+            self._is_receipt_ended = True
+            expire(self._receipt)
+
     def close_idle(self) -> None:
         """Close the connection unless a request is received or served.
 
@@ -257,7 +271,7 @@
                 self._receipt = receipt
                 data = await self._read()
         except TimeoutError:
-            if self.is_shed:
+            if self.is_shed or self._is_receipt_ended:
                 raise CallerShed from None
             if is_idle:
                 raise CallerGone from None
@@ -283,7 +297,10 @@
         connection that is closed with bytes to read, and the caller might not
         get the refusal.
         """
-        await self.refuse(make_memory_refusal(), '')
+        refusal = make_memory_refusal()
+        if self._is_receipt_ended:
+            refusal = make_stopping_refusal(None)
+        await self.refuse(refusal, '')
         self._memory.release(self._holder)
         self._parser = h11.Connection(h11.SERVER)
         with contextlib.suppress(TimeoutError):
--- a/trefoilhinge/gateway/planned_stop.py
+++ b/trefoilhinge/gateway/planned_stop.py
@@ -131,6 +131,8 @@
             is_late = self._state.get_now_s() >= latest_s
             if is_late and polls >= MINIMUM_LINGER_POLLS:
                 return
+            for caller in self._callers:
+                caller.end_receipt()
             # Calls that have arrived may take more turns of the event loop.
             if not any(caller.is_pending for caller in self._callers):
                 quiet_polls += 1
