Answered pipelined calls of a connection that a stopping instance has.

Of three calls that a caller had sent on one connection, a stopping instance answered the first with 'Connection: close' and closed the connection: the others, which had arrived whole, got no answer.

An answer announces the end of its connection only if nothing of a further request has arrived. Each call is then served, or refused, by itself.

--- a/tests/gateway/test_stop_connections.py
+++ b/tests/gateway/test_stop_connections.py
@@ -195,6 +195,22 @@
         assert result.answer == Answer(0, {}, b'', is_complete=False)
 
 
+class TestPipelinedCalls:
+    """Guards against LOST: calls that wait behind another one."""
+
+    def test_all_are_answered_though_the_first_is_not_served(self, outcomes):
+        answers, ran = outcomes['pipelined']
+        assert len(answers) == 3
+        check_failed(answers[0])
+        for number, answer in enumerate(answers):
+            assert (answer.status == 503) == (f'r-{number}' not in ran)
+
+    def test_all_are_answered_if_there_is_time(self, outcomes):
+        answers, _ = outcomes['pipelined_slow']
+        assert len(answers) == 3
+        assert {one.status for one in answers} <= {200, 503}
+
+
 class TestUnreadAnswers:
     def test_answer_that_is_read_before_the_exit_is_whole(self, outcomes):
         answer, _ = outcomes['unread']
--- a/trefoilhinge/gateway/answering_connections.py
+++ b/trefoilhinge/gateway/answering_connections.py
@@ -162,7 +162,8 @@
         raise NotImplementedError
 
     def _send_head(self, status: int, headers: RawHeaderList) -> None:
-        if self._is_stopping() or self._parser.our_state is h11.IDLE:
+        is_last = self._is_stopping() and not self._parser.trailing_data[0]
+        if is_last or self._parser.our_state is h11.IDLE:
             headers = [*headers, (b'Connection', b'close')]
         self._write(h11.Response(status_code=status, headers=headers))
 
