Failed answers that break off within their head.

Callers of the own interface got a 200 with an empty body and a length of 0 where a plain service, or the peer that owns their key, stopped within the head of its answer and closed. Where the sizes of chunks have leading zeros, a size that broke off ended the answer, and its first part was framed as whole.

The standard library takes the end of a connection for the end of a head, of a size line and of a trailer. So a head that broke off anywhere after the three digits of its status became an answer without the rest of its headers, thus without a length: one that ends with its connection, empty and whole. A broken refusal counted as a promise that the call had not run, and the document of the configuration service as an empty one.

One reader, which all clients of targets, peers and the platform's services use, fails a line that the connection ends in.

--- a/trefoilhinge/targets/abortable_connections.py
+++ b/trefoilhinge/targets/abortable_connections.py
@@ -1,7 +1,6 @@
 """Connections that any thread can abort, with non-blocking reads."""
 
 import contextlib
-import http.client
 import io
 import select
 import socket
@@ -11,6 +10,7 @@
 
 from attrs import define, field
 
+from trefoilhinge.targets.checked_responses import CheckedResponse, LineReader
 from trefoilhinge.targets.exceptions import TargetBroke
 
 # A target that stalls inside a chunk for this long counts as broken; the state
@@ -131,7 +131,7 @@
         return count
 
 
-class NonBlockingResponse(http.client.HTTPResponse):
+class NonBlockingResponse(CheckedResponse):
     """Response that can be read without blocking."""
 
     def __init__(
@@ -141,7 +141,7 @@
         super().__init__(*arguments, **options)
         self._abortable_connection = connection
         self._reader = NonBlockingReader(self.fp.detach())
-        self.fp = io.BufferedReader(self._reader)
+        self.fp = LineReader(self._reader)
         connection.response = self
 
     def has_available(self) -> bool:
--- a/trefoilhinge/targets/http_requests.py
+++ b/trefoilhinge/targets/http_requests.py
@@ -13,6 +13,7 @@
     AbortableConnection,
     NonBlockingResponse,
 )
+from trefoilhinge.targets.checked_responses import CheckedPoolManager
 from trefoilhinge.targets.exceptions import TargetBroke, TargetNotReached
 
 CONNECT_TIMEOUT_S = 1.0
@@ -45,7 +46,7 @@
     :param ca_file: PEM file of certificate authorities to verify servers
         with; empty uses the authorities of the system.
     """
-    return urllib3.PoolManager(
+    return CheckedPoolManager(
         num_pools=POOL_SIZE,
         maxsize=POOL_SIZE,
         retries=False,
