Skipped the interim responses of targets and peers.

A plain service that sent an interim response other than 100 (102 or 103) before its answer was taken to have answered with it: callers of the own interface got an empty response with that status, which is no final one, in place of the answer. An engine's stream failed as an error with status 103.

The standard library skips no interim response but 100. Responses of targets, peers and the platform's services now skip up to 16, as the gateway does; a switch of protocols, which no client asks for, fails.

--- a/tests/targets/test_broken_heads.py
+++ b/tests/targets/test_broken_heads.py
@@ -189,6 +189,52 @@
             )
 
 
+INTERIM = {
+    'one': b'HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n',
+    'several': b'HTTP/1.1 102 Processing\r\n\r\n' * 16,
+    'mixed': b'HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Hints\r\n\r\n',
+}
+
+
+class TestInterimResponses:
+    """Guards against an interim response that callers get as the answer."""
+
+    @pytest.mark.parametrize('name', INTERIM)
+    def test_answer_is_the_response_after_them(self, name):
+        content = INTERIM[name] + HEADS['length'] + b'\r\nbooked seat.'
+        with serve_broken(content) as (answers, address):
+            answers.cut = len(content)
+            answer = call_plain_service(address)
+            assert (answer.status, answer.body) == (200, b'booked seat.')
+            assert forward(address).status == 200
+            open_stream(address).close()
+
+    @pytest.mark.parametrize('sender', SENDERS)
+    def test_head_that_breaks_off_after_one_is_no_answer(self, sender):
+        content = INTERIM['one'] + HEADS['length']
+        with serve_broken(content) as (answers, address):
+            assert not list_cuts_taken(
+                answers,
+                lambda: SENDERS[sender](address),
+                range(len(content) + 1),
+            )
+
+    @pytest.mark.parametrize('sender', SENDERS)
+    @pytest.mark.parametrize(
+        'content',
+        [
+            b'HTTP/1.1 101 Switching\r\nUpgrade: a\r\n\r\nother',
+            INTERIM['several'] * 2 + HEADS['neither'] + b'\r\n',
+        ],
+        ids=['switched', 'too many'],
+    )
+    def test_interim_responses_alone_are_no_answer(self, sender, content):
+        with serve_broken(content) as (answers, address):
+            assert not list_cuts_taken(
+                answers, lambda: SENDERS[sender](address), [len(content)]
+            )
+
+
 def read_to_the_end(body):
     """Read a body or a stream to its end; return its parts."""
     parts = []
--- a/trefoilhinge/targets/checked_responses.py
+++ b/trefoilhinge/targets/checked_responses.py
@@ -5,10 +5,13 @@
 
 import http.client
 import io
+from http import HTTPStatus
 from typing import Any
 
 import urllib3
 
+MAXIMUM_INTERIM_RESPONSES = 16  # before the head of a response
+
 
 class LineReader(io.BufferedReader):
     """Reader of which each line is complete."""
@@ -37,6 +40,26 @@
         super().__init__(*arguments, **options)
         self.fp = LineReader(self.fp.detach())
 
+    def begin(self) -> None:
+        """Read the head, and the interim responses before it.
+
+        The standard library skips no interim response but 100.
+
+        :raises http.client.HTTPException: there are more of them than
+            ``MAXIMUM_INTERIM_RESPONSES``.
+        """
+        super().begin()
+        interim_responses = 0
+        while self.status < HTTPStatus.OK:
+            interim_responses += 1
+            if interim_responses > MAXIMUM_INTERIM_RESPONSES:
+                raise http.client.HTTPException(
+                    f'over {MAXIMUM_INTERIM_RESPONSES} interim responses'
+                )
+            # With headers, ``begin`` takes the head for read.
+            self.headers = None  # type: ignore[assignment]
+            super().begin()
+
 
 class CheckedHttpConnection(urllib3.connection.HTTPConnection):
     """HTTP connection with checked responses."""
