Failed answers whose heads or lengths cannot be read.

A 200 of a plain service, or of the peer that owns a key, reached callers of the own interface with a part of its body, framed as whole, where its head had a line that is no header or a length that is no number, and its connection closed early.

The standard library drops all headers after such a line, and the length if it is no number, and takes every coding but chunked for none; the end of the connection then ends the body. Such heads now fail, as they do in the gateway.

Odd heads that can be read (a length given twice, folded lines, types of several parts) are taken, as before.

--- a/tests/targets/test_broken_heads.py
+++ b/tests/targets/test_broken_heads.py
@@ -325,3 +325,58 @@
                 assert platform.read_instances().instances is None
                 message = SendPeerMessage('entry-1', address, '{}')
                 assert PeerClient(pool, 'secret').send(message).text is None
+
+
+UNREADABLE = {
+    'line without a colon': b'broken line\r\nContent-Length: 12\r\n',
+    'space before a colon': b'Content-Length : 12\r\n',
+    'line that goes on': b' Content-Length: 12\r\n',
+    'no number': b'Content-Length: 12x\r\n',
+    'sign': b'Content-Length: -12\r\n',
+    'two lengths': b'Content-Length: 12\r\nContent-Length: 3\r\n',
+    'other coding': b'Transfer-Encoding: gzip, chunked\r\n',
+    'unknown coding': b'Transfer-Encoding: chunk\r\n',
+}
+
+
+class TestUnreadableLengths:
+    """Guards against a part of an answer that is framed as whole.
+
+    A head that says how long its body is, but cannot be read, leaves the end
+    of the connection to end the body.
+    """
+
+    @pytest.mark.parametrize('name', UNREADABLE)
+    def test_answer_is_broken(self, name):
+        content = SUCCESS + UNREADABLE[name] + b'\r\nboo'
+        for sender in SENDERS.values():
+            with serve_broken(content) as (answers, address):
+                assert not list_cuts_taken(
+                    answers, lambda: sender(address), [len(content)]
+                )
+
+    @pytest.mark.parametrize(
+        'header',
+        [
+            b'Content-Length:3\r\n',
+            b'content-length:   3  \r\n',
+            b'Content-Length: 3, 3\r\n',
+            b'Content-Length: 3\r\nContent-Length: 3\r\n',
+            b'X-Long: a\r\n b\r\nContent-Length: 3\r\n',
+            b'Content-Type: multipart/mixed\r\nContent-Length: 3\r\n',
+            b'Content-Type: message/http\r\nContent-Length: 3\r\n',
+            b'Content-Type:\r\nContent-Length: 3\r\n',
+            b'X-Name: caf\xe9\r\n',
+        ],
+    )
+    def test_odd_head_that_can_be_read_is_taken(self, header):
+        content = SUCCESS + header + b'\r\nboo'
+        with serve_broken(content) as (answers, address):
+            answers.cut = len(content)
+            assert call_plain_service(address).body == b'boo'
+
+    def test_odd_coding_of_chunks_that_can_be_read_is_taken(self):
+        content = SUCCESS + b'transfer-encoding: Chunked\r\n\r\n' + CHUNKS
+        with serve_broken(content) as (answers, address):
+            answers.cut = len(content)
+            assert call_plain_service(address).body == b'booked'
--- a/trefoilhinge/targets/checked_responses.py
+++ b/trefoilhinge/targets/checked_responses.py
@@ -3,14 +3,24 @@
 The standard library takes the end of a connection for the end of any of them.
 """
 
+import email.errors
+import email.message
 import http.client
 import io
+import re
 from http import HTTPStatus
 from typing import Any
 
 import urllib3
 
 MAXIMUM_INTERIM_RESPONSES = 16  # before the head of a response
+_LENGTH_PATTERN = re.compile('[0-9]+(?:[ \t]*,[ \t]*[0-9]+)*')
+# Of lines that are no headers, after which no further ones may be read.
+_LINE_DEFECTS = (
+    email.errors.FirstHeaderLineIsContinuationDefect,
+    email.errors.MisplacedEnvelopeHeaderDefect,
+    email.errors.MissingHeaderBodySeparatorDefect,
+)
 
 
 class LineReader(io.BufferedReader):
@@ -43,10 +53,11 @@
     def begin(self) -> None:
         """Read the head, and the interim responses before it.
 
-        The standard library skips no interim response but 100.
+        The standard library skips no interim response but 100, and leaves a
+        length that it cannot read to the end of the connection.
 
-        :raises http.client.HTTPException: there are more of them than
-            ``MAXIMUM_INTERIM_RESPONSES``.
+        :raises http.client.HTTPException: there are more interim responses
+            than ``MAXIMUM_INTERIM_RESPONSES``, or the head cannot be read.
         """
         super().begin()
         interim_responses = 0
@@ -59,6 +70,7 @@
             # With headers, ``begin`` takes the head for read.
             self.headers = None  # type: ignore[assignment]
             super().begin()
+        _check_head(self.headers)
 
 
 class CheckedHttpConnection(urllib3.connection.HTTPConnection):
@@ -95,3 +107,20 @@
             'http': CheckedHttpPool,
             'https': CheckedHttpsPool,
         }
+
+
+def _check_head(headers: email.message.Message) -> None:
+    """Check that each line is a header, and that the length can be read."""
+    for defect in headers.defects:
+        if isinstance(defect, _LINE_DEFECTS):
+            raise http.client.HTTPException(
+                f'head has a line that is no header: {defect!r}'
+            )
+    for length in headers.get_all('Content-Length', ()):
+        if not _LENGTH_PATTERN.fullmatch(length.strip()):
+            raise http.client.HTTPException(f'invalid length: {length!r}')
+    for coding in headers.get_all('Transfer-Encoding', ()):
+        if coding.strip().lower() != 'chunked':
+            raise http.client.HTTPException(
+                f'unknown transfer coding: {coding!r}'
+            )
