Read answers of peers whose TLS records arrive in parts.

With TLS between instances, a call forwarded to the owner of its key ended as one that may have run (409), though its answer arrived whole: a record of TLS, which holds up to 16 KB, reached the instance in more than two parts. An answer with neither length nor chunks, which instances do not send, was empty and whole.

Polling reports a part of a record as readable, and reading it returns nothing. NonBlockingReader waited once more and then returned nothing as well, which the buffered reader takes for the end of a line or of the answer. It now waits until the record is complete, for as long as a part of it arrives in each second.

Found while answers that break off were cut at each byte.

--- a/tests/calls/test_tls.py
+++ b/tests/calls/test_tls.py
@@ -1,13 +1,20 @@
+import contextlib
+import select
 import shutil
 import socket
 import ssl
 import subprocess
+import time
 
 import pytest
 import urllib3
 
 from tests.calls import support
+from tests.targets.test_control_requests import run_server
 from trefoilhinge.demo.deployment import DeploymentOptions, start_deployment
+from trefoilhinge.targets.abortable_connections import AbortableConnection
+from trefoilhinge.targets.http_requests import send_request
+from trefoilhinge.targets.streams import ResponseBody
 
 OPENSSL = shutil.which('openssl')
 BODY = b'{"model": "writer", "prompt": "tea", "max_tokens": 2}'
@@ -113,3 +120,84 @@
             return answers[-1].status == 200
 
         support.wait_until(is_forwarded)
+
+
+ANSWER = b'x' * 12_000
+FRAMED = {
+    'length': (b'Content-Length: 12000', ANSWER),
+    'chunks': (
+        b'Transfer-Encoding: chunked',
+        b'2ee0\r\n' + ANSWER + b'\r\n0\r\n\r\n',
+    ),
+    'neither': (b'X-None: 1', ANSWER),
+}
+
+
+class SplitRecords:
+    """Server whose answers arrive as records of TLS in several parts."""
+
+    def __init__(self, certificate, header, body):
+        self._context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+        self._context.load_cert_chain(
+            certificate / 'cert.pem', certificate / 'key.pem'
+        )
+        self._head = b'HTTP/1.1 200 OK\r\n' + header + b'\r\n\r\n'
+        self._body = body
+
+    def handle(self, connection):
+        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        incoming, outgoing = ssl.MemoryBIO(), ssl.MemoryBIO()
+        tls = self._context.wrap_bio(incoming, outgoing, server_side=True)
+        for step in (tls.do_handshake, tls.read):
+            self._complete(step, connection, incoming, outgoing)
+        tls.write(self._head)
+        connection.sendall(outgoing.read())
+        time.sleep(0.1)
+        tls.write(self._body)
+        # Sends the notice that ends the connection, and awaits the other's.
+        with contextlib.suppress(ssl.SSLError):
+            tls.unwrap()
+        records = outgoing.read()
+        for begin in range(0, len(records), 3000):
+            connection.sendall(records[begin : begin + 3000])
+            time.sleep(0.02)
+
+    def _complete(self, step, connection, incoming, outgoing):
+        while True:
+            try:
+                step()
+            except ssl.SSLWantReadError:
+                connection.sendall(outgoing.read())
+                incoming.write(connection.recv(65_536))
+            else:
+                connection.sendall(outgoing.read())
+                return
+
+
+class TestRecords:
+    @pytest.mark.parametrize('name', FRAMED)
+    def test_record_that_arrives_in_parts_is_read_whole(
+        self, certificate, name
+    ):
+        """Guards against an answer of a peer that is lost, or cut short."""
+        server = SplitRecords(certificate, *FRAMED[name])
+        with run_server(server.handle) as address:
+            connection = AbortableConnection()
+            response = send_request(
+                'POST',
+                address,
+                '/',
+                b'x',
+                {},
+                5,
+                connection,
+                str(certificate / 'cert.pem'),
+            )
+            body = ResponseBody(response, connection)
+            content = b''
+            while not body.ended:
+                ready = select.poll()
+                ready.register(body.fileno(), select.POLLIN)
+                assert ready.poll(support.TIMEOUT_S * 1000)
+                content += body.read_available(is_readable=True)
+        assert content == ANSWER
--- a/trefoilhinge/targets/abortable_connections.py
+++ b/trefoilhinge/targets/abortable_connections.py
@@ -108,7 +108,9 @@
         if self.buffer_only:
             return None
         count = self._try_read(buffer)
-        if count is None:
+        # A record of TLS that is not complete wakes the poll, and reads as
+        # nothing.
+        while count is None:
             ready = select.poll()
             ready.register(self._raw.fileno(), select.POLLIN)
             if not ready.poll(STALL_TIMEOUT_S * MILLISECONDS_PER_SECOND):
