Counted broken answers in the demo as cut off.

The demo's callers read with a pool of their own, which takes the end of a connection for the end of a head: a lookup or a booking whose answer broke off there counted as finished. They now use the pool of the clients of targets.

The command-line client keeps its pools: a status that broke off is no JSON, and is reported as one that cannot be read.

--- a/tests/calls/test_broken_answers.py
+++ b/tests/calls/test_broken_answers.py
@@ -1,10 +1,14 @@
 """Tests of what callers get of answers that break off at a target or a peer."""
 
+from types import SimpleNamespace
+
 import pytest
 
 from tests.calls import support
 from tests.targets.broken_answers import serve_broken
 from trefoilhinge.calls import forward_client
+from trefoilhinge.demo.callers import CallOutcome, DemoCallers
+from trefoilhinge.demo.workload import CallKind, PlannedCall
 from trefoilhinge.targets import engine_client, http_requests, plain_client
 
 HEAD = b'HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n'
@@ -94,3 +98,12 @@
         )
         assert answer.status in {502, 504}
         assert answer.json()['error']['verdict'] == 'may_have_run'
+
+
+class TestDemoCallers:
+    def test_broken_answer_counts_as_cut_off(self, broken_address):
+        """Guards against bookings that the demo counts though they failed."""
+        deployment = SimpleNamespace(key='k', urls=[f'http://{broken_address}'])
+        call = PlannedCall(CallKind.LOOKUP, 'desk', reference='r-1')
+        (result,) = DemoCallers(deployment).send_all((call,))
+        assert result.outcome == CallOutcome.CUT_OFF
--- a/trefoilhinge/demo/callers.py
+++ b/trefoilhinge/demo/callers.py
@@ -11,6 +11,7 @@
 from trefoilhinge.core.sse import DONE_DATA, encode_data
 from trefoilhinge.demo.deployment import DemoDeployment
 from trefoilhinge.demo.workload import OUTPUT_TOKENS, CallKind, PlannedCall
+from trefoilhinge.targets.http_requests import make_pool
 
 CALLER_THREADS = 24
 TIME_LIMIT_S = 60
@@ -52,12 +53,7 @@
     """Sends planned calls round-robin to a deployment's instances."""
 
     _deployment: DemoDeployment
-    _pool: urllib3.PoolManager = field(
-        factory=lambda: urllib3.PoolManager(
-            maxsize=CALLER_THREADS,
-            retries=False,
-        ),
-    )
+    _pool: urllib3.PoolManager = field(factory=make_pool)
     _keys: dict[str, str] = field(factory=dict)
     _lock: threading.Lock = field(factory=threading.Lock)
 
