Decided on each attempt at a stop by what is known of that attempt.

A stopping instance refused prompts that a group of targets would have finished in time: before their targets were chosen, it took one target to prefill them. A call whose target had rejected it was refused for the backlog of that placement, which had passed by then.

Before a placement, all targets that may share a prompt are taken to be free, and each attempt begins with that estimate. The expectation of a placement is no less than its slowest part. The check before a send comes after the connection and the gate of quarantine, which may take time.

The withdrawal was shown by the review on two instances, and has no test in a whole gateway.

--- a/trefoilhinge/dispatch/durations.py
+++ b/trefoilhinge/dispatch/durations.py
@@ -39,13 +39,18 @@
     document: FleetDocument,
     route: Route,
     size: PromptSize | None,
+    targets: int,
 ) -> float:
-    """Return the expected duration of a call that need not wait, in seconds."""
+    """Return the expected duration of a call that need not wait, in seconds.
+
+    :param targets: targets that share the prefill of its prompt.
+    """
     engine = _find_engine(document, route)
     if size is None or engine is None:
         return min(route.timeout_s, PLAIN_DURATION_S)
     prefill_s = estimate_prefill_s(engine, size.prompt_tokens)
-    return prefill_s + estimate_output_s(document, route, size)
+    output_s = estimate_output_s(document, route, size)
+    return prefill_s / max(1, targets) + output_s
 
 
 def estimate_output_s(
--- a/trefoilhinge/gateway/attempt_sender.py
+++ b/trefoilhinge/gateway/attempt_sender.py
@@ -21,6 +21,7 @@
 from trefoilhinge.gateway.reservations import Reservations, reserve
 from trefoilhinge.gateway.silence_timeouts import find_answer_timeout_s
 from trefoilhinge.gateway.state import GatewayState
+from trefoilhinge.gateway.stop_guard import StopGuard
 from trefoilhinge.gateway.target_connections import TargetConnection
 
 LOWEST_PRIORITY = 9  # the platform's priorities are 0 to 9
@@ -37,6 +38,7 @@
     _recorder: AttemptRecorder
     _gate: QuarantineGate
     _pool: ConnectionPool
+    _stop_guard: StopGuard
     _pooled: PooledConnection | None = None
     _detached: list[PooledConnection] = field(factory=list)
     _reservations: Reservations | None = None
@@ -74,7 +76,8 @@
 
         :return: the connection, ``None`` if a target asked for rest, was
             evacuated or takes no more while cold.
-        :raises CallFailed: the call is kept from targets.
+        :raises CallFailed: the call is kept from targets, or this instance
+            ends before the call could.
         :raises TargetUnreachable: the connection could not be opened.
         """
         connection = await self._connect(record, len(placement.parts))
@@ -88,6 +91,7 @@
             self._find_backlog_s, record.name
         )
         await self._gate.enter()
+        self._stop_guard.check()
         if has_resting_target(self._state, placement) or has_evacuated_target(
             self._state, placement
         ):
--- a/trefoilhinge/gateway/attempts.py
+++ b/trefoilhinge/gateway/attempts.py
@@ -94,7 +94,13 @@
             attempts is reached.
         """
         while not self._is_ended:
-            is_answered = await self._late_answers.run_beside(self._attempt)
+            try:
+                is_answered = await self._late_answers.run_beside(self._attempt)
+            except CallFailed:
+                if not self._state.is_stopping or self._last_failure is None:
+                    raise
+                await self._send_answer(*self._last_failure)
+                return
             self._is_ended = self._is_ended or is_answered
 
     async def _attempt(self) -> bool:
@@ -102,6 +108,7 @@
 
         :return: whether it was answered.
         """
+        self._stop_guard.forget_placement()
         self._stop_guard.check()
         self._gate.check()
         await self._peers.reach.settle(self._call.service)
@@ -242,7 +249,11 @@
         :return: whether the call was answered.
         """
         target = placement.parts[0].target
-        self._stop_guard.plan_placement(placement)
+        try:
+            self._stop_guard.plan_placement(placement)
+        except CallFailed:
+            self._target_choice.withdraw(number)
+            raise
         self._run_tracker.start(placement, number)
         self._recorder.record_send_delay(placement)
         await self._run_tracker.wait_for_send_time()
@@ -253,7 +264,6 @@
         if helpers is None:
             await self._handle_rejection('memory could not be reserved')
             return False
-        self._stop_guard.check()
         connection = await self._sender.send(placement, record, helpers)
         if connection is None:
             return False
@@ -277,8 +287,7 @@
         try:
             return await await_answer(answer, connection, probe)
         except TargetSilent:
-            if not self._stop_guard.allows_sending:
-                # No other attempt would end in time.
+            if not self._may_give_up():
                 return await await_answer(answer, connection, probe, math.inf)
             if self._call.route.kind is CallKind.idempotent:
                 self._state.log.write(
@@ -292,6 +301,17 @@
                 answer.cancel()
             raise
 
+    def _may_give_up(self) -> bool:
+        """Return whether a silent target may be left for another one.
+
+        Not while this instance stops if no other attempt would end in time,
+        or if the answer was begun: it is whole only if its target goes on, or
+        if another one can, which is not certain then.
+        """
+        if self._state.is_stopping and self.progress.has_started:
+            return False
+        return self._stop_guard.allows_sending
+
     async def _probe(self, record: TargetRecord) -> None:
         """Probe a silent target, unless its failure domain is evacuated.
 
@@ -457,7 +477,9 @@
         relay,
         RunTracker(state, peers, call),
         recorder,
-        AttemptSender(state, peers, call, progress, recorder, gate, pool),
+        AttemptSender(
+            state, peers, call, progress, recorder, gate, pool, stop_guard
+        ),
         TargetChoice(
             state,
             peers.permits,
--- a/trefoilhinge/gateway/stop_guard.py
+++ b/trefoilhinge/gateway/stop_guard.py
@@ -1,6 +1,6 @@
 """Keeps a call from being sent if its instance ends before the call could."""
 
-from attrs import define
+from attrs import define, field
 
 from trefoilhinge.dispatch.calls import Call
 from trefoilhinge.dispatch.durations import (
@@ -8,7 +8,7 @@
     estimate_expected_s,
     estimate_output_s,
 )
-from trefoilhinge.dispatch.group_placement import Placement
+from trefoilhinge.dispatch.group_placement import MAXIMUM_HELPERS, Placement
 from trefoilhinge.dispatch.stops import CallPlan
 from trefoilhinge.gateway.progress import CallProgress
 from trefoilhinge.gateway.refusals import CallFailed, make_stopping_refusal
@@ -23,6 +23,11 @@
     _call: Call
     _progress: CallProgress
     _plan: CallPlan
+    _unplaced_s: float = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Keep the estimate that holds before targets are chosen."""
+        self._unplaced_s = self._plan.expected_s
 
     @property
     def allows_sending(self) -> bool:
@@ -43,11 +48,20 @@
             output_s = estimate_output_s(
                 document, self._call.route, self._call.head.prompt_size
             )
-        first_event_s = placement.first_event_s - placement.send_delay_s
         if self._call.head.prompt_size is not None:
+            # The targets' backlogs overlap, and a slow part may outlast them.
+            first_event_s = max(
+                placement.first_event_s - placement.send_delay_s,
+                *(part.prefill_s for part in placement.parts),
+            )
             self._plan.expected_s = first_event_s + output_s
         self.plan_wait(placement.send_delay_s)
 
+    def forget_placement(self) -> None:
+        """Forget when an earlier placement would have let the call end."""
+        self._plan.expected_s = self._unplaced_s
+        self._plan.earliest_send_s = 0
+
     def plan_wait(self, wait_s: float) -> None:
         """Note that the call is not sent sooner than after a time.
 
@@ -67,7 +81,10 @@
 
 
 def make_plan(state: GatewayState, call: Call) -> CallPlan:
-    """Return what is known of a call's times before its targets are chosen."""
+    """Return what is known of a call's times before its targets are chosen.
+
+    All targets that may share its prompt are taken to be free.
+    """
     document = state.document
     size = call.head.prompt_size
     timeout_s = call.route.timeout_s
@@ -75,5 +92,8 @@
     expected_s = timeout_s
     if document is not None:
         maximum_s = estimate_duration_s(document, call.route, size)
-        expected_s = estimate_expected_s(document, call.route, size)
+        targets = len(state.directory.list_serving(call.service))
+        expected_s = estimate_expected_s(
+            document, call.route, size, min(targets, MAXIMUM_HELPERS + 1)
+        )
     return CallPlan(call.received_s, call.deadline_s, expected_s, maximum_s)
--- a/trefoilhinge/gateway/target_choice.py
+++ b/trefoilhinge/gateway/target_choice.py
@@ -79,11 +79,23 @@
             record = self._find_limited_record(placement)
             if record is None:
                 return placement, number
-            decision = await self._ask(record, number, 0, excluded)
-            if decision.verdict is PermitVerdict.granted:
+            is_granted = False
+            try:
+                decision = await self._ask(record, number, 0, excluded)
+                is_granted = decision.verdict is PermitVerdict.granted
+            finally:
+                if not is_granted:
+                    self.withdraw(number)
+            if is_granted:
                 return placement, number
             refused.add(record.name)
-            self._admission.withdraw(number)
+
+    def withdraw(self, number: int) -> None:
+        """Tell the others that a call is not placed after all.
+
+        :param number: number of the run that it was to be.
+        """
+        self._admission.withdraw(number)
 
     async def _find_placement(
         self, progress: CallProgress, excluded: set[str], refused: set[str]
