Answered the calls that a stopping instance carries for its peers.

The caller of another instance got 502, may have run, though no target had its call: the peer that carried it waited for a newer document as it stopped, and ended without an answer. The stop looked at the connections of its own callers only, and at calls that were accepted. A second call was held to the exit, since the refusal of a peer left it counted as sent.

A stop awaits the connections of peers like those of callers, and the wait for a document ends with it, so that the peer refuses the call: not run, and another one may be asked. A refused call is not outstanding any more.

TestPassingStates of test_stop_relayed_calls.py: both failed before (502 in place of 503; no answer at once).

--- a/tests/gateway/test_stop_relayed_calls.py
+++ b/tests/gateway/test_stop_relayed_calls.py
@@ -21,6 +21,7 @@
 )
 from tests.gateway.targets import never_answer, reply, stream
 from tests.gateway.test_relayed_calls import run_cut_fleet
+from trefoilhinge.gateway.relay_server import RelayServer
 
 GROUP = {f'm{number}': stream() for number in range(1, 4)}
 BACKLOG_S = TIMEOUT_S - 4
@@ -185,3 +186,54 @@
                 check_logged_ends(*stopping)
 
         asyncio.run(run())
+
+
+class TestPassingStates:
+    def test_call_that_a_peer_refused_is_refused_at_once(self):
+        """Guards against a call that is held to the exit.
+
+        Its refusal by a peer left it counted as sent, while it waited for a
+        target of this instance.
+        """
+
+        async def run():
+            async with run_relaying(1, **GROUP) as instances:
+                (peer,) = instances.peers
+                stopping = instances.relaying
+                state = stopping.fleet.state
+                for one in (peer, stopping):
+                    add_backlog(one.fleet.state, GROUP, BACKLOG_S)
+                call = stopping.call('/stream/1', X_Token_Count=GROUP_PROMPT)
+                await instances.find_carrier(is_waiting_to_send)
+                state.reach.record_reached('model', state.get_now_s())
+                peer.order()
+                await stopping.fleet.wait_for(
+                    lambda: is_waiting_to_send(stopping.fleet)
+                )
+                stopping.order()
+                result = await wait_at_once(call)
+                assert result.answer.status == 503
+                assert b'"not_run"' in result.answer.content
+
+        asyncio.run(run())
+
+    def test_call_that_waits_for_a_document_is_refused_by_its_peer(
+        self, monkeypatch
+    ):
+        """Guards against a carried call that ends with the process.
+
+        Its caller was told that it may have run, though no target had it.
+        """
+
+        async def run():
+            async with run_relaying(1, d1=DONE, d2=DONE) as instances:
+                (peer,) = instances.peers
+                peer.order()
+                await peer.wait_until(EXIT_S - 0.15)
+                monkeypatch.setattr(RelayServer, '_get_version', lambda _: 0)
+                result = await instances.relaying.call('/book/1')
+                assert result.answer.status == 503
+                assert b'"not_run"' in result.answer.content
+                assert not instances.relaying.list_requests()
+
+        asyncio.run(run())
--- a/trefoilhinge/gateway/daemon.py
+++ b/trefoilhinge/gateway/daemon.py
@@ -251,7 +251,7 @@
         stop = PlannedStop(
             state,
             self._service,
-            self._callers,
+            lambda: (*self._callers, *self._relay_server.connections),
             self._stop_listening,
             schedule,
         )
@@ -265,6 +265,7 @@
     async def _stop_listening(self) -> None:
         """Refuse connections once those that wait are accepted."""
         self._relay_server.stop()
+        await self._relay_server.wait_until_handed_over()
         if self._entry is not None:
             self._entry.stop()
             await self._entry.wait_until_handed_over()
--- a/trefoilhinge/gateway/peer_relay.py
+++ b/trefoilhinge/gateway/peer_relay.py
@@ -94,6 +94,7 @@
             else:
                 return True
             finally:
+                self._progress.is_outstanding = False
                 self._state.relay_peers.record_end(ip)
                 self.close()
         return False
--- a/trefoilhinge/gateway/planned_stop.py
+++ b/trefoilhinge/gateway/planned_stop.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import itertools
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Collection
 
 from attrs import define
 
@@ -23,7 +23,7 @@
 # For answers of calls that are given up at the exit.
 GIVE_UP_POLLS = 10
 EXIT_POLL_INTERVAL_S = 0.02
-KILL_MARGIN_S = 0.2  # between the exit and the platform's kill
+KILL_MARGIN_S = 0.3  # between the exit and the platform's kill
 # For targets to free the memory of calls that were given up.
 RELEASE_LIMIT_S = 0.1
 # Outcomes of calls, as they are counted from the order to the exit.
@@ -36,7 +36,7 @@
 
     _state: GatewayState
     _service: CallService
-    _callers: set[CallerConnection]
+    _list_callers: Callable[[], Collection[CallerConnection]]
     _stop_listening: Callable[[], Awaitable[None]]
     _schedule: StopSchedule
 
@@ -55,7 +55,7 @@
             'stopped',
             active=self._service.active,
             **self._service.open_calls.count_stages(),
-            arriving=sum(caller.is_arriving for caller in self._callers),
+            arriving=sum(caller.is_arriving for caller in self._list_callers()),
             **self._count_outcomes(),
             took_s=self._state.get_now_s() - self._schedule.ordered_s,
             grace_s=self._schedule.grace_s,
@@ -75,7 +75,7 @@
                     return
                 self._close_idle()
                 # Calls from now on are refused rather than cut off by the exit.
-                schedule.is_closing |= not self._service.active
+                schedule.is_closing |= not self._has_calls()
             await asyncio.sleep(
                 min(DRAIN_POLL_INTERVAL_S, schedule.exit_s - now_s)
             )
@@ -95,9 +95,15 @@
                 return
             await asyncio.sleep(EXIT_POLL_INTERVAL_S)
 
+    def _has_calls(self) -> bool:
+        """Return whether calls are served, or have arrived."""
+        return bool(self._service.active) or any(
+            caller.is_pending for caller in self._list_callers()
+        )
+
     def _close_idle(self) -> None:
         """Close the connections on which no call is received or served."""
-        for caller in tuple(self._callers):
+        for caller in self._list_callers():
             caller.close_idle()
 
     def _count_outcomes(self) -> dict[str, int]:
@@ -126,14 +132,15 @@
         quiet_polls = 0
         latest_s = self._schedule.kill_s - KILL_MARGIN_S
         for polls in itertools.count():
-            if not self._callers or quiet_polls >= EXIT_LINGER_POLLS:
+            callers = self._list_callers()
+            if not callers or quiet_polls >= EXIT_LINGER_POLLS:
                 return
             is_late = self._state.get_now_s() >= latest_s
             if is_late and polls >= MINIMUM_LINGER_POLLS:
                 return
-            for caller in self._callers:
+            for caller in callers:
                 caller.end_receipt()
             # Calls that have arrived may take more turns of the event loop.
-            if not any(caller.is_pending for caller in self._callers):
+            if not any(caller.is_pending for caller in callers):
                 quiet_polls += 1
             await asyncio.sleep(EXIT_POLL_INTERVAL_S)
--- a/trefoilhinge/gateway/progress.py
+++ b/trefoilhinge/gateway/progress.py
@@ -53,6 +53,7 @@
         """Record that the last attempt was sent to no target."""
         self.attempts -= 1
         self.possible_runs -= 1
+        self.is_outstanding = False
 
     def record_event(self, now_s: float) -> float | None:
         """Record that events were sent to the caller.
--- a/trefoilhinge/gateway/relay_server.py
+++ b/trefoilhinge/gateway/relay_server.py
@@ -91,6 +91,11 @@
         if self._listener is not None:
             self._listener.stop()
 
+    async def wait_until_handed_over(self) -> None:
+        """Wait until all accepted connections have reached their handler."""
+        if self._listener is not None:
+            await self._listener.wait_until_handed_over()
+
     async def _handle_connection(
         self, reader: CountingReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -159,13 +164,16 @@
             self._body_bytes -= len(call.body)
 
     async def _wait_for_document(self, version: int) -> bool:
-        """Wait for a document that is at least as new as the peer's."""
-        try:
-            async with asyncio.timeout(DOCUMENT_TIMEOUT_S):
-                while self._get_version() < version:
-                    await asyncio.sleep(DOCUMENT_POLL_INTERVAL_S)
-        except TimeoutError:
-            return False
+        """Wait for a document that is at least as new as the peer's.
+
+        :return: whether there is one; not if it does not come in time, or if
+            this instance ends.
+        """
+        latest_s = self._state.get_now_s() + DOCUMENT_TIMEOUT_S
+        while self._get_version() < version:
+            if self._state.is_closing or self._state.get_now_s() >= latest_s:
+                return False
+            await asyncio.sleep(DOCUMENT_POLL_INTERVAL_S)
         return True
 
     def _get_version(self) -> int:
--- a/trefoilhinge/gateway/state.py
+++ b/trefoilhinge/gateway/state.py
@@ -123,6 +123,11 @@
         """Return whether a planned stop was ordered."""
         return self.stop is not None
 
+    @property
+    def is_closing(self) -> bool:
+        """Return whether no call is taken any more, for the exit."""
+        return self.stop is not None and self.stop.is_closing
+
     @property
     def is_ready(self) -> bool:
         """Return whether the instance knows its fleet and is not stopping."""
