Told cut calls from departed callers at the end of the event loop too.

The end of the event loop cancels tasks in any order. A whole answer that was handed over right before its call was given up was logged as cut, and reset on a connection of HTTP/1.0.

A cancelled wait is no departure, and a call whose whole answer was sent is answered. No test fails for certain without this; test_stop_process.py and test_stop_late_moments.py check the outcomes in the log.

--- a/trefoilhinge/gateway/answering_connections.py
+++ b/trefoilhinge/gateway/answering_connections.py
@@ -25,6 +25,8 @@
 
 _VERSIONS_WITHOUT_CHUNKS = frozenset((b'1.0', b'0.9'))
 
+_UNANSWERED_STATES = frozenset((h11.IDLE, h11.SEND_RESPONSE, h11.SEND_BODY))
+
 RawHeaderList = list[tuple[bytes, bytes]]
 
 
@@ -57,6 +59,11 @@
         """Return whether the caller has to release what is held for it."""
         return self._holder.is_shed
 
+    @property
+    def is_answered(self) -> bool:
+        """Return whether a whole answer was sent to the request."""
+        return self._parser.our_state not in _UNANSWERED_STATES
+
     def hold(self, count: int) -> None:
         """Count bytes that are held for the call until it ends.
 
--- a/trefoilhinge/gateway/call_service.py
+++ b/trefoilhinge/gateway/call_service.py
@@ -221,7 +221,7 @@
         refusal: Refusal | None,
     ) -> None:
         progress = attempts.progress
-        if refusal is None:
+        if refusal is None or caller.is_answered:
             self._recorder.record_end(call, progress, 'answered')
             return
         if progress.has_started:
--- a/trefoilhinge/gateway/caller_connections.py
+++ b/trefoilhinge/gateway/caller_connections.py
@@ -189,7 +189,9 @@
             )
         finally:
             self.is_serving = False
-            self.has_left = disconnect_task.done()
+            self.has_left = (
+                disconnect_task.done() and not disconnect_task.cancelled()
+            )
             disconnect_task.cancel()
             if not call_task.done():
                 call_task.cancel()
