Ended a planned stop of an entry instance while callers keep coming.

Cause: NodeCore refused calls only once the exit was decided, and the exit was decided only in a moment without calls.

--- a/trefoilhinge/node/core.py
+++ b/trefoilhinge/node/core.py
@@ -55,6 +55,7 @@
 from trefoilhinge.node.exchange import PeerExchanger
 from trefoilhinge.node.observations import Observations
 from trefoilhinge.node.refusals import refuse_stopping
+from trefoilhinge.node.stopping import takes_calls
 from trefoilhinge.node.target_polling import TargetPoller
 from trefoilhinge.node.timers import PauseDetector, Timer
 from trefoilhinge.orders.interfaces import Reconciler
@@ -181,7 +182,9 @@
 
     def _receive_call(self, event: CallReceived, now: Instant) -> Effects:
         request_id = event.profile.request_id
-        if self._stopped:
+        if self._stopped or not takes_calls(
+            self.stopping_since_s, self.stop_wait_s, now
+        ):
             return [RefuseCall(request_id, refuse_stopping())]
         if self.parts.document_replica.document is None:
             refusal = refuse_not_run(
