Kept the verdict of a used key at the exit of an entry instance.

A caller that repeated a booking with its idempotency key, because the first answer was lost, could be told not_run by an instance that had ended its stop, although the booking had run there. Sent again under a new key, as a caller may do after not_run, it runs twice.

Cause: the core refused every call as stopping before it asked the ledger. It does so from the decision to exit until the listeners are closed, which takes some seconds if a caller is still sending, and, since the stop is bounded, also while earlier calls end.

The ledger is now asked first: a used key gets its own verdict, an unused one not_run and can be used again, and one of a peer may_have_run, since its owner is not asked any more. The page of refusals lists both verdicts of stopping.

Before, the tests failed with the code stopping in place of already_ran and the verdict not_run in place of may_have_run.

--- a/tests/node/test_stop.py
+++ b/tests/node/test_stop.py
@@ -1,5 +1,7 @@
 """Tests of the planned stop of a node on an injected clock."""
 
+import pytest
+
 from tests.node.nodes import Node, find, write_document
 from tests.retries.calls import START_S
 from trefoilhinge.core.effects import (
@@ -75,3 +77,50 @@
         node.handle(StopRequested())
         node.run(STOP_WAIT_S - 0.5)
         assert find(call(node, 'r1'), Dispatch)
+
+
+class TestKeysAtTheEnd:
+    """What calls with idempotency keys get once no call is taken any more."""
+
+    @pytest.fixture
+    def ended(self):
+        """Return a node that has ended, and its used and its unused key."""
+        node = Node(document=write_document())
+        used, unused = mint(node), mint(node)
+        assert find(call(node, 'r1', key=used), Dispatch)
+        finish(node, 'r1')
+        node.handle(StopRequested())
+        node.run(STOP_WAIT_S + HANDOVER_S + 1)
+        assert find(node.effects, StopProcess)
+        return node, used, unused
+
+    def test_used_key_is_not_reported_as_not_run(self, ended):
+        """Guards against a caller that books twice after a false verdict."""
+        node, used, unused = ended
+        refusal = find(call(node, 'r2', key=used), RefuseCall)[0].refusal
+        assert refusal.code is RefusalCode.ALREADY_RAN
+        assert refusal.verdict is Verdict.RAN
+        refusal = find(call(node, 'r3', key=unused), RefuseCall)[0].refusal
+        assert refusal.verdict is Verdict.NOT_RUN
+
+    def test_key_of_a_peer_is_not_reported_as_not_run(self, ended):
+        """Guards against a false verdict on a key that a peer knows."""
+        node, _, _ = ended
+        foreign = mint(Node('b', write_document(), seed=2))
+        refusal = find(call(node, 'r2', key=foreign), RefuseCall)[0].refusal
+        assert refusal.code is RefusalCode.STOPPING
+        assert refusal.verdict is Verdict.MAY_HAVE_RUN
+        assert refusal.retry_after_s == 1
+
+    def test_refused_key_can_be_used_again(self):
+        """Guards against a key in use after a refusal that ran nothing."""
+        node = Node(document=write_document())
+        key = mint(node)
+        assert find(call(node, 'long'), Dispatch)
+        node.handle(StopRequested())
+        node.run(STOP_WAIT_S + HANDOVER_S + 1)
+        for request_id in ('r1', 'r2'):
+            effects = call(node, request_id, key=key)
+            refusal = find(effects, RefuseCall)[0].refusal
+            assert refusal.code is RefusalCode.STOPPING
+            assert refusal.verdict is Verdict.NOT_RUN
--- a/trefoilhinge/core/advice.py
+++ b/trefoilhinge/core/advice.py
@@ -123,9 +123,10 @@
         'Do not retry; use a new key for a new call.',
     ),
     RefusalCode.STOPPING: RefusalAdvice(
-        _NOT_RUN,
+        (Verdict.NOT_RUN, Verdict.MAY_HAVE_RUN),
         'The instance is stopping.',
-        'Retry at once; the load balancer selects another instance.',
+        'Retry at once with the same idempotency key, if any; the load '
+        'balancer selects another instance.',
     ),
     RefusalCode.NOT_READY: RefusalAdvice(
         _NOT_RUN,
--- a/trefoilhinge/node/core.py
+++ b/trefoilhinge/node/core.py
@@ -54,8 +54,7 @@
 )
 from trefoilhinge.node.exchange import PeerExchanger
 from trefoilhinge.node.observations import Observations
-from trefoilhinge.node.refusals import refuse_stopping
-from trefoilhinge.node.stopping import takes_calls
+from trefoilhinge.node.stopping import refuse_new_call, takes_calls
 from trefoilhinge.node.target_polling import TargetPoller
 from trefoilhinge.node.timers import PauseDetector, Timer
 from trefoilhinge.orders.interfaces import Reconciler
@@ -185,7 +184,8 @@
         if self._stopped or not takes_calls(
             self.stopping_since_s, self.stop_wait_s, now
         ):
-            return [RefuseCall(request_id, refuse_stopping())]
+            refusal = refuse_new_call(self.parts.ledger, event.profile, now)
+            return [RefuseCall(request_id, refusal)]
         if self.parts.document_replica.document is None:
             refusal = refuse_not_run(
                 RefusalCode.NOT_READY,
--- a/trefoilhinge/node/refusals.py
+++ b/trefoilhinge/node/refusals.py
@@ -32,6 +32,21 @@
     )
 
 
+def refuse_key_while_stopping() -> Refusal:
+    """Return the refusal of a call whose key a stopping instance cannot check.
+
+    The owner of the key may have run it before.
+    """
+    return Refusal(
+        RefusalCode.STOPPING,
+        Verdict.MAY_HAVE_RUN,
+        'This instance is stopping and cannot ask the owner of the '
+        'Idempotency-Key whether the request ran; send it again with the same '
+        'key.',
+        retry_after_s=MINIMUM_RETRY_AFTER_S,
+    )
+
+
 def refuse_failed_attempt(record: CallRecord, decision: GiveUp) -> Refusal:
     """Return the refusal of a call that is not retried."""
     # An earlier attempt may have run even if the last one did not.
--- a/trefoilhinge/node/stopping.py
+++ b/trefoilhinge/node/stopping.py
@@ -1,7 +1,18 @@
 """Rules of a planned stop."""
 
 from trefoilhinge.core.clocks import Instant
+from trefoilhinge.core.profiles import CallProfile
+from trefoilhinge.core.verdicts import Refusal, Verdict
 from trefoilhinge.node.handover import HANDOVER_TIMEOUT_S
+from trefoilhinge.node.refusals import (
+    refuse_key_while_stopping,
+    refuse_stopping,
+)
+from trefoilhinge.retries.interfaces import (
+    ClaimForwarded,
+    ClaimRefused,
+    Ledger,
+)
 
 
 def takes_calls(
@@ -22,3 +33,22 @@
         return True
     limit_s = stop_wait_s + HANDOVER_TIMEOUT_S
     return now.monotonic_s - stopping_since_s < limit_s
+
+
+def refuse_new_call(
+    ledger: Ledger,
+    profile: CallProfile,
+    now: Instant,
+) -> Refusal:
+    """Return the refusal of a call that is not taken any more.
+
+    A call whose key was used before gets the verdict of the ledger: the caller
+    of a call that did not run may send it again under a new key.
+    """
+    claim = ledger.claim(profile, now)
+    if isinstance(claim, ClaimRefused):
+        return claim.refusal
+    if isinstance(claim, ClaimForwarded):
+        return refuse_key_while_stopping()
+    ledger.settle(profile, Verdict.NOT_RUN, now)
+    return refuse_stopping()
