Finished the calls of an entry instance that is stopped while it starts.

The handlers are now installed first, and a thread carries out the stop once the instance has started. The handler uses a queue whose put is reentrant; the earlier one put a message into the queue of the actor, whose lock the interrupted thread may hold.

A second and a third signal during a stop, also without a document, changed nothing before and are tested now.

--- /dev/null
+++ b/tests/entry/test_stop.py
@@ -0,0 +1,117 @@
+"""Tests of the planned stop of an entry instance with real sockets."""
+
+import signal
+import socket
+import subprocess
+import sys
+import textwrap
+import time
+
+import pytest
+
+from tests.calls import support
+from trefoilhinge.demo.deployment import find_free_port
+
+EXIT_LIMIT_S = 15
+
+# Sends the process SIGTERM at one stage of its start.
+PROGRAM = textwrap.dedent("""
+    import os, signal, sys
+
+    from trefoilhinge.client.commands import main
+    from trefoilhinge.entry import commands, daemon
+
+    stage = sys.argv.pop(1)
+
+    def send():
+        os.kill(os.getpid(), signal.SIGTERM)
+
+    def surround(module, name, before):
+        function = getattr(module, name)
+
+        def call(*arguments):
+            if before:
+                send()
+            result = function(*arguments)
+            if not before:
+                send()
+            return result
+
+        setattr(module, name, call)
+
+    if stage == 'settings':
+        surround(commands, 'make_entry', before=True)
+    elif stage == 'listeners':
+        surround(daemon, 'start_server', before=False)
+    main()
+""")
+
+
+class EntryProcess:
+    """An entry instance without a document in a process of its own."""
+
+    def __init__(self, folder, stage='none', **flags):
+        self.log_path = folder / 'log'
+        self.address = f'127.0.0.1:{find_free_port()}'
+        flags = {
+            'instance': 'entry-1',
+            'failure_domain': 'kandy',
+            'listen': self.address,
+            'peer_listen': f'127.0.0.1:{find_free_port()}',
+            'configuration_url': f'http://127.0.0.1:{find_free_port()}/none',
+            'instances_url': f'http://127.0.0.1:{find_free_port()}/none',
+            'peer_secret': 'f' * 32,
+            'stop_wait_s': 0.2,
+            **flags,
+        }
+        arguments = [f'--{name}={value}' for name, value in flags.items()]
+        with self.log_path.open('wb') as log:
+            self.process = subprocess.Popen(
+                [sys.executable, '-c', PROGRAM, stage, 'entry', *arguments],
+                stderr=log,
+            )
+
+    def wait_listening(self):
+        """Wait until the listener of callers is open."""
+        host, _, port = self.address.rpartition(':')
+
+        def connect():
+            with socket.socket() as sock:
+                return sock.connect_ex((host, int(port))) == 0
+
+        support.wait_until(connect)
+
+    def wait(self):
+        """Return the exit code."""
+        try:
+            return self.process.wait(EXIT_LIMIT_S)
+        finally:
+            self.process.kill()
+
+    def read_log(self):
+        return self.log_path.read_text()
+
+
+class TestSignals:
+    @pytest.mark.parametrize('stage', ['settings', 'listeners'])
+    def test_process_that_starts_ends_cleanly(self, tmp_path, stage):
+        """Guards against SIGTERM that cuts the calls of a starting process."""
+        process = EntryProcess(tmp_path, stage)
+        assert process.wait() == 0, process.read_log()
+
+    @pytest.mark.parametrize('number', [signal.SIGTERM, signal.SIGINT])
+    def test_process_without_a_document_ends_on_repeated_signals(
+        self, tmp_path, number
+    ):
+        """Guards against a second signal that cuts a stop short.
+
+        Without a document, the stop has no calls and no peers to wait for.
+        """
+        process = EntryProcess(tmp_path, stop_wait_s=2)
+        process.wait_listening()
+        ordered_s = time.monotonic()
+        for _ in range(3):
+            process.process.send_signal(number)
+            time.sleep(0.5)
+        assert process.wait() == 0, process.read_log()
+        assert time.monotonic() - ordered_s >= 2
--- a/trefoilhinge/entry/commands.py
+++ b/trefoilhinge/entry/commands.py
@@ -1,7 +1,9 @@
 """Command that runs an entry instance as a process."""
 
+import queue
 import signal
 import sys
+import threading
 
 import logbook
 
@@ -18,13 +20,24 @@
         'level={record.level_name} {record.message}',
     )
     handler.push_application()
-    entry = make_entry(settings)
-    entry.start()
+    stop_requests: queue.SimpleQueue[int] = queue.SimpleQueue()
 
     def handle_signal(signal_number: int, frame: object) -> None:
-        entry.request_stop()
+        # Other queues and events deadlock if the signal interrupts the thread
+        # that holds their lock.
+        stop_requests.put(signal_number)
 
+    # The handlers precede the listeners: the default action would cut calls
+    # that the instance takes before its start is complete.
     signal.signal(signal.SIGTERM, handle_signal)
     signal.signal(signal.SIGINT, handle_signal)
+    entry = make_entry(settings)
+    entry.start()
+
+    def await_stop_request() -> None:
+        stop_requests.get()
+        entry.request_stop()
+
+    threading.Thread(target=await_stop_request, daemon=True).start()
     entry.stopped.wait()
     entry.close()
