Refused requests that still arrive at the exit as stopping, and at once.

A caller whose body or head was still arriving when an entry instance exited got bad_request after five seconds, as if its request were malformed, and no Retry-After; a well-behaved client does not send that again.

Cause: the stop of Cheroot joins its threads for five seconds and then shuts down the reading side of busy connections, so that the rest of the request is taken for its end.

The listener now has a descriptor that its connections poll beside the socket while they wait for input. The stop signals it, and what has not arrived is refused with the code stopping, verdict not_run and Retry-After.

--- /dev/null
+++ b/tests/calls/test_server_stop.py
@@ -0,0 +1,74 @@
+"""Tests of the stop of a listener while callers use it."""
+
+import socket
+import threading
+import time
+
+import pytest
+
+from tests.calls import support
+from trefoilhinge.calls.answers import encode_refusal, make_refusal_headers
+from trefoilhinge.calls.connections import CONNECTION_KEY
+from trefoilhinge.calls.exceptions import RequestRefused
+from trefoilhinge.calls.requests import read_body
+from trefoilhinge.calls.servers import BoundedServer, ServerLimits, start_server
+
+TIMEOUT_S = 20
+SLOW_SENDER_S = 15.0
+FORCED_CLOSE_S = 5  # after which Cheroot shuts down a busy connection
+HEAD = b'POST %s HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\n'
+
+
+def answer(environ, start_response):
+    """Answer ``done`` to a body."""
+    connection = environ[CONNECTION_KEY]
+    try:
+        read_body(environ, 100)
+    except RequestRefused as refused:
+        connection.skip_unread_body()
+        body = encode_refusal(refused.refusal, 'r1')
+        headers = make_refusal_headers(refused.refusal, len(body))
+        start_response(f'{refused.refusal.status} Refused', headers)
+        return [body]
+    start_response('200 OK', [('Content-Length', '4')])
+    return [b'done']
+
+
+@pytest.fixture
+def server():
+    limits = ServerLimits(4, SLOW_SENDER_S, 4096, 1000)
+    one = BoundedServer('127.0.0.1:0', answer, limits)
+    start_server(one)
+    yield one
+    one.stop()
+
+
+def connect(server, data=b''):
+    sock = socket.create_connection(server.bind_addr, timeout=TIMEOUT_S)
+    sock.sendall(data)
+    return sock
+
+
+def stop_in_background(server):
+    thread = threading.Thread(target=server.stop, daemon=True)
+    thread.start()
+    return thread
+
+
+class TestStop:
+    @pytest.mark.parametrize('sent', [HEAD % b'/', HEAD[:40] % b'/'])
+    def test_request_that_still_arrives_is_refused_as_stopping(
+        self, server, sent
+    ):
+        """Guards against a wrong cause, and a late one, at the exit."""
+        with connect(server, sent) as sock:
+            support.wait_until(lambda: server.count_active_requests() == 1)
+            stopped_s = time.monotonic()
+            stop_in_background(server)
+            data = support.read_all(sock)
+        assert time.monotonic() - stopped_s < FORCED_CLOSE_S - 1
+        assert data.startswith(b'HTTP/1.1 503'), data
+        error = support.read_error(data)
+        assert error['code'] == 'stopping'
+        assert error['verdict'] == 'not_run'
+        assert error['retry_after_s'] == 1
--- a/trefoilhinge/calls/connections.py
+++ b/trefoilhinge/calls/connections.py
@@ -25,6 +25,7 @@
     RefusalCode,
     Verdict,
     refuse_not_run,
+    refuse_stopping,
 )
 
 CONNECTION_KEY = 'trefoilhinge.connection'
@@ -32,18 +33,31 @@
 DRAIN_TIMEOUT_S = 1.0
 MAXIMUM_DRAIN_BYTES = 1_048_576
 MILLISECONDS_PER_SECOND = 1000
+# Cheroot recognises a time-out by this text.
+TIMED_OUT = 'timed out'
 _READ_SIZE_BYTES = 65536
 
 
+class ReceiveInterrupted(TimeoutError):
+    """The server stopped while the rest of a request was awaited."""
+
+
 class IoDeadline:
     """Deadline of the reads and writes of a connection.
 
     :ivar monotonic_s: point in time of the deadline, in monotonic seconds.
+    :ivar interrupted: whether a read was ended by the stop of the server.
     """
 
-    def __init__(self) -> None:
-        """Start with an expired deadline."""
+    def __init__(self, interrupt_fd: int) -> None:
+        """Start with an expired deadline.
+
+        :param interrupt_fd: descriptor that is readable once no input is to be
+            waited for any more.
+        """
         self.monotonic_s: float = 0
+        self.interrupted = False
+        self._interrupt_fd = interrupt_fd
 
     def compute_remaining_s(self) -> float:
         """Return the seconds until the deadline.
@@ -52,10 +66,22 @@
         """
         remaining_s = self.monotonic_s - time.monotonic()
         if remaining_s <= 0:
-            # Cheroot recognises a time-out by this text.
-            raise TimeoutError('timed out')
+            raise TimeoutError(TIMED_OUT)
         return remaining_s
 
+    def wait_for_input(self, fd: int, remaining_s: float) -> None:
+        """Wait until a descriptor is readable or the deadline.
+
+        :raises ReceiveInterrupted: the server stops and there is no input.
+        """
+        poll = select.poll()
+        poll.register(fd, select.POLLIN)
+        poll.register(self._interrupt_fd, select.POLLIN)
+        ready = poll.poll(remaining_s * MILLISECONDS_PER_SECOND)
+        if ready and all(one == self._interrupt_fd for one, _ in ready):
+            self.interrupted = True
+            raise ReceiveInterrupted(TIMED_OUT)
+
 
 class DeadlineSocket(socket.SocketIO):
     """Raw socket I/O with one deadline instead of a time-out per operation."""
@@ -105,10 +131,14 @@
         remaining_s: float,
         events: int,
     ) -> None:
-        if count is None:
-            poll = select.poll()
-            poll.register(self.fileno(), events)
-            poll.poll(remaining_s * MILLISECONDS_PER_SECOND)
+        if count is not None:
+            return
+        if self.readable() and events == select.POLLIN:
+            self._deadline.wait_for_input(self.fileno(), remaining_s)
+            return
+        poll = select.poll()
+        poll.register(self.fileno(), events)
+        poll.poll(remaining_s * MILLISECONDS_PER_SECOND)
 
 
 class DeadlineReader(StreamReader):
@@ -159,6 +189,8 @@
     def simple_response(self, status: Any, msg: Any = '') -> None:
         """Respond to an error that Cheroot detected with a refusal in JSON."""
         refusal = _make_refusal(int(str(status)[:3]), str(msg))
+        if self.conn.was_interrupted:
+            refusal = refuse_stopping()
         self.close_connection = True
         self.conn.set_io_deadline(time.monotonic() + REFUSAL_WRITE_TIMEOUT_S)
         with contextlib.suppress(OSError, errors.FatalSSLAlert):
@@ -175,7 +207,7 @@
         """Apply the deadline to both directions of the socket."""
         super().__init__(server, sock, makefile)
         self.request: CallerRequest | None = None
-        self._deadline = IoDeadline()
+        self._deadline = IoDeadline(server.interrupt_fd)
         self._needs_drain = False
         self.rfile = DeadlineReader(sock, self._deadline, self.rbufsize)
         self.wfile = DeadlineWriter(sock, self._deadline, self.wbufsize)
@@ -184,6 +216,11 @@
         """Return the file descriptor; polling it reports a disconnection."""
         return int(self.socket.fileno())
 
+    @property
+    def was_interrupted(self) -> bool:
+        """Return whether the stop of the server ended the wait for input."""
+        return self._deadline.interrupted
+
     def set_io_deadline(self, deadline_s: float) -> None:
         """Set the deadline of all reads and writes.
 
--- a/trefoilhinge/calls/requests.py
+++ b/trefoilhinge/calls/requests.py
@@ -4,8 +4,14 @@
 from typing import Any
 
 from trefoilhinge.calls.call_parsing import ReceivedRequest
+from trefoilhinge.calls.connections import ReceiveInterrupted
 from trefoilhinge.calls.exceptions import RequestRefused
-from trefoilhinge.core.verdicts import Refusal, RefusalCode, refuse_not_run
+from trefoilhinge.core.verdicts import (
+    Refusal,
+    RefusalCode,
+    refuse_not_run,
+    refuse_stopping,
+)
 
 Environ = dict[str, Any]
 MAXIMUM_KEY_BYTES = 512
@@ -36,8 +42,8 @@
 def read_body(environ: Environ, maximum_body_bytes: int) -> bytes:
     """Read a body that is chunked or has a ``Content-Length``.
 
-    :raises RequestRefused: the body is too large, incomplete or arrived too
-        slowly.
+    :raises RequestRefused: the body is too large or incomplete, arrived too
+        slowly or had not arrived when the instance stopped.
     """
     chunked = environ.get('wsgi.input_terminated', False)
     length = None if chunked else int(environ.get('CONTENT_LENGTH') or 0)
@@ -45,8 +51,8 @@
         raise RequestRefused(_refuse_too_large(maximum_body_bytes))
     try:
         body = b'' if length == 0 else environ['wsgi.input'].read(length)
-    except TimeoutError:
-        raise RequestRefused(refuse_slow_sender()) from None
+    except TimeoutError as error:
+        raise RequestRefused(_refuse_late_body(error)) from None
     except ValueError as error:
         raise RequestRefused(_refuse_unreadable_body(str(error))) from None
     except OSError:
@@ -72,8 +78,9 @@
     return f'{quoted}?{query}' if query else quoted
 
 
-def refuse_slow_sender() -> Refusal:
-    """Return the refusal of a request that was not received in time."""
+def _refuse_late_body(error: TimeoutError) -> Refusal:
+    if isinstance(error, ReceiveInterrupted):
+        return refuse_stopping()
     return refuse_not_run(
         RefusalCode.SLOW_SENDER,
         'The request was not received in full within the time limit.',
--- a/trefoilhinge/calls/servers.py
+++ b/trefoilhinge/calls/servers.py
@@ -1,6 +1,7 @@
 """HTTP servers that refuse requests when all of their threads are in use."""
 
 import contextlib
+import os
 import ssl
 import threading
 import time
@@ -89,6 +90,7 @@
         self.max_request_header_size = limits.maximum_header_bytes
         self.max_request_body_size = limits.maximum_body_bytes
         self.slow_sender_s = limits.slow_sender_s
+        self.interrupt_fd = os.eventfd(0, os.EFD_NONBLOCK)
         self.refusal_count = 0
         self._thread_count = limits.thread_count
         self._active_requests = 0
@@ -123,6 +125,12 @@
         else:
             self._refuse(conn)
 
+    def stop(self) -> None:
+        """Refuse requests that still arrive, finish answers and close."""
+        if self.ready:
+            os.eventfd_write(self.interrupt_fd, 1)
+        super().stop()
+
     def release_thread(self) -> None:
         """Record that a thread is free again."""
         with self._lock:
--- a/trefoilhinge/core/verdicts.py
+++ b/trefoilhinge/core/verdicts.py
@@ -113,3 +113,12 @@
         retry_after_s=retry_after_s,
         example=example,
     )
+
+
+def refuse_stopping() -> Refusal:
+    """Return the refusal of a request that reached a stopping instance."""
+    return refuse_not_run(
+        RefusalCode.STOPPING,
+        'This instance is stopping; send the request again.',
+        retry_after_s=1,
+    )
--- a/trefoilhinge/node/refusals.py
+++ b/trefoilhinge/node/refusals.py
@@ -1,11 +1,6 @@
 """Refusals that a node returns to callers."""
 
-from trefoilhinge.core.verdicts import (
-    Refusal,
-    RefusalCode,
-    Verdict,
-    refuse_not_run,
-)
+from trefoilhinge.core.verdicts import Refusal, RefusalCode, Verdict
 from trefoilhinge.node.call_table import CallRecord
 from trefoilhinge.retries.interfaces import GiveUp
 
@@ -23,15 +18,6 @@
     )
 
 
-def refuse_stopping() -> Refusal:
-    """Return the refusal of a call that reached a stopping instance."""
-    return refuse_not_run(
-        RefusalCode.STOPPING,
-        'This instance is stopping; send the request again.',
-        retry_after_s=MINIMUM_RETRY_AFTER_S,
-    )
-
-
 def refuse_key_while_stopping() -> Refusal:
     """Return the refusal of a call whose key a stopping instance cannot check.
 
--- a/trefoilhinge/node/stopping.py
+++ b/trefoilhinge/node/stopping.py
@@ -2,12 +2,9 @@
 
 from trefoilhinge.core.clocks import Instant
 from trefoilhinge.core.profiles import CallProfile
-from trefoilhinge.core.verdicts import Refusal, Verdict
+from trefoilhinge.core.verdicts import Refusal, Verdict, refuse_stopping
 from trefoilhinge.node.handover import HANDOVER_TIMEOUT_S
-from trefoilhinge.node.refusals import (
-    refuse_key_while_stopping,
-    refuse_stopping,
-)
+from trefoilhinge.node.refusals import refuse_key_while_stopping
 from trefoilhinge.retries.interfaces import (
     ClaimForwarded,
     ClaimRefused,
