Answered the calls that an entry instance has at its close.

Callers whose calls were in progress when an instance was closed without a planned stop, as the demo does after its time limit, got no answer: their connections were closed five seconds later, and the log said that they had departed.

Cause: close() stopped the listeners before the core knew of the exit. Cheroot then shut down the reading side of busy connections, which a relay takes for a caller that has gone.

The core now gets an event of the exit first. It ends each call with the verdict of its state: stopping and not_run for one that waits for a target or for another attempt, answer_incomplete and may_have_run for one that was sent. A stream that has begun ends with that error in place of its end marker. Charges, reservations and streams at targets are given up on the same path as for any other refusal.

--- a/tests/entry/test_stop.py
+++ b/tests/entry/test_stop.py
@@ -1,5 +1,6 @@
 """Tests of the planned stop of an entry instance with real sockets."""
 
+import json
 import signal
 import socket
 import subprocess
@@ -115,3 +116,57 @@
             time.sleep(0.5)
         assert process.wait() == 0, process.read_log()
         assert time.monotonic() - ordered_s >= 2
+
+
+@pytest.fixture
+def deployment():
+    one = support.start(targets=1, settings={'stop_wait_s': 0.2})
+    yield one
+    support.reset_faults(one)
+    one.stop()
+
+
+def send(deployment, stream, tokens=400):
+    """Send a call and return its connection."""
+    fields = {
+        'model': 'writer',
+        'prompt': 'tea',
+        'stream': stream,
+        'max_tokens': tokens,
+    }
+    body = json.dumps(fields).encode()
+    head = support.format_request_head(
+        deployment, '/v1/completions', f'Content-Length: {len(body)}'
+    )
+    sock = support.connect(deployment)
+    sock.sendall(head + body)
+    return sock
+
+
+class TestExit:
+    def test_calls_in_progress_get_a_whole_answer(self, deployment):
+        """Guards against connections that an exit closes without an answer."""
+        entry = deployment.entries[0]
+        with send(deployment, stream=True) as streamed:
+            begun = streamed.recv(100)
+            for engine in deployment.engines:
+                engine.batch.paused = True
+            with send(deployment, stream=False) as whole:
+                support.wait_until(
+                    lambda: entry.callers.count_active_requests() == 2
+                )
+                support.wait_until(
+                    lambda: support.read_status(deployment)['calls'] == 2
+                )
+                entry.close()
+                data = support.read_all(whole)
+                begun += support.read_all(streamed)
+        assert data.startswith((b'HTTP/1.1 502', b'HTTP/1.1 503')), data
+        assert b'Retry-After: ' in data
+        assert support.read_error(data)['code'] in {
+            'answer_incomplete',
+            'stopping',
+        }
+        assert begun.startswith(b'HTTP/1.1 200')
+        assert b'answer_incomplete' in begun
+        assert b'[DONE]' not in begun
--- a/tests/node/test_stop.py
+++ b/tests/node/test_stop.py
@@ -3,9 +3,10 @@
 import pytest
 
 from tests.node.nodes import Node, find, write_document
-from tests.retries.calls import START_S
+from tests.retries.calls import START_S, at
 from trefoilhinge.core.effects import (
     AnswerKey,
+    CancelAttempt,
     Dispatch,
     RefuseCall,
     StopProcess,
@@ -13,6 +14,7 @@
 from trefoilhinge.core.events import (
     AttemptEnded,
     AttemptOutcome,
+    ExitRequested,
     KeyRequested,
     StopRequested,
 )
@@ -124,3 +126,51 @@
             refusal = find(effects, RefuseCall)[0].refusal
             assert refusal.code is RefusalCode.STOPPING
             assert refusal.verdict is Verdict.NOT_RUN
+
+
+class TestExit:
+    """What an exit answers to calls that are still in progress."""
+
+    def end(self, node):
+        effects = node.handle(ExitRequested())
+        return {
+            one.request_id: one.refusal for one in find(effects, RefuseCall)
+        }, effects
+
+    def test_calls_in_progress_get_a_whole_answer(self):
+        """Guards against calls that an exit ends without an answer."""
+        node = Node(document=write_document())
+        assert find(call(node, 'sent'), Dispatch)
+        assert find(call(node, 'retried'), Dispatch)
+        node.handle(
+            AttemptEnded(AttemptId('retried', 1), AttemptOutcome.REFUSED)
+        )
+        node.core.call_coordinator.placement_blocked_until_s = at(
+            60
+        ).monotonic_s
+        call(node, 'queued')
+        refusals, _ = self.end(node)
+        assert set(refusals) == {'sent', 'retried', 'queued'}
+        sent = refusals['sent']
+        assert sent.code is RefusalCode.ANSWER_INCOMPLETE
+        assert (sent.status, sent.verdict) == (502, Verdict.MAY_HAVE_RUN)
+        for name in ('retried', 'queued'):
+            assert refusals[name].code is RefusalCode.STOPPING
+            assert refusals[name].verdict is Verdict.NOT_RUN
+            assert refusals[name].retry_after_s == 1
+
+    def test_nothing_stays_held_at_targets(self):
+        """Guards against streams that run on for callers that were cut off."""
+        node = Node(document=write_document())
+        effects = call(node, 'r1', model=True, service='writer')
+        assert find(effects, Dispatch)
+        _, effects = self.end(node)
+        assert find(effects, CancelAttempt)
+        assert not node.core.parts.groups.list_unreleased()
+
+    def test_later_calls_are_refused(self):
+        """Guards against calls that are taken while the process ends."""
+        node = Node(document=write_document())
+        self.end(node)
+        refusal = find(call(node, 'r1'), RefuseCall)[0].refusal
+        assert refusal.code is RefusalCode.STOPPING
--- a/trefoilhinge/core/events.py
+++ b/trefoilhinge/core/events.py
@@ -278,6 +278,11 @@
     """The platform requested that this instance stop."""
 
 
+@frozen
+class ExitRequested:
+    """The process exits now and cannot wait for the calls in progress."""
+
+
 @frozen
 class TimerFired:
     """A timer fired; the core runs the actions that are due."""
@@ -304,5 +309,6 @@
     | EngineStateRead
     | OrderAnswered
     | StopRequested
+    | ExitRequested
     | TimerFired
 )
--- a/trefoilhinge/entry/daemon.py
+++ b/trefoilhinge/entry/daemon.py
@@ -1,5 +1,6 @@
 """Composition of an entry instance: actor, effect handler and listeners."""
 
+import contextlib
 import json
 import threading
 import uuid
@@ -30,6 +31,7 @@
 from trefoilhinge.core.events import (
     DocumentRead,
     Event,
+    ExitRequested,
     KeyRequested,
     StopRequested,
     TimerFired,
@@ -96,8 +98,13 @@
         self._actor.tell(StopRequested())
 
     def close(self) -> None:
-        """Close the listeners and stop the actor without awaiting calls."""
+        """Close the listeners and stop the actor without awaiting calls.
+
+        Calls in progress are refused before the listeners are closed.
+        """
         self.stopped.set()
+        with contextlib.suppress(pykka.ActorDeadError, pykka.Timeout):
+            self._actor.ask(ExitRequested(), timeout=CORE_QUERY_TIMEOUT_S)
         self.callers.stop()
         self.peers.stop()
         self._actor.stop(block=False)
--- a/trefoilhinge/node/call_coordinator.py
+++ b/trefoilhinge/node/call_coordinator.py
@@ -43,6 +43,7 @@
 from trefoilhinge.node.closing import CallCloser
 from trefoilhinge.node.refusals import (
     refuse_failed_attempt,
+    refuse_unfinished,
     refuse_unreachable_owner,
 )
 from trefoilhinge.retries.interfaces import (
@@ -219,6 +220,14 @@
             return []
         return self._closer.close(record, record.verdict, 0, now)
 
+    def end_calls(self, now: Instant) -> Effects:
+        """Refuse all calls in progress, with the verdict of each."""
+        effects: Effects = []
+        for record in self.table.list_records():
+            refusal = refuse_unfinished(record)
+            effects.extend(self._closer.refuse(record, refusal, now))
+        return effects
+
     def tick(self, now: Instant) -> Effects:
         """Run due work: expire, retry, query and place calls."""
         effects: Effects = []
--- a/trefoilhinge/node/core.py
+++ b/trefoilhinge/node/core.py
@@ -28,6 +28,7 @@
     DocumentRead,
     EngineStateRead,
     Event,
+    ExitRequested,
     FirstTokenSeen,
     ForwardEnded,
     GroupStepEnded,
@@ -161,6 +162,7 @@
             EngineStateRead: self._note_engine_state,
             OrderAnswered: self._note_order,
             StopRequested: self._start_stopping,
+            ExitRequested: self._exit,
             TimerFired: self._tick,
         }
 
@@ -287,6 +289,11 @@
         self.parts.fleet.note_stopping()
         return [ReportReadiness(ready=False), *self.exchanger.send(now)]
 
+    def _exit(self, event: ExitRequested, now: Instant) -> Effects:
+        self._stopped = True
+        self.ready = False
+        return self.call_coordinator.end_calls(now)
+
     def _tick(self, event: TimerFired, now: Instant) -> Effects:
         if self._stopped:
             return []
--- a/trefoilhinge/node/refusals.py
+++ b/trefoilhinge/node/refusals.py
@@ -1,6 +1,11 @@
 """Refusals that a node returns to callers."""
 
-from trefoilhinge.core.verdicts import Refusal, RefusalCode, Verdict
+from trefoilhinge.core.verdicts import (
+    Refusal,
+    RefusalCode,
+    Verdict,
+    refuse_stopping,
+)
 from trefoilhinge.node.call_table import CallRecord
 from trefoilhinge.retries.interfaces import GiveUp
 
@@ -33,6 +38,19 @@
     )
 
 
+def refuse_unfinished(record: CallRecord) -> Refusal:
+    """Return the refusal of a call that the exit of the instance ends."""
+    if record.verdict is Verdict.NOT_RUN:
+        return refuse_stopping()
+    return Refusal(
+        RefusalCode.ANSWER_INCOMPLETE,
+        record.verdict,
+        'This instance stopped before the answer was complete; send the '
+        'request again if it is safe to repeat.',
+        retry_after_s=MINIMUM_RETRY_AFTER_S,
+    )
+
+
 def refuse_failed_attempt(record: CallRecord, decision: GiveUp) -> Refusal:
     """Return the refusal of a call that is not retried."""
     # An earlier attempt may have run even if the last one did not.
