Finished the answers of callers that read slowly at the exit.

A caller that had not read its answer five seconds after an entry instance had decided to exit lost the rest of it: a stream ended without its end marker and was logged as departed, although the caller had not gone. With TLS, the rest was sent in plain text on the same connection.

Cause: after shutdown_timeout Cheroot shuts down the reading side of each busy connection. The relay polls that as a caller that has closed its connection, and the shutdown method of a Python TLS socket drops its TLS state.

The listener now sets no such time-out. Requests that still arrive are ended by the listener itself, calls in progress by the core, and writes by the deadlines of their connections, so that the stop is bounded without it.

Before, the stream of the test ended with CLOSED in place of FINISH, and the caller with TLS got DECRYPTION_FAILED_OR_BAD_RECORD_MAC.

--- a/tests/calls/test_server_stop.py
+++ b/tests/calls/test_server_stop.py
@@ -1,5 +1,6 @@
 """Tests of the stop of a listener while callers use it."""
 
+import select
 import socket
 import threading
 import time
@@ -8,6 +9,7 @@
 
 from tests.calls import support
 from trefoilhinge.calls.answers import encode_refusal, make_refusal_headers
+from trefoilhinge.calls.caller_connection import CLOSED_EVENTS
 from trefoilhinge.calls.connections import CONNECTION_KEY
 from trefoilhinge.calls.exceptions import RequestRefused
 from trefoilhinge.calls.requests import read_body
@@ -15,12 +17,13 @@
 
 TIMEOUT_S = 20
 SLOW_SENDER_S = 15.0
+STREAM_PART = b'x' * 16_000_000  # more than the buffers of a connection hold
 FORCED_CLOSE_S = 5  # after which Cheroot shuts down a busy connection
 HEAD = b'POST %s HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\n'
 
 
 def answer(environ, start_response):
-    """Answer ``done`` to a body."""
+    """Answer ``done`` to a body, or stream to a caller that reads slowly."""
     connection = environ[CONNECTION_KEY]
     try:
         read_body(environ, 100)
@@ -30,10 +33,22 @@
         headers = make_refusal_headers(refused.refusal, len(body))
         start_response(f'{refused.refusal.status} Refused', headers)
         return [body]
+    connection.set_io_deadline(time.monotonic() + TIMEOUT_S)
+    if environ['PATH_INFO'] == '/stream':
+        start_response('200 OK', [])
+        return stream(connection)
     start_response('200 OK', [('Content-Length', '4')])
     return [b'done']
 
 
+def stream(connection):
+    yield STREAM_PART
+    poll = select.poll()
+    poll.register(connection.fileno(), select.POLLRDHUP)
+    seems_closed = any(flags & CLOSED_EVENTS for _, flags in poll.poll(0))
+    yield b'CLOSED' if seems_closed else b'FINISH'
+
+
 @pytest.fixture
 def server():
     limits = ServerLimits(4, SLOW_SENDER_S, 4096, 1000)
@@ -72,3 +87,15 @@
         assert error['code'] == 'stopping'
         assert error['verdict'] == 'not_run'
         assert error['retry_after_s'] == 1
+
+    def test_slow_reader_gets_its_whole_answer(self, server):
+        """Guards against an answer that is cut, or logged as departed."""
+        with connect(server, (HEAD % b'/stream') + b'body') as sock:
+            head = sock.recv(100)
+            assert head.startswith(b'HTTP/1.1 200')
+            thread = stop_in_background(server)
+            time.sleep(FORCED_CLOSE_S + 1)
+            data = head + support.read_all(sock)
+        thread.join(TIMEOUT_S)
+        assert data.count(b'x') == len(STREAM_PART)
+        assert data.endswith(b'6\r\nFINISH\r\n0\r\n\r\n')
--- a/tests/calls/test_tls.py
+++ b/tests/calls/test_tls.py
@@ -11,6 +11,20 @@
 
 from tests.calls import support
 from tests.targets.test_control_requests import run_server
+from tests.calls.test_server_stop import (
+    FORCED_CLOSE_S,
+    HEAD,
+    SLOW_SENDER_S,
+    STREAM_PART,
+    answer,
+    stop_in_background,
+)
+from trefoilhinge.calls.servers import (
+    BoundedServer,
+    ServerLimits,
+    enable_tls,
+    start_server,
+)
 from trefoilhinge.demo.deployment import DeploymentOptions, start_deployment
 from trefoilhinge.targets.abortable_connections import AbortableConnection
 from trefoilhinge.targets.http_requests import send_request
@@ -201,3 +215,29 @@
                 assert ready.poll(support.TIMEOUT_S * 1000)
                 content += body.read_available(is_readable=True)
         assert content == ANSWER
+
+
+class TestStop:
+    def test_slow_reader_gets_its_whole_answer(self, certificate):
+        """Guards against an answer that continues in plain text at the exit."""
+        limits = ServerLimits(4, SLOW_SENDER_S, 4096, 1000)
+        server = BoundedServer('127.0.0.1:0', answer, limits)
+        enable_tls(
+            server,
+            str(certificate / 'cert.pem'),
+            str(certificate / 'key.pem'),
+        )
+        start_server(server)
+        context = ssl.create_default_context(
+            cafile=str(certificate / 'cert.pem')
+        )
+        plain = socket.create_connection(server.bind_addr, timeout=20)
+        with context.wrap_socket(plain, server_hostname='127.0.0.1') as sock:
+            sock.sendall((HEAD % b'/stream') + b'body')
+            data = sock.recv(100)
+            thread = stop_in_background(server)
+            time.sleep(FORCED_CLOSE_S + 1)
+            data += support.read_all(sock)
+        thread.join(20)
+        assert data.count(b'x') == len(STREAM_PART)
+        assert data.endswith(b'6\r\nFINISH\r\n0\r\n\r\n')
--- a/trefoilhinge/calls/servers.py
+++ b/trefoilhinge/calls/servers.py
@@ -67,6 +67,7 @@
 
     ConnectionClass = BoundedConnection
     expiration_interval = EXPIRATION_INTERVAL_S
+    shutdown_timeout: Any
 
     def __init__(
         self,
@@ -86,6 +87,10 @@
             max=limits.thread_count,
             request_queue_size=LISTEN_BACKLOG,
         )
+        # After a time-out, Cheroot would shut down the reading side of busy
+        # connections, which looks as if their callers had gone. Each thread
+        # ends by the deadline of its connection.
+        self.shutdown_timeout = None
         self.gateway = ConnectionGateway
         self.max_request_header_size = limits.maximum_header_bytes
         self.max_request_body_size = limits.maximum_body_bytes
