Left no request unread when an entry instance closes its listeners.

Callers that kept their connection got a reset, or an end without an answer, for a request that they sent as the instance exited. A POST that ends this way is not repeated by common clients, since they cannot know whether it ran.

Cause: answers during a stop kept their connections, and the exit closed all kept connections and the queue of new ones without a last look at them.

From the stop request on, each answer now closes its connection. At the exit the listener takes the new connections and those of kept ones that have input, after the selector has ended, and serves them: the core refuses their calls as stopping. A second stop waits for the first.

Before, the request on a kept connection got no answer (b'') and the one on a new connection ECONNRESET; there was no begin_closing, and an answer after the stop request had no Connection: close.

--- a/tests/calls/test_server_stop.py
+++ b/tests/calls/test_server_stop.py
@@ -64,6 +64,14 @@
     return sock
 
 
+def read_answer(sock):
+    data = b''
+    while not data.endswith(b'done'):
+        piece = sock.recv(1000)
+        assert piece, data
+        data += piece
+
+
 def stop_in_background(server):
     thread = threading.Thread(target=server.stop, daemon=True)
     thread.start()
@@ -99,3 +107,45 @@
         thread.join(TIMEOUT_S)
         assert data.count(b'x') == len(STREAM_PART)
         assert data.endswith(b'6\r\nFINISH\r\n0\r\n\r\n')
+
+    @pytest.mark.parametrize('is_kept', [True, False])
+    def test_request_just_before_the_close_is_answered(
+        self, server, monkeypatch, is_kept
+    ):
+        """Guards against requests that the closing listener leaves unread."""
+        sock = connect(server)
+        if is_kept:
+            sock.sendall((HEAD % b'/') + b'body')
+            read_answer(sock)
+            support.wait_until(lambda: server.count_active_requests() == 0)
+        else:
+            sock.close()
+        end_selector = server._connections.stop
+        late = []
+
+        def send_after_the_last_poll():
+            end_selector()
+            one = sock if is_kept else connect(server)
+            one.sendall((HEAD % b'/') + b'body')
+            late.append(one)
+
+        monkeypatch.setattr(
+            server._connections, 'stop', send_after_the_last_poll
+        )
+        thread = stop_in_background(server)
+        support.wait_until(lambda: late)
+        with late[0]:
+            data = support.read_all(late[0])
+        thread.join(TIMEOUT_S)
+        assert data.startswith(b'HTTP/1.1 200') and data.endswith(b'done')
+        assert b'Connection: close' in data
+
+    def test_stop_request_ends_kept_connections_at_an_answer(self, server):
+        """Guards against a next request on a connection cut by the exit."""
+        with connect(server, (HEAD % b'/') + b'body') as sock:
+            read_answer(sock)
+            support.wait_until(lambda: server.count_active_requests() == 0)
+            server.begin_closing()
+            sock.sendall((HEAD % b'/') + b'body')
+            data = support.read_all(sock)
+        assert b'Connection: close' in data
--- a/tests/entry/test_stop.py
+++ b/tests/entry/test_stop.py
@@ -170,3 +170,17 @@
         assert begun.startswith(b'HTTP/1.1 200')
         assert b'answer_incomplete' in begun
         assert b'[DONE]' not in begun
+
+
+class TestStopRequest:
+    def test_kept_connections_end_at_an_answer(self, deployment):
+        """Guards against a next request on a connection cut by the exit."""
+        entry = deployment.entries[0]
+        with send(deployment, stream=False, tokens=2) as sock:
+            head = sock.recv(65536)
+            assert b'Connection: close' not in head
+            entry.request_stop()
+            with send(deployment, stream=False, tokens=2) as other:
+                data = support.read_all(other)
+        assert data.startswith(b'HTTP/1.1 200')
+        assert b'Connection: close' in data
--- a/trefoilhinge/calls/connections.py
+++ b/trefoilhinge/calls/connections.py
@@ -245,13 +245,24 @@
         """Return whether the caller closed the connection while it was idle."""
         if self.last_used is None or self.rfile.has_data():
             return False
+        return self._peek() == b''
+
+    def has_unread_input(self) -> bool:
+        """Return whether a part of a request has arrived."""
+        return self.rfile.has_data() or bool(self._peek())
+
+    def _peek(self) -> bytes | None:
+        """Return the next byte, or ``None`` if none has arrived.
+
+        :return: empty if the connection was closed.
+        """
         flags = socket.MSG_PEEK | socket.MSG_DONTWAIT
         try:
-            return not socket.socket.recv(self.socket, 1, flags)
+            return socket.socket.recv(self.socket, 1, flags)
         except BlockingIOError:
-            return False
+            return None
         except OSError:
-            return True
+            return b''
 
     def skip_unread_body(self) -> None:
         """Leave the rest of the body unread and close after the response.
--- a/trefoilhinge/calls/servers.py
+++ b/trefoilhinge/calls/servers.py
@@ -68,6 +68,7 @@
     ConnectionClass = BoundedConnection
     expiration_interval = EXPIRATION_INTERVAL_S
     shutdown_timeout: Any
+    _connections: Any
 
     def __init__(
         self,
@@ -99,8 +100,10 @@
         self.refusal_count = 0
         self._thread_count = limits.thread_count
         self._active_requests = 0
+        self._closing = False
         self._pending_refusals = 0
         self._lock = threading.Lock()
+        self._stop_lock = threading.Lock()
         self._refusal_slots = threading.Semaphore(MAXIMUM_CONCURRENT_REFUSALS)
 
     def error_log(
@@ -113,6 +116,19 @@
         problem = msg.replace('"', "'").replace('\n', ' ')
         _logger.info('event=connection_failed problem="{}"', problem)
 
+    @property
+    def can_add_keepalive_connection(self) -> bool:
+        """Return whether a connection may be kept after its answer."""
+        return not self._closing and super().can_add_keepalive_connection
+
+    def begin_closing(self) -> None:
+        """Close each connection after its next answer.
+
+        A connection that is kept until the exit could be closed while its
+        next request is on the way.
+        """
+        self._closing = True
+
     def process_conn(self, conn: Any) -> None:
         """Serve a connection with a request, or refuse it.
 
@@ -132,9 +148,13 @@
 
     def stop(self) -> None:
         """Refuse requests that still arrive, finish answers and close."""
-        if self.ready:
-            os.eventfd_write(self.interrupt_fd, 1)
-        super().stop()
+        with self._stop_lock:
+            if self.ready:
+                self.begin_closing()
+                os.eventfd_write(self.interrupt_fd, 1)
+                self._connections.stop()
+                self._serve_arrived()
+            super().stop()
 
     def release_thread(self) -> None:
         """Record that a thread is free again."""
@@ -145,6 +165,23 @@
         """Return the number of requests that are being served."""
         return self._active_requests
 
+    def _serve_arrived(self) -> None:
+        """Serve the requests that arrived since the last poll of the selector.
+
+        Closing a connection with an unread request resets it.
+        """
+        selector = self._connections._selector
+        for _, conn in tuple(selector.connections):
+            if conn is not self and conn.has_unread_input():
+                selector.unregister(conn.fileno())
+                self.process_conn(conn)
+        self.socket.settimeout(0)
+        for _ in range(LISTEN_BACKLOG):
+            conn = self._connections._from_server_socket(self.socket)
+            if conn is None:
+                break
+            self.process_conn(conn)
+
     def _refuse(self, conn: Any) -> None:
         with self._lock:
             self.refusal_count += 1
--- a/trefoilhinge/entry/daemon.py
+++ b/trefoilhinge/entry/daemon.py
@@ -95,6 +95,8 @@
 
     def request_stop(self) -> None:
         """Begin a graceful shutdown."""
+        self.callers.begin_closing()
+        self.peers.begin_closing()
         self._actor.tell(StopRequested())
 
     def close(self) -> None:
