Answered refused requests truly while traces are exported.

With a trace_exporter set, each request that was refused before its first attempt, such as for an unknown key, a full queue or a stop, got 502 answer_incomplete with the verdict may_have_run in place of its refusal.

Cause: the span of each hop is paired with the beginning of the next one and the end of the request, which is one too many without a hop. The error that this raises ends the request.

Before, the test got 502 in place of 401.

--- a/tests/entry/test_telemetry.py
+++ b/tests/entry/test_telemetry.py
@@ -62,6 +62,14 @@
 
 
 class TestTraces:
+    def test_do_not_replace_a_refusal_by_an_error(self, deployment):
+        """Guards against may_have_run for a call that was never sent."""
+        answer = support.POOL.request(
+            'POST', f'{deployment.urls[0]}/v1/completions'
+        )
+        assert answer.status == 401
+        assert answer.headers['X-Verdict'] == 'not_run'
+
     def test_pass_the_callers_trace_on_to_the_target(self, deployment):
         support.reset_faults(deployment)
         support.complete(deployment, traceparent=PARENT)
--- a/trefoilhinge/entry/telemetry.py
+++ b/trefoilhinge/entry/telemetry.py
@@ -248,8 +248,9 @@
             start_time=_to_wall_ns(times.received_s),
         )
         queue_span.end(_to_wall_ns(times.sent_s))
-    ends_s = [hop.sent_s for hop in times.hops[1:]]
-    for hop, end_s in zip(times.hops, [*ends_s, summary.ended_s], strict=True):
+    # A refused request may have no hop.
+    ends_s = [*(hop.sent_s for hop in times.hops), summary.ended_s][1:]
+    for hop, end_s in zip(times.hops, ends_s, strict=True):
         _end_hop(tracer, parent, hop, end_s)
     span.set_attributes(summary.make_log_fields())
     span.end(_to_wall_ns(summary.ended_s))
