Logged what a planned stop of an entry instance left undone.

The log of an instance that stopped had no line on its stop. An operator could not tell a complete stop from one that ended calls, left reservations at engines, or handed its keys to nobody.

stop_requested gives the calls in progress at SIGTERM. stopped is written once the listeners are closed, with the number of calls refused as too late, ended without an answer that did not run, and that may have run, of reservations and key parts that are left, and of connections whose request had not arrived.

The refusal of an instance without a document existed twice and is now one.

Before, the tests failed for want of the lines and of the report.

--- a/tests/entry/test_stop.py
+++ b/tests/entry/test_stop.py
@@ -14,6 +14,7 @@
 from trefoilhinge.demo.deployment import find_free_port
 
 EXIT_LIMIT_S = 15
+TIMEOUT_S = 20
 
 # Sends the process SIGTERM at one stage of its start.
 PROGRAM = textwrap.dedent("""
@@ -82,6 +83,10 @@
 
         support.wait_until(connect)
 
+    def connect(self):
+        host, _, port = self.address.rpartition(':')
+        return socket.create_connection((host, int(port)), TIMEOUT_S)
+
     def wait(self):
         """Return the exit code."""
         try:
@@ -100,6 +105,25 @@
         process = EntryProcess(tmp_path, stage)
         assert process.wait() == 0, process.read_log()
 
+    def test_log_says_what_the_stop_left(self, tmp_path):
+        """Guards against a stop whose completeness the log does not tell."""
+        process = EntryProcess(tmp_path)
+        process.wait_listening()
+        with process.connect() as idle:
+            idle.sendall(b'POST ')
+            process.process.terminate()
+            assert process.wait() == 0
+            assert b'stopping' in support.read_all(idle)
+        lines = process.read_log().splitlines()
+        requested = [one for one in lines if 'event=stop_requested ' in one]
+        assert len(requested) == 1
+        assert requested[0].endswith('calls=0 queued=0')
+        assert 'event=stopped took_s=' in lines[-1]
+        assert lines[-1].endswith(
+            'refused=0 ended_unsent=0 ended_sent=0 unreleased=0 unadopted=0 '
+            'unread=1'
+        )
+
     @pytest.mark.parametrize('number', [signal.SIGTERM, signal.SIGINT])
     def test_process_without_a_document_ends_on_repeated_signals(
         self, tmp_path, number
--- a/tests/node/test_stop.py
+++ b/tests/node/test_stop.py
@@ -3,11 +3,13 @@
 import pytest
 
 from tests.node.nodes import Node, find, write_document
+from tests.node.test_exchange import make_fleet
 from tests.retries.calls import START_S, at
 from trefoilhinge.core.effects import (
     AnswerKey,
     CancelAttempt,
     Dispatch,
+    LogEvent,
     RefuseCall,
     StopProcess,
 )
@@ -20,6 +22,7 @@
 )
 from trefoilhinge.core.identifiers import AttemptId
 from trefoilhinge.core.verdicts import RefusalCode, Verdict
+from trefoilhinge.node.stop_report import describe_stop
 
 STOP_WAIT_S = 3.0  # of the nodes of the harness
 HANDOVER_S = 10.0
@@ -159,6 +162,39 @@
             assert refusals[name].verdict is Verdict.NOT_RUN
             assert refusals[name].retry_after_s == 1
 
+    def test_report_counts_each_kind(self):
+        """Guards against a log that hides calls that the exit ended."""
+        nodes, network = make_fleet(2, write_document())
+        network.run(3)
+        node = nodes[0]
+        mint(node)
+        network.partitioned = {nodes[1].name}
+        call(node, 'sent')
+        finish(node, 'sent')
+        network.transmit(node, node.handle(StopRequested()))
+        logged = find(node.effects, LogEvent)[-1]
+        assert logged.name == 'stop_requested'
+        network.run(STOP_WAIT_S + 1)
+        assert find(call(node, 'late'), Dispatch)
+        node.core.call_coordinator.placement_blocked_until_s = at(
+            60
+        ).monotonic_s
+        call(node, 'queued')
+        network.run(HANDOVER_S)
+        call(node, 'refused')
+        self.end(node)
+        report = describe_stop(node.core, at(node.elapsed_s))
+        assert float(report.pop('took_s')) == pytest.approx(
+            STOP_WAIT_S + HANDOVER_S + 1
+        )
+        assert report == {
+            'refused': '1',
+            'ended_unsent': '1',
+            'ended_sent': '1',
+            'unreleased': '0',
+            'unadopted': '1',
+        }
+
     def test_nothing_stays_held_at_targets(self):
         """Guards against streams that run on for callers that were cut off."""
         node = Node(document=write_document())
--- a/trefoilhinge/calls/application.py
+++ b/trefoilhinge/calls/application.py
@@ -18,7 +18,11 @@
 from trefoilhinge.conf.generated.document import Document, Organisation
 from trefoilhinge.core.clocks import Clock
 from trefoilhinge.core.identifiers import RequestId
-from trefoilhinge.core.verdicts import RefusalCode, refuse_not_run
+from trefoilhinge.core.verdicts import (
+    RefusalCode,
+    refuse_not_ready,
+    refuse_not_run,
+)
 
 IDEMPOTENCY_KEYS_PATH = '/v1/idempotency-keys'
 MODELS_PATH = '/v1/models'
@@ -86,13 +90,7 @@
     def _authenticate(self, environ: Environ) -> tuple[Document, Organisation]:
         document = self._find_document()
         if document is None:
-            raise RequestRefused(
-                refuse_not_run(
-                    RefusalCode.NOT_READY,
-                    'This instance has no configuration yet; try again.',
-                    retry_after_s=1,
-                ),
-            )
+            raise RequestRefused(refuse_not_ready())
         self._api_keys.load(document)
         authorization = environ.get('HTTP_AUTHORIZATION', '')
         organisation = self._api_keys.find_organisation(authorization)
--- a/trefoilhinge/calls/connections.py
+++ b/trefoilhinge/calls/connections.py
@@ -237,6 +237,8 @@
             keeps_open = bool(super().communicate())
         finally:
             self.server.release_thread()
+            if self.was_interrupted:
+                self.server.note_interrupted()
         if self._needs_drain:
             self.shut_down_and_drain()
         return keeps_open
--- a/trefoilhinge/calls/servers.py
+++ b/trefoilhinge/calls/servers.py
@@ -98,6 +98,7 @@
         self.slow_sender_s = limits.slow_sender_s
         self.interrupt_fd = os.eventfd(0, os.EFD_NONBLOCK)
         self.refusal_count = 0
+        self.interrupted_count = 0
         self._thread_count = limits.thread_count
         self._active_requests = 0
         self._closing = False
@@ -161,6 +162,11 @@
         with self._lock:
             self._active_requests -= 1
 
+    def note_interrupted(self) -> None:
+        """Count a connection whose request had not arrived at the stop."""
+        with self._lock:
+            self.interrupted_count += 1
+
     def count_active_requests(self) -> int:
         """Return the number of requests that are being served."""
         return self._active_requests
--- a/trefoilhinge/core/verdicts.py
+++ b/trefoilhinge/core/verdicts.py
@@ -115,6 +115,15 @@
     )
 
 
+def refuse_not_ready() -> Refusal:
+    """Return the refusal of a request to an instance without a document."""
+    return refuse_not_run(
+        RefusalCode.NOT_READY,
+        'This instance has no configuration yet; try again.',
+        retry_after_s=1,
+    )
+
+
 def refuse_stopping() -> Refusal:
     """Return the refusal of a request that reached a stopping instance."""
     return refuse_not_run(
--- a/trefoilhinge/entry/daemon.py
+++ b/trefoilhinge/entry/daemon.py
@@ -28,6 +28,7 @@
 from trefoilhinge.conf.generated.document import Document
 from trefoilhinge.conf.generated.settings import Settings
 from trefoilhinge.core.clocks import Instant
+from trefoilhinge.core.effects import LogEvent
 from trefoilhinge.core.events import (
     DocumentRead,
     Event,
@@ -41,6 +42,7 @@
 from trefoilhinge.entry.clocks import SystemClock
 from trefoilhinge.entry.effect_handler import EffectHandler
 from trefoilhinge.entry.forwarding import FORWARD_THREADS, ForwardedCallHandler
+from trefoilhinge.entry.logs import log_event
 from trefoilhinge.entry.peers import (
     MAXIMUM_MESSAGE_BYTES,
     PeerApplication,
@@ -52,6 +54,7 @@
 from trefoilhinge.node.composition import make_node, make_parts
 from trefoilhinge.node.core import NodeCore
 from trefoilhinge.node.status import describe_node
+from trefoilhinge.node.stop_report import describe_stop
 from trefoilhinge.node.timers import TICK_INTERVAL_S
 from trefoilhinge.targets.engine_client import make_http_engine_client
 from trefoilhinge.targets.http_requests import make_pool
@@ -105,15 +108,30 @@
         Calls in progress are refused before the listeners are closed.
         """
         self.stopped.set()
-        with contextlib.suppress(pykka.ActorDeadError, pykka.Timeout):
-            self._actor.ask(ExitRequested(), timeout=CORE_QUERY_TIMEOUT_S)
+        stop_fields = self._end_calls()
         self.callers.stop()
         self.peers.stop()
+        if stop_fields:
+            stop_fields['unread'] = str(self.callers.interrupted_count)
+            log_event(LogEvent('stopped', tuple(stop_fields.items())))
         self._actor.stop(block=False)
         for executor in self._executors:
             executor.shutdown(wait=False, cancel_futures=True)
         self._telemetry.close()
 
+    def _end_calls(self) -> dict[str, str]:
+        """Refuse the calls in progress.
+
+        :return: fields of the log line, empty if the core does not reply.
+        """
+        report = None
+        with contextlib.suppress(pykka.ActorDeadError, pykka.Timeout):
+            self._actor.ask(ExitRequested(), timeout=CORE_QUERY_TIMEOUT_S)
+            report = self._actor.ask(
+                describe_stop, timeout=CORE_QUERY_TIMEOUT_S
+            )
+        return report if isinstance(report, dict) else {}
+
     def _submit_document_file(self) -> None:
         path = self.settings.document_file
         if not path:
--- a/trefoilhinge/node/core.py
+++ b/trefoilhinge/node/core.py
@@ -44,7 +44,7 @@
     TimerFired,
 )
 from trefoilhinge.core.identifiers import InstanceIdentity, TargetName
-from trefoilhinge.core.verdicts import RefusalCode, refuse_not_run
+from trefoilhinge.core.verdicts import refuse_not_ready
 from trefoilhinge.groups.interfaces import GroupRunner
 from trefoilhinge.limits.interfaces import Limiter
 from trefoilhinge.membership.interfaces import Fleet, TargetView
@@ -55,7 +55,11 @@
 )
 from trefoilhinge.node.exchange import PeerExchanger
 from trefoilhinge.node.observations import Observations
-from trefoilhinge.node.stopping import refuse_new_call, takes_calls
+from trefoilhinge.node.stopping import (
+    StopCounts,
+    refuse_new_call,
+    takes_calls,
+)
 from trefoilhinge.node.target_polling import TargetPoller
 from trefoilhinge.node.timers import PauseDetector, Timer
 from trefoilhinge.orders.interfaces import Reconciler
@@ -112,6 +116,7 @@
     :ivar ready: whether the instance accepts calls.
     :ivar started_s: monotonic seconds of the first timer event, if any.
     :ivar stopping_since_s: monotonic seconds of the stop request, if any.
+    :ivar stop_counts: calls that the stop did not serve.
     """
 
     parts: NodeParts
@@ -132,6 +137,7 @@
     ready: bool = False
     started_s: float | None = None
     stopping_since_s: float | None = None
+    stop_counts: StopCounts = field(factory=StopCounts)
     _stopped: bool = False
     _engines: tuple[TargetView, ...] = ()
     _cache_sequences: dict[TargetName, int] = field(factory=dict)
@@ -186,15 +192,11 @@
         if self._stopped or not takes_calls(
             self.stopping_since_s, self.stop_wait_s, now
         ):
+            self.stop_counts.refused += 1
             refusal = refuse_new_call(self.parts.ledger, event.profile, now)
             return [RefuseCall(request_id, refusal)]
         if self.parts.document_replica.document is None:
-            refusal = refuse_not_run(
-                RefusalCode.NOT_READY,
-                'This instance has no configuration yet; try again.',
-                retry_after_s=1,
-            )
-            return [RefuseCall(request_id, refusal)]
+            return [RefuseCall(request_id, refuse_not_ready())]
         return self.call_coordinator.receive(event, now)
 
     def _mint_key(self, event: KeyRequested, now: Instant) -> Effects:
@@ -287,11 +289,24 @@
         self.stopping_since_s = now.monotonic_s
         self.ready = False
         self.parts.fleet.note_stopping()
-        return [ReportReadiness(ready=False), *self.exchanger.send(now)]
+        return [
+            self._log_stop_request(),
+            ReportReadiness(ready=False),
+            *self.exchanger.send(now),
+        ]
+
+    def _log_stop_request(self) -> LogEvent:
+        fields = (
+            ('calls', str(len(self.call_coordinator.table))),
+            ('queued', str(self.parts.limiter.count_queued())),
+        )
+        return LogEvent('stop_requested', fields)
 
     def _exit(self, event: ExitRequested, now: Instant) -> Effects:
         self._stopped = True
         self.ready = False
+        records = self.call_coordinator.table.list_records()
+        self.stop_counts.count_ended(one.verdict for one in records)
         return self.call_coordinator.end_calls(now)
 
     def _tick(self, event: TimerFired, now: Instant) -> Effects:
--- a/trefoilhinge/node/handover.py
+++ b/trefoilhinge/node/handover.py
@@ -47,6 +47,14 @@
         adopted = self._adopted.values()
         return not part_count or any(len(one) == part_count for one in adopted)
 
+    def count_unadopted(self) -> int:
+        """Return the number of parts that the best successor has not adopted.
+
+        Before the ledger was sealed there are none.
+        """
+        adopted = max(map(len, self._adopted.values()), default=0)
+        return len(self._parts) - adopted
+
     def send(self, message: PeerExchange, now: Instant) -> list[Effect]:
         """Return messages with the parts that are due.
 
--- a/trefoilhinge/node/stopping.py
+++ b/trefoilhinge/node/stopping.py
@@ -1,5 +1,9 @@
 """Rules of a planned stop."""
 
+from collections.abc import Iterable
+
+from attrs import define
+
 from trefoilhinge.core.clocks import Instant
 from trefoilhinge.core.profiles import CallProfile
 from trefoilhinge.core.verdicts import Refusal, Verdict, refuse_stopping
@@ -12,6 +16,31 @@
 )
 
 
+@define
+class StopCounts:
+    """Calls that a stop did not serve.
+
+    :ivar refused: calls that arrived too late to be taken.
+    :ivar ended_unsent: calls in progress at the exit that did not run.
+    :ivar ended_sent: calls in progress at the exit that may have run.
+    """
+
+    refused: int = 0
+    ended_unsent: int = 0
+    ended_sent: int = 0
+
+    def count_ended(self, verdicts: Iterable[Verdict]) -> None:
+        """Count the calls in progress at the exit.
+
+        :param verdicts: verdict of each call.
+        """
+        for verdict in verdicts:
+            if verdict is Verdict.NOT_RUN:
+                self.ended_unsent += 1
+            else:
+                self.ended_sent += 1
+
+
 def takes_calls(
     stopping_since_s: float | None,
     stop_wait_s: float,
