Freed what ended calls held at engines when an entry instance exits.

Engines went on with streams whose callers had been answered or had gone just before an instance exited, until the streams ended or expired, and took room from the calls of other instances.

Cause: cancellations shared the threads of polls and exchanges, and the exit dropped all that these threads had not begun. One slow target or peer is enough to fill them.

Before, the engine of the test got no cancellation within 20 s of the close.

--- a/tests/entry/test_stop.py
+++ b/tests/entry/test_stop.py
@@ -12,6 +12,7 @@
 
 from tests.calls import support
 from trefoilhinge.demo.deployment import find_free_port
+from trefoilhinge.entry.daemon import CONTROL_THREADS
 
 EXIT_LIMIT_S = 15
 TIMEOUT_S = 20
@@ -196,6 +197,20 @@
         assert b'[DONE]' not in begun
 
 
+class TestTargets:
+    def test_streams_of_ended_calls_are_cancelled(self, deployment):
+        """Guards against engines that go on for callers that were cut off."""
+        entry = deployment.entries[0]
+        for executor in entry._executors:
+            for _ in range(CONTROL_THREADS):
+                executor.submit(time.sleep, 1)
+        with send(deployment, stream=True) as sock:
+            sock.recv(100)
+            entry.close()
+        engine = deployment.engines[0]
+        support.wait_until(lambda: engine._cancelled_ids)
+
+
 class TestStopRequest:
     def test_kept_connections_end_at_an_answer(self, deployment):
         """Guards against a next request on a connection cut by the exit."""
--- a/trefoilhinge/entry/daemon.py
+++ b/trefoilhinge/entry/daemon.py
@@ -62,6 +62,7 @@
 from trefoilhinge.targets.platform_client import make_http_platform_client
 
 CONTROL_THREADS = 24
+RELEASE_THREADS = 16
 PEER_REQUEST_THREADS = 16
 SPARE_ATTEMPT_THREADS = 64
 CORE_QUERY_TIMEOUT_S = 2.0
@@ -82,6 +83,7 @@
     peers: BoundedServer
     _actor: 'pykka.ActorRef[NodeActor]'
     _executors: tuple[ThreadPoolExecutor, ...]
+    _release_executor: ThreadPoolExecutor
     _telemetry: Telemetry
     stopped: threading.Event = field(factory=threading.Event)
 
@@ -117,6 +119,8 @@
         self._actor.stop(block=False)
         for executor in self._executors:
             executor.shutdown(wait=False, cancel_futures=True)
+        # Engines would hold what is not released until it expires.
+        self._release_executor.shutdown(wait=False)
         self._telemetry.close()
 
     def _end_calls(self) -> dict[str, str]:
@@ -249,6 +253,7 @@
 ) -> EntryInstance:
     settings = context.settings
     control_executor = ThreadPoolExecutor(CONTROL_THREADS, 'control')
+    release_executor = ThreadPoolExecutor(RELEASE_THREADS, 'release')
     # One thread per call, because a target may take long to begin its answer;
     # the executor starts threads on demand.
     attempt_executor = ThreadPoolExecutor(
@@ -274,6 +279,7 @@
         context.update_readiness,
         context.stopped.set,
         context.clock,
+        release_executor=release_executor,
     )
     context.actor = NodeActor.start(
         context.core, context.clock, effect_handler.handle
@@ -298,6 +304,7 @@
         _make_peer_server(context, service, identity),
         context.actor,
         (control_executor, attempt_executor),
+        release_executor,
         context.telemetry,
         context.stopped,
     )
--- a/trefoilhinge/entry/effect_handler.py
+++ b/trefoilhinge/entry/effect_handler.py
@@ -18,7 +18,11 @@
 
 @define
 class EffectHandler:
-    """Perform the I/O of effects and report its outcome as events."""
+    """Perform the I/O of effects and report its outcome as events.
+
+    :ivar _release_executor: executor of requests that free resources at
+        targets; the executor of all others if there is none.
+    """
 
     _engine_client: EngineClient
     _platform_client: PlatformClient
@@ -31,6 +35,7 @@
     _stop: Callable[[], None]
     _clock: Clock
     _handlers: dict[type[Any], Callable[[Any], None]] = field(factory=dict)
+    _release_executor: Executor | None = field(default=None, kw_only=True)
 
     def __attrs_post_init__(self) -> None:
         """Map each type of effect to its handler."""
@@ -44,9 +49,7 @@
             fx.QueryStream: self._make_io_handler(
                 self._engine_client.query_stream
             ),
-            fx.ReleaseHolding: self._make_io_handler(
-                self._engine_client.release
-            ),
+            fx.ReleaseHolding: self._release_holding,
             fx.ReadLoad: self._read_load,
             fx.ReadInstances: self._read_instances,
             fx.ReadDocument: self._make_io_handler(
@@ -83,7 +86,9 @@
             return OrderAnswered(order.target, order.fence, accepted=False)
         return self._engine_client.send_order(order)
 
-    def _submit(self, task: Callable[[], None]) -> None:
+    def _submit(
+        self, task: Callable[[], None], executor: Executor | None = None
+    ) -> None:
         def run() -> None:
             try:
                 task()
@@ -92,7 +97,7 @@
                 log_exception('input_failed')
 
         try:
-            self._executor.submit(run)
+            (executor or self._executor).submit(run)
         except RuntimeError:
             # The executor was shut down: the process is exiting.
             log_event(fx.LogEvent('work_dropped', ()))
@@ -112,7 +117,15 @@
     def _cancel(self, effect: fx.CancelAttempt) -> None:
         self._mailboxes.put(effect.attempt.request_id, effect)
         if effect.model:
-            self._submit(lambda: self._cancel_at_target(effect))
+            self._submit(
+                lambda: self._cancel_at_target(effect), self._release_executor
+            )
+
+    def _release_holding(self, effect: fx.ReleaseHolding) -> None:
+        self._submit(
+            lambda: self._report(self._engine_client.release(effect)),
+            self._release_executor,
+        )
 
     def _cancel_at_target(self, effect: fx.CancelAttempt) -> None:
         # The response is not reported: the call has ended at this instance.
