Completed refusals of an overload before an entry instance exits.

A caller beyond maximum_connections at the moment of an exit could get a closed connection in place of its refusal: refusals are written by threads of their own, for which the stop of the listener did not wait.

The stop now waits for them, for at most the time limits of one.

Before, the refusal of the test had not been written when the stop returned.

--- a/tests/calls/test_server_stop.py
+++ b/tests/calls/test_server_stop.py
@@ -140,6 +140,12 @@
         assert data.startswith(b'HTTP/1.1 200') and data.endswith(b'done')
         assert b'Connection: close' in data
 
+    def test_stop_waits_for_refusals(self, server):
+        """Guards against refusals of an overload that the exit cuts."""
+        server._refuse(DelayedConnection())
+        server.stop()
+        assert DelayedConnection.written
+
     def test_stop_request_ends_kept_connections_at_an_answer(self, server):
         """Guards against a next request on a connection cut by the exit."""
         with connect(server, (HEAD % b'/') + b'body') as sock:
@@ -149,3 +155,25 @@
             sock.sendall((HEAD % b'/') + b'body')
             data = support.read_all(sock)
         assert b'Connection: close' in data
+
+
+class DelayedConnection:
+    """Connection whose writes take a while."""
+
+    written = False
+
+    def __init__(self):
+        self.wfile = self
+
+    def set_io_deadline(self, deadline_s):
+        pass
+
+    def write(self, data):
+        time.sleep(0.5)
+        DelayedConnection.written = True
+
+    def shut_down_and_drain(self):
+        pass
+
+    def close(self):
+        pass
--- a/trefoilhinge/calls/servers.py
+++ b/trefoilhinge/calls/servers.py
@@ -14,6 +14,7 @@
 from cheroot.ssl.builtin import BuiltinSSLAdapter
 
 from trefoilhinge.calls.connections import (
+    DRAIN_TIMEOUT_S,
     BoundedConnection,
     ConnectionGateway,
     format_refusal_response,
@@ -23,6 +24,8 @@
 MAXIMUM_CONCURRENT_REFUSALS = 4
 MAXIMUM_PENDING_REFUSALS = 64
 OVERLOAD_WRITE_TIMEOUT_S = 1.0
+# One refusal takes at most the time limits of its write and of its drain.
+STOP_REFUSALS_TIMEOUT_S = OVERLOAD_WRITE_TIMEOUT_S + DRAIN_TIMEOUT_S
 # Interval at which Cheroot checks for expired connections.
 EXPIRATION_INTERVAL_S = 0.2
 LISTEN_BACKLOG = 512
@@ -104,6 +107,7 @@
         self._closing = False
         self._pending_refusals = 0
         self._lock = threading.Lock()
+        self._refusals_ended = threading.Condition(self._lock)
         self._stop_lock = threading.Lock()
         self._refusal_slots = threading.Semaphore(MAXIMUM_CONCURRENT_REFUSALS)
 
@@ -156,6 +160,11 @@
                 self._connections.stop()
                 self._serve_arrived()
             super().stop()
+            with self._refusals_ended:
+                self._refusals_ended.wait_for(
+                    lambda: not self._pending_refusals,
+                    STOP_REFUSALS_TIMEOUT_S,
+                )
 
     def release_thread(self) -> None:
         """Record that a thread is free again."""
@@ -216,8 +225,9 @@
             conn.wfile.write(format_refusal_response(refusal))
             conn.shut_down_and_drain()
         conn.close()
-        with self._lock:
+        with self._refusals_ended:
             self._pending_refusals -= 1
+            self._refusals_ended.notify_all()
 
 
 def start_server(server: BoundedServer) -> None:
