--- a/trefoilhinge/calls/requests.py
+++ b/trefoilhinge/calls/requests.py
@@ -4,7 +4,7 @@
 from typing import Any
 
 from trefoilhinge.calls.call_parsing import ReceivedRequest
-from trefoilhinge.calls.connections import ReceiveInterrupted
+from trefoilhinge.calls.deadlines import ReceiveInterrupted
 from trefoilhinge.calls.exceptions import RequestRefused
 from trefoilhinge.core.verdicts import (
     Refusal,
