Bounded the export of spans at the exit of an entry instance.

With a collector that is silent or down, an instance hung for 7 to 10 s after its listeners were closed, and longer with a longer retry, so that a platform that kills late processes ended it.

Cause: the shutdown of the exporter waits for its running export, which has its own time limit and retries.

The exit now waits for two seconds, which a working collector does not need, and logs spans_dropped if they were not enough.

--- a/tests/entry/test_telemetry.py
+++ b/tests/entry/test_telemetry.py
@@ -1,3 +1,7 @@
+import socket
+import time
+
+import logbook
 import pytest
 from opentelemetry.sdk.trace import TracerProvider
 from opentelemetry.sdk.trace.export import SimpleSpanProcessor
@@ -8,7 +12,11 @@
 from tests.calls import support
 from trefoilhinge.calls.call_telemetry import CallSummary, CallTimes, Hop
 from trefoilhinge.conf.settings import load_settings
-from trefoilhinge.entry.telemetry import Telemetry, make_telemetry
+from trefoilhinge.entry.telemetry import (
+    SPAN_EXPORT_TIMEOUT_S,
+    Telemetry,
+    make_telemetry,
+)
 
 PARENT = '00-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-01'
 TRACE_ID = PARENT.split('-')[1]
@@ -61,6 +69,43 @@
         assert deployment.key.split('-')[2] not in text
 
 
+class TestClose:
+    def test_does_not_wait_for_a_silent_collector(self):
+        """Guards against an exit that spans delay until the process is killed."""
+        with socket.create_server(('127.0.0.1', 0)) as collector:
+            port = collector.getsockname()[1]
+            telemetry = make_telemetry(
+                load_settings(
+                    {
+                        **SETTINGS,
+                        'trace_exporter': 'otlp',
+                        'trace_endpoint': f'http://127.0.0.1:{port}/v1/traces',
+                    },
+                    {},
+                )
+            )
+            telemetry.record_finished(
+                CallSummary(
+                    request_id='r1',
+                    organisation='hotel-desk',
+                    service='writer',
+                    verdict='ran',
+                    code='',
+                    status=200,
+                    prompt_tokens=1,
+                    ended_s=1,
+                    times=CallTimes(0),
+                ),
+                telemetry.start_span(''),
+            )
+            begun_s = time.monotonic()
+            with logbook.TestHandler().applicationbound() as log:
+                telemetry.close()
+        assert time.monotonic() - begun_s < SPAN_EXPORT_TIMEOUT_S + 1
+        assert log.has_infos
+        assert 'event=spans_dropped' in log.records[-1].message
+
+
 class TestTraces:
     def test_do_not_replace_a_refusal_by_an_error(self, deployment):
         """Guards against may_have_run for a call that was never sent."""
--- a/trefoilhinge/entry/telemetry.py
+++ b/trefoilhinge/entry/telemetry.py
@@ -4,6 +4,7 @@
 timings, from which metrics and spans are recorded once, when it has finished.
 """
 
+import threading
 import time
 from collections.abc import Iterable
 
@@ -38,6 +39,8 @@
 from trefoilhinge.core.effects import LogEvent
 from trefoilhinge.entry.logs import log_event
 
+# The exporter itself would wait for a silent collector for 10 s and more.
+SPAN_EXPORT_TIMEOUT_S = 2.0
 NANOSECONDS_PER_SECOND = 1_000_000_000
 TTFT_BUCKETS_S = (0.05, 0.1, 0.2, 0.4, 0.8, 1.2, 2, 4, 8, 16, 32, 64)
 INTER_TOKEN_BUCKETS_S = (
@@ -174,9 +177,14 @@
             _end_spans(self._tracer, span.span, summary)
 
     def close(self) -> None:
-        """Export the pending spans and shut the exporter down."""
-        if self._provider is not None:
-            self._provider.shutdown()
+        """Export the pending spans, as far as the collector takes them."""
+        if self._provider is None:
+            return
+        thread = threading.Thread(target=self._provider.shutdown, daemon=True)
+        thread.start()
+        thread.join(SPAN_EXPORT_TIMEOUT_S)
+        if thread.is_alive():
+            log_event(LogEvent('spans_dropped', ()))
 
 
 def make_telemetry(settings: Settings) -> Telemetry:
