Refused requests for keys at the exit as stopping.

A caller that requested an idempotency key while an instance handed over its ledger was told not_ready and to supply a key of its own, which the service refuses as key_unknown, and got no Retry-After.

Cause: one answer stood for a core that does not reply and for a sealed ledger.

A sealed ledger is now answered with the code stopping, and a core that does not reply with not_ready and the advice to request the key again.

--- a/tests/entry/test_stop.py
+++ b/tests/entry/test_stop.py
@@ -211,6 +211,24 @@
         support.wait_until(lambda: engine._cancelled_ids)
 
 
+class TestKeys:
+    def test_request_at_the_exit_names_a_remedy_that_works(self, deployment):
+        """Guards against a key that callers make up, which is refused."""
+        entry = deployment.entries[0]
+        entry._actor.ask(seal_ledger, timeout=TIMEOUT_S)
+        answer = support.post(deployment, '/v1/idempotency-keys', {})
+        error = answer.json()['error']
+        assert answer.status == 503
+        assert error['code'] == 'stopping'
+        assert error['verdict'] == 'not_run'
+        assert error['retry_after_s'] == 1
+        assert 'supply your own' not in error['message']
+
+
+def seal_ledger(core, now):
+    core.parts.ledger.export_entries(now)
+
+
 class TestStopRequest:
     def test_kept_connections_end_at_an_answer(self, deployment):
         """Guards against a next request on a connection cut by the exit."""
--- a/trefoilhinge/calls/application.py
+++ b/trefoilhinge/calls/application.py
@@ -22,6 +22,7 @@
     RefusalCode,
     refuse_not_ready,
     refuse_not_run,
+    refuse_stopping,
 )
 
 IDEMPOTENCY_KEYS_PATH = '/v1/idempotency-keys'
@@ -110,15 +111,18 @@
         start_response: StartResponse,
     ) -> Iterable[bytes]:
         key = self._mint_key(organisation.name)
-        if not key:
+        if key is None:
             raise RequestRefused(
                 refuse_not_run(
                     RefusalCode.NOT_READY,
-                    'This instance cannot issue an idempotency key; '
-                    'supply your own.',
-                    example='Idempotency-Key: booking-2041',
+                    'This instance cannot issue an idempotency key now; '
+                    'request it again.',
+                    retry_after_s=1,
                 ),
             )
+        if not key:
+            # The ledger is sealed, which ends a planned stop.
+            raise RequestRefused(refuse_stopping())
         return _answer_json({'key': key}, start_response)
 
 
--- a/trefoilhinge/entry/actor.py
+++ b/trefoilhinge/entry/actor.py
@@ -7,11 +7,10 @@
 
 from trefoilhinge.calls.call_service import refuse_core_failure
 from trefoilhinge.core.clocks import Clock
-from trefoilhinge.core.effects import AnswerKey, AnswerPeer, Effect, RefuseCall
+from trefoilhinge.core.effects import AnswerPeer, Effect, RefuseCall
 from trefoilhinge.core.events import (
     CallReceived,
     Event,
-    KeyRequested,
     PeerMessageReceived,
 )
 from trefoilhinge.entry.logs import log_exception
@@ -62,12 +61,13 @@
 
 
 def make_failure_effects(event: Event) -> list[Effect]:
-    """Return the effects that reply to the sender of a failed event."""
+    """Return the effects that reply to the sender of a failed event.
+
+    A caller that requested a key is refused for want of a reply.
+    """
     match event:
         case CallReceived(profile):
             return [RefuseCall(profile.request_id, refuse_core_failure())]
-        case KeyRequested(token):
-            return [AnswerKey(token, '')]
         case PeerMessageReceived(token):
             return [AnswerPeer(token, '')]
         case _:
--- a/trefoilhinge/entry/daemon.py
+++ b/trefoilhinge/entry/daemon.py
@@ -180,7 +180,8 @@
     def mint_key(self, organisation: str) -> str | None:
         """Request an idempotency key from the core.
 
-        :return: none if the core did not reply in time.
+        :return: none if the core did not reply in time, empty once the ledger
+            is sealed for the stop.
         """
         token = self.replies.register()
         self.report(KeyRequested(token, organisation))
