Tested what a planned stop of an entry instance waits for.

Calls without a target, between two attempts and without an answer are kept until they end, reservations until they are released; a second request and a missing document change nothing. All of these held before: an instance does not exit while its table has a call, and each call ends by its deadline.

--- a/tests/node/test_stop.py
+++ b/tests/node/test_stop.py
@@ -9,6 +9,7 @@
     AnswerKey,
     CancelAttempt,
     Dispatch,
+    FinishCall,
     LogEvent,
     RefuseCall,
     StopProcess,
@@ -17,6 +18,7 @@
     AttemptEnded,
     AttemptOutcome,
     ExitRequested,
+    HoldingReleased,
     KeyRequested,
     StopRequested,
 )
@@ -210,3 +212,77 @@
         self.end(node)
         refusal = find(call(node, 'r1'), RefuseCall)[0].refusal
         assert refusal.code is RefusalCode.STOPPING
+
+
+class TestCallsInProgress:
+    """What a planned stop waits for."""
+
+    def wait(self, node):
+        """Let more time pass than the stop takes without calls."""
+        node.handle(StopRequested())
+        node.run(STOP_WAIT_S + HANDOVER_S + 1)
+        assert not find(node.effects, StopProcess)
+
+    def test_queued_call_is_served(self):
+        """Guards against an exit that forgets calls without a target."""
+        node = Node(document=write_document())
+        coordinator = node.core.call_coordinator
+        coordinator.placement_blocked_until_s = at(20).monotonic_s
+        assert not find(call(node, 'r1'), Dispatch)
+        self.wait(node)
+        assert find(node.run(7), Dispatch)
+        assert find(finish(node, 'r1'), FinishCall)
+        node.run(1)
+        assert find(node.effects, StopProcess)
+
+    def test_call_between_two_attempts_is_served(self):
+        """Guards against an exit that forgets calls that wait for a retry."""
+        node = Node(document=write_document())
+        assert find(call(node, 'r1'), Dispatch)
+        node.handle(AttemptEnded(AttemptId('r1', 1), AttemptOutcome.REFUSED))
+        node.handle(StopRequested())
+        retried = find(node.run(STOP_WAIT_S + 1), Dispatch)
+        assert retried[0].attempt.number == 2
+        assert not find(node.effects, StopProcess)
+
+    def test_call_without_an_answer_ends_at_its_deadline(self):
+        """Guards against an exit that leaves a call without an answer."""
+        node = Node(document=write_document())
+        assert find(call(node, 'r1'), Dispatch)
+        self.wait(node)
+        effects = node.run(LONGEST_LIMIT_S)
+        refusal = find(effects, RefuseCall)[0].refusal
+        assert refusal.code is RefusalCode.DEADLINE_PASSED
+        assert refusal.verdict is Verdict.MAY_HAVE_RUN
+        names = [type(one) for one in effects]
+        assert names.index(RefuseCall) < names.index(StopProcess)
+
+    def test_reservations_are_released_before_the_exit(self):
+        """Guards against reservations of an instance that is gone."""
+        node = Node(document=write_document())
+        groups = node.core.parts.groups
+        release = groups._releases.begin(
+            'w0', 'w0:1', 'tag', at(40).wall_s, at(0)
+        )
+        self.wait(node)
+        node.handle(HoldingReleased('w0', release.tag, succeeded=True))
+        node.run(1)
+        assert find(node.effects, StopProcess)
+
+    def test_repeated_request_does_not_begin_another_stop(self):
+        """Guards against a second signal that prolongs a stop."""
+        node = Node(document=write_document())
+        node.handle(StopRequested())
+        node.run(STOP_WAIT_S - 1)
+        node.handle(StopRequested())
+        node.run(1.5)
+        assert find(node.effects, StopProcess)
+
+    def test_node_without_a_document_ends(self):
+        """Guards against a stop that waits for a document."""
+        node = Node()
+        node.handle(StopRequested())
+        refusal = find(call(node, 'r1'), RefuseCall)[0].refusal
+        assert refusal.verdict is Verdict.NOT_RUN
+        node.run(STOP_WAIT_S + 0.5)
+        assert find(node.effects, StopProcess)
