Limited the time of a planned stop where the platform kills late processes.

An entry instance waits for all of its calls, up to the longest time limit in force. A platform that kills a process some seconds after SIGTERM cuts off all that are left: calls that only wait for a target, which another instance could serve, as well as those that were sent.

The setting stop_limit_s, by default 0 for no limit, ends the calls that are left at that time after SIGTERM with a whole answer: stopping and not_run, or answer_incomplete and may_have_run. New calls are then taken for stop_wait_s only, an engine that does not confirm a release does not hold up the exit, and the line stopped counts what was left.

--- a/tests/entry/test_stop.py
+++ b/tests/entry/test_stop.py
@@ -151,6 +151,16 @@
     one.stop()
 
 
+@pytest.fixture
+def limited_deployment():
+    one = support.start(
+        targets=1, settings={'stop_wait_s': 0.2, 'stop_limit_s': 1.0}
+    )
+    yield one
+    support.reset_faults(one)
+    one.stop()
+
+
 def send(deployment, stream, tokens=400):
     """Send a call and return its connection."""
     fields = {
@@ -197,6 +207,25 @@
         assert b'[DONE]' not in begun
 
 
+class TestStopLimit:
+    def test_calls_that_are_left_get_a_whole_answer(self, limited_deployment):
+        """Guards against calls that the platform's kill cuts off."""
+        entry = limited_deployment.entries[0]
+        for engine in limited_deployment.engines:
+            engine.batch.paused = True
+        with send(limited_deployment, stream=False) as sock:
+            support.wait_until(
+                lambda: support.read_status(limited_deployment)['calls'] == 1
+            )
+            entry.request_stop()
+            data = support.read_all(sock)
+            assert entry.stopped.wait(TIMEOUT_S)
+        assert data.startswith(b'HTTP/1.1 502')
+        error = support.read_error(data)
+        assert error['code'] == 'answer_incomplete'
+        assert error['verdict'] == 'may_have_run'
+
+
 class TestTargets:
     def test_streams_of_ended_calls_are_cancelled(self, deployment):
         """Guards against engines that go on for callers that were cut off."""
--- a/tests/node/test_stop.py
+++ b/tests/node/test_stop.py
@@ -286,3 +286,55 @@
         assert refusal.verdict is Verdict.NOT_RUN
         node.run(STOP_WAIT_S + 0.5)
         assert find(node.effects, StopProcess)
+
+
+class TestStopLimit:
+    """A stop whose time is limited, as the platform kills late processes."""
+
+    LIMIT_S = 5.0
+
+    def test_calls_that_are_left_get_a_whole_answer(self):
+        """Guards against calls that the platform's kill cuts off."""
+        node = Node(document=write_document())
+        node.core.stop_limit_s = self.LIMIT_S
+        assert find(call(node, 'sent'), Dispatch)
+        coordinator = node.core.call_coordinator
+        coordinator.placement_blocked_until_s = at(60).monotonic_s
+        call(node, 'queued')
+        node.handle(StopRequested())
+        assert not find(node.run(self.LIMIT_S - 0.2), RefuseCall)
+        effects = node.run(0.5)
+        refusals = {
+            one.request_id: one.refusal for one in find(effects, RefuseCall)
+        }
+        assert refusals['sent'].code is RefusalCode.ANSWER_INCOMPLETE
+        assert refusals['sent'].verdict is Verdict.MAY_HAVE_RUN
+        assert refusals['queued'].code is RefusalCode.STOPPING
+        assert refusals['queued'].verdict is Verdict.NOT_RUN
+        assert find(effects, StopProcess)
+        report = describe_stop(node.core, at(node.elapsed_s))
+        assert report['ended_sent'] == report['ended_unsent'] == '1'
+
+    def test_calls_are_taken_only_until_the_balancer_has_noticed(self):
+        """Guards against taking calls that the limit is likely to end."""
+        node = Node(document=write_document())
+        node.core.stop_limit_s = self.LIMIT_S
+        assert find(call(node, 'long'), Dispatch)
+        node.handle(StopRequested())
+        node.run(STOP_WAIT_S - 0.5)
+        assert find(call(node, 'r1'), Dispatch)
+        node.run(1)
+        refusal = find(call(node, 'r2'), RefuseCall)[0].refusal
+        assert refusal.code is RefusalCode.STOPPING
+
+    def test_reservations_do_not_prolong_a_limited_stop(self):
+        """Guards against an engine that holds up the exit until a kill."""
+        node = Node(document=write_document())
+        node.core.stop_limit_s = self.LIMIT_S
+        groups = node.core.parts.groups
+        groups._releases.begin('w0', 'w0:1', 'tag', at(90).wall_s, at(0))
+        node.handle(StopRequested())
+        assert not find(node.run(self.LIMIT_S - 0.2), StopProcess)
+        assert find(node.run(0.5), StopProcess)
+        report = describe_stop(node.core, at(node.elapsed_s))
+        assert report['unreleased'] == '1'
--- a/trefoilhinge/entry/daemon.py
+++ b/trefoilhinge/entry/daemon.py
@@ -234,6 +234,7 @@
         identity.incarnation,
     )
     core.identity = identity
+    core.stop_limit_s = settings.stop_limit_s
     context = _NodeContext(settings, core, clock, make_telemetry(settings))
     return _assemble_instance(context, identity)
 
--- a/trefoilhinge/node/core.py
+++ b/trefoilhinge/node/core.py
@@ -116,6 +116,8 @@
     :ivar ready: whether the instance accepts calls.
     :ivar started_s: monotonic seconds of the first timer event, if any.
     :ivar stopping_since_s: monotonic seconds of the stop request, if any.
+    :ivar stop_limit_s: seconds after a stop request at which the calls that
+        are left are ended, 0 for no limit.
     :ivar stop_counts: calls that the stop did not serve.
     """
 
@@ -137,6 +139,7 @@
     ready: bool = False
     started_s: float | None = None
     stopping_since_s: float | None = None
+    stop_limit_s: float = 0
     stop_counts: StopCounts = field(factory=StopCounts)
     _stopped: bool = False
     _engines: tuple[TargetView, ...] = ()
@@ -190,7 +193,7 @@
     def _receive_call(self, event: CallReceived, now: Instant) -> Effects:
         request_id = event.profile.request_id
         if self._stopped or not takes_calls(
-            self.stopping_since_s, self.stop_wait_s, now
+            self.stopping_since_s, self.stop_wait_s, self.stop_limit_s, now
         ):
             self.stop_counts.refused += 1
             refusal = refuse_new_call(self.parts.ledger, event.profile, now)
@@ -305,6 +308,9 @@
     def _exit(self, event: ExitRequested, now: Instant) -> Effects:
         self._stopped = True
         self.ready = False
+        return self._end_calls(now)
+
+    def _end_calls(self, now: Instant) -> Effects:
         records = self.call_coordinator.table.list_records()
         self.stop_counts.count_ended(one.verdict for one in records)
         return self.call_coordinator.end_calls(now)
@@ -430,13 +436,17 @@
         if self.stopping_since_s is None:
             return []
         waited_s = now.monotonic_s - self.stopping_since_s
-        if waited_s < self.stop_wait_s:
+        effects: Effects = []
+        is_limited = bool(self.stop_limit_s) and waited_s >= self.stop_limit_s
+        if is_limited:
+            effects.extend(self._end_calls(now))
+        elif waited_s < self.stop_wait_s:
             return []
         handover = self.exchanger.handover
-        busy = self._is_busy()
+        busy = self._is_busy() and not is_limited
         if busy and handover.started_s is None:
             return []
-        effects = self.exchanger.send_handover(now)
+        effects.extend(self.exchanger.send_handover(now))
         if busy or not handover.is_done(now):
             return effects
         self._stopped = True
--- a/trefoilhinge/node/stopping.py
+++ b/trefoilhinge/node/stopping.py
@@ -44,21 +44,27 @@
 def takes_calls(
     stopping_since_s: float | None,
     stop_wait_s: float,
+    stop_limit_s: float,
     now: Instant,
 ) -> bool:
     """Return whether new calls are taken.
 
     An instance that cannot reach a peer stays up for the whole handover, and
     is then the only one that its callers may reach. Later calls would delay
-    the exit for as long as callers keep coming.
+    the exit for as long as callers keep coming. A limited stop leaves that time
+    to the calls in progress.
 
     :param stopping_since_s: monotonic seconds of the stop request, if any.
     :param stop_wait_s: seconds that the load balancer takes to notice.
+    :param stop_limit_s: seconds after which the calls that are left are ended,
+        0 for no limit.
     """
     if stopping_since_s is None:
         return True
-    limit_s = stop_wait_s + HANDOVER_TIMEOUT_S
-    return now.monotonic_s - stopping_since_s < limit_s
+    waited_s = now.monotonic_s - stopping_since_s
+    if stop_limit_s:
+        return waited_s < min(stop_wait_s, stop_limit_s)
+    return waited_s < stop_wait_s + HANDOVER_TIMEOUT_S
 
 
 def refuse_new_call(
