Ended the loop of a listener's selector before its last look.

The stop of a listener kept a thread spinning from the end of its selector until the listener was closed, which slowed down the last answers and the stop: that waits for a moment in which the loop does not run.

Cause: the last look at arrived requests has to come after the end of the selector and before the stop of Cheroot, which alone ended the loop.

The listener is now marked as not ready for the last look, which ends the loop.

That test now prints the stack of each thread and the log if a process does not end.

--- a/tests/calls/test_server_stop.py
+++ b/tests/calls/test_server_stop.py
@@ -140,6 +140,19 @@
         assert data.startswith(b'HTTP/1.1 200') and data.endswith(b'done')
         assert b'Connection: close' in data
 
+    def test_stop_does_not_spin(self, server, monkeypatch):
+        """Guards against a busy loop that slows the last answers down."""
+        run = server._connections.run
+        runs = []
+
+        def count(interval):
+            runs.append(interval)
+            run(interval)
+
+        monkeypatch.setattr(server._connections, 'run', count)
+        server.stop()
+        assert len(runs) <= 1
+
     def test_stop_waits_for_refusals(self, server):
         """Guards against refusals of an overload that the exit cuts."""
         server._refuse(DelayedConnection())
--- a/tests/entry/test_stop.py
+++ b/tests/entry/test_stop.py
@@ -19,7 +19,9 @@
 
 # Sends the process SIGTERM at one stage of its start.
 PROGRAM = textwrap.dedent("""
-    import os, signal, sys
+    import faulthandler, os, signal, sys
+
+    faulthandler.dump_traceback_later(float(sys.argv.pop(1)))
 
     from trefoilhinge.client.commands import main
     from trefoilhinge.entry import commands, daemon
@@ -70,7 +72,15 @@
         arguments = [f'--{name}={value}' for name, value in flags.items()]
         with self.log_path.open('wb') as log:
             self.process = subprocess.Popen(
-                [sys.executable, '-c', PROGRAM, stage, 'entry', *arguments],
+                [
+                    sys.executable,
+                    '-c',
+                    PROGRAM,
+                    str(EXIT_LIMIT_S - 2),
+                    stage,
+                    'entry',
+                    *arguments,
+                ],
                 stderr=log,
             )
 
@@ -92,6 +102,8 @@
         """Return the exit code."""
         try:
             return self.process.wait(EXIT_LIMIT_S)
+        except subprocess.TimeoutExpired:
+            pytest.fail(self.read_log())
         finally:
             self.process.kill()
 
--- a/trefoilhinge/calls/servers.py
+++ b/trefoilhinge/calls/servers.py
@@ -157,8 +157,12 @@
             if self.ready:
                 self.begin_closing()
                 os.eventfd_write(self.interrupt_fd, 1)
+                # Cheroot's loop over the selector ends only once it is not
+                # ready, and its own stop does nothing then.
+                self.ready = False
                 self._connections.stop()
                 self._serve_arrived()
+                self.ready = True
             super().stop()
             with self._refusals_ended:
                 self._refusals_ended.wait_for(
