Ended the instances of a soak that is ended by a signal.

A soak that was ended by SIGTERM, as a time limit does, left its instances running: 12 processes of three soaks were found. They kept their ports and took processor time from whatever ran next.

Cause: only an error or SIGINT reached the code that closes the fleet. SIGTERM and SIGHUP kept their default, which ends the process at once.

Change: both cancel the task of the soak, so that the fleet kills the processes that it started; then the process ends by the same signal. A fleet that is closed starts no instance any more, as an event of the plan may be about to restart one in the same turn of the event loop. SIGKILL still leaves instances running.

--- a/trefoilhinge/soak/commands.py
+++ b/trefoilhinge/soak/commands.py
@@ -15,6 +15,7 @@
 from trefoilhinge.exceptions import ImproperlyConfigured, TrefoilhingeError
 from trefoilhinge.soak.callers import RESPONSE_GRACE_S, SoakCaller
 from trefoilhinge.soak.demands import DEADLINE_S, SCARCE_DEMAND
+from trefoilhinge.soak.end_signals import run_until_signal
 from trefoilhinge.soak.fleets import INSTANCES, SoakFleet, make_fleet
 from trefoilhinge.soak.instances import PROGRAM
 from trefoilhinge.soak.observations import RELEASE_TIMEOUT_S, ObservationLog
@@ -98,8 +99,11 @@
 
 
 def run_soak(request: SoakRequest) -> SoakResult:
-    """Run one soak."""
-    return asyncio.run(_run(request))
+    """Run one soak.
+
+    SIGTERM and SIGHUP end it, its instances and then the process.
+    """
+    return run_until_signal(_run(request))
 
 
 def print_soak(request: SoakRequest, seeds: int) -> int:
--- a/trefoilhinge/soak/fleets.py
+++ b/trefoilhinge/soak/fleets.py
@@ -175,11 +175,11 @@
             self.revoked_keys[key] = time.monotonic()
 
     def close(self) -> None:
-        """Kill all instances and close all sockets."""
+        """Kill all instances for good, and close all sockets."""
         for restart in self._restarts.values():
             restart.cancel()
         for instance in self.instances:
-            instance.kill()
+            instance.end()
         for proxy in self.proxies:
             proxy.stop()
         for target in self.targets:
--- a/trefoilhinge/soak/instances.py
+++ b/trefoilhinge/soak/instances.py
@@ -46,6 +46,7 @@
     has_admission: bool = False
     is_stopping: bool = False
     _process: subprocess.Popen[bytes] | None = None
+    _is_ended: bool = False
 
     @property
     def entry(self) -> Address:
@@ -65,9 +66,10 @@
     def start(self) -> None:
         """Write the settings file and start the process, unless it runs.
 
-        Two events of a plan may both start an instance that they have ended.
+        Two events of a plan may both start an instance that they have ended,
+        and one may be about to start it when the soak ends.
         """
-        if self.is_running:
+        if self.is_running or self._is_ended:
             return
         path = self.folder / f'{self.name}.json'
         path.write_text(
@@ -117,3 +119,8 @@
         self.send_signal(signal.SIGCONT)
         self.send_signal(signal.SIGKILL)
         self._process.wait(KILL_TIMEOUT_S)
+
+    def end(self) -> None:
+        """Kill the process, and start none any more."""
+        self._is_ended = True
+        self.kill()
