Played stops in the soak while more prompts wait than engines have room.

The soak stops instances, and checks that no call is cut, but did not find that a stopping instance keeps calls that it cannot finish and exits without answering them.

Why not: no call of the soak could outlast a stop. Its routes allow 3 s and its callers 4 s, while an instance has 8 s; engines answer at once, unless the load switches, and that check is left out while an instance stops; so an instance was idle and gone soon after 3.5 s. Calls longer than that could not have been checked either, since in most plans a fault excuses them.

Change: routes with 14 s, and a demand of 24 callers whose prompts fill the memory of the engines and queue for their prefill. Instances stop one after another, several at a time, and with repeated SIGTERM and SIGHUP, while kept connections carry calls until the process has ended: several at once, bodies that still arrive, calls that run for long.

--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -17,8 +17,10 @@
     OutageKind,
     ReaderKind,
     RetryKind,
+    StopKind,
 )
 from trefoilhinge.soak.plans import PlannedEvent
+from trefoilhinge.soak.records import CallKind
 
 # Seeds that have failed before, with the violation that was observed.
 # 2326: LIMIT; the end of a limit lifted that of the target's next incarnation.
@@ -73,6 +75,7 @@
 SLOW_READERS = make_plan(ReaderKind.stop, count=2, interval_s=0.1)
 OUTAGE = make_plan(OutageKind.restart, count=1)
 SWITCH = (PlannedEvent(0.5, 0.5, DemandKind.switch, 0),)
+STOPS = (PlannedEvent(0.5, 0, StopKind.repeated, 0.1),)
 RETRIES = (PlannedEvent(0, 4, RetryKind.at_once, 0.1),)
 
 
@@ -88,6 +91,16 @@
         assert result.violations == []
         assert result.calls['whole'] > 100
 
+    def test_violates_no_invariant_in_planned_work(self, tmp_path):
+        """Guards against calls that end without an answer at a stop.
+
+        Instances stop one after another while more long prompts wait than
+        engines have room.
+        """
+        result = run_soak(SoakRequest(2, 9, tmp_path, is_planned_only=True))
+        assert result.violations == []
+        assert result.calls['whole'] > 100
+
 
 class TestPlansOfVariants:
     """The gateway violates nothing in the plans in which variants do.
@@ -132,6 +145,18 @@
         assert len(slow) == 4
         assert len(observed.evacuations) == 2
 
+    def test_stops_under_load(self, tmp_path):
+        """Guards against calls that end without an answer at a stop.
+
+        Several instances stop at a time, and are told so more than once.
+        """
+        observed = play(tmp_path, 141, STOPS, 9)
+        assert {
+            call.kind
+            for call in observed.calls
+            if call.may_outlast_stop and call.is_stopping
+        } == set(CallKind)
+
     def test_switch_of_the_load(self, tmp_path):
         observed = play(tmp_path, 135, SWITCH, 9)
         assert len(observed.switches) == 1
@@ -217,6 +242,11 @@
         plan = make_plan(MaintenanceKind.stop, count=4)
         assert is_found('CUT_AT_STOP', tmp_path, 106, plan, 'stop_at_once')
 
+    def test_stop_that_drops_calls_that_wait(self, tmp_path):
+        assert is_found(
+            'CUT_AT_STOP', tmp_path, 140, STOPS, 'keep_unfinished_calls', 12
+        )
+
     def test_stop_that_ends_before_slow_readers(self, tmp_path):
         assert is_found(
             'CUT_AT_STOP', tmp_path, 119, SLOW_READERS, 'exit_before_read'
--- a/tests/soak/variants.py
+++ b/tests/soak/variants.py
@@ -18,6 +18,7 @@
     replication,
     state,
 )
+from trefoilhinge.gateway.call_service import CallService
 from trefoilhinge.gateway.caller_connections import CallerConnection
 from trefoilhinge.gateway.evacuations import EvacuationNews
 from trefoilhinge.gateway.peer_fetcher import PeerFetcher
@@ -165,6 +166,11 @@
     CallerConnection.flush = flush
 
 
+def keep_unfinished_calls():
+    """Keep calls that cannot end before the exit, which drops them."""
+    CallService.end_unfinished_calls = lambda self: None
+
+
 def stop_at_once():
     """Exit at the order to stop, without draining."""
 
--- a/trefoilhinge/client/commands.py
+++ b/trefoilhinge/client/commands.py
@@ -225,6 +225,7 @@
         seeds: str = '1',
         folder: str = '',
         instances: str = '4',
+        planned: bool = False,
     ) -> None:
         """Run real instances with simulated targets and inject faults.
 
@@ -235,12 +236,15 @@
         :param seeds: number of seeds to run, one after the other.
         :param folder: folder for logs and settings; empty creates a new one.
         :param instances: number of instance processes.
+        :param planned: play stops under load and other planned work, and no
+            faults.
         """
         request = make_request(
             parse_count(seed, 'seed'),
             parse_minutes(minutes),
             folder,
             parse_count(instances, 'instances'),
+            is_planned_only=parse_switch(planned, 'planned'),
         )
         count = parse_count(seeds, 'seeds')
         self._selected.action = lambda: print_soak(request, count)
--- a/trefoilhinge/platform/standins/formats.py
+++ b/trefoilhinge/platform/standins/formats.py
@@ -6,7 +6,7 @@
 
 import base64
 import json
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from typing import Any
 
 from attrs import frozen
@@ -113,6 +113,7 @@
     keys: Mapping[str, str],
     cold_requests_per_s: float = 0,
     slots: int = 8,
+    routes: Iterable[dict[str, Any]] = (),
 ) -> dict[str, Any]:
     """Return a configuration with a stream route and two plain routes.
 
@@ -122,6 +123,7 @@
     :param cold_requests_per_s: rate that a cold target takes, zero if targets
         have no cold phase.
     :param slots: slots of each engine.
+    :param routes: further routes.
     """
     engine = {
         'slots': slots,
@@ -141,6 +143,7 @@
             encode_route('stream', 'stream', 'model', 300, resumable=True),
             encode_route('book', 'non_idempotent', 'desk', 100, attempts=1),
             encode_route('look', 'idempotent', 'desk', 100),
+            *routes,
         ],
         'services': [
             {'name': 'model', 'engine': engine, **shared},
@@ -159,6 +162,26 @@
     }
 
 
+def encode_queued_routes(name: str, timeout_s: float) -> list[dict[str, Any]]:
+    """Return routes of calls that wait or work for long.
+
+    One is of streams, the other of plain calls that are not idempotent.
+
+    :param name: second segment of their paths.
+    """
+    shared = {'timeoutMs': int(timeout_s * MS_PER_S)}
+    stream_fields = {'prefix': f'/stream/{name}/', 'resumable': True, **shared}
+    plain_fields = {'prefix': f'/book/{name}/', 'attempts': 1, **shared}
+    return [
+        encode_route(
+            f'stream-{name}', 'stream', 'model', 4000, **stream_fields
+        ),
+        encode_route(
+            f'book-{name}', 'non_idempotent', 'desk', 100, **plain_fields
+        ),
+    ]
+
+
 def encode_route(
     name: str, kind: str, service: str, slo_ms: int, **fields: Any
 ) -> dict[str, Any]:
--- a/trefoilhinge/soak/callers.py
+++ b/trefoilhinge/soak/callers.py
@@ -11,7 +11,7 @@
 
 from trefoilhinge.platform.standins import formats
 from trefoilhinge.soak.crashes import CrashSource
-from trefoilhinge.soak.demands import DEADLINE_S, Demand
+from trefoilhinge.soak.demands import DEADLINE_S, QUEUED_DEMAND, Demand
 from trefoilhinge.soak.instances import Instance
 from trefoilhinge.soak.observations import ObservationLog
 from trefoilhinge.soak.records import CallKind, ObservedCall
@@ -71,6 +71,17 @@
 
     async def run(self) -> None:
         """Make calls until a stop is requested."""
+        try:
+            await self._run()
+        finally:
+            self.close()
+
+    def close(self) -> None:
+        """Close all connections."""
+        for name in tuple(self._connections):
+            self._close_connection(name)
+
+    async def _run(self) -> None:
         while not self.stop_requested:
             if self._is_idle():
                 await asyncio.sleep(CALL_INTERVAL_S)
@@ -81,12 +92,6 @@
                 served = await self._retry_at_once()
                 backoff_s = RETRY_BACKOFF_S
             await asyncio.sleep(CALL_INTERVAL_S if served else backoff_s)
-        self.close()
-
-    def close(self) -> None:
-        """Close all connections."""
-        for name in tuple(self._connections):
-            self._close_connection(name)
 
     async def _retry_at_once(self) -> bool:
         """Send three requests for one; return whether any was served."""
@@ -128,6 +133,7 @@
             key_revoked_s=self.get_key_revoked_s(),
             key=self.key,
             demand=demand.name if demand is not None else '',
+            may_outlast_stop=demand is QUEUED_DEMAND,
         )
         self.observations.calls.append(call)
         try:
@@ -137,6 +143,7 @@
             call.is_complete = False
         call.ended_s = time.monotonic()
         call.is_stopping = instance.is_stopping
+        call.stop_ordered_s = instance.stop_ordered_s
         if not call.is_complete:
             self._close_connection(instance.name)
         return call.is_complete and call.status == SERVED_STATUS
@@ -174,7 +181,9 @@
                 'X_Prompt_Prefix': self._encode_prompt(call, source),
             }
         is_bad_request = source is not None and not sizes
-        name = source.trait.name if source and is_bad_request else '1'
+        name = demand.name_in_path if demand else '1'
+        if source and is_bad_request:
+            name = source.trait.name
         headers = formats.encode_caller_headers(
             call.request_id, self.key, call.deadline_s, **sizes
         )
@@ -185,7 +194,8 @@
         )
         writer.write(parser.send(request) or b'')
         parser.send(h11.EndOfMessage())
-        await self._read_answer(parser, reader, call)
+        call.whole_s = time.monotonic()
+        await read_answer(parser, reader, call)
         if parser.their_state is not h11.DONE:
             self._close_connection(call.instance)
 
@@ -200,27 +210,26 @@
             {**parts, call.request_id: SHARED_TOKENS}
         )
 
-    async def _read_answer(
-        self,
-        parser: h11.Connection,
-        reader: asyncio.StreamReader,
-        call: ObservedCall,
-    ) -> None:
-        while not call.is_complete:
-            event = parser.next_event()
-            if event is h11.NEED_DATA:
-                parser.receive_data(await reader.read(READ_BYTES))
-                continue
-            if isinstance(event, h11.ConnectionClosed):
-                return
-            apply_event(call, event)
-
     def _close_connection(self, name: str) -> None:
         existing = self._connections.pop(name, None)
         if existing is not None:
             existing[1].close()
 
 
+async def read_answer(
+    parser: h11.Connection, reader: asyncio.StreamReader, call: ObservedCall
+) -> None:
+    """Read the answer to a call up to its end or that of the connection."""
+    while not call.is_complete:
+        event = parser.next_event()
+        if event is h11.NEED_DATA:
+            parser.receive_data(await reader.read(READ_BYTES))
+            continue
+        if isinstance(event, h11.ConnectionClosed):
+            return
+        apply_event(call, event)
+
+
 def apply_event(call: ObservedCall, event: object) -> None:
     """Record an event of the answer to a call."""
     if isinstance(event, h11.Response):
--- a/trefoilhinge/soak/commands.py
+++ b/trefoilhinge/soak/commands.py
@@ -14,13 +14,17 @@
 
 from trefoilhinge.exceptions import ImproperlyConfigured, TrefoilhingeError
 from trefoilhinge.soak.callers import RESPONSE_GRACE_S, SoakCaller
-from trefoilhinge.soak.demands import DEADLINE_S, SCARCE_DEMAND
+from trefoilhinge.soak.demands import QUEUED_TIMEOUT_S, SCARCE_DEMAND
 from trefoilhinge.soak.end_signals import run_until_signal
 from trefoilhinge.soak.fleets import INSTANCES, SoakFleet, make_fleet
 from trefoilhinge.soak.instances import PROGRAM
 from trefoilhinge.soak.observations import RELEASE_TIMEOUT_S, ObservationLog
 from trefoilhinge.soak.plan_execution import execute_event
-from trefoilhinge.soak.plans import PlannedEvent, generate_plan
+from trefoilhinge.soak.plans import (
+    PlannedEvent,
+    generate_plan,
+    generate_planned_work,
+)
 from trefoilhinge.soak.violations import Violation
 
 READY_TIMEOUT_S = 15.0  # for a small fleet to become ready
@@ -44,6 +48,7 @@
     :ivar folder: directory of logs and settings.
     :ivar program: arguments of the interpreter that runs an instance.
     :ivar plan: events to execute; none generates them from the seed.
+    :ivar is_planned_only: whether to generate planned work without faults.
     :ivar instances: number of gateway processes.
     :ivar has_admission: whether calls wait in one order over all instances.
     :ivar awaited: invariant whose violation ends the soak; none lets it run
@@ -58,6 +63,7 @@
     instances: int = INSTANCES
     awaited: str | None = None
     has_admission: bool = False
+    is_planned_only: bool = False
 
 
 @frozen
@@ -78,11 +84,17 @@
 
 
 def make_request(
-    seed: int, minutes: float, folder: str, instances: int
+    seed: int,
+    minutes: float,
+    folder: str,
+    instances: int,
+    *,
+    is_planned_only: bool = False,
 ) -> SoakRequest:
     """Return the options of a soak.
 
     :param folder: directory of logs and settings; empty makes a new one.
+    :param is_planned_only: whether to generate planned work without faults.
     :raises ImproperlyConfigured: if the number of instances exceeds the
         loopback addresses of a network.
     """
@@ -95,6 +107,7 @@
         minutes * SECONDS_PER_MINUTE,
         pathlib.Path(folder or tempfile.mkdtemp(prefix='soak-')),
         instances=instances,
+        is_planned_only=is_planned_only,
     )
 
 
@@ -143,7 +156,10 @@
     )
     plan: Sequence[PlannedEvent] | None = request.plan
     if plan is None:
-        plan = generate_plan(request.seed, request.seconds)
+        generate = (
+            generate_planned_work if request.is_planned_only else generate_plan
+        )
+        plan = generate(request.seed, request.seconds)
     with contextlib.closing(fleet):
         await fleet.start()
         await _wait_ready(fleet)
@@ -153,7 +169,9 @@
             return _make_result(request, plan, fleet)
         for caller in callers:
             caller.stop_requested = True
-        await asyncio.wait(tasks, timeout=DEADLINE_S + RESPONSE_GRACE_S + 1)
+        await asyncio.wait(
+            tasks, timeout=QUEUED_TIMEOUT_S + RESPONSE_GRACE_S + 1
+        )
         traffic_ended_s = time.monotonic()
         await asyncio.sleep(RELEASE_TIMEOUT_S + 1)
         for target in fleet.targets:
--- a/trefoilhinge/soak/demands.py
+++ b/trefoilhinge/soak/demands.py
@@ -6,7 +6,7 @@
 
 from attrs import define, field, frozen
 
-from trefoilhinge.soak.records import ObservedCall
+from trefoilhinge.soak.records import QUEUED_NAME, ObservedCall
 
 SETTLE_S = 2.0  # from the switch to short prompts until they are on time
 FIRST_EVENT_S = 1.0  # of a short prompt; several times its objective
@@ -17,6 +17,7 @@
 SCARCE_SLOTS = 2
 DEADLINE_S = 4.0  # of calls, usually
 PREFILL_TOKENS_PER_S = 206_000.0
+EVENT_INTERVAL_S = 0.05  # between two events of an answer, usually
 
 
 @frozen
@@ -25,12 +26,18 @@
 
     :ivar callers: number of callers, each with one call at a time.
     :ivar token_count: prompt tokens and maximum output tokens.
+    :ivar name_in_path: rest of the path of the calls.
+    :ivar prefill_tokens_per_s: speed of an engine meanwhile.
+    :ivar event_interval_s: seconds between two events of an answer.
     """
 
     name: str
     callers: int
     token_count: str
     deadline_s: float = DEADLINE_S
+    name_in_path: str = '1'
+    prefill_tokens_per_s: float = PREFILL_TOKENS_PER_S
+    event_interval_s: float = EVENT_INTERVAL_S
 
 
 LONG_DEMAND = Demand('long', 2, '300000,1300')
@@ -41,6 +48,19 @@
 # calls a second, so that about a third are refused.
 SCARCE_DEMAND = Demand('scarce', 32, '5000,1300', 2)
 
+QUEUED_TIMEOUT_S = 14.0  # longer than a stop
+# An engine cannot hold such a prompt alone and would take 5.1 s to prefill it,
+# as its published profile says, so that the last waits for longer than a stop.
+QUEUED_DEMAND = Demand(
+    'queued',
+    24,
+    '160000,1300',
+    QUEUED_TIMEOUT_S,
+    f'{QUEUED_NAME}/1',
+    prefill_tokens_per_s=63_000.0,
+    event_interval_s=0.2,
+)
+
 
 @frozen
 class ObservedSwitch:
@@ -60,10 +80,12 @@
 
     free_s: dict[str, float] = field(factory=dict)
 
-    async def prefill(self, addresses: Iterable[str], tokens: int) -> None:
+    async def prefill(
+        self, addresses: Iterable[str], tokens: int, tokens_per_s: float
+    ) -> None:
         """Prefill a prompt, in equal parts at the given engines."""
         engines = sorted(set(addresses))
-        part_s = tokens / PREFILL_TOKENS_PER_S / len(engines)
+        part_s = tokens / tokens_per_s / len(engines)
         now_s = time.monotonic()
         for engine in engines:
             begin_s = max(now_s, self.free_s.get(engine, now_s))
--- a/trefoilhinge/soak/event_kinds.py
+++ b/trefoilhinge/soak/event_kinds.py
@@ -63,6 +63,18 @@
     stop = 'stop'
 
 
+class StopKind(enum.Enum):
+    """How instances stop while more long prompts wait than engines have room.
+
+    They stop one after another, or several at a time; ``repeated`` orders come
+    more than once, beside orders to reload.
+    """
+
+    in_series = 'in_series'
+    together = 'together'
+    repeated = 'repeated'
+
+
 class ExpiryKind(enum.Enum):
     """What the store is cut off from while entries expire."""
 
@@ -111,6 +123,7 @@
     | CrashKind
     | EntryKind
     | ReaderKind
+    | StopKind
     | ExpiryKind
     | OutageKind
     | ColdKind
--- a/trefoilhinge/soak/fleets.py
+++ b/trefoilhinge/soak/fleets.py
@@ -15,12 +15,14 @@
 from trefoilhinge.soak.cold_checks import COLD_REQUESTS_PER_S
 from trefoilhinge.soak.demands import (
     ENGINE_SLOTS,
+    QUEUED_TIMEOUT_S,
     SCARCE_SLOTS,
     Demand,
     EnginePrefills,
 )
 from trefoilhinge.soak.observations import ObservationLog
 from trefoilhinge.soak.proxies import Proxy
+from trefoilhinge.soak.records import QUEUED_NAME
 from trefoilhinge.soak.stores import StoreStandIn
 from trefoilhinge.soak.targets import SoakTarget
 
@@ -33,6 +35,8 @@
 FIRST_LINK_PORT = 21_100
 FAILURE_DOMAINS = ('a', 'b')  # of the targets, by turns
 RESTART_S = 1.5  # of a target that has crashed
+# Routes of calls that may take longer than a stop.
+QUEUED_ROUTES = formats.encode_queued_routes(QUEUED_NAME, QUEUED_TIMEOUT_S)
 # Networks of processes whose numbers differ by less than 127 * 256 differ; the
 # tests of the gateway use 127.1 to 127.126 in the same way.
 FIRST_NETWORK = 127
@@ -107,6 +111,7 @@
                 self.keys,
                 COLD_REQUESTS_PER_S,
                 SCARCE_SLOTS if self.has_admission else ENGINE_SLOTS,
+                QUEUED_ROUTES,
             ),
         )
 
--- a/trefoilhinge/soak/instances.py
+++ b/trefoilhinge/soak/instances.py
@@ -5,6 +5,7 @@
 import signal
 import subprocess
 import sys
+import time
 
 from attrs import define
 
@@ -34,6 +35,9 @@
         of the gateway.
     :ivar has_admission: whether calls wait in one order over all instances.
     :ivar is_stopping: whether it was asked to stop.
+    :ivar stop_ordered_s: time at which it was, in seconds of the monotonic
+        clock.
+    :ivar starts: number of processes that were started.
     """
 
     name: str
@@ -45,6 +49,8 @@
     program: tuple[str, ...] = PROGRAM
     has_admission: bool = False
     is_stopping: bool = False
+    stop_ordered_s: float | None = None
+    starts: int = 0
     _process: subprocess.Popen[bytes] | None = None
     _is_ended: bool = False
 
@@ -86,6 +92,8 @@
             )
         )
         self.is_stopping = False
+        self.stop_ordered_s = None
+        self.starts += 1
         log_path = self.folder / f'{self.name}.log'
         with log_path.open('ab') as log:
             self._process = subprocess.Popen(
@@ -112,6 +120,12 @@
         if self._process is not None and self.is_running:
             self._process.send_signal(signal_number)
 
+    def order_stop(self) -> None:
+        """Ask the process to stop."""
+        self.is_stopping = True
+        self.stop_ordered_s = time.monotonic()
+        self.send_signal(signal.SIGTERM)
+
     def kill(self) -> None:
         """Kill the process, even if it is paused, and wait for its exit."""
         if self._process is None:
--- a/trefoilhinge/soak/observations.py
+++ b/trefoilhinge/soak/observations.py
@@ -26,6 +26,7 @@
 )
 from trefoilhinge.soak.retry_checks import ObservedRetries, list_gains
 from trefoilhinge.soak.returns import ObservedReturn, find_unused
+from trefoilhinge.soak.stop_checks import may_be_cut
 from trefoilhinge.soak.violations import Violation
 
 DEADLINE_TOLERANCE_S = 1.0  # for an answer to arrive after the deadline
@@ -61,6 +62,8 @@
     :ivar leaked_reservations: reservations that were held after their calls.
     :ivar late_starts: names of instances that were not ready in time after a
         start during an outage of the store.
+    :ivar finished_s: time at which a target had sent the last of a stream, by
+        the identifier of its call.
     :ivar users: identifiers of the calls that used each reservation.
     :ivar arrivals: requests that reached targets, orders included.
     :ivar limits: limits that targets named.
@@ -85,6 +88,7 @@
     returns: list[ObservedReturn] = field(factory=list)
     leaked_reservations: list[str] = field(factory=list)
     late_starts: list[str] = field(factory=list)
+    finished_s: dict[str, float] = field(factory=dict)
     users: dict[str, set[str]] = field(factory=dict)
     arrivals: list[ObservedArrival] = field(factory=list)
     limits: list[ObservedLimit] = field(factory=list)
@@ -217,7 +221,7 @@
             ('FALSE_REFUSAL', call.status in NOT_RUN_STATUSES and bool(runs)),
             ('WRONG_ANSWER', self._has_wrong_answer(call)),
             ('LATE', self._ended_late(call)),
-            ('CUT_AT_STOP', self._was_cut_at_stop(call)),
+            ('CUT_AT_STOP', self._was_cut_at_stop(call, has_run=bool(runs))),
             ('REVOKED', self._was_served_after_revocation(call, runs)),
         )
         detail = (
@@ -245,11 +249,14 @@
             return False
         return self._is_fault_free(call.sent_s, call.ended_s)
 
-    def _was_cut_at_stop(self, call: ObservedCall) -> bool:
+    def _was_cut_at_stop(self, call: ObservedCall, *, has_run: bool) -> bool:
         if call.is_complete or not call.is_stopping or call.ended_s is None:
             return False
         if call.ended_s >= call.sent_s + call.deadline_s:
             return False
+        finished_s = self.finished_s.get(call.request_id)
+        if call.may_outlast_stop and may_be_cut(call, finished_s, has_run):
+            return False
         return self._is_fault_free(call.sent_s, call.ended_s)
 
     def _was_served_after_revocation(
--- a/trefoilhinge/soak/plan_execution.py
+++ b/trefoilhinge/soak/plan_execution.py
@@ -27,6 +27,7 @@
     OutageKind,
     ReaderKind,
     RetryKind,
+    StopKind,
 )
 from trefoilhinge.soak.expiries import expire_entry
 from trefoilhinge.soak.fleets import CALLER_KEYS, SoakFleet
@@ -39,10 +40,10 @@
 from trefoilhinge.soak.records import CrashingTrait
 from trefoilhinge.soak.restarts import restart_in_outage
 from trefoilhinge.soak.retries import retry_at_once
+from trefoilhinge.soak.stops import restart_gracefully, stop_under_load
 from trefoilhinge.soak.switches import switch_load
 from trefoilhinge.soak.targets import SoakTarget, TargetBehaviour
 
-STOP_TIMEOUT_S = 9.0  # for a process to exit after SIGTERM
 DRAIN_TIME_S = 6.0  # before a drained target returns as a new incarnation
 MAXIMUM_LOST_REVISIONS = 12  # by a restoration of the store
 CUT_AFTER_S = 0.8  # of waiting watches
@@ -204,7 +205,7 @@
 async def _execute_maintenance(fleet: SoakFleet, event: PlannedEvent) -> None:
     match event.kind:
         case MaintenanceKind.stop:
-            await _restart_gracefully(fleet.choose_instance(event.selector))
+            await restart_gracefully(fleet.choose_instance(event.selector))
         case MaintenanceKind.reload:
             fleet.choose_instance(event.selector).send_signal(signal.SIGHUP)
         case MaintenanceKind.change_document:
@@ -217,17 +218,6 @@
             await _drain(fleet, fleet.choose_target(event.selector))
 
 
-async def _restart_gracefully(instance: Instance) -> None:
-    if not instance.is_running or instance.is_stopping:
-        return
-    instance.is_stopping = True
-    instance.send_signal(signal.SIGTERM)
-    await asyncio.sleep(STOP_TIMEOUT_S)
-    if instance.is_stopping:
-        instance.kill()
-        instance.start()
-
-
 async def _stop_while_read(fleet: SoakFleet, event: PlannedEvent) -> None:
     """Stop an instance while callers read answers slowly."""
     instance = fleet.choose_instance(event.selector)
@@ -237,7 +227,7 @@
     calls = [read_slowly(instance, key, fleet.observations) for key in keys]
     reading = asyncio.gather(*calls)
     await asyncio.sleep(ANSWER_TIME_S)
-    await _restart_gracefully(instance)
+    await restart_gracefully(instance)
     await reading
 
 
@@ -272,6 +262,7 @@
     CrashKind: _crash_targets,
     EntryKind: _execute_entry_event,
     ReaderKind: _stop_while_read,
+    StopKind: stop_under_load,
     ExpiryKind: expire_entry,
     OutageKind: restart_in_outage,
     ColdKind: turn_cold,
--- a/trefoilhinge/soak/plans.py
+++ b/trefoilhinge/soak/plans.py
@@ -17,6 +17,7 @@
     OutageKind,
     ReaderKind,
     RetryKind,
+    StopKind,
 )
 
 WARM_UP_S = 3.0  # without events, until all instances are ready
@@ -54,6 +55,9 @@
     11: (DemandKind.switch, SWITCH_INTERVALS_S),
     12: (RetryKind.at_once, RETRY_INTERVALS_S),
 }
+# Planned work, in a plan without faults.
+STOP_INTERVALS_S = (13.0, 18.0)  # a little more than such an event lasts
+WORK_INTERVALS_S = (1.0, 3.0)
 
 
 @frozen
@@ -105,6 +109,32 @@
     return sorted(events, key=lambda one: one.at_s)
 
 
+def generate_planned_work(seed: int, seconds: float) -> list[PlannedEvent]:
+    """Return stops under load, reloads and new documents, and no faults.
+
+    Calls that last longer than a stop can be checked only in such a plan:
+    faults are too frequent in others.
+
+    :param seconds: duration of the traffic.
+    """
+    events = [
+        *_generate_series(
+            seed, 14, seconds, MaintenanceKind.reload, WORK_INTERVALS_S
+        ),
+        *_generate_series(
+            seed, 15, seconds, MaintenanceKind.change_document, WORK_INTERVALS_S
+        ),
+    ]
+    generator = np.random.default_rng((seed, 16))
+    kinds = list(StopKind)
+    at_s = 1.0
+    while at_s < seconds:
+        kind = kinds[int(generator.integers(len(kinds)))]
+        events.append(PlannedEvent(at_s, 0, kind, float(generator.uniform())))
+        at_s += float(generator.uniform(*STOP_INTERVALS_S))
+    return sorted(events, key=lambda one: one.at_s)
+
+
 def _generate_limits(seed: int, seconds: float) -> list[PlannedEvent]:
     """Return the limits that targets name.
 
--- a/trefoilhinge/soak/records.py
+++ b/trefoilhinge/soak/records.py
@@ -7,6 +7,8 @@
 
 from attrs import define, field, frozen
 
+# Segment of the path of calls that may take longer than a stop.
+QUEUED_NAME = 'queued'
 LONG_NAME = 'long'  # last segment of the path of calls with a long answer
 # Of a long answer: the kernel holds 4 MB of it, and an instance at most 8 MiB.
 LONG_BYTES = 7_000_000
@@ -93,7 +95,14 @@
     :ivar content: bytes of the body that were received.
     :ivar is_complete: whether the whole response was received.
     :ivar is_stopping: whether its instance had been asked to stop by its end.
+    :ivar stop_ordered_s: time at which its instance had been asked to stop,
+        none if it had not.
     :ivar is_long: whether its answer is long.
+    :ivar may_outlast_stop: whether it may take longer than a stop, and so is
+        checked as ``stop_checks`` says.
+    :ivar whole_s: time at which its last byte had been sent, none before.
+    :ivar follows_close: whether an earlier answer on its connection had
+        announced that the connection ends.
     """
 
     request_id: str
@@ -107,7 +116,11 @@
     content: bytes = b''
     is_complete: bool = False
     is_stopping: bool = False
+    stop_ordered_s: float | None = None
     is_long: bool = False
+    may_outlast_stop: bool = False
+    whole_s: float | None = None
+    follows_close: bool = False
     first_s: float | None = None
     key: str = ''
     demand: str = ''
--- a/trefoilhinge/soak/targets.py
+++ b/trefoilhinge/soak/targets.py
@@ -11,10 +11,16 @@
 from trefoilhinge.platform.reservations import ORDER_PATH
 from trefoilhinge.platform.standins import formats
 from trefoilhinge.soak.crashes import CrashSource
-from trefoilhinge.soak.demands import ENGINE_SLOTS, Demand, EnginePrefills
+from trefoilhinge.soak.demands import (
+    ENGINE_SLOTS,
+    EVENT_INTERVAL_S,
+    Demand,
+    EnginePrefills,
+)
 from trefoilhinge.soak.observations import RELEASE_TIMEOUT_S, ObservationLog
 from trefoilhinge.soak.records import (
     LONG_NAME,
+    QUEUED_NAME,
     CallKind,
     ObservedArrival,
     ObservedRun,
@@ -24,8 +30,8 @@
 from trefoilhinge.standins.http_listener import Header, HttpExchange, serve_http
 
 STREAM_EVENTS = 12
-EVENT_INTERVAL_S = 0.05  # between two events
 PLAIN_CALL_S = 0.03
+SLOW_CALL_S = 6.0  # of plain calls that may take longer than a stop
 UNRESPONSIVE_S = 60.0  # longer than any caller waits
 TRUNCATED_EVENT = 5  # the event within which a truncated stream ends
 UNAVAILABLE_STATUS = 503
@@ -181,10 +187,12 @@
         received: formats.ReceivedRequest,
         kind: CallKind,
     ) -> None:
+        is_slow = f'/{QUEUED_NAME}/' in request.path
+        sound_s = SLOW_CALL_S if is_slow else PLAIN_CALL_S
         await asyncio.sleep(
             UNRESPONSIVE_S
             if self.behaviour is TargetBehaviour.mute
-            else PLAIN_CALL_S
+            else sound_s
         )
         if self.behaviour is TargetBehaviour.losing:
             request.writer.transport.abort()
@@ -211,18 +219,24 @@
         self, request: HttpExchange, received: formats.ReceivedRequest
     ) -> None:
         """Serve a stream, in a slot and after its prefill if these count."""
-        if self.get_demand() is None:
+        demand = self.get_demand()
+        if demand is None:
             await self._serve_stream(request, received)
             return
         own_address = f'{self.address[0]}:{self.address[1] + 1}'
         async with self.slots:
             await self.prefills.prefill(
-                (own_address, *received.helpers), received.prompt_tokens
+                (own_address, *received.helpers),
+                received.prompt_tokens,
+                demand.prefill_tokens_per_s,
             )
-            await self._serve_stream(request, received)
+            await self._serve_stream(request, received, demand.event_interval_s)
 
     async def _serve_stream(
-        self, request: HttpExchange, received: formats.ReceivedRequest
+        self,
+        request: HttpExchange,
+        received: formats.ReceivedRequest,
+        interval_s: float = EVENT_INTERVAL_S,
     ) -> None:
         headers = self._list_headers(
             formats.SEAL_HEADER, formats.EVENT_STREAM_HEADER
@@ -239,8 +253,9 @@
                 request.writer.transport.abort()
                 return
             await request.send_body(event)
-            await asyncio.sleep(EVENT_INTERVAL_S)
+            await asyncio.sleep(interval_s)
         await request.end_response()
+        self.observations.finished_s[received.request_id] = time.monotonic()
 
     async def _handle_order(self, request: HttpExchange) -> None:
         order = formats.decode_order(request.body)
--- a/trefoilhinge/soak/violations.py
+++ b/trefoilhinge/soak/violations.py
@@ -15,7 +15,8 @@
       incomplete answer is not the beginning of the correct one.
     - ``LATE``: the call ended later than ``DEADLINE_TOLERANCE_S`` after its
       deadline.
-    - ``CUT_AT_STOP``: a planned stop truncated the answer.
+    - ``CUT_AT_STOP``: a planned stop truncated the answer, or left the call
+      without one; ``stop_checks`` says which long calls do not count.
     - ``REVOKED``: a call ran that was sent later than ``CHANGE_PROPAGATION_S``
       after its API key had been revoked.
     - ``LEAVING``: a target started to work on a call later than
