--- a/tests/soak/variants.py
+++ b/tests/soak/variants.py
@@ -7,6 +7,7 @@
 from trefoilhinge.dispatch.admission import order
 from trefoilhinge.dispatch.departures import DepartureTable
 from trefoilhinge.dispatch.outages import StoreOutages
+from trefoilhinge.dispatch.stops import StopSchedule
 from trefoilhinge.dispatch.targets import TargetDirectory
 from trefoilhinge.dispatch.warmup import cold_targets
 from trefoilhinge.gateway import (
@@ -18,10 +19,10 @@
     replication,
     state,
 )
-from trefoilhinge.gateway.call_service import CallService
 from trefoilhinge.gateway.caller_connections import CallerConnection
 from trefoilhinge.gateway.evacuations import EvacuationNews
 from trefoilhinge.gateway.peer_fetcher import PeerFetcher
+from trefoilhinge.gateway.planned_stop import PlannedStop
 from trefoilhinge.gateway.refusals import Refusal
 from trefoilhinge.gateway.reservations import Reservations
 from trefoilhinge.gateway.target_connections import AnswerBroken
@@ -168,7 +169,12 @@
 
 def keep_unfinished_calls():
     """Keep calls that cannot end before the exit, which drops them."""
-    CallService.end_unfinished_calls = lambda self: None
+
+    async def end_calls(self):
+        await asyncio.sleep(0)
+
+    PlannedStop._end_calls = end_calls
+    StopSchedule.can_finish = lambda self, plan, now_s: not self.is_closing
 
 
 def stop_at_once():
