Let callers of a stopping instance end their connections.

The caller had sent further calls: the instance closed the connection after its answer, the next bytes of the caller met a closed socket, and the reset that follows discards an answer that has not been read yet.

After its last answer on a connection, a stopping instance ends its own side only, and reads and discards what comes for 0.2 s or until the caller ends it. An answer announces the end of the connection only if nothing has arrived after the request, also in the kernel.

test_refusal_reaches_a_caller_that_goes_on_sending failed before: a broken pipe at the third call, while the answer to the first had not been read.

--- a/tests/gateway/test_stop.py
+++ b/tests/gateway/test_stop.py
@@ -21,6 +21,8 @@
 # Seconds after SIGTERM from which a call that was taken counts as lost if the
 # exit cuts it off.
 LOSS_COUNTS_FROM_S = 3.0
+PIPELINED_CALLS = 3
+SENDING_INTERVAL_S = 0.05
 
 
 async def get_readiness_status(fleet):
@@ -208,6 +210,30 @@
         asyncio.run(run())
         assert cut == []
 
+    def test_refusal_reaches_a_caller_that_goes_on_sending(self):
+        """Guards against an answer that the close of its connection resets.
+
+        A soak (planned, seed 36) refused the first of three calls that were
+        sent at once, and its caller got no byte.
+        """
+
+        async def run():
+            async with run_fleet(d1=reply(200, b'yes')) as fleet:
+                fleet.gateway._begin_stop()
+                fleet.state.stop.is_closing = True
+                raw = socket.create_connection(fleet.settings.entry)
+                for _ in range(PIPELINED_CALLS):
+                    raw.send(make_call('/book/1'))
+                    # The answer is on its way, and its connection ends.
+                    await asyncio.sleep(SENDING_INTERVAL_S)
+                reader, writer = await asyncio.open_connection(sock=raw)
+                content = await reader.read()
+                assert content.startswith(b'HTTP/1.1 503')
+                assert content.endswith(b'}')
+                writer.close()
+
+        asyncio.run(run())
+
     def test_other_instances_know_of_the_exit_at_once(self, monkeypatch):
         """Guards against permits that are asked of an instance that ended."""
         monkeypatch.setattr(planned_stop, 'DRAIN_MINIMUM_S', 0.3)
--- a/trefoilhinge/gateway/answering_connections.py
+++ b/trefoilhinge/gateway/answering_connections.py
@@ -168,8 +168,12 @@
         """Release what is held for the caller."""
         raise NotImplementedError
 
+    def _has_further_input(self) -> bool:
+        """Return whether anything arrived after the request."""
+        return bool(self._parser.trailing_data[0])
+
     def _send_head(self, status: int, headers: RawHeaderList) -> None:
-        is_last = self._is_stopping() and not self._parser.trailing_data[0]
+        is_last = self._is_stopping() and not self._has_further_input()
         if is_last or self._parser.our_state is h11.IDLE:
             headers = [*headers, (b'Connection', b'close')]
         self._write(h11.Response(status_code=status, headers=headers))
--- a/trefoilhinge/gateway/caller_connections.py
+++ b/trefoilhinge/gateway/caller_connections.py
@@ -36,6 +36,7 @@
 MINIMUM_IDLE_S = 0.2
 MAXIMUM_PIPELINED_BYTES = 65_536  # read ahead while a call is served
 DISCARD_S = 1.0  # for what a caller still sends after a refusal
+LINGER_S = 0.2  # for a caller that was told that its connection ends
 
 
 class CallerShed(TrefoilhingeError):
@@ -80,6 +81,7 @@
         """Serve calls until the connection ends."""
         try:
             await self._run(serve)
+            await self._linger()
         except (CallerGone, OSError, h11.LocalProtocolError):
             return
         finally:
@@ -127,6 +129,20 @@
         if not is_used and idle_s >= MINIMUM_IDLE_S:
             self._writer.close()
 
+    def _has_further_input(self) -> bool:
+        return super()._has_further_input() or self._has_unread_bytes()
+
+    async def _linger(self) -> None:
+        """Let the caller of a stopping instance end the connection.
+
+        What it sent meanwhile would reset the connection when it is closed,
+        and with it the answer.
+        """
+        if not self._is_stopping() or self._writer.is_closing():
+            return
+        self._writer.write_eof()
+        await self._discard(LINGER_S)
+
     def _has_unread_bytes(self) -> bool:
         """Return whether bytes arrived that were not read from the reader."""
         if self._reader.received_bytes > self._taken_bytes:
@@ -305,8 +321,12 @@
         await self.refuse(refusal, '')
         self._memory.release(self._holder)
         self._parser = h11.Connection(h11.SERVER)
+        await self._discard(DISCARD_S)
+
+    async def _discard(self, limit_s: float) -> None:
+        """Read and discard what a caller still sends, for a time."""
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(DISCARD_S):
+            async with asyncio.timeout(limit_s):
                 data = await self._reader.read(READ_BYTES)
                 while data:
                     data = await self._reader.read(READ_BYTES)
