Forgot the times of a placement as soon as its attempt has ended.

The estimate returns to that without a placement with the end of the attempt, not with the begin of the next one. tests/gateway/test_stop_estimates.py covers the next attempt; no test meets the 30 ms between two.

--- a/trefoilhinge/gateway/attempts.py
+++ b/trefoilhinge/gateway/attempts.py
@@ -108,7 +108,6 @@
 
         :return: whether it was answered.
         """
-        self._stop_guard.forget_placement()
         self._stop_guard.check()
         self._gate.check()
         await self._peers.reach.settle(self._call.service)
@@ -193,6 +192,7 @@
         self._peer_relay.close()
         self._run_tracker.end()
         self._sender.release()
+        self._stop_guard.forget_placement()
 
     async def _recover(self, placement: Placement, problem: str) -> bool:
         """Record that the answer was lost; end the call if that is final.
