--- a/tests/gateway/test_stop.py
+++ b/tests/gateway/test_stop.py
@@ -31,7 +31,7 @@
 
 
 def hasten_stop(fleet, exits_in_s):
-    """Let a stop be ordered so long ago that calls are taken at a risk no more.
+    """Move the order back to where only calls that end for certain are taken.
 
     :param exits_in_s: seconds from now until calls are ended for the exit.
     """
