Tested real processes under crowds of callers that do not behave.

Users saw that clients that nobody controls ended a process: it ran out of memory.

The tests run one at a time after all others.

--- /dev/null
+++ b/tests/crowds/__init__.py
@@ -0,0 +1,3 @@
+import pytest
+
+pytest.register_assert_rewrite('tests.crowds.processes')
--- a/tests/run_all.py
+++ b/tests/run_all.py
@@ -16,6 +16,13 @@
 
 ROOT = pathlib.Path(__file__).parents[1]
 BEHAVE_PASSED_STATUS = 'passed'
+# Tests that measure memory while crowds send run one at a time, after all
+# others.
+SERIAL_TESTS = 'tests/crowds'
+UNIT_RUNS = {
+    'units': ('-n', '6', f'--ignore={SERIAL_TESTS}'),
+    'serial': (SERIAL_TESTS,),
+}
 
 
 @define
@@ -37,18 +44,27 @@
 def run_unit_tests(report_dir: pathlib.Path, results: RunResults) -> None:
     """Run the unit tests with pytest and record their results.
 
+    :param report_dir: directory of the JUnit XML reports.
+    """
+    for name, options in UNIT_RUNS.items():
+        run_pytest(report_dir / f'{name}.xml', options, results)
+
+
+def run_pytest(
+    report: pathlib.Path, options: tuple[str, ...], results: RunResults
+) -> None:
+    """Run pytest with options and record the results of the tests.
+
     Skipped tests are not recorded. A missing or empty report and an exit code
     other than 0 (all passed) and 1 (some failed) are recorded as a failure.
 
-    :param report_dir: directory of the JUnit XML report.
+    :param report: path of the JUnit XML report.
     """
-    report = report_dir / 'units.xml'
     command = [
         sys.executable,
         '-m',
         'pytest',
-        '-n',
-        '6',
+        *options,
         f'--junitxml={report}',
     ]
     exit_code = subprocess.run(command, cwd=ROOT, check=False).returncode
