Kept answering while callers send very small chunks.

Callers saw no answer to anybody: 20 of them that send chunks of a byte kept the process busy until an ordinary call was refused as late (time_over), and readiness was not answered either.

Cause: h11 takes 6 us for each chunk (6.02 measured here), and the events of all that had been read were parsed in one go, for each of the connections that had input, before the event loop did anything else.

Requests of more than 64 KB are parsed in turns, a part of one connection in each turn of the event loop.

--- a/trefoilhinge/gateway/answering_connections.py
+++ b/trefoilhinge/gateway/answering_connections.py
@@ -170,7 +170,7 @@
 
     def _has_further_input(self) -> bool:
         """Return whether anything arrived after the request."""
-        return bool(self._parser.trailing_data[0])
+        raise NotImplementedError
 
     def _send_head(self, status: int, headers: RawHeaderList) -> None:
         is_last = self._is_stopping() and not self._has_further_input()
--- a/trefoilhinge/gateway/caller_connections.py
+++ b/trefoilhinge/gateway/caller_connections.py
@@ -14,6 +14,7 @@
     AnsweringConnection,
     CallerGone,
 )
+from trefoilhinge.gateway.read_turns import ReadTurns
 from trefoilhinge.gateway.refusals import (
     Refusal,
     make_memory_refusal,
@@ -23,6 +24,7 @@
     check_request_head,
     find_receipt_deadline_s,
 )
+from trefoilhinge.gateway.request_input import RequestInput
 from trefoilhinge.gateway.tcp import (
     CALLER_USER_TIMEOUT_MS,
     READ_BYTES,
@@ -58,6 +60,8 @@
         there is none that can be ended.
     """
 
+    _turns: ReadTurns = field(factory=ReadTurns)
+    _input: RequestInput = field(init=False)
     _received_bytes: int = 0
     _taken_bytes: int = 0
     _idle_since_s: float = field(init=False)
@@ -71,6 +75,7 @@
     def __attrs_post_init__(self) -> None:
         """Create the parser with the limits in force and set TCP timeouts."""
         super().__attrs_post_init__()
+        self._input = RequestInput(self._parser, self._limits().header_bytes)
         set_tcp_timeouts(self._writer.transport, CALLER_USER_TIMEOUT_MS)
         self._idle_since_s = asyncio.get_running_loop().time()
 
@@ -130,7 +135,7 @@
             self._writer.close()
 
     def _has_further_input(self) -> bool:
-        return super()._has_further_input() or self._has_unread_bytes()
+        return bool(self._input.waiting_bytes) or self._has_unread_bytes()
 
     async def _linger(self) -> None:
         """Let the caller of a stopping instance end the connection.
@@ -180,7 +185,7 @@
                 return
             self._memory.release(self._holder)
             self._parser.start_next_cycle()
-            self._received_bytes = len(self._parser.trailing_data[0])
+            self._received_bytes = self._input.waiting_bytes
             self.hold(self._received_bytes)
             self.received_s = asyncio.get_running_loop().time()
             self._idle_since_s = self.received_s
@@ -236,7 +241,7 @@
             if not data:
                 return
             pipelined_bytes += len(data)
-            self._parser.receive_data(data)
+            self._input.receive(data)
             self.hold(len(data))
         self.hold(READ_AHEAD_BYTES)
         await asyncio.Event().wait()
@@ -258,11 +263,11 @@
         return request, bytes(body)
 
     async def _read_event(self, *, has_head: bool) -> object:
-        event = self._parser.next_event()
+        event = self._input.next_event()
         while event is h11.NEED_DATA:
             self._send_continue()
             await self._receive(has_head=has_head)
-            event = self._parser.next_event()
+            event = self._input.next_event()
         return event
 
     def _send_continue(self) -> None:
@@ -303,8 +308,10 @@
         # As much again may be read ahead already.
         ahead_bytes = min(len(data), max(0, READ_BYTES - self._received_bytes))
         self._received_bytes += len(data)
-        self._parser.receive_data(data)
+        self._input.receive(data)
         self.hold(len(data) + ahead_bytes)
+        if self._received_bytes > READ_BYTES:
+            await self._turns.wait()
         if self.is_shed:
             raise CallerShed
 
--- a/trefoilhinge/gateway/daemon.py
+++ b/trefoilhinge/gateway/daemon.py
@@ -161,6 +161,7 @@
             self._get_limits,
             lambda: self._state.is_stopping,
             self._state.held_memory,
+            self._state.read_turns,
         )
         self._callers.add(caller)
         try:
--- a/trefoilhinge/gateway/relay_server.py
+++ b/trefoilhinge/gateway/relay_server.py
@@ -112,6 +112,7 @@
             self._get_limits,
             lambda: True,
             self._state.held_memory,
+            self._state.read_turns,
         )
         self.connections.add(connection)
         try:
--- a/trefoilhinge/gateway/state.py
+++ b/trefoilhinge/gateway/state.py
@@ -32,6 +32,7 @@
 from trefoilhinge.gateway.logs import EventLog
 from trefoilhinge.gateway.metrics import MetricsRegistry
 from trefoilhinge.gateway.prefill_waiters import PrefillWaiters
+from trefoilhinge.gateway.read_turns import ReadTurns
 from trefoilhinge.gateway.startup import StartupGate
 from trefoilhinge.platform.documents import decode_document
 
@@ -67,6 +68,7 @@
     :ivar instances: instances that may send requests to them.
     :ivar held_memory: what is held for callers, within the memory of the
         process.
+    :ivar read_turns: turns in which long requests are parsed.
     :ivar admission: calls that wait for capacity, at all instances.
     :ivar last_run_number: highest number that was given to a run.
     :ivar started_s: monotonic seconds at which the process started to serve.
@@ -100,6 +102,7 @@
     cold: ColdTable = field(init=False)
     instances: KnownInstances = field(factory=KnownInstances)
     held_memory: HeldMemory = field(factory=HeldMemory)
+    read_turns: ReadTurns = field(factory=ReadTurns)
     admission: AdmissionRecord = field(init=False)
     started_s: float = 0
     startup: StartupGate = field(factory=StartupGate)
