Counted the bodies of callers without what frames them.

A caller that sent a body inside the limits in chunks of a byte was refused as if it held too much (503, memory_short): 4 MB in chunks of a byte are 24 MB on the wire, and these were counted. Now the head and the content count, as they are what is held. What is read ahead is no longer counted twice: it belongs to the connection.

test_largest_body_in_chunks_of_a_byte failed before (503) and passes (200).

--- a/trefoilhinge/gateway/caller_connections.py
+++ b/trefoilhinge/gateway/caller_connections.py
@@ -252,11 +252,13 @@
             raise CallerGone
         request = event
         check_request_head(request, self._limits().header_bytes)
+        self._hold(self._input.head_bytes)
         body = bytearray()
         event = await self._read_event(has_head=True)
         while isinstance(event, h11.Data):
             body += event.data
             self._check_body_length(body)
+            self._hold(len(event.data))
             event = await self._read_event(has_head=True)
         if not isinstance(event, h11.EndOfMessage):
             raise CallerGone
@@ -270,6 +272,15 @@
             event = self._input.next_event()
         return event
 
+    def _hold(self, count: int) -> None:
+        """Count a part of a request, without what frames its body.
+
+        :raises CallerShed: too much is held.
+        """
+        self.hold(count)
+        if self.is_shed:
+            raise CallerShed
+
     def _send_continue(self) -> None:
         if self._parser.they_are_waiting_for_100_continue:
             self._write(h11.InformationalResponse(status_code=100, headers=[]))
@@ -305,11 +316,8 @@
             self._receipt = None
         if is_idle:
             self.received_s = asyncio.get_running_loop().time()
-        # As much again may be read ahead already.
-        ahead_bytes = min(len(data), max(0, READ_BYTES - self._received_bytes))
         self._received_bytes += len(data)
         self._input.receive(data)
-        self.hold(len(data) + ahead_bytes)
         if self._received_bytes > READ_BYTES:
             await self._turns.wait()
         if self.is_shed:
