Refused requests before they are read, and let refusals arrive.

Cause: the connection was closed a second after the refusal with bytes left to read, or at once if the request was malformed or too long; and nothing looked at what a head announces.

Change: a length over the limit is refused with 413 as soon as the head is read; a long body of a call that has no route or an unknown key with 404 or 401. A refusal of an incomplete request says that the connection closes, ends the sending side, and what the caller still sends is dropped, without a buffer, until it ends, for 10 s, or until nothing comes for a second.

Connections release what they held when they end; they were parts of reference cycles.

--- a/trefoilhinge/gateway/acceptance.py
+++ b/trefoilhinge/gateway/acceptance.py
@@ -1,6 +1,11 @@
 """Acceptance of calls: route, organisation and the times of each."""
 
 from trefoilhinge.dispatch.calls import Call, CallHead
+from trefoilhinge.dispatch.documents import (
+    FleetDocument,
+    Organisation,
+    Route,
+)
 from trefoilhinge.gateway.refusals import Refusal, make_stopping_refusal
 from trefoilhinge.gateway.startup import find_startup_retry_after_s
 from trefoilhinge.gateway.state import GatewayState
@@ -23,17 +28,10 @@
     document = state.document
     if document is None:
         return _refuse_without_document(state, head)
-    route = document.find_route(head.host, head.path)
-    if route is None:
-        return Refusal(
-            404, 'route_unknown', 'not_run', 'no route has this path'
-        )
-    organisation = document.find_organisation(head.api_key)
-    needs_key = document.organisations is not None and not route.is_public
-    if needs_key and organisation is None:
-        return Refusal(
-            401, 'key_unknown', 'not_run', 'no organisation has this key'
-        )
+    found = find_route(document, head)
+    if isinstance(found, Refusal):
+        return found
+    route, organisation = found
     timeout_s = route.timeout_s
     caller_deadline_s = received_s + timeout_s
     if head.timeout_s is not None:
@@ -58,6 +56,24 @@
     return call
 
 
+def find_route(
+    document: FleetDocument, head: CallHead
+) -> tuple[Route, Organisation | None] | Refusal:
+    """Return the route and the organisation of a call, or why it has none."""
+    route = document.find_route(head.host, head.path)
+    if route is None:
+        return Refusal(
+            404, 'route_unknown', 'not_run', 'no route has this path'
+        )
+    organisation = document.find_organisation(head.api_key)
+    needs_key = document.organisations is not None and not route.is_public
+    if needs_key and organisation is None:
+        return Refusal(
+            401, 'key_unknown', 'not_run', 'no organisation has this key'
+        )
+    return route, organisation
+
+
 def _refuse_without_document(state: GatewayState, head: CallHead) -> Refusal:
     if state.is_stopping:
         return make_stopping_refusal(None)
--- a/trefoilhinge/gateway/answering_connections.py
+++ b/trefoilhinge/gateway/answering_connections.py
@@ -25,6 +25,7 @@
 
 _VERSIONS_WITHOUT_CHUNKS = frozenset((b'1.0', b'0.9'))
 
+_UNREAD_STATES = frozenset((h11.IDLE, h11.SEND_BODY))
 _UNANSWERED_STATES = frozenset((h11.IDLE, h11.SEND_RESPONSE, h11.SEND_BODY))
 
 RawHeaderList = list[tuple[bytes, bytes]]
@@ -174,7 +175,8 @@
 
     def _send_head(self, status: int, headers: RawHeaderList) -> None:
         is_last = self._is_stopping() and not self._has_further_input()
-        if is_last or self._parser.our_state is h11.IDLE:
+        is_unread = self._parser.their_state in _UNREAD_STATES
+        if is_last or is_unread:
             headers = [*headers, (b'Connection', b'close')]
         self._write(h11.Response(status_code=status, headers=headers))
 
--- a/trefoilhinge/gateway/call_service.py
+++ b/trefoilhinge/gateway/call_service.py
@@ -8,7 +8,7 @@
 
 from trefoilhinge.dispatch.calls import Call, CallHead
 from trefoilhinge.dispatch.relay_codec import RelayedCall
-from trefoilhinge.gateway.acceptance import accept_call
+from trefoilhinge.gateway.acceptance import accept_call, find_route
 from trefoilhinge.gateway.attempts import Attempts, make_attempts
 from trefoilhinge.gateway.call_recorder import CUT, CallRecorder
 from trefoilhinge.gateway.caller_connections import CallerConnection, expire
@@ -63,6 +63,17 @@
         self._crash_detector.close()
         self.connections.close()
 
+    def find_head_refusal(self, head: CallHead) -> Refusal | None:
+        """Return why a call is refused whatever its body is, if so."""
+        document = self._state.document
+        if document is None:
+            return None
+        found = find_route(document, head)
+        if not isinstance(found, Refusal):
+            return None
+        self._recorder.record_refusal(head, found)
+        return found
+
     async def serve(
         self,
         caller: CallerConnection,
--- a/trefoilhinge/gateway/daemon.py
+++ b/trefoilhinge/gateway/daemon.py
@@ -13,6 +13,10 @@
 from trefoilhinge.exceptions import ImproperlyConfigured
 from trefoilhinge.gateway.call_service import CallService
 from trefoilhinge.gateway.caller_connections import CallerConnection
+from trefoilhinge.gateway.connection_table import (
+    ConnectionTable,
+    make_unbounded_table,
+)
 from trefoilhinge.gateway.demand.short_calls import DemandReport
 from trefoilhinge.gateway.early_signals import record_signals, take_signals
 from trefoilhinge.gateway.http_server import (
@@ -51,7 +55,7 @@
     _service: CallService
     _store_watcher: StoreWatcher
     _relay_server: RelayServer
-    _callers: set[CallerConnection] = field(factory=set)
+    _callers: ConnectionTable[CallerConnection]
     _tasks: list[asyncio.Task[None]] = field(factory=list)
     _servers: list[asyncio.Server] = field(factory=list)
     _entry: CallerListener | None = None
@@ -162,17 +166,17 @@
             lambda: self._state.is_stopping,
             self._state.held_memory,
             self._state.read_turns,
+            table=self._callers,
         )
-        self._callers.add(caller)
         try:
-            await caller.run(self._service.serve)
+            await caller.run(
+                self._service.serve, self._service.find_head_refusal
+            )
         except Exception as problem:  # noqa: BLE001
             self._state.log.write(
                 'connection_failed',
                 problem=f'{type(problem).__name__}: {problem}',
             )
-        finally:
-            self._callers.discard(caller)
 
     def _log_loop_exception(
         self,
@@ -296,6 +300,7 @@
             peers.store_reads,
         ),
         RelayServer(state, service),
+        make_unbounded_table(),
     )
 
 
--- a/trefoilhinge/gateway/held_memory.py
+++ b/trefoilhinge/gateway/held_memory.py
@@ -26,6 +26,17 @@
     shed: Callable[[], None] = field(kw_only=True)
     request_id: str = ''
 
+    def detach(self) -> None:
+        """Forget the connection, which ends.
+
+        It would be part of a reference cycle, and be freed late.
+        """
+        self.shed = _do_nothing
+
+
+def _do_nothing() -> None:
+    """Release nothing, as the connection has ended."""
+
 
 @define
 class HeldMemory:
@@ -38,6 +49,7 @@
     _held: HeldBytes = field(factory=lambda: HeldBytes(HeldLimits()))
     _log: EventLog | None = None
     _metrics: MetricsRegistry | None = None
+    _was_shed: bool = False
 
     @property
     def is_bounded(self) -> bool:
@@ -64,7 +76,14 @@
                 self._record(holder)
                 holder.shed()
 
+    def take_shed(self) -> bool:
+        """Return whether any connection was shed since the last time."""
+        was_shed = self._was_shed
+        self._was_shed = False
+        return was_shed
+
     def _record(self, holder: ShedHolder) -> None:
+        self._was_shed = True
         if self._metrics is not None:
             self._metrics.increment('callers_shed')
             self._metrics.set_gauge('held_bytes', self._held.total_bytes)
--- a/trefoilhinge/gateway/listeners.py
+++ b/trefoilhinge/gateway/listeners.py
@@ -8,7 +8,7 @@
 from attrs import define, field
 
 from trefoilhinge.dispatch.settings import Address
-from trefoilhinge.gateway.tcp import CountingReader
+from trefoilhinge.gateway.tcp import CountingReader, SharedBufferProtocol
 
 BACKLOG = 1_024  # connections that wait to be accepted
 # Pause after the process ran out of descriptors or memory for a connection.
@@ -80,7 +80,7 @@
     async def _hand_over(self, accepted: socket.socket) -> None:
         loop = asyncio.get_running_loop()
         reader = CountingReader()
-        protocol = asyncio.StreamReaderProtocol(
+        protocol = SharedBufferProtocol(
             reader,
             lambda _, writer: self._handle(reader, writer),
             loop=loop,
--- a/trefoilhinge/gateway/refusals.py
+++ b/trefoilhinge/gateway/refusals.py
@@ -281,3 +281,15 @@
         None if possible_runs else MEMORY_RETRY_AFTER_S,
         is_local=True,
     )
+
+
+def make_crowded_refusal() -> Refusal:
+    """Return the refusal of a request that makes room for other callers."""
+    return Refusal(
+        503,
+        'connections_crowded',
+        'not_run',
+        'too many callers are connected, and this request had not arrived',
+        MEMORY_RETRY_AFTER_S,
+        is_local=True,
+    )
--- a/trefoilhinge/gateway/relay_server.py
+++ b/trefoilhinge/gateway/relay_server.py
@@ -82,7 +82,8 @@
         """Listen for peers."""
         settings = self._state.settings
         self._listener = listen(
-            (settings.ip, settings.relay_port), self._handle_connection
+            (settings.ip, settings.relay_port),
+            self._handle_connection,
         )
         self._listener.start()
 
@@ -117,7 +118,8 @@
         self.connections.add(connection)
         try:
             await connection.run(
-                lambda caller, head, body: self._serve(caller, body, ip)
+                lambda caller, head, body: self._serve(caller, body, ip),
+                lambda head: None,
             )
         finally:
             self.connections.discard(connection)
@@ -157,6 +159,8 @@
             )
             await caller.refuse(refusal, call.head.request_id)
             return
+        # The call's body is a part of the content, which is kept as well.
+        caller.hold(len(call.body))
         self._body_bytes += len(call.body)
         self._state.metrics.increment('calls_carried')
         try:
--- a/trefoilhinge/gateway/request_checks.py
+++ b/trefoilhinge/gateway/request_checks.py
@@ -37,6 +37,19 @@
         )
 
 
+def check_announced_length(request: h11.Request, maximum_bytes: int) -> None:
+    """Check the length that a head announces, before any of the body is read.
+
+    :param maximum_bytes: limit on the body.
+    :raises h11.RemoteProtocolError: the body is too long.
+    """
+    for name, value in request.headers:
+        if name == b'content-length' and int(value) > maximum_bytes:
+            raise h11.RemoteProtocolError(
+                'the body is too long', error_status_hint=413
+            )
+
+
 def find_receipt_deadline_s(
     limits: CallerLimits,
     now_s: float,
--- a/trefoilhinge/gateway/request_input.py
+++ b/trefoilhinge/gateway/request_input.py
@@ -23,15 +23,16 @@
 
     :ivar head_bytes: length of the head of the current request.
     :ivar body_bytes: length of its content so far.
+    :ivar unread_bytes: what is left of its content, zero if it has no length.
     """
 
     _parser: h11.Connection
     _maximum_head_bytes: int
     head_bytes: int = 0
     body_bytes: int = 0
+    unread_bytes: int = 0
     _received: bytearray = field(factory=bytearray)
     _searched_bytes: int = 0
-    _unread_bytes: int = 0
     _chunked: ChunkedBody | None = None
 
     @property
@@ -39,6 +40,11 @@
         """Return the number of bytes that were not parsed yet."""
         return len(self._received)
 
+    def drop(self) -> None:
+        """Drop what was received and not parsed."""
+        self._received = bytearray()
+        self._chunked = None
+
     def receive(self, data: bytes) -> None:
         """Take what was received; nothing if the connection ended."""
         self._received += data
@@ -55,9 +61,9 @@
             return self._parse_head()
         if self._chunked is not None and not self._chunked.is_ended:
             return self._parse_chunks(self._chunked)
-        if self._unread_bytes:
-            count = min(self._unread_bytes, len(self._received))
-            self._unread_bytes -= count
+        if self.unread_bytes:
+            count = min(self.unread_bytes, len(self._received))
+            self.unread_bytes -= count
             self.body_bytes += count
             self._pass_on(count)
         return self._parser.next_event()
@@ -90,13 +96,13 @@
 
     def _begin_body(self, request: h11.Request) -> None:
         self.body_bytes = 0
-        self._unread_bytes = 0
+        self.unread_bytes = 0
         self._chunked = None
         for name, value in request.headers:
             if name == b'transfer-encoding':
                 self._chunked = ChunkedBody(self._maximum_head_bytes)
             elif name == b'content-length':
-                self._unread_bytes = int(value)
+                self.unread_bytes = int(value)
 
     def _parse_chunks(self, body: ChunkedBody) -> object:
         if not self._received:
--- a/trefoilhinge/gateway/tcp.py
+++ b/trefoilhinge/gateway/tcp.py
@@ -17,6 +17,7 @@
 # The limit applies also to data that a sound caller has not read yet.
 CALLER_USER_TIMEOUT_MS = 10_000
 READ_BYTES = 65_536
+RECEIVE_BYTES = 16_384  # by one read of a listener's connection
 
 
 def set_tcp_timeouts(
@@ -79,13 +80,26 @@
 
     :ivar received_bytes: bytes that arrived so far.
     :ivar on_input: called when anything arrives, or the connection ends.
+    :ivar is_discarding: whether what arrives is only counted.
     """
 
-    def __init__(self) -> None:
-        """Create a reader of the running loop."""
-        super().__init__(loop=asyncio.get_running_loop())
+    _buffer: bytearray
+
+    def __init__(self, limit_bytes: int = READ_BYTES) -> None:
+        """Create a reader of the running loop.
+
+        :param limit_bytes: half of what is read ahead.
+        """
+        super().__init__(limit_bytes, asyncio.get_running_loop())
         self.received_bytes = 0
         self.on_input: Callable[[], None] | None = None
+        self.is_discarding = False
+
+    def discard(self) -> None:
+        """Drop what arrived and was not read, and what will arrive."""
+        self.is_discarding = True
+        self._buffer.clear()
+        self._maybe_resume_transport()  # type: ignore[attr-defined]
 
     @property
     def is_ended(self) -> bool:
@@ -99,6 +113,18 @@
         super().feed_data(content)
         self._report()
 
+    async def wait_for_input(self) -> None:
+        """Wait until anything can be read, or the connection has ended."""
+        if not self._buffer and not self.at_eof():
+            await self._wait_for_data(  # type: ignore[attr-defined]
+                'wait_for_input'
+            )
+
+    def count_discarded(self, count: int) -> None:
+        """Take the length of data that is discarded."""
+        self.received_bytes += count
+        self._report()
+
     def feed_eof(self) -> None:
         """Take the end of the connection."""
         super().feed_eof()
@@ -114,6 +140,30 @@
             self.on_input()
 
 
+class SharedBufferProtocol(
+    asyncio.StreamReaderProtocol, asyncio.BufferedProtocol
+):
+    """Receives into one buffer for all connections.
+
+    Each read of a plain protocol allocates a buffer of 256 KB, of which the
+    allocator may keep the part that was not filled.
+    """
+
+    _buffer = bytearray(RECEIVE_BYTES)
+
+    def get_buffer(self, sizehint: int) -> bytearray:  # noqa: WPS615
+        """Return the buffer for the next read."""
+        return self._buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Take what was read."""
+        reader = self._stream_reader  # type: ignore[attr-defined]
+        if isinstance(reader, CountingReader) and reader.is_discarding:
+            reader.count_discarded(nbytes)
+        else:
+            self.data_received(bytes(memoryview(self._buffer)[:nbytes]))
+
+
 async def open_connection(
     host: str, port: int, local_addr: Address | None = None
 ) -> tuple[CountingReader, asyncio.StreamWriter]:
