Shed requests that stopped before those that arrive or are served.

Beyond the bound on held bytes, whoever held most was shed. A crowd that stays just below the length of an ordinary long prompt made that prompt the first to go, each time.

Now requests that are not complete are shed before calls that are served, and of them the one with the most bytes times seconds: one that stopped before its end has waited longer than one that arrives. Of calls that are served, the one that holds most is still shed first.

Both tests of TestArrivals failed before: there was no such order.

--- a/tests/dispatch/test_held_bytes.py
+++ b/tests/dispatch/test_held_bytes.py
@@ -63,3 +63,23 @@
         limits = find_held_limits(200_000_000, has_scarce_room=True)
         assert limits.instance_bytes == 40_000_000
         assert limits.connection_bytes > 4_194_304 + 8_388_608
+
+
+class TestArrivals:
+    """Guards against a crowd that has longer requests of others shed."""
+
+    def test_request_that_stopped_is_shed_before_a_longer_one(self):
+        held = HeldBytes(HeldLimits(100))
+        stopped = [Holder(is_arriving=True, began_s=0) for _ in range(3)]
+        for one in stopped:
+            assert not held.add(one, 30, now_s=0)
+        longer = Holder(is_arriving=True, began_s=5)
+        (shed,) = held.add(longer, 40, now_s=5.1)
+        assert shed in stopped
+
+    def test_arriving_request_is_shed_before_one_that_is_served(self):
+        held = HeldBytes(HeldLimits(100))
+        served = Holder()
+        held.add(served, 60, now_s=0)
+        arriving = Holder(is_arriving=True, began_s=0)
+        assert held.add(arriving, 50, now_s=1) == [arriving]
--- a/trefoilhinge/dispatch/held_bytes.py
+++ b/trefoilhinge/dispatch/held_bytes.py
@@ -32,11 +32,15 @@
 
     :ivar organisation: name of its organisation, empty while it is unknown.
     :ivar held_bytes: bytes that are held for it.
+    :ivar is_arriving: whether its request is not complete.
+    :ivar began_s: monotonic seconds at which its request began to arrive.
     :ivar is_shed: whether it was chosen to release them; it no longer counts.
     """
 
     organisation: str = ''
     held_bytes: int = 0
+    is_arriving: bool = False
+    began_s: float = 0
     is_shed: bool = False
 
 
@@ -52,10 +56,11 @@
     _by_organisation: Counter[str] = field(factory=Counter)
     _holders: set[Holder] = field(factory=set)
 
-    def add(self, holder: Holder, count: int) -> list[Holder]:
+    def add(self, holder: Holder, count: int, now_s: float = 0) -> list[Holder]:
         """Add to the bytes that are held for a connection.
 
         :param count: bytes; negative if they were released.
+        :param now_s: monotonic seconds.
         :return: connections that are to be shed now, which were not before.
         """
         holder.held_bytes += count
@@ -66,18 +71,20 @@
             self._holders.add(holder)
         else:
             self._holders.discard(holder)
-        return self._list_excess(holder) if count > 0 else []
+        return self._list_excess(holder, now_s) if count > 0 else []
 
-    def set_organisation(self, holder: Holder, name: str) -> list[Holder]:
+    def set_organisation(
+        self, holder: Holder, name: str, now_s: float = 0
+    ) -> list[Holder]:
         """Record whose connection it is; return what is to be shed now."""
         if holder.is_shed or holder.organisation == name:
             return []
         self._count(holder, -holder.held_bytes)
         holder.organisation = name
         self._count(holder, holder.held_bytes)
-        return self._list_excess(holder)
+        return self._list_excess(holder, now_s)
 
-    def _list_excess(self, holder: Holder) -> list[Holder]:
+    def _list_excess(self, holder: Holder, now_s: float) -> list[Holder]:
         limits = self.limits
         shed = []
         if 0 < limits.connection_bytes < holder.held_bytes:
@@ -86,23 +93,35 @@
         # Calls whose organisation is not known yet have no bound in common.
         if name and limits.organisation_bytes:
             while self._by_organisation[name] > limits.organisation_bytes:
-                shed.append(self._shed_largest(name))
+                shed.append(self._shed_largest(name, now_s))
         if limits.instance_bytes:
             while self.total_bytes > limits.instance_bytes:
                 largest = max(
                     self._by_organisation,
                     key=self._by_organisation.__getitem__,
                 )
-                shed.append(self._shed_largest(largest))
+                shed.append(self._shed_largest(largest, now_s))
         return shed
 
-    def _shed_largest(self, organisation: str) -> Holder:
+    def _shed_largest(self, organisation: str, now_s: float) -> Holder:
+        """Shed what arrives before what is served, and then the largest.
+
+        Bytes that arrive count as often as seconds have passed. Callers that
+        stop before the end are thus shed before one that sends a longer
+        request, however many they are.
+        """
+
+        def rank(holder: Holder) -> tuple[bool, float, int]:  # noqa: WPS430
+            age_s = now_s - holder.began_s if holder.is_arriving else 0
+            held_bytes = holder.held_bytes
+            return holder.is_arriving, age_s * held_bytes, held_bytes
+
         found = (
             holder
             for holder in self._holders
             if holder.organisation == organisation
         )
-        return self._shed(max(found, key=lambda holder: holder.held_bytes))
+        return self._shed(max(found, key=rank))
 
     def _shed(self, holder: Holder) -> Holder:
         """Count a connection as released, so that no other is shed for it."""
--- a/trefoilhinge/gateway/caller_connections.py
+++ b/trefoilhinge/gateway/caller_connections.py
@@ -172,6 +172,7 @@
             self.hold(self._received_bytes)
             self.received_s = asyncio.get_running_loop().time()
             self._idle_since_s = self.received_s
+            self._holder.begin_receipt(self.received_s)
 
     async def _serve_until_disconnect(
         self,
--- a/trefoilhinge/gateway/held_memory.py
+++ b/trefoilhinge/gateway/held_memory.py
@@ -1,5 +1,6 @@
 """Shell of the bounds on what is held for callers."""
 
+import asyncio
 from collections.abc import Callable
 
 from attrs import define, field
@@ -26,6 +27,11 @@
     shed: Callable[[], None] = field(kw_only=True)
     request_id: str = ''
 
+    def begin_receipt(self, now_s: float) -> None:
+        """Record that a request begins to arrive."""
+        self.is_arriving = True
+        self.began_s = now_s
+
     def detach(self) -> None:
         """Forget the connection, which ends.
 
@@ -59,7 +65,7 @@
     def add(self, holder: ShedHolder, count: int) -> None:
         """Add to what is held for a connection; negative for a release."""
         if self.is_bounded and count:
-            self._shed(self._held.add(holder, count))
+            self._shed(self._held.add(holder, count, _get_now_s()))
 
     def release(self, holder: ShedHolder) -> None:
         """Release all that is held for a connection."""
@@ -68,7 +74,7 @@
     def set_organisation(self, holder: ShedHolder, name: str) -> None:
         """Record whose connection it is."""
         if self.is_bounded:
-            self._shed(self._held.set_organisation(holder, name))
+            self._shed(self._held.set_organisation(holder, name, _get_now_s()))
 
     def _shed(self, holders: list[Holder]) -> None:
         for holder in holders:
@@ -98,6 +104,10 @@
             )
 
 
+def _get_now_s() -> float:
+    return asyncio.get_running_loop().time()
+
+
 def make_held_memory(
     settings: GatewaySettings, log: EventLog, metrics: MetricsRegistry
 ) -> HeldMemory:
--- a/trefoilhinge/gateway/receiving_connections.py
+++ b/trefoilhinge/gateway/receiving_connections.py
@@ -140,6 +140,7 @@
                 self._add_content(event.data)
             elif not isinstance(event, h11.EndOfMessage):
                 raise CallerGone
+        self._holder.is_arriving = False
         body = bytes(self._body)
         self._body = bytearray()
         return body
@@ -212,6 +213,7 @@
             self._receipt = None
         if is_idle:
             self.received_s = asyncio.get_running_loop().time()
+            self._holder.begin_receipt(self.received_s)
         self._received_bytes += len(data)
         self._input.receive(data)
         self._check_shed()
