Bounded what the connections of callers take beside their bodies.

Users saw a process end for lack of memory. What is held for calls was bounded, but not what a connection takes beside it (up to 128 KB read ahead, a read of 256 KB, objects, the kernel's buffer), nor the number of connections; and the memory of released bodies stayed in the heap.

Change: connections of callers are bounded by a fifth of the memory, at 112 KB each, and by 45 % of the descriptors that are not reserved: 292 at 160 MB, the smallest machine, where a whole failure domain has under 100 clients. A new one takes the place of the one that has waited longest: closed if idle, refused with 503 connections_crowded and a time to come back if a part of a request has arrived. Only if all are being served is it closed at once. Eight are accepted in a turn of the loop, so that those that make room have ended.

--- a/trefoilhinge/gateway/daemon.py
+++ b/trefoilhinge/gateway/daemon.py
@@ -7,16 +7,15 @@
 
 from attrs import asdict, define, field
 
+from trefoilhinge.dispatch.caller_bounds import find_connection_bounds
 from trefoilhinge.dispatch.documents import CallerLimits
 from trefoilhinge.dispatch.settings import Address, GatewaySettings
 from trefoilhinge.dispatch.stops import StopSchedule
 from trefoilhinge.exceptions import ImproperlyConfigured
+from trefoilhinge.gateway.allocator import Allocator, make_allocator
 from trefoilhinge.gateway.call_service import CallService
 from trefoilhinge.gateway.caller_connections import CallerConnection
-from trefoilhinge.gateway.connection_table import (
-    ConnectionTable,
-    make_unbounded_table,
-)
+from trefoilhinge.gateway.connection_table import ConnectionTable
 from trefoilhinge.gateway.demand.short_calls import DemandReport
 from trefoilhinge.gateway.early_signals import record_signals, take_signals
 from trefoilhinge.gateway.http_server import (
@@ -59,6 +58,7 @@
     _tasks: list[asyncio.Task[None]] = field(factory=list)
     _servers: list[asyncio.Server] = field(factory=list)
     _entry: CallerListener | None = None
+    _allocator: Allocator = field(factory=Allocator)
     _stopped: asyncio.Event = field(factory=asyncio.Event)
 
     def close(self) -> None:
@@ -73,6 +73,11 @@
         self._service.close()
         self._peers.close()
 
+    def prepare_memory(self) -> None:
+        """Let the process return what crowds of callers have used."""
+        self._allocator = make_allocator(self._state.log)
+        self._allocator.map_long_blocks()
+
     def flush_log(self) -> None:
         """Write what is left of the log, as far as its reader takes it."""
         self._state.log.flush(EXIT_FLUSH_S)
@@ -99,6 +104,7 @@
         self._entry = listen(
             settings.entry,
             self._handle_caller,
+            self._callers.admit,
             CALLER_RECEIVE_BYTES if is_bounded else 0,
         )
         self._entry.start()
@@ -242,7 +248,14 @@
                 state.log.write('runs_forgotten', count=overdue)
             demand.update()
             state.metrics.set_gauge('calls_active', self._service.active)
-            state.log.flush()
+            self._follow_crowds()
+
+    def _follow_crowds(self) -> None:
+        """Return the memory of callers that were refused for others."""
+        was_crowded = self._callers.report()
+        if self._state.held_memory.take_shed() or was_crowded:
+            self._allocator.return_free_memory()
+        self._state.log.flush()
 
     def _begin_stop(self) -> None:
         state = self._state
@@ -290,6 +303,7 @@
     state = make_state(settings)
     peers = PeerExchange(state)
     service = CallService(state, peers)
+    bounds = find_connection_bounds(settings.descriptors, settings.memory_bytes)
     return Gateway(
         state,
         peers,
@@ -300,7 +314,7 @@
             peers.store_reads,
         ),
         RelayServer(state, service),
-        make_unbounded_table(),
+        ConnectionTable('callers', bounds.callers, state.log, state.metrics),
     )
 
 
@@ -309,6 +323,7 @@
     record_signals()
 
     gateway = make_gateway(load_settings())
+    gateway.prepare_memory()
     try:
         asyncio.run(gateway.run())
     finally:
--- a/trefoilhinge/gateway/listeners.py
+++ b/trefoilhinge/gateway/listeners.py
@@ -11,12 +11,17 @@
 from trefoilhinge.gateway.tcp import CountingReader, SharedBufferProtocol
 
 BACKLOG = 1_024  # connections that wait to be accepted
+# In one turn of the event loop: those that make room end after it.
+ACCEPT_BATCH = 8
 # Pause after the process ran out of descriptors or memory for a connection.
 EXHAUSTED_PAUSE_S = 0.5
 _EXHAUSTED_ERRORS = frozenset(
     (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 )
 
+# A reader pauses at twice that.
+READ_AHEAD_LIMIT_BYTES = 4_096
+
 ConnectionHandler = Callable[
     [CountingReader, asyncio.StreamWriter], Awaitable[None]
 ]
@@ -33,6 +38,7 @@
 
     _handle: ConnectionHandler
     _socket: socket.socket
+    _admit: Callable[[], bool]
     _tasks: set[asyncio.Task[None]] = field(factory=set)
     _is_stopped: bool = False
 
@@ -48,7 +54,7 @@
             return
         self._is_stopped = True
         asyncio.get_running_loop().remove_reader(self._socket)
-        self._accept_waiting()
+        self._accept_waiting(BACKLOG)
         self._socket.close()
 
     async def wait_until_handed_over(self) -> None:
@@ -56,8 +62,8 @@
         if self._tasks:
             await asyncio.wait(self._tasks)
 
-    def _accept_waiting(self) -> None:
-        for _ in range(BACKLOG):
+    def _accept_waiting(self, limit: int = ACCEPT_BATCH) -> None:
+        for _ in range(limit):
             try:
                 accepted, _address = self._socket.accept()
             except (BlockingIOError, InterruptedError, ConnectionAbortedError):
@@ -67,6 +73,9 @@
                     raise
                 self._pause()
                 return
+            if not self._admit():
+                accepted.close()
+                continue
             accepted.setblocking(False)
             task = asyncio.ensure_future(self._hand_over(accepted))
             self._tasks.add(task)
@@ -79,7 +88,7 @@
 
     async def _hand_over(self, accepted: socket.socket) -> None:
         loop = asyncio.get_running_loop()
-        reader = CountingReader()
+        reader = CountingReader(READ_AHEAD_LIMIT_BYTES)
         protocol = SharedBufferProtocol(
             reader,
             lambda _, writer: self._handle(reader, writer),
@@ -89,11 +98,15 @@
 
 
 def listen(
-    address: Address, handle: ConnectionHandler, receive_bytes: int = 0
+    address: Address,
+    handle: ConnectionHandler,
+    admit: Callable[[], bool],
+    receive_bytes: int = 0,
 ) -> CallerListener:
     """Return a listener at an address that accepts nothing yet.
 
     :param handle: coroutine function that serves one connection.
+    :param admit: returns whether there is room for one more connection.
     :param receive_bytes: size of the kernel's buffer for what a connection
         receives; zero for its default.
     :raises OSError: the address is in use.
@@ -102,4 +115,4 @@
     listening.setblocking(False)
     if receive_bytes:
         listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_bytes)
-    return CallerListener(handle, listening)
+    return CallerListener(handle, listening, admit)
--- a/trefoilhinge/gateway/relay_server.py
+++ b/trefoilhinge/gateway/relay_server.py
@@ -84,6 +84,7 @@
         self._listener = listen(
             (settings.ip, settings.relay_port),
             self._handle_connection,
+            lambda: True,
         )
         self._listener.start()
 
