Bounded the connections at the listeners of instances and operators.

A crowd at the port for readiness, metrics, control or other instances took all descriptors of a process, so that no call reached a target: ordinary calls were refused. Bodies that were sent there were parsed for nothing.

A request with a body is refused there.

At both kinds of listeners, no more is accepted while 32 connections are ending: it waits in the kernel for 5 ms instead of being closed unread.

--- a/trefoilhinge/gateway/connection_table.py
+++ b/trefoilhinge/gateway/connection_table.py
@@ -47,6 +47,7 @@
     # In the order in which they began to wait.
     _waiting: dict[Connection, None] = field(factory=dict)
     _refused: dict[Connection, None] = field(factory=dict)
+    _ending: set[Connection] = field(factory=set)
     _rejections: int = 0
 
     def __iter__(self) -> Iterator[Connection]:
@@ -57,18 +58,24 @@
         """Return the number of open connections."""
         return len(self._open)
 
+    @property
+    def is_ending(self) -> bool:
+        """Return whether so many connections end that others should wait."""
+        return len(self._ending) >= ENDING_MARGIN
+
     def admit(self) -> bool:
         """Make room for a connection; return whether there is any."""
-        count = len(self)
-        if count < self._maximum:
+        if len(self) < self._maximum:
             return True
         if self._refused:
             found = next(iter(self._refused))
             self._refused.pop(found)
+            self._ending.add(found)
             found.close_refused()
-        elif self._waiting and count < self._maximum + ENDING_MARGIN:
+        elif self._waiting:
             found = next(iter(self._waiting))
             self._waiting.pop(found)
+            self._ending.add(found)
             self._record('connections_evicted')
             found.make_room()
         else:
@@ -88,10 +95,12 @@
     def begin_call(self, connection: Connection) -> None:
         """Record that the request of a connection is complete."""
         self._waiting.pop(connection, None)
+        self._ending.discard(connection)
 
     def begin_close(self, connection: Connection) -> None:
         """Record that a connection only lets its caller read a refusal."""
         self._waiting.pop(connection, None)
+        self._ending.discard(connection)
         self._refused[connection] = None
 
     def remove(self, connection: Connection) -> None:
@@ -99,6 +108,7 @@
         self._open.discard(connection)
         self._waiting.pop(connection, None)
         self._refused.pop(connection, None)
+        self._ending.discard(connection)
 
     def report(self) -> bool:
         """Write how many connections found no room since the last report.
--- a/trefoilhinge/gateway/daemon.py
+++ b/trefoilhinge/gateway/daemon.py
@@ -20,7 +20,9 @@
 from trefoilhinge.gateway.early_signals import record_signals, take_signals
 from trefoilhinge.gateway.http_server import (
     HttpResponse,
+    HttpServer,
     RequestHandler,
+    ServedConnection,
     serve_http,
 )
 from trefoilhinge.gateway.listeners import CallerListener, listen
@@ -56,7 +58,7 @@
     _relay_server: RelayServer
     _callers: ConnectionTable[CallerConnection]
     _tasks: list[asyncio.Task[None]] = field(factory=list)
-    _servers: list[asyncio.Server] = field(factory=list)
+    _servers: list[HttpServer] = field(factory=list)
     _entry: CallerListener | None = None
     _allocator: Allocator = field(factory=Allocator)
     _stopped: asyncio.Event = field(factory=asyncio.Event)
@@ -104,7 +106,7 @@
         self._entry = listen(
             settings.entry,
             self._handle_caller,
-            self._callers.admit,
+            self._callers,
             CALLER_RECEIVE_BYTES if is_bounded else 0,
         )
         self._entry.start()
@@ -150,15 +152,24 @@
             await asyncio.sleep(TASK_RESTART_DELAY_S)
 
     async def _start_http_servers(self, settings: GatewaySettings) -> None:
-        endpoints: list[tuple[Address, RequestHandler]] = [
-            ((settings.ip, settings.first_port), self._handle_peer_request),
-            (settings.readiness, self._handle_readiness_request),
-            (settings.metrics, self._handle_operator_request),
+        peers = (settings.ip, settings.first_port)
+        endpoints: list[tuple[str, Address, RequestHandler]] = [
+            ('peers', peers, self._handle_peer_request),
+            ('readiness', settings.readiness, self._handle_readiness_request),
+            ('metrics', settings.metrics, self._handle_operator_request),
         ]
         if settings.control is not None:
-            endpoints.append((settings.control, self._handle_operator_request))
-        for address, handler in endpoints:
-            self._servers.append(await serve_http(address, handler))
+            endpoints.append(
+                ('control', settings.control, self._handle_operator_request)
+            )
+        bounds = find_connection_bounds(
+            settings.descriptors, settings.memory_bytes
+        )
+        for name, address, handler in endpoints:
+            table: ConnectionTable[ServedConnection] = ConnectionTable(
+                name, bounds.service, self._state.log, self._state.metrics
+            )
+            self._servers.append(await serve_http(address, handler, table))
 
     async def _handle_caller(
         self,
@@ -253,6 +264,8 @@
     def _follow_crowds(self) -> None:
         """Return the memory of callers that were refused for others."""
         was_crowded = self._callers.report()
+        for server in self._servers:
+            was_crowded |= server.report()
         if self._state.held_memory.take_shed() or was_crowded:
             self._allocator.return_free_memory()
         self._state.log.flush()
--- a/trefoilhinge/gateway/http_server.py
+++ b/trefoilhinge/gateway/http_server.py
@@ -4,15 +4,19 @@
 from collections.abc import Callable
 
 import h11
-from attrs import frozen
+from attrs import define, field, frozen
 
 from trefoilhinge.dispatch.settings import Address
+from trefoilhinge.gateway.connection_table import (
+    ConnectionTable,
+    make_unbounded_table,
+)
+from trefoilhinge.gateway.listeners import CallerListener, listen
 from trefoilhinge.gateway.tcp import READ_BYTES, set_tcp_timeouts
 
 IDLE_TIMEOUT_S = 20.0  # of a kept-alive connection
 REQUEST_TIMEOUT_S = 5.0  # from the first byte of a request to its last
 RECEIPT_TIMEOUT_S = 6.0  # longer than clients wait for a response
-LISTEN_BACKLOG = 128
 
 
 @frozen
@@ -32,31 +36,79 @@
 RequestHandler = Callable[[str], HttpResponse]
 
 
-async def serve_http(
-    address: Address, handler: RequestHandler
-) -> asyncio.Server:
-    """Serve GETs at an address.
+@define(eq=False)
+class ServedConnection:
+    """A connection of the platform, an instance or an operator."""
 
-    :param handler: returns the response for a path.
+    _writer: asyncio.StreamWriter
+
+    def make_room(self) -> None:
+        """Close the connection in favour of another one."""
+        self._writer.close()
+
+    def close_refused(self) -> None:
+        """Close the connection, whose request was refused."""
+        self._writer.close()
+
+
+@define(eq=False)
+class HttpServer:
+    """Serves GETs on a bounded number of connections.
+
+    A request takes no time, so that a new connection can take the place of any
+    other.
     """
 
-    async def serve_connection(  # noqa: WPS430
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
+    _handler: RequestHandler
+    _table: ConnectionTable[ServedConnection]
+    _listener: CallerListener = field(init=False)
+
+    def start(self, address: Address) -> None:
+        """Serve at an address.
+
+        :raises OSError: the address is in use.
+        """
+        self._listener = listen(address, self._serve, self._table)
+        self._listener.start()
+
+    def close(self) -> None:
+        """Accept no further connections."""
+        self._listener.stop()
+
+    def report(self) -> bool:
+        """Write how many connections found no room since the last report."""
+        return self._table.report()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         set_tcp_timeouts(writer.transport)
+        connection = ServedConnection(writer)
+        self._table.add(connection)
         try:
             is_open = True
             while is_open:
-                is_open = await _serve_request(reader, writer, handler)
+                is_open = await _serve_request(reader, writer, self._handler)
         except (OSError, h11.ProtocolError):
             return
         finally:
+            self._table.remove(connection)
             writer.close()
 
-    return await asyncio.start_server(
-        serve_connection, *address, backlog=LISTEN_BACKLOG
-    )
+
+async def serve_http(
+    address: Address,
+    handler: RequestHandler,
+    table: ConnectionTable[ServedConnection] | None = None,
+) -> HttpServer:
+    """Serve GETs at an address.
+
+    :param handler: returns the response for a path.
+    :param table: bounds the connections; none for no bound.
+    """
+    server = HttpServer(handler, table or make_unbounded_table())
+    server.start(address)
+    return server
 
 
 async def _serve_request(
@@ -104,6 +156,17 @@
         await reader.read(1)
 
 
+def _refuse_body(request: h11.Request) -> None:
+    """Refuse a request with a body, which would be read for nothing.
+
+    :raises h11.RemoteProtocolError: it has one.
+    """
+    for name, value in request.headers:
+        has_length = name == b'content-length' and value != b'0'
+        if has_length or name == b'transfer-encoding':
+            raise h11.RemoteProtocolError('a GET has no body')
+
+
 async def _read_path(
     reader: asyncio.StreamReader,
     connection: h11.Connection,
@@ -121,6 +184,7 @@
                 connection.receive_data(await reader.read(READ_BYTES))
             latest_s = latest_s or loop.time() + REQUEST_TIMEOUT_S
         elif isinstance(event, h11.Request):
+            _refuse_body(event)
             path = event.target.decode('latin-1')
         elif not isinstance(event, h11.Data):
             return path
--- a/trefoilhinge/gateway/listeners.py
+++ b/trefoilhinge/gateway/listeners.py
@@ -4,6 +4,7 @@
 import errno
 import socket
 from collections.abc import Awaitable, Callable
+from typing import Protocol
 
 from attrs import define, field
 
@@ -15,6 +16,8 @@
 ACCEPT_BATCH = 8
 # Pause after the process ran out of descriptors or memory for a connection.
 EXHAUSTED_PAUSE_S = 0.5
+# Until connections that make room for others have ended.
+ENDING_PAUSE_S = 0.005
 _EXHAUSTED_ERRORS = frozenset(
     (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 )
@@ -27,6 +30,19 @@
 ]
 
 
+class Room(Protocol):
+    """A bound on the connections of a listener."""
+
+    @property
+    def is_ending(self) -> bool:
+        """Return whether so many connections end that others should wait."""
+        ...
+
+    def admit(self) -> bool:
+        """Make room for a connection; return whether there is any."""
+        ...
+
+
 @define(eq=False)
 class CallerListener:
     """Accepts connections until it is stopped.
@@ -38,7 +54,7 @@
 
     _handle: ConnectionHandler
     _socket: socket.socket
-    _admit: Callable[[], bool]
+    _room: Room
     _tasks: set[asyncio.Task[None]] = field(factory=set)
     _is_stopped: bool = False
 
@@ -64,6 +80,9 @@
 
     def _accept_waiting(self, limit: int = ACCEPT_BATCH) -> None:
         for _ in range(limit):
+            if self._room.is_ending and not self._is_stopped:
+                self._pause(ENDING_PAUSE_S)
+                return
             try:
                 accepted, _address = self._socket.accept()
             except (BlockingIOError, InterruptedError, ConnectionAbortedError):
@@ -71,9 +90,9 @@
             except OSError as problem:
                 if problem.errno not in _EXHAUSTED_ERRORS:
                     raise
-                self._pause()
+                self._pause(EXHAUSTED_PAUSE_S)
                 return
-            if not self._admit():
+            if not self._room.admit():
                 accepted.close()
                 continue
             accepted.setblocking(False)
@@ -81,10 +100,10 @@
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
 
-    def _pause(self) -> None:
+    def _pause(self, pause_s: float) -> None:
         loop = asyncio.get_running_loop()
         loop.remove_reader(self._socket)
-        loop.call_later(EXHAUSTED_PAUSE_S, self.start)
+        loop.call_later(pause_s, self.start)
 
     async def _hand_over(self, accepted: socket.socket) -> None:
         loop = asyncio.get_running_loop()
@@ -100,13 +119,13 @@
 def listen(
     address: Address,
     handle: ConnectionHandler,
-    admit: Callable[[], bool],
+    room: Room,
     receive_bytes: int = 0,
 ) -> CallerListener:
     """Return a listener at an address that accepts nothing yet.
 
     :param handle: coroutine function that serves one connection.
-    :param admit: returns whether there is room for one more connection.
+    :param room: bound on the connections.
     :param receive_bytes: size of the kernel's buffer for what a connection
         receives; zero for its default.
     :raises OSError: the address is in use.
@@ -115,4 +134,4 @@
     listening.setblocking(False)
     if receive_bytes:
         listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_bytes)
-    return CallerListener(handle, listening, admit)
+    return CallerListener(handle, listening, room)
--- a/trefoilhinge/gateway/relay_server.py
+++ b/trefoilhinge/gateway/relay_server.py
@@ -18,6 +18,7 @@
 )
 from trefoilhinge.gateway.call_service import CallService
 from trefoilhinge.gateway.caller_connections import CallerConnection
+from trefoilhinge.gateway.connection_table import make_unbounded_table
 from trefoilhinge.gateway.listeners import CallerListener, listen
 from trefoilhinge.gateway.refusals import Refusal
 from trefoilhinge.gateway.request_checks import DEFAULT_LIMITS
@@ -84,7 +85,7 @@
         self._listener = listen(
             (settings.ip, settings.relay_port),
             self._handle_connection,
-            lambda: True,
+            make_unbounded_table(),
         )
         self._listener.start()
 
