Bounded what crowds take of a process of the own interface.

Callers of `trefoilhinge entry` got no answer for 12 s and more while 20 sent chunks of a byte; 200 bodies of 3.9 MB took a process to 969 MB, as each thread may hold the largest body; and 128 connections that sent nothing took all threads, so that ordinary callers were refused or closed.

Cause: Cheroot reads chunks one by one through Python's buffered reader, reads the rest of a refused body whole, and gives each new connection a thread; nothing bounded the bodies of all threads together.

Change: chunks are decoded as in the gateway, by one thread at a time; bodies are read in parts of 64 KB that are counted, within 30 % of the new setting memory_mb (the machine's memory by default), and the receipt with the most bytes times seconds is ended beyond that (503, overloaded). A connection has a thread once it has sent something; if all are in use, the oldest receipt is ended. The rest of a refused body is dropped. Threads share two heaps.

The test of an idle caller's thread expected that a caller that sends nothing has a thread until the time limit: that was the fault. It sends a byte now, and a further test demands that an idle one has no thread at all.

The parser of chunks and the allocator's settings moved to modules that both interfaces use.

--- a/tests/calls/test_servers.py
+++ b/tests/calls/test_servers.py
@@ -115,9 +115,18 @@
         error = support.read_error(answer)
         assert (error['code'], error['verdict']) == ('slow_sender', 'not_run')
 
-    def test_frees_the_thread_of_an_idle_caller(self, deployment):
+    def test_idle_caller_has_no_thread(self, deployment):
+        """Guards against callers that take all threads and send nothing."""
         server = deployment.entries[0].callers
         with support.connect(deployment):
+            for _ in range(10):
+                time.sleep(0.05)
+                assert server.count_active_requests() == 0
+
+    def test_frees_the_thread_of_an_idle_caller(self, deployment):
+        server = deployment.entries[0].callers
+        with support.connect(deployment) as sock:
+            sock.sendall(b'P')
             support.wait_until(lambda: server.count_active_requests() == 1)
             support.wait_until(lambda: server.count_active_requests() == 0)
 
--- a/tests/gateway/test_chunked_bodies.py
+++ b/tests/core/test_chunked_bodies.py
@@ -5,9 +5,10 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from trefoilhinge.gateway.chunked_bodies import (
+from trefoilhinge.core.chunked_bodies import (
     CHUNK_FRAMING_BYTES,
     ChunkedBody,
+    ChunksMalformed,
 )
 from trefoilhinge.gateway.request_input import RequestInput
 
@@ -105,18 +106,18 @@
     )
     def test_malformed_chunks(self, chunks):
         """Guards against a length that other parsers read differently."""
-        with pytest.raises(h11.RemoteProtocolError) as caught:
+        with pytest.raises(ChunksMalformed) as caught:
             decode([chunks])
-        assert caught.value.error_status_hint == 400
+        assert not caught.value.is_too_long
 
     @pytest.mark.parametrize(
         'piece', [b'1;' + b'e' * 900, b'0\r\nname: ' + b't' * 900]
     )
     def test_extensions_and_trailers_are_bounded(self, piece):
         """Guards against framing that never ends."""
-        with pytest.raises(h11.RemoteProtocolError) as caught:
+        with pytest.raises(ChunksMalformed) as caught:
             decode([piece, b'e' * 900, b'e' * 900])
-        assert caught.value.error_status_hint == 431
+        assert caught.value.is_too_long
 
     def test_framing_of_small_chunks_has_no_bound(self):
         """Guards against a refusal of a body inside the limits."""
@@ -151,6 +152,8 @@
             (b'GET / HTTP/1.1\r\nHost : h\r\n\r\n', 400),
             (HEAD.replace(b'chunked', b'gzip, chunked'), 501),
             (HEAD.replace(b'chunked', b'identity'), 501),
+            (HEAD + b'g\r\n', 400),
+            (HEAD + b'1;' + b'e' * 40_000, 431),
         ],
     )
     def test_malformed_heads(self, data, status):
--- a/trefoilhinge/calls/connections.py
+++ b/trefoilhinge/calls/connections.py
@@ -17,6 +17,8 @@
     DeadlineWriter,
     IoDeadline,
 )
+from trefoilhinge.calls.exceptions import RequestRefused
+from trefoilhinge.calls.receipts import Receipt
 from trefoilhinge.core.verdicts import (
     Refusal,
     RefusalCode,
@@ -32,6 +34,19 @@
 _READ_SIZE_BYTES = 65536
 
 
+def refuse_overloaded(
+    limit: str = 'memory_mb', limit_value: int | None = None
+) -> Refusal:
+    """Return the refusal of a request for which there is no capacity."""
+    return refuse_not_run(
+        RefusalCode.OVERLOADED,
+        'This instance has no free capacity for the request; try again.',
+        limit=limit,
+        limit_value=limit_value,
+        retry_after_s=1,
+    )
+
+
 class CallerRequest(HTTPRequest):
     """HTTP request that is refused in JSON if it is malformed."""
 
@@ -55,9 +70,16 @@
             self.close_connection = True
         return True
 
+    def send_headers(self) -> None:
+        """Send the headers; the rest of a body is dropped, not read whole."""
+        self.conn.skip_unread_body()
+        super().send_headers()
+
     def simple_response(self, status: Any, msg: Any = '') -> None:
         """Respond to an error that Cheroot detected with a refusal in JSON."""
         refusal = _make_refusal(int(str(status)[:3]), str(msg))
+        if self.conn.is_shed:
+            refusal = refuse_overloaded()
         if self.conn.was_interrupted:
             refusal = refuse_stopping()
         self.close_connection = True
@@ -78,6 +100,7 @@
         self.request: CallerRequest | None = None
         self._deadline = IoDeadline(server.interrupt_fd)
         self._needs_drain = False
+        self.receipt: Receipt | None = None
         self.rfile = DeadlineReader(sock, self._deadline, self.rbufsize)
         self.wfile = DeadlineWriter(sock, self._deadline, self.wbufsize)
 
@@ -102,9 +125,13 @@
         self.set_io_deadline(time.monotonic() + self.server.slow_sender_s)
         self.request = None
         self._needs_drain = False
+        receipt = self.server.receipts.begin(self)
+        self.receipt = receipt
         try:
             keeps_open = bool(super().communicate())
         finally:
+            self.receipt = None
+            self.server.receipts.release(receipt)
             self.server.release_thread()
             if self.was_interrupted:
                 self.server.note_interrupted()
@@ -112,6 +139,31 @@
             self.shut_down_and_drain()
         return keeps_open
 
+    @property
+    def is_shed(self) -> bool:
+        """Return whether the request was ended in favour of others."""
+        return self.receipt is not None and self.receipt.is_shed
+
+    def hold(self, count: int) -> None:
+        """Count bytes of the body of the request.
+
+        :raises RequestRefused: it was ended in favour of others.
+        """
+        if self.receipt is not None:
+            self.server.receipts.add(self.receipt, count)
+        if self.is_shed:
+            raise RequestRefused(refuse_overloaded())
+
+    def complete_receipt(self) -> None:
+        """Record that the request has arrived."""
+        if self.receipt is not None:
+            self.server.receipts.complete(self.receipt)
+
+    def end_receipt(self) -> None:
+        """Wake the thread that waits for the rest of the request."""
+        with contextlib.suppress(OSError):
+            socket.socket.shutdown(self.socket, socket.SHUT_RD)
+
     def was_closed_by_caller(self) -> bool:
         """Return whether the caller closed the connection while it was idle."""
         if self.last_used is None or self.rfile.has_data():
@@ -172,6 +224,8 @@
         """Serve the request."""
         self.env[CONNECTION_KEY] = self.req.conn
         self.req.conn.request = self.req
+        if not getattr(self.req.rfile, 'remaining', self.req.chunked_read):
+            self.req.conn.complete_receipt()
         super().respond()
 
 
--- a/trefoilhinge/calls/requests.py
+++ b/trefoilhinge/calls/requests.py
@@ -1,11 +1,16 @@
 """Reading of callers' HTTP requests within limits of size and time."""
 
+import errno
+import threading
 import urllib.parse
+from collections.abc import Iterator
 from typing import Any
 
 from trefoilhinge.calls.call_parsing import ReceivedRequest
+from trefoilhinge.calls.connections import CONNECTION_KEY
 from trefoilhinge.calls.deadlines import ReceiveInterrupted
 from trefoilhinge.calls.exceptions import RequestRefused
+from trefoilhinge.core.chunked_bodies import ChunkedBody, ChunksMalformed
 from trefoilhinge.core.verdicts import (
     Refusal,
     RefusalCode,
@@ -16,6 +21,10 @@
 Environ = dict[str, Any]
 MAXIMUM_KEY_BYTES = 512
 MAXIMUM_PRIORITY_DIGITS = 9
+PART_BYTES = 65_536  # of a body that is read
+# Threads that decode chunks at a time: more would delay all other threads, as
+# only one of them runs.
+_DECODERS = threading.Semaphore(1)
 _SAFE_PATH_CHARACTERS = "/:@!$&'()*+,;=~"
 
 
@@ -50,7 +59,7 @@
     if length is not None and length > maximum_body_bytes:
         raise RequestRefused(_refuse_too_large(maximum_body_bytes))
     try:
-        body = b'' if length == 0 else environ['wsgi.input'].read(length)
+        body = _read_content(environ, length, maximum_body_bytes)
     except TimeoutError as error:
         raise RequestRefused(_refuse_late_body(error)) from None
     except ValueError as error:
@@ -64,9 +73,60 @@
                 'the body is shorter than its Content-Length'
             )
         )
+    environ[CONNECTION_KEY].complete_receipt()
+    return body
+
+
+def _read_content(
+    environ: Environ, length: int | None, maximum_body_bytes: int
+) -> bytes:
+    """Read a body in parts, each of which is counted before it is kept.
+
+    :raises RequestRefused: it was ended in favour of others.
+    :raises ValueError: the chunks are malformed.
+    :raises OSError: the body is too long.
+    """
+    connection = environ[CONNECTION_KEY]
+    if length is None:
+        parts = _read_chunks(connection, maximum_body_bytes)
+    else:
+        parts = _read_parts(environ['wsgi.input'], length)
+    body = bytearray()
+    for part in parts:
+        connection.hold(len(part))
+        body += part
+    # The end of a receipt in favour of others reads like the end of input.
+    connection.hold(0)
     return bytes(body)
 
 
+def _read_parts(source: Any, length: int) -> Iterator[bytes]:
+    left = length
+    while left:
+        part = source.read(min(left, PART_BYTES))
+        if not part:
+            return
+        left -= len(part)
+        yield part
+
+
+def _read_chunks(connection: Any, maximum_body_bytes: int) -> Iterator[bytes]:
+    body = ChunkedBody(connection.server.max_request_header_size)
+    while not body.is_ended:
+        received = connection.rfile.read1(PART_BYTES)
+        if not received:
+            raise ValueError('the body ends before its last chunk')
+        with _DECODERS:
+            try:
+                part, _ = body.decode(received)
+            except ChunksMalformed as problem:
+                raise ValueError(str(problem)) from None
+        if body.content_bytes > maximum_body_bytes:
+            raise OSError(errno.EMSGSIZE, 'the body is too long')
+        yield part
+    connection.request.chunked_read = False
+
+
 def quote_path(environ: Environ) -> str:
     """Return the percent-encoded path and query to send to a target."""
     path = environ['PATH_INFO'].encode('latin-1')
--- a/trefoilhinge/calls/servers.py
+++ b/trefoilhinge/calls/servers.py
@@ -18,8 +18,9 @@
     BoundedConnection,
     ConnectionGateway,
     format_refusal_response,
+    refuse_overloaded,
 )
-from trefoilhinge.core.verdicts import RefusalCode, refuse_not_run
+from trefoilhinge.calls.receipts import ReceiptTable, make_receipt_table
 
 MAXIMUM_CONCURRENT_REFUSALS = 4
 MAXIMUM_PENDING_REFUSALS = 64
@@ -78,10 +79,13 @@
         address: str,
         application: Callable[..., Any],
         limits: ServerLimits,
+        receipts: ReceiptTable | None = None,
     ) -> None:
         """Configure the server without opening the listener.
 
         :param address: ``host:port``.
+        :param receipts: requests that arrive at the process; none for a table
+            of its own, within the memory of the machine.
         """
         host, _, port = address.rpartition(':')
         super().__init__(
@@ -100,6 +104,7 @@
         self.max_request_body_size = limits.maximum_body_bytes
         self.slow_sender_s = limits.slow_sender_s
         self.interrupt_fd = os.eventfd(0, os.EFD_NONBLOCK)
+        self.receipts = receipts or make_receipt_table(0)
         self.refusal_count = 0
         self.interrupted_count = 0
         self._thread_count = limits.thread_count
@@ -143,14 +148,37 @@
             # A closed idle connection must not occupy a thread.
             conn.close()
             return
+        if conn.last_used is None and not conn.has_unread_input():
+            # It must not occupy a thread before it has sent anything.
+            self._await_request(conn)
+            return
         with self._lock:
             has_free_thread = self._active_requests < self._thread_count
-            self._active_requests += has_free_thread
-        if has_free_thread:
+        if has_free_thread or self.receipts.end_oldest():
+            # The thread of a request that was ended is free in a moment.
+            with self._lock:
+                self._active_requests += 1
             self.requests.put(conn)
         else:
             self._refuse(conn)
 
+    def _await_request(self, conn: Any) -> None:
+        """Wait for the request of a connection, without a thread.
+
+        Beyond the limit, the connection that has waited longest is closed.
+        """
+        selector = self._connections._selector
+        waiting = [
+            (one.last_used, fd, one)
+            for fd, one in tuple(selector.connections)
+            if one is not self
+        ]
+        if len(waiting) >= self._thread_count:
+            _, fd, oldest = min(waiting, key=lambda one: one[:2])
+            selector.unregister(fd)
+            oldest.close()
+        self._connections.put(conn)
+
     def stop(self) -> None:
         """Refuse requests that still arrive, finish answers and close."""
         with self._stop_lock:
@@ -216,13 +244,7 @@
         ).start()
 
     def _write_refusal(self, conn: Any) -> None:
-        refusal = refuse_not_run(
-            RefusalCode.OVERLOADED,
-            'This instance has no free capacity for the request; try again.',
-            limit='maximum_connections',
-            limit_value=self._thread_count,
-            retry_after_s=1,
-        )
+        refusal = refuse_overloaded('maximum_connections', self._thread_count)
         suppressed = (OSError, errors.FatalSSLAlert, errors.NoSSLError)
         with self._refusal_slots, contextlib.suppress(*suppressed):
             conn.set_io_deadline(time.monotonic() + OVERLOAD_WRITE_TIMEOUT_S)
--- a/trefoilhinge/client/request_timeline.py
+++ b/trefoilhinge/client/request_timeline.py
@@ -27,6 +27,7 @@
     'domains_evacuated': 'all targets were in evacuated failure domains',
     'targets_cold': 'all targets had just started and took no more calls',
     'refusal_unmarked': 'a target refused, but did not say that it had not run',
+    'connections_crowded': 'too many callers were connected',
     'memory_short': 'the instance held too much for its callers',
     'no_target': 'no target of the service was known or had capacity',
     'stream_lost': 'a stream broke and could not be resumed on another target',
--- a/trefoilhinge/conf/findings/fleet_context.py
+++ b/trefoilhinge/conf/findings/fleet_context.py
@@ -4,8 +4,8 @@
 
 from attrs import frozen
 
-from trefoilhinge.conf.fleet_entries import FleetEntries
 from trefoilhinge.conf.findings.registry import Registry
+from trefoilhinge.conf.fleet_entries import FleetEntries
 from trefoilhinge.dispatch.documents import (
     EngineProfile,
     FleetDocument,
--- a/trefoilhinge/gateway/chunked_bodies.py
+++ b/trefoilhinge/core/chunked_bodies.py
@@ -2,10 +2,11 @@
 
 import re
 
-import h11
 import httptools
 from attrs import define, field
 
+from trefoilhinge.exceptions import TrefoilhingeError
+
 # Gives the decoder the state in which a body begins.
 _HEAD = b'POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n'
 # The only bytes with which a body may end; content may have them as well.
@@ -15,6 +16,18 @@
 CHUNK_FRAMING_BYTES = 20
 
 
+class ChunksMalformed(TrefoilhingeError):
+    """A body in chunks cannot be decoded.
+
+    :ivar is_too_long: whether extensions and trailers are too long.
+    """
+
+    def __init__(self, problem: str, *, is_too_long: bool = False) -> None:
+        """Keep what is wrong."""
+        super().__init__(problem)
+        self.is_too_long = is_too_long
+
+
 @define(eq=False)
 class ChunkedBody:
     """One body in chunks.
@@ -54,8 +67,8 @@
         """Decode the next part of what was received.
 
         :return: its content, and what follows the end of the body.
-        :raises h11.RemoteProtocolError: the chunks are malformed, or their
-            extensions and the trailers are longer than a head may be.
+        :raises ChunksMalformed: the chunks are malformed, or their extensions
+            and the trailers are longer than a head may be.
         """
         position = 0
         for end in self._list_possible_ends(received):
@@ -84,14 +97,12 @@
         try:
             self._decoder.feed_data(piece)
         except httptools.HttpParserError as problem:
-            raise h11.RemoteProtocolError(
-                f'malformed chunks: {problem}', error_status_hint=400
-            ) from None
+            raise ChunksMalformed(f'malformed chunks: {problem}') from None
 
     def _check_framing(self) -> None:
         allowed_bytes = self._chunks * CHUNK_FRAMING_BYTES
         if self._framing_bytes > allowed_bytes + self._maximum_extra_bytes:
-            raise h11.RemoteProtocolError(
+            raise ChunksMalformed(
                 'the extensions of chunks and the trailers are too long',
-                error_status_hint=431,
+                is_too_long=True,
             )
--- a/trefoilhinge/dispatch/message_codec.py
+++ b/trefoilhinge/dispatch/message_codec.py
@@ -12,23 +12,23 @@
 from expression import Error, Ok, Result
 from msgpack.exceptions import UnpackException
 
-from trefoilhinge.dispatch.evacuation_codec import (
-    EVACUATION_KIND,
-    decode_mark,
-    list_mark_fields,
+from trefoilhinge.dispatch.admission.codec import (
+    ADMISSION_KINDS,
+    AdmissionMessage,
+    decode_admission_message,
+    list_admission_fields,
 )
-from trefoilhinge.dispatch.evacuations import DomainMark
 from trefoilhinge.dispatch.estimation.summary_codec import (
     SUMMARY_KIND,
     decode_summary,
     list_summary_fields,
 )
-from trefoilhinge.dispatch.admission.codec import (
-    ADMISSION_KINDS,
-    AdmissionMessage,
-    decode_admission_message,
-    list_admission_fields,
+from trefoilhinge.dispatch.evacuation_codec import (
+    EVACUATION_KIND,
+    decode_mark,
+    list_mark_fields,
 )
+from trefoilhinge.dispatch.evacuations import DomainMark
 from trefoilhinge.dispatch.loads import Run, RunPart
 from trefoilhinge.dispatch.message_checks import (
     check_ip,
--- a/trefoilhinge/dispatch/messages.py
+++ b/trefoilhinge/dispatch/messages.py
@@ -4,8 +4,8 @@
 
 from trefoilhinge.dispatch.admission.codec import AdmissionMessage
 from trefoilhinge.dispatch.crash_evidence import CrashReport
-from trefoilhinge.dispatch.evacuations import DomainMark
 from trefoilhinge.dispatch.estimation.group_table import GroupSummary
+from trefoilhinge.dispatch.evacuations import DomainMark
 from trefoilhinge.dispatch.loads import Run
 from trefoilhinge.dispatch.peers import Heartbeat
 from trefoilhinge.dispatch.permits import PermitDecision, PermitRequest
--- a/trefoilhinge/dispatch/reachability.py
+++ b/trefoilhinge/dispatch/reachability.py
@@ -8,7 +8,6 @@
 
 from trefoilhinge.dispatch.targets import TargetRecord
 
-
 # Since the last connection that a target accepted; targets of an unreachable
 # service are probed more often.
 PARTLY_REACHABLE_S = 1.0
--- a/trefoilhinge/entry/commands.py
+++ b/trefoilhinge/entry/commands.py
@@ -7,6 +7,7 @@
 
 import logbook
 
+from trefoilhinge.allocator import make_allocator
 from trefoilhinge.conf.generated.settings import Settings
 from trefoilhinge.entry.daemon import make_entry
 
@@ -20,6 +21,9 @@
         'level={record.level_name} {record.message}',
     )
     handler.push_application()
+    allocator = make_allocator()
+    allocator.map_long_blocks()
+    allocator.share_heaps()
     stop_requests: queue.SimpleQueue[int] = queue.SimpleQueue()
 
     def handle_signal(signal_number: int, frame: object) -> None:
--- a/trefoilhinge/entry/daemon.py
+++ b/trefoilhinge/entry/daemon.py
@@ -17,6 +17,7 @@
 from trefoilhinge.calls.call_service import CallService
 from trefoilhinge.calls.forward_client import ForwardClient
 from trefoilhinge.calls.mailboxes import Mailboxes
+from trefoilhinge.calls.receipts import ReceiptTable, make_receipt_table
 from trefoilhinge.calls.servers import (
     BoundedServer,
     ServerLimits,
@@ -162,8 +163,13 @@
     replies: PendingReplies = field(factory=PendingReplies)
     stopped: threading.Event = field(factory=threading.Event)
     ready: bool = False
+    receipts: ReceiptTable = field(init=False)
     actor: 'pykka.ActorRef[NodeActor] | None' = None
 
+    def __attrs_post_init__(self) -> None:
+        """Bound what is held for requests."""
+        self.receipts = make_receipt_table(self.settings.memory_mb)
+
     def report(self, event: Event) -> None:
         """Send an event to the core."""
         if self.actor is not None and self.actor.is_alive():
@@ -330,7 +336,7 @@
         settings.maximum_header_bytes,
         settings.maximum_body_bytes,
     )
-    return _make_server(settings, settings.listen, application, limits)
+    return _make_server(context, settings.listen, application, limits)
 
 
 def _make_peer_server(
@@ -362,16 +368,17 @@
         settings.maximum_header_bytes,
         max(settings.maximum_body_bytes, MAXIMUM_MESSAGE_BYTES),
     )
-    return _make_server(settings, settings.peer_listen, application, limits)
+    return _make_server(context, settings.peer_listen, application, limits)
 
 
 def _make_server(
-    settings: Settings,
+    context: _NodeContext,
     address: str,
     application: Any,
     limits: ServerLimits,
 ) -> BoundedServer:
-    server = BoundedServer(address, application, limits)
+    settings = context.settings
+    server = BoundedServer(address, application, limits, context.receipts)
     if settings.tls_certificate:
         enable_tls(server, settings.tls_certificate, settings.tls_key)
     return server
--- a/trefoilhinge/gateway/attempt_sender.py
+++ b/trefoilhinge/gateway/attempt_sender.py
@@ -9,11 +9,11 @@
 from trefoilhinge.dispatch.targets import TargetRecord
 from trefoilhinge.gateway.attempt_recorder import AttemptRecorder
 from trefoilhinge.gateway.cold_targets import take_cold_request
-from trefoilhinge.gateway.evacuations import has_evacuated_target
 from trefoilhinge.gateway.connections.pool import (
     ConnectionPool,
     PooledConnection,
 )
+from trefoilhinge.gateway.evacuations import has_evacuated_target
 from trefoilhinge.gateway.peer_exchange import PeerExchange
 from trefoilhinge.gateway.placement import has_resting_target
 from trefoilhinge.gateway.progress import CallProgress
--- a/trefoilhinge/gateway/attempts.py
+++ b/trefoilhinge/gateway/attempts.py
@@ -28,8 +28,8 @@
 from trefoilhinge.gateway.placement import is_placement_current
 from trefoilhinge.gateway.progress import CallProgress
 from trefoilhinge.gateway.quarantine_gate import QuarantineGate
-from trefoilhinge.gateway.reach import probe_suspect
 from trefoilhinge.gateway.rate_limits import record_named_rate
+from trefoilhinge.gateway.reach import probe_suspect
 from trefoilhinge.gateway.refusals import (
     CallFailed,
     Refusal,
@@ -45,13 +45,13 @@
 from trefoilhinge.gateway.state import GatewayState
 from trefoilhinge.gateway.stop_guard import StopGuard, make_plan
 from trefoilhinge.gateway.target_choice import TargetChoice
-from trefoilhinge.gateway.target_needs import record_claim, record_needs
 from trefoilhinge.gateway.target_connections import (
     AnswerBroken,
     ConnectionStale,
     TargetConnection,
     TargetUnreachable,
 )
+from trefoilhinge.gateway.target_needs import record_claim, record_needs
 
 MAXIMUM_REJECTIONS = 3  # attempts that targets state they did not run
 # Where capacity is scarce, a call that a target refuses goes back to waiting.
--- a/trefoilhinge/gateway/daemon.py
+++ b/trefoilhinge/gateway/daemon.py
@@ -7,12 +7,12 @@
 
 from attrs import asdict, define, field
 
+from trefoilhinge.allocator import Allocator, make_allocator
 from trefoilhinge.dispatch.caller_bounds import find_connection_bounds
 from trefoilhinge.dispatch.documents import CallerLimits
 from trefoilhinge.dispatch.settings import Address, GatewaySettings
 from trefoilhinge.dispatch.stops import StopSchedule
 from trefoilhinge.exceptions import ImproperlyConfigured
-from trefoilhinge.gateway.allocator import Allocator, make_allocator
 from trefoilhinge.gateway.call_service import CallService
 from trefoilhinge.gateway.caller_connections import CallerConnection
 from trefoilhinge.gateway.connection_table import ConnectionTable
@@ -77,7 +77,9 @@
 
     def prepare_memory(self) -> None:
         """Let the process return what crowds of callers have used."""
-        self._allocator = make_allocator(self._state.log)
+        self._allocator = make_allocator()
+        if not self._allocator.is_known:
+            self._state.log.write('allocator_unknown')
         self._allocator.map_long_blocks()
 
     def flush_log(self) -> None:
--- a/trefoilhinge/gateway/peer_exchange.py
+++ b/trefoilhinge/gateway/peer_exchange.py
@@ -5,12 +5,12 @@
 
 from attrs import define, field
 
-from trefoilhinge.dispatch.evacuations import DomainMark
 from trefoilhinge.dispatch.admission.codec import (
     CallsWaiting,
     RunsAlive,
     WaitsEnded,
 )
+from trefoilhinge.dispatch.evacuations import DomainMark
 from trefoilhinge.dispatch.fanout import list_hops
 from trefoilhinge.dispatch.message_codec import (
     decode_message,
@@ -41,10 +41,10 @@
 from trefoilhinge.dispatch.store_read_codec import StoreRead
 from trefoilhinge.dispatch.targets import TargetRecord
 from trefoilhinge.dispatch.warmup.codec import TargetCold
+from trefoilhinge.gateway.admission.waiters import Admission
 from trefoilhinge.gateway.cold_targets import ColdNews
-from trefoilhinge.gateway.evacuations import EvacuationNews
 from trefoilhinge.gateway.cost_exchange import list_summaries, take_summary
-from trefoilhinge.gateway.admission.waiters import Admission
+from trefoilhinge.gateway.evacuations import EvacuationNews
 from trefoilhinge.gateway.peer_fetcher import (
     PeerFetcher,
     make_document_fetcher,
--- a/trefoilhinge/gateway/request_input.py
+++ b/trefoilhinge/gateway/request_input.py
@@ -5,7 +5,7 @@
 import h11
 from attrs import define, field
 
-from trefoilhinge.gateway.chunked_bodies import ChunkedBody
+from trefoilhinge.core.chunked_bodies import ChunkedBody, ChunksMalformed
 
 # Ends a head for h11, which accepts bare line feeds.
 _HEAD_END = re.compile(b'\n\r?\n')
@@ -109,7 +109,13 @@
             return self._parser.next_event()
         received = bytes(self._received)
         self._received.clear()
-        content, rest = body.decode(received)
+        try:
+            content, rest = body.decode(received)
+        except ChunksMalformed as problem:
+            raise h11.RemoteProtocolError(
+                str(problem),
+                error_status_hint=431 if problem.is_too_long else 400,
+            ) from None
         if body.is_ended:
             # h11 has seen nothing of the body, and is told of its end only.
             self._received += rest
--- a/trefoilhinge/gateway/reservations.py
+++ b/trefoilhinge/gateway/reservations.py
@@ -12,8 +12,8 @@
 from trefoilhinge.dispatch.calls import PrefillHelper
 from trefoilhinge.dispatch.settings import parse_address
 from trefoilhinge.dispatch.targets import TargetRecord
-from trefoilhinge.gateway.evacuations import is_address_evacuated
 from trefoilhinge.gateway.cold_targets import is_cold
+from trefoilhinge.gateway.evacuations import is_address_evacuated
 from trefoilhinge.gateway.http_client import FetchFailed, fetch
 from trefoilhinge.gateway.liveness import probe_target
 from trefoilhinge.gateway.peer_exchange import PeerExchange
--- a/trefoilhinge/gateway/state.py
+++ b/trefoilhinge/gateway/state.py
@@ -27,8 +27,8 @@
 from trefoilhinge.dispatch.targets import TargetDirectory, TargetRecord
 from trefoilhinge.dispatch.warmup.cold_targets import ColdTable
 from trefoilhinge.dispatch.warmup.instances import KnownInstances
-from trefoilhinge.gateway.held_memory import HeldMemory, make_held_memory
 from trefoilhinge.gateway.admission.record import AdmissionRecord
+from trefoilhinge.gateway.held_memory import HeldMemory, make_held_memory
 from trefoilhinge.gateway.logs import EventLog
 from trefoilhinge.gateway.metrics import MetricsRegistry
 from trefoilhinge.gateway.prefill_waiters import PrefillWaiters
--- a/trefoilhinge/gateway/target_choice.py
+++ b/trefoilhinge/gateway/target_choice.py
@@ -13,9 +13,9 @@
 from trefoilhinge.dispatch.group_placement import Placement
 from trefoilhinge.dispatch.permits import PermitDecision, PermitVerdict
 from trefoilhinge.dispatch.targets import TargetRecord
+from trefoilhinge.gateway.admission.waiters import Admission
 from trefoilhinge.gateway.cold_targets import compute_cold_wait_s, is_cold
 from trefoilhinge.gateway.evacuations import is_service_evacuated
-from trefoilhinge.gateway.admission.waiters import Admission
 from trefoilhinge.gateway.permits import Permits, make_permit_request
 from trefoilhinge.gateway.placement import (
     find_placement,
--- a/trefoilhinge/soak/fleets.py
+++ b/trefoilhinge/soak/fleets.py
@@ -10,9 +10,8 @@
 
 from trefoilhinge.platform import store
 from trefoilhinge.platform.standins import formats
-from trefoilhinge.soak.crashes import CrashSource
-from trefoilhinge.soak.instances import PROGRAM, Instance
 from trefoilhinge.soak.cold_checks import COLD_REQUESTS_PER_S
+from trefoilhinge.soak.crashes import CrashSource
 from trefoilhinge.soak.demands import (
     ENGINE_SLOTS,
     QUEUED_TIMEOUT_S,
@@ -20,6 +19,7 @@
     Demand,
     EnginePrefills,
 )
+from trefoilhinge.soak.instances import PROGRAM, Instance
 from trefoilhinge.soak.observations import ObservationLog
 from trefoilhinge.soak.proxies import Proxy
 from trefoilhinge.soak.records import QUEUED_NAME
--- a/trefoilhinge/soak/plan_execution.py
+++ b/trefoilhinge/soak/plan_execution.py
@@ -32,8 +32,8 @@
 from trefoilhinge.soak.expiries import expire_entry
 from trefoilhinge.soak.fleets import CALLER_KEYS, SoakFleet
 from trefoilhinge.soak.instances import Instance
-from trefoilhinge.soak.observations import PART_CRASHES, REQUEST_CRASHES
 from trefoilhinge.soak.limits import name_limit
+from trefoilhinge.soak.observations import PART_CRASHES, REQUEST_CRASHES
 from trefoilhinge.soak.plans import PlannedEvent
 from trefoilhinge.soak.proxies import ConnectionFault, Proxy
 from trefoilhinge.soak.readers import ANSWER_TIME_S, READERS, read_slowly
