Played clients that do not behave in the soak.

The soak's instances have 100 MB and 2,000 descriptors. The invariant CROWD compares the peak of the process with its memory; the other invariants are checked meanwhile, for the callers that behave.

--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -7,6 +7,7 @@
 from trefoilhinge.soak.event_kinds import (
     ColdKind,
     CrashKind,
+    CrowdKind,
     DemandKind,
     EntryKind,
     EvacuationKind,
@@ -76,6 +77,11 @@
 OUTAGE = make_plan(OutageKind.restart, count=1)
 SWITCH = (PlannedEvent(0.5, 0.5, DemandKind.switch, 0),)
 STOPS = (PlannedEvent(0.5, 0, StopKind.repeated, 0.1),)
+CROWD = (PlannedEvent(0.5, 4, CrowdKind.bodies, 0.1),)
+CROWDS = tuple(
+    PlannedEvent(0.5 + 4 * number, 3, kind, 0.1)
+    for number, kind in enumerate(CrowdKind)
+)
 RETRIES = (PlannedEvent(0, 4, RetryKind.at_once, 0.1),)
 
 
@@ -145,6 +151,11 @@
         assert len(slow) == 4
         assert len(observed.evacuations) == 2
 
+    def test_crowds(self, tmp_path):
+        """Guards against a process that takes more than its memory."""
+        observed = play(tmp_path, 140, CROWDS, 14)
+        assert [one.kind for one in observed.crowds] == list(CrowdKind)
+
     def test_stops_under_load(self, tmp_path):
         """Guards against calls that end without an answer at a stop.
 
@@ -263,3 +274,6 @@
 
     def test_start_that_needs_the_store(self, tmp_path):
         assert is_found('START', tmp_path, 126, OUTAGE, 'ask_only_the_store')
+
+    def test_unbounded_crowds(self, tmp_path):
+        assert is_found('CROWD', tmp_path, 141, CROWD, 'hold_everything', 6)
--- a/tests/soak/variants.py
+++ b/tests/soak/variants.py
@@ -3,7 +3,12 @@
 import asyncio
 import sys
 
-from trefoilhinge.dispatch import outages, permit_buckets
+from trefoilhinge.dispatch import (
+    caller_bounds,
+    held_bytes,
+    outages,
+    permit_buckets,
+)
 from trefoilhinge.dispatch.admission import order
 from trefoilhinge.dispatch.departures import DepartureTable
 from trefoilhinge.dispatch.outages import StoreOutages
@@ -14,6 +19,7 @@
     answer_relay,
     attempts,
     daemon,
+    held_memory,
     permits,
     quarantine,
     replication,
@@ -187,6 +193,18 @@
     daemon.Gateway._stop = stop
 
 
+def hold_everything():
+    """Bound neither what is held for callers nor their connections."""
+
+    def find_none(descriptors, memory_bytes):
+        return caller_bounds.ConnectionBounds(100_000, 100_000)
+
+    daemon.find_connection_bounds = find_none
+    held_memory.find_held_limits = lambda memory_bytes, has_scarce_room: (
+        held_bytes.HeldLimits()
+    )
+
+
 if __name__ == '__main__':
     globals()[sys.argv[1]]()
     daemon.run_gateway()
--- a/trefoilhinge/platform/standins/formats.py
+++ b/trefoilhinge/platform/standins/formats.py
@@ -212,6 +212,7 @@
     first_port: int,
     *,
     has_scarce_room: bool = False,
+    limits: Mapping[str, int] | None = None,
     **bounds: float,
 ) -> str:
     """Encode the settings file of an instance.
@@ -219,6 +220,7 @@
     :param first_port: port for callers; the readiness, control and internal
         ports follow it.
     :param has_scarce_room: whether callers compete for capacity.
+    :param limits: memory and descriptors of the process, if they are known.
     :param bounds: additional bounds.
     """
     listen = ('front', 'ready', 'control')
@@ -235,6 +237,7 @@
         'heartbeatMs': 1200,
         'contracts': ['pressure'] if has_scarce_room else [],
         'platform': {'address': store},
+        'limits': dict(limits or {}),
         'bounds': {
             'graceS': 8,
             'retryRatio': 0.2,
--- a/trefoilhinge/soak/event_kinds.py
+++ b/trefoilhinge/soak/event_kinds.py
@@ -116,6 +116,14 @@
     at_once = 'at_once'
 
 
+class CrowdKind(enum.Enum):
+    """What clients that do not behave send, and stay connected."""
+
+    bodies = 'bodies'
+    chunks = 'chunks'
+    connections = 'connections'
+
+
 EventKind = (
     FaultKind
     | MaintenanceKind
@@ -130,4 +138,5 @@
     | EvacuationKind
     | DemandKind
     | RetryKind
+    | CrowdKind
 )
--- a/trefoilhinge/soak/instances.py
+++ b/trefoilhinge/soak/instances.py
@@ -19,6 +19,8 @@
 
 PROGRAM = ('-m', 'trefoilhinge.gateway')
 READY_STATUS = 200
+MEMORY_MB = 100
+DESCRIPTORS = 2000
 KILL_TIMEOUT_S = 10.0  # for a process to exit, longer than its grace period
 
 
@@ -34,6 +36,7 @@
     :ivar program: arguments of the interpreter; tests pass a broken variant
         of the gateway.
     :ivar has_admission: whether calls wait in one order over all instances.
+    :ivar memory_mb: memory that it may use.
     :ivar is_stopping: whether it was asked to stop.
     :ivar stop_ordered_s: time at which it was, in seconds of the monotonic
         clock.
@@ -48,6 +51,7 @@
     folder: pathlib.Path
     program: tuple[str, ...] = PROGRAM
     has_admission: bool = False
+    memory_mb: int = MEMORY_MB
     is_stopping: bool = False
     stop_ordered_s: float | None = None
     starts: int = 0
@@ -64,6 +68,11 @@
         """Return the address of the readiness endpoint."""
         return self.ip, self.first_port + 1
 
+    @property
+    def pid(self) -> int | None:
+        """Return the identifier of the process that was started last."""
+        return None if self._process is None else self._process.pid
+
     @property
     def is_running(self) -> bool:
         """Return whether the process is running."""
@@ -89,6 +98,7 @@
                 evacuateMs=EVACUATE_S * formats.MS_PER_S,
                 coldOver=COLD_RATIO,
                 coldSlack=COLD_SLACK,
+                limits={'memoryMb': self.memory_mb, 'maxFds': DESCRIPTORS},
             )
         )
         self.is_stopping = False
--- a/trefoilhinge/soak/observations.py
+++ b/trefoilhinge/soak/observations.py
@@ -6,6 +6,7 @@
 from attrs import define, field
 
 from trefoilhinge.soak.cold_checks import ObservedCold, list_excesses
+from trefoilhinge.soak.crowd_checks import ObservedCrowd
 from trefoilhinge.soak.demands import (
     MAXIMUM_LATE_SHARE,
     ObservedSwitch,
@@ -78,6 +79,7 @@
         competed for too few slots.
     :ivar new_reservations: first order to make each reservation, by its name.
     :ivar crashing_traits: what crashed targets, each for a time.
+    :ivar crowds: memory of instances after crowds of clients.
     """
 
     calls: list[ObservedCall] = field(factory=list)
@@ -101,6 +103,7 @@
     retries: list[ObservedRetries] = field(factory=list)
     new_reservations: list[ObservedRun] = field(factory=list)
     crashing_traits: list[CrashingTrait] = field(factory=list)
+    crowds: list[ObservedCrowd] = field(factory=list)
 
     def find_violations(self) -> list[Violation]:
         """Return all violations of the invariants."""
@@ -123,6 +126,16 @@
             Violation('MEMORY', reservation, 'was held after its call')
             for reservation in self.leaked_reservations
         )
+        violations.extend(
+            Violation(
+                'CROWD',
+                crowd.instance,
+                f'{crowd.peak_mb:.0f} of {crowd.limit_mb} MB'
+                f' after {crowd.kind.value}',
+            )
+            for crowd in self.crowds
+            if crowd.is_over
+        )
         violations.extend(
             Violation('START', name, 'was not ready in time')
             for name in self.late_starts
--- a/trefoilhinge/soak/plan_execution.py
+++ b/trefoilhinge/soak/plan_execution.py
@@ -13,9 +13,11 @@
     resume_evacuations,
     suspend_evacuations,
 )
+from trefoilhinge.soak.crowds import send_crowd
 from trefoilhinge.soak.event_kinds import (
     ColdKind,
     CrashKind,
+    CrowdKind,
     DemandKind,
     EntryKind,
     EvacuationKind,
@@ -269,4 +271,5 @@
     EvacuationKind: evacuate,
     DemandKind: switch_load,
     RetryKind: retry_at_once,
+    CrowdKind: send_crowd,
 }
--- a/trefoilhinge/soak/plans.py
+++ b/trefoilhinge/soak/plans.py
@@ -6,6 +6,7 @@
 from trefoilhinge.soak.event_kinds import (
     ColdKind,
     CrashKind,
+    CrowdKind,
     DemandKind,
     EntryKind,
     EvacuationKind,
@@ -41,6 +42,7 @@
 COLD_SERVICE_INTERVALS_S = (8.0, 30.0)
 SWITCH_INTERVALS_S = (12.0, 40.0)
 RETRY_INTERVALS_S = (4.0, 16.0)
+CROWD_INTERVALS_S = (15.0, 45.0)
 EVACUATION_INTERVALS_S = (10.0, 30.0)
 
 # Events with random numbers of their own, by the number of their series.
@@ -54,6 +56,9 @@
     10: (EvacuationKind.restart, EVACUATION_INTERVALS_S),
     11: (DemandKind.switch, SWITCH_INTERVALS_S),
     12: (RetryKind.at_once, RETRY_INTERVALS_S),
+    17: (CrowdKind.bodies, CROWD_INTERVALS_S),
+    18: (CrowdKind.chunks, CROWD_INTERVALS_S),
+    19: (CrowdKind.connections, CROWD_INTERVALS_S),
 }
 # Planned work, in a plan without faults.
 STOP_INTERVALS_S = (17.0, 20.0)  # more than such an event lasts
--- a/trefoilhinge/soak/violations.py
+++ b/trefoilhinge/soak/violations.py
@@ -22,6 +22,8 @@
     - ``LEAVING``: a target started to work on a call later than
       ``CHANGE_PROPAGATION_S`` after it was leaving.
     - ``MEMORY``: a reservation was held after its call.
+    - ``CROWD``: a process took more than its memory after clients that do not
+      behave had connected.
     - ``START``: an instance that started during an outage of the store, beside
       others that were ready, was not ready within six seconds.
     - ``SHARED``: two calls used one reservation, so that the end of the one
