Took the limits of the machine where the settings name none.

An instance whose settings file has no memoryMb counted nothing that it held for callers, and without maxFds nothing bounded the descriptors that callers take: a crowd could take all of the machine's memory. The memory of the machine and the process's limit on open files now take their place.

Two of three cases of TestMachineLimits failed before (both were zero).

--- a/trefoilhinge/gateway/settings_files.py
+++ b/trefoilhinge/gateway/settings_files.py
@@ -2,6 +2,7 @@
 
 import os
 import pathlib
+import resource
 
 from attrs import evolve
 
@@ -37,14 +38,28 @@
     allows_learned_costs = _read_switch(LEARNED_COSTS_VARIABLE, 'on')
     allows_admission = _read_switch(ADMISSION_VARIABLE, 'off')
     allows_store_readers = _read_switch(STORE_READERS_VARIABLE, 'on')
+    settings = read_settings(path)
     return evolve(
-        read_settings(path),
+        settings,
+        memory_bytes=settings.memory_bytes or find_memory_bytes(),
+        descriptors=settings.descriptors or find_descriptors(),
         allows_learned_costs=allows_learned_costs,
         allows_admission=allows_admission,
         allows_store_readers=allows_store_readers,
     )
 
 
+def find_memory_bytes() -> int:
+    """Return the memory of the machine."""
+    return os.sysconf('SC_PHYS_PAGES') * os.sysconf('SC_PAGE_SIZE')
+
+
+def find_descriptors() -> int:
+    """Return how many descriptors the process may open, zero if any number."""
+    soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return 0 if soft == resource.RLIM_INFINITY else soft
+
+
 def _read_switch(variable: str, default: str) -> bool:
     text = os.environ.get(variable) or default
     if text not in SWITCH_VALUES:
