--- a/tests/core/test_chunked_bodies.py
+++ b/tests/gateway/test_chunked_bodies.py
@@ -5,7 +5,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from trefoilhinge.core.chunked_bodies import (
+from trefoilhinge.chunked_bodies import (
     CHUNK_FRAMING_BYTES,
     ChunkedBody,
     ChunksMalformed,
--- a/trefoilhinge/calls/requests.py
+++ b/trefoilhinge/calls/requests.py
@@ -10,7 +10,7 @@
 from trefoilhinge.calls.connections import CONNECTION_KEY
 from trefoilhinge.calls.deadlines import ReceiveInterrupted
 from trefoilhinge.calls.exceptions import RequestRefused
-from trefoilhinge.core.chunked_bodies import ChunkedBody, ChunksMalformed
+from trefoilhinge.chunked_bodies import ChunkedBody, ChunksMalformed
 from trefoilhinge.core.verdicts import (
     Refusal,
     RefusalCode,
--- a/trefoilhinge/gateway/request_input.py
+++ b/trefoilhinge/gateway/request_input.py
@@ -5,7 +5,7 @@
 import h11
 from attrs import define, field
 
-from trefoilhinge.core.chunked_bodies import ChunkedBody, ChunksMalformed
+from trefoilhinge.chunked_bodies import ChunkedBody, ChunksMalformed
 
 # Ends a head for h11, which accepts bare line feeds.
 _HEAD_END = re.compile(b'\n\r?\n')
