--- a/trefoilhinge/gateway/receiving_connections.py
+++ b/trefoilhinge/gateway/receiving_connections.py
@@ -104,7 +104,7 @@
             head = decode_request_head(
                 request.method, request.target, request.headers.raw_items()
             )
-            body = await self._read_body(request, head, check_head)
+            body = await self._read_body(head, check_head)
         except h11.RemoteProtocolError as problem:
             raise RequestRefused(
                 make_malformed_refusal(problem.error_status_hint, problem)
@@ -123,14 +123,12 @@
         self._hold(self._input.head_bytes)
         return event
 
-    async def _read_body(
-        self, request: h11.Request, head: CallHead, check_head: HeadCheck
-    ) -> bytes:
+    async def _read_body(self, head: CallHead, check_head: HeadCheck) -> bytes:
         is_checked = False
         event: object = None
         self._body = bytearray()
         while not isinstance(event, h11.EndOfMessage):
-            if not is_checked and self._is_long(request):
+            if not is_checked and self._is_long():
                 is_checked = True
                 refusal = check_head(head)
                 if refusal is not None:
@@ -145,7 +143,7 @@
         self._body = bytearray()
         return body
 
-    def _is_long(self, request: h11.Request) -> bool:
+    def _is_long(self) -> bool:
         """Return whether the body is too long to be read only to be refused."""
         announced = self._input.unread_bytes
         return announced + len(self._body) > LONG_REQUEST_BYTES
