Limited the lines of a crowd in the log.

Each request that was shed wrote a line, 596 in three seconds for 600 callers, and a crowd that comes back at once as many as it likes: the log was bounded only by the buffer of lines that wait, which pushed out other lines. The lines now share the limit of 400 a second of routine events; the counter callers_shed still counts all.

The case caller_shed of test_routine_lines_are_limited_in_rate failed before.

--- a/tests/gateway/test_logs.py
+++ b/tests/gateway/test_logs.py
@@ -2,6 +2,8 @@
 
 import os
 
+import pytest
+
 from trefoilhinge.gateway.logs import (
     MAXIMUM_BUFFERED_LINES,
     MAXIMUM_ROUTINE_LINES_PER_S,
@@ -38,18 +40,18 @@
         os.close(reader)
         EventLog('entry-1', writer).write('started')
 
-    def test_routine_lines_are_limited_in_rate(self):
+    @pytest.mark.parametrize('event', ['call_offered', 'caller_shed'])
+    def test_routine_lines_are_limited_in_rate(self, event):
+        """Guards against a log that a load, or a crowd, fills."""
         reader, writer = os.pipe()
         log = EventLog('entry-1', writer)
         for number in range(MAXIMUM_ROUTINE_LINES_PER_S * 3):
-            log.write('call_offered', request=number)
+            log.write(event, request=number)
             if number % 100 == 0:
                 log.write('call_ended', request=number, outcome='failed')
         log.flush()
         text = os.read(reader, 1_000_000).decode()
         # The test may span two of the one-second windows.
-        assert (
-            text.count('event=call_offered') <= MAXIMUM_ROUTINE_LINES_PER_S * 2
-        )
+        assert text.count(f'event={event}') <= MAXIMUM_ROUTINE_LINES_PER_S * 2
         assert text.count('outcome=failed') == 12
         assert 'event=lines_dropped count=' in text
--- a/trefoilhinge/gateway/logs.py
+++ b/trefoilhinge/gateway/logs.py
@@ -28,6 +28,7 @@
         'call_accepted',
         'call_offered',
         'call_waits',
+        'caller_shed',
         'permit_granted',
         'permit_refused',
     )
