--- a/trefoilhinge/gateway/http_server.py
+++ b/trefoilhinge/gateway/http_server.py
@@ -1,6 +1,7 @@
 """HTTP server for GETs of the platform, other instances and operators."""
 
 import asyncio
+import socket
 from collections.abc import Callable
 
 import h11
@@ -63,6 +64,11 @@
     _table: ConnectionTable[ServedConnection]
     _listener: CallerListener = field(init=False)
 
+    @property
+    def sockets(self) -> tuple[socket.socket, ...]:
+        """Return the sockets that listen."""
+        return (self._listener.listening,)
+
     def start(self, address: Address) -> None:
         """Serve at an address.
 
--- a/trefoilhinge/gateway/listeners.py
+++ b/trefoilhinge/gateway/listeners.py
@@ -50,10 +50,12 @@
     Closing a listening socket resets the connections that wait to be
     accepted, and callers may have sent requests on them. ``asyncio`` closes
     its servers in this way, so the socket is kept here.
+
+    :ivar listening: the socket that listens.
     """
 
     _handle: ConnectionHandler
-    _socket: socket.socket
+    listening: socket.socket
     _room: Room
     _tasks: set[asyncio.Task[None]] = field(factory=set)
     _is_stopped: bool = False
@@ -62,16 +64,16 @@
         """Accept connections from now on."""
         if not self._is_stopped:
             loop = asyncio.get_running_loop()
-            loop.add_reader(self._socket, self._accept_waiting)
+            loop.add_reader(self.listening, self._accept_waiting)
 
     def stop(self) -> None:
         """Accept what waits, then refuse connections."""
         if self._is_stopped:
             return
         self._is_stopped = True
-        asyncio.get_running_loop().remove_reader(self._socket)
+        asyncio.get_running_loop().remove_reader(self.listening)
         self._accept_waiting(BACKLOG)
-        self._socket.close()
+        self.listening.close()
 
     async def wait_until_handed_over(self) -> None:
         """Wait until all accepted connections have reached their handler."""
@@ -84,7 +86,7 @@
                 self._pause(ENDING_PAUSE_S)
                 return
             try:
-                accepted, _address = self._socket.accept()
+                accepted, _address = self.listening.accept()
             except (BlockingIOError, InterruptedError, ConnectionAbortedError):
                 return
             except OSError as problem:
@@ -102,7 +104,7 @@
 
     def _pause(self, pause_s: float) -> None:
         loop = asyncio.get_running_loop()
-        loop.remove_reader(self._socket)
+        loop.remove_reader(self.listening)
         loop.call_later(pause_s, self.start)
 
     async def _hand_over(self, accepted: socket.socket) -> None:
