Applied the bounds of the listeners of instances and operators.

Cause: the server took its table, which has a length and is still empty, for none, and made one without a bound.

The new test failed before (six connections in place of two).

--- a/tests/gateway/test_connection_table.py
+++ b/tests/gateway/test_connection_table.py
@@ -1,5 +1,7 @@
 """Tests of the bound on the connections that a listener keeps open."""
 
+import asyncio
+
 import pytest
 from attrs import define
 
@@ -12,6 +14,7 @@
     ENDING_MARGIN,
     ConnectionTable,
 )
+from trefoilhinge.gateway.http_server import HttpResponse, serve_http
 from trefoilhinge.gateway.metrics import MetricsRegistry
 
 MAXIMUM = 3
@@ -117,3 +120,23 @@
         bounds = find_connection_bounds(100, 1_048_576)
         assert bounds.callers == MINIMUM_CALLERS
         assert bounds.service == MINIMUM_SERVICE
+
+
+class TestServer:
+    def test_table_that_is_still_empty_bounds_a_server(self):
+        """Guards against a server that takes an empty table for none."""
+
+        async def run():
+            table = ConnectionTable('peers', 2)
+            server = await serve_http(
+                ('127.0.0.1', 0), lambda path: HttpResponse(200), table
+            )
+            address = server.sockets[0].getsockname()
+            opened = [await asyncio.open_connection(*address) for _ in range(6)]
+            await asyncio.sleep(0.2)
+            assert len(table) == 2
+            for _reader, writer in opened:
+                writer.close()
+            server.close()
+
+        asyncio.run(run())
--- a/trefoilhinge/gateway/http_server.py
+++ b/trefoilhinge/gateway/http_server.py
@@ -112,7 +112,10 @@
     :param handler: returns the response for a path.
     :param table: bounds the connections; none for no bound.
     """
-    server = HttpServer(handler, table or make_unbounded_table())
+    # An empty table is false.
+    if table is None:
+        table = make_unbounded_table()
+    server = HttpServer(handler, table)
     server.start(address)
     return server
 
