--- a/review/standins_2/harness.py
+++ b/review/standins_2/harness.py
@@ -593,7 +593,7 @@
                 record.write(f'BROKEN: {breach}')
             code = 1 if breaches else 0
             record.write(f'{len(breaches)} breaches')
-        except (CaseFailed, OSError, TimeoutError) as problem:
+        except Exception as problem:
             record.write(f'the case could not run: {problem!r}')
         finally:
             for gateway in gateways:
