Repeated reads of the store whose answer is overdue.

Cause: a watch waits in silence, so that one whose answer was lost on a connection that stays open looks like a store without changes. It was given up 1.0 s after its wait of 2.0 s, and the next read followed 0.5 s later: 3.5 s, which is over stableMs. A change lets the watches of all instances return together, so that the next ones are lost together.

Evidence: store_lost comes 3.0 s after the begin of a watch whatever the length of the silence, and document_accepted within 0.1 s of store_regained.

Change: a read without an answer is overdue 0.4 s after its wait, and repeated beside the one that waits; the first answer counts, so that a slow store and a single lost answer do not look like an outage. A transfer that goes on is not repeated. The wait is bounded by stableMs. Lists, catching up and reads after a 410 take the same way.

--- a/tests/gateway/store_reader_peers.py
+++ b/tests/gateway/store_reader_peers.py
@@ -122,7 +122,7 @@
     await fleet.wait_for(
         lambda: (
             fleet.gateway._peers.store_reads.role is role
-            and not watcher._is_uncertain()
+            and not watcher._silence.is_uncertain
         )
     )
     # A watch that began before ends, and its interval.
--- a/tests/gateway/test_outages.py
+++ b/tests/gateway/test_outages.py
@@ -5,7 +5,7 @@
 from tests.gateway.fleets import run_fleet, run_peers
 from tests.gateway.targets import stream
 from trefoilhinge.dispatch.outages import REREGISTRATION_GRACE_S
-from trefoilhinge.gateway.store_watcher import WATCH_WAIT_S
+from trefoilhinge.dispatch.store_timing import MAXIMUM_WAIT_S
 
 OUTAGE_S = 1.0
 CUT_AFTER_S = 0.5  # of a waiting watch
@@ -112,7 +112,7 @@
                 fleet.store.is_down = False
                 await fleet.wait_for(
                     lambda: outages.unreachable_since_s is None,
-                    WATCH_WAIT_S / 2,
+                    MAXIMUM_WAIT_S / 2,
                 )
 
         asyncio.run(run())
--- a/trefoilhinge/dispatch/settings.py
+++ b/trefoilhinge/dispatch/settings.py
@@ -26,6 +26,8 @@
     :ivar apply_s: seconds within which a change in the store must take
         effect: the smaller of the limits for a new document and for a target
         that leaves.
+    :ivar stable_s: seconds after the end of a disruption of the store from
+        which changes in it must take effect in time, zero if unknown.
     :ivar cold_ratio: multiple of the published rate of cold targets that one
         may get in any second, zero if there is no limit.
     :ivar cold_slack: requests on top of that.
@@ -40,6 +42,7 @@
     free_s: float
     hold_maximum_s: float
     apply_s: float
+    stable_s: float = 0
     cold_ratio: float = 0
     cold_slack: float = 0
     evacuate_s: float = 0
--- a/trefoilhinge/gateway/http_client.py
+++ b/trefoilhinge/gateway/http_client.py
@@ -1,7 +1,7 @@
 """HTTP client that sends one request on each connection."""
 
 import asyncio
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import cast
 
 import h11
@@ -44,6 +44,7 @@
     body: bytes | None = None,
     silence_timeout_s: float | None = None,
     maximum_bytes: int | None = None,
+    on_data: Callable[[], None] | None = None,
 ) -> FetchedResponse:
     """Send a GET, or a POST with a JSON body, and read the response.
 
@@ -53,6 +54,7 @@
         ``None`` for no other limit than ``timeout_s``.
     :param maximum_bytes: limit on the content, ``None`` for
         ``MAXIMUM_RESPONSE_BYTES``.
+    :param on_data: called when data arrives, ``None`` for nothing.
     :raises ConnectionCut: the connection ended before the response did.
     :raises FetchFailed: no complete response arrived within the limit.
     """
@@ -65,6 +67,7 @@
                 _ResponseReader(
                     silence_timeout_s or timeout_s,
                     maximum_bytes or MAXIMUM_RESPONSE_BYTES,
+                    on_data,
                 ),
             )
     except (OSError, h11.ProtocolError) as problem:
@@ -109,10 +112,12 @@
 
     :ivar silence_timeout_s: limit on each wait for data.
     :ivar maximum_bytes: limit on the content.
+    :ivar on_data: called when data arrives.
     """
 
     silence_timeout_s: float
     maximum_bytes: int
+    on_data: Callable[[], None] | None = None
     _parser: h11.Connection = field(factory=lambda: h11.Connection(h11.CLIENT))
     _status: int = 0
     _headers: dict[str, str] = field(factory=dict)
@@ -174,8 +179,11 @@
     async def _receive(self, reader: asyncio.StreamReader) -> bytes:
         try:
             async with asyncio.timeout(self.silence_timeout_s):
-                return await reader.read(READ_BYTES)
+                received = await reader.read(READ_BYTES)
         except ConnectionError as problem:
             raise ConnectionCut(
                 f'{type(problem).__name__}: {problem}'
             ) from problem
+        if received and self.on_data is not None:
+            self.on_data()
+        return received
--- a/trefoilhinge/gateway/store_client.py
+++ b/trefoilhinge/gateway/store_client.py
@@ -1,8 +1,13 @@
 """Reads of the platform's store over HTTP."""
 
-from collections.abc import Callable
+import asyncio
+from attrs import define, field, frozen
 
-from attrs import define
+from trefoilhinge.dispatch.store_timing import (
+    OVERDUE_S,
+    RETRY_S,
+    StoreTiming,
+)
 
 from trefoilhinge.exceptions import TrefoilhingeError
 from trefoilhinge.gateway.http_client import (
@@ -12,14 +17,18 @@
     fetch,
 )
 from trefoilhinge.gateway.state import GatewayState
+from trefoilhinge.gateway.store_silence import StoreSilence
 from trefoilhinge.platform import store
 
 # The limits on reads are limits on silence: a transfer that goes on is not
 # broken off, since its repetition would take as long.
 READ_TIMEOUT_S = 1.5  # a slow store answers within some hundred ms
+WATCH_MARGIN_S = 1.0  # for the answer to a watch, after its wait
+SHORT_WAIT_S = 0.1  # of a watch that shows whether the store answers
 TRANSFER_TIMEOUT_S = 15.0  # of a whole read
 # Shorter while no targets are known, as the instance cannot serve calls.
 STARTUP_TIMEOUT_S = 0.6
+STARTUP_RETRY_DELAY_S = 0.1
 MAXIMUM_LIST_PAGES = 40  # guards against a store that never ends its list
 
 
@@ -39,19 +48,74 @@
     """The store was restored from a copy and lost its latest changes."""
 
 
+@frozen
+class _Request:
+    """A request for one read.
+
+    :ivar wait_s: seconds for which the store may wait with the answer.
+    """
+
+    path: str
+    wait_s: float = 0
+
+
+@frozen
+class _Answer:
+    """An answer of the store.
+
+    :ivar latency_s: seconds that it took beyond the wait of its request.
+    """
+
+    fetched: FetchedResponse
+    latency_s: float
+
+
+@define
+class _Reception:
+    """When parts of an answer to a request or its repetitions arrived.
+
+    A long transfer is not repeated while it goes on, as that would take as
+    long.
+    """
+
+    _state: GatewayState
+    _received_s: float = float('-inf')
+
+    @property
+    def goes_on(self) -> bool:
+        """Return whether the last part has just arrived."""
+        return self._state.get_now_s() - self._received_s < OVERDUE_S
+
+    def record_data(self) -> None:
+        """Record that a part of an answer has arrived."""
+        self._received_s = self._state.get_now_s()
+
+
 @define
 class StoreClient:
     """Reads the store, and keeps track of its era.
 
-    :ivar record_answer: called for each answer.
+    The answer to a read may be lost on a connection that stays open. A read
+    that is overdue is therefore repeated beside the one that waits, and the
+    first answer counts, so that a slow store does not look like one that is
+    away.
+
     :ivar era: era of the latest answer, none before the first.
-    :ivar read_began_s: monotonic seconds at which the latest read began.
+    :ivar read_began_s: monotonic seconds at which the latest request was sent.
+    :ivar latency_s: seconds that the latest answer took beyond its wait.
+    :ivar timing: waits of the reads.
     """
 
     _state: GatewayState
-    record_answer: Callable[[], None]
+    _silence: StoreSilence
     era: int | None = None
     read_began_s: float = 0
+    latency_s: float = 0
+    timing: StoreTiming = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Derive the waits from the settings."""
+        self.timing = StoreTiming(self._state.settings.bounds.stable_s)
 
     async def list_items(
         self, prefix: str
@@ -61,7 +125,9 @@
         revision: int | None = None
         after = ''
         for _ in range(MAXIMUM_LIST_PAGES):
-            page = await self.fetch_page(store.make_list_path(prefix, after))
+            page = await self._fetch_page(
+                _Request(store.make_list_path(prefix, after))
+            )
             revision = page.revision if revision is None else revision
             for item in page.items:
                 found[item.key] = item
@@ -76,7 +142,7 @@
         :raises StoreUnanswered: the store has none.
         """
         fetched = await self._fetch(
-            store.make_item_path(store.DOCUMENT_KEY), READ_TIMEOUT_S
+            _Request(store.make_item_path(store.DOCUMENT_KEY))
         )
         if fetched.status == store.NOT_FOUND_STATUS:
             raise StoreUnanswered('store has no document yet')
@@ -85,16 +151,38 @@
             raise StoreUnanswered(decoded.error)
         return decoded.ok
 
-    async def fetch_page(
-        self, path: str, timeout_s: float = READ_TIMEOUT_S
+    async def watch(
+        self, prefix: str, revision: int, wait_s: float
     ) -> store.StorePage:
-        """Return the page of a list or a watch.
+        """Return the changes after a revision.
 
-        :raises HistoryGone: the store no longer has the watched revision.
+        :param wait_s: longest wait for the first one.
+        :raises HistoryGone: the store no longer has the revision.
         :raises StoreRestored: the store is in a later era.
         :raises StoreUnanswered: there is no usable answer.
         """
-        fetched = await self._fetch(path, timeout_s)
+        return await self._fetch_page(
+            *(
+                _Request(
+                    store.make_watch_path(prefix, revision, limit_s), limit_s
+                )
+                for limit_s in (wait_s, min(wait_s, SHORT_WAIT_S))
+            )
+        )
+
+    def find_retry_delay_s(self) -> float:
+        """Return seconds until a read that failed is to be repeated."""
+        retry_s = (
+            RETRY_S if self._state.directory.revision else STARTUP_RETRY_DELAY_S
+        )
+        since_s = self._state.get_now_s() - self.read_began_s
+        return max(0, retry_s - since_s)
+
+    async def _fetch_page(
+        self, first: _Request, repeated: _Request | None = None
+    ) -> store.StorePage:
+        """Return the page of a list or a watch."""
+        fetched = await self._fetch(first, repeated)
         if fetched.status == store.HISTORY_GONE_STATUS:
             raise HistoryGone
         decoded = store.decode_page(fetched.content, self.era or 0)
@@ -102,33 +190,81 @@
             raise StoreUnanswered(decoded.error)
         return decoded.ok
 
-    async def _fetch(self, path: str, timeout_s: float) -> FetchedResponse:
-        self._state.metrics.increment('store_calls')
-        if not self._state.directory.revision:
+    async def _fetch(
+        self, first: _Request, repeated: _Request | None = None
+    ) -> FetchedResponse:
+        """Return the first answer to a request or to its repetitions.
+
+        :param repeated: what is sent if the first request is overdue, none for
+            the same again.
+        """
+        answer = await self._race(first, repeated or first)
+        fetched = answer.fetched
+        if fetched.status not in {
+            200,
+            store.HISTORY_GONE_STATUS,
+            store.NOT_FOUND_STATUS,
+        }:
+            raise StoreRefused(f'status {fetched.status}')
+        self._state.metrics.add('store_bytes', len(fetched.content))
+        self._check_era(fetched)
+        self.latency_s = answer.latency_s
+        self._silence.record_answer()
+        return fetched
+
+    async def _race(self, first: _Request, repeated: _Request) -> _Answer:
+        """Send a request, and repeat it until the first answer or failure."""
+        began_s = self._state.get_now_s()
+        reception = _Reception(self._state)
+        tasks = [asyncio.ensure_future(self._send(first, reception))]
+        overdue_s = first.wait_s + OVERDUE_S
+        try:
+            while True:
+                done, _ = await asyncio.wait(
+                    tasks,
+                    timeout=overdue_s,
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+                if done:
+                    return next(one for one in tasks if one in done).result()
+                overdue_s = RETRY_S
+                if reception.goes_on:
+                    continue
+                self._silence.record_overdue(began_s)
+                tasks.append(
+                    asyncio.ensure_future(self._send(repeated, reception))
+                )
+        finally:
+            for task in tasks:
+                if not task.cancel() and not task.cancelled():
+                    task.exception()  # marks it as retrieved
+
+    async def _send(
+        self, request: _Request, reception: '_Reception'
+    ) -> _Answer:
+        state = self._state
+        state.metrics.increment('store_calls')
+        timeout_s = READ_TIMEOUT_S
+        if request.wait_s:
+            timeout_s = request.wait_s + WATCH_MARGIN_S
+        if not state.directory.revision:
             timeout_s = STARTUP_TIMEOUT_S
-        address = self._state.settings.store
-        self.read_began_s = self._state.get_now_s()
+        began_s = state.get_now_s()
+        self.read_began_s = began_s
         try:
             fetched = await fetch(
-                address,
-                path,
+                state.settings.store,
+                request.path,
                 TRANSFER_TIMEOUT_S,
                 silence_timeout_s=timeout_s,
+                on_data=reception.record_data,
             )
         except ConnectionCut as problem:
             raise StoreRefused(str(problem)) from problem
         except FetchFailed as problem:
             raise StoreUnanswered(str(problem)) from problem
-        if fetched.status not in {
-            200,
-            store.HISTORY_GONE_STATUS,
-            store.NOT_FOUND_STATUS,
-        }:
-            raise StoreRefused(f'status {fetched.status}')
-        self._state.metrics.add('store_bytes', len(fetched.content))
-        self._check_era(fetched)
-        self.record_answer()
-        return fetched
+        latency_s = state.get_now_s() - began_s - request.wait_s
+        return _Answer(fetched, max(0, latency_s))
 
     def _check_era(self, fetched: FetchedResponse) -> None:
         """Keep the era; raise if it is not the one of the last response."""
--- a/trefoilhinge/gateway/store_watcher.py
+++ b/trefoilhinge/gateway/store_watcher.py
@@ -14,6 +14,7 @@
 from trefoilhinge.gateway.state import GatewayState
 from trefoilhinge.gateway.store_changes import StoreChanges, list_changes
 from trefoilhinge.gateway.store_client import (
+    SHORT_WAIT_S,
     HistoryGone,
     StoreClient,
     StoreRefused,
@@ -21,10 +22,9 @@
     StoreUnanswered,
 )
 from trefoilhinge.gateway.store_reads import StoreReads
+from trefoilhinge.gateway.store_silence import StoreSilence
 from trefoilhinge.platform import store
 
-WATCH_WAIT_S = 2.0  # bounds how late an outage of the store is noticed
-WATCH_MARGIN_S = 1.0  # for the answer to a watch, after its wait
 # Changes are batched between two watches, because each read of the store has
 # a price.
 WATCH_INTERVAL_S = 0.6
@@ -34,12 +34,6 @@
 LARGE_FLEET_WATCH_INTERVAL_S = 1.2
 # An instance that hears no other one still applies a change in time.
 LARGE_FLEET_WATCH_INTERVAL_FRACTION = 0.4
-# A longer outage may have hidden several documents.
-CATCH_UP_AFTER_S = 1.0
-# For changes that were already made, or to see whether the store answers.
-SHORT_WAIT_S = 0.1
-RETRY_DELAY_S = 0.5
-STARTUP_RETRY_DELAY_S = 0.1  # while no targets are known
 
 
 @define
@@ -50,14 +44,14 @@
     _changes: StoreChanges
     _reads: StoreReads
     _client: StoreClient = field(init=False)
+    _silence: StoreSilence = field(init=False)
     _revision: int = 0
     _has_listed: bool = False
-    _needs_catch_up: bool = False
-    _cut_since_s: float | None = None
 
     def __attrs_post_init__(self) -> None:
         """Create the client, and receive what peers read."""
-        self._client = StoreClient(self._state, self._record_answer)
+        self._silence = StoreSilence(self._state, self._reads)
+        self._client = StoreClient(self._state, self._silence)
         self._reads.receiver = self
 
     @property
@@ -89,17 +83,15 @@
                 self._state.directory.outages.mark_restored(now_s)
                 self._state.log.write('store_restored', era=self._client.era)
             except StoreUnanswered as problem:
-                self._record_failure(str(problem))
-                await asyncio.sleep(
-                    RETRY_DELAY_S
-                    if self._has_targets()
-                    else STARTUP_RETRY_DELAY_S
+                self._silence.record_failure(
+                    self._client.read_began_s, str(problem)
                 )
+                await asyncio.sleep(self._client.find_retry_delay_s())
 
     async def _read_changes(self) -> None:
         if not self._has_listed:
             await self._list_all()
-        elif self._needs_catch_up:
+        elif self._silence.needs_catch_up:
             await self._catch_up()
         else:
             await self._watch()
@@ -111,7 +103,7 @@
         self._set_revision(revision)
         self._reads.record_own(revision)
         self._has_listed = True
-        self._needs_catch_up = False
+        self._silence.needs_catch_up = False
 
     async def _catch_up(self) -> None:
         """Read the changes of the targets, and only the newest document.
@@ -121,10 +113,8 @@
         document_revision = await self._read_operator_items()
         revision = self._revision
         while revision < document_revision:
-            page = await self._client.fetch_page(
-                store.make_watch_path(
-                    store.TARGET_PREFIX, revision, SHORT_WAIT_S
-                )
+            page = await self._client.watch(
+                store.TARGET_PREFIX, revision, SHORT_WAIT_S
             )
             self._changes.apply_read(page.items, self._revision)
             if page.revision <= revision:
@@ -133,7 +123,7 @@
         # A document written after it was read is left to the next watch.
         self._set_revision(max(self._revision, document_revision))
         self._reads.record_own(self._revision)
-        self._needs_catch_up = False
+        self._silence.needs_catch_up = False
 
     async def _read_operator_items(self) -> int:
         """Read the document, and the marks of evacuated domains if any may be.
@@ -162,64 +152,48 @@
             state.settings.bounds.apply_s, instances
         )
         reason = await self._reads.wait_for_turn(
-            interval_s, is_uncertain=self._is_uncertain()
+            interval_s, is_uncertain=self._silence.is_uncertain
         )
         if reason is ReadReason.document:
             await self._read_operator_items()
             return
-        wait_s = self._find_wait_s(reason)
         before = self._revision
-        page = await self._read_watch(wait_s)
+        page = await self._read_watch(self._find_wait_s(reason))
         if page is None:
             return
         self._changes.apply_read(page.items, self._revision)
         self._changes.evacuations.record_read(page.revision)
         self._set_revision(max(self._revision, page.revision))
         self._reads.record_own(self._revision)
-        self._tell(before, page, wait_s)
+        self._tell(before, page)
         if reason in {ReadReason.watch, ReadReason.stale}:
             await asyncio.sleep(interval_s)
 
-    def _is_uncertain(self) -> bool:
-        """Return whether only own reads tell what a missing entry means."""
-        outages = self._state.directory.outages
-        return (
-            self._may_be_away
-            or outages.find_grace_end(self._state.get_now_s()) is not None
-        )
-
-    @property
-    def _may_be_away(self) -> bool:
-        outages = self._state.directory.outages
-        return (
-            self._cut_since_s is not None
-            or outages.unreachable_since_s is not None
-        )
-
     def _find_wait_s(self, reason: ReadReason) -> float:
         """Return for how long a watch waits for changes.
 
         It waits for a short time if the store may be away, and if peers tell
         what this instance only checks.
         """
-        if self._may_be_away or reason not in {
+        if self._silence.may_be_away or reason not in {
             ReadReason.watch,
             ReadReason.stale,
         }:
             return SHORT_WAIT_S
         is_reader = self._reads.role is Role.reader
-        return READER_WAIT_S if is_reader else WATCH_WAIT_S
+        timing = self._client.timing
+        return READER_WAIT_S if is_reader else timing.longest_wait_s
 
-    def _tell(self, before: int, page: store.StorePage, wait_s: float) -> None:
+    def _tell(self, before: int, page: store.StorePage) -> None:
         """Tell the peers a read, unless its removals may mean nothing.
 
         Without it, they read the store themselves.
         """
-        if self._is_uncertain():
+        if self._silence.is_uncertain:
             return
-        now_s = self._state.get_now_s()
-        age_s = max(0, now_s - self._client.read_began_s - wait_s)
-        self._reads.tell((before, page.revision), age_s, list_changes(page))
+        self._reads.tell(
+            (before, page.revision), self._client.latency_s, list_changes(page)
+        )
 
     async def _read_watch(self, wait_s: float) -> store.StorePage | None:
         """Wait for changes.
@@ -227,56 +201,18 @@
         :return: ``None`` if the watch was cut, which the store may do at any
             time; the next read shows whether it is away.
         """
-        path = store.make_watch_path('', self._revision, wait_s)
         try:
-            return await self._client.fetch_page(path, wait_s + WATCH_MARGIN_S)
+            return await self._client.watch('', self._revision, wait_s)
         except StoreRefused as problem:
-            if self._may_be_away:
+            if self._silence.may_be_away:
                 raise
-            self._record_cut(str(problem))
+            self._silence.record_cut(self._client.read_began_s, str(problem))
             return None
 
-    def _has_targets(self) -> bool:
-        return self._state.directory.revision > 0
-
     def _set_revision(self, revision: int) -> None:
         self._revision = revision
         self._state.record_targets_read(revision)
 
-    def _record_cut(self, problem: str) -> None:
-        self._cut_since_s = self._client.read_began_s
-        self._state.metrics.increment('watches_cut')
-        self._state.log.write(
-            'watch_cut',
-            waited_s=self._state.get_now_s() - self._client.read_began_s,
-            problem=problem,
-        )
-
-    def _record_failure(self, problem: str) -> None:
-        outages = self._state.directory.outages
-        if outages.unreachable_since_s is None and self._has_listed:
-            self._state.log.write('store_lost', problem=problem)
-        self._state.metrics.increment('store_failures')
-        since_s = self._reads.find_silence_begin(
-            self._cut_since_s or self._client.read_began_s
-        )
-        self._cut_since_s = None
-        outages.mark_unreachable(since_s)
-        unreachable_s = outages.count_unreachable_s(self._state.get_now_s())
-        if unreachable_s >= CATCH_UP_AFTER_S:
-            self._needs_catch_up = True
-
-    def _record_answer(self) -> None:
-        outages = self._state.directory.outages
-        now_s = self._state.get_now_s()
-        if outages.unreachable_since_s is not None:
-            away_s = now_s - outages.unreachable_since_s
-            self._state.log.write('store_regained', away_s=away_s)
-        outages.mark_reachable(now_s)
-        if self._cut_since_s is not None:
-            outages.mark_silent(self._cut_since_s, now_s)
-            self._cut_since_s = None
-
 
 def find_watch_interval_s(apply_s: float, instances: int) -> float:
     """Return seconds between two watches.
--- a/trefoilhinge/platform/standins/formats.py
+++ b/trefoilhinge/platform/standins/formats.py
@@ -245,6 +245,7 @@
             'retryWindowS': 10,
             'freeMs': 4000,
             'holdMaxMs': 20000,
+            'stableMs': 3000,
             'drainMs': 2000,
             'configApplyMs': 2000,
             **bounds,
--- a/trefoilhinge/platform/store.py
+++ b/trefoilhinge/platform/store.py
@@ -168,9 +168,7 @@
 
 
 def _decode_many(era: int, fields: dict[str, Any]) -> StorePage:
-    entries = fields.get('items')
-    if entries is None:
-        entries = fields['events']
+    entries = fields['items'] if 'items' in fields else fields['events']
     return StorePage(
         tuple(_decode_entry(era, entry) for entry in entries),
         bool(fields.get('truncated', False)),
--- a/trefoilhinge/soak/stores.py
+++ b/trefoilhinge/soak/stores.py
@@ -16,6 +16,7 @@
 WATCH_POLL_INTERVAL_S = 0.01  # of a waiting watch
 SEND_INTERVAL_S = 0.05  # between two parts of a response over a slow link
 UNAVAILABLE_STATUS = 503
+LOST_CONNECTION_S = 30.0  # until a connection on which nothing returns ends
 
 
 @define
@@ -24,6 +25,9 @@
 
     :ivar events: items written and tombstones, in order.
     :ivar is_down: whether all requests are refused.
+    :ivar is_silent: whether nothing is answered.
+    :ivar silences: number of times that it fell silent; what it was asked
+        before is not answered afterwards either.
     :ivar compact_revision: oldest revision that a watch may start after.
     :ivar cut_after_s: time after which a waiting watch is cut, none if it is
         kept to its end.
@@ -39,6 +43,8 @@
     events: list[dict[str, Any]] = field(factory=list)
     revision: int = 1
     is_down: bool = False
+    is_silent: bool = False
+    silences: int = 0
     compact_revision: int = 0
     cut_after_s: float | None = None
     bytes_per_s: float | None = None
@@ -58,6 +64,15 @@
         if self._server is not None:
             self._server.close()
 
+    def begin_silence(self) -> None:
+        """Answer nothing from now on, nor what was asked before."""
+        self.is_silent = True
+        self.silences += 1
+
+    def end_silence(self) -> None:
+        """Answer again what is asked from now on."""
+        self.is_silent = False
+
     def put(self, key: str, fields: dict[str, Any] | bytes) -> None:
         """Write an item."""
         self.revision += 1
@@ -111,9 +126,12 @@
 
     async def _handle_request(self, request: HttpExchange) -> None:
         self.requested_paths.append(request.path)
+        if self.is_silent:
+            await _lose_answer()
         if self.is_down:
             await request.respond(UNAVAILABLE_STATUS)
             return
+        silences = self.silences
         path, _, query = request.path.partition('?')
         fields = dict(parse_qsl(query))
         if path == store.ITEM_PATH:
@@ -126,6 +144,8 @@
             content = self._list(fields)
         else:
             status, content = await self._watch(fields)
+        if silences != self.silences:
+            await _lose_answer()
         await self._respond(request, status, json.dumps(content).encode())
 
     async def _respond(
@@ -185,3 +205,9 @@
             await asyncio.sleep(WATCH_POLL_INTERVAL_S)
         self.sent_keys.extend(event['key'] for event in events)
         return 200, {'events': events, 'currentRev': self.revision}
+
+
+async def _lose_answer() -> None:
+    """Leave a connection open without an answer."""
+    await asyncio.sleep(LOST_CONNECTION_S)
+    raise ConnectionAbortedError('the answer was lost')
