Mended a stand-in of the store that lost a change at the end of a watch.

Cause: the stand-in looked for events, slept for 10 ms and then answered with its newest revision, so that a change of these 10 ms was never sent. Watches of 0.2 s, as short registration intervals give, met it in about one test in twenty: three tests saw a target that registered again and stayed away.

Change: the answer is made of the same look that ends the wait.

--- a/trefoilhinge/soak/stores.py
+++ b/trefoilhinge/soak/stores.py
@@ -16,6 +16,7 @@
 WATCH_POLL_INTERVAL_S = 0.01  # of a waiting watch
 SEND_INTERVAL_S = 0.05  # between two parts of a response over a slow link
 UNAVAILABLE_STATUS = 503
+MS_PER_S = 1000
 LOST_CONNECTION_S = 30.0  # until a connection on which nothing returns ends
 
 
@@ -182,12 +183,9 @@
     async def _watch(self, fields: dict[str, str]) -> tuple[int, dict]:
         after_revision = int(fields['after'])
         prefix = fields.get('prefix', '')
-        events: list[dict[str, Any]] = []
         loop = asyncio.get_running_loop()
         began_s = loop.time()
-        for _ in range(
-            int(fields['waitMs']) // int(WATCH_POLL_INTERVAL_S * 1000)
-        ):
+        while True:
             if self.is_down:
                 return UNAVAILABLE_STATUS, {}
             if not self.compact_revision <= after_revision <= self.revision:
@@ -197,9 +195,10 @@
                 for one in self.events
                 if one['rev'] > after_revision and one['key'].startswith(prefix)
             ]
-            if events:
-                break
+            # Nothing may change between this look and the response.
             waited_s = loop.time() - began_s
+            if events or waited_s * MS_PER_S >= int(fields['waitMs']):
+                break
             if self.cut_after_s is not None and waited_s >= self.cut_after_s:
                 raise ConnectionAbortedError('the watch was cut')
             await asyncio.sleep(WATCH_POLL_INTERVAL_S)
