Stopped taking an instance's own silence for an outage of the store.

Cause: entries can expire only in an outage of two registration intervals (2.4 s). The instance took all the time from the begin of the read that was lost to its next answer for one, 3.5 s, most of which was the wait of its own watch, and gave the removed target two seconds more to register again. These began with its own first answer, which could follow the store's return by 2.0 s, and their end was looked for every 0.5 s only.

Evidence: target_missing after a silence of 0.5 s, and no target_left of the store before the target's exit. target_missing now tells for how long the target is used.

Change: a silence is counted from the last answer. Eight instances of a fleet, all of a smaller one, watch so shortly that one lost answer is noticed within two registration intervals, which proves that nothing has expired; they tell the others. Between two reads of a store that does not answer there is at most what stableMs leaves beside the grace period, and its end is looked for every 0.1 s.

Measured: on the code as it stood, four of the new tests failed before (test_removed_target_is_not_used_when_machines_are_in_touch[0.55], [0.7] and [1.2], and that of TestLongSilence); they pass now, and so do those that keep expired entries in use.

--- a/tests/dispatch/test_store_readers.py
+++ b/tests/dispatch/test_store_readers.py
@@ -22,10 +22,12 @@
     DOCUMENT_WAIT_S,
     FRESH_S,
     SILENT_READER_S,
+    LOOKOUTS,
     HeardReads,
     ReaderTable,
     ReadReason,
     Role,
+    is_lookout,
     uses_store_readers,
 )
 from trefoilhinge.dispatch.targets import TargetRecord
@@ -241,3 +243,13 @@
     def test_malformed_read_is_refused(self, fields):
         """Guards against a message that ends the socket or forges a state."""
         assert decode_message(msgpack.packb(['sr', *fields]), 0).is_error()
+
+
+class TestLookouts:
+    """Guards against a lost answer that no instance notices soon."""
+
+    @pytest.mark.parametrize('count', [1, 3, 8, 9, 16, 61, 195])
+    def test_eight_instances_notice_it(self, count):
+        ips = [f'10.0.{number}' for number in range(count)]
+        lookouts = [ip for ip in ips if is_lookout(ip, set(ips) - {ip})]
+        assert len(lookouts) == min(count, LOOKOUTS)
--- a/tests/gateway/test_silent_store.py
+++ b/tests/gateway/test_silent_store.py
@@ -8,10 +8,12 @@
 from tests.gateway.documents import make_document
 from tests.gateway.fleets import run_fleet
 from tests.gateway.targets import stream
+from trefoilhinge.dispatch.outages import REREGISTRATION_GRACE_S
 
 STABLE_S = 3.0
 INTERVAL_S = 1.2
 OUTAGE_S = 0.2
+LONG_OUTAGE_S = 2.9  # entries may expire in it
 MARGIN_S = 0.1  # for the clocks of a test
 # Around the begin of a watch, and within its wait.
 DELAYS_S = (0.1, 0.55, 0.7, 1.2)
@@ -72,6 +74,31 @@
 
         asyncio.run(run())
 
+    @pytest.mark.parametrize('delay_s', DELAYS_S)
+    def test_removed_target_is_not_used_when_machines_are_in_touch(
+        self, delay_s
+    ):
+        """Guards against DRAIN: the own silence counts as an outage.
+
+        An entry that was removed before it was used for the grace period, as
+        if it might have expired.
+        """
+
+        async def run():
+            async with run_silent_fleet() as fleet:
+                await settle(fleet, delay_s)
+                fleet.store.begin_silence()
+                fleet.store.remove('servers/m1')
+                returned_s = await be_silent(fleet.store, OUTAGE_S)
+                directory = fleet.state.directory
+                assert await wait_until(
+                    fleet,
+                    lambda: len(directory.list_serving('model')) == 1,
+                    returned_s + STABLE_S - MARGIN_S,
+                )
+
+        asyncio.run(run())
+
     def test_second_silence_hides_no_change_for_longer(self):
         """Guards against a repeated read that is lost as well."""
 
@@ -108,3 +135,48 @@
         assert 'event=store_lost' not in events
         assert 'event=store_read_overdue' in events
         assert 'event=store_answered_again' in events
+
+
+class TestLongSilence:
+    def test_removed_target_is_not_used_when_machines_are_in_touch(self):
+        """Guards against DRAIN: a grace period that begins and ends too late."""
+
+        async def run():
+            async with run_silent_fleet() as fleet:
+                await settle(fleet, 0.5)
+                fleet.store.begin_silence()
+                fleet.store.remove('servers/m1')
+                returned_s = await be_silent(fleet.store, LONG_OUTAGE_S)
+                directory = fleet.state.directory
+                assert await wait_until(
+                    fleet,
+                    lambda: len(directory.list_serving('model')) == 1,
+                    returned_s + STABLE_S - MARGIN_S,
+                )
+
+        asyncio.run(run())
+
+    @pytest.mark.parametrize('delay_s', DELAYS_S)
+    def test_entry_that_expired_is_used_until_it_is_registered_again(
+        self, delay_s
+    ):
+        """Guards against RECOVER: a living target that is taken for removed."""
+
+        async def run():
+            async with run_silent_fleet() as fleet:
+                await settle(fleet, delay_s)
+                fleet.store.begin_silence()
+                fleet.store.remove('servers/m1')
+                directory = fleet.state.directory
+                returned_s = await be_silent(fleet.store, LONG_OUTAGE_S)
+                end_s = returned_s + REREGISTRATION_GRACE_S - MARGIN_S
+                assert not await wait_until(
+                    fleet,
+                    lambda: len(directory.list_serving('model')) == 1,
+                    end_s,
+                )
+                fleet.store.put_target('m1', fleet.targets['m1'].address, seq=9)
+                await asyncio.sleep(2 * REREGISTRATION_GRACE_S)
+                assert len(directory.list_serving('model')) == 2
+
+        asyncio.run(run())
--- a/trefoilhinge/dispatch/outages.py
+++ b/trefoilhinge/dispatch/outages.py
@@ -5,6 +5,8 @@
 # Entries that expired in an outage are registered again within this time
 # after the store's return.
 REREGISTRATION_GRACE_S = 2.0
+# Between two looks for entries whose grace period is over.
+EXPIRY_CHECK_S = 0.1
 # An entry expires after three registration intervals without a registration;
 # the last one may be an interval old when the outage begins.
 EXPIRY_INTERVALS = 2
--- a/trefoilhinge/dispatch/store_readers.py
+++ b/trefoilhinge/dispatch/store_readers.py
@@ -33,6 +33,7 @@
 SILENT_READER_S = 4.0
 FORGOTTEN_READER_S = 60.0
 MAXIMUM_PENDING_READS = 32
+LOOKOUTS = 8
 
 
 class Role(enum.Enum):
@@ -79,6 +80,18 @@
     return document is not None and document.has_distant_domains
 
 
+def is_lookout(own_ip: str, others: Iterable[str]) -> bool:
+    """Return whether an instance is to notice soon that an answer is lost.
+
+    Its watches are short, and the store has more reads of it. Few suffice, as
+    they tell the others what was removed. All instances rank the same way.
+
+    :param others: IP addresses of the other live instances.
+    """
+    own_rank = _rank(own_ip)
+    return sum(_rank(ip) < own_rank for ip in others) < LOOKOUTS
+
+
 @define
 class ReaderTable:
     """The readers of one failure domain, as one instance sees them.
--- a/trefoilhinge/gateway/daemon.py
+++ b/trefoilhinge/gateway/daemon.py
@@ -26,6 +26,7 @@
     serve_http,
 )
 from trefoilhinge.gateway.listeners import CallerListener, listen
+from trefoilhinge.gateway.missing_targets import MissingTargets
 from trefoilhinge.gateway.peer_exchange import PeerExchange
 from trefoilhinge.gateway.planned_stop import PlannedStop
 from trefoilhinge.gateway.relay_server import RelayServer
@@ -117,6 +118,7 @@
             self._peers.reach.run,
             self._peers.evacuations.run,
             self._store_watcher.run,
+            MissingTargets(self._state).run,
             self._sweep,
         ):
             self._tasks.append(asyncio.ensure_future(self._keep_running(run)))
@@ -241,10 +243,6 @@
         while True:
             await asyncio.sleep(SWEEP_INTERVAL_S)
             now_s = state.get_now_s()
-            for record in state.directory.expire_missing(now_s):
-                state.log.write(
-                    'target_left', target=record.name, reason='lapsed'
-                )
             state.directory.expire_claims(now_s)
             state.remove_departed_limits()
             state.rests.remove_ended(now_s)
--- a/trefoilhinge/gateway/store_client.py
+++ b/trefoilhinge/gateway/store_client.py
@@ -3,11 +3,7 @@
 import asyncio
 from attrs import define, field, frozen
 
-from trefoilhinge.dispatch.store_timing import (
-    OVERDUE_S,
-    RETRY_S,
-    StoreTiming,
-)
+from trefoilhinge.dispatch.store_timing import OVERDUE_S, StoreTiming
 
 from trefoilhinge.exceptions import TrefoilhingeError
 from trefoilhinge.gateway.http_client import (
@@ -115,7 +111,10 @@
 
     def __attrs_post_init__(self) -> None:
         """Derive the waits from the settings."""
-        self.timing = StoreTiming(self._state.settings.bounds.stable_s)
+        settings = self._state.settings
+        self.timing = StoreTiming(
+            settings.bounds.stable_s, settings.registration_interval_s
+        )
 
     async def list_items(
         self, prefix: str
@@ -173,7 +172,9 @@
     def find_retry_delay_s(self) -> float:
         """Return seconds until a read that failed is to be repeated."""
         retry_s = (
-            RETRY_S if self._state.directory.revision else STARTUP_RETRY_DELAY_S
+            self.timing.retry_s
+            if self._state.directory.revision
+            else STARTUP_RETRY_DELAY_S
         )
         since_s = self._state.get_now_s() - self.read_began_s
         return max(0, retry_s - since_s)
@@ -227,7 +228,7 @@
                 )
                 if done:
                     return next(one for one in tasks if one in done).result()
-                overdue_s = RETRY_S
+                overdue_s = self.timing.retry_s
                 if reception.goes_on:
                     continue
                 self._silence.record_overdue(began_s)
--- a/trefoilhinge/gateway/store_reads.py
+++ b/trefoilhinge/gateway/store_reads.py
@@ -104,16 +104,16 @@
         """Record that this instance has read the document."""
         self._heard.record_document()
 
-    def find_silence_begin(self, since_s: float) -> float:
+    def find_silence_begin(self, answered_s: float) -> float:
         """Return since when the store may not have answered.
 
-        A follower notices it later than a reader.
+        A follower knows by what it is told that the store answered.
 
-        :param since_s: monotonic seconds at which its own read began.
+        :param answered_s: monotonic seconds of the latest own answer.
         """
         if self.role is not Role.follower:
-            return since_s
-        return min(since_s, max(self._heard.fresh_s, self._read_s))
+            return answered_s
+        return max(self._heard.fresh_s, answered_s)
 
     def tell(
         self,
--- a/trefoilhinge/gateway/store_silence.py
+++ b/trefoilhinge/gateway/store_silence.py
@@ -15,6 +15,8 @@
 
     :ivar needs_catch_up: whether the store was away for so long that several
         documents may have been written; until they are read.
+    :ivar _answered_s: monotonic seconds of the latest answer, none before the
+        first.
     :ivar _since_s: monotonic seconds since which the store may have been away,
         while a read is overdue or after one that was cut; none if the last
         read was answered, or if the store is known to be away.
@@ -23,6 +25,7 @@
     _state: GatewayState
     _reads: StoreReads
     needs_catch_up: bool = False
+    _answered_s: float | None = None
     _since_s: float | None = None
 
     @property
@@ -42,12 +45,22 @@
             or outages.find_grace_end(self._state.get_now_s()) is not None
         )
 
+    def find_begin_s(self, read_began_s: float) -> float:
+        """Return since when the store may not have answered.
+
+        :param read_began_s: monotonic seconds at which a read began that was
+            not answered yet.
+        """
+        if self._answered_s is None:
+            return read_began_s
+        return self._reads.find_silence_begin(self._answered_s)
+
     def record_overdue(self, read_began_s: float) -> None:
         """Record that a read got no answer in time, and is repeated."""
         self._state.metrics.increment('store_reads_overdue')
         if self.may_be_away:
             return
-        self._since_s = self._reads.find_silence_begin(read_began_s)
+        self._since_s = self.find_begin_s(read_began_s)
         now_s = self._state.get_now_s()
         self._state.log.write(
             'store_read_overdue',
@@ -57,7 +70,7 @@
 
     def record_cut(self, read_began_s: float, problem: str) -> None:
         """Record that the store ended a watch, as it may at any time."""
-        self._since_s = self._reads.find_silence_begin(read_began_s)
+        self._since_s = self.find_begin_s(read_began_s)
         self._state.metrics.increment('watches_cut')
         self._state.log.write(
             'watch_cut',
@@ -74,7 +87,7 @@
         self._state.metrics.increment('store_failures')
         since_s = self._since_s
         if since_s is None:
-            since_s = self._reads.find_silence_begin(read_began_s)
+            since_s = self.find_begin_s(read_began_s)
         self._since_s = None
         outages.mark_unreachable(since_s)
         unreachable_s = outages.count_unreachable_s(self._state.get_now_s())
@@ -89,6 +102,7 @@
             away_s = now_s - outages.unreachable_since_s
             self._state.log.write('store_regained', away_s=away_s)
         outages.mark_reachable(now_s)
+        self._answered_s = now_s
         if self._since_s is None:
             return
         outages.mark_silent(self._since_s, now_s)
--- a/trefoilhinge/gateway/store_watcher.py
+++ b/trefoilhinge/gateway/store_watcher.py
@@ -10,6 +10,7 @@
     READER_WAIT_S,
     ReadReason,
     Role,
+    is_lookout,
 )
 from trefoilhinge.gateway.state import GatewayState
 from trefoilhinge.gateway.store_changes import StoreChanges, list_changes
@@ -169,6 +170,10 @@
         if reason in {ReadReason.watch, ReadReason.stale}:
             await asyncio.sleep(interval_s)
 
+    def _is_lookout(self) -> bool:
+        live = self._state.peers.list_live(self._state.get_now_s())
+        return is_lookout(self._state.settings.ip, live)
+
     def _find_wait_s(self, reason: ReadReason) -> float:
         """Return for how long a watch waits for changes.
 
@@ -180,9 +185,16 @@
             ReadReason.stale,
         }:
             return SHORT_WAIT_S
-        is_reader = self._reads.role is Role.reader
+        role = self._reads.role
         timing = self._client.timing
-        return READER_WAIT_S if is_reader else timing.longest_wait_s
+        if role is Role.independent and not self._is_lookout():
+            return timing.longest_wait_s
+        now_s = self._state.get_now_s()
+        unanswered_s = now_s - self._silence.find_begin_s(now_s)
+        return min(
+            READER_WAIT_S if role is Role.reader else timing.longest_wait_s,
+            timing.find_watch_wait_s(unanswered_s),
+        )
 
     def _tell(self, before: int, page: store.StorePage) -> None:
         """Tell the peers a read, unless its removals may mean nothing.
--- a/trefoilhinge/gateway/target_entries.py
+++ b/trefoilhinge/gateway/target_entries.py
@@ -125,6 +125,8 @@
                 'target_missing',
                 target=name,
                 store_back_s=now_s - directory.outages.reachable_since_s,
+                used_for_s=directory.missing[name]
+                - directory.outages.count_reachable_s(now_s),
             )
 
     def _report_leaving(
