Played short silences of the store in the soak.

Change: two series draw a silence of 0.25 to 0.5 s just after a target's entry is removed, or a key taken away, while instances let changes gather. It is no fault: LEAVING and REVOKED are excused until 3.5 s after it, which is stableMs and the half second that the soak allows everywhere. A variant that waits for lost answers as before is found by LEAVING.

--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -18,6 +18,7 @@
     OutageKind,
     ReaderKind,
     RetryKind,
+    SilenceKind,
     StopKind,
 )
 from trefoilhinge.soak.plans import PlannedEvent
@@ -75,6 +76,11 @@
 RESTART_EVACUATION = (PlannedEvent(0.5, 1, EvacuationKind.restart, 0.6),)
 SLOW_READERS = make_plan(ReaderKind.stop, count=2, interval_s=0.1)
 OUTAGE = make_plan(OutageKind.restart, count=1)
+# Most bookings go to the fifth target.
+SILENCE = (
+    PlannedEvent(2.0, 2, SilenceKind.revocation, 0.1),
+    PlannedEvent(3.0, 2, SilenceKind.removal, 4.5 / 7),
+)
 SWITCH = (PlannedEvent(0.5, 0.5, DemandKind.switch, 0),)
 STOPS = (PlannedEvent(0.5, 0, StopKind.repeated, 0.1),)
 CROWD = (PlannedEvent(0.5, 4, CrowdKind.bodies, 0.1),)
@@ -168,6 +174,12 @@
             if call.may_outlast_stop and call.is_stopping
         } == set(CallKind)
 
+    def test_short_silences_of_the_store(self, tmp_path):
+        """Guards against changes that a lost answer hides."""
+        observed = play(tmp_path, 142, SILENCE, 12)
+        assert len(observed.silences) == 2
+        assert len(observed.leaving_since_s) == 1
+
     def test_switch_of_the_load(self, tmp_path):
         observed = play(tmp_path, 135, SWITCH, 9)
         assert len(observed.switches) == 1
@@ -249,6 +261,11 @@
             'LEAVING', tmp_path, 117, CUT_WATCHES, 'take_cuts_for_outages', 12
         )
 
+    def test_lost_answer_that_is_waited_for(self, tmp_path):
+        assert is_found(
+            'LEAVING', tmp_path, 142, SILENCE, 'wait_for_lost_answers', 12
+        )
+
     def test_stop_that_aborts_calls(self, tmp_path):
         plan = make_plan(MaintenanceKind.stop, count=4)
         assert is_found('CUT_AT_STOP', tmp_path, 106, plan, 'stop_at_once')
--- a/tests/soak/variants.py
+++ b/tests/soak/variants.py
@@ -13,6 +13,7 @@
 from trefoilhinge.dispatch.departures import DepartureTable
 from trefoilhinge.dispatch.outages import StoreOutages
 from trefoilhinge.dispatch.stops import StopSchedule
+from trefoilhinge.dispatch.store_timing import MAXIMUM_WAIT_S, StoreTiming
 from trefoilhinge.dispatch.targets import TargetDirectory
 from trefoilhinge.dispatch.warmup import cold_targets
 from trefoilhinge.gateway import (
@@ -24,6 +25,7 @@
     quarantine,
     replication,
     state,
+    store_client,
 )
 from trefoilhinge.gateway.caller_connections import CallerConnection
 from trefoilhinge.gateway.evacuations import EvacuationNews
@@ -154,6 +156,12 @@
     TargetDirectory.expire_missing = expire
 
 
+def wait_for_lost_answers():
+    """Wait for the answer to a watch until it is given up, and then retry."""
+    StoreTiming.find_watch_wait_s = lambda self, unanswered_s: MAXIMUM_WAIT_S
+    store_client.OVERDUE_S = 10.0
+
+
 def ask_only_the_store():
     """Take neither document nor targets from peers."""
     PeerFetcher.start = lambda self: None
--- a/trefoilhinge/soak/event_kinds.py
+++ b/trefoilhinge/soak/event_kinds.py
@@ -94,6 +94,13 @@
     service = 'service'
 
 
+class SilenceKind(enum.Enum):
+    """What changes in the store just before it is silent for a moment."""
+
+    removal = 'removal'
+    revocation = 'revocation'
+
+
 class EvacuationKind(enum.Enum):
     """What happens to an instance that the store does not reach meanwhile.
 
@@ -135,6 +142,7 @@
     | ExpiryKind
     | OutageKind
     | ColdKind
+    | SilenceKind
     | EvacuationKind
     | DemandKind
     | RetryKind
--- a/trefoilhinge/soak/observations.py
+++ b/trefoilhinge/soak/observations.py
@@ -33,6 +33,8 @@
 DEADLINE_TOLERANCE_S = 1.0  # for an answer to arrive after the deadline
 RECOVERY_S = 4.0  # fault-free time after which time limits apply again
 CHANGE_PROPAGATION_S = 2.5  # of a store change, including polling intervals
+# From the end of a short silence of the store, until a change is in force.
+SILENCE_RECOVERY_S = 3.5
 RELEASE_TIMEOUT_S = 4.0  # for memory to be released after its last call
 # A limit that a target names has to hold from this time on, in each window.
 LIMIT_STABLE_S = 3.0
@@ -72,6 +74,8 @@
     :ivar instance_faults: start and end of each kill and pause of an instance.
     :ivar store_faults: start and end of each fault that kept all instances
         from the store.
+    :ivar silences: start and end of each short silence of the store, which
+        is no fault.
     :ivar pauses: start and end of each pause of an instance.
     :ivar evacuations: times in which failure domains were evacuated.
     :ivar switches: switches of the load that nothing else disturbed.
@@ -97,6 +101,7 @@
     colds: list[ObservedCold] = field(factory=list)
     instance_faults: list[tuple[float, float]] = field(factory=list)
     store_faults: list[tuple[float, float]] = field(factory=list)
+    silences: list[tuple[float, float]] = field(factory=list)
     pauses: list[tuple[float, float]] = field(factory=list)
     evacuations: list[ObservedEvacuation] = field(factory=list)
     switches: list[ObservedSwitch] = field(factory=list)
@@ -282,7 +287,7 @@
             or not runs
         ):
             return False
-        return self._is_fault_free(revoked_s, call.sent_s)
+        return self._is_in_force(revoked_s, call.sent_s)
 
     def _ran_after_leaving(self, run: ObservedRun) -> bool:
         absences = [
@@ -294,10 +299,17 @@
             absences.append((self.leaving_since_s[run.target], float('inf')))
         return any(
             begin_s + CHANGE_PROPAGATION_S <= run.at_s < end_s
-            and self._is_fault_free(begin_s, run.at_s)
+            and self._is_in_force(begin_s, run.at_s)
             for begin_s, end_s in absences
         )
 
+    def _is_in_force(self, changed_s: float, at_s: float) -> bool:
+        """Return whether nothing excuses that a change is not in force."""
+        return self._is_fault_free(changed_s, at_s) and all(
+            at_s < silence_begin_s or silence_end_s + SILENCE_RECOVERY_S < at_s
+            for silence_begin_s, silence_end_s in self.silences
+        )
+
     def _is_fault_free(self, begin_s: float, end_s: float) -> bool:
         """Return whether no fault overlaps a period or ended shortly before."""
         return all(
--- a/trefoilhinge/soak/plan_execution.py
+++ b/trefoilhinge/soak/plan_execution.py
@@ -29,6 +29,7 @@
     OutageKind,
     ReaderKind,
     RetryKind,
+    SilenceKind,
     StopKind,
 )
 from trefoilhinge.soak.expiries import expire_entry
@@ -42,6 +43,11 @@
 from trefoilhinge.soak.records import CrashingTrait
 from trefoilhinge.soak.restarts import restart_in_outage
 from trefoilhinge.soak.retries import retry_at_once
+from trefoilhinge.soak.silences import (
+    GATHERING_S,
+    LEAD_S,
+    silence_store,
+)
 from trefoilhinge.soak.stops import restart_gracefully, stop_under_load
 from trefoilhinge.soak.switches import switch_load
 from trefoilhinge.soak.targets import SoakTarget, TargetBehaviour
@@ -213,13 +219,33 @@
         case MaintenanceKind.change_document:
             fleet.put_document()
         case MaintenanceKind.revoke_key:
-            revocable_keys = sorted(fleet.keys)[CALLER_KEYS:]
-            if revocable_keys:
-                fleet.revoke_key(revocable_keys[-1])
+            _revoke_key(fleet)
         case MaintenanceKind.drain_target:
             await _drain(fleet, fleet.choose_target(event.selector))
 
 
+def _revoke_key(fleet: SoakFleet) -> None:
+    revocable_keys = sorted(fleet.keys)[CALLER_KEYS:]
+    if revocable_keys:
+        fleet.revoke_key(revocable_keys[-1])
+
+
+async def _change_before_silence(fleet: SoakFleet, event: PlannedEvent) -> None:
+    """Make a change that the silence of the store hides at first."""
+    fleet.put_document()
+    await asyncio.sleep(GATHERING_S)
+    removal = None
+    if event.kind is SilenceKind.revocation:
+        _revoke_key(fleet)
+    else:
+        target = fleet.choose_target(event.selector)
+        removal = asyncio.ensure_future(_remove(fleet, target))
+    await asyncio.sleep(LEAD_S)
+    await silence_store(fleet, event)
+    if removal is not None:
+        await removal
+
+
 async def _stop_while_read(fleet: SoakFleet, event: PlannedEvent) -> None:
     """Stop an instance while callers read answers slowly."""
     instance = fleet.choose_instance(event.selector)
@@ -268,6 +294,7 @@
     ExpiryKind: expire_entry,
     OutageKind: restart_in_outage,
     ColdKind: turn_cold,
+    SilenceKind: _change_before_silence,
     EvacuationKind: evacuate,
     DemandKind: switch_load,
     RetryKind: retry_at_once,
--- a/trefoilhinge/soak/plans.py
+++ b/trefoilhinge/soak/plans.py
@@ -18,6 +18,7 @@
     OutageKind,
     ReaderKind,
     RetryKind,
+    SilenceKind,
     StopKind,
 )
 
@@ -43,6 +44,7 @@
 SWITCH_INTERVALS_S = (12.0, 40.0)
 RETRY_INTERVALS_S = (4.0, 16.0)
 CROWD_INTERVALS_S = (15.0, 45.0)
+SILENCE_INTERVALS_S = (6.0, 18.0)
 EVACUATION_INTERVALS_S = (10.0, 30.0)
 
 # Events with random numbers of their own, by the number of their series.
@@ -59,6 +61,8 @@
     17: (CrowdKind.bodies, CROWD_INTERVALS_S),
     18: (CrowdKind.chunks, CROWD_INTERVALS_S),
     19: (CrowdKind.connections, CROWD_INTERVALS_S),
+    20: (SilenceKind.removal, SILENCE_INTERVALS_S),
+    21: (SilenceKind.revocation, SILENCE_INTERVALS_S),
 }
 # Planned work, in a plan without faults.
 STOP_INTERVALS_S = (17.0, 20.0)  # more than such an event lasts
