Stopped taking a part of an early answer for the whole one.

What callers saw: a target, or the instance that owns a key, answered a long upload at once with 200 and no length, sent a part of its body and reset the connection. The own interface gave the part to the caller as a whole answer.

Cause: the error of a reset is reported once. The sending of the request took it, urllib3 went on to the response, as a server may refuse a body that it does not read, and the end of the connection read as the end of the body.

Change: a connection on which sending broke gives no response whose end is neither a length nor a last chunk. A whole refusal during an upload still passes. A status over 599 does not exist and is an error, too.

--- a/trefoilhinge/targets/checked_responses.py
+++ b/trefoilhinge/targets/checked_responses.py
@@ -13,6 +13,7 @@
 
 import urllib3
 
+MAXIMUM_STATUS = 599
 MAXIMUM_INTERIM_RESPONSES = 16  # before the head of a response
 _LENGTH_PATTERN = re.compile('[0-9]+(?:[ \t]*,[ \t]*[0-9]+)*')
 # Of lines that are no headers, after which no further ones may be read.
@@ -61,6 +62,7 @@
         """
         super().begin()
         interim_responses = 0
+        self._check_status()
         while self.status < HTTPStatus.OK:
             interim_responses += 1
             if interim_responses > MAXIMUM_INTERIM_RESPONSES:
@@ -70,20 +72,63 @@
             # With headers, ``begin`` takes the head for read.
             self.headers = None  # type: ignore[assignment]
             super().begin()
+            self._check_status()
         _check_head(self.headers)
 
+    def _check_status(self) -> None:
+        if self.status > MAXIMUM_STATUS:
+            raise http.client.HTTPException(f'unknown status {self.status}')
+
 
 class CheckedHttpConnection(urllib3.connection.HTTPConnection):
-    """HTTP connection with checked responses."""
+    """HTTP connection with checked responses.
+
+    urllib3 reads the response if the server ends the connection while the
+    request is sent. The error of a reset is reported to that send, and a body
+    that ends with the connection then reads as complete wherever it was cut.
+    """
 
     response_class = CheckedResponse
 
+    def __init__(self, *arguments: Any, **options: Any) -> None:
+        """Create a connection on which nothing was sent."""
+        super().__init__(*arguments, **options)
+        self._is_send_broken = False
+
+    def putrequest(self, *arguments: Any, **options: Any) -> None:
+        """Begin a request."""
+        self._is_send_broken = False
+        super().putrequest(*arguments, **options)
+
+    def send(self, data: Any) -> None:
+        """Send a part of a request."""
+        try:
+            super().send(data)
+        except OSError:
+            self._is_send_broken = True
+            raise
+
+    def getresponse(self) -> urllib3.HTTPResponse:  # type: ignore[override]
+        """Return the response.
+
+        :raises http.client.HTTPException: its body ends with the connection,
+            which broke while the request was sent.
+        """
+        response = super().getresponse()
+        has_end = response.chunked or response.length_remaining is not None
+        if self._is_send_broken and not has_end:
+            response.close()
+            raise http.client.HTTPException(
+                'response without a length to a request that was not sent whole'
+            )
+        return response
+
 
-class CheckedHttpsConnection(urllib3.connection.HTTPSConnection):
+class CheckedHttpsConnection(
+    CheckedHttpConnection, urllib3.connection.HTTPSConnection
+):
     """HTTPS connection with checked responses."""
 
-    response_class = CheckedResponse
-
 
 class CheckedHttpPool(urllib3.HTTPConnectionPool):
     """Pool of HTTP connections with checked responses."""
--- a/trefoilhinge/targets/http_requests.py
+++ b/trefoilhinge/targets/http_requests.py
@@ -13,7 +13,10 @@
     AbortableConnection,
     NonBlockingResponse,
 )
-from trefoilhinge.targets.checked_responses import CheckedPoolManager
+from trefoilhinge.targets.checked_responses import (
+    CheckedHttpConnection,
+    CheckedPoolManager,
+)
 from trefoilhinge.targets.exceptions import TargetBroke, TargetNotReached
 
 CONNECT_TIMEOUT_S = 1.0
@@ -54,7 +57,7 @@
     )
 
 
-class AbortableHttpConnection(urllib3.connection.HTTPConnection):
+class AbortableHttpConnection(CheckedHttpConnection):
     """HTTP connection whose socket another thread can shut down."""
 
     def __init__(
