Refused answers whose status does not exist in the gateway.

What callers saw: an answer with the status 999 passed with the target's seal. By the standard a status over 599 counts as an error of the server. 000, 099 and 101 were refused before.

Cause: h11 takes any three digits, and nothing looked at them.

Change: a status over 599 makes the answer a broken one: the call is sent to another target if it may run again, and ends with 502 and may_have_run if not.

--- a/trefoilhinge/gateway/target_connections.py
+++ b/trefoilhinge/gateway/target_connections.py
@@ -25,6 +25,7 @@
 MINIMUM_PROGRESS_BYTES = 1_024  # of an event or a body that is not complete
 MAXIMUM_BODY_BYTES = 8_388_608  # of an answer that is kept until it is whole
 MAXIMUM_INTERIM_RESPONSES = 16  # before the head of an answer
+MAXIMUM_STATUS = 599
 MAXIMUM_WRITE_BYTES = 65_536  # of a request, at once
 CONNECT_TIMEOUT_S = 0.3  # a reachable target accepts in a few milliseconds
 # For a request on a connection that was kept to be acknowledged.
@@ -220,6 +221,8 @@
             event = await self._read_event()
         if not isinstance(event, h11.Response):
             raise AnswerBroken('answer has no response head')
+        if event.status_code > MAXIMUM_STATUS:
+            raise AnswerBroken(f'unknown status {event.status_code}')
         self.record_progress()
         raw_headers = event.headers.raw_items()
         head = decode_response_head(event.status_code, raw_headers)
