Waited in a test until the peer reaches the target again.

Cause: test_part_through_a_peer_is_no_success closes the port of a target and opens it again. In two of 29 runs of its nine cases the peer met the closed port and refused with 503 and not_run, which was true: nothing had arrived (service_unreachable in the log of the peer).

Change: the test waits until the peer reaches the service. Its checks are the same.

--- a/tests/gateway/test_early_answers.py
+++ b/tests/gateway/test_early_answers.py
@@ -106,13 +106,17 @@
             name = 'm1' if path == '/stream/1' else 'd1'
             async with run_cut_fleet(document=document, **{name: stream()}) as (
                 fleet,
-                _others,
+                (other,),
                 _cut,
             ):
                 target = fleet.targets[name]
                 async with answer_early(
                     target, PARTS[path], delay_s
                 ) as arrivals:
+                    # The port was closed for a moment.
+                    await fleet.wait_for(
+                        lambda: not other.state.reach.list_unreachable()
+                    )
                     answer = await send(fleet, make_call(path, body=BODY))
                     check_no_success(answer)
                     assert arrivals
