Bounded what frames the content of a response.

What callers saw: a target that sent chunks of a byte with extensions of 4 KB held every call to its deadline (504), and kept the process busy reading in vain.

Cause: each content has a limit, but not what frames it, and bytes of framing counted as progress of the answer.

Change: extensions and trailers, beside 20 bytes for each chunk, may take 128 KB of a response, from targets, peers and the store.

--- a/tests/gateway/test_endless_answers.py
+++ b/tests/gateway/test_endless_answers.py
@@ -34,6 +34,10 @@
         HEAD + b'Transfer-Encoding: chunked\r\n\r\n',
         b'0' * 65_536,
     ),
+    'chunks with long extensions': (
+        HEAD + b'Transfer-Encoding: chunked\r\n\r\n',
+        b'1;x=' + b'y' * 4_000 + b'\r\nz\r\n',
+    ),
     'trailers': (
         HEAD + b'Transfer-Encoding: chunked\r\n\r\n0\r\n',
         b'X-Many: 1\r\n' * 5000,
--- a/trefoilhinge/gateway/http_client.py
+++ b/trefoilhinge/gateway/http_client.py
@@ -9,6 +9,10 @@
 
 from trefoilhinge.dispatch.settings import Address
 from trefoilhinge.exceptions import TrefoilhingeError
+from trefoilhinge.gateway.response_framing import (
+    MAXIMUM_FRAMING_BYTES,
+    ResponseFraming,
+)
 from trefoilhinge.gateway.tcp import READ_BYTES, open_tcp_connection
 
 # A list of all targets or several documents in one response.
@@ -123,6 +127,8 @@
     _headers: dict[str, str] = field(factory=dict)
     _content: bytearray = field(factory=bytearray)
     _interim_responses: int = 0
+    _framing: ResponseFraming = field(factory=ResponseFraming)
+    _read_bytes: int = 0
 
     async def read(self, reader: asyncio.StreamReader) -> FetchedResponse:
         """Read the response to its end.
@@ -136,7 +142,13 @@
         event = await self._read_event(reader)
         while not isinstance(event, h11.EndOfMessage):
             self._apply_event(event)
+            read_bytes = self._read_bytes
             event = await self._read_event(reader)
+            read_bytes = self._read_bytes - read_bytes
+            if self._framing.is_exceeded(event, read_bytes):
+                raise FetchFailed(
+                    f'framing is longer than {MAXIMUM_FRAMING_BYTES} bytes'
+                )
         return FetchedResponse(
             self._status, bytes(self._content), self._headers
         )
@@ -166,6 +178,7 @@
         while event is h11.NEED_DATA:
             received = await self._receive(reader)
             self._parser.receive_data(received)
+            self._read_bytes += len(received)
             try:
                 event = self._parser.next_event()
             except h11.RemoteProtocolError as problem:
--- a/trefoilhinge/gateway/target_connections.py
+++ b/trefoilhinge/gateway/target_connections.py
@@ -11,6 +11,10 @@
 from trefoilhinge.dispatch.connections.fitness import Exchange
 from trefoilhinge.dispatch.settings import Address, parse_address
 from trefoilhinge.exceptions import TrefoilhingeError
+from trefoilhinge.gateway.response_framing import (
+    MAXIMUM_FRAMING_BYTES,
+    ResponseFraming,
+)
 from trefoilhinge.gateway.tcp import (
     READ_BYTES,
     USER_TIMEOUT_MS,
@@ -100,6 +104,7 @@
     _feeding: asyncio.Task[None] | None = None
     _read_bytes: int = 0
     _begin_bytes: int = 0  # read before this call
+    _framing: ResponseFraming = field(factory=ResponseFraming)
     _head: AnswerHead | None = None
     _has_interim: bool = False
 
@@ -238,15 +243,23 @@
             set_user_timeout(self._writer.transport, USER_TIMEOUT_MS)
         self.keep_alive = dict(event.headers).get(b'keep-alive')
         self._head = head
+        self._framing = ResponseFraming()
         return head
 
     async def read_content(self) -> AsyncIterator[bytes]:
         """Yield the content as it arrives, to its end.
 
-        :raises AnswerBroken: the connection ended before the content did.
+        :raises AnswerBroken: the connection ended before the content did, or
+            its framing is longer than ``MAXIMUM_FRAMING_BYTES``.
         """
         while True:
+            read_bytes = self._read_bytes
             event = await self._read_event()
+            read_bytes = self._read_bytes - read_bytes
+            if self._framing.is_exceeded(event, read_bytes):
+                raise AnswerBroken(
+                    f'framing is longer than {MAXIMUM_FRAMING_BYTES} bytes'
+                )
             if isinstance(event, h11.EndOfMessage):
                 return
             if isinstance(event, h11.Data):
