Counted the parts of events that targets do not complete.

What callers saw: 150 calls of streams whose target sent bytes without end and without the end of an event took the process over its memory: 141 to 152 MB of 100. It would have been ended, with the calls of all other clients.

Cause: an event may have 1 MB, and what is kept of one that is not complete was counted for no caller. Each connection to a target could keep 128 KB unread, beside 256 KB that asyncio reads at once.

Change: that part counts as held for its caller, so that the calls that hold most are shed beyond a fifth of the memory. Connections to targets read 16 KB at a time into a shared buffer and keep 32 KB unread.

--- a/trefoilhinge/gateway/answer_relay.py
+++ b/trefoilhinge/gateway/answer_relay.py
@@ -76,9 +76,36 @@
         if is_resumed and head.status != self._progress.status:
             raise AnswerBroken(f'status {head.status} of a resumed stream')
         splitter = EventSplitter()
+        try:
+            has_events = await self._relay_events(
+                connection, head, on_event, splitter
+            )
+        finally:
+            self.hold(-len(splitter.remainder))
+        if splitter.remainder:
+            raise AnswerBroken('stream ended within an event')
+        if head.ends_with_connection and not has_events:
+            raise AnswerBroken('connection ended before the first event')
+        self._start_answer(head)
+        await self._caller.finish()
+
+    async def _relay_events(
+        self,
+        connection: TargetConnection,
+        head: AnswerHead,
+        on_event: EventCallback,
+        splitter: EventSplitter,
+    ) -> bool:
+        """Relay events; return whether there were any.
+
+        What is held of an event that is not complete is counted.
+        """
+        is_resumed = self._progress.has_started
         has_events = False
         async for chunk in connection.read_content():
+            held_bytes = len(splitter.remainder)
             events = splitter.split(chunk)
+            self.hold(len(splitter.remainder) - held_bytes)
             if events:
                 has_events = True
                 connection.record_progress()
@@ -94,12 +121,7 @@
                 raise AnswerBroken(
                     f'event is longer than {MAXIMUM_EVENT_BYTES} bytes'
                 )
-        if splitter.remainder:
-            raise AnswerBroken('stream ended within an event')
-        if head.ends_with_connection and not has_events:
-            raise AnswerBroken('connection ended before the first event')
-        self._start_answer(head)
-        await self._caller.finish()
+        return has_events
 
     def _start_answer(self, head: AnswerHead) -> None:
         if not self._progress.has_started:
--- a/trefoilhinge/gateway/target_connections.py
+++ b/trefoilhinge/gateway/target_connections.py
@@ -28,6 +28,7 @@
 
 MINIMUM_PROGRESS_BYTES = 1_024  # of an event or a body that is not complete
 MAXIMUM_BODY_BYTES = 8_388_608  # of an answer that is kept until it is whole
+READ_AHEAD_BYTES = 32_768  # of an answer, whose target may send without end
 MAXIMUM_INTERIM_RESPONSES = 16  # before the head of an answer
 MAXIMUM_STATUS = 599
 MAXIMUM_WRITE_BYTES = 65_536  # of a request, at once
@@ -340,7 +341,7 @@
     """
     try:
         reader, writer = await open_tcp_connection(
-            parse_address(address), CONNECT_TIMEOUT_S, source
+            parse_address(address), CONNECT_TIMEOUT_S, source, READ_AHEAD_BYTES
         )
     except OSError as problem:
         kind = type(problem).__name__
--- a/trefoilhinge/gateway/tcp.py
+++ b/trefoilhinge/gateway/tcp.py
@@ -165,15 +165,25 @@
 
 
 async def open_connection(
-    host: str, port: int, local_addr: Address | None = None
+    host: str,
+    port: int,
+    local_addr: Address | None = None,
+    read_ahead_bytes: int = 0,
 ) -> tuple[CountingReader, asyncio.StreamWriter]:
     """Open a connection, like ``asyncio.open_connection``.
 
+    :param read_ahead_bytes: bound on what is kept unread, beside one read of
+        ``RECEIVE_BYTES``; zero for that of asyncio, which reads 256 KB at once.
     :raises OSError: it could not be opened.
     """
     loop = asyncio.get_running_loop()
-    reader = CountingReader()
-    protocol = asyncio.StreamReaderProtocol(reader, loop=loop)
+    protocol: asyncio.StreamReaderProtocol
+    if read_ahead_bytes:
+        reader = CountingReader(read_ahead_bytes // 2)
+        protocol = SharedBufferProtocol(reader, loop=loop)
+    else:
+        reader = CountingReader()
+        protocol = asyncio.StreamReaderProtocol(reader, loop=loop)
     transport, _ = await loop.create_connection(
         lambda: protocol, host, port, local_addr=local_addr
     )
@@ -185,13 +195,17 @@
     address: Address,
     timeout_s: float,
     source: Address | None = None,
+    read_ahead_bytes: int = 0,
 ) -> tuple[CountingReader, asyncio.StreamWriter]:
     """Open a connection with keepalive.
 
     :param source: local address that the peer is to see; none for any.
+    :param read_ahead_bytes: as of ``open_connection``.
     :raises OSError: it could not be opened within the timeout.
     """
     async with asyncio.timeout(timeout_s):
-        reader, writer = await open_connection(*address, local_addr=source)
+        reader, writer = await open_connection(
+            *address, local_addr=source, read_ahead_bytes=read_ahead_bytes
+        )
     set_tcp_timeouts(writer.transport)
     return reader, writer
