Bounded the answers that a process of the own interface holds.

What callers saw: 60 calls of a plain service whose target sent bytes without end took the process to 1,477 to 1,631 MB of its 300; completions to 301 and 313. It would have been ended, with the calls of all other clients.

Cause: an answer may have 33 MB and an event 4 MB, and nothing bounded their sum. After a stream broke its state was asked for, up to 8 MB in each of 24 threads.

Change: what is kept of an answer until it is whole counts against 15 % of memory_mb; beyond it the answers that hold most are aborted (502, may_have_run). An abort reads like the end of a body without a length, so the reader asks at the end whether it was given up. The state of a stream or the answer to an order may have 64 KB. A part of an event grows in place instead of being copied.

--- a/tests/crowds/test_own_interface.py
+++ b/tests/crowds/test_own_interface.py
@@ -38,6 +38,7 @@
         """Start the process; wait until it is ready."""
         document = json.loads(EXAMPLE.read_text())
         self.key = add_key(document['organisations'][0])
+        self.edit_document(document)
         document_file = self.folder / 'document.json'
         document_file.write_text(json.dumps(document))
         self.port = find_free_port()
@@ -77,6 +78,9 @@
                 except OSError:
                     await asyncio.sleep(POLL_S)
 
+    def edit_document(self, document):
+        """Change the document before it is served."""
+
     @property
     def listeners(self):
         return {
--- a/trefoilhinge/calls/attempt_sender.py
+++ b/trefoilhinge/calls/attempt_sender.py
@@ -36,6 +36,7 @@
     TargetNotReached,
     TargetRefused,
 )
+from trefoilhinge.targets.held_answers import AnswerTable, make_answer_table
 from trefoilhinge.targets.interfaces import (
     EngineClient,
     OutgoingCall,
@@ -58,6 +59,7 @@
     _forward_client: ForwardClient
     _clock: Clock
     report: ReportEvent
+    _answers: AnswerTable
 
     def make_forward_connection(self) -> AbortableConnection:
         """Return an unopened connection to a peer."""
@@ -65,11 +67,15 @@
 
     def make_engine_connection(self) -> AbortableConnection:
         """Return an unopened connection to an engine."""
-        return self._engine_client.make_connection()
+        connection = self._engine_client.make_connection()
+        connection.bound(self._answers)
+        return connection
 
     def make_plain_service_connection(self) -> AbortableConnection:
         """Return an unopened connection to a plain service."""
-        return self._plain_client.make_connection()
+        connection = self._plain_client.make_connection()
+        connection.bound(self._answers)
+        return connection
 
     def send_to_engine(
         self,
@@ -174,6 +180,20 @@
         )
 
 
+def make_attempt_sender(
+    clients: tuple[EngineClient, PlainClient, ForwardClient],
+    clock: Clock,
+    report: ReportEvent,
+    memory_mb: int,
+) -> AttemptSender:
+    """Return the sender of a process.
+
+    :param report: function that passes an event to the core.
+    :param memory_mb: memory of the process, zero for that of the machine.
+    """
+    return AttemptSender(*clients, clock, report, make_answer_table(memory_mb))
+
+
 def _convert_error(
     connection: AbortableConnection, error: Exception
 ) -> AttemptFailed:
--- a/trefoilhinge/calls/receipts.py
+++ b/trefoilhinge/calls/receipts.py
@@ -1,6 +1,5 @@
 """Requests that arrive, each in a thread, and the bodies that are held."""
 
-import os
 import threading
 import time
 from typing import Protocol
@@ -8,9 +7,9 @@
 from attrs import define, field
 
 from trefoilhinge.dispatch.held_bytes import HeldBytes, HeldLimits, Holder
+from trefoilhinge.machine_memory import find_memory_bytes
 
 BODY_SHARE = 0.3  # of the memory of the process
-BYTES_PER_MB = 1_048_576
 
 
 class EndableConnection(Protocol):
@@ -95,8 +94,5 @@
 
     :param memory_mb: memory of the process, zero for that of the machine.
     """
-    memory_bytes = memory_mb * BYTES_PER_MB
-    if not memory_bytes:
-        pages = os.sysconf('SC_PHYS_PAGES')
-        memory_bytes = pages * os.sysconf('SC_PAGE_SIZE')
-    return ReceiptTable(HeldBytes(HeldLimits(int(memory_bytes * BODY_SHARE))))
+    limit_bytes = int(find_memory_bytes(memory_mb) * BODY_SHARE)
+    return ReceiptTable(HeldBytes(HeldLimits(limit_bytes)))
--- a/trefoilhinge/calls/relay.py
+++ b/trefoilhinge/calls/relay.py
@@ -374,8 +374,11 @@
         except TargetBroke:
             self._handle_broken_connection()
             return b''
-        chunks = [self._process_event(event) for event in events]
-        return b''.join(chunks)
+        try:
+            return b''.join(self._process_event(event) for event in events)
+        except TargetBroke:
+            self._handle_broken_connection()
+            return b''
 
     def _process_event(self, event: StreamEvent) -> bytes:
         attempt = self.attempt
@@ -410,6 +413,8 @@
         self._last_event = event
         if self.call.streamed:
             return encode_data(event.data)
+        if self._connection is not None:
+            self._connection.target_connection.hold(len(event.data))
         self.events.append(event)
         return b''
 
--- a/trefoilhinge/entry/daemon.py
+++ b/trefoilhinge/entry/daemon.py
@@ -12,7 +12,7 @@
 from attrs import define, field
 
 from trefoilhinge.calls.application import CallerApplication
-from trefoilhinge.calls.attempt_sender import AttemptSender
+from trefoilhinge.calls.attempt_sender import make_attempt_sender
 from trefoilhinge.calls.authentication import ApiKeyTable
 from trefoilhinge.calls.call_service import CallService
 from trefoilhinge.calls.forward_client import ForwardClient
@@ -294,12 +294,15 @@
     )
     service = CallService(
         context.mailboxes,
-        AttemptSender(
-            engine_client,
-            make_http_plain_client(),
-            ForwardClient(settings.peer_secret, settings.tls_authorities),
+        make_attempt_sender(
+            (
+                engine_client,
+                make_http_plain_client(),
+                ForwardClient(settings.peer_secret, settings.tls_authorities),
+            ),
             context.clock,
             context.report,
+            settings.memory_mb,
         ),
         attempt_executor,
         context.clock,
--- a/trefoilhinge/targets/abortable_connections.py
+++ b/trefoilhinge/targets/abortable_connections.py
@@ -12,6 +12,7 @@
 
 from trefoilhinge.targets.checked_responses import CheckedResponse, LineReader
 from trefoilhinge.targets.exceptions import TargetBroke
+from trefoilhinge.targets.held_answers import AnswerTable, HeldAnswer
 
 # A target that stalls inside a chunk for this long counts as broken; the state
 # of its stream is then queried on a new connection.
@@ -34,6 +35,28 @@
     _sock: socket.socket | None = None
     _closed: bool = False
     _lock: threading.Lock = field(factory=threading.Lock)
+    _answers: AnswerTable | None = None
+    _held: HeldAnswer | None = None
+
+    def bound(self, answers: AnswerTable) -> None:
+        """Count what is held of the answer among those of the process."""
+        self._answers = answers
+        self._held = HeldAnswer(abort=self._abort)
+
+    def hold(self, count: int) -> None:
+        """Count bytes of the answer that are held until the connection closes.
+
+        :param count: bytes; negative if they were released, and zero to see
+            whether the answer was given up.
+        :raises TargetBroke: it was, in favour of others. The aborted connection
+            may have ended like a complete one.
+        """
+        if self._answers is None or self._held is None:
+            return
+        if count:
+            self._answers.add(self._held, count)
+        if self._held.is_shed:
+            raise TargetBroke('the process holds too much of answers')
 
     @property
     def closed(self) -> bool:
@@ -73,6 +96,11 @@
 
     def close(self) -> None:
         """Abort the connection; repeated calls have no effect."""
+        if self._answers is not None and self._held is not None:
+            self._answers.release(self._held)
+        self._abort()
+
+    def _abort(self) -> None:
         with self._lock:
             self._closed = True
             sock = self._sock
--- a/trefoilhinge/targets/http_requests.py
+++ b/trefoilhinge/targets/http_requests.py
@@ -3,7 +3,7 @@
 import functools
 import json
 import time
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Any
 
 import cattrs
@@ -22,7 +22,10 @@
 CONNECT_TIMEOUT_S = 1.0
 POOL_SIZE = 64
 READ_SIZE_BYTES = 65_536
-MAXIMUM_JSON_BYTES = 8_388_608  # of a report, a list or the answer to an order
+MAXIMUM_JSON_BYTES = 8_388_608  # of a report or a list
+# Of the state of a stream or the answer to an order, of which many calls wait
+# for one at a time.
+MAXIMUM_STATE_BYTES = 65_536
 # Socket time-outs end this long after the deadline, at which the thread of the
 # call aborts the request itself.
 DEADLINE_MARGIN_S = 1.0
@@ -43,6 +46,10 @@
 )
 
 
+def _ignore(count: int) -> None:
+    """Count nothing."""
+
+
 def make_pool(ca_file: str = '') -> urllib3.PoolManager:
     """Return a connection pool that never retries a request.
 
@@ -178,7 +185,10 @@
 
 
 def read_content(
-    response: urllib3.BaseHTTPResponse, latest_s: float, maximum_bytes: int
+    response: urllib3.BaseHTTPResponse,
+    latest_s: float,
+    maximum_bytes: int,
+    hold: Callable[[int], None] = _ignore,
 ) -> bytes:
     """Read the content of a response to its end.
 
@@ -186,16 +196,20 @@
     arrives now and then.
 
     :param latest_s: monotonic seconds by which it has to be complete.
+    :param hold: called with the number of bytes that are kept, and with zero at
+        the end; raises ``TargetBroke`` to give the content up.
     :raises TargetBroke: it is longer than ``maximum_bytes`` or not complete
         in time.
     """
     content = bytearray()
     while chunk := response.read1(READ_SIZE_BYTES):
+        hold(len(chunk))
         content += chunk
         if len(content) > maximum_bytes:
             raise TargetBroke(f'content is longer than {maximum_bytes} bytes')
         if time.monotonic() > latest_s:
             raise TargetBroke('content is not complete in time')
+    hold(0)
     return bytes(content)
 
 
@@ -206,11 +220,13 @@
     body: Mapping[str, Any] | None,
     headers: Mapping[str, str],
     timeout_s: float,
+    maximum_bytes: int = MAXIMUM_JSON_BYTES,
 ) -> Mapping[str, Any] | None:
     """Send a JSON request and return the JSON object of its response.
 
     :param body: fields of the JSON body, ``None`` to send none.
     :param timeout_s: seconds to wait for the response.
+    :param maximum_bytes: limit on the content of the response.
     :return: ``None`` if the request failed, the status is 500 or above, or
         the response holds no JSON object.
     """
@@ -226,7 +242,7 @@
             retries=False,
             preload_content=False,
         )
-        content = _read_and_release(response, latest_s)
+        content = _read_and_release(response, latest_s, maximum_bytes)
         fields = json.loads(content)
     except CONNECTION_ERRORS:
         return None
@@ -246,6 +262,8 @@
 ) -> Mapping[str, Any] | None:
     """Send a JSON request on a connection of its own.
 
+    Its response is short: the state of a stream, or the answer to an order.
+
     A kept connection may deliver a late copy of the answer to an earlier
     request, which nothing in it tells from the answer to this one.
 
@@ -253,14 +271,16 @@
     :return: as of ``request_json``.
     """
     with make_pool() as pool:
-        return request_json(pool, method, url, body, headers, timeout_s)
+        return request_json(
+            pool, method, url, body, headers, timeout_s, MAXIMUM_STATE_BYTES
+        )
 
 
 def _read_and_release(
-    response: urllib3.BaseHTTPResponse, latest_s: float
+    response: urllib3.BaseHTTPResponse, latest_s: float, maximum_bytes: int
 ) -> bytes:
     try:
-        content = read_content(response, latest_s, MAXIMUM_JSON_BYTES)
+        content = read_content(response, latest_s, maximum_bytes)
     except BaseException:
         response.close()
         raise
--- a/trefoilhinge/targets/plain_client.py
+++ b/trefoilhinge/targets/plain_client.py
@@ -58,6 +58,7 @@
                 response,
                 time.monotonic() + remaining_s,
                 MAXIMUM_ANSWER_BYTES,
+                connection.hold,
             )
         except CONNECTION_ERRORS as error:
             raise TargetBroke(str(error)) from error
--- a/trefoilhinge/targets/streams.py
+++ b/trefoilhinge/targets/streams.py
@@ -3,7 +3,7 @@
 import http.client
 
 import urllib3
-from attrs import define
+from attrs import define, field
 
 from trefoilhinge.core.sse import StreamEvent, parse_event
 from trefoilhinge.targets.abortable_connections import AbortableConnection
@@ -40,6 +40,13 @@
         self._abortable_connection.close()
         self._response.close()
 
+    def hold(self, count: int) -> None:
+        """Count bytes that are held of the answer.
+
+        :raises TargetBroke: it was given up in favour of others.
+        """
+        self._abortable_connection.hold(count)
+
     def read_available(self, is_readable: bool) -> bytes:
         """Return the bytes received so far.
 
@@ -74,7 +81,7 @@
     """Stream of an engine's events on one connection."""
 
     _body: ResponseBody
-    _incomplete: bytes = b''
+    _incomplete: bytearray = field(factory=bytearray)
 
     def fileno(self) -> int:
         """Return the file descriptor to poll."""
@@ -89,14 +96,14 @@
 
         :param is_readable: whether polling reported the file descriptor as
             readable.
-        :raises TargetBroke: the connection broke, the stream has ended, or an
-            event exceeds ``MAXIMUM_EVENT_BYTES``.
+        :raises TargetBroke: the connection broke, the stream has ended, an
+            event exceeds ``MAXIMUM_EVENT_BYTES``, or the stream was given up in
+            favour of others.
         """
         chunk = self._body.read_available(is_readable)
         if self._body.ended and not chunk:
             raise TargetBroke('the stream ended')
-        blocks = (self._incomplete + chunk).split(_SEPARATOR)
-        self._incomplete = blocks.pop()
+        blocks = self._take_blocks(chunk)
         if len(self._incomplete) > MAXIMUM_EVENT_BYTES:
             raise TargetBroke(
                 f'an event of at least {len(self._incomplete)} bytes exceeds '
@@ -104,3 +111,22 @@
             )
         events = (parse_event(block) for block in blocks)
         return tuple(event for event in events if event is not None)
+
+    def _take_blocks(self, chunk: bytes) -> list[bytes]:
+        """Return the blocks that received bytes complete.
+
+        The rest grows in place, as copies of a long event would take more
+        memory than is counted.
+        """
+        # A separator may have begun with the last byte of before.
+        searched = max(0, len(self._incomplete) - 1)
+        self._incomplete += chunk
+        self._body.hold(len(chunk))
+        end = self._incomplete.rfind(_SEPARATOR, searched)
+        if end < 0:
+            return []
+        blocks = bytes(self._incomplete[:end]).split(_SEPARATOR)
+        end += len(_SEPARATOR)
+        del self._incomplete[:end]  # noqa: WPS420
+        self._body.hold(-end)
+        return blocks
