Derived the waits of reads from the settings in force.

Cause: the bounds were taken when the client of the store was made, so that a reload left the waits of the start in force.

Change: they are derived for each read.

Measured: test_waits_follow_the_settings_in_force failed before and passes now.

--- a/tests/gateway/test_silent_store.py
+++ b/tests/gateway/test_silent_store.py
@@ -4,6 +4,7 @@
 import contextlib
 
 import pytest
+from attrs import evolve
 
 from tests.gateway.documents import make_document
 from tests.gateway.fleets import run_fleet
@@ -180,3 +181,18 @@
                 assert len(directory.list_serving('model')) == 2
 
         asyncio.run(run())
+
+
+class TestReload:
+    def test_waits_follow_the_settings_in_force(self):
+        """Guards against bounds that an instance has only at its start."""
+
+        async def run():
+            async with run_silent_fleet() as fleet:
+                client = fleet.gateway._store_watcher._client
+                before_s = client.timing.longest_wait_s
+                bounds = evolve(fleet.settings.bounds, stable_s=2.5)
+                fleet.state.settings = evolve(fleet.settings, bounds=bounds)
+                assert client.timing.longest_wait_s < before_s
+
+        asyncio.run(run())
--- a/trefoilhinge/dispatch/store_readers.py
+++ b/trefoilhinge/dispatch/store_readers.py
@@ -33,6 +33,7 @@
 SILENT_READER_S = 4.0
 FORGOTTEN_READER_S = 60.0
 MAXIMUM_PENDING_READS = 32
+# Some of them are heard though others end or their datagrams are lost.
 LOOKOUTS = 8
 
 
--- a/trefoilhinge/gateway/store_client.py
+++ b/trefoilhinge/gateway/store_client.py
@@ -1,10 +1,10 @@
 """Reads of the platform's store over HTTP."""
 
 import asyncio
-from attrs import define, field, frozen
 
-from trefoilhinge.dispatch.store_timing import OVERDUE_S, StoreTiming
+from attrs import define, frozen
 
+from trefoilhinge.dispatch.store_timing import OVERDUE_S, StoreTiming
 from trefoilhinge.exceptions import TrefoilhingeError
 from trefoilhinge.gateway.http_client import (
     ConnectionCut,
@@ -99,7 +99,6 @@
     :ivar era: era of the latest answer, none before the first.
     :ivar read_began_s: monotonic seconds at which the latest request was sent.
     :ivar latency_s: seconds that the latest answer took beyond its wait.
-    :ivar timing: waits of the reads.
     """
 
     _state: GatewayState
@@ -107,12 +106,12 @@
     era: int | None = None
     read_began_s: float = 0
     latency_s: float = 0
-    timing: StoreTiming = field(init=False)
 
-    def __attrs_post_init__(self) -> None:
-        """Derive the waits from the settings."""
+    @property
+    def timing(self) -> StoreTiming:
+        """Return the waits that follow from the settings, which may change."""
         settings = self._state.settings
-        self.timing = StoreTiming(
+        return StoreTiming(
             settings.bounds.stable_s, settings.registration_interval_s
         )
 
