--- a/review/11/play.py
+++ b/review/11/play.py
@@ -81,12 +81,11 @@
         first.send_signal(signal.SIGKILL)
         note(f'graceS is over; the process was running: {is_running}')
         answers = await asyncio.gather(*bookings)
-        ran = {
-            request.id for one in world.replicas for _, request in one.runs
-        }
+        ran = {request.id for one in world.replicas for _, request in one.runs}
         note(f'run by replicas: {sorted(ran)}')
         lost = [
-            name for name, is_complete in answers
+            name
+            for name, is_complete in answers
             if name in ran and not is_complete
         ]
         note(f'passed on, and ended without an answer: {lost}')
--- a/review/standins_3/bench3.py
+++ b/review/standins_3/bench3.py
@@ -195,7 +195,9 @@
         writer.
     """
 
-    def __init__(self, store, name, service, ip=LOCAL, port=None, zone='zone-a'):
+    def __init__(
+        self, store, name, service, ip=LOCAL, port=None, zone='zone-a'
+    ):
         self.store = store
         self.name = name
         self.service = service
@@ -434,19 +436,43 @@
             'entry': 'vip',
             'heartbeatMs': 1200,
             'contracts': [
-                'base', 'drain', 'config', 'cost', 'retry', 'recover',
-                'engine', 'stream', 'tenants', 'platform', 'spans',
+                'base',
+                'drain',
+                'config',
+                'cost',
+                'retry',
+                'recover',
+                'engine',
+                'stream',
+                'tenants',
+                'platform',
+                'spans',
             ],
             'tolerance': {'machines': 1, 'zones': 0, 'regions': 0},
             'bounds': {
-                'seedLagS': 3, 'addrReuseS': 2, 'stableMs': 3000,
-                'ackMs': 4000, 'syncS': 4, 'drainMs': 2000, 'graceS': 8,
-                'lossSlackMs': 200, 'configApplyMs': 2000,
-                'rollbackSlackMs': 250, 'skewMaxMs': 5000,
-                'strictRevoke': False, 'revokeMs': 5000, 'retryRatio': 0.2,
-                'retryWindowS': 10, 'retrySlack': 104, 'recoveryS': 12,
-                'passMs': 120, 'retryAfterS': 0, 'stall_ms': 1500,
-                'holdMaxMs': 20000, 'freeMs': 4000, 'idleMaxMs': 9000,
+                'seedLagS': 3,
+                'addrReuseS': 2,
+                'stableMs': 3000,
+                'ackMs': 4000,
+                'syncS': 4,
+                'drainMs': 2000,
+                'graceS': 8,
+                'lossSlackMs': 200,
+                'configApplyMs': 2000,
+                'rollbackSlackMs': 250,
+                'skewMaxMs': 5000,
+                'strictRevoke': False,
+                'revokeMs': 5000,
+                'retryRatio': 0.2,
+                'retryWindowS': 10,
+                'retrySlack': 104,
+                'recoveryS': 12,
+                'passMs': 120,
+                'retryAfterS': 0,
+                'stall_ms': 1500,
+                'holdMaxMs': 20000,
+                'freeMs': 4000,
+                'idleMaxMs': 9000,
             },
             'platform': {
                 'address': self.store,
@@ -640,17 +666,21 @@
         ip = f'127.77.{os.getpid() % 200 + 20}.{number}'
         first = self.gateways[0].ip if self.gateways else ip
         gateway = Gateway(
-            f'front-{number}', ip, self.store.name, seeds or [first],
-            self.folder.name, zone,
+            f'front-{number}',
+            ip,
+            self.store.name,
+            seeds or [first],
+            self.folder.name,
+            zone,
         )
         self.gateways.append(gateway)
         gateway.start()
         return gateway
 
 
-def run(play, folder):
+def run(play, folder, name='record.txt'):
     """Run a case; its status is 1 if the rule was broken, 2 if it failed."""
-    record = pathlib.Path(folder) / 'record.txt'
+    record = pathlib.Path(folder) / name
     lines = []
     began_s = time.monotonic()
 
