--- a/review/standins_3/bench3.py
+++ b/review/standins_3/bench3.py
@@ -242,6 +242,9 @@
             },
         )
 
+    def stop_beats(self):
+        self._beat.cancel()
+
     async def _run_beats(self):
         while True:
             self.beat()
