Gave the scripts of the third review free addresses and ports.

Cause: in a series of three scripts at a time, case 15 could not run twice of five, as a gateway did not get ready. Addresses followed from the process's number, and two ports of a process could be the same; that one of these was the cause is only suspected.

--- a/review/standins_3/bench3.py
+++ b/review/standins_3/bench3.py
@@ -9,6 +9,7 @@
 import json
 import os
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -24,13 +25,40 @@
 KEY = 'n2ctnfzs989anu6wsjnb'
 TENANT = 'hule930'
 LOCAL = '127.0.0.1'
+FIRST_PORT = 7340
 
 
 def find_port(ip=LOCAL):
     """Return a free port."""
-    with socket.socket() as probe:
-        probe.bind((ip, 0))
-        return probe.getsockname()[1]
+    return find_ports(ip, 1)[0]
+
+
+def find_ports(ip, count):
+    """Return different free ports."""
+    probes = [socket.socket() for _ in range(count)]
+    try:
+        for probe in probes:
+            probe.bind((ip, 0))
+        return [probe.getsockname()[1] for probe in probes]
+    finally:
+        for probe in probes:
+            probe.close()
+
+
+def find_network():
+    """Return the first three numbers of free loopback addresses.
+
+    Some ports of a gateway are fixed, so that scripts which run at the same
+    time need addresses of their own.
+    """
+    while True:
+        network = f'127.{random.randint(64, 126)}.{random.randint(1, 250)}'
+        with socket.socket() as probe:
+            try:
+                probe.bind((f'{network}.2', FIRST_PORT))
+            except OSError:
+                continue
+            return network
 
 
 async def read_head(reader):
@@ -394,9 +422,11 @@
         self.store = store
         self.zone = zone
         self.folder = pathlib.Path(folder)
-        self.ports = {one: find_port(ip) for one in ('front', 'ready')}
+        self.ports = dict(
+            zip(('front', 'ready'), find_ports(ip, 2), strict=True)
+        )
         self.control = 8229
-        self.first_port = 7340
+        self.first_port = FIRST_PORT
         self.seeds = seeds
         self.process = None
         self.log = self.folder / f'{name}.log'
@@ -646,6 +676,7 @@
 
     def __init__(self):
         self.folder = tempfile.TemporaryDirectory(prefix='review-3-')
+        self.network = find_network()
         self.store = Store()
         self.replicas = []
         self.gateways = []
@@ -666,7 +697,7 @@
         return replica
 
     def add_gateway(self, number, zone='zone-a', seeds=None):
-        ip = f'127.77.{os.getpid() % 200 + 20}.{number}'
+        ip = f'{self.network}.{number}'
         first = self.gateways[0].ip if self.gateways else ip
         gateway = Gateway(
             f'front-{number}',
