Logged which event number breaks a stream.

Of a stream that is left because of its event numbers, the log said only "stream skipped an event number". Which events the target had sent, and that the good ones of the same read are dropped with the wrong one, could not be seen, so that a piece that a caller lacks could have been lost at the target, in the relay or on the way to the caller.

offer_broken now names the number, the one before it and the number of events of the read that are not used; streams_misnumbered_total counts such streams. Nothing that callers get changes.

--- /dev/null
+++ b/tests/gateway/numbered_streams.py
@@ -0,0 +1,61 @@
+"""Fake targets whose streams have wrong event numbers."""
+
+import asyncio
+
+from tests.gateway.targets import SEAL_HEADER
+
+PIECES = 8
+READ_INTERVAL_S = 0.01  # more than two writes need to arrive in two reads
+
+
+def make_piece(number, fields=None):
+    """Return the event with a piece of a stream.
+
+    :param fields: lines in place of its ``id`` field.
+    """
+    lines = b'id: %d\n' % number if fields is None else fields
+    return b'%bdata: piece %d\n\n' % (lines, number)
+
+
+def join_pieces(first=1, last=PIECES):
+    """Return the content of a stream with right numbers."""
+    return b''.join(make_piece(number) for number in range(first, last + 1))
+
+
+def stream_pieces(spoiled=None, together=2, last=PIECES, begin=None):
+    """Return a handler that streams pieces, resuming where asked to.
+
+    :param spoiled: lines in place of the ``id`` field, by number.
+    :param together: number of pieces that arrive in one read.
+    :param begin: first piece, whatever the caller asks for.
+    """
+    spoiled = spoiled or {}
+
+    async def handle(exchange):
+        asked = int(exchange.headers.get('last-event-id', 0)) + 1
+        first = asked if begin is None else begin
+        await exchange.send_headers(200, [SEAL_HEADER])
+        for number in range(first, last + 1, together):
+            read = range(number, min(number + together, last + 1))
+            await exchange.send_body(
+                b''.join(make_piece(one, spoiled.get(one)) for one in read)
+            )
+            await asyncio.sleep(READ_INTERVAL_S)
+        await exchange.end_response()
+
+    return handle
+
+
+def is_sound(answer):
+    """Return whether a stream is whole, or visibly broken off.
+
+    The pieces of one that is broken off must be the first ones, in order.
+    """
+    pieces = [
+        int(line.rpartition(b' ')[2])
+        for line in answer.content.splitlines()
+        if line.startswith(b'data: piece ')
+    ]
+    if answer.is_complete and answer.status == 200:
+        return pieces == list(range(1, PIECES + 1))
+    return pieces == list(range(1, len(pieces) + 1))
--- a/trefoilhinge/gateway/answer_relay.py
+++ b/trefoilhinge/gateway/answer_relay.py
@@ -24,6 +24,10 @@
 EventCallback = Callable[[], None]
 
 
+class StreamMisnumbered(AnswerBroken):
+    """The numbers of a stream's events are wrong."""
+
+
 @define
 class AnswerRelay:
     """Relays one caller's answer, from one target or several in succession."""
@@ -134,7 +138,13 @@
     ) -> bytes:
         new_events = []
         for event in events:
-            if self._is_new(event.number, is_resumed=is_resumed):
+            try:
+                is_new = self._is_new(event.number, is_resumed=is_resumed)
+            except StreamMisnumbered as problem:
+                raise StreamMisnumbered(
+                    f'{problem}; {len(events)} events of the read are not used'
+                ) from problem
+            if is_new:
                 new_events.append(event.content)
                 if event.number is not None:
                     self._progress.last_event = event.number
@@ -144,13 +154,13 @@
         """Return whether the caller does not have an event yet.
 
         :param number: number of the event, if it has one.
-        :raises AnswerBroken: it does not follow what the caller has.
+        :raises StreamMisnumbered: it does not follow what the caller has.
         """
         last = self._progress.last_event
         if is_resumed and (number is None or last is None):
-            raise AnswerBroken('resumed stream has no event numbers')
+            raise StreamMisnumbered('resumed stream has no event numbers')
         if number is None or last is None:
             return True
         if number > last + 1:
-            raise AnswerBroken('stream skipped an event number')
+            raise StreamMisnumbered(f'event {number} after event {last}')
         return number > last
--- a/trefoilhinge/gateway/attempt_recorder.py
+++ b/trefoilhinge/gateway/attempt_recorder.py
@@ -6,13 +6,17 @@
 from trefoilhinge.dispatch.group_placement import Placement
 from trefoilhinge.dispatch.health import Outcome
 from trefoilhinge.dispatch.messages import TargetEjected, TargetSlowdown
+from trefoilhinge.gateway.answer_relay import StreamMisnumbered
 from trefoilhinge.gateway.cold_targets import is_cold
 from trefoilhinge.gateway.learned_costs import CostRecorder, estimate_output
 from trefoilhinge.gateway.peer_exchange import PeerExchange
 from trefoilhinge.gateway.placement import find_engine_profile
 from trefoilhinge.gateway.progress import CallProgress
 from trefoilhinge.gateway.state import GatewayState
-from trefoilhinge.gateway.target_connections import ConnectionStale
+from trefoilhinge.gateway.target_connections import (
+    AnswerBroken,
+    ConnectionStale,
+)
 
 # Ejection of a helper that a target reports as unreachable or leaving. By its
 # end, the store shows whether the helper is still gone.
@@ -145,14 +149,18 @@
             rest_problem=head.rest_problem or None,
         )
 
-    def record_broken(self, placement: Placement, problem: str) -> None:
+    def record_broken(
+        self, placement: Placement, problem: AnswerBroken
+    ) -> None:
         """Record that the answer was lost before its end."""
         target = placement.parts[0].target
         self.record_outcome(target, Outcome.failed)
+        if isinstance(problem, StreamMisnumbered):
+            self._state.metrics.increment('streams_misnumbered')
         self._write(
             'offer_broken',
             target=target,
-            problem=problem,
+            problem=str(problem),
             last_event=self._progress.last_event,
             events=self._progress.attempt_events,
             parts=','.join(self._call.head.prompt_parts) or None,
--- a/trefoilhinge/gateway/attempts.py
+++ b/trefoilhinge/gateway/attempts.py
@@ -136,7 +136,7 @@
             await self._handle_stale(placement, stale)
             return False
         except AnswerBroken as problem:
-            return not await self._recover(placement, str(problem))
+            return not await self._recover(placement, problem)
         finally:
             self._end_attempt()
 
@@ -194,7 +194,9 @@
         self._sender.release()
         self._stop_guard.forget_placement()
 
-    async def _recover(self, placement: Placement, problem: str) -> bool:
+    async def _recover(
+        self, placement: Placement, problem: AnswerBroken
+    ) -> bool:
         """Record that the answer was lost; end the call if that is final.
 
         :return: whether the call may be attempted again.
