Counted the events of a stream as sent only once they are written.

What callers saw: a stream that ended as complete lacked a piece (ORDER). When a target spoiled the number of an event, the good event that had come in the same read was missing, and the stream went on after it at another target.

Cause: AnswerRelay went through the events of a read and noted each as the caller's last one before any was written. When a later event of that read proved wrong, all of them were dropped, but the note stayed, so that the next target was asked to go on after an event that the caller never got.

Change: the events of a read are checked before any of them counts. They count in one place, with the write to the caller's connection; the wait until the caller has taken them comes after that, so that an attempt that is cancelled meanwhile does not make them come twice.

--- a/tests/gateway/numbered_streams.py
+++ b/tests/gateway/numbered_streams.py
@@ -46,6 +46,20 @@
     return handle
 
 
+def stream_in_turn(*handlers):
+    """Return a handler, for all targets, that answers with each in turn.
+
+    The last one answers all further requests.
+    """
+    waiting = list(handlers)
+
+    async def handle(exchange):
+        chosen = waiting.pop(0) if len(waiting) > 1 else waiting[0]
+        await chosen(exchange)
+
+    return handle
+
+
 def is_sound(answer):
     """Return whether a stream is whole, or visibly broken off.
 
--- a/trefoilhinge/gateway/answer_relay.py
+++ b/trefoilhinge/gateway/answer_relay.py
@@ -113,12 +113,13 @@
             if events:
                 has_events = True
                 connection.record_progress()
-            content = self._select_new_events(events, is_resumed=is_resumed)
-            if content:
+            new_events = self._select_new_events(events, is_resumed=is_resumed)
+            if new_events:
                 self._start_answer(head)
                 on_event()
+                self._write(new_events)
                 connection.waits_for_caller = True
-                await self._caller.send(content)
+                await self._caller.drain()
                 connection.waits_for_caller = False
                 connection.record_progress()
             if len(splitter.remainder) > MAXIMUM_EVENT_BYTES:
@@ -133,34 +134,47 @@
             self._progress.status = head.status
             self._caller.start_answer(head.status, list(head.forwarded_headers))
 
+    def _write(self, events: list[StreamEvent]) -> None:
+        """Write events to the caller, who has them from here on."""
+        self._caller.write(b''.join(event.content for event in events))
+        for event in events:
+            if event.number is not None:
+                self._progress.last_event = event.number
+
     def _select_new_events(
         self, events: list[StreamEvent], *, is_resumed: bool
-    ) -> bytes:
-        new_events = []
+    ) -> list[StreamEvent]:
+        """Return the events of a read that the caller does not have yet.
+
+        :raises StreamMisnumbered: one of them does not follow the one before
+            it. None of the read is used then, and none counts as sent.
+        """
+        new_events: list[StreamEvent] = []
+        last = self._progress.last_event
         for event in events:
             try:
-                is_new = self._is_new(event.number, is_resumed=is_resumed)
+                is_new = _is_new(event.number, last, is_resumed=is_resumed)
             except StreamMisnumbered as problem:
                 raise StreamMisnumbered(
                     f'{problem}; {len(events)} events of the read are not used'
                 ) from problem
             if is_new:
-                new_events.append(event.content)
-                if event.number is not None:
-                    self._progress.last_event = event.number
-        return b''.join(new_events)
-
-    def _is_new(self, number: int | None, *, is_resumed: bool) -> bool:
-        """Return whether the caller does not have an event yet.
-
-        :param number: number of the event, if it has one.
-        :raises StreamMisnumbered: it does not follow what the caller has.
-        """
-        last = self._progress.last_event
-        if is_resumed and (number is None or last is None):
-            raise StreamMisnumbered('resumed stream has no event numbers')
-        if number is None or last is None:
-            return True
-        if number > last + 1:
-            raise StreamMisnumbered(f'event {number} after event {last}')
-        return number > last
+                new_events.append(event)
+                last = last if event.number is None else event.number
+        return new_events
+
+
+def _is_new(number: int | None, last: int | None, *, is_resumed: bool) -> bool:
+    """Return whether the caller does not have an event yet.
+
+    :param number: number of the event, if it has one.
+    :param last: number of the last event before it, if there is one.
+    :raises StreamMisnumbered: it does not follow that one.
+    """
+    if is_resumed and (number is None or last is None):
+        raise StreamMisnumbered('resumed stream has no event numbers')
+    if number is None or last is None:
+        return True
+    if number > last + 1:
+        raise StreamMisnumbered(f'event {number} after event {last}')
+    return number > last
--- a/trefoilhinge/gateway/answering_connections.py
+++ b/trefoilhinge/gateway/answering_connections.py
@@ -109,9 +109,12 @@
         ]
         self._send_head(status, kept)
 
-    async def send(self, content: bytes) -> None:
-        """Send a chunk of the content."""
+    def write(self, content: bytes) -> None:
+        """Write a chunk of the content, which counts as sent from then on."""
         self._write(h11.Data(data=content))
+
+    async def drain(self) -> None:
+        """Wait until the caller has taken most of what was written."""
         unread_bytes = self._writer.transport.get_write_buffer_size()
         if not unread_bytes:
             return
@@ -137,7 +140,7 @@
         try:
             while not transport.is_closing():
                 unsent_bytes = transport.get_write_buffer_size()
-                if await self._drain(UNREAD_TIMEOUT_S):
+                if await self._drain_within(UNREAD_TIMEOUT_S):
                     return
                 if transport.get_write_buffer_size() >= unsent_bytes:
                     transport.abort()
@@ -145,7 +148,7 @@
         finally:
             transport.set_write_buffer_limits()
 
-    async def _drain(self, timeout_s: float) -> bool:
+    async def _drain_within(self, timeout_s: float) -> bool:
         """Return whether the write buffer fell below its limit in time."""
         try:
             async with asyncio.timeout(timeout_s):
