Checked each event of a stream against those before it in its run.

What callers saw: streams that ended as complete lacked their last piece or had one twice (ORDER), where a target spoiled the number of one event.

Cause: a number was compared only with the last one that the caller has. One that did not grow was taken for an event that the caller has, which is right only in a run that repeats events, so that the event was dropped. An event without a readable number was passed on uncounted in any run that was not resumed, so that the next one seemed to skip a number and the event came again from another target. The number of the first event was believed whatever it was: when it was too large, the next ones were dropped as known. int() raised for a number of over 4,300 digits, which failed the call.

Change: dispatch/event_order.py decides, for a whole read before any of it is used. Within a run numbers grow; either all events have one or none has. Events that the caller has may only open a run, and must lead on to the next one without a gap; a run that ends within them is broken off. A first event with another number than 1 is held until the next one shows that it is right. What is wrong breaks the run: another target goes on, where the route allows it; else the answer ends without its end. After an event without a number nothing can go on, so that no other target is asked.

Comments between events are no events, and pass in each run.

--- a/tests/gateway/numbered_streams.py
+++ b/tests/gateway/numbered_streams.py
@@ -46,6 +46,18 @@
     return handle
 
 
+def break_off(last):
+    """Return a handler that aborts its connection after a piece."""
+
+    async def handle(exchange):
+        await exchange.send_headers(200, [SEAL_HEADER])
+        await exchange.send_body(join_pieces(last=last))
+        await asyncio.sleep(READ_INTERVAL_S)
+        exchange.writer.transport.abort()
+
+    return handle
+
+
 def stream_in_turn(*handlers):
     """Return a handler, for all targets, that answers with each in turn.
 
--- a/tests/gateway/test_event_numbers.py
+++ b/tests/gateway/test_event_numbers.py
@@ -5,24 +5,46 @@
 
 import pytest
 
+from tests.gateway.documents import make_document
 from tests.gateway.fleets import run_fleet
 from tests.gateway.numbered_streams import (
+    PIECES,
+    break_off,
+    is_sound,
     join_pieces,
+    make_piece,
     stream_in_turn,
     stream_pieces,
 )
-from tests.gateway.test_relayed_calls import run_cut_fleet
+from tests.gateway.targets import SEAL_HEADER
+from tests.gateway.test_relayed_calls import count_requests, run_cut_fleet
 from trefoilhinge.dispatch.calls import AnswerHead
 from trefoilhinge.gateway.answer_relay import AnswerRelay
 from trefoilhinge.gateway.progress import CallProgress
 from trefoilhinge.gateway.target_connections import TargetConnection
 
 
-def call(**handlers):
+# Lines in place of the ``id`` field of an event.
+SPOILED = {
+    'larger': b'id: 30\n',
+    'zero': b'id: 0\n',
+    'padded': b'id: 01\n',
+    'no digit': b'id: >\n',
+    'superscript': b'id: \xb2\n',
+    'signed': b'id: -4\n',
+    'empty': b'id:\n',
+    'missing': b'',
+    'misspelt': b'if: 4\n',
+    'two': b'id: 4\nid: 5\n',
+    'endless': b'id: %b\n' % (b'4' * 5_000),
+}
+
+
+def call(document=None, **handlers):
     """Call a fleet once; return the answer and the fleet."""
 
     async def run():
-        async with run_fleet(**handlers) as fleet:
+        async with run_fleet(document, **handlers) as fleet:
             answer = await fleet.call()
             fleet.state.log.flush()
             return answer, fleet
@@ -123,3 +145,135 @@
             assert progress.last_event == 2
 
         asyncio.run(run())
+
+
+class TestWrongNumbers:
+    """Guards against ORDER: streams that look whole and are not.
+
+    A number that does not grow was taken for an event that the caller has, also
+    where nothing was resumed. One that cannot be read, or is missing, was
+    passed on uncounted, so that the same event came again.
+    """
+
+    @pytest.mark.parametrize('together', [1, 2, 4])
+    @pytest.mark.parametrize('number', [1, 2, 4, PIECES])
+    @pytest.mark.parametrize('name', SPOILED)
+    def test_stream_is_whole_or_visibly_broken(self, name, number, together):
+        spoiling = stream_pieces({number: SPOILED[name]}, together)
+        handle = stream_in_turn(spoiling, stream_pieces())
+        answer, _ = call(m1=handle, m2=handle)
+        assert answer.status == 200
+        assert is_sound(answer)
+
+    @pytest.mark.parametrize('number', [2, 4, PIECES])
+    @pytest.mark.parametrize('name', SPOILED)
+    def test_another_target_goes_on(self, name, number):
+        spoiling = stream_pieces({number: SPOILED[name]})
+        handle = stream_in_turn(spoiling, stream_pieces())
+        answer, _ = call(m1=handle, m2=handle)
+        assert answer.is_complete
+        assert answer.content == join_pieces()
+
+    @pytest.mark.parametrize('number', [1, 4, PIECES])
+    @pytest.mark.parametrize('name', SPOILED)
+    def test_stream_through_a_peer(self, name, number):
+        async def run():
+            spoiling = stream_pieces({number: SPOILED[name]})
+            handle = stream_in_turn(spoiling, stream_pieces())
+            async with run_cut_fleet(m1=handle, m2=handle) as cut_fleet:
+                assert is_sound(await cut_fleet[0].call())
+
+        asyncio.run(run())
+
+    @pytest.mark.parametrize('number', [1, 4, PIECES])
+    @pytest.mark.parametrize('name', SPOILED)
+    def test_stream_that_may_not_be_resumed(self, name, number):
+        document = make_document()
+        document['routes'][0]['resumable'] = False
+        handle = stream_pieces({number: SPOILED[name]})
+        answer, fleet = call(document, m1=handle, m2=handle)
+        assert is_sound(answer)
+        assert count_requests(fleet) == 1
+
+    @pytest.mark.parametrize('number', [4, 5, PIECES])
+    @pytest.mark.parametrize('name', SPOILED)
+    def test_resumed_stream(self, name, number):
+        """The first target breaks off after the third event."""
+        handle = stream_in_turn(
+            break_off(3), stream_pieces({number: SPOILED[name]})
+        )
+        answer, _ = call(m1=handle, m2=handle)
+        assert is_sound(answer)
+
+    @pytest.mark.parametrize('number', [4, 5, PIECES])
+    @pytest.mark.parametrize('name', SPOILED)
+    def test_stream_that_the_caller_resumes(self, name, number):
+        async def run():
+            spoiling = stream_pieces({number: SPOILED[name]})
+            handle = stream_in_turn(spoiling, stream_pieces())
+            async with run_fleet(m1=handle, m2=handle) as fleet:
+                answer = await fleet.call(Last_Event_Id='3')
+                answer.content = join_pieces(last=3) + answer.content
+                assert is_sound(answer)
+
+        asyncio.run(run())
+
+    def test_stream_whose_position_is_unknown_is_not_resumed(self):
+        """Guards against runs for nothing.
+
+        The caller has an event without a number, so that no run can go on.
+        """
+        spoiling = stream_pieces({1: b''}, together=1)
+        handle = stream_in_turn(spoiling, stream_pieces())
+        answer, fleet = call(m1=handle, m2=handle)
+        assert not answer.is_complete
+        assert count_requests(fleet) == 1
+
+
+class TestSoundNumbers:
+    """Guards against sound streams that are broken off."""
+
+    @pytest.mark.parametrize('separator', [b': ping\n\n', b'retry: 50\n\n'])
+    def test_comments_between_events(self, separator):
+        content = separator.join(
+            make_piece(number) for number in range(1, PIECES + 1)
+        )
+
+        async def handle(exchange):
+            await exchange.send_headers(200, [SEAL_HEADER])
+            await exchange.send_body(content)
+            await exchange.end_response()
+
+        answer, _ = call(m1=handle)
+        assert answer.is_complete
+        assert answer.content == content
+
+    def test_stream_without_numbers(self):
+        spoiled = {number: b'' for number in range(1, PIECES + 1)}
+        answer, _ = call(m1=stream_pieces(spoiled))
+        assert answer.is_complete
+        assert is_sound(answer)
+
+    @pytest.mark.parametrize('first', [0, 5])
+    def test_stream_that_begins_with_another_number(self, first):
+        numbers = {
+            number: b'id: %d\n' % (first + number - 1)
+            for number in range(1, PIECES + 1)
+        }
+        answer, fleet = call(m1=stream_pieces(numbers, together=1))
+        assert answer.is_complete
+        assert is_sound(answer)
+        assert count_requests(fleet) == 1
+
+    def test_resumed_stream_that_begins_anew(self):
+        handle = stream_in_turn(break_off(3), stream_pieces(begin=1))
+        answer, _ = call(m1=handle, m2=handle)
+        assert answer.is_complete
+        assert answer.content == join_pieces()
+
+    def test_resumed_stream_that_had_ended(self):
+        """The first target breaks off after the last event."""
+        handle = stream_in_turn(break_off(PIECES), stream_pieces())
+        answer, _ = call(m1=handle, m2=handle)
+        assert answer.is_complete
+        assert answer.content == join_pieces()
--- a/trefoilhinge/dispatch/events.py
+++ b/trefoilhinge/dispatch/events.py
@@ -1,21 +1,32 @@
 """Splitting of a server-sent event stream into complete events."""
 
+import re
+
 from attrs import define, frozen
 
 _SEPARATOR = b'\n\n'
-_ID_FIELD = b'id:'
+_ID_FIELD = b'id'
+_DATA_FIELD = b'data'
+# The longest number that any counter of events reaches has fewer digits.
+_NUMBER_PATTERN = re.compile(rb'\d{1,18}')
 
 
 @frozen
 class StreamEvent:
     """One complete event.
 
-    :ivar number: value of its ``id`` field, none if it is not an integer.
+    :ivar number: value of its ``id`` field, none if it has no number.
     :ivar content: its bytes, including the blank line that ends it.
+    :ivar is_malformed: whether its ``id`` field is no decimal number, or comes
+        more than once.
+    :ivar is_comment: whether it has neither ``id`` nor ``data``, and so is no
+        event of the stream.
     """
 
     number: int | None
     content: bytes
+    is_malformed: bool = False
+    is_comment: bool = False
 
 
 @define
@@ -34,14 +45,23 @@
         """Return the events that these bytes complete."""
         texts = (self.remainder + chunk).split(_SEPARATOR)
         self.remainder = texts.pop()
-        return [
-            StreamEvent(_read_number(text), text + _SEPARATOR) for text in texts
-        ]
+        return [_read_event(text) for text in texts]
 
 
-def _read_number(text: bytes) -> int | None:
+def _read_event(text: bytes) -> StreamEvent:
+    """Read the fields of an event (WHATWG HTML, section 9.2.6)."""
+    ids = []
+    has_data = False
     for line in text.split(b'\n'):
-        if line.startswith(_ID_FIELD):
-            digits = line[len(_ID_FIELD) :].strip()
-            return int(digits) if digits.isdigit() else None
-    return None
+        name, _, value = line.partition(b':')
+        if name == _ID_FIELD:
+            ids.append(value.strip())
+        elif name == _DATA_FIELD:
+            has_data = True
+    is_numbered = len(ids) == 1 and _NUMBER_PATTERN.fullmatch(ids[0])
+    return StreamEvent(
+        int(ids[0]) if is_numbered else None,
+        text + _SEPARATOR,
+        is_malformed=bool(ids) and not is_numbered,
+        is_comment=not ids and not has_data,
+    )
--- a/trefoilhinge/gateway/answer_relay.py
+++ b/trefoilhinge/gateway/answer_relay.py
@@ -5,6 +5,7 @@
 from attrs import define
 
 from trefoilhinge.dispatch.calls import AnswerHead
+from trefoilhinge.dispatch.event_order import EventRun, EventsMisnumbered
 from trefoilhinge.dispatch.events import EventSplitter, StreamEvent
 from trefoilhinge.gateway.caller_connections import CallerConnection
 from trefoilhinge.gateway.progress import CallProgress
@@ -34,6 +35,7 @@
 
     _caller: CallerConnection
     _progress: CallProgress
+    _held_bytes: int = 0  # of events that are not written yet
 
     async def send_complete(
         self, head: AnswerHead, content: bytes, *, is_repeatable: bool
@@ -71,25 +73,26 @@
         Events that the caller already has are dropped.
 
         :param on_event: called before new events are sent.
-        :raises AnswerBroken: the stream ended early, an event is missing, or
-            one is longer than ``MAXIMUM_EVENT_BYTES``. Without a length, one
-            that ends before its first event has ended early. An answer that
-            does not go on with a stream that has begun is broken as well.
+        :raises AnswerBroken: the stream ended early, its event numbers are
+            wrong, or an event is longer than ``MAXIMUM_EVENT_BYTES``. Without a
+            length, one that ends before its first event has ended early. An
+            answer that does not go on with a stream that has begun is broken
+            as well.
         """
         is_resumed = self._progress.has_started
         if is_resumed and head.status != self._progress.status:
             raise AnswerBroken(f'status {head.status} of a resumed stream')
         splitter = EventSplitter()
+        run = EventRun(self._progress.position, is_continued=is_resumed)
         try:
-            has_events = await self._relay_events(
-                connection, head, on_event, splitter
-            )
+            await self._relay_events(connection, head, on_event, splitter, run)
         finally:
-            self.hold(-len(splitter.remainder))
+            self._count_held(0)
         if splitter.remainder:
             raise AnswerBroken('stream ended within an event')
-        if head.ends_with_connection and not has_events:
+        if head.ends_with_connection and not run.has_events:
             raise AnswerBroken('connection ended before the first event')
+        _check_end(run)
         self._start_answer(head)
         await self._caller.finish()
 
@@ -99,25 +102,19 @@
         head: AnswerHead,
         on_event: EventCallback,
         splitter: EventSplitter,
-    ) -> bool:
-        """Relay events; return whether there were any.
-
-        What is held of an event that is not complete is counted.
-        """
-        is_resumed = self._progress.has_started
-        has_events = False
+        run: EventRun,
+    ) -> None:
+        """Relay the events of a run."""
         async for chunk in connection.read_content():
-            held_bytes = len(splitter.remainder)
             events = splitter.split(chunk)
-            self.hold(len(splitter.remainder) - held_bytes)
             if events:
-                has_events = True
                 connection.record_progress()
-            new_events = self._select_new_events(events, is_resumed=is_resumed)
+            new_events = _select(run, events)
+            self._count_held(len(splitter.remainder) + run.held_bytes)
             if new_events:
                 self._start_answer(head)
                 on_event()
-                self._write(new_events)
+                self._write(run, new_events)
                 connection.waits_for_caller = True
                 await self._caller.drain()
                 connection.waits_for_caller = False
@@ -126,7 +123,11 @@
                 raise AnswerBroken(
                     f'event is longer than {MAXIMUM_EVENT_BYTES} bytes'
                 )
-        return has_events
+
+    def _count_held(self, count: int) -> None:
+        """Count the bytes that are held of events, complete or not."""
+        self.hold(count - self._held_bytes)
+        self._held_bytes = count
 
     def _start_answer(self, head: AnswerHead) -> None:
         if not self._progress.has_started:
@@ -134,47 +135,32 @@
             self._progress.status = head.status
             self._caller.start_answer(head.status, list(head.forwarded_headers))
 
-    def _write(self, events: list[StreamEvent]) -> None:
+    def _write(self, run: EventRun, events: list[StreamEvent]) -> None:
         """Write events to the caller, who has them from here on."""
         self._caller.write(b''.join(event.content for event in events))
-        for event in events:
-            if event.number is not None:
-                self._progress.last_event = event.number
+        run.record_written(events)
 
-    def _select_new_events(
-        self, events: list[StreamEvent], *, is_resumed: bool
-    ) -> list[StreamEvent]:
-        """Return the events of a read that the caller does not have yet.
 
-        :raises StreamMisnumbered: one of them does not follow the one before
-            it. None of the read is used then, and none counts as sent.
-        """
-        new_events: list[StreamEvent] = []
-        last = self._progress.last_event
-        for event in events:
-            try:
-                is_new = _is_new(event.number, last, is_resumed=is_resumed)
-            except StreamMisnumbered as problem:
-                raise StreamMisnumbered(
-                    f'{problem}; {len(events)} events of the read are not used'
-                ) from problem
-            if is_new:
-                new_events.append(event)
-                last = last if event.number is None else event.number
-        return new_events
-
-
-def _is_new(number: int | None, last: int | None, *, is_resumed: bool) -> bool:
-    """Return whether the caller does not have an event yet.
-
-    :param number: number of the event, if it has one.
-    :param last: number of the last event before it, if there is one.
-    :raises StreamMisnumbered: it does not follow that one.
+def _select(run: EventRun, events: list[StreamEvent]) -> list[StreamEvent]:
+    """Return the events of a read that are to be written to the caller.
+
+    :raises StreamMisnumbered: a number is wrong. None of the read is used then,
+        and none counts as sent.
+    """
+    try:
+        return run.select(events)
+    except EventsMisnumbered as problem:
+        raise StreamMisnumbered(
+            f'{problem}; {len(events)} events of the read are not used'
+        ) from problem
+
+
+def _check_end(run: EventRun) -> None:
+    """Check that a run may end.
+
+    :raises StreamMisnumbered: it may lack events.
     """
-    if is_resumed and (number is None or last is None):
-        raise StreamMisnumbered('resumed stream has no event numbers')
-    if number is None or last is None:
-        return True
-    if number > last + 1:
-        raise StreamMisnumbered(f'event {number} after event {last}')
-    return number > last
+    try:
+        run.check_end()
+    except EventsMisnumbered as problem:
+        raise StreamMisnumbered(str(problem)) from problem
--- a/trefoilhinge/gateway/attempts.py
+++ b/trefoilhinge/gateway/attempts.py
@@ -8,6 +8,7 @@
 
 from trefoilhinge.dispatch.calls import AnswerHead, Call
 from trefoilhinge.dispatch.documents import CallKind
+from trefoilhinge.dispatch.event_order import StreamPosition
 from trefoilhinge.dispatch.group_placement import Placement
 from trefoilhinge.dispatch.health import Outcome
 from trefoilhinge.dispatch.targets import TargetRecord
@@ -241,6 +242,7 @@
     def _may_retry(self) -> bool:
         return (
             self._call.route.is_repeatable
+            and self.progress.can_go_on
             and self.progress.possible_runs < self._call.route.attempts
         )
 
@@ -467,7 +469,9 @@
     pool: ConnectionPool,
 ) -> Attempts:
     """Return the attempts of a call, before the first one."""
-    progress = CallProgress(call.received_s, call.head.last_event)
+    progress = CallProgress(
+        call.received_s, StreamPosition(call.head.last_event)
+    )
     relay = AnswerRelay(caller, progress)
     recorder = AttemptRecorder(state, peers, call, progress)
     gate = QuarantineGate(state, peers, call, progress)
--- a/trefoilhinge/gateway/peer_relay.py
+++ b/trefoilhinge/gateway/peer_relay.py
@@ -240,6 +240,7 @@
         route = self._call.route
         return (
             route.is_repeatable
+            and self._progress.can_go_on
             and self._progress.possible_runs < route.attempts
         )
 
--- a/trefoilhinge/gateway/progress.py
+++ b/trefoilhinge/gateway/progress.py
@@ -1,6 +1,8 @@
 """Progress of one call."""
 
-from attrs import define
+from attrs import define, field
+
+from trefoilhinge.dispatch.event_order import StreamPosition
 
 
 @define
@@ -8,7 +10,7 @@
     """What was sent of a call, and what came back.
 
     :ivar received_s: monotonic seconds at which the call was received.
-    :ivar last_event: number of the last event that was sent to the caller.
+    :ivar position: the events of a stream that the caller has.
     :ivar attempts: attempts that were sent.
     :ivar possible_runs: attempts that may have run.
     :ivar earlier_runs: attempts among these that another instance sent.
@@ -25,7 +27,7 @@
     """
 
     received_s: float
-    last_event: int | None = None
+    position: StreamPosition = field(factory=StreamPosition)
     attempts: int = 0
     possible_runs: int = 0
     earlier_runs: int = 0
@@ -41,6 +43,16 @@
     is_outstanding: bool = False
     _last_event_at_s: float = 0
 
+    @property
+    def last_event(self) -> int | None:
+        """Return the number of the last event that the caller has."""
+        return self.position.last_event
+
+    @property
+    def can_go_on(self) -> bool:
+        """Return whether another run can go on where the answer stands."""
+        return not self.has_started or self.position.is_proven
+
     def record_attempt(self, now_s: float) -> None:
         """Record that an attempt is sent; from here on the call may run."""
         self.attempts += 1
