Served streams whose event numbers have gaps.

What callers saw: 502, or an answer without its end, for each stream whose numbers grow by more than one, also at its only gap and on routes that may not be resumed. The platform's page asks for increasing ids, and no more.

Cause: each number that was not the next one counted as a missing event.

Change: a gap and a number that is too large look alike, and the next event tells them apart: after the latter comes a number that is not greater. So an event after a gap is held back until the next one, where the stream may be resumed; one that ends its run is confirmed by another run. Once two gaps follow each other, nothing is held back any more. A run goes on only after a number that follows the one before it, as after any other one a target may begin at another event than the caller expects; elsewhere the answer ends without its end, and no other target is asked. Where a run goes on with an answer, a gap breaks it, as before: the target may have lost events.

The cost for streams with gaps: the first event comes one event later, and no run goes on after a break.

What it leaves out, as nothing tells it from a sound stream: the first number of a stream that begins with 0 turns into 1, and the target crashes before the second event.

--- a/trefoilhinge/gateway/answer_relay.py
+++ b/trefoilhinge/gateway/answer_relay.py
@@ -67,12 +67,15 @@
         connection: TargetConnection,
         head: AnswerHead,
         on_event: EventCallback,
+        *,
+        is_resumable: bool,
     ) -> None:
         """Relay the complete events of a stream as they arrive, to its end.
 
         Events that the caller already has are dropped.
 
         :param on_event: called before new events are sent.
+        :param is_resumable: whether another run may go on with the stream.
         :raises AnswerBroken: the stream ended early, its event numbers are
             wrong, or an event is longer than ``MAXIMUM_EVENT_BYTES``. Without a
             length, one that ends before its first event has ended early. An
@@ -83,7 +86,11 @@
         if is_resumed and head.status != self._progress.status:
             raise AnswerBroken(f'status {head.status} of a resumed stream')
         splitter = EventSplitter()
-        run = EventRun(self._progress.position, is_continued=is_resumed)
+        run = EventRun(
+            self._progress.position,
+            is_continued=is_resumed,
+            is_resumable=is_resumable,
+        )
         try:
             await self._relay_events(connection, head, on_event, splitter, run)
         finally:
--- a/trefoilhinge/gateway/attempts.py
+++ b/trefoilhinge/gateway/attempts.py
@@ -352,7 +352,10 @@
                 self._call.route
             )
             await self._relay.relay_stream(
-                connection, head, functools.partial(self._record_event, target)
+                connection,
+                head,
+                functools.partial(self._record_event, target),
+                is_resumable=self._call.route.is_resumable,
             )
             self._recorder.record_outcome(target, Outcome.served)
             self._gate.record_answer()
--- a/trefoilhinge/gateway/peer_relay.py
+++ b/trefoilhinge/gateway/peer_relay.py
@@ -196,7 +196,12 @@
             raise AnswerBroken('successful answer without a signature header')
         is_stream = self._call.route.kind is CallKind.stream
         if head.is_success and is_stream:
-            await self._relay.relay_stream(connection, head, self._record_event)
+            await self._relay.relay_stream(
+                connection,
+                head,
+                self._record_event,
+                is_resumable=self._call.route.is_resumable,
+            )
             return
         connection.hold = self._relay.hold
         content = await connection.read_body()
