Kept an event of the own interface before it counts as received.

What callers saw: 200 with a complete text that lacks a word, where a call is not streamed and the process gives its connection up, as it holds too much.

Cause: CallRelay counted the event before it asked for the memory to keep it. Where that was refused, the event was dropped and the stream went on at the next offset.

Change: the memory is asked for first, so that such an event comes again.

--- a/tests/calls/test_relay.py
+++ b/tests/calls/test_relay.py
@@ -3,6 +3,9 @@
 import pytest
 
 from tests.calls import support
+from trefoilhinge.calls.relay import CallRelay
+from trefoilhinge.targets.abortable_connections import AbortableConnection
+from trefoilhinge.targets.exceptions import TargetBroke
 
 
 @pytest.fixture(scope='module')
@@ -75,6 +78,36 @@
         assert answer['choices'][0]['text'] == ''.join(EXPECTED_TEXTS)
         assert answer['usage']['completion_tokens'] == 8
 
+    @pytest.mark.parametrize('offset', [0, 3, 7])
+    def test_event_of_an_answer_that_was_given_up_comes_again(
+        self, deployment, monkeypatch, offset
+    ):
+        """Guards against an answer that looks whole and lacks a piece.
+
+        The connection is given up in favour of other answers while an event is
+        accepted. The event counted as received before it was kept.
+        """
+        given_up = []
+        accept_event = CallRelay._accept_event
+        hold = AbortableConnection.hold
+
+        def give_up_and_accept(relay, attempt, event):
+            if event.offset == offset and not given_up:
+                given_up.append(relay._connection.target_connection)
+            return accept_event(relay, attempt, event)
+
+        def refuse_to_hold(connection, count):
+            if connection in given_up:
+                raise TargetBroke('given up')
+            hold(connection, count)
+
+        monkeypatch.setattr(CallRelay, '_accept_event', give_up_and_accept)
+        monkeypatch.setattr(AbortableConnection, 'hold', refuse_to_hold)
+        answer = support.complete(deployment, stream=False).json()
+        assert given_up
+        assert answer['choices'][0]['text'] == ''.join(EXPECTED_TEXTS)
+        assert support.count_runs(deployment) == [1]
+
     def test_that_was_interrupted_and_lost_is_an_error(self, deployment):
         support.set_faults(deployment, forgets_streams=True, cut_after=3)
         # Without a retry, the verdict does not depend on the retry budget.
--- a/trefoilhinge/calls/relay.py
+++ b/trefoilhinge/calls/relay.py
@@ -397,6 +397,14 @@
         return self._accept_event(attempt, event)
 
     def _accept_event(self, attempt: AttemptId, event: StreamEvent) -> bytes:
+        """Count an event as received, and keep it or return it for the caller.
+
+        :raises TargetBroke: the answer was given up, so that the event cannot
+            be kept; it has to come again.
+        """
+        is_kept = not (self.call.streamed or event.is_finish_marker)
+        if is_kept and self._connection is not None:
+            self._connection.target_connection.hold(len(event.data))
         self._last_activity_s = self._now_s
         if self.next_offset == 0:
             accepted = AttemptAccepted(attempt, StreamId(event.stream_id))
@@ -411,12 +419,10 @@
             self._report_ended(AttemptOutcome.FINISHED)
             return b''
         self._last_event = event
-        if self.call.streamed:
-            return encode_data(event.data)
-        if self._connection is not None:
-            self._connection.target_connection.hold(len(event.data))
-        self.events.append(event)
-        return b''
+        if is_kept:
+            self.events.append(event)
+            return b''
+        return encode_data(event.data)
 
     def _handle_plain_answer(self, received: PlainAnswerReceived) -> None:
         if received.attempt != self.attempt or self._answer_complete:
