Read a peer's list of targets whole before any of it is applied.

What could be seen: an instance that fetched the targets from a peer refused a malformed list, but had already applied the marks of evacuated failure domains in it, so that it sent nothing to a failure domain on the word of a list that it had found wrong.

Cause: apply_targets applied the marks before it read the targets beside them.

Evidence: tests/gateway/test_replication.py, TestReportedTargets: of five malformed lists, three left their marks behind before; none does now.

Change: both are read first. A whole list has the same effect as before.

--- a/trefoilhinge/gateway/replication.py
+++ b/trefoilhinge/gateway/replication.py
@@ -85,7 +85,7 @@
 
 
 def apply_targets(state: GatewayState, content: bytes) -> Result[int, str]:
-    """Apply the targets that another instance sent.
+    """Apply the targets that another instance sent, all or nothing.
 
     Targets at a store revision that is not newer are ignored. Marks of
     evacuated failure domains are compared one by one, and are applied before
@@ -95,8 +95,8 @@
     """
     try:
         fields = json.loads(content)
-        apply_reported_evacuations(state, fields.get('evacuations'))
         records, revision = _parse_targets(fields)
+        apply_reported_evacuations(state, fields.get('evacuations'))
     except KeyError as missing:
         return Error(f'the field {missing} is missing')
     except MALFORMED_CONTENT_ERRORS as problem:
