Refused odd digits in numbers from outside.

An event id of the own interface, a tag of a reservation or an era of the store with digits such as a superscript two, or of over 4,300 digits, raised ValueError where none was expected: it ended the call, the clean-up of all reservations of an engine, or a read of the store. An Arabic-Indic digit was read as a number.

Cause: str.isdigit accepts more than int reads, and int limits the digits that it reads.

An event with such an offset is dropped, so that the next one shows a gap and the stream is gone on with.

--- a/tests/groups/test_runner.py
+++ b/tests/groups/test_runner.py
@@ -221,6 +221,12 @@
         read = parse_tag(make_tag(OWNER, ATTEMPT, 2))
         assert (read.owner, read.attempt, read.member) == (OWNER, 'huge.1', 2)
 
+    @pytest.mark.parametrize('number', ['', '-1', '\u00b2', '1' * 5_000])
+    def test_odd_numbers(self, number):
+        """Guards against a foreign tag that ends the clean-up of all."""
+        assert parse_tag(f'entry-1~{number}~huge.1~2') is None
+        assert parse_tag(f'entry-1~5~huge.1~{number}') is None
+
     def test_url_path(self):
         """No character of a tag needs quoting in a URL path."""
         tag = make_tag(OWNER, ATTEMPT, 2)
--- a/tests/platform/test_hostile_content.py
+++ b/tests/platform/test_hostile_content.py
@@ -45,6 +45,11 @@
 
 
 class TestResponses:
+    @pytest.mark.parametrize('era', ['\u00b2', '1' * 5_000])
+    def test_odd_eras_are_refused(self, era):
+        """Guards against an error that is none of the store's client."""
+        assert store.decode_era({'store-era': era}).is_error()
+
     @pytest.mark.parametrize(
         'content',
         [
--- a/trefoilhinge/core/sse.py
+++ b/trefoilhinge/core/sse.py
@@ -2,6 +2,8 @@
 
 from attrs import frozen
 
+from trefoilhinge.core.numbers import parse_count
+
 DONE_DATA = '[DONE]'
 
 
@@ -38,14 +40,14 @@
 def parse_event(block: bytes) -> StreamEvent | None:
     """Parse an event; return none if it has no valid ID or no data."""
     stream_id = ''
-    offset = -1
+    offset: int | None = None
     data: str | None = None
     for line in block.decode('utf-8', 'replace').split('\n'):
         if line.startswith('id: '):
             stream_id, _, number = line[4:].rpartition(':')
-            offset = int(number) if number.isdigit() else -1
+            offset = parse_count(number)
         elif line.startswith('data: '):
             data = line[6:]
-    if data is None or offset < 0:
+    if data is None or offset is None:
         return None
     return StreamEvent(stream_id, offset, data)
--- a/trefoilhinge/groups/tags.py
+++ b/trefoilhinge/groups/tags.py
@@ -8,6 +8,7 @@
     InstanceName,
     ReservationTag,
 )
+from trefoilhinge.core.numbers import parse_count
 
 _SEPARATOR = '~'
 _OWNER_SEPARATOR = ':'
@@ -40,11 +41,13 @@
 def parse_tag(tag: ReservationTag) -> ParsedTag | None:
     """Parse a tag; return ``None`` if it is not in this project's format."""
     parts = tag.split(_SEPARATOR)
-    if len(parts) != 4 or not (parts[1].isdigit() and parts[3].isdigit()):
+    if len(parts) != 4:
         return None
-    name, incarnation, attempt, member = parts
-    owner = InstanceIdentity(InstanceName(name), int(incarnation))
-    return ParsedTag(owner, attempt, int(member))
+    incarnation, member = parse_count(parts[1]), parse_count(parts[3])
+    if incarnation is None or member is None:
+        return None
+    owner = InstanceIdentity(InstanceName(parts[0]), incarnation)
+    return ParsedTag(owner, parts[2], member)
 
 
 def format_owner(owner: InstanceIdentity) -> str:
--- a/trefoilhinge/platform/headers.py
+++ b/trefoilhinge/platform/headers.py
@@ -6,6 +6,7 @@
 
 import xxhash
 
+from trefoilhinge.core.numbers import parse_count
 from trefoilhinge.dispatch.calls import (
     Attempt,
     Call,
@@ -201,9 +202,7 @@
 
 
 def _parse_number(value: bytes | None) -> int | None:
-    if value is None or not value.isdigit():
-        return None
-    return int(value)
+    return None if value is None else parse_count(value.decode('latin-1'))
 
 
 def _parse_seconds(value: bytes | None) -> float | None:
--- a/trefoilhinge/platform/store.py
+++ b/trefoilhinge/platform/store.py
@@ -10,6 +10,7 @@
 from attrs import frozen
 from expression import Error, Ok, Result
 
+from trefoilhinge.core.numbers import parse_count
 from trefoilhinge.dispatch.targets import TargetRecord
 from trefoilhinge.dispatch.warmup.durations import parse_cold_s
 from trefoilhinge.exceptions import MALFORMED_CONTENT_ERRORS
@@ -92,9 +93,9 @@
     :param headers: values by lower-case name.
     """
     text = headers.get(ERA_HEADER, '0')
-    if text.isascii() and text.isdigit():
-        return Ok(int(text))
-    return Error(f'the era {text!r} is not a number')
+    era = parse_count(text)
+    problem = f'the era {text[:40]!r} is not a number'
+    return Error(problem) if era is None else Ok(era)
 
 
 def find_history_begin(era: int) -> int:
