Refused a Last-Event-Id that is no event number.

What callers saw: a caller that asked to go on after an event, with a header that cannot be read, got the stream from its beginning, and so the events again that it had. Of two such headers the last one counted.

Cause: the header was ignored where it is no number. It is the part of a request that was seen to be wrong, and the rest was used.

Evidence: tests/gateway/test_event_numbers.py, TestLastEventId: the five odd values and the repeated header failed before (streams from the first event, and for a number of 5,000 digits a message that does not name the header).

Change: such a call is refused with 400 and the header's name, and reaches no target. An empty header still asks for the whole stream.

Result: the cases pass.

--- a/tests/gateway/test_event_numbers.py
+++ b/tests/gateway/test_event_numbers.py
@@ -345,3 +345,49 @@
                 writer.close()
 
         asyncio.run(run())
+
+
+class TestLastEventId:
+    """Guards against streams that begin anew where a caller asked to go on.
+
+    A header that could not be read was ignored, so that the caller got the
+    events again that it had.
+    """
+
+    @pytest.mark.parametrize('value', ['x', '-3', '3.0', '\xb2', '3' * 5_000])
+    def test_odd_one_is_refused(self, value):
+        async def run():
+            async with run_fleet(m1=stream_pieces()) as fleet:
+                answer = await fleet.send_raw(
+                    make_call(Last_Event_Id='@').replace(
+                        b'@', value.encode('latin-1')
+                    )
+                )
+                assert answer.status == 400
+                assert b'last-event-id' in answer.content
+                assert count_requests(fleet) == 0
+
+        asyncio.run(run())
+
+    def test_two_are_refused(self):
+        async def run():
+            async with run_fleet(m1=stream_pieces()) as fleet:
+                call = make_call(Last_Event_Id='3')
+                twice = call.replace(
+                    b'Last-Event-Id: 3', b'Last-Event-Id: 3\r\nLast-Event-Id: 4'
+                )
+                assert (await fleet.send_raw(twice)).status == 400
+                assert count_requests(fleet) == 0
+
+        asyncio.run(run())
+
+    @pytest.mark.parametrize('value', ['', '0'])
+    def test_none_asks_for_the_whole_stream(self, value):
+        async def run():
+            async with run_fleet(m1=stream_pieces()) as fleet:
+                call = make_call(Last_Event_Id='@').replace(
+                    b'@', value.encode()
+                )
+                assert is_whole(await fleet.send_raw(call))
+
+        asyncio.run(run())
--- a/trefoilhinge/dispatch/events.py
+++ b/trefoilhinge/dispatch/events.py
@@ -1,14 +1,12 @@
 """Splitting of a server-sent event stream into complete events."""
 
-import re
-
 from attrs import define, frozen
 
+from trefoilhinge.core.numbers import parse_count
+
 _SEPARATOR = b'\n\n'
 _ID_FIELD = b'id'
 _DATA_FIELD = b'data'
-# The longest number that any counter of events reaches has fewer digits.
-_NUMBER_PATTERN = re.compile(rb'\d{1,18}')
 
 
 @frozen
@@ -58,10 +56,30 @@
             ids.append(value.strip())
         elif name == _DATA_FIELD:
             has_data = True
-    is_numbered = len(ids) == 1 and _NUMBER_PATTERN.fullmatch(ids[0])
+    number = _parse_number(ids[0]) if len(ids) == 1 else None
     return StreamEvent(
-        int(ids[0]) if is_numbered else None,
+        number,
         text + _SEPARATOR,
-        is_malformed=bool(ids) and not is_numbered,
+        is_malformed=bool(ids) and number is None,
         is_comment=not ids and not has_data,
     )
+
+
+def parse_last_event(value: bytes | None) -> int | None:
+    """Parse the number of the event after which a caller asks for a stream.
+
+    :param value: value of the header; an empty one asks for the whole stream
+        (WHATWG HTML, section 9.2.4).
+    :raises ValueError: it is no event number. To begin anew would repeat what
+        the caller has.
+    """
+    if not value:
+        return None
+    number = _parse_number(value)
+    if number is None:
+        raise ValueError(f'last-event-id is no event number: {value[:40]!r}')
+    return number
+
+
+def _parse_number(value: bytes) -> int | None:
+    return parse_count(value.decode('latin-1'))
--- a/trefoilhinge/platform/headers.py
+++ b/trefoilhinge/platform/headers.py
@@ -14,6 +14,7 @@
     PromptSize,
     RawHeaders,
 )
+from trefoilhinge.dispatch.events import parse_last_event
 
 MS_PER_S = 1000
 _TOKENS_PATTERN = re.compile(rb'\d{1,12}')
@@ -54,6 +55,7 @@
     (
         b'api-key',
         b'host',
+        b'last-event-id',
         b'x-deadline',
         b'x-request-id',
         b'x-token-count',
@@ -95,7 +97,7 @@
         api_key=_decode_optional(by_name.get(b'api-key')),
         timeout_s=_parse_seconds(by_name.get(b'x-deadline')),
         prompt_size=_parse_prompt_size(by_name),
-        last_event=_parse_number(by_name.get(b'last-event-id')),
+        last_event=parse_last_event(by_name.get(b'last-event-id')),
         forwarded_headers=_select_forwarded(raw_headers, by_name),
         prompt_parts=decode_prompt_parts(by_name.get(_PROMPT_HEADER, b'')),
     )
@@ -201,10 +203,6 @@
     return None if value is None else value.decode('latin-1')
 
 
-def _parse_number(value: bytes | None) -> int | None:
-    return None if value is None else parse_count(value.decode('latin-1'))
-
-
 def _parse_seconds(value: bytes | None) -> float | None:
     if value is None:
         return None
@@ -219,7 +217,7 @@
     if value is None:
         return None
     prompt_tokens, maximum_tokens = _parse_token_counts(value)
-    hint = _parse_number(by_name.get(b'x-length-hint'))
+    hint = parse_count(by_name.get(b'x-length-hint', b'').decode('latin-1'))
     expected_tokens = (
         maximum_tokens if hint is None else min(hint, maximum_tokens)
     )
