Spoiled event numbers in the soak.

The soak tore streams, but all numbers of events were right, so that neither of the two faults of event numbers could show.

The number is larger, smaller, unreadable or missing, and the event before it arrives in the same read. It is no fault, so that all other checks go on; only a stream that its target spoiled is no call that a stop cut.

--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -20,6 +20,7 @@
     RetryKind,
     SilenceKind,
     StopKind,
+    StreamKind,
 )
 from trefoilhinge.soak.plans import PlannedEvent
 from trefoilhinge.soak.records import CallKind
@@ -81,6 +82,8 @@
     PlannedEvent(2.0, 2, SilenceKind.revocation, 0.1),
     PlannedEvent(3.0, 2, SilenceKind.removal, 4.5 / 7),
 )
+# One model target after the other, each for a while.
+SPOILED = make_plan(StreamKind.spoil, count=4, duration_s=1.6, interval_s=1.8)
 SWITCH = (PlannedEvent(0.5, 0.5, DemandKind.switch, 0),)
 STOPS = (PlannedEvent(0.5, 0, StopKind.repeated, 0.1),)
 CROWD = (PlannedEvent(0.5, 4, CrowdKind.bodies, 0.1),)
@@ -180,6 +183,16 @@
         assert len(observed.silences) == 2
         assert len(observed.leaving_since_s) == 1
 
+    def test_streams_whose_event_numbers_are_spoiled(self, tmp_path):
+        """Guards against streams that look whole and lack or repeat a piece."""
+        observed = play(tmp_path, 143, SPOILED, 9)
+        whole = [
+            call
+            for call in observed.calls
+            if call.request_id in observed.spoiled and call.is_complete
+        ]
+        assert len(whole) >= 5
+
     def test_switch_of_the_load(self, tmp_path):
         observed = play(tmp_path, 135, SWITCH, 9)
         assert len(observed.switches) == 1
@@ -204,6 +217,12 @@
         plan = make_plan(FaultKind.tear_streams, count=7, interval_s=1)
         assert is_found('WRONG_ANSWER', tmp_path, 103, plan, 'join_torn')
 
+    @pytest.mark.parametrize(
+        'variant', ['count_events_when_read', 'believe_event_numbers']
+    )
+    def test_stream_gone_on_with_at_the_wrong_event(self, tmp_path, variant):
+        assert is_found('WRONG_ANSWER', tmp_path, 144, SPOILED, variant)
+
     def test_unreleased_memory(self, tmp_path):
         assert is_found('MEMORY', tmp_path, 104, (), 'keep_memory')
 
--- a/tests/soak/variants.py
+++ b/tests/soak/variants.py
@@ -11,6 +11,7 @@
 )
 from trefoilhinge.dispatch.admission import order
 from trefoilhinge.dispatch.departures import DepartureTable
+from trefoilhinge.dispatch.event_order import EventRun, EventsMisnumbered
 from trefoilhinge.dispatch.outages import StoreOutages
 from trefoilhinge.dispatch.stops import StopSchedule
 from trefoilhinge.dispatch.store_timing import MAXIMUM_WAIT_S, StoreTiming
@@ -65,6 +66,43 @@
     answer_relay.AnswerRelay.relay_stream = relay_truncated
 
 
+def count_events_when_read():
+    """Count each event of a read as sent before the next one is checked."""
+    select = EventRun.select
+
+    def select_each(self, events):
+        selected = []
+        for event in events:
+            passed = select(self, [event])
+            self.record_written(passed)
+            selected.extend(passed)
+        return selected
+
+    EventRun.select = select_each
+
+
+def believe_event_numbers():
+    """Take events whose numbers do not grow for events that the caller has."""
+
+    def select(self, events):
+        selected = []
+        position = self._position
+        for event in events:
+            if event.number is None or position.last_event is None:
+                selected.append(event)
+            elif event.number > position.last_event + 1:
+                raise EventsMisnumbered('a number was skipped')
+            elif event.number > position.last_event:
+                selected.append(event)
+            if event.number is not None and event in selected:
+                position.last_event = event.number
+        return selected
+
+    EventRun.select = select
+    EventRun.record_written = lambda self, events: None
+    EventRun.check_end = lambda self: None
+
+
 def place_latest_first():
     """Place the latest call first, whatever its organisation was given."""
     order._take_turns = lambda calls, usage, now_s: reversed(calls)
--- a/trefoilhinge/soak/event_kinds.py
+++ b/trefoilhinge/soak/event_kinds.py
@@ -111,6 +111,12 @@
     restart = 'restart'
 
 
+class StreamKind(enum.Enum):
+    """What a target does to the streams that it sends."""
+
+    spoil = 'spoil'
+
+
 class DemandKind(enum.Enum):
     """How the load changes."""
 
@@ -143,6 +149,7 @@
     | OutageKind
     | ColdKind
     | SilenceKind
+    | StreamKind
     | EvacuationKind
     | DemandKind
     | RetryKind
--- a/trefoilhinge/soak/expiries.py
+++ b/trefoilhinge/soak/expiries.py
@@ -80,6 +80,8 @@
         target.crashed_s,
         target.cold_until_s,
         fleet.demand_ended_s,
+        # Its broken answers keep calls from it for a while.
+        target.spoiled_until_s + RECOVERY_S,
         *(
             limit.end_s
             for limit in observations.limits
--- a/trefoilhinge/soak/observations.py
+++ b/trefoilhinge/soak/observations.py
@@ -83,6 +83,7 @@
         competed for too few slots.
     :ivar new_reservations: first order to make each reservation, by its name.
     :ivar crashing_traits: what crashed targets, each for a time.
+    :ivar spoiled: identifiers of calls of whose streams an event was spoiled.
     :ivar crowds: memory of instances after crowds of clients.
     """
 
@@ -108,6 +109,7 @@
     retries: list[ObservedRetries] = field(factory=list)
     new_reservations: list[ObservedRun] = field(factory=list)
     crashing_traits: list[CrashingTrait] = field(factory=list)
+    spoiled: set[str] = field(factory=set)
     crowds: list[ObservedCrowd] = field(factory=list)
 
     def find_violations(self) -> list[Violation]:
@@ -270,6 +272,8 @@
     def _was_cut_at_stop(self, call: ObservedCall, *, has_run: bool) -> bool:
         if call.is_complete or not call.is_stopping or call.ended_s is None:
             return False
+        if call.request_id in self.spoiled:
+            return False
         if call.ended_s >= call.sent_s + call.deadline_s:
             return False
         finished_s = self.finished_s.get(call.request_id)
--- a/trefoilhinge/soak/plan_execution.py
+++ b/trefoilhinge/soak/plan_execution.py
@@ -31,6 +31,7 @@
     RetryKind,
     SilenceKind,
     StopKind,
+    StreamKind,
 )
 from trefoilhinge.soak.expiries import expire_entry
 from trefoilhinge.soak.fleets import CALLER_KEYS, SoakFleet
@@ -48,6 +49,7 @@
     LEAD_S,
     silence_store,
 )
+from trefoilhinge.soak.spoiled_streams import spoil_streams
 from trefoilhinge.soak.stops import restart_gracefully, stop_under_load
 from trefoilhinge.soak.switches import switch_load
 from trefoilhinge.soak.targets import SoakTarget, TargetBehaviour
@@ -295,6 +297,7 @@
     OutageKind: restart_in_outage,
     ColdKind: turn_cold,
     SilenceKind: _change_before_silence,
+    StreamKind: spoil_streams,
     EvacuationKind: evacuate,
     DemandKind: switch_load,
     RetryKind: retry_at_once,
--- a/trefoilhinge/soak/plans.py
+++ b/trefoilhinge/soak/plans.py
@@ -20,6 +20,7 @@
     RetryKind,
     SilenceKind,
     StopKind,
+    StreamKind,
 )
 
 WARM_UP_S = 3.0  # without events, until all instances are ready
@@ -45,6 +46,7 @@
 RETRY_INTERVALS_S = (4.0, 16.0)
 CROWD_INTERVALS_S = (15.0, 45.0)
 SILENCE_INTERVALS_S = (6.0, 18.0)
+SPOIL_INTERVALS_S = (4.0, 12.0)
 EVACUATION_INTERVALS_S = (10.0, 30.0)
 
 # Events with random numbers of their own, by the number of their series.
@@ -63,6 +65,7 @@
     19: (CrowdKind.connections, CROWD_INTERVALS_S),
     20: (SilenceKind.removal, SILENCE_INTERVALS_S),
     21: (SilenceKind.revocation, SILENCE_INTERVALS_S),
+    22: (StreamKind.spoil, SPOIL_INTERVALS_S),
 }
 # Planned work, in a plan without faults.
 STOP_INTERVALS_S = (17.0, 20.0)  # more than such an event lasts
--- a/trefoilhinge/soak/switches.py
+++ b/trefoilhinge/soak/switches.py
@@ -44,6 +44,7 @@
         *(one.end_s for one in observations.evacuations),
         *(target.crashed_s for target in fleet.targets),
         *(target.cold_until_s for target in fleet.targets),
+        *(target.spoiled_until_s for target in fleet.targets),
         *(limit.end_s for limit in observations.limits),
     ]
     return (
--- a/trefoilhinge/soak/targets.py
+++ b/trefoilhinge/soak/targets.py
@@ -3,7 +3,7 @@
 import asyncio
 import enum
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 from attrs import define, field
 
@@ -25,8 +25,8 @@
     ObservedArrival,
     ObservedRun,
     make_content,
-    make_event,
 )
+from trefoilhinge.soak.spoiled_events import choose_spoiled_event, make_writes
 from trefoilhinge.standins.http_listener import Header, HttpExchange, serve_http
 
 STREAM_EVENTS = 12
@@ -60,6 +60,8 @@
     :ivar requests_per_s: limit that its answers name, none if it has none.
     :ivar cold_until_s: end of the time for which its entry and its answers say
         that it is cold.
+    :ivar spoiled_until_s: end of the time in which it spoils an event of each
+        stream.
     :ivar started_ms: wall-clock milliseconds of its start.
     :ivar sequence: number of its registration, in its entry.
     :ivar crashed_s: time of its last crash.
@@ -82,6 +84,7 @@
     behaviour: TargetBehaviour = TargetBehaviour.sound
     requests_per_s: float | None = None
     cold_until_s: float = float('-inf')
+    spoiled_until_s: float = float('-inf')
     started_ms: int = 1000
     sequence: int = 1
     crashed_s: float = float('-inf')
@@ -242,21 +245,31 @@
             formats.SEAL_HEADER, formats.EVENT_STREAM_HEADER
         )
         await request.send_headers(200, headers)
-        for number in range(received.last_event + 1, STREAM_EVENTS + 1):
-            event = make_event(received.request_id, number)
+        for number, content in self._make_writes(received):
             is_truncated = (
                 self.behaviour is TargetBehaviour.tearing
                 and number == TRUNCATED_EVENT
             )
             if is_truncated:
-                await request.send_body(event[: len(event) // 2])
+                await request.send_body(content[: len(content) // 2])
                 request.writer.transport.abort()
                 return
-            await request.send_body(event)
+            await request.send_body(content)
             await asyncio.sleep(interval_s)
         await request.end_response()
         self.observations.finished_s[received.request_id] = time.monotonic()
 
+    def _make_writes(
+        self, received: formats.ReceivedRequest
+    ) -> Iterator[tuple[int, bytes]]:
+        """Return the writes of a stream; spoil an event if it is time to."""
+        spoiled = None
+        if time.monotonic() < self.spoiled_until_s:
+            spoiled = choose_spoiled_event(received.request_id, STREAM_EVENTS)
+            self.observations.spoiled.add(received.request_id)
+        numbers = range(received.last_event + 1, STREAM_EVENTS + 1)
+        return make_writes(received.request_id, numbers, spoiled)
+
     async def _handle_order(self, request: HttpExchange) -> None:
         order = formats.decode_order(request.body)
         if order.is_reservation:
