Counted an order as unanswered until its answer comes.

What could be seen: a call ends while a renewal of its reservation is under way. The release overtakes the renewal, which takes effect after it and holds the memory until its lease ends.

Cause: releases are repeated after an order that got no answer, but only one that failed counted as such. A renewal is cancelled by the end of its call.

Evidence: tests/gateway/test_reservations.py, TestCancelledOrders: the memory was held after the release before this change.

Change: the order is noted as unanswered when it is sent, and the note is taken back with its answer.

--- a/tests/gateway/test_reservations.py
+++ b/tests/gateway/test_reservations.py
@@ -1,6 +1,7 @@
 """Tests of memory reserved for prompts that exceed one target."""
 
 import asyncio
+import json
 
 import pytest
 
@@ -14,11 +15,13 @@
 from tests.gateway.partitions import CutKind, partition
 from tests.gateway.targets import (
     SEAL_HEADER,
+    TargetStandIn,
     make_event,
     never_answer,
     reset,
     stream,
 )
+from trefoilhinge.dispatch.calls import PrefillHelper
 from trefoilhinge.dispatch.rate_limits import NamedRate
 from trefoilhinge.gateway import reservations
 from trefoilhinge.gateway.peer_exchange import PeerExchange
@@ -118,6 +121,51 @@
         asyncio.run(run())
 
 
+class TestCancelledOrders:
+    def test_renewal_on_its_way_is_followed_by_a_late_release(
+        self, monkeypatch
+    ):
+        """Guards against LEAK: memory that a late renewal holds again.
+
+        The call ends while a renewal is under way. It counted as answered, so
+        that nothing was released after it took effect.
+        """
+        monkeypatch.setattr(reservations, 'LATE_RELEASE_DELAYS_S', (0.3,))
+        held = set()
+
+        async def handle_order(exchange):
+            order = json.loads(exchange.body)
+            if order['op'] == 'reserve':
+                await asyncio.sleep(0.15 if held else 0)
+                held.add(order['id'])
+            else:
+                held.discard(order['id'])
+            await exchange.respond(200, b'{"free": 1}')
+
+        async def run():
+            target = TargetStandIn('m1')
+            target.handle_order = handle_order
+            await target.start()
+            state = make_state(make_settings(1, free_s=0.4))
+            made = Reservations(
+                state,
+                PeerExchange(state),
+                (PrefillHelper(target.address, 'r-1'),),
+                (1_000,),
+            )
+            assert await made.reserve_all()
+            async with asyncio.timeout(2):
+                while len(target.orders) < 2:
+                    await asyncio.sleep(0.01)
+            made.release()
+            await asyncio.sleep(0.5)
+            assert [one['op'] for one in target.orders].count('reserve') == 2
+            assert not held
+            await target.stop()
+
+        asyncio.run(run())
+
+
 class TestNames:
     """Guards against LIMIT: two requests that use one reservation.
 
--- a/trefoilhinge/gateway/reservations.py
+++ b/trefoilhinge/gateway/reservations.py
@@ -46,7 +46,7 @@
     _peers: PeerExchange
     helpers: tuple[PrefillHelper, ...]
     _tokens: tuple[int, ...]
-    _unanswered: set[str] = field(factory=set)
+    _unanswered: set[str] = field(factory=set)  # by an order at least
     _renewal: asyncio.Task[None] | None = None
     _is_released: bool = False
 
@@ -200,6 +200,9 @@
         limited = self._find_limited_target(helper.address)
         if limited is not None:
             self._peers.broadcast_target_ordered(limited)
+        # An order that is cancelled on its way gets no answer either.
+        was_answered = helper.reservation_id not in self._unanswered
+        self._unanswered.add(helper.reservation_id)
         try:
             fetched = await fetch(
                 address,
@@ -209,7 +212,6 @@
                 maximum_bytes=MAXIMUM_ORDER_ANSWER_BYTES,
             )
         except FetchFailed as problem:
-            self._unanswered.add(helper.reservation_id)
             self._state.log.write(
                 'order_unanswered',
                 address=helper.address,
@@ -217,6 +219,8 @@
                 problem=problem,
             )
             return None
+        if was_answered:
+            self._unanswered.discard(helper.reservation_id)
         self._state.metrics.increment('orders', status=str(fetched.status))
         if record is not None:
             head = reservations.decode_order_head(
