Let no run go on where the caller's last event proves no place.

Cause: no other target is asked for such a stream, but that one decision stood only with the retries. A run that is made all the same, by a path that does not ask, would go on after an unproven number, or, after events without numbers, repeat them.

Change: the run itself breaks at its first event, and at its end.

--- a/tests/dispatch/test_event_order.py
+++ b/tests/dispatch/test_event_order.py
@@ -185,6 +185,15 @@
         assert position.last_event == numbers[-1]
         assert position.is_proven is is_proven
 
+    def test_no_run_goes_on_from_another_one(self):
+        """Guards against a run that is made all the same."""
+        position = StreamPosition()
+        select(make_run(position), 5, 7)
+        with pytest.raises(EventsMisnumbered):
+            select(make_run(position, is_continued=True), 8)
+        with pytest.raises(EventsMisnumbered):
+            make_run(position, is_continued=True).check_end()
+
     def test_event_without_a_number(self):
         position = StreamPosition()
         run = make_run(position)
--- a/trefoilhinge/dispatch/event_order.py
+++ b/trefoilhinge/dispatch/event_order.py
@@ -63,10 +63,12 @@
     _is_unnumbered: bool = False
     _has_new: bool = False
     _has_gaps: bool = field(init=False)
+    _is_stuck: bool = field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Take over what earlier runs showed."""
         self._has_gaps = self._position.has_gaps
+        self._is_stuck = self._is_continued and not self._position.is_proven
 
     @property
     def held_bytes(self) -> int:
@@ -113,6 +115,8 @@
 
         :raises EventsMisnumbered: it may lack events.
         """
+        if self._is_stuck:
+            raise EventsMisnumbered('nothing proves that no event is missing')
         if self._held is not None:
             raise EventsMisnumbered(
                 f'ended with event {self._previous}, after a gap'
@@ -141,6 +145,8 @@
         if event.is_malformed:
             return f'unreadable number after event {before}'
         is_begun = self._previous is not None or self._is_continued
+        if self._previous is None and self._is_stuck:
+            return f'no place to go on from after event {before}'
         if event.number is None:
             is_numbered = is_begun or before >= FIRST_NUMBER
             return f'no number after event {before}' if is_numbered else ''
