Decided on the usual event of a stream first.

Change: an event whose number is the next one, with nothing held back, passes without the other checks, which could not object to it.

The tests of event order and numbers and of broken streams pass; the behaviour is the same.

--- a/trefoilhinge/dispatch/event_order.py
+++ b/trefoilhinge/dispatch/event_order.py
@@ -84,16 +84,14 @@
         """
         selected: list[StreamEvent] = []
         for event in events:
-            if event.is_comment:
+            if self._is_next(event.number):
+                self._previous = event.number
+                self._proven = event.number
                 selected.append(event)
-                continue
-            self._check(event)
-            self.has_events = True
-            if event.number is None:
-                self._is_unnumbered = True
+            elif event.is_comment:
                 selected.append(event)
             else:
-                selected.extend(self._accept(event, event.number))
+                selected.extend(self._select_other(event))
         return selected
 
     def record_written(self, events: Iterable[StreamEvent]) -> None:
@@ -126,6 +124,26 @@
                 f'ended with event {self._previous}, which the caller has'
             )
 
+    def _is_next(self, number: int | None) -> bool:
+        """Return whether an event follows the one that was passed before it.
+
+        Most do, so that this is decided first.
+        """
+        return (
+            number is not None
+            and self._has_new
+            and self._held is None
+            and number - 1 == self._previous
+        )
+
+    def _select_other(self, event: StreamEvent) -> list[StreamEvent]:
+        self._check(event)
+        self.has_events = True
+        if event.number is None:
+            self._is_unnumbered = True
+            return [event]
+        return self._accept(event, event.number)
+
     def _check(self, event: StreamEvent) -> None:
         """Check a number against those before it.
 
