Sent no calls of the soak on connections that have been closed.

Cause: a stopping instance closes connections that are unused for 0.2 s, from 3.5 s after the order on. The event loop of the soak is busy for 0.2 s to 0.7 s while it sends a crowd. It does not read the end of a connection in that time, and then a caller sends a call on it.

Change: the callers look whether a connection has ended before they use it, as client libraries do. The check itself is unchanged.

--- a/trefoilhinge/soak/callers.py
+++ b/trefoilhinge/soak/callers.py
@@ -10,13 +10,13 @@
 from attrs import define, evolve, field
 
 from trefoilhinge.platform.standins import formats
+from trefoilhinge.soak.connections import Connection, connect, has_ended
 from trefoilhinge.soak.crashes import CrashSource
 from trefoilhinge.soak.demands import DEADLINE_S, QUEUED_DEMAND, Demand
 from trefoilhinge.soak.instances import Instance
 from trefoilhinge.soak.observations import ObservationLog
 from trefoilhinge.soak.records import CallKind, ObservedCall
 
-CONNECT_TIMEOUT_S = 0.5
 CALL_INTERVAL_S = 0.05  # between calls of one caller
 RETRIES = 3  # at once, of a caller that does not wait after a refusal
 RETRY_BACKOFF_S = 0.2  # if these are refused as well
@@ -65,9 +65,7 @@
     number: int
     usual_callers: int
     stop_requested: bool = False
-    _connections: dict[
-        str, tuple[asyncio.StreamReader, asyncio.StreamWriter]
-    ] = field(factory=dict)
+    _connections: dict[str, Connection] = field(factory=dict)
 
     async def run(self) -> None:
         """Make calls until a stop is requested."""
@@ -148,24 +146,19 @@
             self._close_connection(instance.name)
         return call.is_complete and call.status == SERVED_STATUS
 
-    async def _connect(
-        self, instance: Instance
-    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter] | None:
+    async def _connect(self, instance: Instance) -> Connection | None:
         existing = self._connections.get(instance.name)
-        if existing is not None and not existing[0].at_eof():
+        if existing is not None and not has_ended(*existing):
             return existing
         self._close_connection(instance.name)
-        try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                connection = await asyncio.open_connection(*instance.entry)
-        except OSError:
-            return None
-        self._connections[instance.name] = connection
+        connection = await connect(instance.entry)
+        if connection is not None:
+            self._connections[instance.name] = connection
         return connection
 
     async def _exchange(
         self,
-        connection: tuple[asyncio.StreamReader, asyncio.StreamWriter],
+        connection: Connection,
         call: ObservedCall,
         source: CrashSource | None,
         demand: Demand | None,
--- a/trefoilhinge/soak/kept_connections.py
+++ b/trefoilhinge/soak/kept_connections.py
@@ -14,11 +14,11 @@
 from trefoilhinge.soak.callers import (
     CALL_INTERVAL_S,
     COMMON_PREFIX,
-    CONNECT_TIMEOUT_S,
     RESPONSE_GRACE_S,
     SHARED_TOKENS,
     read_answer,
 )
+from trefoilhinge.soak.connections import CONNECT_TIMEOUT_S
 from trefoilhinge.soak.demands import QUEUED_DEMAND
 from trefoilhinge.soak.instances import Instance
 from trefoilhinge.soak.observations import ObservationLog
