Gave the wrong numbers of each target of the soak an amount of its own.

Cause, of the three alike (their logs): the call's identifier chose the twelfth, last event and a larger number. The first target gave it 13; it was held back as after a gap, and the run broke ("ended with event 13, after a gap"). The stream went on after 11 at another target, which had begun to spoil streams meanwhile, and gave the same event 13 as well, as the identifier chose the same error. A gap that two targets show is right by the design; PROTOCOL promises increasing numbers only, and a gateway that broke this stream would break sound ones with a gap before their last event. No piece was lost or repeated. The stand-in was wrong: targets that spoil bytes do so independently.

Change: each model target makes numbers larger by an amount of its own. Which event it spoils is unchanged, so that a stream that goes on at a second spoiling target meets the same event spoiled there. The check is unchanged.

--- a/trefoilhinge/soak/spoiled_events.py
+++ b/trefoilhinge/soak/spoiled_events.py
@@ -29,17 +29,19 @@
     """The event of a stream whose number is wrong.
 
     :ivar number: its right number, from one.
+    :ivar excess: by how much a larger number is too large.
     """
 
     number: int
     spoiling: Spoiling
+    excess: int = 1
 
     def spoil(self, event: bytes) -> bytes:
         """Return the event with a wrong number."""
         _, _, rest = event.partition(b'\n')
         match self.spoiling:
             case Spoiling.larger:
-                return b'%b%d\n%b' % (ID_FIELD, self.number + 1, rest)
+                return b'%b%d\n%b' % (ID_FIELD, self.number + self.excess, rest)
             case Spoiling.smaller:
                 return b'%b%d\n%b' % (ID_FIELD, self.number - 2, rest)
             case Spoiling.unreadable:
@@ -48,15 +50,19 @@
                 return rest
 
 
-def choose_spoiled_event(request_id: str, events: int) -> SpoiledEvent:
+def choose_spoiled_event(
+    request_id: str, events: int, excess: int = 1
+) -> SpoiledEvent:
     """Choose the spoiled event of a stream by the identifier of its call.
 
     :param events: number of events of the stream.
+    :param excess: by how much a larger number is too large.
     """
     drawn = zlib.crc32(request_id.encode())
     number = 1 + drawn % events
     choices = _OF_FIRST if number == 1 else tuple(Spoiling)
-    return SpoiledEvent(number, choices[drawn // events % len(choices)])
+    spoiling = choices[drawn // events % len(choices)]
+    return SpoiledEvent(number, spoiling, excess)
 
 
 def make_writes(
--- a/trefoilhinge/soak/targets.py
+++ b/trefoilhinge/soak/targets.py
@@ -62,6 +62,8 @@
         that it is cold.
     :ivar spoiled_until_s: end of the time in which it spoils an event of each
         stream.
+    :ivar number_excess: by how much the numbers of events that it makes larger
+        are too large.
     :ivar started_ms: wall-clock milliseconds of its start.
     :ivar sequence: number of its registration, in its entry.
     :ivar crashed_s: time of its last crash.
@@ -85,6 +87,7 @@
     requests_per_s: float | None = None
     cold_until_s: float = float('-inf')
     spoiled_until_s: float = float('-inf')
+    number_excess: int = 1
     started_ms: int = 1000
     sequence: int = 1
     crashed_s: float = float('-inf')
@@ -265,7 +268,9 @@
         """Return the writes of a stream; spoil an event if it is time to."""
         spoiled = None
         if time.monotonic() < self.spoiled_until_s:
-            spoiled = choose_spoiled_event(received.request_id, STREAM_EVENTS)
+            spoiled = choose_spoiled_event(
+                received.request_id, STREAM_EVENTS, self.number_excess
+            )
             self.observations.spoiled.add(received.request_id)
         numbers = range(received.last_event + 1, STREAM_EVENTS + 1)
         return make_writes(received.request_id, numbers, spoiled)
